--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""benchmarks: see the modules in this package."""
--- /dev/null
+++ b/src/turmericusher/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers and operators."""
--- /dev/null
+++ b/src/turmericusher/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/turmericusher/client.py
@@ -0,0 +1,1 @@
+"""The callers' library: entry points, streams, resumes and repeats."""
--- /dev/null
+++ b/src/turmericusher/decisions/fleet.py
@@ -0,0 +1,52 @@
+"""The instances that the decisions speak of: upstreams and entry instances."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+class UpstreamKind(enum.StrEnum):
+    """What an upstream serves: generations or plain calls."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class Lifecycle(enum.StrEnum):
+    """What is known of an instance's life; `LEAVING` is final for an incarnation."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamInstance:
+    """One upstream process.
+
+    `incarnation` differs between two starts of the same `name`. `address` is
+    `host:port` with an IP number. `models` is empty for a plain service.
+    """
+
+    name: str
+    service: str
+    kind: UpstreamKind
+    address: str
+    failure_domain: str
+    incarnation: str = ""
+    version: str = ""
+    models: tuple[str, ...] = ()
+    lifecycle: Lifecycle = Lifecycle.LIVE
+    checks_fencing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class EntryInstance:
+    """One entry instance of this system, as its peers know it."""
+
+    name: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+    incarnation: str = ""
+    lifecycle: Lifecycle = Lifecycle.LIVE
--- /dev/null
+++ b/src/turmericusher/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange between entry instances over gRPC."""
--- /dev/null
+++ b/src/turmericusher/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the outside systems, as protocols with their adapters."""
--- /dev/null
+++ b/src/turmericusher/settings.py
@@ -0,0 +1,264 @@
+"""Settings: YAML validated at the border, an immutable data class inside."""
+
+from __future__ import annotations
+
+import enum
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import yaml
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from turmericusher.decisions.fleet import UpstreamKind
+from turmericusher.errors import SettingsError
+from turmericusher.profiles import describe_validation_error
+
+MAX_PORT = 65_535
+
+
+class CallerIdentity(enum.StrEnum):
+    """How callers say which team they belong to."""
+
+    HEADER = "header"
+    TOKEN = "token"
+
+
+def check_address(value: str) -> str:
+    """Accept `ip:port`; names are refused because instances talk by IP numbers."""
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit() or not 0 <= int(port) <= MAX_PORT:
+        raise ValueError("write it as IP:PORT, for example 127.0.0.1:8080")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError("use an IP number, not a name") from None
+    return value
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+class StrictModel(BaseModel):
+    """A border model that refuses unknown keys."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class InstanceModel(StrictModel):
+    """The `instance` section."""
+
+    name: Name
+    failure_domain: Name
+    caller_address: Address
+    peer_address: Address
+
+
+class StoreModel(StrictModel):
+    """The `store` section."""
+
+    url: str = Field(pattern=r"^http://")
+    prefix: str = Field(default="/turmericusher/", pattern=r"^/.*/$")
+    timeout_s: float = Field(default=1.0, gt=0, le=60)
+
+
+class ServiceModel(StrictModel):
+    """One entry of `services`."""
+
+    name: Name
+    kind: UpstreamKind
+    models: tuple[str, ...] = ()
+    default_profile: Name = "default"
+    capacity_per_upstream: int = Field(default=16, ge=1, le=100_000)
+    minimum_upstreams: int = Field(default=1, ge=0)
+    checks_fencing: bool = False
+
+
+class CallersModel(StrictModel):
+    """The `callers` section."""
+
+    identify_by: CallerIdentity = CallerIdentity.HEADER
+    tokens: dict[str, Name] = {}
+    max_body_bytes: int = Field(default=4_000_000, ge=1024)
+
+
+class OperatorsModel(StrictModel):
+    """The `operators` section."""
+
+    token: str = Field(min_length=8)
+
+
+class MetricsModel(StrictModel):
+    """The `metrics` section."""
+
+    statsd_address: Address | None = None
+    prefix: str = "turmericusher"
+
+
+class StopModel(StrictModel):
+    """The `stop` section."""
+
+    drain_limit_s: float = Field(default=60.0, gt=0)
+
+
+class SettingsModel(StrictModel):
+    """A whole settings file."""
+
+    instance: InstanceModel
+    store: StoreModel
+    instance_list_url: str = Field(pattern=r"^http://")
+    weight_store_url: str | None = None
+    services: tuple[ServiceModel, ...] = Field(min_length=1)
+    callers: CallersModel = CallersModel()
+    operators: OperatorsModel
+    metrics: MetricsModel = MetricsModel()
+    stop: StopModel = StopModel()
+    entrypoint_ttl_s: float = Field(default=5.0, gt=0, le=300)
+    stale_after_s: float = Field(default=10.0, gt=0, le=300)
+    claim_retention_s: float = Field(default=86_400.0, gt=0)
+    clock_skew_s: float = Field(default=5.0, ge=0)
+    peer_seeds: tuple[Address, ...] = ()
+    seed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A named group of upstreams.
+
+    `models` are the models that its engines serve; `default_profile` applies to a
+    request that names none. `capacity_per_upstream` is the number of requests one
+    upstream runs at once. `minimum_upstreams` must stay in service during orders.
+    `checks_fencing`: whether its upstreams refuse an old fencing number.
+    """
+
+    name: str
+    kind: UpstreamKind
+    models: tuple[str, ...]
+    default_profile: str
+    capacity_per_upstream: int
+    minimum_upstreams: int
+    checks_fencing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings of one entry instance; every field is documented beside its use.
+
+    `name` is unique among the entry instances. `failure_domain` is where it runs.
+    `caller_address` and `peer_address` are the `ip:port` it listens on.
+    `store_url`, `store_prefix`, `store_timeout_s`: the key-value service.
+    `instance_list_url`: the platform's list of upstreams, as HTTP service discovery.
+    `weight_store_url`: the platform's weight store, or None without orders.
+    `identify_by`, `caller_tokens`: how a caller's team is known.
+    `max_body_bytes`: the largest request body accepted.
+    `operator_token`: the bearer token of operators' routes.
+    `statsd_address`, `metrics_prefix`: where metrics go; None sends none.
+    `drain_limit_s`: seconds after which a stopping instance hands generations over.
+    `entrypoint_ttl_s`: seconds for which a caller may keep an answer of entry points.
+    `stale_after_s`: seconds without news of the configuration after which new work is
+    refused.
+    `claim_retention_s`: seconds for which the outcome of a key is kept.
+    `clock_skew_s`: the largest difference between clocks that is allowed for.
+    `peer_seeds`: peer addresses asked first; more are learned from the peers.
+    `seed`: the seed of every random choice of this instance.
+    """
+
+    name: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+    store_url: str
+    store_prefix: str
+    store_timeout_s: float
+    instance_list_url: str
+    weight_store_url: str | None
+    services: tuple[Service, ...]
+    identify_by: CallerIdentity
+    caller_tokens: dict[str, str]
+    max_body_bytes: int
+    operator_token: str
+    statsd_address: str | None
+    metrics_prefix: str
+    drain_limit_s: float
+    entrypoint_ttl_s: float
+    stale_after_s: float
+    claim_retention_s: float
+    clock_skew_s: float
+    peer_seeds: tuple[str, ...]
+    seed: int
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file; raise `SettingsError` naming the setting and its value."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f"cannot read settings file {str(path)!r}: {error}"
+        ) from error
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Validate the text of a settings file."""
+    try:
+        mapping = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        line = str(error).replace("\n", " ")
+        raise SettingsError(f"settings are not valid YAML: {line}") from error
+    try:
+        model = SettingsModel.model_validate(mapping)
+    except ValidationError as error:
+        raise SettingsError(describe_validation_error("settings", error)) from error
+    return settings_from_model(model)
+
+
+def settings_from_model(model: SettingsModel) -> Settings:
+    """Return the data class for a validated file."""
+    check_services(model.services)
+    return Settings(
+        name=model.instance.name,
+        failure_domain=model.instance.failure_domain,
+        caller_address=model.instance.caller_address,
+        peer_address=model.instance.peer_address,
+        store_url=model.store.url.rstrip("/"),
+        store_prefix=model.store.prefix,
+        store_timeout_s=model.store.timeout_s,
+        instance_list_url=model.instance_list_url,
+        weight_store_url=model.weight_store_url,
+        services=tuple(Service(**entry.model_dump()) for entry in model.services),
+        identify_by=model.callers.identify_by,
+        caller_tokens=dict(model.callers.tokens),
+        max_body_bytes=model.callers.max_body_bytes,
+        operator_token=model.operators.token,
+        statsd_address=model.metrics.statsd_address,
+        metrics_prefix=model.metrics.prefix,
+        drain_limit_s=model.stop.drain_limit_s,
+        entrypoint_ttl_s=model.entrypoint_ttl_s,
+        stale_after_s=model.stale_after_s,
+        claim_retention_s=model.claim_retention_s,
+        clock_skew_s=model.clock_skew_s,
+        peer_seeds=model.peer_seeds,
+        seed=model.seed,
+    )
+
+
+def check_services(services: tuple[ServiceModel, ...]) -> None:
+    """Refuse a name or a model that stands twice."""
+    names: set[str] = set()
+    models: set[str] = set()
+    for service in services:
+        if service.name in names:
+            raise SettingsError(
+                f"settings.services: name={service.name!r} stands twice; rename one"
+            )
+        names.add(service.name)
+        for model in service.models:
+            if model in models:
+                raise SettingsError(
+                    f"settings.services: model={model!r} is served by two services; "
+                    "remove it from one"
+                )
+            models.add(model)
--- /dev/null
+++ b/src/turmericusher/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of upstreams, with switches for faults."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""tests: see the modules in this package."""
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""common: see the modules in this package."""
--- /dev/null
+++ b/tests/cover/__init__.py
@@ -0,0 +1,1 @@
+"""cover: see the modules in this package."""
--- /dev/null
+++ b/tests/cover/test_settings.py
@@ -0,0 +1,69 @@
+"""Settings and profiles are refused early, by one line that names the value."""
+
+from parameterized import parameterized
+from testtools import ExpectedException, TestCase
+
+from turmericusher.errors import RequestRefusedError, SettingsError
+from turmericusher.profiles import profile_from_mapping
+from turmericusher.settings import parse_settings
+
+GOOD = """
+instance:
+  name: entry-1
+  failure_domain: quai-nord
+  caller_address: 127.0.0.1:8080
+  peer_address: 127.0.0.1:9080
+store:
+  url: http://127.0.0.1:2379
+instance_list_url: http://127.0.0.1:7000/instances
+services:
+  - {name: redacteur, kind: engine, models: [lot-summaries]}
+operators:
+  token: secret-token
+"""
+
+
+class SettingsTest(TestCase):
+    def test_a_whole_file_is_read(self) -> None:
+        settings = parse_settings(GOOD)
+        self.assertEqual("entry-1", settings.name)
+        self.assertEqual(("lot-summaries",), settings.services[0].models)
+
+    @parameterized.expand(
+        [
+            ("unknown_key", GOOD + "colour: red\n", "colour='red'"),
+            ("name_for_address", GOOD.replace("127.0.0.1:8080", "host:1"), "host:1"),
+            ("bad_port", GOOD.replace(":8080", ":99999"), "99999"),
+            ("not_yaml", "{", "not valid YAML"),
+            ("not_a_mapping", "[]", "settings="),
+            ("short_token", GOOD.replace("secret-token", "x"), "operators.token='x'"),
+            (
+                "model_twice",
+                GOOD.replace(
+                    "operators:",
+                    "  - {name: b, kind: engine, models: [lot-summaries]}\noperators:",
+                ),
+                "model='lot-summaries'",
+            ),
+        ]
+    )
+    def test_a_bad_file_is_refused_with_the_value(
+        self, _name: str, text: str, expected: str
+    ) -> None:
+        error = self.assertRaises(SettingsError, parse_settings, text)
+        self.assertIn(expected, error.message)
+        self.assertNotIn("\n", error.message)
+
+
+class ProfileTest(TestCase):
+    @parameterized.expand(
+        [
+            ("floor_above_cap", {"name": "a", "stall_floor_s": 5, "stall_cap_s": 1}),
+            ("bad_name", {"name": "A b"}),
+            ("unknown_field", {"name": "a", "colour": 1}),
+            ("not_a_mapping", 3),
+        ]
+    )
+    def test_a_bad_profile_is_refused(self, _name: str, mapping: object) -> None:
+        with ExpectedException(RequestRefusedError):
+            profile_from_mapping(mapping)
--- /dev/null
+++ b/tests/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""matrix: see the modules in this package."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""processes: see the modules in this package."""
