--- /dev/null
+++ b/src/turmericusher/logs.py
@@ -0,0 +1,127 @@
+"""Logs: one line of key=value pairs for each event, written through eliot.
+
+`log_event` returns at once while no stream is configured, so that library users who
+want no logs pay nothing for them.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from functools import singledispatch
+from typing import TextIO
+
+import eliot
+
+MAX_VALUE_CHARACTERS = 2_000
+QUOTED_CHARACTERS = frozenset(" \"'=\\")
+
+
+@dataclass(slots=True)
+class LineWriter:
+    """An eliot destination that writes each message as one line to `stream`."""
+
+    stream: TextIO
+
+    def __call__(self, message: dict[str, object]) -> None:
+        """Write one message; a stream that fails must not fail the caller."""
+        try:
+            self.stream.write(format_message(message) + "\n")
+            self.stream.flush()
+        except (OSError, ValueError):
+            return
+
+
+@dataclass(slots=True)
+class LogState:
+    """The writer that receives events, or None while logs are off."""
+
+    writer: LineWriter | None = None
+
+
+STATE = LogState()
+
+
+def log_event(event: str, /, **fields: object) -> None:
+    """Log one event with its fields; cheap while no stream is configured."""
+    if STATE.writer is None:
+        return
+    # The fields travel as one value because eliot keeps some names for itself.
+    eliot.log_message(event, fields=fields)
+
+
+def configure_logs(stream: TextIO | None) -> None:
+    """Send every later event to `stream`; None switches logs off."""
+    if STATE.writer is not None:
+        eliot.remove_destination(STATE.writer)
+        STATE.writer = None
+    if stream is not None:
+        STATE.writer = LineWriter(stream)
+        eliot.add_destinations(STATE.writer)
+
+
+@contextmanager
+def logging_to(stream: TextIO) -> Iterator[None]:
+    """Log to `stream` inside the context, and to the former stream after it."""
+    former = STATE.writer
+    configure_logs(stream)
+    try:
+        yield
+    finally:
+        configure_logs(former.stream if former is not None else None)
+
+
+def format_message(message: dict[str, object]) -> str:
+    """Return an eliot message as one line of key=value pairs."""
+    fields = message.get("fields")
+    pairs = [
+        ("time", format_time(message.get("timestamp"))),
+        ("event", message.get("message_type", "")),
+        *(fields.items() if isinstance(fields, dict) else ()),
+    ]
+    return " ".join(f"{key}={format_value(value)}" for key, value in pairs)
+
+
+def format_time(timestamp: object) -> str:
+    """Return seconds since the epoch as RFC 3339 in UTC, with milliseconds."""
+    if not isinstance(timestamp, int | float):
+        return ""
+    moment = datetime.fromtimestamp(timestamp, UTC)
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
+@singledispatch
+def format_value(value: object) -> str:
+    """Return a value as it stands in a line, quoted where it would be ambiguous."""
+    return quote_if_needed(str(value))
+
+
+@format_value.register
+def format_none(value: None) -> str:
+    """Return the JSON word for a missing value."""
+    return "null"
+
+
+@format_value.register
+def format_bool(value: bool) -> str:
+    """Return the JSON word for a truth value."""
+    return "true" if value else "false"
+
+
+@format_value.register
+def format_float(value: float) -> str:
+    """Return six significant digits, which resolve a microsecond in a second."""
+    return f"{value:.6g}"
+
+
+def quote_if_needed(text: str) -> str:
+    """Quote text as a JSON string unless it is one plain ASCII word."""
+    if len(text) > MAX_VALUE_CHARACTERS:
+        text = text[:MAX_VALUE_CHARACTERS] + "..."
+    is_plain = text.isascii() and text.isprintable() and text != ""
+    if is_plain and QUOTED_CHARACTERS.isdisjoint(text):
+        return text
+    return json.dumps(text)
