Add the engine adapter, the engine stand-in and the callers' bodies

Cause: generations need an engine port that tells a death from an end, and what a death says about the verdict. Ruled out: pooled connections, because a closed idle connection cannot be told from a death after the first byte; each attempt has its own connection. Measured: 15 adapter tests pass, among them nine kinds of bad answers. For users: examples of settings and profiles can be checked.

--- /dev/null
+++ b/src/turmericusher/api/bodies.py
@@ -0,0 +1,191 @@
+"""Reading of callers' bodies: size limit, JSON, and the border models."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from starlette.requests import Request
+
+from turmericusher.decisions.requests import GenerationRequest, ReceivedAnswer
+from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.profiles import Profile, describe_validation_error
+
+MAX_STOP_STRINGS = 16
+MAX_VALUE_SHOWN = 80
+
+
+class ResumeModel(BaseModel):
+    """The `turmericusher_resume` field: what a resuming caller already holds."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    prompt_token_ids: tuple[int, ...] = Field(min_length=1)
+    token_ids: tuple[int, ...]
+    text: str = ""
+    version: str = ""
+
+
+class GenerationBody(BaseModel):
+    """The fields of a completion that turmericusher itself acts on.
+
+    All others are sampling parameters; engines get them as they are.
+    """
+
+    model_config = ConfigDict(extra="allow", frozen=True)
+
+    model: str = Field(min_length=1, max_length=200)
+    stream: bool = False
+    stream_options: dict[str, Any] | None = None
+    max_tokens: int | None = Field(default=None, ge=1, le=10_000_000)
+    stop: str | tuple[str, ...] | None = None
+    return_token_ids: bool = False
+    turmericusher_resume: ResumeModel | None = None
+
+
+class CompletionBody(GenerationBody):
+    """The body of `/v1/completions`."""
+
+    prompt: str | tuple[int, ...]
+
+
+class ChatMessage(BaseModel):
+    """One message of a chat."""
+
+    model_config = ConfigDict(extra="allow", frozen=True)
+
+    role: str
+    content: Any = None
+
+
+class ChatBody(GenerationBody):
+    """The body of `/v1/chat/completions`."""
+
+    messages: tuple[ChatMessage, ...] = Field(min_length=1)
+    max_completion_tokens: int | None = Field(default=None, ge=1, le=10_000_000)
+
+
+SUPPORTED_ONLY_AS = {
+    "n": (None, 1),
+    "best_of": (None, 1),
+    "echo": (None, False),
+    "logprobs": (None, False),
+    "top_logprobs": (None, 0),
+    "suffix": (None, ""),
+    "tools": (None, []),
+    "functions": (None, []),
+    "response_format": (None, {"type": "text"}),
+    "guided_json": (None,),
+    "guided_regex": (None,),
+    "prompt_logprobs": (None,),
+}
+
+
+async def read_body(request: Request, limit_bytes: int) -> bytes:
+    """Read a body; refuse one that is larger than the limit."""
+    parts: list[bytes] = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > limit_bytes:
+            raise RequestRefusedError(
+                ErrorCode.REQUEST_TOO_LARGE,
+                f"body is larger than {limit_bytes} bytes; send a smaller one",
+            )
+        parts.append(part)
+    return b"".join(parts)
+
+
+def parse_body(
+    data: bytes, model: type[CompletionBody] | type[ChatBody]
+) -> GenerationBody:
+    """Validate a completion's body."""
+    try:
+        mapping = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise invalid(f"body is not JSON: {error}") from error
+    if not isinstance(mapping, dict):
+        raise invalid(f"body={shorten(mapping)} is not a JSON object")
+    for name, accepted in SUPPORTED_ONLY_AS.items():
+        if mapping.get(name) not in accepted:
+            raise RequestRefusedError(
+                ErrorCode.UNSUPPORTED_PARAMETER,
+                f"{name}={shorten(mapping[name])} cannot survive a change of engine; "
+                f"leave it out or send {accepted[-1]!r}",
+            )
+    try:
+        return model.model_validate(mapping)
+    except ValidationError as error:
+        raise invalid(describe_validation_error("body", error)[:400]) from error
+
+
+def generation_from_body(
+    body: GenerationBody, request_id: str, team: str, profile: Profile, service: str
+) -> GenerationRequest:
+    """Return the request for the decisions."""
+    parameters = dict(body.model_extra or {})
+    prompt = body.prompt if isinstance(body, CompletionBody) else None
+    messages = None
+    max_tokens = body.max_tokens
+    if isinstance(body, ChatBody):
+        messages = tuple(m.model_dump(exclude_unset=True) for m in body.messages)
+        max_tokens = body.max_completion_tokens or body.max_tokens
+    return GenerationRequest(
+        request_id=request_id,
+        team=team,
+        profile=profile,
+        service=service,
+        model=body.model,
+        fingerprint=fingerprint_of(body.model, prompt, messages),
+        prompt=prompt if isinstance(prompt, str) else None,
+        prompt_token_ids=prompt if isinstance(prompt, tuple) else None,
+        messages=messages,
+        max_tokens=max_tokens,
+        stop=stop_strings_of(body.stop),
+        parameters=parameters,
+        received=received_of(body.turmericusher_resume),
+    )
+
+
+def received_of(model: ResumeModel | None) -> ReceivedAnswer | None:
+    """Return what a resuming caller holds."""
+    if model is None:
+        return None
+    return ReceivedAnswer(
+        prompt_token_ids=model.prompt_token_ids,
+        token_ids=model.token_ids,
+        text=model.text,
+        version=model.version,
+    )
+
+
+def stop_strings_of(stop: str | tuple[str, ...] | None) -> tuple[str, ...]:
+    """Return the stop strings; refuse too many and empty ones."""
+    if stop is None:
+        return ()
+    strings = (stop,) if isinstance(stop, str) else stop
+    if len(strings) > MAX_STOP_STRINGS or not all(strings):
+        raise invalid(
+            f"body.stop={shorten(list(strings))}: send 1 to {MAX_STOP_STRINGS} "
+            "strings, none of them empty"
+        )
+    return strings
+
+
+def fingerprint_of(model: str, prompt: object, messages: object) -> str:
+    """Return a hash that is equal for equal requests at every instance."""
+    data = orjson.dumps([model, prompt, messages], option=orjson.OPT_SORT_KEYS)
+    return hashlib.sha256(data).hexdigest()[:32]
+
+
+def invalid(message: str) -> RequestRefusedError:
+    """Return the error for a body that cannot be used."""
+    return RequestRefusedError(ErrorCode.INVALID_REQUEST, message)
+
+
+def shorten(value: object) -> str:
+    """Return a value's repr, cut to a length that fits a message."""
+    text = repr(value)
+    return text if len(text) <= MAX_VALUE_SHOWN else text[:MAX_VALUE_SHOWN] + "..."
--- /dev/null
+++ b/src/turmericusher/api/identity.py
@@ -0,0 +1,54 @@
+"""Who is calling: a team, by header or token, or an operator, by bearer token."""
+
+from __future__ import annotations
+
+import hmac
+import re
+
+from starlette.requests import Request
+
+from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.settings import CallerIdentity, Settings
+
+TEAM_HEADER = "turmericusher-team"
+PROFILE_HEADER = "turmericusher-profile"
+KEY_HEADER = "idempotency-key"
+DEFAULT_TEAM = "default"
+TEAM_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+BEARER = "bearer "
+
+
+def team_of(request: Request, settings: Settings) -> str:
+    """Return the caller's team; raise `RequestRefusedError` for an unknown token."""
+    if settings.identify_by is CallerIdentity.TOKEN:
+        team = settings.caller_tokens.get(bearer_token_of(request))
+        if team is None:
+            raise unauthorized("the bearer token belongs to no team")
+        return team
+    team = request.headers.get(TEAM_HEADER, DEFAULT_TEAM)
+    if not TEAM_PATTERN.fullmatch(team):
+        raise RequestRefusedError(
+            ErrorCode.INVALID_REQUEST,
+            f"Turmericusher-Team={team[:80]!r}: use up to 63 letters, digits, . _ -",
+        )
+    return team
+
+
+def check_operator(request: Request, settings: Settings) -> None:
+    """Raise `RequestRefusedError` unless the request carries the operators' token."""
+    given = bearer_token_of(request).encode("utf-8")
+    if not hmac.compare_digest(given, settings.operator_token.encode("utf-8")):
+        raise unauthorized("operators' routes need the bearer token of the settings")
+
+
+def bearer_token_of(request: Request) -> str:
+    """Return the token of the Authorization header; empty without one (RFC 6750)."""
+    value = request.headers.get("authorization", "")
+    if not value.lower().startswith(BEARER):
+        return ""
+    return value[len(BEARER) :].strip()
+
+
+def unauthorized(message: str) -> RequestRefusedError:
+    """Return the error for a missing or wrong token."""
+    return RequestRefusedError(ErrorCode.UNAUTHORIZED, message)
--- /dev/null
+++ b/src/turmericusher/cli/access.py
@@ -0,0 +1,112 @@
+"""HTTP access to an entry instance for the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from turmericusher.errors import ErrorCode, TurmericusherError, UpstreamError, Verdict
+
+TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceAnswer:
+    """The status and the decoded JSON body of an answer."""
+
+    status: int
+    body: Any
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceCall:
+    """One HTTP call to an entry instance."""
+
+    method: str
+    address: str
+    path: str
+    token: str = ""
+    body: Any = None
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+def call_instance(call: InstanceCall) -> InstanceAnswer:
+    """Make the call; raise the coded error that the instance answers."""
+    return asyncio.run(send_call(call))
+
+
+async def send_call(call: InstanceCall) -> InstanceAnswer:
+    """Make the call within a running event loop."""
+    headers = dict(call.headers)
+    if call.token:
+        headers["Authorization"] = f"Bearer {call.token}"
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    url = f"http://{call.address}{call.path}"
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.request(
+                call.method, url, json=call.body, headers=headers
+            ) as response,
+        ):
+            text = await response.text()
+            answer = InstanceAnswer(response.status, decode_body(text))
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise UpstreamError(
+            ErrorCode.UPSTREAM_FAILED,
+            f"no answer from the entry instance at {call.address!r}: {error}",
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
+    raise_for_error(answer)
+    return answer
+
+
+def decode_body(text: str) -> Any:
+    """Return the JSON value of a body, or the text where it is not JSON."""
+    try:
+        return json.loads(text)
+    except json.JSONDecodeError:
+        return text
+
+
+def raise_for_error(answer: InstanceAnswer) -> None:
+    """Raise the coded error of an answer that carries one."""
+    if not isinstance(answer.body, dict) or "error" not in answer.body:
+        return
+    error = answer.body["error"]
+    if not isinstance(error, dict) or "code" not in error:
+        return
+    raise error_from_body(error)
+
+
+def error_from_body(error: dict[str, Any]) -> TurmericusherError:
+    """Return the coded error that a JSON error object describes."""
+    known = {code.value for code in ErrorCode}
+    code = str(error["code"])
+    return TurmericusherError(
+        ErrorCode(code) if code in known else ErrorCode.INTERNAL,
+        str(error.get("message", "")),
+        verdict=Verdict(error.get("verdict", Verdict.MAY_HAVE_RUN)),
+        retry_after_s=error.get("retry_after_s"),
+    )
+
+
+def print_json(value: object) -> None:
+    """Write a value as indented JSON."""
+    print(json.dumps(value, indent=2, sort_keys=True))
+
+
+def print_error(error: TurmericusherError, as_json: bool) -> None:
+    """Write an error as one line, or as a JSON object."""
+    if as_json:
+        print(json.dumps({"code": error.code, "message": error.message}))
+        return
+    line = (
+        f"turmericusher: {error.message} (code={error.code}, verdict={error.verdict})"
+    )
+    print(line, file=sys.stderr)
--- /dev/null
+++ b/src/turmericusher/ports/engines.py
@@ -0,0 +1,232 @@
+"""The adapter of the engine port to OpenAI's streamed completions, over aiohttp.
+
+Engines are asked to return token ids with each piece (`return_token_ids`), so that a
+later attempt can go on from the exact token. `system_fingerprint` of the answer is
+taken as the engine's version.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import aiohttp
+import orjson
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.errors import Verdict
+from turmericusher.ports.upstream import (
+    DeathCause,
+    EnginePiece,
+    EngineRequest,
+    StreamDiedError,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_EVENT_BYTES = 1_000_000
+MAX_ERROR_BODY_BYTES = 2_000
+STATUS_OK = 200
+STATUSES_OF_UNTOUCHED_REQUESTS = frozenset(
+    {400, 401, 403, 404, 405, 413, 422, 429, 503}
+)
+EVENT_END = b"\n\n"
+DATA_FIELD = b"data:"
+STREAM_END = b"[DONE]"
+
+
+@dataclass(slots=True)
+class HttpEnginePort:
+    """Opens streams on engines over one aiohttp session."""
+
+    session: aiohttp.ClientSession
+
+    @asynccontextmanager
+    async def open_stream(
+        self, upstream: UpstreamInstance, request: EngineRequest
+    ) -> AsyncIterator[AsyncIterator[EnginePiece]]:
+        """Open a stream; leaving the context closes the connection.
+
+        Closing is what cancels the work on the engine, so a connection is used for
+        one attempt only and is never returned to a pool.
+        """
+        response = await self.send(upstream, request)
+        try:
+            if response.status != STATUS_OK:
+                raise await error_from_response(response)
+            yield read_pieces(response)
+        finally:
+            response.close()
+
+    async def send(
+        self, upstream: UpstreamInstance, request: EngineRequest
+    ) -> aiohttp.ClientResponse:
+        """Send the request and wait for the head of the answer."""
+        url = f"http://{upstream.address}{path_for(request)}"
+        try:
+            return await self.session.post(
+                url,
+                data=orjson.dumps(body_for(request)),
+                headers={"Content-Type": "application/json"},
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise StreamDiedError(
+                DeathCause.REFUSED,
+                f"upstream={upstream.name!r} refused the connection: {error}",
+                Verdict.NOT_RUN,
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StreamDiedError(
+                DeathCause.RESET,
+                f"upstream={upstream.name!r} closed the connection: {error}",
+                Verdict.MAY_HAVE_RUN,
+            ) from error
+
+
+@asynccontextmanager
+async def open_engine_port() -> AsyncIterator[HttpEnginePort]:
+    """Make the adapter and close its connections at the end."""
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        yield HttpEnginePort(session)
+
+
+def path_for(request: EngineRequest) -> str:
+    """Return the path that takes the request's kind of prompt."""
+    if request.messages is not None:
+        return "/v1/chat/completions"
+    return "/v1/completions"
+
+
+def body_for(request: EngineRequest) -> dict[str, object]:
+    """Return the JSON body of an attempt."""
+    body: dict[str, object] = dict(request.parameters)
+    body["model"] = request.model
+    body["stream"] = True
+    body["return_token_ids"] = True
+    body["priority"] = request.priority
+    if request.max_tokens is not None:
+        body["max_tokens"] = request.max_tokens
+    if request.request_id:
+        body["request_id"] = request.request_id
+    if request.messages is not None:
+        body["messages"] = list(request.messages)
+    elif request.prompt_token_ids is not None:
+        body["prompt"] = list(request.prompt_token_ids)
+    else:
+        body["prompt"] = request.prompt
+    return body
+
+
+async def error_from_response(response: aiohttp.ClientResponse) -> StreamDiedError:
+    """Return the error for an answer other than 200."""
+    try:
+        text = (await response.content.read(MAX_ERROR_BODY_BYTES)).decode(
+            "utf-8", "replace"
+        )
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        text = ""
+    untouched = response.status in STATUSES_OF_UNTOUCHED_REQUESTS
+    return StreamDiedError(
+        DeathCause.REJECTED,
+        f"the engine answered status={response.status}: {text}",
+        Verdict.NOT_RUN if untouched else Verdict.MAY_HAVE_RUN,
+        status=response.status,
+        retry_after_s=parse_retry_after(response.headers.get("Retry-After")),
+    )
+
+
+def parse_retry_after(value: str | None) -> float | None:
+    """Return the seconds of a Retry-After header; None where it gives no number."""
+    if value is None:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < float("inf") else None
+
+
+async def read_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[EnginePiece]:
+    """Yield the pieces of a stream; raise `StreamDiedError` at an early end."""
+    async for data in read_events(response):
+        if data == STREAM_END:
+            return
+        piece = parse_piece(data)
+        if piece is not None:
+            yield piece
+            if piece.finish_reason is not None:
+                return
+    raise StreamDiedError(
+        DeathCause.EARLY_END,
+        "the engine's stream ended without a finish reason",
+        Verdict.MAY_HAVE_RUN,
+    )
+
+
+async def read_events(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the data of each server-sent event."""
+    buffer = b""
+    try:
+        async for chunk in response.content.iter_any():
+            buffer = (buffer + chunk).replace(b"\r\n", b"\n")
+            *events, buffer = buffer.split(EVENT_END)
+            for event in events:
+                data = data_of_event(event)
+                if data:
+                    yield data
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise malformed(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise StreamDiedError(
+            DeathCause.RESET,
+            f"the engine's stream broke off: {error!r}",
+            Verdict.MAY_HAVE_RUN,
+        ) from error
+
+
+def data_of_event(event: bytes) -> bytes:
+    """Return the joined data lines of one event."""
+    lines = [
+        line[len(DATA_FIELD) :].strip()
+        for line in event.split(b"\n")
+        if line.startswith(DATA_FIELD)
+    ]
+    return b"\n".join(lines)
+
+
+def parse_piece(data: bytes) -> EnginePiece | None:
+    """Return the piece of one chunk; None for a chunk without a choice."""
+    try:
+        chunk = orjson.loads(data)
+        if "error" in chunk:
+            raise malformed(f"the engine sent an error: {chunk['error']!r}")
+        if not chunk["choices"]:
+            return None
+        choice = chunk["choices"][0]
+        text = choice["delta"].get("content") if "delta" in choice else choice["text"]
+        prompt = choice.get("prompt_token_ids") or chunk.get("prompt_token_ids")
+        return EnginePiece(
+            token_ids=token_ids_of(choice.get("token_ids")),
+            text=str(text or ""),
+            finish_reason=choice.get("finish_reason"),
+            prompt_token_ids=token_ids_of(prompt) if prompt is not None else None,
+            version=str(chunk.get("system_fingerprint") or ""),
+        )
+    except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+        raise malformed(f"a chunk is not a completion: {error!r}") from error
+
+
+def token_ids_of(values: object) -> tuple[int, ...]:
+    """Return token ids as a tuple; raise TypeError for anything but integers."""
+    if values is None:
+        return ()
+    if not isinstance(values, list) or not all(isinstance(v, int) for v in values):
+        raise TypeError(f"token_ids={values!r} is not a list of integers")
+    return tuple(values)
+
+
+def malformed(message: str) -> StreamDiedError:
+    """Return the error for a stream that does not follow the protocol."""
+    return StreamDiedError(DeathCause.MALFORMED, message, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/src/turmericusher/standins/engine.py
@@ -0,0 +1,399 @@
+"""A model engine stand-in: OpenAI's streamed completions with switches for faults.
+
+It batches up to `slots` requests, honours priorities, computes only the part of a
+prompt that its prefix cache lacks, and reports its load with a lag.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import os
+import time
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from turmericusher.standins.token_model import (
+    END_ID,
+    encode_prompt,
+    generate_tokens,
+    make_text_decoder,
+)
+
+DEFAULT_MAX_TOKENS = 64
+CACHE_BLOCK_TOKENS = 16
+CACHE_BLOCKS = 4096
+MAX_BODY_BYTES = 64_000_000
+KILLED_EXIT_STATUS = 9
+STOP_GRACE_S = 0.1
+
+
+@dataclass(slots=True)
+class EngineOptions:
+    """How the stand-in behaves while nothing fails; times are in seconds."""
+
+    name: str = "engine-1"
+    models: tuple[str, ...] = ("model",)
+    version: str = "v1"
+    slots: int = 16
+    first_token_s: float = 0.02
+    prompt_token_s: float = 0.0
+    token_gap_s: float = 0.01
+    end_every: int = 0
+    load_lag_s: float = 0.5
+    exits_on_death: bool = False
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """The faults that are switched on.
+
+    `frozen` sends nothing but keeps connections. `slow_factor` stretches every delay.
+    `refusing` answers 503. `killing_marker` kills the engine when a prompt holds it.
+    """
+
+    frozen: bool = False
+    slow_factor: float = 1.0
+    refusing: bool = False
+    killing_marker: str = ""
+
+
+@dataclass(slots=True)
+class EngineCounts:
+    """Work done so far."""
+
+    requests: int = 0
+    cancelled: int = 0
+    prompt_tokens_computed: int = 0
+    tokens_generated: int = 0
+
+
+@dataclass(slots=True)
+class EngineStandin:
+    """The state of one engine."""
+
+    options: EngineOptions
+    faults: EngineFaults = field(default_factory=EngineFaults)
+    counts: EngineCounts = field(default_factory=EngineCounts)
+    running: int = 0
+    waiting: list[tuple[int, int, asyncio.Future[None]]] = field(default_factory=list)
+    order: itertools.count[int] = field(default_factory=itertools.count)
+    cache: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    transports: set[asyncio.Transport] = field(default_factory=set)
+    reported: tuple[float, int, int] = (0.0, 0, 0)
+    is_dead: bool = False
+    thawed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        """Start in the state that the faults describe."""
+        self.set_frozen(self.faults.frozen)
+
+    def die(self) -> None:
+        """Reset every connection; as a process of its own, exit at once."""
+        if self.options.exits_on_death:
+            os._exit(KILLED_EXIT_STATUS)
+        self.is_dead = True
+        for transport in tuple(self.transports):
+            transport.abort()
+
+    @contextmanager
+    def connection(self, request: web.Request) -> Iterator[None]:
+        """Remember the connection, so that a death can reset it."""
+        transport = request.transport
+        assert transport is not None
+        if self.is_dead:
+            transport.abort()
+            raise ConnectionResetError("the engine is dead")
+        self.transports.add(transport)
+        try:
+            yield
+        finally:
+            self.transports.discard(transport)
+
+    @asynccontextmanager
+    async def slot(self, priority: int) -> AsyncIterator[None]:
+        """Wait for a place in the batch; a lower priority value goes first."""
+        if self.running >= self.options.slots:
+            turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            heapq.heappush(self.waiting, (priority, next(self.order), turn))
+            try:
+                await turn
+            except asyncio.CancelledError:
+                self.forget_waiting(turn)
+                raise
+        else:
+            self.running += 1
+        try:
+            yield
+        finally:
+            self.release_slot()
+
+    def release_slot(self) -> None:
+        """Give the place to the next waiting request, if there is one."""
+        while self.waiting:
+            _, _, turn = heapq.heappop(self.waiting)
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+    def forget_waiting(self, turn: asyncio.Future[None]) -> None:
+        """Undo a wait; a turn that was already given is passed on."""
+        if turn.done() and not turn.cancelled():
+            self.release_slot()
+
+    def compute_prompt(self, prompt: tuple[int, ...]) -> int:
+        """Cache the prompt's blocks and return how many tokens had to be computed."""
+        computed = len(prompt) % CACHE_BLOCK_TOKENS
+        key = 0
+        for start in range(0, len(prompt) - computed, CACHE_BLOCK_TOKENS):
+            key = hash((key, prompt[start : start + CACHE_BLOCK_TOKENS]))
+            if key in self.cache:
+                self.cache.move_to_end(key)
+                continue
+            self.cache[key] = None
+            computed += CACHE_BLOCK_TOKENS
+            if len(self.cache) > CACHE_BLOCKS:
+                self.cache.popitem(last=False)
+        self.counts.prompt_tokens_computed += computed
+        return computed
+
+    async def pause(self, seconds: float) -> None:
+        """Wait, stretched while the engine is slow, and for as long as it is frozen."""
+        await asyncio.sleep(seconds * self.faults.slow_factor)
+        await self.thawed.wait()
+
+    def set_frozen(self, is_frozen: bool) -> None:
+        """Freeze the engine, or let it go on."""
+        self.faults.frozen = is_frozen
+        if is_frozen:
+            self.thawed.clear()
+        else:
+            self.thawed.set()
+
+    def load(self) -> tuple[int, int]:
+        """Return the running and waiting counts, as old as the lag allows."""
+        now = time.monotonic()
+        measured_at, running, waiting = self.reported
+        if now - measured_at >= self.options.load_lag_s:
+            running, waiting = self.running, len(self.waiting)
+            self.reported = (now, running, waiting)
+        return running, waiting
+
+
+@dataclass(frozen=True, slots=True)
+class EngineJob:
+    """One parsed request."""
+
+    is_chat: bool
+    model: str
+    prompt: tuple[int, ...]
+    max_tokens: int
+    seed: int
+    priority: int
+    is_streamed: bool
+
+
+def job_from_body(body: dict[str, Any], is_chat: bool) -> EngineJob:
+    """Return the job that a request's body asks for."""
+    return EngineJob(
+        is_chat=is_chat,
+        model=str(body["model"]),
+        prompt=prompt_of(body, is_chat),
+        max_tokens=int(body.get("max_tokens") or DEFAULT_MAX_TOKENS),
+        seed=int(body.get("seed") or 0),
+        priority=int(body.get("priority") or 0),
+        is_streamed=bool(body.get("stream")),
+    )
+
+
+def prompt_of(body: dict[str, Any], is_chat: bool) -> tuple[int, ...]:
+    """Return the token ids of the prompt."""
+    if is_chat:
+        lines = [f"{m['role']}: {m['content']}\n" for m in body["messages"]]
+        return encode_prompt("".join(lines) + "assistant:")
+    prompt = body["prompt"]
+    if isinstance(prompt, str):
+        return encode_prompt(prompt)
+    return tuple(int(token_id) for token_id in prompt)
+
+
+def make_chunk(
+    standin: EngineStandin,
+    job: EngineJob,
+    token_ids: list[int],
+    text: str,
+    finish_reason: str | None,
+    is_first: bool,
+) -> bytes:
+    """Return one streamed chunk as a server-sent event."""
+    choice: dict[str, object] = {
+        "index": 0,
+        "finish_reason": finish_reason,
+        "token_ids": token_ids,
+    }
+    if job.is_chat:
+        choice["delta"] = {"content": text}
+    else:
+        choice["text"] = text
+    if is_first:
+        choice["prompt_token_ids"] = list(job.prompt)
+    chunk = {
+        "id": "standin",
+        "object": "chat.completion.chunk" if job.is_chat else "text_completion",
+        "created": 0,
+        "model": job.model,
+        "system_fingerprint": standin.options.version,
+        "choices": [choice],
+    }
+    return b"data: " + orjson.dumps(chunk) + b"\n\n"
+
+
+async def generate_chunks(
+    standin: EngineStandin, job: EngineJob
+) -> AsyncIterator[bytes]:
+    """Yield the chunks of one generation, each after its delay."""
+    computed = standin.compute_prompt(job.prompt)
+    options = standin.options
+    await standin.pause(options.first_token_s + computed * options.prompt_token_s)
+    decoder = make_text_decoder()
+    tokens = generate_tokens(job.prompt, job.seed, options.end_every)
+    for count, token in enumerate(tokens, start=1):
+        standin.counts.tokens_generated += 1
+        text = decoder.decode(token.data)
+        reason = finish_reason_of(token.token_id, count, job.max_tokens)
+        yield make_chunk(standin, job, [token.token_id], text, reason, count == 1)
+        if reason is not None:
+            return
+        await standin.pause(options.token_gap_s)
+
+
+def finish_reason_of(token_id: int, count: int, max_tokens: int) -> str | None:
+    """Return why a generation ends with this token, or None."""
+    if token_id == END_ID:
+        return "stop"
+    return "length" if count >= max_tokens else None
+
+
+async def handle_completion(
+    standin: EngineStandin, request: web.Request, is_chat: bool
+) -> web.StreamResponse:
+    """Serve one completion as a stream."""
+    with standin.connection(request):
+        try:
+            job = job_from_body(await request.json(loads=orjson.loads), is_chat)
+        except (KeyError, TypeError, ValueError) as error:
+            return web.json_response({"error": repr(error)}, status=400)
+        if job.model not in standin.options.models:
+            return web.json_response({"error": f"model={job.model!r}"}, status=404)
+        if standin.faults.refusing:
+            headers = {"Retry-After": "1"}
+            return web.json_response({"error": "busy"}, status=503, headers=headers)
+        standin.counts.requests += 1
+        marker = standin.faults.killing_marker.encode()
+        if marker and marker in bytes(t for t in job.prompt if t < 256):
+            standin.die()
+        return await stream_job(standin, request, job)
+
+
+async def stream_job(
+    standin: EngineStandin, request: web.Request, job: EngineJob
+) -> web.StreamResponse:
+    """Write the chunks of a job to its connection."""
+    response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+    is_whole = False
+    try:
+        async with standin.slot(job.priority):
+            await response.prepare(request)
+            async for chunk in generate_chunks(standin, job):
+                await response.write(chunk)
+        await response.write(b"data: [DONE]\n\n")
+        is_whole = True
+    finally:
+        standin.counts.cancelled += not is_whole
+    return response
+
+
+def load_page(standin: EngineStandin) -> str:
+    """Return the engine's load as Prometheus text."""
+    running, waiting = standin.load()
+    return (
+        f"vllm:num_requests_running {running}\n"
+        f"vllm:num_requests_waiting {waiting}\n"
+        f"engine:slots {standin.options.slots}\n"
+    )
+
+
+async def handle_faults(standin: EngineStandin, request: web.Request) -> web.Response:
+    """Switch faults; `{"die": true}` kills the engine."""
+    body = await request.json()
+    if body.pop("die", False):
+        standin.die()
+    known = {entry.name for entry in fields(EngineFaults)}
+    for name, value in body.items():
+        if name not in known:
+            return web.json_response({"error": f"unknown fault {name!r}"}, status=400)
+        setattr(standin.faults, name, value)
+    standin.set_frozen(standin.faults.frozen)
+    return web.json_response({"ok": True})
+
+
+async def handle_counts(standin: EngineStandin, _request: web.Request) -> web.Response:
+    """Show the work done so far."""
+    counts = {f.name: getattr(standin.counts, f.name) for f in fields(EngineCounts)}
+    return web.json_response({**counts, "running": standin.running})
+
+
+def make_engine_app(standin: EngineStandin) -> web.Application:
+    """Return the web application of one engine."""
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+
+    async def completions(request: web.Request) -> web.StreamResponse:
+        return await handle_completion(standin, request, is_chat=False)
+
+    async def chat_completions(request: web.Request) -> web.StreamResponse:
+        return await handle_completion(standin, request, is_chat=True)
+
+    async def metrics(_request: web.Request) -> web.Response:
+        return web.Response(text=load_page(standin))
+
+    async def faults(request: web.Request) -> web.Response:
+        return await handle_faults(standin, request)
+
+    async def counts(request: web.Request) -> web.Response:
+        return await handle_counts(standin, request)
+
+    app.router.add_post("/v1/completions", completions)
+    app.router.add_post("/v1/chat/completions", chat_completions)
+    app.router.add_get("/metrics", metrics)
+    app.router.add_post("/control/faults", faults)
+    app.router.add_get("/control/counts", counts)
+    return app
+
+
+@asynccontextmanager
+async def running_engine(
+    standin: EngineStandin, host: str = "127.0.0.1", port: int = 0
+) -> AsyncIterator[str]:
+    """Serve an engine and yield its `ip:port`."""
+    runner = web.AppRunner(
+        make_engine_app(standin),
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=STOP_GRACE_S,
+    )
+    await runner.setup()
+    try:
+        site = web.TCPSite(runner, host, port)
+        await site.start()
+        bound = runner.addresses[0]
+        yield f"{bound[0]}:{bound[1]}"
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/src/turmericusher/standins/token_model.py
@@ -0,0 +1,106 @@
+"""A deterministic language model for the engine stand-in.
+
+Each token is a function of all tokens before it and of the seed, so a wrong, lost or
+repeated token changes everything after it. Some characters take two tokens, so a cut
+can fall inside a character.
+"""
+
+from __future__ import annotations
+
+import codecs
+import hashlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+WORDS = (
+    "lot", "price", "crate", "north", "parcel", "line", "early", "field", "two",
+    "north-east", "sheet", "due", "grade", "open", "review", "clause", "term",
+    "stone", "river", "mark", "day", "new", "fair", "small", "long", "first",
+)  # fmt: skip
+FIRST_WORD_ID = 300
+FIRST_HALF_ID = 256
+SECOND_HALF_ID = 257
+END_ID = 258
+STATE_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class GeneratedToken:
+    """One token and the bytes that it stands for."""
+
+    token_id: int
+    data: bytes
+
+
+def encode_prompt(text: str) -> tuple[int, ...]:
+    """Return a prompt's token ids: one for each byte of its UTF-8 form."""
+    return tuple(text.encode("utf-8"))
+
+
+def token_bytes(token_id: int) -> bytes:
+    """Return the bytes that a token id stands for."""
+    if token_id < FIRST_HALF_ID:
+        return bytes([token_id])
+    if token_id == FIRST_HALF_ID:
+        return b"\xc3"
+    if token_id == SECOND_HALF_ID:
+        return b"\xa9"
+    if token_id == END_ID:
+        return b""
+    return b" " + WORDS[(token_id - FIRST_WORD_ID) % len(WORDS)].encode("ascii")
+
+
+def generate_tokens(
+    prompt: Iterable[int], seed: int, end_every: int
+) -> Iterator[GeneratedToken]:
+    """Yield the continuation of `prompt`.
+
+    About one in `end_every` tokens ends it; 0 makes it endless.
+    """
+    state = seed.to_bytes(STATE_BYTES, "big", signed=True)
+    last = -1
+    for token_id in prompt:
+        state = next_state(state, token_id)
+        last = token_id
+    while True:
+        last = next_token(state, last, end_every)
+        yield GeneratedToken(last, token_bytes(last))
+        if last == END_ID:
+            return
+        state = next_state(state, last)
+
+
+def next_state(state: bytes, token_id: int) -> bytes:
+    """Return the state after one more token."""
+    data = state + token_id.to_bytes(4, "big")
+    return hashlib.blake2b(data, digest_size=STATE_BYTES).digest()
+
+
+def next_token(state: bytes, last: int, end_every: int) -> int:
+    """Return the token that follows."""
+    if last == FIRST_HALF_ID:
+        return SECOND_HALF_ID
+    number = int.from_bytes(state, "big")
+    if end_every and number % end_every == 0:
+        return END_ID
+    choice = number % (len(WORDS) + 2)
+    if choice >= len(WORDS):
+        return FIRST_HALF_ID
+    return FIRST_WORD_ID + choice
+
+
+def unbroken_answer(prompt: Iterable[int], seed: int, count: int) -> tuple[int, ...]:
+    """Return the first `count` tokens of an answer that no fault interrupted."""
+    tokens = generate_tokens(prompt, seed, 0)
+    return tuple(next(tokens).token_id for _ in range(count))
+
+
+def text_of(token_ids: Iterable[int]) -> str:
+    """Return the text of a whole answer."""
+    data = b"".join(token_bytes(token_id) for token_id in token_ids)
+    return data.decode("utf-8", "replace")
+
+
+def make_text_decoder() -> codecs.IncrementalDecoder:
+    """Return a decoder that holds back the bytes of an incomplete character."""
+    return codecs.getincrementaldecoder("utf-8")("replace")
--- /dev/null
+++ b/tests/common/processes.py
@@ -0,0 +1,299 @@
+"""Real processes for tests and benchmarks: stand-ins and entry instances.
+
+Every process is started by this module and ended by it, by its own id.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+ROOT = Path(__file__).parents[2]
+READY_PREFIX = "listening on "
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 20.0
+POLL_S = 0.02
+OPERATOR_TOKEN = "operator-token"
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+
+
+@dataclass(slots=True)
+class RunningProcess:
+    """One process and the `ip:port` where it listens."""
+
+    name: str
+    popen: subprocess.Popen[str]
+    address: str = ""
+    log_path: Path | None = None
+
+    def kill(self) -> None:
+        """End the process at once (SIGKILL)."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop the process where it is (SIGSTOP)."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a stopped process go on (SIGCONT)."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to stop (SIGTERM)."""
+        self.popen.send_signal(signal.SIGTERM)
+
+
+@dataclass(slots=True)
+class Deployment:
+    """A whole system of processes on loopback."""
+
+    store: RunningProcess
+    instances: RunningProcess
+    engines: list[RunningProcess] = field(default_factory=list)
+    services: list[RunningProcess] = field(default_factory=list)
+    entries: list[RunningProcess] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentOptions:
+    """How many processes there are, and how the engines behave."""
+
+    entries: int = 1
+    engines: int = 2
+    services: int = 0
+    slots: int = 64
+    first_token_s: float = 0.02
+    token_gap_s: float = 0.01
+    extra_settings: dict[str, Any] = field(default_factory=dict)
+
+
+@contextmanager
+def started_process(
+    name: str, arguments: list[str], folder: Path
+) -> Iterator[RunningProcess]:
+    """Run `python -m turmericusher ARGUMENTS` and end it at the end."""
+    environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+    log_path = folder / f"{name}.log"
+    with log_path.open("w") as log:
+        popen = subprocess.Popen(
+            [sys.executable, "-m", "turmericusher", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=log,
+            text=True,
+            env=environment,
+            cwd=folder,
+        )
+        try:
+            yield RunningProcess(name, popen, log_path=log_path)
+        finally:
+            end_process(popen)
+
+
+def end_process(popen: subprocess.Popen[str]) -> None:
+    """End a process whatever its state is."""
+    if popen.poll() is None:
+        popen.kill()
+    popen.wait(STOP_LIMIT_S)
+    if popen.stdout is not None:
+        popen.stdout.close()
+
+
+@contextmanager
+def started_standin(
+    name: str, arguments: list[str], folder: Path
+) -> Iterator[RunningProcess]:
+    """Run one stand-in and wait until it says where it listens."""
+    with started_process(name, ["standin", *arguments], folder) as process:
+        assert process.popen.stdout is not None
+        line = process.popen.stdout.readline().strip()
+        if not line.startswith(READY_PREFIX):
+            raise AssertionError(f"{name} did not start: {read_log(process)}")
+        process.address = line.removeprefix(READY_PREFIX)
+        yield process
+
+
+@contextmanager
+def started_entry(
+    number: int, deployment: Deployment, options: DeploymentOptions, folder: Path
+) -> Iterator[RunningProcess]:
+    """Run one entry instance and wait until it answers."""
+    name = f"entry-{number}"
+    settings = entry_settings(number, deployment, options)
+    path = folder / f"{name}.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    with started_process(name, ["serve", str(path)], folder) as process:
+        process.address = settings["instance"]["caller_address"]
+        wait_until_healthy(process)
+        yield process
+
+
+def entry_settings(
+    number: int, deployment: Deployment, options: DeploymentOptions
+) -> dict[str, Any]:
+    """Return the settings of one entry instance."""
+    peers = [entry_peer_address(entry.address) for entry in deployment.entries]
+    caller_port = free_port_pair()
+    return {
+        "instance": {
+            "name": f"entry-{number}",
+            "failure_domain": DOMAINS[number % len(DOMAINS)],
+            "caller_address": f"127.0.0.1:{caller_port}",
+            "peer_address": entry_peer_address(f"127.0.0.1:{caller_port}"),
+        },
+        "store": {"url": f"http://{deployment.store.address}"},
+        "instance_list_url": f"http://{deployment.instances.address}/instances",
+        "services": [
+            {
+                "name": "drafts",
+                "kind": "engine",
+                "models": ["model"],
+                "capacity_per_upstream": options.slots,
+            },
+            {"name": "ledger", "kind": "service"},
+        ],
+        "operators": {"token": OPERATOR_TOKEN},
+        "peer_seeds": peers,
+        **options.extra_settings,
+    }
+
+
+def entry_peer_address(caller_address: str) -> str:
+    """Return the peer address that stands beside a caller address: the next port."""
+    host, _, port = caller_address.rpartition(":")
+    return f"{host}:{int(port) + 1}"
+
+
+@contextmanager
+def deployed(options: DeploymentOptions) -> Iterator[Deployment]:
+    """Run a whole system; every process is ended at the end."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+
+        def standin(name: str, *arguments: str) -> RunningProcess:
+            started = started_standin(name, list(arguments), folder)
+            return stack.enter_context(started)
+
+        deployment = Deployment(
+            store=standin("store", "store"),
+            instances=standin("instances", "instances", "--lag-s", "0"),
+        )
+        for number in range(options.engines):
+            name = f"engine-{number}"
+            engine = standin(name, "engine", "--name", name, *engine_options(options))
+            deployment.engines.append(engine)
+            list_upstream(deployment, engine, "drafts", "engine", number)
+        for number in range(options.services):
+            name = f"service-{number}"
+            service = standin(name, "service", "--name", name)
+            deployment.services.append(service)
+            list_upstream(deployment, service, "ledger", "service", number)
+        for number in range(options.entries):
+            started = started_entry(number, deployment, options, folder)
+            deployment.entries.append(stack.enter_context(started))
+        yield deployment
+
+
+def engine_options(options: DeploymentOptions) -> list[str]:
+    """Return the command line of an engine."""
+    return [
+        "--slots",
+        str(options.slots),
+        "--first-token-s",
+        str(options.first_token_s),
+        "--token-gap-s",
+        str(options.token_gap_s),
+    ]
+
+
+def list_upstream(
+    deployment: Deployment,
+    process: RunningProcess,
+    service: str,
+    kind: str,
+    number: int,
+    incarnation: str = "1",
+) -> None:
+    """Enter an upstream into the platform's list."""
+    labels = {
+        "name": process.name,
+        "service": service,
+        "kind": kind,
+        "failure_domain": DOMAINS[number % len(DOMAINS)],
+        "incarnation": incarnation,
+        "state": "live",
+        "models": "model" if kind == "engine" else "",
+        "version": "v1" if kind == "engine" else "",
+        "checks_fencing": "true",
+    }
+    entry = {"targets": [process.address], "labels": labels}
+    post_json(deployment.instances.address, "/control/add", entry)
+
+
+def post_json(
+    address: str, path: str, body: Any, headers: dict[str, str] | None = None
+) -> Any:
+    """POST a JSON body and return the decoded answer."""
+    request = urllib.request.Request(
+        f"http://{address}{path}",
+        data=json.dumps(body).encode(),
+        headers={"Content-Type": "application/json", **(headers or {})},
+    )
+    with urllib.request.urlopen(request, timeout=STOP_LIMIT_S) as response:
+        return json.loads(response.read())
+
+
+def get_json(address: str, path: str, headers: dict[str, str] | None = None) -> Any:
+    """GET a JSON body."""
+    request = urllib.request.Request(f"http://{address}{path}", headers=headers or {})
+    with urllib.request.urlopen(request, timeout=STOP_LIMIT_S) as response:
+        return json.loads(response.read())
+
+
+def wait_until_healthy(process: RunningProcess) -> None:
+    """Wait until an entry instance answers its health page."""
+    deadline = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < deadline:
+        if process.popen.poll() is not None:
+            break
+        try:
+            get_json(process.address, "/healthz")
+            return
+        except (urllib.error.URLError, OSError):
+            time.sleep(POLL_S)
+    raise AssertionError(f"{process.name} did not start: {read_log(process)}")
+
+
+def read_log(process: RunningProcess) -> str:
+    """Return the end of a process's log."""
+    if process.log_path is None:
+        return ""
+    return process.log_path.read_text()[-2000:]
+
+
+def free_port_pair() -> int:
+    """Return a port that is free together with the next one."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = int(first.getsockname()[1])
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+            return port
--- /dev/null
+++ b/tests/cover/test_engines.py
@@ -0,0 +1,163 @@
+"""The engine adapter against the engine stand-in: whole streams and each death."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.asynchronous import run_async
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.errors import Verdict
+from turmericusher.ports.engines import open_engine_port
+from turmericusher.ports.upstream import (
+    DeathCause,
+    EnginePiece,
+    EngineRequest,
+    StreamDiedError,
+)
+from turmericusher.standins.engine import EngineOptions, EngineStandin, running_engine
+from turmericusher.standins.token_model import encode_prompt, text_of, unbroken_answer
+
+FAST = EngineOptions(first_token_s=0.0, token_gap_s=0.0)
+
+
+def engine_at(address: str) -> UpstreamInstance:
+    return UpstreamInstance("e", "drafts", UpstreamKind.ENGINE, address, "a")
+
+
+async def read_all(address: str, request: EngineRequest) -> list[EnginePiece]:
+    async with (
+        open_engine_port() as port,
+        port.open_stream(engine_at(address), request) as pieces,
+    ):
+        return [piece async for piece in pieces]
+
+
+@asynccontextmanager
+async def answering(body: bytes, status: int = 200) -> AsyncIterator[str]:
+    """Serve one fixed answer to every request."""
+
+    async def handle(_request: web.Request) -> web.Response:
+        return web.Response(body=body, status=status, headers={"Retry-After": "7"})
+
+    app = web.Application()
+    app.router.add_post("/v1/completions", handle)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    try:
+        yield f"127.0.0.1:{runner.addresses[0][1]}"
+    finally:
+        await runner.cleanup()
+
+
+class EngineAdapterTest(TestCase):
+    @parameterized.expand(
+        [
+            ("text", EngineRequest("model", prompt="hello", max_tokens=40)),
+            (
+                "token_ids",
+                EngineRequest(
+                    "model", prompt_token_ids=encode_prompt("hello"), max_tokens=40
+                ),
+            ),
+        ]
+    )
+    @run_async
+    async def test_a_stream_is_whole(self, _name: str, request: EngineRequest) -> None:
+        async with running_engine(EngineStandin(FAST)) as address:
+            pieces = await read_all(address, request)
+        expected = unbroken_answer(encode_prompt("hello"), 0, 40)
+        tokens = tuple(t for piece in pieces for t in piece.token_ids)
+        self.assertEqual(expected, tokens)
+        self.assertEqual("length", pieces[-1].finish_reason)
+        self.assertEqual(encode_prompt("hello"), pieces[0].prompt_token_ids)
+        # The last token may be half a character, whose text never comes.
+        text = "".join(piece.text for piece in pieces)
+        self.assertTrue(text_of(expected).startswith(text))
+
+    @run_async
+    async def test_a_continuation_equals_the_unbroken_answer(self) -> None:
+        prompt = encode_prompt("hello")
+        whole = unbroken_answer(prompt, 0, 40)
+        request = EngineRequest(
+            "model", prompt_token_ids=prompt + whole[:17], max_tokens=23
+        )
+        async with running_engine(EngineStandin(FAST)) as address:
+            pieces = await read_all(address, request)
+        tokens = tuple(t for piece in pieces for t in piece.token_ids)
+        self.assertEqual(whole[17:], tokens)
+
+    @run_async
+    async def test_a_refused_connection_has_not_run(self) -> None:
+        async with running_engine(EngineStandin(FAST)) as address:
+            pass
+        with self.assertRaisesRegex(StreamDiedError, "refused") as caught:
+            await read_all(address, EngineRequest("model", prompt="x"))
+        self.assertEqual(Verdict.NOT_RUN, caught.exception.verdict)
+
+    @run_async
+    async def test_a_death_mid_stream_may_have_run(self) -> None:
+        standin = EngineStandin(EngineOptions(first_token_s=0.0, token_gap_s=0.01))
+        async with running_engine(standin) as address, open_engine_port() as port:
+            request = EngineRequest("model", prompt="x", max_tokens=1000)
+            with self.assertRaises(StreamDiedError) as caught:
+                async with port.open_stream(engine_at(address), request) as pieces:
+                    async for _ in pieces:
+                        standin.die()
+        self.assertEqual(Verdict.MAY_HAVE_RUN, caught.exception.verdict)
+        self.assertIn(caught.exception.cause, (DeathCause.RESET, DeathCause.EARLY_END))
+
+    @run_async
+    async def test_leaving_the_context_cancels_the_work(self) -> None:
+        standin = EngineStandin(EngineOptions(first_token_s=0.0, token_gap_s=0.01))
+        async with running_engine(standin) as address, open_engine_port() as port:
+            request = EngineRequest("model", prompt="x", max_tokens=100_000)
+            async with port.open_stream(engine_at(address), request) as pieces:
+                await anext(pieces)
+            async with asyncio.timeout(10):
+                while not standin.counts.cancelled:
+                    await asyncio.sleep(0.01)
+        self.assertEqual(0, standin.running)
+
+    @parameterized.expand(
+        [
+            ("busy", b"busy", 503, DeathCause.REJECTED, Verdict.NOT_RUN),
+            ("wrong", b"no", 400, DeathCause.REJECTED, Verdict.NOT_RUN),
+            ("broken", b"oops", 500, DeathCause.REJECTED, Verdict.MAY_HAVE_RUN),
+            ("empty", b"", 200, DeathCause.EARLY_END, Verdict.MAY_HAVE_RUN),
+            ("no_end", b"data: [DONE]", 200, DeathCause.EARLY_END, None),
+            ("not_json", b"data: {\n\n", 200, DeathCause.MALFORMED, None),
+            ("not_chunk", b"data: 3\n\n", 200, DeathCause.MALFORMED, None),
+            ("error", b'data: {"error": 1}\n\n', 200, DeathCause.MALFORMED, None),
+            (
+                "bad_token",
+                b'data: {"choices": [{"text": "a", "token_ids": ["b"]}]}\n\n',
+                200,
+                DeathCause.MALFORMED,
+                None,
+            ),
+        ]
+    )
+    @run_async
+    async def test_a_bad_answer_is_a_death(
+        self,
+        _name: str,
+        body: bytes,
+        status: int,
+        cause: DeathCause,
+        verdict: Verdict | None,
+    ) -> None:
+        async with answering(body, status) as address:
+            with self.assertRaises(StreamDiedError) as caught:
+                await read_all(address, EngineRequest("model", prompt="x"))
+        self.assertEqual(cause, caught.exception.cause)
+        if verdict is not None:
+            self.assertEqual(verdict, caught.exception.verdict)
+        if status != 200:
+            self.assertEqual(7.0, caught.exception.retry_after_s)
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -1,11 +1,14 @@
 """Settings and profiles are refused early, by one line that names the value."""
 
+from pathlib import Path
+
+import yaml
 from parameterized import parameterized
 from testtools import ExpectedException, TestCase
 
 from turmericusher.errors import RequestRefusedError, SettingsError
 from turmericusher.profiles import profile_from_mapping
-from turmericusher.settings import parse_settings
+from turmericusher.settings import load_settings, parse_settings
 
 GOOD = """
 instance:
@@ -67,3 +70,15 @@
     def test_a_bad_profile_is_refused(self, _name: str, mapping: object) -> None:
         with ExpectedException(RequestRefusedError):
             profile_from_mapping(mapping)
+
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+
+
+class ExamplesTest(TestCase):
+    @parameterized.expand([("leguevel",), ("kitamura",)])
+    def test_an_example_is_valid(self, name: str) -> None:
+        settings = load_settings(EXAMPLES / f"{name}.yaml")
+        mappings = yaml.safe_load((EXAMPLES / "profiles" / f"{name}.yaml").read_text())
+        names = {profile_from_mapping(mapping).name for mapping in mappings}
+        self.assertLessEqual({s.default_profile for s in settings.services}, names)
