Leave a failing log stream to eliot

Change: that code is removed; the test that a broken stream does not fail the caller stays. For users: nothing is different.

--- a/src/turmericusher/logs.py
+++ b/src/turmericusher/logs.py
@@ -27,12 +27,9 @@
     stream: TextIO
 
     def __call__(self, message: dict[str, object]) -> None:
-        """Write one message; a stream that fails must not fail the caller."""
-        try:
-            self.stream.write(format_message(message) + "\n")
-            self.stream.flush()
-        except (OSError, ValueError):
-            return
+        """Write one message; eliot keeps a failing stream from failing the caller."""
+        self.stream.write(format_message(message) + "\n")
+        self.stream.flush()
 
 
 @dataclass(slots=True)
