Put operators' profiles in force by one watch

Cause: an accepted change must be true on every instance, also after a lost reply, a rival's change or an outage of the key-value service. Ruled out: deleting a retired key (an old write that expects no key would make it anew); trusting a silent watch (it may be cut off), so the prefix is read again when nobody has confirmed it for 2 to 4 s; a list of bare change ids (a full list settles nothing), so each names the revision that it replaced. Change: decisions/rollout, the watch and table, settled changes, operators' routes. A repeat of a write whose reply was lost expects the same revision. For users: the operators' routes exist but no program serves them yet.

--- /dev/null
+++ b/src/turmericusher/api/profile_commands.py
@@ -0,0 +1,129 @@
+"""Operators' commands on profiles: create, change and retire."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from turmericusher.decisions.rollout import ProfileChange
+from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.profiles import (
+    describe_validation_error,
+    profile_from_mapping,
+    profile_to_mapping,
+)
+from turmericusher.tasks.profile_changes import AcceptedChange, ProfileChanger
+
+MAX_BODY_BYTES = 16_384
+PROFILE_PATH = "/v1/operator/profiles/{name}"
+
+
+class ChangeModel(BaseModel):
+    """The fields of a change that say where it belongs."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    expected_revision: int = Field(ge=0)
+    change_id: str = Field(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")
+
+
+def profile_command_routes(changer: ProfileChanger) -> list[Route]:
+    """Return the routes that change profiles."""
+
+    async def put_profile(request: Request) -> Response:
+        fields = parse_object(await read_limited(request))
+        change = parse_change(fields)
+        name = request.path_params["name"]
+        profile = profile_from_mapping(profile_fields(fields, name))
+        accepted = await changer.change(
+            ProfileChange(profile, change.expected_revision, change.change_id)
+        )
+        return accepted_response(accepted)
+
+    async def retire_profile(request: Request) -> Response:
+        change = parse_change(dict(request.query_params))
+        profile = profile_from_mapping({"name": request.path_params["name"]})
+        accepted = await changer.change(
+            ProfileChange(
+                profile, change.expected_revision, change.change_id, retire=True
+            )
+        )
+        return accepted_response(accepted)
+
+    return [
+        Route(PROFILE_PATH, put_profile, methods=["PUT"]),
+        Route(PROFILE_PATH, retire_profile, methods=["DELETE"]),
+    ]
+
+
+async def read_limited(request: Request) -> bytes:
+    """Read a body; refuse one that is larger than any profile."""
+    data = bytearray()
+    async for part in request.stream():
+        data += part
+        if len(data) > MAX_BODY_BYTES:
+            raise RequestRefusedError(
+                ErrorCode.REQUEST_TOO_LARGE,
+                f"body is larger than {MAX_BODY_BYTES} bytes; send a smaller one",
+            )
+    return bytes(data)
+
+
+def parse_object(data: bytes) -> dict[str, Any]:
+    """Return a JSON object's fields."""
+    try:
+        fields = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise RequestRefusedError(
+            ErrorCode.INVALID_REQUEST, f"body is not JSON: {error}"
+        ) from error
+    if not isinstance(fields, dict):
+        raise RequestRefusedError(
+            ErrorCode.INVALID_REQUEST, f"body={fields!r} is not a JSON object"
+        )
+    return fields
+
+
+def parse_change(fields: dict[str, Any]) -> ChangeModel:
+    """Validate where a change belongs."""
+    try:
+        return ChangeModel.model_validate(fields)
+    except ValidationError as error:
+        raise RequestRefusedError(
+            ErrorCode.INVALID_REQUEST, describe_validation_error("change", error)
+        ) from error
+
+
+def profile_fields(fields: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return the profile's own fields; the path names the profile."""
+    own = {
+        key: value
+        for key, value in fields.items()
+        if key not in ChangeModel.model_fields
+    }
+    if own.setdefault("name", name) != name:
+        raise RequestRefusedError(
+            ErrorCode.INVALID_REQUEST,
+            f"profile.name={own['name']!r} differs from {name!r} in the path; "
+            "leave it out",
+        )
+    return own
+
+
+def accepted_response(accepted: AcceptedChange) -> Response:
+    """Answer an accepted change with the profile's present record."""
+    return JSONResponse(
+        {
+            "change_id": accepted.change_id,
+            "revision": accepted.record.revision,
+            "retired": accepted.record.retired,
+            "profile": profile_to_mapping(accepted.record.profile),
+            "in_force": [instance.name for instance in accepted.status.in_force],
+            "missing": [instance.name for instance in accepted.status.missing],
+        }
+    )
--- /dev/null
+++ b/src/turmericusher/decisions/rollout.py
@@ -0,0 +1,364 @@
+"""Rollout: how an accepted change of a profile comes into force on every instance.
+
+The store gives every write one revision from a single sequence, so what an instance
+knows is described by one number. Its `cursor` C means: for every profile whose latest
+revision is at most C, this instance holds that latest revision. Any instance may bring
+another one up to date by sending the records above the other's cursor, as in
+Demers et al., "Epidemic Algorithms for Replicated Database Maintenance" (1987).
+
+Staleness is judged by news and not by silence. `fresh_as_of` is a time on this
+instance's own clock at which its records were surely the latest ones. It advances only
+with a read of the store, or with a peer's answer that states the age of such a read.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from turmericusher.errors import ConflictError, ErrorCode, RequestRefusedError, Verdict
+from turmericusher.profiles import Profile
+
+RECENT_CHANGES = 32
+"""Changes that a record keeps, so that a late question about one is answered."""
+
+DEFAULT_PROFILE = Profile("default")
+"""In force under its name until an operator creates one."""
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeMark:
+    """A change that took effect, and the revision that it replaced."""
+
+    change_id: str
+    replaced_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProfileRecord:
+    """One profile as the store holds it.
+
+    `changes` are the recent changes that led here, the latest last. A retired profile
+    keeps its record: a deleted key could be made anew by an old write.
+    """
+
+    profile: Profile
+    revision: int
+    retired: bool = False
+    changes: tuple[ChangeMark, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ProfileChange:
+    """An operator's change: `expected_revision` 0 creates the profile.
+
+    `change_id` is unique to the change, and equal in each repeat of it.
+    """
+
+    profile: Profile
+    expected_revision: int
+    change_id: str
+    retire: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRecord:
+    """The record to write if the key's revision is still `expected_revision`."""
+
+    expected_revision: int
+    record: ProfileRecord
+
+
+@dataclass(frozen=True, slots=True)
+class AlreadyAccepted:
+    """The change took effect before; `record` is the profile's present record."""
+
+    record: ProfileRecord
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRecords:
+    """What a peer sent: its records above the asker's cursor, the oldest first.
+
+    `cursor` is the peer's own, and `is_whole` is False when records were left out for
+    size. `age_s` is the time since the peer was surely up to date, None when it never
+    was.
+    """
+
+    records: tuple[ProfileRecord, ...]
+    cursor: int
+    age_s: float | None
+    is_whole: bool
+
+
+def plan_change(
+    current: ProfileRecord | None, change: ProfileChange
+) -> WriteRecord | AlreadyAccepted:
+    """Decide on a change, given the store's present record.
+
+    Raises `ConflictError` with the rival's change when the revision has moved on. This
+    also settles a write whose reply was lost: the change id is in the record, or the
+    key is still at the expected revision and the same write may be sent again, or the
+    revision has moved on and the lost write can no longer take effect.
+    """
+    if current is not None and has_change(current, change.change_id):
+        return AlreadyAccepted(current)
+    found = current.revision if current is not None else 0
+    if found != change.expected_revision:
+        raise revision_conflict(current, change)
+    if change.retire:
+        return plan_retirement(current, change)
+    return WriteRecord(found, next_record(current, change, change.profile))
+
+
+def plan_retirement(
+    current: ProfileRecord | None, change: ProfileChange
+) -> WriteRecord:
+    """Return the write of a tombstone; raise when there is nothing to retire."""
+    if current is None:
+        raise RequestRefusedError(
+            ErrorCode.UNKNOWN_PROFILE,
+            f"profile={change.profile.name!r} does not exist; nothing to retire",
+        )
+    if current.retired:
+        raise RequestRefusedError(
+            ErrorCode.PROFILE_RETIRED,
+            f"profile={change.profile.name!r} is retired at "
+            f"revision={current.revision!r} already",
+        )
+    return WriteRecord(current.revision, next_record(current, change, current.profile))
+
+
+def next_record(
+    current: ProfileRecord | None, change: ProfileChange, profile: Profile
+) -> ProfileRecord:
+    """Return the record after the change; its revision is known after the write."""
+    earlier = current.changes if current is not None else ()
+    mark = ChangeMark(change.change_id, change.expected_revision)
+    recent = (*earlier, mark)[-RECENT_CHANGES:]
+    return ProfileRecord(profile, 0, change.retire, recent)
+
+
+def has_change(record: ProfileRecord, change_id: str) -> bool:
+    """Whether the change is among those that led to the record."""
+    return any(mark.change_id == change_id for mark in record.changes)
+
+
+def revision_conflict(
+    current: ProfileRecord | None, change: ProfileChange
+) -> ConflictError:
+    """Return the error that shows the rival's change."""
+    name = change.profile.name
+    if current is None:
+        return ConflictError(
+            ErrorCode.REVISION_CONFLICT,
+            f"expected_revision={change.expected_revision!r}: profile={name!r} does "
+            "not exist; use 0 to create it",
+        )
+    state = "retired" if current.retired else "changed"
+    rival = current.changes[-1].change_id if current.changes else ""
+    return ConflictError(
+        ErrorCode.REVISION_CONFLICT,
+        f"expected_revision={change.expected_revision!r}: profile={name!r} was {state} "
+        f"at revision={current.revision!r} by change_id={rival!r}; it is now "
+        f"{current.profile!r}; read it and send the change with its revision",
+        verdict=conflict_verdict(current, change),
+    )
+
+
+def conflict_verdict(current: ProfileRecord, change: ProfileChange) -> Verdict:
+    """Say whether the change may have taken effect before the rival's.
+
+    A revision is replaced by one change only. The record lists its recent changes
+    without a hole, so it settles every change that expected a revision since the
+    oldest listed one.
+    """
+    oldest = current.changes[0].replaced_revision if current.changes else 0
+    is_listed = change.expected_revision >= oldest
+    return Verdict.NOT_RUN if is_listed else Verdict.MAY_HAVE_RUN
+
+
+@dataclass(slots=True)
+class Rollout:
+    """The profiles that one instance has in force.
+
+    `unreadable` maps a profile to the revision of a record that this version of the
+    program cannot read; new work under that profile is refused, because the record in
+    force is known to be replaced.
+    """
+
+    records: dict[str, ProfileRecord] = field(default_factory=dict)
+    cursor: int = 0
+    fresh_as_of: float | None = None
+    unreadable: dict[str, int] = field(default_factory=dict)
+
+    def apply(self, record: ProfileRecord) -> bool:
+        """Put a record in force if it is newer; say whether it was.
+
+        Watch events, reads and peers' records come in any order, and each may be old.
+        """
+        name = record.profile.name
+        held = self.records.get(name)
+        if held is not None and held.revision >= record.revision:
+            return False
+        self.records[name] = record
+        if self.unreadable.get(name, record.revision + 1) <= record.revision:
+            del self.unreadable[name]
+        return True
+
+    def apply_unreadable(self, name: str, revision: int) -> None:
+        """Note a newer record that cannot be read."""
+        held = self.records.get(name)
+        if held is None or held.revision < revision:
+            self.unreadable[name] = max(revision, self.unreadable.get(name, 0))
+
+    def apply_read(
+        self, records: Iterable[ProfileRecord], revision: int, asked_at: float
+    ) -> None:
+        """Apply a read of all profiles that was sent at `asked_at`."""
+        for record in records:
+            self.apply(record)
+        self.cursor = max(self.cursor, revision)
+        self.confirm(asked_at)
+
+    def apply_event(self, record: ProfileRecord) -> None:
+        """Apply one watch event; events come in order, so the cursor follows."""
+        self.apply(record)
+        self.advance(record.revision)
+
+    def advance(self, revision: int) -> None:
+        """Note that every event up to `revision` was seen.
+
+        A watch event shows no time: it may have been delayed, so freshness stays.
+        """
+        self.cursor = max(self.cursor, revision)
+
+    def apply_peer(self, sent: PeerRecords, asked_at: float) -> bool:
+        """Apply a peer's answer to a question that was sent at `asked_at`.
+
+        Returns whether this instance now holds all that the peer held. A peer that
+        never was up to date cannot vouch for the records that it lacks.
+        """
+        for record in sent.records:
+            self.apply(record)
+        if sent.age_s is None:
+            return False
+        if not sent.is_whole:
+            self.cursor = max(self.cursor, partial_cursor(sent))
+            return False
+        self.cursor = max(self.cursor, sent.cursor)
+        self.confirm(asked_at - sent.age_s)
+        return True
+
+    def confirm(self, as_of: float) -> None:
+        """Note that the records were the latest at the time `as_of`."""
+        if self.fresh_as_of is None or as_of > self.fresh_as_of:
+            self.fresh_as_of = as_of
+
+    def records_above(
+        self,
+        cursor: int,
+        now: float,
+        max_records: int,
+        max_bytes: int,
+        record_size: int,
+    ) -> PeerRecords:
+        """Return what a peer at `cursor` lacks, bounded in number and in size."""
+        newer = sorted(
+            (held for held in self.records.values() if held.revision > cursor),
+            key=lambda held: held.revision,
+        )
+        limit = max(1, min(max_records, max_bytes // record_size))
+        age_s = None if self.fresh_as_of is None else max(0.0, now - self.fresh_as_of)
+        is_whole = len(newer) <= limit and not self.unreadable
+        return PeerRecords(tuple(newer[:limit]), self.cursor, age_s, is_whole)
+
+    def is_current(self, now: float, bound_s: float, hears_majority: bool) -> bool:
+        """Whether new work may be taken.
+
+        A change is accepted only once a majority of the instances holds it. While no
+        read of the store is known, an instance that has the answers of a majority has
+        asked one of the holders, so it serves on through an outage of the store.
+        """
+        if self.fresh_as_of is None:
+            return False
+        return now - self.fresh_as_of <= bound_s or hears_majority
+
+    def lookup(self, name: str) -> Profile:
+        """Return the profile in force; raise `RequestRefusedError` without one."""
+        if name in self.unreadable:
+            raise RequestRefusedError(
+                ErrorCode.INSTANCE_STALE,
+                f"profile={name!r} has revision={self.unreadable[name]!r}, which this "
+                "instance cannot read; use another instance or update this one",
+                retry_after_s=1.0,
+            )
+        record = self.records.get(name)
+        if record is None and name == DEFAULT_PROFILE.name:
+            return DEFAULT_PROFILE
+        if record is None:
+            raise RequestRefusedError(
+                ErrorCode.UNKNOWN_PROFILE,
+                f"profile={name!r} does not exist; create it or name another one",
+            )
+        if record.retired:
+            raise RequestRefusedError(
+                ErrorCode.PROFILE_RETIRED,
+                f"profile={name!r} was retired at revision={record.revision!r}; "
+                "name another one",
+            )
+        return record.profile
+
+
+def partial_cursor(sent: PeerRecords) -> int:
+    """Return the cursor after an answer that left newer records out.
+
+    The records come in the order of their revisions, so all up to the last are held.
+    """
+    last = sent.records[-1].revision if sent.records else 0
+    return min(last, sent.cursor)
+
+
+def with_revision(record: ProfileRecord, revision: int) -> ProfileRecord:
+    """Return the record with the revision that its write was given."""
+    return replace(record, revision=revision)
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRevision:
+    """What is known of one entry instance's records.
+
+    It has every change up to `cursor` in force. `age_s` is the age of this knowledge in
+    seconds, None when the instance has not answered yet.
+    """
+
+    name: str
+    failure_domain: str
+    cursor: int
+    age_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Which live entry instances have a revision in force, and which are missing."""
+
+    revision: int
+    in_force: tuple[InstanceRevision, ...]
+    missing: tuple[InstanceRevision, ...]
+
+    @property
+    def is_held_by_majority(self) -> bool:
+        """Whether more than half of the instances have the revision in force."""
+        return len(self.in_force) > len(self.missing)
+
+
+def rollout_status(
+    revision: int, instances: Iterable[InstanceRevision]
+) -> RolloutStatus:
+    """Sort the instances by whether they have the revision in force."""
+    known = sorted(instances, key=lambda instance: instance.name)
+    return RolloutStatus(
+        revision,
+        tuple(instance for instance in known if instance.cursor >= revision),
+        tuple(instance for instance in known if instance.cursor < revision),
+    )
--- /dev/null
+++ b/src/turmericusher/tasks/profile_changes.py
@@ -0,0 +1,181 @@
+"""Operators' changes: one compare-and-swap, settled before the operator hears of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from turmericusher.decisions.rollout import (
+    AlreadyAccepted,
+    InstanceRevision,
+    ProfileChange,
+    ProfileRecord,
+    RolloutStatus,
+    WriteRecord,
+    plan_change,
+    rollout_status,
+)
+from turmericusher.errors import (
+    ErrorCode,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    TurmericusherError,
+    Verdict,
+)
+from turmericusher.ports.keyvalue import KeyValueStore, StoredValue
+from turmericusher.tasks.profile_records import (
+    UnreadableRecordError,
+    decode_record,
+    encode_record,
+)
+from turmericusher.tasks.profile_watch import ProfileTable, read_again
+
+CHANGE_LIMIT_S = 8.0
+"""Seconds within which an operator hears the fate of a change."""
+
+CALL_TIMEOUT_S = 2.0
+RETRY_PAUSE_S = 0.1
+
+SpreadCheck = Callable[[int, float], Awaitable[RolloutStatus]]
+"""Waits until a majority holds a revision, at most the given number of seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """A change that surely took effect; `record` may already be a later one."""
+
+    change_id: str
+    record: ProfileRecord
+    status: RolloutStatus
+
+
+@dataclass(slots=True)
+class ProfileChanger:
+    """Carries out operators' changes against the store."""
+
+    store: KeyValueStore
+    table: ProfileTable
+    wait_for_spread: SpreadCheck
+    limit_s: float = CHANGE_LIMIT_S
+
+    async def change(self, change: ProfileChange) -> AcceptedChange:
+        """Commit a change and have a majority of the instances hold it.
+
+        Raises `ConflictError` when a rival came first, and `TurmericusherError` with
+        the verdict MAY_HAVE_RUN and the change id when the fate stays unknown.
+        """
+        started_at = self.table.clock()
+        record = await self.commit(change, started_at + self.limit_s)
+        self.table.apply_written(record)
+        await self.refresh_table()
+        remaining_s = max(0.0, started_at + self.limit_s - self.table.clock())
+        status = await self.wait_for_spread(record.revision, remaining_s)
+        if not status.is_held_by_majority:
+            raise not_spread(change, record, status)
+        return AcceptedChange(change.change_id, record, status)
+
+    async def commit(self, change: ProfileChange, deadline: float) -> ProfileRecord:
+        """Write the change; repeat the same write until its fate is known.
+
+        A repeat expects the same revision, so at most one of the writes takes effect,
+        also when an earlier one is still on its way to the store.
+        """
+        has_unknown_write = False
+        while True:
+            try:
+                record = await self.try_once(change)
+                if record is not None:
+                    return record
+            except StoreUnavailableError:
+                if not has_unknown_write:
+                    raise
+            except (StoreOutcomeUnknownError, TimeoutError):
+                has_unknown_write = True
+            except UnreadableRecordError:
+                if not has_unknown_write:
+                    raise
+                raise outcome_unknown(change) from None
+            if self.table.clock() >= deadline:
+                raise outcome_unknown(change)
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def try_once(self, change: ProfileChange) -> ProfileRecord | None:
+        """Read, plan and write once; None when the plan was overtaken."""
+        key = self.table.profile_key(change.profile.name)
+        current = await self.read_current(key)
+        plan = plan_change(current, change)
+        match plan:
+            case AlreadyAccepted(record):
+                return record
+            case WriteRecord(expected_revision, record):
+                value = encode_record(record)
+                async with asyncio.timeout(CALL_TIMEOUT_S):
+                    result = await self.store.compare_and_swap(
+                        key, expected_revision, value
+                    )
+                if not result.succeeded:
+                    return None
+                return replace(record, revision=result.revision)
+
+    async def read_current(self, key: str) -> ProfileRecord | None:
+        """Read the record from the store; a read that times out has no effect."""
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                stored = await self.store.get(key)
+        except TimeoutError as error:
+            raise StoreUnavailableError(
+                f"no reply from the key-value service within {CALL_TIMEOUT_S} s"
+            ) from error
+        return record_of(stored)
+
+    async def refresh_table(self) -> None:
+        """Bring this instance's own cursor up to the change, if the store answers."""
+        try:
+            await read_again(self.store, self.table)
+        except (TurmericusherError, TimeoutError):
+            return
+
+
+def record_of(stored: StoredValue | None) -> ProfileRecord | None:
+    """Decode a stored record."""
+    if stored is None:
+        return None
+    return decode_record(stored.value, stored.revision)
+
+
+def outcome_unknown(change: ProfileChange) -> TurmericusherError:
+    """Return the error of a change whose write was never answered."""
+    return TurmericusherError(
+        ErrorCode.STORE_OUTCOME_UNKNOWN,
+        f"change_id={change.change_id!r} of profile={change.profile.name!r} may have "
+        "taken effect: the key-value service does not answer; repeat the change with "
+        "the same change_id to learn its fate",
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_s=1.0,
+    )
+
+
+def not_spread(
+    change: ProfileChange, record: ProfileRecord, status: RolloutStatus
+) -> TurmericusherError:
+    """Return the error of a stored change that most instances are not known to hold."""
+    missing = ", ".join(instance.name for instance in status.missing)
+    return TurmericusherError(
+        ErrorCode.STORE_OUTCOME_UNKNOWN,
+        f"change_id={change.change_id!r} of profile={change.profile.name!r} is stored "
+        f"at revision={record.revision!r}, but not accepted yet: no answer from "
+        f"{missing}; repeat the change with the same change_id until it is",
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_s=1.0,
+    )
+
+
+def spread_to_self(name: str, failure_domain: str) -> SpreadCheck:
+    """Return the spread check of an instance that has no peers."""
+
+    async def is_held_here(revision: int, _limit_s: float) -> RolloutStatus:
+        own = InstanceRevision(name, failure_domain, revision, 0.0)
+        return rollout_status(revision, (own,))
+
+    return is_held_here
--- /dev/null
+++ b/src/turmericusher/tasks/profile_records.py
@@ -0,0 +1,70 @@
+"""The bytes of a profile's record, in the store and between instances."""
+
+from __future__ import annotations
+
+import orjson
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from turmericusher.decisions.rollout import ChangeMark, ProfileRecord
+from turmericusher.errors import ErrorCode, TurmericusherError
+from turmericusher.profiles import Profile, ProfileModel, profile_to_mapping
+
+
+class UnreadableRecordError(TurmericusherError):
+    """A record that this version of the program cannot read."""
+
+    def __init__(self, revision: int, reason: str) -> None:
+        super().__init__(
+            ErrorCode.INTERNAL,
+            f"the profile record at revision={revision!r} cannot be read: {reason}; "
+            "was it written by a newer version?",
+        )
+
+
+class ChangeMarkModel(BaseModel):
+    """One change that led to a record."""
+
+    model_config = ConfigDict(frozen=True)
+
+    change_id: str
+    replaced_revision: int
+
+
+class ProfileRecordModel(BaseModel):
+    """A record as the store holds it; its revision is the key's own."""
+
+    model_config = ConfigDict(frozen=True)
+
+    profile: ProfileModel
+    retired: bool = False
+    changes: tuple[ChangeMarkModel, ...] = ()
+
+
+def encode_record(record: ProfileRecord) -> bytes:
+    """Return the bytes of a record."""
+    return orjson.dumps(
+        {
+            "profile": profile_to_mapping(record.profile),
+            "retired": record.retired,
+            "changes": [
+                {
+                    "change_id": mark.change_id,
+                    "replaced_revision": mark.replaced_revision,
+                }
+                for mark in record.changes
+            ],
+        }
+    )
+
+
+def decode_record(value: bytes, revision: int) -> ProfileRecord:
+    """Read a record; raise `UnreadableRecordError` when the bytes are not one."""
+    try:
+        model = ProfileRecordModel.model_validate_json(value)
+    except ValidationError as error:
+        raise UnreadableRecordError(revision, error.errors()[0]["msg"]) from error
+    changes = tuple(
+        ChangeMark(mark.change_id, mark.replaced_revision) for mark in model.changes
+    )
+    profile = Profile(**model.profile.model_dump())
+    return ProfileRecord(profile, revision, model.retired, changes)
--- /dev/null
+++ b/src/turmericusher/tasks/profile_watch.py
@@ -0,0 +1,261 @@
+"""The one watch that an instance keeps on the store, and the table it feeds.
+
+The watch covers a single prefix, under which stand the profiles and the registrations
+of entry instances. A watch proves nothing by being silent, so the prefix is also read
+again whenever no instance has confirmed it lately; peers share such confirmations, and
+the number of reads does not grow with the fleet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.rollout import ProfileRecord, Rollout
+from turmericusher.errors import (
+    ErrorCode,
+    RequestRefusedError,
+    TurmericusherError,
+)
+from turmericusher.ports.keyvalue import KeyValueStore, StoredValue, WatchEvent
+from turmericusher.profiles import Profile
+from turmericusher.tasks.profile_records import UnreadableRecordError, decode_record
+
+FLEET_DIRECTORY = "fleet/"
+"""What the watch covers, below the store's prefix."""
+
+CONFIRM_AFTER_S = 2.0
+"""Age of the last confirmation, in seconds, from which the prefix is read again."""
+
+CONFIRM_JITTER_S = 2.0
+"""Seconds over which the instances spread that read."""
+
+CHECK_INTERVAL_S = 0.2
+RETRY_FLOOR_S = 0.2
+RETRY_CAP_S = 2.0
+READ_TIMEOUT_S = 3.0
+
+Clock = Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """A registration of an entry instance that appeared, changed or ended.
+
+    `value` is None when its lease lapsed or was revoked.
+    """
+
+    name: str
+    value: bytes | None
+
+
+def hears_no_majority(_now: float) -> bool:
+    """Stand in for the peers of an instance that has none."""
+    return False
+
+
+def ignore_registration(_registration: Registration) -> None:
+    """Stand in for a membership that follows no registrations."""
+
+
+@dataclass(slots=True)
+class ProfileTable:
+    """The profiles in force here, and whether they may be relied on.
+
+    `stale_after_s` is the age in seconds from which a confirmation counts no more.
+    `hears_majority` tells whether the peers' answers stand in for the store's.
+    """
+
+    prefix: str
+    stale_after_s: float
+    rollout: Rollout = field(default_factory=Rollout)
+    clock: Clock = time.monotonic
+    hears_majority: Callable[[float], bool] = hears_no_majority
+    on_registration: Callable[[Registration], None] = ignore_registration
+    registered: set[str] = field(default_factory=set)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def get(self, name: str) -> Profile:
+        """Return the profile for new work; raise `RequestRefusedError` without one."""
+        self.check_current()
+        return self.rollout.lookup(name)
+
+    def is_current(self) -> bool:
+        """Whether new work may be taken."""
+        now = self.clock()
+        return self.rollout.is_current(
+            now, self.stale_after_s, self.hears_majority(now)
+        )
+
+    def check_current(self) -> None:
+        """Raise `RequestRefusedError` while an accepted change may be missing here."""
+        if not self.is_current():
+            raise RequestRefusedError(
+                ErrorCode.INSTANCE_STALE,
+                f"this instance has had no news of the profiles for "
+                f"stale_after_s={self.stale_after_s!r}; use another entry instance",
+                retry_after_s=1.0,
+            )
+
+    def profile_key(self, name: str) -> str:
+        """Return the store's key of a profile."""
+        return f"{self.prefix}profiles/{name}"
+
+    def entry_key(self, name: str) -> str:
+        """Return the store's key of an entry instance's registration."""
+        return f"{self.prefix}entries/{name}"
+
+    def apply_written(self, record: ProfileRecord) -> None:
+        """Put a record in force that this instance has just written."""
+        self.rollout.apply(record)
+        self.announce()
+
+    def apply_snapshot(
+        self, values: tuple[StoredValue, ...], revision: int, asked_at: float
+    ) -> None:
+        """Apply a read of the whole prefix."""
+        profiles = f"{self.prefix}profiles/"
+        records = []
+        for value in values:
+            if not value.key.startswith(profiles):
+                continue
+            record = self.read_record(value.key, value.value, value.revision)
+            if record is not None:
+                records.append(record)
+        self.rollout.apply_read(records, revision, asked_at)
+        self.apply_registrations(values)
+        self.announce()
+
+    def apply_registrations(self, values: tuple[StoredValue, ...]) -> None:
+        """Pass on who is registered, and who was and is no longer."""
+        entries = f"{self.prefix}entries/"
+        present = {
+            value.key.removeprefix(entries): value.value
+            for value in values
+            if value.key.startswith(entries)
+        }
+        for name in self.registered - present.keys():
+            self.on_registration(Registration(name, None))
+        for name, content in present.items():
+            self.on_registration(Registration(name, content))
+        self.registered = set(present)
+
+    def apply_event(self, event: WatchEvent) -> None:
+        """Apply one event of the watch."""
+        entries = f"{self.prefix}entries/"
+        if event.key.startswith(entries):
+            self.apply_registration(event.key.removeprefix(entries), event.value)
+        elif event.value is not None and event.key.startswith(
+            f"{self.prefix}profiles/"
+        ):
+            record = self.read_record(event.key, event.value, event.revision)
+            if record is not None:
+                self.rollout.apply(record)
+        self.rollout.advance(event.revision)
+        self.announce()
+
+    def apply_registration(self, name: str, value: bytes | None) -> None:
+        """Follow one registration."""
+        if value is None:
+            self.registered.discard(name)
+        else:
+            self.registered.add(name)
+        self.on_registration(Registration(name, value))
+
+    def read_record(
+        self, key: str, value: bytes, revision: int
+    ) -> ProfileRecord | None:
+        """Decode a record, or note that it cannot be read."""
+        try:
+            return decode_record(value, revision)
+        except UnreadableRecordError:
+            self.rollout.apply_unreadable(key.rpartition("/")[2], revision)
+            return None
+
+    def announce(self) -> None:
+        """Wake those who wait for a change of the table."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+async def read_again(store: KeyValueStore, table: ProfileTable) -> int:
+    """Read the whole prefix; return the store's revision at the read.
+
+    The records count as confirmed from the time the read was sent, so a slow reply
+    makes them no fresher than they are.
+    """
+    asked_at = table.clock()
+    async with asyncio.timeout(READ_TIMEOUT_S):
+        snapshot = await store.get_prefix(table.prefix)
+    table.apply_snapshot(snapshot.values, snapshot.revision, asked_at)
+    return snapshot.revision
+
+
+async def follow_store(
+    store: KeyValueStore, table: ProfileTable, rng: random.Random
+) -> None:
+    """Read the prefix and watch it from there, again after each failure."""
+    delay_s = RETRY_FLOOR_S
+    while True:
+        try:
+            revision = await read_again(store, table)
+            delay_s = RETRY_FLOOR_S
+            async for event in store.watch(table.prefix, revision + 1):
+                table.apply_event(event)
+        except (TurmericusherError, TimeoutError):
+            pass
+        await asyncio.sleep(delay_s * rng.uniform(0.5, 1.5))
+        delay_s = min(RETRY_CAP_S, delay_s * 2)
+
+
+async def confirm_records(
+    store: KeyValueStore, table: ProfileTable, rng: random.Random
+) -> None:
+    """Read the prefix again whenever the last confirmation has grown old."""
+    while True:
+        due_after_s = CONFIRM_AFTER_S + rng.uniform(0, CONFIRM_JITTER_S)
+        await wait_until_old(table, due_after_s)
+        try:
+            await read_again(store, table)
+        except (TurmericusherError, TimeoutError):
+            await asyncio.sleep(RETRY_FLOOR_S + rng.uniform(0, RETRY_CAP_S))
+
+
+async def wait_until_old(table: ProfileTable, age_s: float) -> None:
+    """Return once the records have not been confirmed for `age_s` seconds."""
+    while True:
+        fresh_as_of = table.rollout.fresh_as_of
+        if fresh_as_of is None or table.clock() - fresh_as_of >= age_s:
+            return
+        await asyncio.sleep(CHECK_INTERVAL_S)
+
+
+@asynccontextmanager
+async def running_profile_watch(
+    store: KeyValueStore,
+    prefix: str,
+    *,
+    stale_after_s: float,
+    rng: random.Random,
+    clock: Clock = time.monotonic,
+) -> AsyncIterator[ProfileTable]:
+    """Keep a table of the profiles up to date while the context is entered.
+
+    `prefix` is the store's prefix from the settings. The context is entered at once,
+    also while the store is down; the table then refuses new work until it has news.
+    """
+    table = ProfileTable(f"{prefix}{FLEET_DIRECTORY}", stale_after_s, clock=clock)
+    tasks = [
+        asyncio.create_task(follow_store(store, table, rng), name="profile-watch"),
+        asyncio.create_task(confirm_records(store, table, rng), name="profile-confirm"),
+    ]
+    try:
+        yield table
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tests/common/waiting.py
@@ -0,0 +1,15 @@
+"""Waiting for a condition inside an event loop."""
+
+import asyncio
+from collections.abc import Callable
+
+POLL_S = 0.01
+
+
+async def wait_until(is_reached: Callable[[], bool], limit_s: float = 20.0) -> None:
+    """Return once the condition holds; fail after `limit_s` seconds of polling."""
+    for _ in range(int(limit_s / POLL_S)):
+        if is_reached():
+            return
+        await asyncio.sleep(POLL_S)
+    raise AssertionError(f"not reached within {limit_s} s: {is_reached}")
