Run plain service calls at most once under claims

Ruled out: leaving resends to aiohttp, which sends GET, PUT and DELETE again after a lost connection whatever the profile says; kept-alive connections, which make a closing race look like a call that may have run; saying not_run whenever the store is down, because the repeat of a call that ran would be told so.

--- /dev/null
+++ b/src/turmericusher/decisions/claim_pages.py
@@ -0,0 +1,179 @@
+"""Pages of claims: their records, their size limits and their encoding.
+
+One page is one value in the store, at most a megabyte. It is replaced as a whole by
+compare-and-swap, so one write can carry many claims.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+import orjson
+
+from turmericusher.decisions.idempotency_keys import PageName
+
+CLAIMS_PREFIX = "claims/"
+FLOOR_KEY = CLAIMS_PREFIX + "floor"
+
+RECORD_BYTES = 300
+MAX_BYTES_WITH_NEW_CLAIMS = 500_000
+MAX_BYTES_WITH_OUTCOMES = 900_000
+MAX_OUTCOME_BYTES = 16_000
+
+
+class ClaimState(enum.StrEnum):
+    """The state of a claim.
+
+    `CLAIMED`: the call may have been sent, and its outcome is not known yet.
+    `RELEASED`: the call was not sent by any attempt so far.
+    `ANSWERED`: the call ran, and its outcome is kept.
+    `RAN`: the call ran, and its outcome was too large to keep.
+    `UNKNOWN`: the call was sent, and its outcome will never be known.
+    """
+
+    CLAIMED = "c"
+    RELEASED = "r"
+    ANSWERED = "a"
+    RAN = "x"
+    UNKNOWN = "u"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """What is known of one key.
+
+    `released_ids` are attempts that must never be granted the claim again; `fence` is
+    the highest caller's number among them. `outcome` is set when `ANSWERED` only.
+    """
+
+    key: str
+    state: ClaimState
+    attempt_id: str
+    body_hash: str
+    deadline_ms: int
+    outcome: str = ""
+    released_ids: tuple[str, ...] = ()
+    fence: int = 0
+
+
+@dataclass(slots=True)
+class ClaimPage:
+    """The records of one page.
+
+    `is_confirmed` says that the page is the first of its name, not one made anew
+    after its deletion; see `PageCommit`. `size` is an upper estimate in bytes.
+    """
+
+    is_confirmed: bool = False
+    records: dict[str, ClaimRecord] = field(default_factory=dict)
+    size: int = 0
+    is_changed: bool = False
+
+    def put(self, record: ClaimRecord) -> None:
+        """Insert or replace a record."""
+        previous = self.records.get(record.key)
+        if previous is not None:
+            self.size -= size_of_record(previous)
+        self.records[record.key] = record
+        self.size += size_of_record(record)
+        self.is_changed = True
+
+
+@dataclass(frozen=True, slots=True)
+class StoredPage:
+    """A page as the store holds it; the revision of a missing page is 0."""
+
+    page: ClaimPage
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimFloor:
+    """Windows below `floor` take no claims; pages below `swept` are deleted."""
+
+    floor: int
+    swept: int
+
+
+def size_of_record(record: ClaimRecord) -> int:
+    """Return an upper estimate of a record's bytes in the encoded page."""
+    escaped = len(record.outcome) + record.outcome.count('"')
+    return RECORD_BYTES + escaped + 40 * len(record.released_ids)
+
+
+def has_room_for_claim(page: ClaimPage) -> bool:
+    """Whether the page takes one more claim."""
+    return page.size + RECORD_BYTES <= MAX_BYTES_WITH_NEW_CLAIMS
+
+
+def has_room_for_outcome(page: ClaimPage, outcome: str) -> bool:
+    """Whether an outcome can be kept in the page."""
+    if len(outcome) > MAX_OUTCOME_BYTES:
+        return False
+    return page.size + len(outcome) + outcome.count('"') <= MAX_BYTES_WITH_OUTCOMES
+
+
+def copy_of_page(page: ClaimPage) -> ClaimPage:
+    """Return a page that can be changed without changing the first."""
+    return ClaimPage(page.is_confirmed, dict(page.records), page.size)
+
+
+def page_key(name: PageName) -> str:
+    """Return the store's key of a page."""
+    return f"{window_prefix(name.window)}{name.shard}"
+
+
+def window_prefix(window: int) -> str:
+    """Return the prefix of all pages of a window."""
+    return f"{CLAIMS_PREFIX}{window}/"
+
+
+def encode_page(page: ClaimPage) -> bytes:
+    """Return the page as the store holds it."""
+    rows = [
+        [
+            record.key,
+            record.state.value,
+            record.attempt_id,
+            record.body_hash,
+            record.deadline_ms,
+            record.outcome,
+            record.released_ids,
+            record.fence,
+        ]
+        for record in page.records.values()
+    ]
+    return orjson.dumps([page.is_confirmed, rows])
+
+
+def decode_page(value: bytes) -> ClaimPage:
+    """Return the page that was encoded."""
+    is_confirmed, rows = orjson.loads(value)
+    page = ClaimPage(is_confirmed)
+    for key, state, attempt, body_hash, deadline, outcome, released, fence in rows:
+        page.put(
+            ClaimRecord(
+                key=key,
+                state=ClaimState(state),
+                attempt_id=attempt,
+                body_hash=body_hash,
+                deadline_ms=deadline,
+                outcome=outcome,
+                released_ids=tuple(released),
+                fence=fence,
+            )
+        )
+    page.is_changed = False
+    return page
+
+
+def encode_floor(floor: ClaimFloor) -> bytes:
+    """Return the floor as the store holds it."""
+    return orjson.dumps([floor.floor, floor.swept])
+
+
+def decode_floor(value: bytes) -> ClaimFloor:
+    """Return the floor that was encoded."""
+    floor, swept = orjson.loads(value)
+    return ClaimFloor(floor, swept)
--- /dev/null
+++ b/src/turmericusher/ports/services.py
@@ -0,0 +1,204 @@
+"""The port to plain services: one HTTP call passed through to one upstream.
+
+Whatever goes wrong, the error says whether a byte of the call may have left: a call
+that failed while its connection was being made is `NOT_RUN`; from the moment a
+connection stood it is `MAY_HAVE_RUN`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Protocol
+
+import aiohttp
+from yarl import URL
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.errors import ErrorCode, UpstreamError, Verdict
+
+MAX_ANSWER_BYTES = 16_000_000
+READ_CHUNK_BYTES = 65_536
+CONNECT_TIMEOUT_S = 2.0
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection (RFC 9110, section 7.6.1), and the lengths."""
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingCall:
+    """One call as an upstream gets it; `target` is the raw path with its query."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """The whole answer of a service."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ServicePort(Protocol):
+    """Sends calls to plain services."""
+
+    async def send(
+        self, upstream: UpstreamInstance, call: OutgoingCall, timeout_s: float
+    ) -> ServiceAnswer:
+        """Send a call once and return its answer.
+
+        Raises `UpstreamError` with the verdict `NOT_RUN` when no byte left, with
+        `MAY_HAVE_RUN` when the answer is missing, and with `RAN` when the answer is
+        larger than `MAX_ANSWER_BYTES`.
+        """
+        ...
+
+
+@dataclass(slots=True)
+class SendProgress:
+    """How far one call came: whether a connection stood, and how often one was made."""
+
+    is_connected: bool = False
+    connections: int = 0
+
+
+@dataclass(slots=True)
+class HttpServicePort:
+    """A `ServicePort` over aiohttp; every call has a connection of its own.
+
+    A connection kept open from an earlier call may be closed by the service at the
+    very moment the next call is written to it. That call would have to be answered
+    with `MAY_HAVE_RUN` although nothing is wrong, so connections are not kept.
+    """
+
+    session: aiohttp.ClientSession
+
+    async def send(
+        self, upstream: UpstreamInstance, call: OutgoingCall, timeout_s: float
+    ) -> ServiceAnswer:
+        """Send a call once and return its answer."""
+        progress = SendProgress()
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=min(timeout_s, CONNECT_TIMEOUT_S)
+        )
+        try:
+            async with self.session.request(
+                call.method,
+                URL(f"http://{upstream.address}{call.target}", encoded=True),
+                headers=call.headers,
+                data=call.body or None,
+                allow_redirects=False,
+                timeout=timeout,
+                trace_request_ctx=progress,
+            ) as response:
+                return await read_answer(upstream, response)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise failed_call(upstream, progress, error) from error
+
+
+async def read_answer(
+    upstream: UpstreamInstance, response: aiohttp.ClientResponse
+) -> ServiceAnswer:
+    """Read a whole answer; raise `UpstreamError` when it is too large to hold."""
+    body = bytearray()
+    async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise UpstreamError(
+                ErrorCode.OUTCOME_TOO_LARGE,
+                f"upstream {upstream.name!r} answered with more than "
+                f"{MAX_ANSWER_BYTES} bytes; ask it for less",
+                verdict=Verdict.RAN,
+            )
+    headers = end_to_end_headers(response.headers.items())
+    return ServiceAnswer(response.status, headers, bytes(body))
+
+
+def end_to_end_headers(headers: object) -> Headers:
+    """Return the headers that may be passed on."""
+    pairs: list[tuple[str, str]] = list(headers)  # type: ignore[call-overload]
+    return tuple(
+        (name, value) for name, value in pairs if name.lower() not in HOP_BY_HOP_HEADERS
+    )
+
+
+def failed_call(
+    upstream: UpstreamInstance, progress: SendProgress, error: Exception
+) -> UpstreamError:
+    """Return the error for a call that got no answer."""
+    reason = str(error) or type(error).__name__
+    if not progress.is_connected:
+        return UpstreamError(
+            ErrorCode.UPSTREAM_FAILED,
+            f"upstream {upstream.name!r} at {upstream.address!r} took no connection: "
+            f"{reason}",
+            verdict=Verdict.NOT_RUN,
+        )
+    return UpstreamError(
+        ErrorCode.UPSTREAM_FAILED,
+        f"upstream {upstream.name!r} gave no whole answer: {reason}",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+
+
+async def note_connection_start(
+    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+) -> None:
+    """Refuse a second connection for one call.
+
+    After a lost connection aiohttp sends GET, PUT, DELETE and other methods again
+    by itself. Whether a call may be sent again is not for the method to say, so the
+    second connection is refused before a byte is written to it.
+    """
+    progress: SendProgress = context.trace_request_ctx
+    progress.connections += 1
+    if progress.connections > 1:
+        raise aiohttp.ServerDisconnectedError("connection lost before the answer")
+
+
+async def note_connection_end(
+    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+) -> None:
+    """Note that bytes may leave from now on."""
+    context.trace_request_ctx.is_connected = True
+
+
+@asynccontextmanager
+async def http_service_port() -> AsyncIterator[HttpServicePort]:
+    """Open the port; its session closes with the context."""
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(note_connection_start)
+    trace.on_connection_create_end.append(note_connection_end)
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    async with aiohttp.ClientSession(
+        connector=connector,
+        trace_configs=[trace],
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+    ) as session:
+        yield HttpServicePort(session)
--- /dev/null
+++ b/src/turmericusher/standins/service.py
@@ -0,0 +1,209 @@
+"""A plain service with a ledger of its runs, and switches for its faults.
+
+Every call to it, on any path outside `/control/`, counts as a run of its
+`Idempotency-Key`. The control routes read the ledger and set the faults:
+
+- `GET /control/ledger` gives the runs by key;
+- `PUT /control/faults` takes the fields of `ServiceFaults` as JSON;
+- `GET /control/faults` gives them back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import asdict, dataclass, field
+
+from aiohttp import web
+from pydantic import TypeAdapter
+
+LOOPBACK = "127.0.0.1"
+UNKEYED = "-"
+MAX_BODY_BYTES = 16_000_000
+
+
+class ServiceFault(enum.StrEnum):
+    """What goes wrong with a call.
+
+    `DIE_BEFORE` cuts the connection before the call runs, `DIE_AFTER` after it ran,
+    `CUT_ANSWER` in the middle of the answer's body. `FREEZE_BEFORE` and
+    `FREEZE_AFTER` never answer. `SLOW` answers after `delay_s`.
+    """
+
+    NONE = "none"
+    DIE_BEFORE = "die_before"
+    DIE_AFTER = "die_after"
+    CUT_ANSWER = "cut_answer"
+    FREEZE_BEFORE = "freeze_before"
+    FREEZE_AFTER = "freeze_after"
+    SLOW = "slow"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceFaults:
+    """The fault that is switched on, and for how many calls; None means all."""
+
+    fault: ServiceFault = ServiceFault.NONE
+    calls: int | None = None
+    delay_s: float = 0.0
+
+
+@dataclass(slots=True)
+class ServiceLedger:
+    """The service's state: its runs by key and its faults.
+
+    `refusing` closes the listening socket while it is true, see `RunningService`.
+    """
+
+    name: str
+    runs: Counter[str] = field(default_factory=Counter)
+    faults: ServiceFaults = field(default_factory=ServiceFaults)
+    answer_bytes: int = 0
+
+    def take_fault(self) -> ServiceFault:
+        """Return the fault of the next call and count it down."""
+        fault = self.faults.fault
+        calls = self.faults.calls
+        if calls is None:
+            return fault
+        if calls <= 0:
+            return ServiceFault.NONE
+        self.faults = ServiceFaults(fault, calls - 1, self.faults.delay_s)
+        return fault
+
+
+@dataclass(slots=True)
+class RunningService:
+    """A service that listens; `refuse` and `accept` close and open its socket."""
+
+    ledger: ServiceLedger
+    runner: web.AppRunner
+    host: str
+    port: int
+    site: web.TCPSite | None = None
+
+    @property
+    def address(self) -> str:
+        """The service's `host:port`."""
+        return f"{self.host}:{self.port}"
+
+    async def accept(self) -> None:
+        """Listen; a port of 0 is replaced by the one the system chose."""
+        self.site = web.TCPSite(self.runner, self.host, self.port, reuse_address=True)
+        await self.site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def refuse(self) -> None:
+        """Stop listening, so that connections are refused."""
+        if self.site is not None:
+            await self.site.stop()
+            self.site = None
+
+
+LEDGER = web.AppKey("ledger", ServiceLedger)
+FAULTS_ADAPTER = TypeAdapter(ServiceFaults)
+
+
+async def handle_call(request: web.Request) -> web.StreamResponse:
+    """Run one call, or fail in the way that is switched on."""
+    ledger = request.app[LEDGER]
+    body = await request.read()
+    fault = ledger.take_fault()
+    await fail_before_run(request, fault)
+    key = request.headers.get("Idempotency-Key", UNKEYED)
+    ledger.runs[key] += 1
+    run = ledger.runs[key]
+    if fault is ServiceFault.SLOW:
+        await asyncio.sleep(ledger.faults.delay_s)
+    await fail_after_run(request, fault)
+    answer = {
+        "service": ledger.name,
+        "key": key,
+        "run": run,
+        "path": request.path,
+        "method": request.method,
+        "body_bytes": len(body),
+        "padding": "x" * ledger.answer_bytes,
+    }
+    if fault is ServiceFault.CUT_ANSWER:
+        return await cut_answer(request)
+    return web.json_response(answer)
+
+
+async def fail_before_run(request: web.Request, fault: ServiceFault) -> None:
+    """Cut the connection or wait for ever when the call is not to run."""
+    if fault is ServiceFault.DIE_BEFORE:
+        cut_connection(request)
+    if fault is ServiceFault.FREEZE_BEFORE:
+        await asyncio.Event().wait()
+
+
+async def fail_after_run(request: web.Request, fault: ServiceFault) -> None:
+    """Cut the connection or wait for ever when the call has run."""
+    if fault is ServiceFault.DIE_AFTER:
+        cut_connection(request)
+    if fault is ServiceFault.FREEZE_AFTER:
+        await asyncio.Event().wait()
+
+
+def cut_connection(request: web.Request) -> None:
+    """Reset the caller's connection."""
+    if request.transport is not None:
+        request.transport.abort()
+    raise web.HTTPInternalServerError
+
+
+async def cut_answer(request: web.Request) -> web.StreamResponse:
+    """Begin an answer and reset the connection in the middle of its body."""
+    response = web.StreamResponse(headers={"Content-Length": "1000"})
+    await response.prepare(request)
+    await response.write(b"{")
+    cut_connection(request)
+    return response
+
+
+async def get_ledger(request: web.Request) -> web.Response:
+    """Give the runs by key."""
+    return web.json_response(dict(request.app[LEDGER].runs))
+
+
+async def get_faults(request: web.Request) -> web.Response:
+    """Give the faults that are switched on."""
+    return web.json_response(asdict(request.app[LEDGER].faults))
+
+
+async def put_faults(request: web.Request) -> web.Response:
+    """Switch faults."""
+    faults = FAULTS_ADAPTER.validate_json(await request.read())
+    request.app[LEDGER].faults = faults
+    return web.json_response(asdict(faults))
+
+
+def service_app(ledger: ServiceLedger) -> web.Application:
+    """Return the service's application."""
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app[LEDGER] = ledger
+    app.router.add_get("/control/ledger", get_ledger)
+    app.router.add_get("/control/faults", get_faults)
+    app.router.add_put("/control/faults", put_faults)
+    app.router.add_route("*", "/{path:.*}", handle_call)
+    return app
+
+
+@asynccontextmanager
+async def running_service(
+    host: str = LOOPBACK, port: int = 0, name: str = "halle-app"
+) -> AsyncIterator[RunningService]:
+    """Run a service on `host:port`; a port of 0 lets the system choose."""
+    ledger = ServiceLedger(name)
+    runner = web.AppRunner(service_app(ledger), shutdown_timeout=0.1, access_log=None)
+    await runner.setup()
+    service = RunningService(ledger, runner, host, port)
+    await service.accept()
+    try:
+        yield service
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/src/turmericusher/tasks/claim_pages.py
@@ -0,0 +1,199 @@
+"""The owner of one page of claims: it commits commands in batches.
+
+While one write is on its way, or the shard's pace asks for patience, the commands that
+arrive are gathered and go into the next write together.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.claim_commits import (
+    CommitAction,
+    Finished,
+    PageCommit,
+    ReadFloor,
+    ReadPage,
+    SwapPage,
+)
+from turmericusher.decisions.claim_pages import (
+    FLOOR_KEY,
+    StoredPage,
+    decode_floor,
+    decode_page,
+    page_key,
+)
+from turmericusher.decisions.claims import ClaimCommand, ClaimReply, RecordOutcome
+from turmericusher.decisions.idempotency_keys import PageName
+from turmericusher.decisions.write_pacing import WritePacer
+from turmericusher.errors import (
+    ErrorCode,
+    RequestRefusedError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from turmericusher.ports.keyvalue import KeyValueStore, StoredValue
+
+FRESH_FOR_S = 0.2
+OUTCOME_DELAY_S = 0.1
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 0.5
+MAX_PENDING_COMMANDS = 5_000
+
+
+@dataclass(slots=True)
+class PendingCommand:
+    """A command that waits for its reply; the waiter cancels `reply` to give up."""
+
+    command: ClaimCommand
+    reply: asyncio.Future[ClaimReply]
+
+    @property
+    def is_wanted(self) -> bool:
+        """Whether anyone still waits."""
+        return not self.reply.done()
+
+    @property
+    def can_linger(self) -> bool:
+        """Whether the command may wait a moment for others to share its write."""
+        return isinstance(self.command, RecordOutcome)
+
+
+@dataclass(slots=True)
+class PageWriter:
+    """Commits the commands of one page, one batch at a time."""
+
+    name: PageName
+    prefix: str
+    store: KeyValueStore
+    pacer: WritePacer
+    clock: Callable[[], float]
+    pending: list[PendingCommand] = field(default_factory=list)
+    cached: StoredPage | None = None
+    cached_at: float = 0.0
+    urgent: asyncio.Event = field(default_factory=asyncio.Event)
+    runner: asyncio.Task[None] | None = None
+
+    async def submit(self, command: ClaimCommand) -> ClaimReply:
+        """Queue a command and wait for its reply, however long the store is down.
+
+        A caller that stops waiting by cancellation leaves it open whether the command
+        takes effect.
+        """
+        if len(self.pending) >= MAX_PENDING_COMMANDS:
+            raise RequestRefusedError(
+                ErrorCode.OVERLOADED,
+                f"page {page_key(self.name)!r} has {len(self.pending)} commands "
+                "waiting; try again later",
+                retry_after_s=1.0,
+            )
+        waiting = PendingCommand(command, asyncio.get_running_loop().create_future())
+        self.pending.append(waiting)
+        if not waiting.can_linger:
+            self.urgent.set()
+        if self.is_idle():
+            self.runner = asyncio.create_task(self.run())
+        return await waiting.reply
+
+    def is_idle(self) -> bool:
+        """Whether no batch is under way."""
+        return self.runner is None or self.runner.done()
+
+    async def run(self) -> None:
+        """Commit batches until no command waits."""
+        backoff = FIRST_BACKOFF_S
+        while self.pending:
+            await self.linger()
+            await asyncio.sleep(self.pacer.delay(self.clock()))
+            batch = self.take_batch()
+            if not batch:
+                continue
+            try:
+                await self.commit(batch)
+                backoff = FIRST_BACKOFF_S
+            except StoreError:
+                self.pending[:0] = [waiting for waiting in batch if waiting.is_wanted]
+                await asyncio.sleep(backoff)
+                backoff = min(LONGEST_BACKOFF_S, 2 * backoff)
+
+    async def linger(self) -> None:
+        """Wait a moment for company while only outcomes are pending."""
+        if all(waiting.can_linger for waiting in self.pending):
+            try:
+                await asyncio.wait_for(self.urgent.wait(), OUTCOME_DELAY_S)
+            except TimeoutError:
+                return
+
+    def take_batch(self) -> list[PendingCommand]:
+        """Take every command that is still wanted."""
+        batch = [waiting for waiting in self.pending if waiting.is_wanted]
+        self.pending = []
+        self.urgent.clear()
+        return batch
+
+    async def commit(self, batch: list[PendingCommand]) -> None:
+        """Bring one batch into the page and deliver the replies."""
+        commit = PageCommit(self.name.window, [waiting.command for waiting in batch])
+        is_fresh = self.clock() - self.cached_at <= FRESH_FOR_S
+        action = commit.begin(self.cached, is_fresh)
+        while not isinstance(action, Finished):
+            action = await self.perform(commit, action)
+        self.keep(action)
+        for waiting, reply in zip(batch, action.replies, strict=True):
+            if waiting.is_wanted:
+                waiting.reply.set_result(reply)
+        if action.is_dead:
+            await self.delete_dead_page(action.stored)
+
+    async def perform(self, commit: PageCommit, action: CommitAction) -> CommitAction:
+        """Carry out one store call and feed its result back."""
+        match action:
+            case ReadPage():
+                return commit.page_read(await self.read_page())
+            case SwapPage():
+                return await self.swap_page(commit, action)
+            case ReadFloor():
+                stored = await self.store.get(self.prefix + FLOOR_KEY)
+                return commit.floor_read(decode_floor(stored.value) if stored else None)
+        raise TypeError(f"action={action!r} is no action of a commit")
+
+    async def read_page(self) -> StoredPage | None:
+        """Read the page."""
+        stored = await self.store.get(self.prefix + page_key(self.name))
+        return stored_page(stored)
+
+    async def swap_page(self, commit: PageCommit, action: SwapPage) -> CommitAction:
+        """Write the page; a lost reply is settled by reading back."""
+        self.pacer.take(self.clock())
+        key = self.prefix + page_key(self.name)
+        try:
+            result = await self.store.compare_and_swap(
+                key, action.expected_revision, action.value
+            )
+        except StoreOutcomeUnknownError:
+            return ReadPage()
+        if result.succeeded:
+            return commit.page_written(result.revision)
+        return commit.page_read(stored_page(result.current))
+
+    def keep(self, finished: Finished) -> None:
+        """Remember the page for the next batch."""
+        self.cached = None if finished.is_dead else finished.stored
+        self.cached_at = self.clock()
+
+    async def delete_dead_page(self, stored: StoredPage) -> None:
+        """Delete a page that was made anew below the floor."""
+        key = self.prefix + page_key(self.name)
+        try:
+            await self.store.compare_and_swap(key, stored.revision, None)
+        except StoreError:
+            return
+
+
+def stored_page(stored: StoredValue | None) -> StoredPage | None:
+    """Return the page in a stored value."""
+    if stored is None:
+        return None
+    return StoredPage(decode_page(stored.value), stored.revision)
--- /dev/null
+++ b/tests/common/call_parts.py
@@ -0,0 +1,78 @@
+"""Parts for tests of plain calls: a runner on a memory store, calls and profiles."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+
+import uuid6
+
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.idempotency_keys import KeyAges
+from turmericusher.decisions.selection import Selector
+from turmericusher.ports.keyvalue import KeyValueStore
+from turmericusher.ports.services import OutgoingCall, ServicePort
+from turmericusher.profiles import Profile
+from turmericusher.settings import Service
+from turmericusher.tasks.calls import CallRunner, ServiceCall
+from turmericusher.tasks.claims import Claims
+
+SERVICE = Service("halle-app", UpstreamKind.SERVICE, (), "lookups", 16, 1, False)
+PROFILES = {
+    "lookups": Profile("lookups", idempotent=True, max_wait_s=2.0),
+    "bookings": Profile("bookings", idempotent=False, max_wait_s=2.0),
+    "hurried": Profile("hurried", idempotent=False, max_wait_s=0.3),
+}
+AGES = KeyAges(retention_s=3600.0, clock_skew_s=5.0)
+
+
+def new_key() -> str:
+    return str(uuid6.uuid7())
+
+
+def key_made_at(unix_s: float, random_bits: int = 7) -> str:
+    value = int(unix_s * 1000) << 80 | 0x7 << 76 | 0b10 << 62 | random_bits
+    return str(uuid.UUID(int=value))
+
+
+def upstream_at(address: str, name: str = "halle-1") -> UpstreamInstance:
+    return UpstreamInstance(
+        name, SERVICE.name, UpstreamKind.SERVICE, address, "quai-nord"
+    )
+
+
+def claims_on(store: KeyValueStore, seed: int = 1) -> Claims:
+    return Claims(store, AGES, time.time, random.Random(seed))
+
+
+def runner_on(
+    port: ServicePort,
+    store: KeyValueStore,
+    upstreams: list[UpstreamInstance],
+    seed: int = 1,
+) -> CallRunner:
+    selector = Selector(random.Random(seed))
+    selector.update(upstreams)
+    return CallRunner(
+        port=port,
+        claims=claims_on(store, seed),
+        selector=selector,
+        services={SERVICE.name: SERVICE},
+        profile_named=PROFILES.__getitem__,
+        random=random.Random(seed),
+    )
+
+
+def booking(
+    key: str | None, number: int = 0, body: bytes = b"{}", profile: str = "bookings"
+) -> ServiceCall:
+    outgoing = OutgoingCall(
+        "POST", "/bookings", (("Idempotency-Key", key or ""),), body
+    )
+    return ServiceCall("halle-app", "criee", profile, outgoing, key, number)
+
+
+def lookup(method: str = "GET") -> ServiceCall:
+    outgoing = OutgoingCall(method, "/stock?lot=1", (), b"")
+    return ServiceCall("halle-app", "criee", "", outgoing)
--- /dev/null
+++ b/tests/cover/test_calls.py
@@ -0,0 +1,182 @@
+"""Plain calls against the stand-in service: verdicts, retries and repeats."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from parameterized import parameterized
+
+from tests.common.call_parts import (
+    booking,
+    key_made_at,
+    lookup,
+    new_key,
+    runner_on,
+    upstream_at,
+)
+from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
+from turmericusher.ports.services import http_service_port
+from turmericusher.standins.service import (
+    ServiceFault,
+    ServiceFaults,
+    running_service,
+)
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.calls import CallAnswer, CallRunner, ServiceCall
+
+MAY = Verdict.MAY_HAVE_RUN
+NOT = Verdict.NOT_RUN
+
+
+async def failure_of(calls: CallRunner, call: ServiceCall) -> TurmericusherError:
+    """Return the error that a call ends with."""
+    try:
+        answer = await calls.run(call)
+    except TurmericusherError as error:
+        return error
+    raise AssertionError(f"the call was answered with {answer!r}")
+
+
+class CallTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = MemoryStore()
+        self.service = await self.enterAsyncContext(running_service())
+        self.port = await self.enterAsyncContext(http_service_port())
+        self.upstream = upstream_at(self.service.address)
+        self.calls = runner_on(self.port, self.store, [self.upstream])
+        self.runs = self.service.ledger.runs
+
+    def set_fault(self, fault: ServiceFault, calls: int | None = None) -> None:
+        self.service.ledger.faults = ServiceFaults(fault, calls, 1.0)
+
+    async def test_a_repeat_at_another_instance_gets_the_first_answer(self) -> None:
+        other = runner_on(self.port, self.store, [self.upstream], seed=2)
+        key = new_key()
+        first = await self.calls.run(booking(key))
+        second = await other.run(booking(key))
+        self.assertEqual((False, True), (first.is_repeat, second.is_repeat))
+        self.assertEqual(first.answer, second.answer)
+        self.assertEqual(1, self.runs[key])
+
+    async def test_crossed_repeats_run_once_and_get_one_answer(self) -> None:
+        runners = [
+            runner_on(self.port, self.store, [self.upstream], seed) for seed in range(4)
+        ]
+        key = new_key()
+        self.set_fault(ServiceFault.SLOW)
+        answers: list[CallAnswer] = await asyncio.gather(
+            *(runner.run(booking(key)) for runner in runners)
+        )
+        self.assertEqual(1, len({answer.answer for answer in answers}))
+        self.assertEqual(1, self.runs[key])
+
+    @parameterized.expand(
+        [
+            ("die_before", ServiceFault.DIE_BEFORE, 0),
+            ("die_after", ServiceFault.DIE_AFTER, 1),
+            ("cut_answer", ServiceFault.CUT_ANSWER, 1),
+            ("freeze_before", ServiceFault.FREEZE_BEFORE, 0),
+            ("freeze_after", ServiceFault.FREEZE_AFTER, 1),
+        ]
+    )
+    async def test_a_booking_is_not_sent_again_once_connected(
+        self, _name: str, fault: ServiceFault, runs: int
+    ) -> None:
+        self.set_fault(fault, calls=1)
+        key = new_key()
+        error = await failure_of(self.calls, booking(key, profile="hurried"))
+        self.assertEqual(MAY, error.verdict)
+        error = await failure_of(self.calls, booking(key, profile="hurried"))
+        self.assertEqual(MAY, error.verdict)
+        self.assertEqual(runs, self.runs[key])
+
+    async def test_a_refused_booking_is_not_run_and_its_repeat_runs(self) -> None:
+        key = new_key()
+        await self.service.refuse()
+        error = await failure_of(self.calls, booking(key, profile="hurried"))
+        self.assertEqual((NOT, 0), (error.verdict, self.runs[key]))
+        self.assertIsNotNone(error.retry_after_s)
+        await self.service.accept()
+        answer = await self.calls.run(booking(key))
+        self.assertEqual((200, 1), (answer.answer.status, self.runs[key]))
+
+    async def test_a_refused_booking_is_sent_to_another_upstream(self) -> None:
+        refusing = upstream_at("127.0.0.1:1", "halle-0")
+        self.calls.selector.update([refusing, self.upstream])
+        for _ in range(4):
+            answer = await self.calls.run(booking(new_key()))
+            self.assertEqual(200, answer.answer.status)
+
+    async def test_a_slow_booking_is_answered_to_its_repeat(self) -> None:
+        self.set_fault(ServiceFault.SLOW)
+        key = new_key()
+        error = await failure_of(self.calls, booking(key, profile="hurried"))
+        self.assertEqual((ErrorCode.WAIT_EXCEEDED, MAY), (error.code, error.verdict))
+        answer = await self.calls.run(booking(key))
+        self.assertTrue(answer.is_repeat)
+        self.assertEqual(1, self.runs[key])
+
+    @parameterized.expand(
+        [("first", 1, NOT), ("unnumbered", 0, MAY), ("third", 3, MAY)]
+    )
+    async def test_only_a_first_request_is_surely_not_run_without_the_store(
+        self, _name: str, number: int, verdict: Verdict
+    ) -> None:
+        key = new_key()
+        self.store.faults.down = True
+        error = await failure_of(self.calls, booking(key, number, profile="hurried"))
+        self.assertEqual(ErrorCode.STORE_UNAVAILABLE, error.code)
+        self.assertEqual(verdict, error.verdict)
+        self.assertEqual(0, self.runs[key])
+
+    @parameterized.expand([("get", "GET"), ("put", "PUT"), ("post", "POST")])
+    async def test_a_lookup_is_repeated_within_its_wait(
+        self, _name: str, method: str
+    ) -> None:
+        self.set_fault(ServiceFault.DIE_AFTER, calls=2)
+        answer = await self.calls.run(lookup(method))
+        self.assertEqual((200, 3), (answer.answer.status, self.runs["-"]))
+
+    @parameterized.expand([("get", "GET"), ("put", "PUT"), ("delete", "DELETE")])
+    async def test_the_client_library_never_resends_by_method(
+        self, _name: str, method: str
+    ) -> None:
+        self.set_fault(ServiceFault.DIE_AFTER)
+        self.calls.budget.balance = 0
+        error = await failure_of(self.calls, lookup(method))
+        self.assertEqual((MAY, 1), (error.verdict, self.runs["-"]))
+
+    @parameterized.expand(
+        [
+            ("absent", None, ErrorCode.INVALID_KEY),
+            ("not_a_uuid", "book-1", ErrorCode.INVALID_KEY),
+            (
+                "version_4",
+                "0f0b1d6e-5b0c-4c55-8b1f-111111111111",
+                ErrorCode.INVALID_KEY,
+            ),
+            ("expired", key_made_at(1_000_000_000), ErrorCode.KEY_EXPIRED),
+            ("far_ahead", key_made_at(9_000_000_000), ErrorCode.INVALID_KEY),
+        ]
+    )
+    async def test_a_bad_key_is_refused(
+        self, _name: str, key: str | None, code: ErrorCode
+    ) -> None:
+        error = await failure_of(self.calls, booking(key))
+        self.assertEqual(code, error.code)
+        self.assertEqual(0, self.runs.total())
+
+    async def test_a_key_serves_one_request_only(self) -> None:
+        key = new_key()
+        await self.calls.run(booking(key))
+        error = await failure_of(self.calls, booking(key, body=b"[]"))
+        self.assertEqual((ErrorCode.KEY_REUSED, NOT), (error.code, error.verdict))
+
+    async def test_a_large_answer_is_known_to_have_run(self) -> None:
+        self.service.ledger.answer_bytes = 20_000
+        key = new_key()
+        await self.calls.run(booking(key))
+        error = await failure_of(self.calls, booking(key))
+        self.assertEqual(ErrorCode.OUTCOME_TOO_LARGE, error.code)
+        self.assertEqual(Verdict.RAN, error.verdict)
