Generate with numbered attempts that resume from the delivered tokens

Cause: a long answer must reach its caller whole although engines die. Found by the matrix and mended: a frozen engine counted twice towards the limit of deaths and left its request without any engine; a refused second attempt left the first one's silence unwatched until the deadline. For users: a generation goes on at another engine after a death, a freeze or a refusal.

--- /dev/null
+++ b/src/turmericusher/decisions/generation.py
@@ -0,0 +1,624 @@
+"""One generation: whose tokens are delivered, and when another attempt is made.
+
+Attempts are numbered. Each starts at an offset of the answer, from the tokens already
+delivered, and an attempt's tokens are delivered only while nothing was delivered past
+them by another one; the first to bring the next token cancels the rest. An answer is
+thus always one chain, each token computed from exactly those before it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from functools import singledispatchmethod
+
+from turmericusher.decisions.attempts import Attempt, Release, release_held
+from turmericusher.decisions.extra_work import (
+    SECOND_ATTEMPT_TOKENS,
+    ExtraWorkBudget,
+    ResumeGate,
+)
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.generation_messages import (
+    AttemptDied,
+    CancelAttempt,
+    Deliver,
+    Fail,
+    GenerationAction,
+    GenerationEvent,
+    Loss,
+    PieceArrived,
+    StartAttempt,
+)
+from turmericusher.decisions.patience import Patience, first_cap_s
+from turmericusher.decisions.placement import place_attempt
+from turmericusher.decisions.requests import AnswerPiece, GenerationRequest, Usage
+from turmericusher.decisions.selection import PickRequest, Selector
+from turmericusher.decisions.suspicion import DeathKey, SuspicionLedger
+from turmericusher.errors import ErrorCode, Verdict
+from turmericusher.profiles import SecondAttempt
+
+FIRST_BACKOFF_S = 0.02
+LONGEST_BACKOFF_S = 0.5
+GATE_RETRY_S = 0.02
+REST_AFTER_LOSS_S = 2.0
+REST_AFTER_REFUSAL_S = 0.25
+RETRY_AFTER_S = 1.0
+STALL_RETRY_S = 0.1
+LEAST_WAIT_TO_RESUME_S = 30.0
+LIVE_ATTEMPTS = 2
+CUT_OFF_REASONS = frozenset({"abort", "aborted", "cancelled", "error"})
+
+
+@dataclass(slots=True)
+class SharedState:
+    """What all generations of an instance decide with.
+
+    `resting` gives the time until which an upstream that failed one generation is not
+    the first choice of any.
+    """
+
+    selector: Selector
+    patience: Patience
+    suspicion: SuspicionLedger
+    extra_work: ExtraWorkBudget
+    resumes: ResumeGate
+    random: random.Random
+    resting: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class GenerationCounts:
+    """What happened to one generation, for metrics and for the tests' oracles."""
+
+    attempts: int = 0
+    deaths: int = 0
+    second_attempts: int = 0
+    dropped_pieces: int = 0
+    dropped_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Generation:
+    """The state of one generation; `start`, `handle` and `tick` give its actions.
+
+    `delivered` are all tokens of the answer that the caller holds. `resting` gives the
+    time until which an upstream is not tried again.
+    """
+
+    request: GenerationRequest
+    shared: SharedState
+    started_at: float
+    delivered: list[int] = field(default_factory=list)
+    prompt_token_ids: tuple[int, ...] | None = None
+    version: str = ""
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    resting: dict[str, float] = field(default_factory=dict)
+    lost_domains: set[str] = field(default_factory=set)
+    counts: GenerationCounts = field(default_factory=GenerationCounts)
+    progress_at: float = 0.0
+    retry_at: float | None = None
+    backoff_s: float = FIRST_BACKOFF_S
+    has_delivered: bool = False
+    has_untracked_text: bool = False
+    may_have_run: bool = False
+    last_message: str = ""
+    is_over: bool = False
+
+    # Events.
+
+    def start(self, now: float) -> list[GenerationAction]:
+        """Begin: start the first attempt, or fail at once where none may run."""
+        self.progress_at = now
+        if self.request.received is not None and not self.request.profile.idempotent:
+            self.may_have_run = True
+            return self.fail(
+                ErrorCode.UPSTREAM_FAILED,
+                "the answer cannot go on elsewhere because "
+                f"profile={self.request.profile.name!r} is not idempotent",
+                now,
+            )
+        return self.start_next(now)
+
+    def handle(self, event: GenerationEvent, now: float) -> list[GenerationAction]:
+        """Take in what an attempt brought; drop it unless the attempt is live."""
+        attempt = self.attempts.get(event.attempt)
+        if self.is_over or attempt is None:
+            self.count_dropped(event)
+            return []
+        return self.take(event, attempt, now)
+
+    def tick(self, now: float) -> list[GenerationAction]:
+        """Act on what time alone has brought: retries, stalls and deadlines."""
+        if self.is_over:
+            return []
+        if now >= self.deadline():
+            return self.give_up(now)
+        if self.retry_at is not None and now >= self.retry_at:
+            self.retry_at = None
+        if self.attempts:
+            return self.answer_stalls(now)
+        return self.start_next(now) if self.retry_at is None else []
+
+    def wake_at(self) -> float:
+        """Return the time at which `tick` is due next."""
+        times = [self.deadline()]
+        if self.retry_at is not None:
+            times.append(self.retry_at)
+        if self.request.profile.idempotent:
+            for attempt in self.attempts.values():
+                times.extend(self.stall_times(attempt))
+        return min(times)
+
+    def close(self, now: float) -> list[GenerationAction]:
+        """End it: cancel what still runs, because the caller is done or gone."""
+        self.is_over = True
+        return self.cancel_all(now)
+
+    # Pieces.
+
+    @singledispatchmethod
+    def take(
+        self, event: object, attempt: Attempt, now: float
+    ) -> list[GenerationAction]:
+        """Take in one event of a live attempt."""
+        raise TypeError(f"event={event!r} is not a generation event")
+
+    @take.register
+    def take_piece(
+        self, event: PieceArrived, attempt: Attempt, now: float
+    ) -> list[GenerationAction]:
+        """Deliver what a piece completes."""
+        if event.finish_reason in CUT_OFF_REASONS or self.is_other_version(event):
+            self.count_dropped(event)
+            return self.lose(attempt, cut_off(event), now)
+        self.learn(attempt, event)
+        attempt.add(event)
+        if attempt.delivered_to != len(self.delivered):
+            self.count_dropped(event)
+            return self.cancel(attempt, now)
+        release = release_held(attempt, self.request.stop, event.finish_reason)
+        if release is None:
+            return []
+        return self.deliver(attempt, release, now)
+
+    def is_other_version(self, piece: PieceArrived) -> bool:
+        """Whether a piece comes from another version than the answer so far."""
+        return bool(piece.version and self.version and piece.version != self.version)
+
+    def learn(self, attempt: Attempt, piece: PieceArrived) -> None:
+        """Note how long the upstream took, and that it lives."""
+        shared, upstream = self.shared, attempt.upstream
+        silence_s = max(0.0, piece.at - attempt.heard_at)
+        if attempt.has_piece:
+            shared.patience.learn_gap(upstream.name, silence_s)
+        elif piece.token_ids:
+            shared.patience.learn_first(upstream.name, silence_s)
+        shared.patience.heard(upstream.name, piece.at)
+        shared.resting.pop(upstream.name, None)
+        key = DeathKey(upstream.name, upstream.incarnation)
+        if key in shared.suspicion.deaths:
+            shared.suspicion.seen_alive(key, attempt.started_at, piece.at)
+        if not attempt.has_piece and piece.token_ids:
+            self.leave_gate(attempt)
+
+    def deliver(
+        self, attempt: Attempt, release: Release, now: float
+    ) -> list[GenerationAction]:
+        """Hand tokens to the caller; the attempt that brought them goes on alone."""
+        actions: list[GenerationAction] = []
+        for other in list(self.attempts.values()):
+            if other is not attempt:
+                actions += self.cancel(other, now)
+        is_first = not self.has_delivered
+        self.adopt(attempt, release, now)
+        finish = release.finish_reason
+        piece = AnswerPiece(
+            token_ids=release.token_ids,
+            text=release.text,
+            finish_reason=finish,
+            prompt_token_ids=self.prompt_token_ids if is_first else None,
+            version=self.version if is_first else "",
+            usage=self.usage() if finish else None,
+        )
+        actions.append(Deliver(piece))
+        if finish:
+            self.shared.suspicion.prove(self.request.fingerprint)
+            actions += self.close(now)
+        return actions
+
+    def adopt(self, attempt: Attempt, release: Release, now: float) -> None:
+        """Make the released tokens part of the answer."""
+        self.delivered.extend(release.token_ids)
+        self.prompt_token_ids = self.prompt_token_ids or attempt.prompt_token_ids
+        self.version = self.version or attempt.version
+        self.has_untracked_text |= bool(release.text and not release.token_ids)
+        self.has_delivered = True
+        self.progress_at = now
+        self.shared.extra_work.earn(len(release.token_ids), self.request.profile)
+
+    def usage(self) -> Usage:
+        """Return the token counts as an unbroken answer would have them."""
+        return Usage(
+            prompt_tokens=len(self.prompt_token_ids or ()),
+            completion_tokens=len(self.delivered),
+        )
+
+    # Deaths.
+
+    @take.register
+    def take_death(
+        self, event: AttemptDied, attempt: Attempt, now: float
+    ) -> list[GenerationAction]:
+        """Go on elsewhere after a death, unless the request must not run twice."""
+        return self.lose(attempt, event, now)
+
+    def lose(
+        self, attempt: Attempt, death: AttemptDied, now: float
+    ) -> list[GenerationAction]:
+        """Take an attempt off and decide what follows."""
+        self.counts.deaths += 1
+        self.last_message = death.message
+        was_run = death.verdict is not Verdict.NOT_RUN or attempt.has_piece
+        actions = self.remove(attempt, now, was_run)
+        self.rest(attempt.upstream, death, now)
+        if death.loss is Loss.UPSTREAM and was_run:
+            self.charge(attempt, now, is_stall=False)
+        if self.attempts:
+            return actions + self.answer_stalls(now)
+        if death.loss is Loss.REQUEST:
+            return actions + self.fail(ErrorCode.UPSTREAM_REJECTED, death.message, now)
+        if self.may_have_run and not self.request.profile.idempotent:
+            return actions + self.fail(ErrorCode.UPSTREAM_FAILED, death.message, now)
+        return actions + self.start_next(now)
+
+    def rest(self, upstream: UpstreamInstance, death: AttemptDied, now: float) -> None:
+        """Keep away from an upstream, and after a loss from its failure domain."""
+        usual_s = REST_AFTER_REFUSAL_S
+        if death.loss is Loss.UPSTREAM:
+            usual_s = REST_AFTER_LOSS_S
+            self.lost_domains.add(upstream.failure_domain)
+        rest_s = usual_s if death.retry_after_s is None else death.retry_after_s
+        self.resting[upstream.name] = now + rest_s
+        self.shared.resting[upstream.name] = now + rest_s
+
+    def charge(self, attempt: Attempt, now: float, is_stall: bool) -> None:
+        """Charge the loss of an attempt's upstream to this request."""
+        upstream = attempt.upstream
+        domain_size = sum(
+            other.failure_domain == upstream.failure_domain
+            and other.service == upstream.service
+            for other in self.shared.selector.upstreams.values()
+        )
+        self.shared.suspicion.charge(
+            self.request.fingerprint, upstream, domain_size, now, is_stall
+        )
+
+    # Attempts.
+
+    def start_next(self, now: float) -> list[GenerationAction]:
+        """Start the next attempt, or say why there can be none."""
+        profile = self.request.profile
+        if self.remaining_tokens() == 0:
+            return self.finish_at_length()
+        if self.delivered and not self.can_resume():
+            return self.fail(
+                ErrorCode.ANSWER_INTERRUPTED,
+                f"the engine gave no token ids to resume from ({self.last_message})",
+                now,
+            )
+        if self.shared.suspicion.is_refused(self.request.fingerprint, now):
+            return self.refuse_killer(now)
+        if self.counts.attempts >= profile.max_attempts:
+            return self.fail(
+                ErrorCode.UPSTREAM_FAILED,
+                f"max_attempts={profile.max_attempts!r} attempts failed, the last "
+                f"with: {self.last_message}",
+                now,
+            )
+        if self.is_resume() and not self.shared.resumes.is_open():
+            return self.try_again_in(GATE_RETRY_S, now)
+        upstream = self.pick(now)
+        if upstream is None:
+            return self.back_off(now)
+        return self.open(upstream, now)
+
+    def is_resume(self) -> bool:
+        """Whether an attempt started now would go on with a part of the answer."""
+        return bool(self.delivered)
+
+    def can_resume(self) -> bool:
+        """Whether the tokens of the prompt and of the answer so far are known."""
+        return self.prompt_token_ids is not None and not self.has_untracked_text
+
+    def remaining_tokens(self) -> int | None:
+        """Return how many tokens may still be generated, or None without a limit."""
+        if self.request.max_tokens is None:
+            return None
+        return max(0, self.request.max_tokens - len(self.delivered))
+
+    def pick(self, now: float) -> UpstreamInstance | None:
+        """Choose the upstream for an attempt."""
+        running = {a.upstream.name for a in self.attempts.values()}
+        own = frozenset(running | names_resting(self.resting, now))
+        stalled = {a.upstream.failure_domain for a in self.attempts.values()}
+        wanted = PickRequest(
+            service=self.request.service,
+            model=self.request.model,
+            version=self.version,
+            excluded=own,
+            avoided_domains=frozenset(self.lost_domains | stalled),
+            is_resume=self.is_resume(),
+        )
+        resting = frozenset(names_resting(self.shared.resting, now))
+        first_choice = replace(wanted, excluded=own | resting)
+        return self.place(first_choice, now) or self.place(wanted, now)
+
+    def place(self, wanted: PickRequest, now: float) -> UpstreamInstance | None:
+        """Choose an upstream, keeping requests that may kill apart."""
+        shared, fingerprint = self.shared, self.request.fingerprint
+        return place_attempt(
+            shared.selector, shared.suspicion, wanted, fingerprint, now
+        )
+
+    def open(self, upstream: UpstreamInstance, now: float) -> list[GenerationAction]:
+        """Start an attempt on an upstream."""
+        self.counts.attempts += 1
+        number = self.counts.attempts
+        attempt = Attempt(number, upstream, len(self.delivered), now, now)
+        attempt.prompt_token_ids = self.prompt_token_ids
+        self.attempts[number] = attempt
+        self.retry_at = None
+        self.backoff_s = FIRST_BACKOFF_S
+        self.shared.selector.started(upstream.name)
+        self.shared.suspicion.started(self.request.fingerprint, upstream.name, now)
+        prompt = None
+        if self.is_resume():
+            attempt.is_in_gate = True
+            self.shared.resumes.enter()
+            prompt = (*(self.prompt_token_ids or ()), *self.delivered)
+        return [StartAttempt(number, upstream, prompt, self.remaining_tokens())]
+
+    def leave_gate(self, attempt: Attempt) -> None:
+        """Let the next resume start."""
+        if attempt.is_in_gate:
+            attempt.is_in_gate = False
+            self.shared.resumes.leave()
+
+    def remove(
+        self, attempt: Attempt, now: float, was_run: bool
+    ) -> list[GenerationAction]:
+        """Forget an attempt and give back what it held; its held tokens are lost."""
+        del self.attempts[attempt.number]
+        self.may_have_run |= was_run
+        self.leave_gate(attempt)
+        self.shared.selector.finished(attempt.upstream.name)
+        self.shared.suspicion.finished(self.request.fingerprint, attempt.upstream.name)
+        return []
+
+    def cancel(self, attempt: Attempt, now: float) -> list[GenerationAction]:
+        """Stop a live attempt; its silence so far is a gap like any other."""
+        self.remove(attempt, now, was_run=True)
+        if attempt.is_second:
+            beyond = attempt.token_count - SECOND_ATTEMPT_TOKENS
+            self.shared.extra_work.spend(max(0.0, beyond))
+        silence_s = max(0.0, now - attempt.heard_at)
+        if attempt.has_piece and attempt.is_suspected:
+            self.shared.patience.learn_gap(attempt.upstream.name, silence_s)
+        elif attempt.is_suspected:
+            self.shared.patience.learn_first(attempt.upstream.name, silence_s)
+        return [CancelAttempt(attempt.number)]
+
+    def cancel_all(self, now: float) -> list[GenerationAction]:
+        """Stop every live attempt."""
+        actions: list[GenerationAction] = []
+        for attempt in list(self.attempts.values()):
+            actions += self.cancel(attempt, now)
+        return actions
+
+    # Time.
+
+    def deadline(self) -> float:
+        """Return when the wait for the next token ends."""
+        profile = self.request.profile
+        max_wait_s = profile.max_wait_s
+        if self.delivered and profile.idempotent:
+            max_wait_s = max(max_wait_s, LEAST_WAIT_TO_RESUME_S)
+        return self.progress_at + max_wait_s
+
+    def stall_times(self, attempt: Attempt) -> list[float]:
+        """Return when an attempt becomes suspected and overdue, where still to come."""
+        times = []
+        if not attempt.is_suspected:
+            times.append(attempt.heard_at + self.suspect_after_s(attempt))
+        if not attempt.is_overdue:
+            times.append(attempt.heard_at + self.overdue_after_s(attempt))
+        return times
+
+    def suspect_after_s(self, attempt: Attempt) -> float:
+        """Return the silence in seconds that this upstream does not usually show."""
+        patience, profile = self.shared.patience, self.request.profile
+        if attempt.has_piece:
+            return patience.gap_limit_s(attempt.upstream.name, profile)
+        return patience.first_limit_s(attempt.upstream.name, profile)
+
+    def overdue_after_s(self, attempt: Attempt) -> float:
+        """Return the silence in seconds that no profile waits out."""
+        profile = self.request.profile
+        return profile.stall_cap_s if attempt.has_piece else first_cap_s(profile)
+
+    def answer_stalls(self, now: float) -> list[GenerationAction]:
+        """Start a second attempt when every live one is silent for too long."""
+        if not self.request.profile.idempotent:
+            return []
+        for attempt in self.attempts.values():
+            self.judge_silence(attempt, now)
+        live = list(self.attempts.values())
+        if all(attempt.is_overdue for attempt in live):
+            return self.replace_overdue(live, now)
+        is_early = self.request.profile.second_attempt is SecondAttempt.EARLY
+        if is_early and len(live) < LIVE_ATTEMPTS and live[0].is_suspected:
+            return self.start_second(now)
+        return []
+
+    def judge_silence(self, attempt: Attempt, now: float) -> None:
+        """Mark an attempt suspected or overdue by the time it has been silent."""
+        if now >= attempt.heard_at + self.suspect_after_s(attempt):
+            attempt.is_suspected = True
+        if attempt.is_overdue or now < attempt.heard_at + self.overdue_after_s(attempt):
+            return
+        attempt.is_suspected = True
+        attempt.is_overdue = True
+        heard_at = self.shared.patience.heard_at(attempt.upstream.name)
+        if heard_at <= attempt.heard_at:
+            self.charge(attempt, now, is_stall=True)
+
+    def replace_overdue(
+        self, live: Sequence[Attempt], now: float
+    ) -> list[GenerationAction]:
+        """Start another attempt beside the newest overdue one."""
+        ledger, fingerprint = self.shared.suspicion, self.request.fingerprint
+        if ledger.is_refused(fingerprint, now):
+            return self.refuse_killer(now)
+        if not self.may_start_beside():
+            return self.recheck_later(now)
+        actions: list[GenerationAction] = []
+        if len(live) >= LIVE_ATTEMPTS or ledger.is_at_limit(fingerprint, now):
+            self.resting[live[0].upstream.name] = now + REST_AFTER_LOSS_S
+            actions += self.cancel(live[0], now)
+        upstream = self.pick(now)
+        if upstream is not None:
+            return actions + self.open(upstream, now)
+        return actions + (
+            self.recheck_later(now) if self.attempts else self.back_off(now)
+        )
+
+    def recheck_later(self, now: float) -> list[GenerationAction]:
+        """Look again soon: nothing can be started beside the silent attempt now."""
+        self.retry_at = now + STALL_RETRY_S
+        return []
+
+    def start_second(self, now: float) -> list[GenerationAction]:
+        """Start a second attempt on suspicion, as far as the budget goes."""
+        is_allowed = self.shared.extra_work.allows_second_attempt()
+        upstream = self.pick(now) if is_allowed and self.may_start_beside() else None
+        if upstream is None:
+            return self.recheck_later(now)
+        self.counts.second_attempts += 1
+        self.shared.extra_work.spend(SECOND_ATTEMPT_TOKENS)
+        actions = self.open(upstream, now)
+        self.attempts[self.counts.attempts].is_second = True
+        return actions
+
+    def may_start_beside(self) -> bool:
+        """Whether another attempt may start while one is still live."""
+        if self.counts.attempts >= self.request.profile.max_attempts:
+            return False
+        if not self.is_resume():
+            return True
+        return self.can_resume() and self.shared.resumes.is_open()
+
+    def back_off(self, now: float) -> list[GenerationAction]:
+        """Wait for an upstream, with growing and scattered pauses."""
+        pause_s = self.backoff_s * self.shared.random.uniform(0.5, 1.0)
+        self.backoff_s = min(self.backoff_s * 2, LONGEST_BACKOFF_S)
+        return self.try_again_in(pause_s, now)
+
+    def try_again_in(self, pause_s: float, now: float) -> list[GenerationAction]:
+        """Sleep until the next try, or fail now if it would come too late."""
+        if now + pause_s >= self.deadline():
+            return self.give_up(now)
+        self.retry_at = now + pause_s
+        return []
+
+    # Ends.
+
+    def give_up(self, now: float) -> list[GenerationAction]:
+        """Fail because nothing came within the profile's wait."""
+        max_wait_s = self.request.profile.max_wait_s
+        if self.has_delivered:
+            code = ErrorCode.ANSWER_INTERRUPTED
+            message = f"no further token came within max_wait_s={max_wait_s!r}"
+        elif self.attempts:
+            code = ErrorCode.WAIT_EXCEEDED
+            message = f"no first token came within max_wait_s={max_wait_s!r}"
+        else:
+            code = ErrorCode.NO_UPSTREAM
+            message = (
+                f"no upstream of service={self.request.service!r} took the request "
+                f"for model={self.request.model!r} within max_wait_s={max_wait_s!r}; "
+                "repeat it later"
+            )
+        return self.fail(code, message, now)
+
+    def refuse_killer(self, now: float) -> list[GenerationAction]:
+        """Refuse a request that killed as many upstreams as it may."""
+        fingerprint = self.request.fingerprint
+        retry_after_s = self.shared.suspicion.retry_after_s(fingerprint, now)
+        message = (
+            f"the request {fingerprint!r} ended every upstream that ran it; "
+            "change it before sending it again"
+        )
+        return self.fail(ErrorCode.REQUEST_KILLS_UPSTREAMS, message, now, retry_after_s)
+
+    def finish_at_length(self) -> list[GenerationAction]:
+        """Finish without an engine: only the finish itself was lost."""
+        self.is_over = True
+        piece = AnswerPiece(
+            finish_reason="length",
+            prompt_token_ids=None if self.has_delivered else self.prompt_token_ids,
+            version="" if self.has_delivered else self.version,
+            usage=self.usage(),
+        )
+        return [Deliver(piece)]
+
+    def fail(
+        self,
+        code: ErrorCode,
+        message: str,
+        now: float,
+        retry_after_s: float | None = None,
+    ) -> list[GenerationAction]:
+        """End with an error that says truly whether the request may have run."""
+        actions = self.close(now)
+        if retry_after_s is None and code is not ErrorCode.UPSTREAM_REJECTED:
+            retry_after_s = RETRY_AFTER_S
+        verdict = Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
+        return [*actions, Fail(code, verdict, message, retry_after_s)]
+
+    def count_dropped(self, event: GenerationEvent) -> None:
+        """Count what was not delivered."""
+        if isinstance(event, PieceArrived):
+            self.counts.dropped_pieces += 1
+            self.counts.dropped_tokens += len(event.token_ids)
+
+
+def names_resting(resting: dict[str, float], now: float) -> set[str]:
+    """Return the upstreams whose rest has not ended."""
+    return {name for name, until in resting.items() if until > now}
+
+
+def cut_off(piece: PieceArrived) -> AttemptDied:
+    """Return the death that a piece stands for when it cannot be part of the answer."""
+    return AttemptDied(
+        attempt=piece.attempt,
+        at=piece.at,
+        loss=Loss.ATTEMPT,
+        verdict=Verdict.MAY_HAVE_RUN,
+        message=f"finish_reason={piece.finish_reason!r} version={piece.version!r}",
+    )
+
+
+def make_generation(
+    request: GenerationRequest, shared: SharedState, now: float
+) -> Generation:
+    """Return a generation that goes on from what the caller already received."""
+    generation = Generation(request, shared, now, progress_at=now)
+    generation.prompt_token_ids = request.prompt_token_ids
+    received = request.received
+    if received is not None:
+        generation.delivered = list(received.token_ids)
+        generation.prompt_token_ids = received.prompt_token_ids
+        generation.version = received.version
+    return generation
--- /dev/null
+++ b/src/turmericusher/decisions/generation_messages.py
@@ -0,0 +1,89 @@
+"""What goes into a generation's decisions and what comes out of them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.requests import AnswerPiece
+from turmericusher.errors import ErrorCode, Verdict
+
+
+class Loss(enum.Enum):
+    """What the end of an attempt without a finish reason says of its upstream.
+
+    `UPSTREAM`: the stream broke, so the process or the path to it is gone.
+    `ATTEMPT`: only this attempt failed; the upstream answered or was never reached.
+    `REQUEST`: the upstream rejected the request for good, as any other would.
+    """
+
+    UPSTREAM = "upstream"
+    ATTEMPT = "attempt"
+    REQUEST = "request"
+
+
+@dataclass(frozen=True, slots=True)
+class PieceArrived:
+    """An attempt brought tokens; `at` is when it did, in monotonic seconds."""
+
+    attempt: int
+    at: float
+    token_ids: tuple[int, ...] = ()
+    text: str = ""
+    finish_reason: str | None = None
+    prompt_token_ids: tuple[int, ...] | None = None
+    version: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptDied:
+    """An attempt's stream ended without a finish reason."""
+
+    attempt: int
+    at: float
+    loss: Loss
+    verdict: Verdict
+    message: str = ""
+    retry_after_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StartAttempt:
+    """Open a stream on `upstream`.
+
+    `prompt_token_ids` is None where the caller's own prompt is to be sent.
+    """
+
+    attempt: int
+    upstream: UpstreamInstance
+    prompt_token_ids: tuple[int, ...] | None
+    max_tokens: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Close the stream of an attempt and forget what it still brings."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Hand a piece to the caller; the one with a finish reason is the last."""
+
+    piece: AnswerPiece
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Tell the caller that its answer cannot be completed here."""
+
+    code: ErrorCode
+    verdict: Verdict
+    message: str
+    retry_after_s: float | None = None
+
+
+GenerationEvent = PieceArrived | AttemptDied
+GenerationAction = StartAttempt | CancelAttempt | Deliver | Fail
--- /dev/null
+++ b/src/turmericusher/decisions/placement.py
@@ -0,0 +1,54 @@
+"""Placement: which upstream an attempt may go to, by what its request is charged."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.selection import PickRequest, Selector
+from turmericusher.decisions.suspicion import SuspicionLedger
+
+
+def place_attempt(
+    selector: Selector,
+    ledger: SuspicionLedger,
+    request: PickRequest,
+    fingerprint: str,
+    now: float,
+) -> UpstreamInstance | None:
+    """Return the upstream for an attempt, or None when none may take it now."""
+    for excluded in exclusions(selector, ledger, fingerprint, now):
+        wanted = replace(request, excluded=request.excluded | excluded)
+        upstream = selector.pick(wanted)
+        if upstream is not None:
+            return upstream
+    return None
+
+
+def exclusions(
+    selector: Selector, ledger: SuspicionLedger, fingerprint: str, now: float
+) -> Iterator[frozenset[str]]:
+    """Yield the names to keep away from: the strictest first, then what must be."""
+    forced = dead_names(selector, ledger, fingerprint, now)
+    if ledger.is_at_limit(fingerprint, now):
+        forced |= frozenset(selector.upstreams) - ledger.upstreams_of(fingerprint)
+    kept_apart = ledger.upstreams_held(fingerprint)
+    if ledger.must_run_alone(fingerprint, now):
+        yield forced | kept_apart | ledger.upstreams_running()
+    if ledger.has_charges(fingerprint, now):
+        yield forced | kept_apart | ledger.upstreams_with_charged(fingerprint)
+    yield forced | kept_apart
+    yield forced
+
+
+def dead_names(
+    selector: Selector, ledger: SuspicionLedger, fingerprint: str, now: float
+) -> frozenset[str]:
+    """Return the upstreams still listed as the incarnation that a request saw die."""
+    return frozenset(
+        key.upstream
+        for key in ledger.killed_lately(fingerprint, now)
+        if key.upstream in selector.upstreams
+        and selector.upstreams[key.upstream].incarnation == key.incarnation
+    )
--- /dev/null
+++ b/tests/common/engines.py
@@ -0,0 +1,200 @@
+"""A fake of the engine port: a deterministic model and a switch for every fault.
+
+The next token is a function of all tokens before it, so any token that was not computed
+from exactly the delivered ones shows up as wrong.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import zlib
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.requests import GenerationRequest
+from turmericusher.errors import Verdict
+from turmericusher.ports.upstream import (
+    DeathCause,
+    EnginePiece,
+    EngineRequest,
+    StreamDiedError,
+)
+from turmericusher.profiles import Profile
+
+VOCABULARY = ("a", "b", "c", "é", "€", "", "stop", "st")
+"""Texts by token; `€` takes two tokens, the first of which has no text."""
+
+HALF_TOKEN = 5
+EURO_TOKEN = 4
+PROMPT = (11, 12, 13)
+ANSWER_LENGTH = 24
+
+
+def next_token(tokens: Sequence[int]) -> int:
+    """Return the token that follows `tokens`; a half token is always completed."""
+    if tokens and tokens[-1] == HALF_TOKEN:
+        return EURO_TOKEN
+    token = zlib.crc32(repr(tuple(tokens)).encode()) % len(VOCABULARY)
+    return HALF_TOKEN if token == EURO_TOKEN else token
+
+
+def unbroken_tokens(prompt: Sequence[int], count: int) -> list[int]:
+    """Return the answer of an engine that does not fail."""
+    tokens = list(prompt)
+    for _ in range(count):
+        tokens.append(next_token(tokens))
+    return tokens[len(prompt) :]
+
+
+def text_of(tokens: Sequence[int]) -> str:
+    """Return the text of whole tokens."""
+    return "".join(VOCABULARY[token] for token in tokens)
+
+
+class Fault(enum.StrEnum):
+    """What an engine does when it reaches the step of a fault."""
+
+    REFUSE = "refuse"
+    OVERLOAD = "overload"
+    REJECT = "reject"
+    RESET = "reset"
+    EARLY_END = "early_end"
+    MALFORMED = "malformed"
+    FREEZE = "freeze"
+    SLOW = "slow"
+    OTHER_VERSION = "other_version"
+    ABORT = "abort"
+
+
+SEND_FAULTS = {
+    Fault.REFUSE: StreamDiedError(DeathCause.REFUSED, "refused", Verdict.NOT_RUN),
+    Fault.OVERLOAD: StreamDiedError(
+        DeathCause.REJECTED, "overloaded", Verdict.NOT_RUN, status=503
+    ),
+    Fault.REJECT: StreamDiedError(
+        DeathCause.REJECTED, "bad request", Verdict.NOT_RUN, status=400
+    ),
+}
+
+STREAM_FAULTS = {
+    Fault.RESET: DeathCause.RESET,
+    Fault.EARLY_END: DeathCause.EARLY_END,
+    Fault.MALFORMED: DeathCause.MALFORMED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class FaultAt:
+    """A fault of one attempt; `at_offset` counts the tokens of the whole answer."""
+
+    fault: Fault
+    at_offset: int = 0
+
+
+@dataclass(slots=True)
+class FakeEngines:
+    """An engine port whose n-th opened stream suffers the n-th of `faults`.
+
+    `open_streams` and `sent` show what the engines run and got.
+    """
+
+    faults: list[FaultAt | None] = field(default_factory=list)
+    gap_s: float = 0.0
+    slow_gap_s: float = 0.01
+    answer_length: int = ANSWER_LENGTH
+    sent: list[tuple[UpstreamInstance, EngineRequest]] = field(default_factory=list)
+    open_streams: int = 0
+
+    @asynccontextmanager
+    async def open_stream(
+        self, upstream: UpstreamInstance, request: EngineRequest
+    ) -> AsyncIterator[AsyncIterator[EnginePiece]]:
+        """Open a stream with the next fault."""
+        fault = self.faults.pop(0) if self.faults else None
+        self.sent.append((upstream, request))
+        if fault is not None and fault.fault in SEND_FAULTS:
+            raise SEND_FAULTS[fault.fault]
+        self.open_streams += 1
+        try:
+            yield self.pieces(upstream, request, fault)
+        finally:
+            self.open_streams -= 1
+
+    async def pieces(
+        self, upstream: UpstreamInstance, request: EngineRequest, fault: FaultAt | None
+    ) -> AsyncIterator[EnginePiece]:
+        """Generate token by token from the prompt given."""
+        tokens = list(request.prompt_token_ids or PROMPT)
+        wanted = (
+            self.answer_length if request.max_tokens is None else request.max_tokens
+        )
+        end = len(tokens) + wanted
+        prompt: tuple[int, ...] | None = tuple(tokens)
+        version = upstream.version
+        while True:
+            offset = len(tokens) - len(PROMPT)
+            gap_s = self.gap_s
+            if fault is not None and offset >= fault.at_offset:
+                if fault.fault is Fault.OTHER_VERSION:
+                    version = "other"
+                elif fault.fault is Fault.SLOW:
+                    gap_s = self.slow_gap_s
+                elif fault.fault is Fault.ABORT:
+                    yield EnginePiece((), "", "abort")
+                else:
+                    await suffer(fault.fault)
+            await asyncio.sleep(gap_s)
+            tokens.append(next_token(tokens))
+            is_last = len(tokens) >= end
+            yield EnginePiece(
+                (tokens[-1],),
+                VOCABULARY[tokens[-1]],
+                "length" if is_last else None,
+                prompt,
+                version,
+            )
+            prompt = None
+            if is_last:
+                return
+
+
+async def suffer(fault: Fault) -> None:
+    """End a stream, or never go on."""
+    if fault is Fault.FREEZE:
+        await asyncio.Event().wait()
+    raise StreamDiedError(STREAM_FAULTS[fault], fault.value, Verdict.MAY_HAVE_RUN)
+
+
+def make_engines(count: int, domains: int = 3) -> list[UpstreamInstance]:
+    """Return upstream engines spread over failure domains."""
+    return [
+        UpstreamInstance(
+            name=f"engine-{number}",
+            service="drafts",
+            kind=UpstreamKind.ENGINE,
+            address=f"127.0.0.1:{9000 + number}",
+            failure_domain=f"domain-{number % domains}",
+            incarnation="1",
+            version="v1",
+            models=("model",),
+        )
+        for number in range(count)
+    ]
+
+
+def make_request(profile: Profile, **changes: object) -> GenerationRequest:
+    """Return a request of `ANSWER_LENGTH` tokens."""
+    fields: dict[str, object] = {
+        "request_id": "request-1",
+        "team": "team-1",
+        "profile": profile,
+        "service": "drafts",
+        "model": "model",
+        "fingerprint": "fingerprint-1",
+        "prompt": "write",
+        "max_tokens": ANSWER_LENGTH,
+    }
+    return GenerationRequest(**(fields | changes))  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/matrix/test_generation_matrix.py
@@ -0,0 +1,155 @@
+"""Every fault of an engine at every step of a generation."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from itertools import product
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.engines import (
+    ANSWER_LENGTH,
+    HALF_TOKEN,
+    PROMPT,
+    FakeEngines,
+    Fault,
+    FaultAt,
+    make_engines,
+    make_request,
+    text_of,
+    unbroken_tokens,
+)
+from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
+from turmericusher.decisions.selection import Selector
+from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
+from turmericusher.profiles import Profile, SecondAttempt
+from turmericusher.tasks.generation import (
+    GenerationContext,
+    make_generation_context,
+    open_generation,
+)
+
+PROFILES = {
+    "early": Profile(
+        name="early",
+        second_attempt=SecondAttempt.EARLY,
+        stall_floor_s=0.02,
+        stall_cap_s=0.06,
+        max_wait_s=20.0,
+    ),
+    "when_dead": Profile(name="when_dead", stall_cap_s=0.04, max_wait_s=20.0),
+}
+ANSWER = unbroken_tokens(PROMPT, ANSWER_LENGTH)
+CHARACTER_CUT = ANSWER.index(HALF_TOKEN) + 1
+STEPS = {
+    "before_the_first_token": 0,
+    "after_the_first_token": 1,
+    "in_mid_stream": ANSWER_LENGTH // 2,
+    "at_a_character_cut": CHARACTER_CUT,
+    "at_the_last_token": ANSWER_LENGTH - 1,
+}
+FINAL = {Fault.REJECT}
+CASES = [
+    (f"{fault}_{step}_{profile}", fault, offset, profile)
+    for fault, (step, offset), profile in product(Fault, STEPS.items(), PROFILES)
+    if fault not in FINAL
+]
+
+
+def make_context(engines: FakeEngines, count: int = 9) -> GenerationContext:
+    selector = Selector(random.Random(1))
+    selector.update(make_engines(count))
+    return make_generation_context(engines, selector, heartbeat_s=5.0)
+
+
+async def collect(
+    context: GenerationContext, request: GenerationRequest
+) -> list[AnswerPiece]:
+    async with open_generation(context, request) as pieces:
+        return [piece async for piece in pieces]
+
+
+def run(engines: FakeEngines, request: GenerationRequest) -> list[AnswerPiece]:
+    context = make_context(engines)
+    pieces = asyncio.run(collect(context, request))
+    assert engines.open_streams == 0
+    assert context.selector.in_flight == {}
+    assert context.suspicion.running == {}
+    assert context.shared.resumes.waiting == 0
+    return pieces
+
+
+def failure(engines: FakeEngines, request: GenerationRequest) -> TurmericusherError:
+    try:
+        run(engines, request)
+    except TurmericusherError as error:
+        return error
+    raise AssertionError("the generation did not fail")
+
+
+class GenerationMatrixTest(TestCase):
+    def assert_whole(self, pieces: list[AnswerPiece]) -> None:
+        tokens = [token for piece in pieces for token in piece.token_ids]
+        self.assertEqual(ANSWER, tokens)
+        self.assertEqual(text_of(ANSWER), "".join(piece.text for piece in pieces))
+        self.assertEqual("length", pieces[-1].finish_reason)
+        usage = pieces[-1].usage
+        assert usage is not None
+        self.assertEqual(len(PROMPT), usage.prompt_tokens)
+        self.assertEqual(ANSWER_LENGTH, usage.completion_tokens)
+        first_pieces = [p for p in pieces if p.prompt_token_ids is not None]
+        self.assertEqual([pieces[0]], first_pieces)
+        self.assertEqual(PROMPT, pieces[0].prompt_token_ids)
+
+    @parameterized.expand(CASES)
+    def test_one_fault_leaves_the_answer_whole(
+        self, name: str, fault: Fault, offset: int, profile: str
+    ) -> None:
+        engines = FakeEngines([FaultAt(fault, offset)])
+        self.assert_whole(run(engines, make_request(PROFILES[profile])))
+
+    @parameterized.expand(CASES)
+    def test_a_fault_during_the_resume_leaves_the_answer_whole(
+        self, name: str, fault: Fault, offset: int, profile: str
+    ) -> None:
+        first = FaultAt(Fault.RESET, offset // 2)
+        engines = FakeEngines([first, FaultAt(fault, offset)])
+        self.assert_whole(run(engines, make_request(PROFILES[profile])))
+
+    @parameterized.expand(CASES)
+    def test_a_fault_during_the_second_resume_leaves_the_answer_whole(
+        self, name: str, fault: Fault, offset: int, profile: str
+    ) -> None:
+        faults = [
+            FaultAt(Fault.EARLY_END, offset // 3),
+            FaultAt(Fault.FREEZE, offset // 2),
+            FaultAt(fault, offset),
+        ]
+        engines = FakeEngines(list(faults))
+        self.assert_whole(run(engines, make_request(PROFILES[profile])))
+
+    @parameterized.expand(CASES)
+    def test_a_non_idempotent_request_is_sent_at_most_once(
+        self, name: str, fault: Fault, offset: int, profile: str
+    ) -> None:
+        once = Profile(name="once", idempotent=False, stall_cap_s=0.02, max_wait_s=0.15)
+        engines = FakeEngines([FaultAt(fault, offset)])
+        request = make_request(once)
+        if fault in (Fault.REFUSE, Fault.OVERLOAD):
+            self.assert_whole(run(engines, request))
+            self.assertEqual(2, len(engines.sent))
+            return
+        if fault is Fault.SLOW or (fault is Fault.OTHER_VERSION and offset == 0):
+            self.assert_whole(run(engines, request))
+        else:
+            self.assertIs(Verdict.MAY_HAVE_RUN, failure(engines, request).verdict)
+        self.assertEqual(1, len(engines.sent))
+
+    def test_a_rejected_request_fails_at_once_and_was_not_run(self) -> None:
+        engines = FakeEngines([FaultAt(Fault.REJECT)])
+        error = failure(engines, make_request(PROFILES["early"]))
+        self.assertIs(ErrorCode.UPSTREAM_REJECTED, error.code)
+        self.assertIs(Verdict.NOT_RUN, error.verdict)
+        self.assertEqual(1, len(engines.sent))
