Admit by urgency, fair team shares and deadline, and refuse early

Cause: callers need a slot on a service, or an early and certain refusal.

Ruled out: one deadline-ordered queue (a large team starves a small one); rounds over teams with fixed quanta (slots are held for very different times, so shares are charged in slot-seconds by start-time fair queueing and settled when the slot comes free); a limit of exactly capacity / instances (uneven callers leave capacity unused).

Change: decisions/fair_queue.py, decisions/admission.py, decisions/capacity.py and the owner task tasks/admission.py with `admitted(admission, ticket)`.

For users: a request that cannot start in time is refused at once as not_run, and a large team's backlog does not hold up a small team.

--- /dev/null
+++ b/src/turmericusher/decisions/admission.py
@@ -0,0 +1,251 @@
+"""Admission: which requests may run now, which wait and which are refused at once.
+
+One `ServiceAdmission` decides for one service on one entry instance. It keeps two
+promises: a ticket is refused as soon as the measured service rate shows that it cannot
+start in time, and a refused ticket never ran.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.fair_queue import (
+    RESUME_RANK,
+    FairQueue,
+    QueuedTicket,
+    Ticket,
+    rank_of,
+)
+from turmericusher.errors import ErrorCode
+
+HOLD_SHARE = 0.75
+"""The part of a ticket's wait that may pass in the queue; the rest is for the caller,
+who needs time to go elsewhere."""
+QUEUED_PATIENCE = 1.25
+"""How far a prediction may exceed the time left before a queued ticket is refused; the
+margin keeps a noisy prediction from refusing what would have started in time."""
+HEADROOM_SHARE = 1 / 16
+"""The part of the slots that only resumes may take."""
+DEFAULT_SERVICE_S = 1.0
+MEAN_WEIGHT = 1 / 16
+STALLED_INTERVALS = 4
+"""The service counts as stalled when no slot came free for this many mean intervals."""
+RETRY_AFTER_MIN_S = 0.5
+RETRY_AFTER_MAX_S = 30.0
+RETRY_JITTER = 0.25
+DEFAULT_QUEUE_LIMIT = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """The ticket `number` holds a slot from now on."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The ticket `number` did not run and will not; a repeat may come back later."""
+
+    number: int
+    code: ErrorCode
+    message: str
+    retry_after_s: float
+
+
+AdmissionAction = Admit | Refuse
+
+
+@dataclass(slots=True)
+class RunningTicket:
+    """A ticket that holds a slot since `started_at`."""
+
+    queued: QueuedTicket
+    started_at: float
+
+
+@dataclass(slots=True)
+class ServiceAdmission:
+    """The slots and the queue of one service.
+
+    `limit` is the number of requests that this instance may run at once.
+    `service_s` is the mean time that a slot was held; None before the first.
+    """
+
+    service: str
+    random: random.Random
+    limit: int = 0
+    queue_limit: int = DEFAULT_QUEUE_LIMIT
+    queue: FairQueue = field(default_factory=FairQueue)
+    running: dict[int, RunningTicket] = field(default_factory=dict)
+    service_s: float | None = None
+    last_release_at: float = 0.0
+
+    def arrive(self, number: int, ticket: Ticket, now: float) -> list[AdmissionAction]:
+        """Admit, queue or refuse a new ticket."""
+        if self.limit <= 0:
+            text = f"service={self.service!r} has no live upstream; repeat later"
+            return [self.refusal(number, ErrorCode.NO_UPSTREAM, text, 0.0)]
+        budget_s = ticket.deadline - now
+        if budget_s <= 0:
+            text = f"deadline passed {-budget_s:.3f} s ago; allow a longer wait"
+            return [self.refusal(number, ErrorCode.WAIT_EXCEEDED, text, 0.0)]
+        wait_s = self.predicted_wait_s(self.queue.cost_ahead_s(ticket), ticket, now)
+        if wait_s > budget_s * HOLD_SHARE:
+            return [self.wait_refusal(number, wait_s, budget_s * HOLD_SHARE)]
+        queued = QueuedTicket(
+            number, ticket, now, now + budget_s * HOLD_SHARE, self.cost_s(ticket)
+        )
+        actions = self.make_room(queued)
+        if not any(action.number == number for action in actions):
+            self.queue.push(queued)
+        return actions + self.fill(now)
+
+    def leave(self, number: int, now: float) -> list[AdmissionAction]:
+        """Release the slot of a ticket, or take it out of the queue.
+
+        Unknown numbers are ignored: a refused ticket may be released as well.
+        """
+        running = self.running.pop(number, None)
+        if running is None:
+            self.queue.remove(number)
+            return self.fill(now)
+        held_s = now - running.started_at
+        self.queue.finish(running.queued, held_s)
+        self.learn_service_time(held_s)
+        self.last_release_at = now
+        return self.fill(now)
+
+    def set_limit(self, limit: int, now: float) -> list[AdmissionAction]:
+        """Change the number of slots; running tickets keep theirs."""
+        self.limit = max(0, limit)
+        return self.tick(now)
+
+    def tick(self, now: float) -> list[AdmissionAction]:
+        """Admit what fits and refuse the queued tickets that cannot start in time."""
+        actions = self.fill(now)
+        ahead_s = 0.0
+        for queued in list(self.queue.service_order()):
+            wait_s = self.predicted_wait_s(ahead_s, queued.ticket, now)
+            if now + wait_s / QUEUED_PATIENCE > queued.latest_start:
+                self.queue.remove(queued.number)
+                left_s = max(0.0, queued.latest_start - now)
+                actions.append(self.wait_refusal(queued.number, wait_s, left_s))
+            else:
+                ahead_s += queued.cost_s
+        return actions
+
+    def fill(self, now: float) -> list[AdmissionAction]:
+        """Give the free slots to the tickets that come first."""
+        actions: list[AdmissionAction] = []
+        while len(self.running) < self.limit:
+            only_resumes = len(self.running) >= self.new_work_limit()
+            queued = self.queue.pop(only_resumes)
+            if queued is None:
+                break
+            if now > queued.latest_start:
+                self.queue.finish(queued, 0.0)
+                late_s = now - queued.latest_start
+                actions.append(self.wait_refusal(queued.number, late_s, 0.0))
+                continue
+            if not self.running:
+                self.last_release_at = now
+            self.running[queued.number] = RunningTicket(queued, now)
+            actions.append(Admit(queued.number))
+        return actions
+
+    def new_work_limit(self) -> int:
+        """Return the slots open to new work; the rest is headroom for resumes."""
+        if self.limit <= 1:
+            return self.limit
+        return self.limit - max(1, int(self.limit * HEADROOM_SHARE))
+
+    def make_room(self, newcomer: QueuedTicket) -> list[AdmissionAction]:
+        """Keep the queue within its bound by giving up one ticket.
+
+        The newcomer itself is given up unless it is more urgent than the candidate,
+        or of a team that has fewer tickets waiting in the same rank.
+        """
+        if len(self.queue.waiting) < self.queue_limit:
+            return []
+        text = f"queue of service={self.service!r} is full ({self.queue_limit} tickets)"
+        victim = self.queue.eviction_candidate()
+        if victim is None or not self.goes_before(newcomer, victim):
+            return [self.overload(newcomer.number, text)]
+        self.queue.remove(victim.number)
+        return [self.overload(victim.number, text)]
+
+    def goes_before(self, newcomer: QueuedTicket, victim: QueuedTicket) -> bool:
+        """Whether a newcomer may push a queued ticket out."""
+        mine = rank_of(newcomer.ticket)
+        theirs = rank_of(victim.ticket)
+        if mine != theirs:
+            return mine < theirs
+        own_waiting = self.queue.waiting_of(mine, newcomer.ticket.team)
+        return own_waiting + 1 < self.queue.waiting_of(theirs, victim.ticket.team)
+
+    def predicted_wait_s(self, ahead_s: float, ticket: Ticket, now: float) -> float:
+        """Return the seconds until a ticket would start behind `ahead_s` slot-seconds.
+
+        Slots come free at the rate (slots / mean time held). Before the first release
+        nothing is known, and only the hold limit bounds the wait.
+        """
+        limit = self.limit if rank_of(ticket) == RESUME_RANK else self.new_work_limit()
+        if limit <= 0:
+            return float("inf")
+        missing = max(0, len(self.running) - limit + 1)
+        if not missing and not ahead_s:
+            return 0.0
+        if self.service_s is None:
+            return 0.0
+        free_in_use = max(0, limit - len(self.running))
+        backlog_s = max(0.0, ahead_s - free_in_use * self.service_s)
+        queue_wait_s = (missing * self.service_s + backlog_s) / limit
+        return queue_wait_s + self.stall_s(limit, now)
+
+    def stall_s(self, limit: int, now: float) -> float:
+        """Return for how long the service has been stalled: no slot came free."""
+        if self.service_s is None or len(self.running) < limit:
+            return 0.0
+        usual_s = STALLED_INTERVALS * self.service_s / limit
+        silent_s = now - self.last_release_at
+        return silent_s if silent_s > usual_s + self.service_s else 0.0
+
+    def learn_service_time(self, held_s: float) -> None:
+        """Move the mean towards a measured time."""
+        if self.service_s is None:
+            self.service_s = held_s
+        else:
+            self.service_s += MEAN_WEIGHT * (held_s - self.service_s)
+
+    def cost_s(self, ticket: Ticket) -> float:
+        """Return the slot-seconds that a ticket is expected to take."""
+        if ticket.expected_service_s is not None:
+            return ticket.expected_service_s
+        return self.service_s if self.service_s is not None else DEFAULT_SERVICE_S
+
+    def wait_refusal(self, number: int, wait_s: float, allowed_s: float) -> Refuse:
+        """Refuse a ticket whose predicted wait is too long."""
+        text = (
+            f"predicted wait of {wait_s:.2f} s for service={self.service!r} exceeds "
+            f"the {allowed_s:.2f} s left; repeat after the time given"
+        )
+        return self.refusal(
+            number, ErrorCode.WAIT_EXCEEDED, text, min(wait_s - allowed_s, 1e9)
+        )
+
+    def overload(self, number: int, text: str) -> Refuse:
+        """Refuse a ticket for which the queue has no place."""
+        wait_s = len(self.queue.waiting) * (self.service_s or DEFAULT_SERVICE_S)
+        return self.refusal(
+            number, ErrorCode.OVERLOADED, text, wait_s / max(1, self.limit)
+        )
+
+    def refusal(
+        self, number: int, code: ErrorCode, message: str, after_s: float
+    ) -> Refuse:
+        """Build a refusal; jitter keeps the refused from coming back all at once."""
+        bounded_s = min(max(after_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
+        jitter = self.random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+        return Refuse(number, code, message, bounded_s * jitter)
--- /dev/null
+++ b/src/turmericusher/decisions/capacity.py
@@ -0,0 +1,67 @@
+"""How many requests one entry instance may run at once on a service.
+
+The entry instances act side by side without agreeing. Each is sure of its share of the
+service's capacity, and borrows from what the peers' last in-flight counts show unused.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+BORROW_RESERVE = 0.1
+"""The part of the capacity never borrowed: a peer whose callers come back finds room
+there while the borrowed slots drain."""
+PRESSURE_DECREASE = 0.9
+PRESSURE_INCREASE = 0.02
+PRESSURE_FLOOR = 0.5
+QUEUEING_THRESHOLD = 0.1
+"""The share of a service's capacity that may wait inside its upstreams before the
+limit is lowered."""
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityView:
+    """What an instance knows of a service's capacity.
+
+    `upstreams` and `entry_instances` are the live ones, itself included.
+    `peers_in_flight` is what the other instances said they run. `waiting` is the
+    number of requests that the upstreams report as queued inside them.
+    """
+
+    upstreams: int
+    capacity_per_upstream: int
+    entry_instances: int
+    peers_in_flight: int = 0
+    waiting: float = 0.0
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """The limit of one instance; `pressure` lowers it while upstreams queue.
+
+    Additive increase and multiplicative decrease (Chiu and Jain, 1989) let instances
+    that see the same queues give way evenly.
+    """
+
+    pressure: float = 1.0
+
+    def update(self, view: CapacityView, own_in_flight: int) -> int:
+        """Return the limit after a new view, taken at a fixed interval."""
+        total = view.upstreams * view.capacity_per_upstream
+        if total <= 0:
+            return 0
+        self.learn_pressure(view.waiting / total)
+        usable = total * self.pressure
+        instances = max(1, view.entry_instances)
+        share = usable / instances
+        lendable = usable * (1 - BORROW_RESERVE) - view.peers_in_flight - own_in_flight
+        borrowed = own_in_flight + lendable / instances if lendable > 0 else 0.0
+        return max(1, math.floor(max(share, borrowed)))
+
+    def learn_pressure(self, queued_share: float) -> None:
+        """Lower the pressure factor while upstreams queue, and raise it slowly."""
+        if queued_share > QUEUEING_THRESHOLD:
+            self.pressure = max(PRESSURE_FLOOR, self.pressure * PRESSURE_DECREASE)
+        else:
+            self.pressure = min(1.0, self.pressure + PRESSURE_INCREASE)
--- /dev/null
+++ b/src/turmericusher/decisions/fair_queue.py
@@ -0,0 +1,220 @@
+"""A queue ordered by urgency, then fairly by team, then by deadline.
+
+Teams of one rank share by start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996)
+with many requests in service at once, as in SFQ(D) (Jin, Chase and Kaur, SIGMETRICS
+2004). A flow is one team's work of one rank; it exists only while it has work queued
+or running, so that memory does not grow with the number of teams.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+RESUME_RANK = -1
+"""The rank of resumes, ahead of every urgency."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """One request that asks to run.
+
+    `urgency` is 0 for the most urgent. `deadline` is the monotonic time in seconds by
+    which it must have started. `expected_service_s` is how long it will hold its slot;
+    None where that is not known.
+    """
+
+    team: str
+    urgency: int
+    deadline: float
+    service: str
+    is_resume: bool = False
+    expected_service_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedTicket:
+    """A waiting ticket; `latest_start` is when waiting on has become pointless."""
+
+    number: int
+    ticket: Ticket
+    arrived_at: float
+    latest_start: float
+    cost_s: float
+
+
+@dataclass(slots=True)
+class Flow:
+    """One team's work of one rank; `tag` is its start tag in slot-seconds."""
+
+    team: str
+    tag: float = 0.0
+    waiting: list[QueuedTicket] = field(default_factory=list)
+    running: int = 0
+
+
+@dataclass(slots=True)
+class Rank:
+    """The flows of one urgency and their virtual time in slot-seconds."""
+
+    virtual_time: float = 0.0
+    flows: dict[str, Flow] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class FairQueue:
+    """All waiting tickets of one service."""
+
+    ranks: dict[int, Rank] = field(default_factory=dict)
+    waiting: dict[int, QueuedTicket] = field(default_factory=dict)
+
+    def push(self, queued: QueuedTicket) -> None:
+        """Add a ticket to its team's flow."""
+        rank = self.ranks.setdefault(rank_of(queued.ticket), Rank())
+        flow = rank.flows.get(queued.ticket.team)
+        if flow is None:
+            flow = Flow(queued.ticket.team)
+            rank.flows[flow.team] = flow
+        if not flow.waiting:
+            flow.tag = max(flow.tag, rank.virtual_time)
+        bisect.insort(flow.waiting, queued, key=deadline_order)
+        self.waiting[queued.number] = queued
+
+    def remove(self, number: int) -> QueuedTicket | None:
+        """Take out a ticket that will not run; None when it does not wait."""
+        queued = self.waiting.pop(number, None)
+        if queued is None:
+            return None
+        flow = self.ranks[rank_of(queued.ticket)].flows[queued.ticket.team]
+        flow.waiting.remove(queued)
+        self.drop_idle(queued.ticket)
+        return queued
+
+    def pop(self, only_resumes: bool = False) -> QueuedTicket | None:
+        """Take the ticket that runs next and charge its team."""
+        rank_number = min(
+            (number for number, rank in self.ranks.items() if has_waiting(rank)),
+            default=None,
+        )
+        if rank_number is None or (only_resumes and rank_number != RESUME_RANK):
+            return None
+        rank = self.ranks[rank_number]
+        backlogged = (flow for flow in rank.flows.values() if flow.waiting)
+        flow = min(backlogged, key=lambda f: (f.tag, deadline_order(f.waiting[0])))
+        queued = flow.waiting.pop(0)
+        rank.virtual_time = max(rank.virtual_time, flow.tag)
+        flow.tag += queued.cost_s
+        flow.running += 1
+        del self.waiting[queued.number]
+        return queued
+
+    def finish(self, queued: QueuedTicket, held_s: float) -> None:
+        """Settle a ticket that ran: its team pays for the time the slot was held."""
+        flow = self.ranks[rank_of(queued.ticket)].flows[queued.ticket.team]
+        flow.running -= 1
+        flow.tag += held_s - queued.cost_s
+        self.drop_idle(queued.ticket)
+
+    def drop_idle(self, ticket: Ticket) -> None:
+        """Forget a flow that has nothing queued and nothing running."""
+        rank_number = rank_of(ticket)
+        rank = self.ranks[rank_number]
+        flow = rank.flows[ticket.team]
+        if not flow.waiting and not flow.running:
+            del rank.flows[ticket.team]
+        if not rank.flows:
+            del self.ranks[rank_number]
+
+    def cost_ahead_s(self, ticket: Ticket) -> float:
+        """Return the slot-seconds that would be served before a new ticket."""
+        mine = rank_of(ticket)
+        ahead = sum(
+            queued.cost_s
+            for queued in self.waiting.values()
+            if rank_of(queued.ticket) < mine
+        )
+        rank = self.ranks.get(mine)
+        if rank is None:
+            return ahead
+        own = rank.flows.get(ticket.team)
+        own_ahead = own_cost_ahead_s(own, ticket)
+        start = rank.virtual_time + own_ahead
+        if own is not None:
+            start = max(own.tag, rank.virtual_time) + own_ahead
+        others = (flow for flow in rank.flows.values() if flow is not own)
+        return ahead + own_ahead + sum(cost_before_s(flow, start) for flow in others)
+
+    def service_order(self) -> Iterator[QueuedTicket]:
+        """Yield the waiting tickets in the order in which they would run."""
+        for number in sorted(self.ranks):
+            tagged = []
+            for flow in self.ranks[number].flows.values():
+                tag = flow.tag
+                for queued in flow.waiting:
+                    tagged.append((tag, deadline_order(queued), queued))
+                    tag += queued.cost_s
+            tagged.sort(key=lambda entry: entry[:2])
+            yield from (queued for _, _, queued in tagged)
+
+    def eviction_candidate(self) -> QueuedTicket | None:
+        """Return the ticket to give up first: least urgent rank, longest flow.
+
+        Pushing out of the longest queue keeps a large team from filling the queue
+        before a small one. Resumes are never given up for new work.
+        """
+        numbers = (
+            number
+            for number, rank in self.ranks.items()
+            if number != RESUME_RANK and has_waiting(rank)
+        )
+        rank_number = max(numbers, default=None)
+        if rank_number is None:
+            return None
+        flows = self.ranks[rank_number].flows.values()
+        longest = max(flows, key=lambda flow: (len(flow.waiting), flow.team))
+        return longest.waiting[-1]
+
+    def waiting_of(self, rank_number: int, team: str) -> int:
+        """Return how many tickets a team has waiting in a rank."""
+        rank = self.ranks.get(rank_number)
+        flow = rank.flows.get(team) if rank is not None else None
+        return len(flow.waiting) if flow is not None else 0
+
+
+def rank_of(ticket: Ticket) -> int:
+    """Return the rank that a ticket waits in; lower ranks run first."""
+    return RESUME_RANK if ticket.is_resume else ticket.urgency
+
+
+def deadline_order(queued: QueuedTicket) -> tuple[float, int]:
+    """Return the sort key within a team: earliest deadline, then first come."""
+    return (queued.ticket.deadline, queued.number)
+
+
+def has_waiting(rank: Rank) -> bool:
+    """Whether any flow of a rank has a waiting ticket."""
+    return any(flow.waiting for flow in rank.flows.values())
+
+
+def own_cost_ahead_s(flow: Flow | None, ticket: Ticket) -> float:
+    """Return the slot-seconds of the team's own tickets with earlier deadlines."""
+    if flow is None:
+        return 0.0
+    return sum(
+        queued.cost_s
+        for queued in flow.waiting
+        if queued.ticket.deadline <= ticket.deadline
+    )
+
+
+def cost_before_s(flow: Flow, start: float) -> float:
+    """Return the slot-seconds of a flow that start no later than a start tag."""
+    tag = flow.tag
+    cost = 0.0
+    for queued in flow.waiting:
+        if tag > start:
+            break
+        cost += queued.cost_s
+        tag += queued.cost_s
+    return cost
--- /dev/null
+++ b/src/turmericusher/tasks/admission.py
@@ -0,0 +1,206 @@
+"""The task that owns the admission queues; callers talk to it by typed messages."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+import time
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.admission import (
+    AdmissionAction,
+    Admit,
+    Refuse,
+    ServiceAdmission,
+)
+from turmericusher.decisions.capacity import CapacityView, ConcurrencyLimit
+from turmericusher.decisions.fair_queue import Ticket
+from turmericusher.errors import ErrorCode, RequestRefusedError
+
+TICK_S = 0.1
+CAPACITY_INTERVAL_S = 0.5
+INBOX_LIMIT = 4096
+"""Arrivals are refused while this many messages wait. Departures are always taken:
+there is at most one for each arrival, so the inbox stays bounded."""
+
+__all__ = ["Admission", "Ticket", "admitted", "running_admission"]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrive:
+    """A ticket asks for a slot; `answer` gets None, or the refusal as its exception."""
+
+    number: int
+    ticket: Ticket
+    answer: asyncio.Future[None]
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """A ticket is done with, whether it ran, waited or was refused."""
+
+    number: int
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetLimit:
+    """A service's concurrency limit changed."""
+
+    service: str
+    limit: int
+
+
+AdmissionMessage = Arrive | Leave | SetLimit
+
+
+@dataclass(slots=True)
+class Admission:
+    """The queues of all services and the inbox of their owner.
+
+    Only `run` touches `services` and `answers`; everything else sends messages.
+    """
+
+    services: dict[str, ServiceAdmission]
+    clock: Callable[[], float] = time.monotonic
+    inbox: asyncio.Queue[AdmissionMessage] = field(default_factory=asyncio.Queue)
+    answers: dict[int, asyncio.Future[None]] = field(default_factory=dict)
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+    refused: dict[str, int] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Own the queues until cancelled."""
+        while True:
+            message = await self.next_message()
+            now = self.clock()
+            if message is None:
+                self.tick(now)
+            else:
+                self.handle(message, now)
+
+    async def next_message(self) -> AdmissionMessage | None:
+        """Return the next message, or None when it is time to look at the queues."""
+        if not any(decision.queue.waiting for decision in self.services.values()):
+            return await self.inbox.get()
+        try:
+            async with asyncio.timeout(TICK_S):
+                return await self.inbox.get()
+        except TimeoutError:
+            return None
+
+    def tick(self, now: float) -> None:
+        """Refuse what has become hopeless."""
+        for decision in self.services.values():
+            self.carry_out(decision.tick(now))
+
+    def handle(self, message: AdmissionMessage, now: float) -> None:
+        """Feed one message to its service's decision."""
+        match message:
+            case Arrive(number, ticket, answer):
+                self.answers[number] = answer
+                self.carry_out(
+                    self.services[ticket.service].arrive(number, ticket, now)
+                )
+            case Leave(number, service):
+                self.answers.pop(number, None)
+                self.carry_out(self.services[service].leave(number, now))
+            case SetLimit(service, limit):
+                self.carry_out(self.services[service].set_limit(limit, now))
+
+    def carry_out(self, actions: Iterable[AdmissionAction]) -> None:
+        """Answer the callers; one that is gone sends its own `Leave`."""
+        for action in actions:
+            answer = self.answers.pop(action.number, None)
+            if isinstance(action, Refuse):
+                code = action.code.value
+                self.refused[code] = self.refused.get(code, 0) + 1
+            if answer is None or answer.done():
+                continue
+            match action:
+                case Admit():
+                    answer.set_result(None)
+                case Refuse(_, code, message, retry_after_s):
+                    answer.set_exception(
+                        RequestRefusedError(code, message, retry_after_s=retry_after_s)
+                    )
+
+    def set_limit(self, service: str, limit: int) -> None:
+        """Tell the owner a new limit."""
+        self.inbox.put_nowait(SetLimit(service, limit))
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for operators."""
+        return {
+            name: {
+                "limit": decision.limit,
+                "running": len(decision.running),
+                "waiting": len(decision.queue.waiting),
+                "mean_service_s": decision.service_s,
+            }
+            for name, decision in self.services.items()
+        }
+
+
+@asynccontextmanager
+async def running_admission(
+    services: Mapping[str, int],
+    seed: int,
+    clock: Callable[[], float] = time.monotonic,
+) -> AsyncIterator[Admission]:
+    """Run the owner task; `services` gives each service's first limit."""
+    decisions = {
+        name: ServiceAdmission(name, random.Random(f"{seed}:{name}"), limit)
+        for name, limit in services.items()
+    }
+    admission = Admission(decisions, clock)
+    owner = asyncio.create_task(admission.run(), name="admission")
+    try:
+        yield admission
+    finally:
+        owner.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await owner
+
+
+@asynccontextmanager
+async def admitted(admission: Admission, ticket: Ticket) -> AsyncIterator[None]:
+    """Hold a slot for the length of the context.
+
+    Raises `RequestRefusedError` (verdict `NOT_RUN`) when the ticket is refused. The
+    departure is sent on every way out, so that no slot is lost to a cancelled caller.
+    """
+    if ticket.service not in admission.services:
+        raise RequestRefusedError(
+            ErrorCode.UNKNOWN_SERVICE,
+            f"service={ticket.service!r} is not in the settings; name a known one",
+        )
+    if admission.inbox.qsize() >= INBOX_LIMIT:
+        raise RequestRefusedError(
+            ErrorCode.OVERLOADED,
+            f"{INBOX_LIMIT} messages wait for admission; repeat after the time given",
+            retry_after_s=1.0,
+        )
+    number = next(admission.numbers)
+    answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+    admission.inbox.put_nowait(Arrive(number, ticket, answer))
+    try:
+        await answer
+        yield
+    finally:
+        admission.inbox.put_nowait(Leave(number, ticket.service))
+
+
+async def keep_limits(
+    admission: Admission, views: Callable[[], Mapping[str, CapacityView]]
+) -> None:
+    """Follow the services' capacity until cancelled."""
+    limits = {name: ConcurrencyLimit() for name in admission.services}
+    while True:
+        for name, view in views().items():
+            own = len(admission.services[name].running)
+            admission.set_limit(name, limits[name].update(view, own))
+        await asyncio.sleep(CAPACITY_INTERVAL_S)
--- /dev/null
+++ b/tests/cover/test_admission.py
@@ -0,0 +1,346 @@
+"""Admission keeps its queue bounded and fair, refuses early and loses no slot."""
+
+import asyncio
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from parameterized import parameterized
+from testtools import TestCase
+
+from turmericusher.decisions.admission import (
+    DEFAULT_QUEUE_LIMIT,
+    HOLD_SHARE,
+    Admit,
+    Refuse,
+    ServiceAdmission,
+)
+from turmericusher.decisions.capacity import CapacityView, ConcurrencyLimit
+from turmericusher.decisions.fair_queue import (
+    RESUME_RANK,
+    FairQueue,
+    QueuedTicket,
+    Ticket,
+)
+from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
+from turmericusher.tasks.admission import admitted, running_admission
+
+LOST_SLOT_TIMEOUT_S = 10.0
+TEAMS = ("large", "small", "other")
+
+
+def ticket(team="large", urgency=5, deadline=30.0, resume=False, cost=None) -> Ticket:
+    return Ticket(team, urgency, deadline, "s", resume, cost)
+
+
+def admission(limit: int, queue_limit: int = DEFAULT_QUEUE_LIMIT) -> ServiceAdmission:
+    return ServiceAdmission("s", random.Random(1), limit, queue_limit)
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Arrivals, departures, cancellations and limits in any order."""
+
+    @initialize(limit=st.integers(1, 6), queue_limit=st.integers(1, 8))
+    def start(self, limit, queue_limit):
+        self.admission = admission(limit, queue_limit)
+        self.now = 0.0
+        self.tickets = {}
+        self.refused = set()
+        self.left = set()
+
+    def observe(self, actions):
+        for action in actions:
+            known = self.tickets[action.number]
+            assert action.number not in self.refused | self.left
+            if isinstance(action, Admit):
+                assert action.number in self.admission.running
+                running = self.admission.running[action.number]
+                assert self.now <= running.queued.latest_start
+                assert len(self.admission.running) <= self.admission.limit
+                limit = self.admission.new_work_limit()
+                others = len(self.admission.running) - 1
+                new_work = [
+                    r
+                    for r in self.admission.running.values()
+                    if not r.queued.ticket.is_resume
+                ]
+                assert known.is_resume or len(new_work) <= limit or others < limit
+            else:
+                assert action.retry_after_s > 0
+                self.refused.add(action.number)
+
+    @rule(
+        team=st.sampled_from(TEAMS),
+        urgency=st.integers(0, 2),
+        budget=st.floats(0, 20),
+        resume=st.booleans(),
+    )
+    def arrive(self, team, urgency, budget, resume):
+        number = len(self.tickets)
+        self.tickets[number] = ticket(team, urgency, self.now + budget, resume)
+        self.observe(self.admission.arrive(number, self.tickets[number], self.now))
+
+    @precondition(lambda self: self.tickets)
+    @rule(data=st.data())
+    def leave(self, data):
+        number = data.draw(st.sampled_from(sorted(self.tickets)))
+        if number not in self.refused:
+            self.left.add(number)
+        self.observe(self.admission.leave(number, self.now))
+
+    @rule(step=st.floats(0.01, 3))
+    def time_passes(self, step):
+        self.now += step
+        self.observe(self.admission.tick(self.now))
+        for queued in self.admission.queue.waiting.values():
+            assert self.now <= queued.latest_start
+
+    @rule(step=st.floats(1, 30))
+    def the_owner_task_is_late(self, step):
+        self.now += step
+
+    @rule(limit=st.integers(0, 6))
+    def change_limit(self, limit):
+        self.observe(self.admission.set_limit(limit, self.now))
+
+    @invariant()
+    def every_ticket_is_in_one_place(self):
+        running = set(self.admission.running)
+        waiting = set(self.admission.queue.waiting)
+        places = [running, waiting, self.refused, self.left]
+        assert sum(map(len, places)) == len(self.tickets)
+        assert set().union(*places) == set(self.tickets)
+
+    @invariant()
+    def the_queue_is_bounded(self):
+        assert len(self.admission.queue.waiting) <= self.admission.queue_limit
+
+    @invariant()
+    def no_slot_is_lost(self):
+        waiting = self.admission.queue.waiting.values()
+        running = len(self.admission.running)
+        if waiting:
+            assert running >= self.admission.new_work_limit()
+        if any(queued.ticket.is_resume for queued in waiting):
+            assert running >= self.admission.limit
+
+    @invariant()
+    def only_teams_with_work_take_memory(self):
+        ranks = self.admission.queue.ranks
+        flows = [flow for rank in ranks.values() for flow in rank.flows.values()]
+        assert all(flow.waiting or flow.running for flow in flows)
+        assert sum(flow.running for flow in flows) == len(self.admission.running)
+
+
+AdmissionMachineTest = AdmissionMachine.TestCase
+
+
+class FairQueueTest(TestCase):
+    @given(
+        costs=st.tuples(st.floats(0.1, 10), st.floats(0.1, 10)),
+        pops=st.integers(1, 60),
+        head_start=st.integers(0, 20),
+    )
+    def test_backlogged_teams_differ_by_no_more_than_one_request_each(
+        self, costs, pops, head_start
+    ) -> None:
+        queue = FairQueue()
+        charged = {"a": 0.0, "b": 0.0}
+        for number in range(200):
+            queue.push(queued(number, "a", costs[0]))
+        for _ in range(head_start):
+            queue.pop()
+        for number in range(200, 400):
+            queue.push(queued(number, "b", costs[1]))
+        for _ in range(pops):
+            taken = queue.pop()
+            charged[taken.ticket.team] += taken.cost_s
+            difference = abs(charged["a"] - charged["b"])
+            self.assertLessEqual(difference, sum(costs) + 1e-6)
+
+    def test_resumes_run_first_then_urgency_then_deadline(self) -> None:
+        queue = FairQueue()
+        tickets = [
+            ticket(urgency=5, deadline=9),
+            ticket(urgency=1, deadline=8),
+            ticket(urgency=5, deadline=7),
+            ticket(urgency=9, deadline=9, resume=True),
+        ]
+        for number, entry in enumerate(tickets):
+            queue.push(QueuedTicket(number, entry, 0.0, 9.0, 1.0))
+        self.assertEqual([3, 1, 2, 0], [q.number for q in queue.service_order()])
+        self.assertEqual([3, 1, 2, 0], [queue.pop().number for _ in tickets])
+
+
+def queued(number: int, team: str, cost: float) -> QueuedTicket:
+    return QueuedTicket(number, ticket(team), 0.0, 1e9, cost)
+
+
+class ServiceAdmissionTest(TestCase):
+    def busy(self, limit=2, service_s=10.0, queue_limit=100) -> ServiceAdmission:
+        """Fill every slot after the service time has been learned."""
+        decision = admission(limit, queue_limit)
+        decision.arrive(-1, ticket(), 0.0)
+        decision.leave(-1, service_s)
+        for number in range(limit):
+            late = ticket(deadline=1000.0, resume=True)
+            decision.arrive(1000 + number, late, service_s)
+        return decision
+
+    @parameterized.expand(
+        [
+            ("hopeless", 1.0, ErrorCode.WAIT_EXCEEDED),
+            ("passed", -1.0, ErrorCode.WAIT_EXCEEDED),
+        ]
+    )
+    def test_a_wait_that_cannot_be_met_is_refused_at_once(
+        self, _name, budget, code
+    ) -> None:
+        (action,) = self.busy().arrive(1, ticket(deadline=10.0 + budget), 10.0)
+        self.assertEqual(code, action.code)
+
+    def test_a_wait_that_can_be_met_is_queued(self) -> None:
+        decision = self.busy()
+        self.assertEqual([], decision.arrive(1, ticket(deadline=60.0), 10.0))
+        self.assertEqual(
+            [Admit(1)], decision.leave(1000, 20.0) + decision.leave(1001, 20.0)
+        )
+
+    def test_a_queued_ticket_that_becomes_hopeless_is_refused_early(self) -> None:
+        decision = self.busy()
+        decision.arrive(1, ticket(deadline=50.0), 10.0)
+        (action,) = decision.arrive(2, ticket(deadline=13.0, urgency=0), 10.0)
+        self.assertIsInstance(action, Refuse)
+        for number in range(3, 9):
+            urgent = ticket(urgency=0, deadline=1000.0)
+            decision.arrive(number, urgent, 10.0)
+        (action,) = decision.tick(10.1)
+        self.assertEqual(1, action.number)
+
+    def test_a_slot_that_comes_free_too_late_admits_nothing(self) -> None:
+        decision = self.busy()
+        decision.arrive(1, ticket(deadline=60.0), 10.0)
+        (action,) = decision.leave(1000, 59.0) + decision.leave(1001, 59.0)
+        self.assertEqual((1, ErrorCode.WAIT_EXCEEDED), (action.number, action.code))
+
+    def test_without_a_live_upstream_everything_is_refused(self) -> None:
+        (action,) = admission(0).arrive(1, ticket(), 0.0)
+        self.assertEqual(ErrorCode.NO_UPSTREAM, action.code)
+
+    def test_a_stalled_service_refuses_what_it_would_have_queued(self) -> None:
+        decision = self.busy()
+        self.assertEqual([], decision.arrive(1, ticket(deadline=130.0), 10.0))
+        (action,) = decision.arrive(2, ticket(deadline=160.0), 100.0)
+        self.assertEqual(ErrorCode.WAIT_EXCEEDED, action.code)
+
+    def test_a_full_queue_gives_up_a_ticket_of_the_largest_team(self) -> None:
+        decision = self.busy(limit=2, service_s=0.01, queue_limit=5)
+        for number in range(5):
+            decision.arrive(number, ticket("large"), 0.01)
+        (action,) = decision.arrive(10, ticket("small"), 0.01)
+        self.assertEqual((4, ErrorCode.OVERLOADED), (action.number, action.code))
+        (action,) = decision.arrive(11, ticket("large"), 0.01)
+        self.assertEqual(11, action.number)
+
+    def test_a_small_team_waits_no_longer_for_a_large_teams_backlog(self) -> None:
+        decision = self.busy(limit=3, service_s=1.0)
+        for number in range(60):
+            decision.arrive(number, ticket("large", deadline=500.0), 1.0)
+        wait = decision.queue.cost_ahead_s(ticket("small"))
+        self.assertLessEqual(wait, 1.0)
+        decision.arrive(99, ticket("small", deadline=500.0), 1.0)
+        order = [entry.number for entry in decision.queue.service_order()]
+        self.assertLessEqual(order.index(99), 1)
+
+    def test_a_resume_takes_the_headroom_that_new_work_leaves(self) -> None:
+        decision = admission(4)
+        for number in range(6):
+            decision.arrive(number, ticket(), 0.0)
+        self.assertEqual(3, len(decision.running))
+        self.assertEqual([Admit(9)], decision.arrive(9, ticket(resume=True), 0.0))
+        self.assertIn(RESUME_RANK, decision.queue.ranks)
+
+    def test_waiting_never_passes_the_hold_share(self) -> None:
+        decision = admission(1)
+        decision.arrive(0, ticket(), 0.0)
+        decision.arrive(1, ticket(deadline=10.0), 0.0)
+        self.assertEqual([], decision.tick(10.0 * HOLD_SHARE))
+        self.assertEqual(1, len(decision.tick(10.0 * HOLD_SHARE + 0.1)))
+
+
+class ConcurrencyLimitTest(TestCase):
+    @parameterized.expand(
+        [
+            ("share_when_all_are_busy", 20, 140, 0, 20),
+            ("borrows_when_peers_are_idle", 20, 0, 0, 35),
+            ("no_upstreams", 0, 0, 0, 0),
+            ("gives_way_when_upstreams_queue", 20, 140, 50, 18),
+        ]
+    )
+    def test_the_limit_follows_the_view(
+        self, _name, own, peers, waiting, expected
+    ) -> None:
+        upstreams = 10 if own else 0
+        view = CapacityView(upstreams, 16, 8, peers, waiting)
+        self.assertEqual(expected, ConcurrencyLimit().update(view, own))
+
+    def test_borrowing_instances_stay_below_the_capacity(self) -> None:
+        limits = [ConcurrencyLimit() for _ in range(8)]
+        running = [0] * 8
+        for _ in range(50):
+            seen = list(running)
+            for index in range(3):
+                peers = sum(seen) - seen[index]
+                view = CapacityView(10, 16, 8, peers)
+                running[index] = limits[index].update(view, running[index])
+        self.assertLessEqual(sum(running), 160)
+        self.assertGreater(sum(running), 130)
+
+
+class AdmissionTaskTest(TestCase):
+    def test_a_cancelled_caller_loses_no_slot(self) -> None:
+        async def scenario() -> list[str]:
+            events: list[str] = []
+            async with running_admission({"s": 1}, seed=1) as owner:
+                far = owner.clock() + 1000
+
+                async def hold(name: str, release: asyncio.Event) -> None:
+                    async with admitted(owner, ticket(deadline=far)):
+                        events.append(name)
+                        running.set()
+                        await release.wait()
+
+                release = asyncio.Event()
+                running = asyncio.Event()
+                first = asyncio.create_task(hold("first", release))
+                second = asyncio.create_task(hold("second", release))
+                third = asyncio.create_task(hold("third", release))
+                await running.wait()
+                second.cancel()
+                first.cancel()
+                release.set()
+                ended = asyncio.gather(first, second, third, return_exceptions=True)
+                await asyncio.wait_for(ended, LOST_SLOT_TIMEOUT_S)
+            return events
+
+        self.assertEqual(["first", "third"], asyncio.run(scenario()))
+
+    def test_a_refusal_says_that_nothing_ran(self) -> None:
+        async def scenario() -> RequestRefusedError:
+            async with running_admission({"s": 0}, seed=1) as owner:
+                try:
+                    async with admitted(owner, ticket(deadline=owner.clock() + 5)):
+                        raise AssertionError("the ticket was admitted")
+                except RequestRefusedError as error:
+                    return error
+
+        error = asyncio.run(scenario())
+        self.assertEqual(Verdict.NOT_RUN, error.verdict)
+        self.assertGreater(error.retry_after_s, 0)
