--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,169 @@
+"""The cost of the path: an engine asked directly against one asked through us.
+
+Real processes on loopback. Both ways get the same load in the same run, one after the
+other and in turns, so that the machine's other load falls on both.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import uvloop
+
+from benchmarks.harness import (
+    BenchmarkArguments,
+    parse_arguments,
+    print_result,
+    summary_ms,
+)
+from tests.common.processes import (
+    Deployment,
+    DeploymentOptions,
+    RunningProcess,
+    deployed,
+)
+
+ROUNDS = 3
+STREAMS = 48
+TOKENS_PER_STREAM = 100
+TOKEN_GAP_S = 0.01
+FIRST_TOKEN_S = 0.02
+ENGINES = 2
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+KIB = 1024
+MIB = 1024 * 1024
+
+
+@dataclass(slots=True)
+class Timings:
+    """What the callers of one way saw; all times are in seconds."""
+
+    first_token_s: list[float] = field(default_factory=list)
+    gaps_s: list[float] = field(default_factory=list)
+    tokens: int = 0
+    elapsed_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor time in seconds and resident memory in bytes of a process."""
+
+    processor_s: float
+    resident_bytes: int
+
+
+def usage_of(process: RunningProcess) -> Usage:
+    """Read a process's usage from its own pages under /proc."""
+    folder = Path("/proc") / str(process.popen.pid)
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    resident_kib = 0
+    for line in (folder / "status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            resident_kib = int(line.split()[1])
+    return Usage(ticks / CLOCK_TICKS_PER_S, resident_kib * KIB)
+
+
+async def run_stream(
+    session: aiohttp.ClientSession, address: str, prompt: str, timings: Timings
+) -> None:
+    """Stream one answer and note when each piece came."""
+    body = {
+        "model": "model",
+        "prompt": prompt,
+        "max_tokens": TOKENS_PER_STREAM,
+        "stream": True,
+        "return_token_ids": True,
+    }
+    began = time.perf_counter()
+    last = None
+    async with session.post(f"http://{address}/v1/completions", json=body) as response:
+        response.raise_for_status()
+        async for line in response.content:
+            if not line.startswith(b"data: {"):
+                continue
+            now = time.perf_counter()
+            if last is None:
+                timings.first_token_s.append(now - began)
+            else:
+                timings.gaps_s.append(now - last)
+            last = now
+            timings.tokens += 1
+
+
+async def run_round(addresses: list[str], prompt: str, timings: Timings) -> None:
+    """Run all streams at once, spread over the addresses."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        began = time.perf_counter()
+        streams = [
+            run_stream(session, addresses[n % len(addresses)], f"{prompt} {n}", timings)
+            for n in range(STREAMS)
+        ]
+        await asyncio.gather(*streams)
+        timings.elapsed_s += time.perf_counter() - began
+
+
+async def measure(deployment: Deployment, seed: int) -> dict[str, object]:
+    """Return the figures of both ways."""
+    entry = deployment.entries[0]
+    engines = [engine.address for engine in deployment.engines]
+    direct = Timings()
+    through = Timings()
+    before = usage_of(entry)
+    for number in range(ROUNDS):
+        await run_round(engines, f"direct {seed} {number}", direct)
+        await run_round([entry.address], f"through {seed} {number}", through)
+    after = usage_of(entry)
+    return {
+        "streams": STREAMS,
+        "tokens": through.tokens,
+        "direct": timings_summary(direct),
+        "through": timings_summary(through),
+        "added_first_token_ms": added(direct.first_token_s, through.first_token_s),
+        "added_gap_ms": added(direct.gaps_s, through.gaps_s),
+        "processor_us_per_token": round(
+            (after.processor_s - before.processor_s) / through.tokens * 1e6, 1
+        ),
+        "resident_mib": round(after.resident_bytes / MIB, 1),
+    }
+
+
+def timings_summary(timings: Timings) -> dict[str, object]:
+    """Return the figures of one way."""
+    return {
+        "first_token": summary_ms(timings.first_token_s),
+        "gap": summary_ms(timings.gaps_s),
+        "tokens_per_s": round(timings.tokens / timings.elapsed_s),
+        "requests_per_s": round(ROUNDS * STREAMS / timings.elapsed_s, 1),
+    }
+
+
+def added(direct: list[float], through: list[float]) -> dict[str, float]:
+    """Return the difference of the medians and of the 95th percentiles."""
+    base = summary_ms(direct)
+    ours = summary_ms(through)
+    return {name: round(ours[name] - base[name], 2) for name in ("p50_ms", "p95_ms")}
+
+
+def run(arguments: BenchmarkArguments) -> dict[str, object]:
+    """Deploy the processes and measure."""
+    options = DeploymentOptions(
+        entries=1,
+        engines=ENGINES,
+        slots=STREAMS,
+        first_token_s=FIRST_TOKEN_S,
+        token_gap_s=TOKEN_GAP_S,
+    )
+    with deployed(options) as deployment:
+        return uvloop.run(measure(deployment, arguments.seed))
+
+
+if __name__ == "__main__":
+    given = parse_arguments(__doc__ or "")
+    print_result("path", given, run(given))
--- /dev/null
+++ b/src/turmericusher/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line by `python -m turmericusher`."""
+
+from turmericusher.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/turmericusher/api/app.py
@@ -0,0 +1,107 @@
+"""The web application of an entry instance."""
+
+from __future__ import annotations
+
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.middleware import Middleware
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import BaseRoute, Route
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from turmericusher.api.completions import completion_routes
+from turmericusher.api.errors import error_response, handle_turmericusher_error
+from turmericusher.api.identity import check_operator, team_of
+from turmericusher.api.models import model_routes
+from turmericusher.api.profile_commands import profile_command_routes
+from turmericusher.api.profile_queries import profile_query_routes
+from turmericusher.api.services import service_routes
+from turmericusher.api.state import state_routes
+from turmericusher.errors import (
+    ErrorCode,
+    RequestRefusedError,
+    TurmericusherError,
+    Verdict,
+)
+from turmericusher.logs import log_event
+from turmericusher.settings import Settings
+from turmericusher.tasks.instance import EntryRuntime
+
+OPERATOR_PREFIXES = ("/v1/operator/", "/debug/")
+
+
+class OperatorGuard:
+    """Refuses operators' routes to a request without the operators' token.
+
+    It stands before routing, so that no new route can be left unguarded.
+    """
+
+    def __init__(self, app: ASGIApp, settings: Settings) -> None:
+        self.app = app
+        self.settings = settings
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Pass the request on, or answer 401."""
+        if scope["type"] == "http" and scope["path"].startswith(OPERATOR_PREFIXES):
+            try:
+                check_operator(Request(scope), self.settings)
+            except RequestRefusedError as error:
+                await error_response(error)(scope, receive, send)
+                return
+        await self.app(scope, receive, send)
+
+
+def make_app(runtime: EntryRuntime) -> Starlette:
+    """Return the application with every route of an entry instance."""
+    settings = runtime.settings
+    routes: list[BaseRoute] = [
+        *completion_routes(runtime),
+        *service_routes(
+            runtime.calls,
+            lambda request: team_of(request, settings),
+            settings.max_body_bytes,
+        ),
+        *model_routes(runtime),
+        *profile_command_routes(runtime.profile_changer),
+        *profile_query_routes(runtime.profiles, runtime.instance_revisions),
+        *state_routes(runtime),
+        Route("/healthz", show_health),
+    ]
+    return Starlette(
+        routes=routes,
+        middleware=[Middleware(OperatorGuard, settings=settings)],
+        exception_handlers={
+            TurmericusherError: handle_turmericusher_error,
+            HTTPException: handle_http_exception,
+            Exception: handle_unexpected_error,
+        },
+    )
+
+
+async def show_health(_request: Request) -> Response:
+    """Answer that the process serves."""
+    return JSONResponse({"ok": True})
+
+
+async def handle_http_exception(_request: Request, error: Exception) -> Response:
+    """Answer an unknown path or method as a coded error."""
+    assert isinstance(error, HTTPException)
+    refusal = RequestRefusedError(
+        ErrorCode.INVALID_REQUEST, f"{error.detail}; see the list of routes"
+    )
+    response = error_response(refusal)
+    response.status_code = error.status_code
+    return response
+
+
+async def handle_unexpected_error(request: Request, error: Exception) -> Response:
+    """Answer a fault of our own; it is logged, and the process goes on."""
+    log_event("internal_error", path=request.url.path, error=repr(error))
+    return error_response(
+        TurmericusherError(
+            ErrorCode.INTERNAL,
+            "the entry instance failed to handle the request; see its log",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+    )
--- /dev/null
+++ b/src/turmericusher/api/completions.py
@@ -0,0 +1,228 @@
+"""Callers' commands: completions and chat completions, streamed or whole."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from turmericusher.api.bodies import (
+    ChatBody,
+    CompletionBody,
+    GenerationBody,
+    generation_from_body,
+    parse_body,
+    read_body,
+)
+from turmericusher.api.chunks import (
+    HEARTBEAT,
+    STREAM_END,
+    AnswerShape,
+    chunk_event,
+    error_event,
+    usage_event,
+    whole_body,
+)
+from turmericusher.api.errors import error_response
+from turmericusher.api.identity import PROFILE_HEADER, team_of
+from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
+from turmericusher.errors import ErrorCode, RequestRefusedError, TurmericusherError
+from turmericusher.logs import log_event
+from turmericusher.settings import Service, Settings
+from turmericusher.tasks.instance import EntryRuntime
+
+STREAM_HEADERS = [
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-cache"),
+]
+
+
+def completion_routes(runtime: EntryRuntime) -> list[Route]:
+    """Return the routes of callers' generations."""
+
+    async def completions(request: Request) -> ASGIApp:
+        return await answer(runtime, request, CompletionBody)
+
+    async def chat_completions(request: Request) -> ASGIApp:
+        return await answer(runtime, request, ChatBody)
+
+    return [
+        Route("/v1/completions", completions, methods=["POST"]),
+        Route("/v1/chat/completions", chat_completions, methods=["POST"]),
+    ]
+
+
+async def answer(
+    runtime: EntryRuntime,
+    request: Request,
+    model: type[CompletionBody] | type[ChatBody],
+) -> ASGIApp:
+    """Answer one generation; a coded error is raised before any output."""
+    team = team_of(request, runtime.settings)
+    data = await read_body(request, runtime.settings.max_body_bytes)
+    body = parse_body(data, model)
+    service = service_for_model(runtime.settings, body.model)
+    name = request.headers.get(PROFILE_HEADER, service.default_profile)
+    profile = runtime.profiles.get(name)
+    request_id = uuid.uuid4().hex
+    generation = generation_from_body(body, request_id, team, profile, service.name)
+    shape = shape_for(body, isinstance(body, ChatBody), request_id)
+    if not body.stream:
+        return await whole_answer(runtime, request, generation, shape)
+    return StreamedAnswer(runtime, generation, shape)
+
+
+def service_for_model(settings: Settings, model: str) -> Service:
+    """Return the service that serves a model."""
+    for service in settings.services:
+        if model in service.models:
+            return service
+    raise RequestRefusedError(
+        ErrorCode.UNKNOWN_MODEL, f"model={model!r} is served by no service"
+    )
+
+
+def shape_for(body: GenerationBody, is_chat: bool, request_id: str) -> AnswerShape:
+    """Return how the answer is to be written."""
+    options = body.stream_options or {}
+    return AnswerShape(
+        is_chat=is_chat,
+        answer_id=("chatcmpl-" if is_chat else "cmpl-") + request_id,
+        model=body.model,
+        created=int(time.time()),
+        with_token_ids=body.return_token_ids,
+        with_usage=bool(options.get("include_usage")),
+    )
+
+
+@asynccontextmanager
+async def opened(
+    runtime: EntryRuntime, generation: GenerationRequest
+) -> AsyncIterator[AsyncIterator[AnswerPiece]]:
+    """Open a generation and count it while it runs."""
+    async with runtime.generate(generation) as pieces:
+        yield pieces
+
+
+async def whole_answer(
+    runtime: EntryRuntime,
+    request: Request,
+    generation: GenerationRequest,
+    shape: AnswerShape,
+) -> Response:
+    """Collect a whole answer; a caller that goes away cancels it."""
+    collecting = asyncio.create_task(collect(runtime, generation))
+    leaving = asyncio.create_task(wait_for_disconnect(request.receive))
+    try:
+        await asyncio.wait({collecting, leaving}, return_when=asyncio.FIRST_COMPLETED)
+        if not collecting.done():
+            log_event("caller_gone", request_id=generation.request_id)
+            return Response(status_code=499)
+        return JSONResponse(whole_body(shape, collecting.result()))
+    finally:
+        collecting.cancel()
+        leaving.cancel()
+        await asyncio.gather(collecting, leaving, return_exceptions=True)
+
+
+async def collect(
+    runtime: EntryRuntime, generation: GenerationRequest
+) -> list[AnswerPiece]:
+    """Return all pieces of an answer."""
+    async with opened(runtime, generation) as pieces:
+        return [piece async for piece in pieces if not is_heartbeat(piece)]
+
+
+async def wait_for_disconnect(receive: Receive) -> None:
+    """Return when the caller has closed its connection."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def is_heartbeat(piece: AnswerPiece) -> bool:
+    """Whether a piece only shows that the instance is alive."""
+    return not (piece.token_ids or piece.text or piece.finish_reason)
+
+
+@dataclass(slots=True)
+class StreamedAnswer:
+    """An answer as server-sent events.
+
+    The head is sent with the first piece or heartbeat, so that a request refused
+    before it gets a plain HTTP error with its own status.
+    """
+
+    runtime: EntryRuntime
+    generation: GenerationRequest
+    shape: AnswerShape
+    has_started: bool = False
+    has_first_piece: bool = False
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Stream until the answer ends or the caller goes away."""
+        streaming = asyncio.create_task(self.stream(scope, receive, send))
+        leaving = asyncio.create_task(wait_for_disconnect(receive))
+        try:
+            await asyncio.wait(
+                {streaming, leaving}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if streaming.done():
+                streaming.result()
+            else:
+                log_event("caller_gone", request_id=self.generation.request_id)
+        finally:
+            streaming.cancel()
+            leaving.cancel()
+            await asyncio.gather(streaming, leaving, return_exceptions=True)
+
+    async def stream(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Write every piece; a failure becomes an HTTP error or a last event."""
+        try:
+            async with opened(self.runtime, self.generation) as pieces:
+                async for piece in pieces:
+                    await self.write(send, self.event_for(piece))
+                    if piece.usage is not None and self.shape.with_usage:
+                        await self.write(send, usage_event(self.shape, piece.usage))
+            await self.write(send, STREAM_END)
+        except TurmericusherError as error:
+            log_event(
+                "generation_failed",
+                request_id=self.generation.request_id,
+                code=error.code.value,
+                verdict=error.verdict.value,
+                message=error.message,
+            )
+            if not self.has_started:
+                await error_response(error)(scope, receive, send)
+                return
+            await self.write(send, error_event(error))
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+
+    def event_for(self, piece: AnswerPiece) -> bytes:
+        """Return the event of a piece."""
+        if is_heartbeat(piece):
+            return HEARTBEAT
+        is_first = not self.has_first_piece
+        self.has_first_piece = True
+        return chunk_event(self.shape, piece, is_first)
+
+    async def write(self, send: Send, data: bytes) -> None:
+        """Send some bytes, after the head if it was not sent yet."""
+        if not self.has_started:
+            self.has_started = True
+            await send(
+                {
+                    "type": "http.response.start",
+                    "status": 200,
+                    "headers": STREAM_HEADERS,
+                }
+            )
+        await send({"type": "http.response.body", "body": data, "more_body": True})
--- /dev/null
+++ b/src/turmericusher/api/state.py
@@ -0,0 +1,23 @@
+"""Operators' query: the dump of the whole process state."""
+
+from __future__ import annotations
+
+import orjson
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from turmericusher.tasks.instance import EntryRuntime
+from turmericusher.tasks.state_dump import state_of_runtime
+
+
+def state_routes(runtime: EntryRuntime) -> list[Route]:
+    """Return the route of the state dump."""
+
+    async def show_state(_request: Request) -> Response:
+        data = orjson.dumps(
+            state_of_runtime(runtime), default=str, option=orjson.OPT_NON_STR_KEYS
+        )
+        return Response(data, media_type="application/json")
+
+    return [Route("/debug/state", show_state, methods=["GET"])]
--- /dev/null
+++ b/src/turmericusher/cli/commands.py
@@ -0,0 +1,164 @@
+"""Commands that act: serve, try, generate and call."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import aiohttp
+import cappa
+import orjson
+import uuid6
+import uvloop
+
+from turmericusher.cli.access import (
+    InstanceCall,
+    call_instance,
+    error_from_body,
+    print_json,
+)
+from turmericusher.cli.dispatch import EXIT_OK, run_command
+from turmericusher.cli.queries import Address, Json
+from turmericusher.errors import ErrorCode, UpstreamError, Verdict
+from turmericusher.logs import configure_logs
+from turmericusher.serving import serve_until_stopped
+from turmericusher.settings import load_settings
+
+DATA = b"data: "
+STREAM_END = b"[DONE]"
+
+
+@dataclass
+class Serve:
+    """Run one entry instance until it is told to stop."""
+
+    path: Path
+
+
+@dataclass
+class Try:
+    """Run an entry instance with stand-ins of the platform in one process."""
+
+    port: Annotated[int, cappa.Arg(long=True)] = 8080
+
+
+@dataclass
+class Generate:
+    """Stream one generation to the terminal."""
+
+    model: str
+    prompt: str
+    address: Address = "127.0.0.1:8080"
+    profile: Annotated[str, cappa.Arg(long=True)] = ""
+    team: Annotated[str, cappa.Arg(long=True)] = "default"
+    max_tokens: Annotated[int, cappa.Arg(long=True)] = 64
+    json: Json = False
+
+
+@dataclass
+class Call:
+    """Call a plain service; a key is made where none is given."""
+
+    service: str
+    path: str
+    address: Address = "127.0.0.1:8080"
+    profile: Annotated[str, cappa.Arg(long=True)] = ""
+    team: Annotated[str, cappa.Arg(long=True)] = "default"
+    key: Annotated[str, cappa.Arg(long=True)] = ""
+    body: Annotated[str, cappa.Arg(long=True)] = ""
+    json: Json = False
+
+
+@run_command.register
+def run_serve(command: Serve) -> int:
+    """Run an entry instance."""
+    settings = load_settings(command.path)
+    configure_logs(sys.stderr)
+    uvloop.run(serve_until_stopped(settings))
+    return EXIT_OK
+
+
+@run_command.register
+def run_try(command: Try) -> int:
+    """Run everything in one process."""
+    from turmericusher.standins.trial import run_trial
+
+    configure_logs(sys.stderr)
+    uvloop.run(run_trial(command.port))
+    return EXIT_OK
+
+
+@run_command.register
+def run_generate(command: Generate) -> int:
+    """Stream a generation and print its text as it comes."""
+    asyncio.run(print_generation(command))
+    return EXIT_OK
+
+
+@run_command.register
+def run_call(command: Call) -> int:
+    """Make one call to a plain service."""
+    headers = caller_headers(command.team, command.profile)
+    headers["Idempotency-Key"] = command.key or str(uuid6.uuid7())
+    path = f"/v1/services/{command.service}/{command.path.lstrip('/')}"
+    body = orjson.loads(command.body) if command.body else None
+    answer = call_instance(
+        InstanceCall("POST", command.address, path, body=body, headers=headers)
+    )
+    if command.json or not isinstance(answer.body, str):
+        print_json(answer.body)
+    else:
+        print(answer.body)
+    return EXIT_OK
+
+
+def caller_headers(team: str, profile: str) -> dict[str, str]:
+    """Return the headers that name the team and the profile."""
+    headers = {"Turmericusher-Team": team}
+    if profile:
+        headers["Turmericusher-Profile"] = profile
+    return headers
+
+
+async def print_generation(command: Generate) -> None:
+    """Print the pieces of one streamed answer."""
+    body = {
+        "model": command.model,
+        "prompt": command.prompt,
+        "max_tokens": command.max_tokens,
+        "stream": True,
+    }
+    url = f"http://{command.address}/v1/completions"
+    headers = caller_headers(command.team, command.profile)
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, json=body, headers=headers) as response,
+        ):
+            async for line in response.content:
+                print_event(line, command.json)
+    except (aiohttp.ClientError, OSError) as error:
+        raise UpstreamError(
+            ErrorCode.UPSTREAM_FAILED,
+            f"no answer from the entry instance at {command.address!r}: {error}",
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
+    print()
+
+
+def print_event(line: bytes, as_json: bool) -> None:
+    """Print one line of an answer; raise the coded error that it carries."""
+    data = line.strip().removeprefix(DATA)
+    if not data.startswith(b"{"):
+        return
+    event = orjson.loads(data)
+    if "error" in event:
+        raise error_from_body(event["error"])
+    if as_json:
+        print(data.decode())
+        return
+    for choice in event["choices"]:
+        print(choice["text"], end="", flush=True)
--- /dev/null
+++ b/src/turmericusher/cli/main.py
@@ -0,0 +1,58 @@
+"""The entry point of the command line."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+
+import cappa
+
+from turmericusher.cli.access import print_error
+from turmericusher.cli.commands import Call, Generate, Serve, Try
+from turmericusher.cli.dispatch import (
+    EXIT_FAILED,
+    EXIT_MAY_HAVE_RUN,
+    EXIT_USAGE,
+    run_command,
+)
+from turmericusher.cli.queries import Entrypoints, SettingsCommand, State
+from turmericusher.cli.standins import Standin
+from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
+
+USAGE_CODES = frozenset({ErrorCode.INVALID_SETTINGS, ErrorCode.INVALID_REQUEST})
+
+
+@cappa.command(name="turmericusher")
+@dataclass
+class Turmericusher:
+    """Serve long model generations whole on engines that fail."""
+
+    command: cappa.Subcommands[
+        Serve | Try | Standin | Generate | Call | Entrypoints | State | SettingsCommand
+    ]
+
+
+def main() -> None:
+    """Parse the command line, carry the command out and exit."""
+    command = cappa.parse(Turmericusher).command
+    sys.exit(run_reporting_errors(command))
+
+
+def run_reporting_errors(command: object) -> int:
+    """Run a command; a coded error becomes one line and an exit status."""
+    try:
+        return run_command(command)
+    except TurmericusherError as error:
+        print_error(error, as_json=bool(getattr(command, "json", False)))
+        return exit_status_for(error)
+    except KeyboardInterrupt:
+        return EXIT_FAILED
+
+
+def exit_status_for(error: TurmericusherError) -> int:
+    """Return the exit status that tells a script what to do."""
+    if error.code in USAGE_CODES:
+        return EXIT_USAGE
+    if error.verdict is Verdict.NOT_RUN:
+        return EXIT_FAILED
+    return EXIT_MAY_HAVE_RUN
--- /dev/null
+++ b/src/turmericusher/cli/standins.py
@@ -0,0 +1,133 @@
+"""Commands that run one stand-in as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from turmericusher.cli.dispatch import EXIT_OK, run_command
+from turmericusher.standins.engine import EngineOptions, EngineStandin, running_engine
+from turmericusher.standins.instances import InstanceListStandin, running_instance_list
+from turmericusher.standins.service import running_service
+from turmericusher.standins.store import MemoryStore
+from turmericusher.standins.store_server import running_store
+
+HOST = "127.0.0.1"
+Port = Annotated[int, cappa.Arg(long=True)]
+
+
+@dataclass
+class Store:
+    """Run the key-value service."""
+
+    port: Port = 0
+
+
+@dataclass
+class Engine:
+    """Run a model engine."""
+
+    port: Port = 0
+    name: Annotated[str, cappa.Arg(long=True)] = "engine-1"
+    model: Annotated[str, cappa.Arg(long=True)] = "model"
+    version: Annotated[str, cappa.Arg(long=True)] = "v1"
+    slots: Annotated[int, cappa.Arg(long=True)] = 16
+    first_token_s: Annotated[float, cappa.Arg(long=True)] = 0.02
+    token_gap_s: Annotated[float, cappa.Arg(long=True)] = 0.01
+
+
+@cappa.command(name="service")
+@dataclass
+class PlainService:
+    """Run a plain service that keeps a ledger of what it ran."""
+
+    port: Port = 0
+    name: Annotated[str, cappa.Arg(long=True)] = "service-1"
+
+
+@dataclass
+class Instances:
+    """Run the platform's list of instances."""
+
+    port: Port = 0
+    lag_s: Annotated[float, cappa.Arg(long=True)] = 0.5
+
+
+@dataclass
+class Standin:
+    """Run a stand-in of the platform or of an upstream."""
+
+    command: cappa.Subcommands[Store | Engine | PlainService | Instances]
+
+
+@run_command.register
+def run_standin(command: Standin) -> int:
+    """Run the chosen stand-in."""
+    return run_command(command.command)
+
+
+@run_command.register
+def run_store(command: Store) -> int:
+    """Run the key-value service."""
+    return serve(lambda: running_store(HOST, command.port, MemoryStore()))
+
+
+@run_command.register
+def run_engine(command: Engine) -> int:
+    """Run a model engine."""
+    options = EngineOptions(
+        name=command.name,
+        models=(command.model,),
+        version=command.version,
+        slots=command.slots,
+        first_token_s=command.first_token_s,
+        token_gap_s=command.token_gap_s,
+        exits_on_death=True,
+    )
+    return serve(lambda: running_engine(EngineStandin(options), HOST, command.port))
+
+
+@run_command.register
+def run_service(command: PlainService) -> int:
+    """Run a plain service."""
+    return serve(lambda: service_address(command))
+
+
+@asynccontextmanager
+async def service_address(command: PlainService) -> AsyncIterator[str]:
+    """Run a plain service and yield its address."""
+    async with running_service(HOST, command.port, command.name) as service:
+        yield service.address
+
+
+@run_command.register
+def run_instances(command: Instances) -> int:
+    """Run the list of instances."""
+    standin = InstanceListStandin(lag_s=command.lag_s)
+    return serve(lambda: running_instance_list(HOST, command.port, standin))
+
+
+def serve(
+    open_server: Callable[[], AbstractAsyncContextManager[str]],
+) -> int:
+    """Serve until SIGTERM or SIGINT; the address is printed when it is ready."""
+
+    async def until_stopped() -> None:
+        stopped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopped.set)
+        async with open_server() as address:
+            print(f"listening on {address}", flush=True)
+            await stopped.wait()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(until_stopped())
+    return EXIT_OK
--- /dev/null
+++ b/src/turmericusher/ports/etcd.py
@@ -0,0 +1,308 @@
+"""The key-value port over etcd v3's published JSON mapping, by aiohttp.
+
+Whether a failed write may have had an effect is decided here, and in doubt it may: a
+writer that is told otherwise would repeat a write that stands.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import aiohttp
+import orjson
+from aiohttp.http import HttpProcessingError
+
+from turmericusher.errors import (
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from turmericusher.ports.etcd_messages import (
+    ErrorReply,
+    KeepAliveReply,
+    LeaseReply,
+    MalformedReplyError,
+    MessageT,
+    RangeReply,
+    RevokeReply,
+    TransactionReply,
+    WatchReply,
+    WatchResult,
+    encode_key,
+    prefix_range,
+    read_message,
+    stored_value,
+    swap_request,
+    watch_event,
+)
+from turmericusher.ports.keyvalue import (
+    Snapshot,
+    StoredValue,
+    SwapResult,
+    WatchEvent,
+)
+
+WATCH_SILENCE_S = 5.0
+"""A watch that has brought nothing for this long is opened again from where it was."""
+
+CONNECT_SHARE = 0.5
+"""The share of a call's timeout in which its connection must stand."""
+
+MAX_BUFFERED_BYTES = 4_000_000
+"""Room for one line of a watch: a value of a megabyte in base64, with its fields."""
+
+STATUSES_WITHOUT_EFFECT = frozenset(
+    {
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.UNAUTHORIZED,
+        HTTPStatus.FORBIDDEN,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.PRECONDITION_FAILED,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.TOO_MANY_REQUESTS,
+    }
+)
+
+# Other messages of an unavailable member, such as "request timed out" and "leader
+# changed", come after the proposal was made, so the write may still be applied.
+MESSAGES_WITHOUT_EFFECT = frozenset({"etcdserver: no leader"})
+
+FAILED_CALL = (
+    aiohttp.ClientError,
+    HttpProcessingError,
+    OSError,
+    TimeoutError,
+    MalformedReplyError,
+)
+
+
+@dataclass(slots=True)
+class EtcdStore:
+    """A `KeyValueStore` at `url`; `timeout_s` bounds each call but not a watch."""
+
+    url: str
+    timeout_s: float
+    session: aiohttp.ClientSession
+    watch_silence_s: float = WATCH_SILENCE_S
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key."""
+        reply = await self.read("/v3/kv/range", {"key": encode_key(key)})
+        return reply.values[0] if reply.values else None
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Read every key that starts with `prefix`."""
+        return await self.read("/v3/kv/range", prefix_range(prefix))
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> SwapResult:
+        """Write `value` if the key's revision is `expected_revision`."""
+        request = swap_request(key, expected_revision, value, lease)
+        reply = await self.write("/v3/kv/txn", request, TransactionReply)
+        if reply.succeeded:
+            return SwapResult(True, reply.header.revision)
+        return SwapResult(False, reply.header.revision, current_value(reply))
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Make a lease that lapses after `ttl_s` seconds without a renewal."""
+        request = {"TTL": str(ttl_s)}
+        reply = await self.write("/v3/lease/grant", request, LeaseReply)
+        return reply.ID
+
+    async def renew_lease(self, lease: int) -> int:
+        """Renew a lease and return its time to live in seconds; 0 when it lapsed."""
+        request = {"ID": str(lease)}
+        reply = await self.write("/v3/lease/keepalive", request, KeepAliveReply)
+        return reply.result.TTL
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease; the keys that are bound to it are deleted."""
+        await self.write("/v3/lease/revoke", {"ID": str(lease)}, RevokeReply)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yield the changes under `prefix` from `from_revision` on, in order.
+
+        A connection whose other end has vanished brings neither data nor an error.
+        So silence ends each stream, and the next one starts at the first revision not
+        yet seen: nothing is lost or repeated, and an open stream proves a live store.
+        """
+        next_revision = from_revision
+        while True:
+            async with self.opened_watch(prefix, next_revision) as response:
+                while result := await self.read_until_silent(response):
+                    for event in result_events(result):
+                        yield event
+                        next_revision = max(next_revision, event.revision + 1)
+
+    @asynccontextmanager
+    async def opened_watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Own the stream of one watch, from its confirmation on."""
+        try:
+            async with asyncio.timeout(self.timeout_s):
+                response = await self.start_watch(prefix, from_revision)
+        except FAILED_CALL as error:
+            raise unavailable("/v3/watch", error) from error
+        try:
+            yield response
+        finally:
+            response.close()
+
+    async def start_watch(
+        self, prefix: str, from_revision: int
+    ) -> aiohttp.ClientResponse:
+        """Ask for a watch and wait until the store confirms it."""
+        create = {**prefix_range(prefix), "start_revision": str(from_revision)}
+        response = await self.session.post(
+            self.url + "/v3/watch",
+            data=orjson.dumps({"create_request": create}),
+            timeout=aiohttp.ClientTimeout(total=None),
+            allow_redirects=False,
+        )
+        try:
+            await check_confirmed(response)
+        except BaseException:
+            response.close()
+            raise
+        return response
+
+    async def read_until_silent(
+        self, response: aiohttp.ClientResponse
+    ) -> WatchResult | None:
+        """Return the next result of a stream, or None when it is silent for long."""
+        try:
+            async with asyncio.timeout(self.watch_silence_s):
+                return await read_watch_line(response)
+        except TimeoutError:
+            return None
+        except FAILED_CALL as error:
+            raise unavailable("/v3/watch", error) from error
+
+    async def read(self, path: str, request: Mapping[str, object]) -> Snapshot:
+        """Make a range call; whatever fails, it had no effect."""
+        try:
+            body = await self.post(path, request)
+            reply = read_message(RangeReply, body)
+            values = tuple(stored_value(found) for found in reply.kvs)
+        except StoreError as error:
+            raise StoreUnavailableError(error.message) from error
+        except FAILED_CALL as error:
+            raise unavailable(path, error) from error
+        return Snapshot(values, reply.header.revision)
+
+    async def write(
+        self, path: str, request: Mapping[str, object], model: type[MessageT]
+    ) -> MessageT:
+        """Make a call that changes the store, and say what a failure may have done."""
+        try:
+            return read_message(model, await self.post(path, request))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise unavailable(path, error) from error
+        except FAILED_CALL as error:
+            raise StoreOutcomeUnknownError(
+                f"the reply of the key-value service to {path} was lost: "
+                f"{describe(error)}; read the key to learn the outcome"
+            ) from error
+
+    async def post(self, path: str, request: Mapping[str, object]) -> bytes:
+        """Send one call and return the body of a good reply."""
+        data = orjson.dumps(request)
+        # A redirect would send a write twice.
+        async with self.session.post(
+            self.url + path, data=data, allow_redirects=False
+        ) as response:
+            body = await response.read()
+            if response.status != HTTPStatus.OK:
+                raise error_of_status(path, response.status, body)
+            return body
+
+
+@asynccontextmanager
+async def open_etcd_store(
+    url: str, timeout_s: float, watch_silence_s: float = WATCH_SILENCE_S
+) -> AsyncIterator[EtcdStore]:
+    """Own the connections to the key-value service at `url`."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=timeout_s * CONNECT_SHARE
+        ),
+        headers={"Content-Type": "application/json"},
+        read_bufsize=MAX_BUFFERED_BYTES,
+        # A proxy or a cookie of the environment has no business here.
+        trust_env=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    async with session:
+        yield EtcdStore(url.rstrip("/"), timeout_s, session, watch_silence_s)
+
+
+async def check_confirmed(response: aiohttp.ClientResponse) -> None:
+    """Read the line that confirms a watch; raise when there is another one."""
+    if response.status != HTTPStatus.OK:
+        raise MalformedReplyError(f"status {response.status}")
+    result = await read_watch_line(response)
+    if not result.created:
+        raise MalformedReplyError("the watch was not confirmed")
+
+
+async def read_watch_line(response: aiohttp.ClientResponse) -> WatchResult:
+    """Read one line of a watch; raise when the watch has ended."""
+    line = await response.content.readline()
+    if not line:
+        raise MalformedReplyError("the watch ended")
+    result = read_message(WatchReply, line).result
+    if result.canceled:
+        raise MalformedReplyError(
+            f"the watch was cancelled (compact_revision={result.compact_revision!r})"
+        )
+    return result
+
+
+def result_events(result: WatchResult) -> list[WatchEvent]:
+    """Return the changes in a line of a watch."""
+    try:
+        return [watch_event(event) for event in result.events]
+    except MalformedReplyError as error:
+        raise unavailable("/v3/watch", error) from error
+
+
+def current_value(reply: TransactionReply) -> StoredValue | None:
+    """Return the value that made a compare-and-swap fail; None when it is absent."""
+    try:
+        for part in reply.responses:
+            if part.response_range is not None and part.response_range.kvs:
+                return stored_value(part.response_range.kvs[0])
+    except MalformedReplyError as error:
+        raise unavailable("/v3/kv/txn", error) from error
+    return None
+
+
+def error_of_status(path: str, status: int, body: bytes) -> StoreError:
+    """Return the error for a reply with an error status."""
+    try:
+        reply = read_message(ErrorReply, body)
+    except MalformedReplyError:
+        reply = ErrorReply()
+    text = f"the key-value service answered {path} with {status}: {reply.message!r}"
+    if status in STATUSES_WITHOUT_EFFECT or reply.message in MESSAGES_WITHOUT_EFFECT:
+        return StoreUnavailableError(text)
+    return StoreOutcomeUnknownError(text + "; read the key to learn the outcome")
+
+
+def unavailable(path: str, error: Exception) -> StoreUnavailableError:
+    """Return the error for a call that had no effect."""
+    return StoreUnavailableError(
+        f"the key-value service failed {path}: {describe(error)}; try again later"
+    )
+
+
+def describe(error: Exception) -> str:
+    """Return one line about an error; some timeouts have no text of their own."""
+    return " ".join(str(error).split()) or type(error).__name__
--- /dev/null
+++ b/src/turmericusher/ports/instances.py
@@ -0,0 +1,111 @@
+"""The port to the platform's list of instances.
+
+The list is read in the JSON form of Prometheus's HTTP service discovery: an array of
+objects with `targets` (`ip:port`) and `labels`. The list lags, so it is one source of
+what is live or leaving among others.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import aiohttp
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance, UpstreamKind
+from turmericusher.errors import ErrorCode, UpstreamError, Verdict
+from turmericusher.logs import log_event
+from turmericusher.profiles import describe_validation_error
+from turmericusher.settings import Address, Name
+
+MAX_LIST_BYTES = 8_000_000
+STATUS_OK = 200
+
+
+class LabelsModel(BaseModel):
+    """The labels of one upstream; labels that are not known are passed over."""
+
+    model_config = ConfigDict(frozen=True)
+
+    name: Name
+    service: Name
+    kind: UpstreamKind
+    failure_domain: Name
+    incarnation: str = ""
+    state: Lifecycle = Lifecycle.LIVE
+    models: str = ""
+    version: str = ""
+    checks_fencing: bool = False
+
+
+class TargetModel(BaseModel):
+    """One entry of the list."""
+
+    model_config = ConfigDict(frozen=True)
+
+    targets: tuple[Address, ...] = Field(min_length=1, max_length=1)
+    labels: LabelsModel
+
+
+async def fetch_instances(
+    session: aiohttp.ClientSession, url: str
+) -> tuple[UpstreamInstance, ...]:
+    """Read the list; raise `UpstreamError` when there is no usable answer."""
+    try:
+        async with session.get(url) as response:
+            data = await response.content.read(MAX_LIST_BYTES + 1)
+            while chunk := await response.content.read(MAX_LIST_BYTES + 1):
+                data += chunk
+            status = response.status
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise list_error(f"url={url!r} gave no answer: {error!r}") from error
+    if status != STATUS_OK:
+        raise list_error(f"url={url!r} answered status={status}")
+    return parse_instances(data)
+
+
+def parse_instances(data: bytes) -> tuple[UpstreamInstance, ...]:
+    """Return the instances of a list; a malformed entry is logged and left out."""
+    if len(data) > MAX_LIST_BYTES:
+        raise list_error(f"the list is larger than {MAX_LIST_BYTES} bytes")
+    try:
+        entries = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise list_error(f"the list is not JSON: {error}") from error
+    if not isinstance(entries, list):
+        raise list_error("the list is not a JSON array")
+    found: dict[str, UpstreamInstance] = {}
+    for entry in entries:
+        upstream = parse_entry(entry)
+        if upstream is not None:
+            found[upstream.name] = upstream
+    return tuple(found.values())
+
+
+def parse_entry(entry: Any) -> UpstreamInstance | None:
+    """Return the upstream of one entry, or None where it cannot be read."""
+    try:
+        target = TargetModel.model_validate(entry)
+    except ValidationError as error:
+        reason = describe_validation_error("entry", error)
+        log_event("instance_list_entry_dropped", reason=reason)
+        return None
+    labels = target.labels
+    return UpstreamInstance(
+        name=labels.name,
+        service=labels.service,
+        kind=labels.kind,
+        address=target.targets[0],
+        failure_domain=labels.failure_domain,
+        incarnation=labels.incarnation,
+        version=labels.version,
+        models=tuple(model for model in labels.models.split(",") if model),
+        lifecycle=labels.state,
+        checks_fencing=labels.checks_fencing,
+    )
+
+
+def list_error(message: str) -> UpstreamError:
+    """Return the error for a list that could not be read."""
+    return UpstreamError(ErrorCode.UPSTREAM_FAILED, message, verdict=Verdict.RAN)
--- /dev/null
+++ b/src/turmericusher/standins/instances.py
@@ -0,0 +1,129 @@
+"""The platform's list of instances, with a lag that can be set."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from aiohttp import web
+
+from turmericusher.decisions.fleet import UpstreamInstance
+
+Entry = dict[str, Any]
+
+
+@dataclass(slots=True)
+class InstanceListStandin:
+    """The list and its past; readers see it as it was `lag_s` seconds ago."""
+
+    lag_s: float = 0.0
+    is_down: bool = False
+    entries: dict[str, Entry] = field(default_factory=dict)
+    past: deque[tuple[float, tuple[Entry, ...]]] = field(default_factory=deque)
+
+    def add(self, upstream: UpstreamInstance) -> None:
+        """Enter an upstream, or replace its entry."""
+        self.put(entry_of(upstream))
+
+    def put(self, entry: Entry) -> None:
+        """Enter an upstream as the list shows it."""
+        self.entries[entry["labels"]["name"]] = entry
+        self.remember()
+
+    def remove(self, name: str) -> None:
+        """Take an upstream off the list."""
+        self.entries.pop(name, None)
+        self.remember()
+
+    def mark(self, name: str, state: str) -> None:
+        """Set the state of an upstream: live or leaving."""
+        entry = self.entries[name]
+        labels = {**entry["labels"], "state": state}
+        self.put({**entry, "labels": labels})
+
+    def remember(self) -> None:
+        """Note the list as it is now."""
+        self.past.append((time.monotonic(), tuple(self.entries.values())))
+
+    def shown(self) -> tuple[Entry, ...]:
+        """Return the list as readers see it."""
+        limit = time.monotonic() - self.lag_s
+        while len(self.past) > 1 and self.past[1][0] <= limit:
+            self.past.popleft()
+        if not self.past or self.past[0][0] > limit:
+            return ()
+        return self.past[0][1]
+
+
+def entry_of(upstream: UpstreamInstance) -> Entry:
+    """Return the list's entry for an upstream."""
+    return {
+        "targets": [upstream.address],
+        "labels": {
+            "name": upstream.name,
+            "service": upstream.service,
+            "kind": upstream.kind.value,
+            "failure_domain": upstream.failure_domain,
+            "incarnation": upstream.incarnation,
+            "state": upstream.lifecycle.value,
+            "models": ",".join(upstream.models),
+            "version": upstream.version,
+            "checks_fencing": str(upstream.checks_fencing).lower(),
+        },
+    }
+
+
+def make_instances_app(standin: InstanceListStandin) -> web.Application:
+    """Return the web application of the list and its control routes."""
+    app = web.Application()
+
+    async def show(_request: web.Request) -> web.Response:
+        if standin.is_down:
+            return web.Response(status=503)
+        return web.json_response(standin.shown())
+
+    async def add(request: web.Request) -> web.Response:
+        standin.put(await request.json())
+        return web.json_response({"ok": True})
+
+    async def remove(request: web.Request) -> web.Response:
+        standin.remove((await request.json())["name"])
+        return web.json_response({"ok": True})
+
+    async def mark(request: web.Request) -> web.Response:
+        body = await request.json()
+        standin.mark(body["name"], body["state"])
+        return web.json_response({"ok": True})
+
+    async def set_faults(request: web.Request) -> web.Response:
+        body = await request.json()
+        standin.is_down = bool(body.get("down", standin.is_down))
+        standin.lag_s = float(body.get("lag_s", standin.lag_s))
+        return web.json_response({"ok": True})
+
+    app.router.add_get("/instances", show)
+    app.router.add_post("/control/add", add)
+    app.router.add_post("/control/remove", remove)
+    app.router.add_post("/control/mark", mark)
+    app.router.add_post("/control/faults", set_faults)
+    return app
+
+
+@asynccontextmanager
+async def running_instance_list(
+    host: str, port: int, standin: InstanceListStandin
+) -> AsyncIterator[str]:
+    """Serve the list and yield its `ip:port`."""
+    runner = web.AppRunner(
+        make_instances_app(standin), access_log=None, shutdown_timeout=0.1
+    )
+    await runner.setup()
+    try:
+        await web.TCPSite(runner, host, port).start()
+        yield f"{host}:{runner.addresses[0][1]}"
+    finally:
+        await runner.cleanup()
--- /dev/null
+++ b/src/turmericusher/standins/trial.py
@@ -0,0 +1,147 @@
+"""`turmericusher try`: an entry instance and all its stand-ins in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from contextlib import AsyncExitStack
+
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.serving import serving_entry
+from turmericusher.settings import Settings, parse_settings
+from turmericusher.standins.engine import EngineOptions, EngineStandin, running_engine
+from turmericusher.standins.instances import InstanceListStandin, running_instance_list
+from turmericusher.standins.service import running_service
+from turmericusher.standins.store import MemoryStore
+from turmericusher.standins.store_server import running_store
+
+HOST = "127.0.0.1"
+MODEL = "demo"
+ENGINES = 2
+OPERATOR_TOKEN = "operator-token"
+PEER_PORT_OFFSET = 1000
+
+SETTINGS = """
+instance:
+  name: entry-1
+  failure_domain: local
+  caller_address: {host}:{port}
+  peer_address: {host}:{peer_port}
+store:
+  url: http://{store}
+instance_list_url: http://{instances}/instances
+services:
+  - {{name: drafts, kind: engine, models: [{model}]}}
+  - {{name: ledger, kind: service}}
+operators:
+  token: {token}
+"""
+
+GUIDE = """
+turmericusher is serving with stand-ins of the platform, two engines and one service.
+
+  entry instance    http://{entry}
+  operators' token  {token}
+
+A streamed generation, as any OpenAI client asks for it:
+
+  curl -N http://{entry}/v1/completions -H 'Content-Type: application/json' \\
+    -d '{{"model": "{model}", "prompt": "Hello", "max_tokens": 24, "stream": true}}'
+
+A call to the plain service, and the state of the process:
+
+  turmericusher call ledger book --address {entry} --body '{{"lot": 7}}'
+  turmericusher state --address {entry} --token {token}
+
+Kill an engine while it generates, and see the answer go on:
+
+{engines}
+
+Stop with Ctrl-C.
+"""
+
+
+async def run_trial(port: int) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(running_store(HOST, 0, MemoryStore()))
+        listed = InstanceListStandin(lag_s=0.0)
+        engines = []
+        for engine_number in range(1, ENGINES + 1):
+            engines.append(await start_engine(stack, listed, engine_number))
+        await start_service(stack, listed)
+        instances = await stack.enter_async_context(
+            running_instance_list(HOST, 0, listed)
+        )
+        settings = trial_settings(port, store, instances)
+        await stack.enter_async_context(serving_entry(settings))
+        print(guide(settings, engines), flush=True)
+        await stopped.wait()
+
+
+async def start_engine(
+    stack: AsyncExitStack, listed: InstanceListStandin, number: int
+) -> str:
+    """Start one engine, list it and return its address."""
+    options = EngineOptions(name=f"engine-{number}", models=(MODEL,), token_gap_s=0.05)
+    address = await stack.enter_async_context(running_engine(EngineStandin(options)))
+    listed.add(
+        UpstreamInstance(
+            name=options.name,
+            service="drafts",
+            kind=UpstreamKind.ENGINE,
+            address=address,
+            failure_domain="local",
+            incarnation="1",
+            version=options.version,
+            models=options.models,
+        )
+    )
+    return address
+
+
+async def start_service(stack: AsyncExitStack, listed: InstanceListStandin) -> None:
+    """Start the plain service and list it."""
+    service = await stack.enter_async_context(running_service(HOST, 0, "service-1"))
+    listed.add(
+        UpstreamInstance(
+            name="service-1",
+            service="ledger",
+            kind=UpstreamKind.SERVICE,
+            address=service.address,
+            failure_domain="local",
+            incarnation="1",
+        )
+    )
+
+
+def trial_settings(port: int, store: str, instances: str) -> Settings:
+    """Return the settings of the trial's entry instance."""
+    text = SETTINGS.format(
+        host=HOST,
+        port=port,
+        peer_port=port + PEER_PORT_OFFSET,
+        store=store,
+        instances=instances,
+        model=MODEL,
+        token=OPERATOR_TOKEN,
+    )
+    return parse_settings(text)
+
+
+def guide(settings: Settings, engines: list[str]) -> str:
+    """Return the text that tells a new user what to try."""
+    kills = "\n".join(
+        f"  curl http://{address}/control/faults -d '{{\"die\": true}}'"
+        for address in engines
+    )
+    return GUIDE.format(
+        entry=settings.caller_address,
+        token=OPERATOR_TOKEN,
+        model=MODEL,
+        engines=kills,
+    )
--- /dev/null
+++ b/src/turmericusher/tasks/instance.py
@@ -0,0 +1,172 @@
+"""The composition of one entry instance: every task and what it is given."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.idempotency_keys import KeyAges
+from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
+from turmericusher.decisions.rollout import (
+    InstanceRevision,
+    RolloutStatus,
+    rollout_status,
+)
+from turmericusher.decisions.selection import Selector
+from turmericusher.logs import log_event
+from turmericusher.metrics import Metrics, open_metrics
+from turmericusher.ports.engines import open_engine_port
+from turmericusher.ports.etcd import open_etcd_store
+from turmericusher.ports.keyvalue import KeyValueStore
+from turmericusher.ports.services import http_service_port
+from turmericusher.settings import Settings
+from turmericusher.tasks.calls import CallRunner
+from turmericusher.tasks.claims import Claims, running_claims
+from turmericusher.tasks.generation import (
+    GenerationContext,
+    make_generation_context,
+    open_generation,
+)
+from turmericusher.tasks.instance_list import running_instance_list
+from turmericusher.tasks.profile_changes import ProfileChanger
+from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
+
+
+@dataclass(slots=True)
+class EntryRuntime:
+    """What the request handlers of one entry instance work with.
+
+    `incarnation` differs between two starts of the same instance. `started_at` is
+    monotonic time in seconds.
+    """
+
+    settings: Settings
+    store: KeyValueStore
+    selector: Selector
+    profiles: ProfileTable
+    profile_changer: ProfileChanger
+    generation: GenerationContext
+    calls: CallRunner
+    metrics: Metrics
+    incarnation: str = field(default_factory=lambda: uuid.uuid4().hex)
+    started_at: float = field(default_factory=time.monotonic)
+    generations_in_flight: int = 0
+
+    def generate(
+        self, request: GenerationRequest
+    ) -> AbstractAsyncContextManager[AsyncIterator[AnswerPiece]]:
+        """Open one generation; leaving the context cancels it."""
+        return counted_generation(self, request)
+
+    def instance_revisions(self) -> list[InstanceRevision]:
+        """Return the revisions in force on the entry instances known here."""
+        cursor = self.profiles.rollout.cursor
+        settings = self.settings
+        return [InstanceRevision(settings.name, settings.failure_domain, cursor, 0.0)]
+
+
+@asynccontextmanager
+async def counted_generation(
+    runtime: EntryRuntime, request: GenerationRequest
+) -> AsyncIterator[AsyncIterator[AnswerPiece]]:
+    """Open a generation and count it while it runs."""
+    runtime.generations_in_flight += 1
+    runtime.metrics.count("generations.started")
+    try:
+        async with open_generation(runtime.generation, request) as pieces:
+            yield pieces
+    finally:
+        runtime.generations_in_flight -= 1
+        runtime.metrics.count("generations.ended")
+
+
+@asynccontextmanager
+async def running_entry(settings: Settings) -> AsyncIterator[EntryRuntime]:
+    """Start every task of an entry instance and stop them at the end."""
+    async with AsyncExitStack() as stack:
+        metrics = stack.enter_context(
+            open_metrics(settings.statsd_address, settings.metrics_prefix)
+        )
+        store = await stack.enter_async_context(
+            open_etcd_store(settings.store_url, settings.store_timeout_s)
+        )
+        selector = Selector(random.Random(settings.seed))
+        await stack.enter_async_context(
+            running_instance_list(
+                settings.instance_list_url,
+                lambda found: take_over_list(selector, found),
+            )
+        )
+        profiles = await stack.enter_async_context(
+            running_profile_watch(
+                store,
+                settings.store_prefix,
+                stale_after_s=settings.stale_after_s,
+                rng=random.Random(settings.seed),
+            )
+        )
+        engine = await stack.enter_async_context(open_engine_port())
+        calls = await enter_calls(stack, settings, store, selector, profiles)
+        yield EntryRuntime(
+            settings=settings,
+            store=store,
+            selector=selector,
+            profiles=profiles,
+            profile_changer=make_profile_changer(settings, store, profiles),
+            generation=make_generation_context(engine, selector, seed=settings.seed),
+            calls=calls,
+            metrics=metrics,
+        )
+
+
+async def enter_calls(
+    stack: AsyncExitStack,
+    settings: Settings,
+    store: KeyValueStore,
+    selector: Selector,
+    profiles: ProfileTable,
+) -> CallRunner:
+    """Start what plain calls need."""
+    port = await stack.enter_async_context(http_service_port())
+    claims = Claims(
+        store=store,
+        ages=KeyAges(settings.claim_retention_s, settings.clock_skew_s),
+        wall_clock=time.time,
+        # Attempt identifiers must differ between instances and incarnations, so they
+        # cannot come from the seed of the settings.
+        random=random.Random(uuid.uuid4().int),
+        prefix=settings.store_prefix,
+    )
+    await stack.enter_async_context(running_claims(claims))
+    return CallRunner(
+        port=port,
+        claims=claims,
+        selector=selector,
+        services={service.name: service for service in settings.services},
+        profile_named=profiles.get,
+        random=random.Random(settings.seed),
+    )
+
+
+def make_profile_changer(
+    settings: Settings, store: KeyValueStore, profiles: ProfileTable
+) -> ProfileChanger:
+    """Return what carries out operators' changes."""
+
+    async def status_here(revision: int, _limit_s: float) -> RolloutStatus:
+        cursor = profiles.rollout.cursor
+        own = InstanceRevision(settings.name, settings.failure_domain, cursor, 0.0)
+        return rollout_status(revision, [own])
+
+    return ProfileChanger(store, profiles, status_here)
+
+
+def take_over_list(selector: Selector, found: tuple[UpstreamInstance, ...]) -> None:
+    """Take over a new list of upstreams."""
+    selector.update(found)
+    log_event("instance_list_changed", upstreams=len(found))
--- /dev/null
+++ b/src/turmericusher/tasks/instance_list.py
@@ -0,0 +1,53 @@
+"""Follows the platform's list of instances by asking for it again and again."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.errors import UpstreamError
+from turmericusher.logs import log_event
+from turmericusher.ports.instances import fetch_instances
+
+POLL_INTERVAL_S = 1.0
+REQUEST_TIMEOUT_S = 2.0
+
+ListListener = Callable[[tuple[UpstreamInstance, ...]], None]
+
+
+async def follow_instance_list(
+    session: aiohttp.ClientSession, url: str, on_change: ListListener
+) -> None:
+    """Report each new list; the last one stays in force while the source fails."""
+    known: tuple[UpstreamInstance, ...] | None = None
+    while True:
+        try:
+            found = await fetch_instances(session, url)
+        except UpstreamError as error:
+            log_event("instance_list_unavailable", message=error.message)
+        else:
+            if found != known:
+                known = found
+                on_change(found)
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+@asynccontextmanager
+async def running_instance_list(
+    url: str, on_change: ListListener
+) -> AsyncIterator[None]:
+    """Follow the list while the context is open."""
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        following = asyncio.create_task(
+            follow_instance_list(session, url, on_change), name="instance-list"
+        )
+        try:
+            yield
+        finally:
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
--- /dev/null
+++ b/tests/cover/test_instances.py
@@ -0,0 +1,83 @@
+"""The list of instances: what is read, what is dropped, and its lag."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.asynchronous import run_async
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance, UpstreamKind
+from turmericusher.errors import UpstreamError
+from turmericusher.ports.instances import parse_instances
+from turmericusher.standins.instances import (
+    InstanceListStandin,
+    entry_of,
+    running_instance_list,
+)
+from turmericusher.tasks import instance_list
+
+ENGINE = UpstreamInstance(
+    name="e1",
+    service="drafts",
+    kind=UpstreamKind.ENGINE,
+    address="127.0.0.1:9",
+    failure_domain="a",
+    incarnation="7",
+    version="v1",
+    models=("m", "n"),
+    lifecycle=Lifecycle.LEAVING,
+    checks_fencing=True,
+)
+
+
+class ParseTest(TestCase):
+    def test_an_entry_comes_back_as_it_was(self) -> None:
+        self.assertEqual((ENGINE,), parse_instances(orjson.dumps([entry_of(ENGINE)])))
+
+    @parameterized.expand(
+        [
+            ("not_an_object", 3),
+            ("no_labels", {"targets": ["127.0.0.1:1"]}),
+            ("no_target", {**entry_of(ENGINE), "targets": []}),
+            ("name_for_address", {**entry_of(ENGINE), "targets": ["host:1"]}),
+        ]
+    )
+    def test_a_bad_entry_alone_is_dropped(self, _name: str, entry: object) -> None:
+        data = orjson.dumps([entry, entry_of(ENGINE)])
+        self.assertEqual((ENGINE,), parse_instances(data))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_give_a_list_or_a_coded_error(self, data: bytes) -> None:
+        try:
+            parse_instances(data)
+        except UpstreamError:
+            return
+
+
+class FollowTest(TestCase):
+    @run_async
+    async def test_the_last_list_stays_while_the_source_is_down(self) -> None:
+        seen: list[tuple[UpstreamInstance, ...]] = []
+        arrived = asyncio.Event()
+
+        def note(found: tuple[UpstreamInstance, ...]) -> None:
+            seen.append(found)
+            if found:
+                arrived.set()
+
+        standin = InstanceListStandin()
+        standin.add(ENGINE)
+        async with (
+            running_instance_list("127.0.0.1", 0, standin) as address,
+            instance_list.running_instance_list(f"http://{address}/instances", note),
+        ):
+            async with asyncio.timeout(10):
+                await arrived.wait()
+            standin.is_down = True
+            await asyncio.sleep(instance_list.POLL_INTERVAL_S * 1.5)
+        self.assertEqual([(ENGINE,)], seen)
