Tell readiness apart from liveness

The instance listens before it has read the profiles, and the health page said it was well. Ruled out: reading the profiles before listening, because a start during a store outage would then not answer operators either. Change: /readyz answers 503 until the profiles are current; /healthz stays. For users: wait for /readyz after a start.

--- a/src/turmericusher/api/app.py
+++ b/src/turmericusher/api/app.py
@@ -6,12 +6,13 @@
 from starlette.exceptions import HTTPException
 from starlette.middleware import Middleware
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
-from starlette.routing import BaseRoute, Route
+from starlette.responses import Response
+from starlette.routing import BaseRoute
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from turmericusher.api.completions import completion_routes
 from turmericusher.api.errors import error_response, handle_turmericusher_error
+from turmericusher.api.health import health_routes
 from turmericusher.api.identity import check_operator, team_of
 from turmericusher.api.models import model_routes
 from turmericusher.api.profile_commands import profile_command_routes
@@ -66,7 +67,7 @@
         *profile_command_routes(runtime.profile_changer),
         *profile_query_routes(runtime.profiles, runtime.instance_revisions),
         *state_routes(runtime),
-        Route("/healthz", show_health),
+        *health_routes(runtime),
     ]
     return Starlette(
         routes=routes,
@@ -79,11 +80,6 @@
     )
 
 
-async def show_health(_request: Request) -> Response:
-    """Answer that the process serves."""
-    return JSONResponse({"ok": True})
-
-
 async def handle_http_exception(_request: Request, error: Exception) -> Response:
     """Answer an unknown path or method as a coded error."""
     assert isinstance(error, HTTPException)
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -139,7 +139,7 @@
     path.write_text(yaml.safe_dump(settings))
     with started_process(name, ["serve", str(path)], folder) as process:
         process.address = settings["instance"]["caller_address"]
-        wait_until_healthy(process)
+        wait_until_ready(process)
         yield process
 
 
@@ -265,14 +265,14 @@
         return json.loads(response.read())
 
 
-def wait_until_healthy(process: RunningProcess) -> None:
-    """Wait until an entry instance answers its health page."""
+def wait_until_ready(process: RunningProcess) -> None:
+    """Wait until an entry instance takes work."""
     deadline = time.monotonic() + START_LIMIT_S
     while time.monotonic() < deadline:
         if process.popen.poll() is not None:
             break
         try:
-            get_json(process.address, "/healthz")
+            get_json(process.address, "/readyz")
             return
         except (urllib.error.URLError, OSError):
             time.sleep(POLL_S)
