Select upstreams from an even subset by aged load, prefix and recent failures

Cause: the trivial selector saw only its own requests and scanned every upstream.

Ruled out: each instance choosing its own subset (at 3,200 upstreams and 38 choices of 420 instances some upstreams would be covered by none); believing a report until the next one (instances with the same late report send to the same upstream).

--- /dev/null
+++ b/src/turmericusher/decisions/load_reports.py
@@ -0,0 +1,66 @@
+"""Reading load pages and choosing whose page to read next."""
+
+from __future__ import annotations
+
+import math
+import random
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.upstream_load import LoadReport
+
+RUNNING_METRIC = "num_requests_running"
+WAITING_METRIC = "num_requests_waiting"
+PAGES_PER_ROUND = 4
+SAMPLE = re.compile(r"^([a-zA-Z_:][\w:]*)(?:\{.*\})?\s+(\S+)(?:\s+-?\d+)?\s*$")
+
+
+def parse_load_page(text: str) -> LoadReport | None:
+    """Read a page in the Prometheus text format; None when it holds no load.
+
+    The names are those of vLLM, with any prefix before the last colon; samples that
+    differ in labels add up. A negative or non-finite value voids the page.
+    """
+    totals: dict[str, float] = {}
+    for line in text.splitlines():
+        match = SAMPLE.match(line)
+        if match is None:
+            continue
+        name = match.group(1).rpartition(":")[2]
+        if name not in (RUNNING_METRIC, WAITING_METRIC):
+            continue
+        value = parse_sample(match.group(2))
+        if value is None:
+            return None
+        totals[name] = totals.get(name, 0.0) + value
+    if RUNNING_METRIC not in totals:
+        return None
+    return LoadReport(totals[RUNNING_METRIC], totals.get(WAITING_METRIC, 0.0))
+
+
+def parse_sample(text: str) -> float | None:
+    """Return a sample's value, or None for one that no count can have."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and value >= 0 else None
+
+
+@dataclass(slots=True)
+class PollPlan:
+    """Chooses a bounded number of upstreams each round, the longest unread first."""
+
+    random: random.Random
+    asked_at: dict[str, float] = field(default_factory=dict)
+
+    def next_round(self, names: Iterable[str], now: float) -> list[str]:
+        """Return the names to read now."""
+        known = {name: self.asked_at.get(name, -math.inf) for name in sorted(names)}
+        self.asked_at = known
+        order = sorted(known, key=lambda name: (known[name], self.random.random()))
+        chosen = order[:PAGES_PER_ROUND]
+        for name in chosen:
+            known[name] = now
+        return chosen
--- /dev/null
+++ b/src/turmericusher/decisions/prefix_cache.py
@@ -0,0 +1,68 @@
+"""Which upstreams probably hold a prompt's beginning in their prefix cache.
+
+Engines publish cache events late and with gaps, so the directory is a hint: it may
+send a request to an upstream that no longer holds the prefix, which costs one prefill,
+and never decides more than a preference.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+MAX_PREFIXES = 10_000
+HOLDER_EXPIRY_S = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One event of an engine; `sequence` grows by one from event to event."""
+
+    upstream: str
+    incarnation: str
+    sequence: int
+    stored: tuple[bytes, ...] = ()
+    removed: tuple[bytes, ...] = ()
+
+
+@dataclass(slots=True)
+class PrefixDirectory:
+    """The likely holders of each prefix, the least recently used dropped first."""
+
+    holders: OrderedDict[bytes, dict[str, float]] = field(default_factory=OrderedDict)
+    positions: dict[str, tuple[str, int]] = field(default_factory=dict)
+
+    def sent(self, prefix: bytes, upstream: str, now: float) -> None:
+        """Note that an upstream was given a prompt with this prefix."""
+        if not prefix:
+            return
+        self.holders.setdefault(prefix, {})[upstream] = now
+        self.holders.move_to_end(prefix)
+        if len(self.holders) > MAX_PREFIXES:
+            self.holders.popitem(last=False)
+
+    def apply(self, event: CacheEvent, now: float) -> None:
+        """Apply an event; after a gap or a restart nothing older is believed."""
+        incarnation, sequence = self.positions.get(event.upstream, ("", 0))
+        if event.incarnation == incarnation and event.sequence <= sequence:
+            return
+        if event.incarnation != incarnation or event.sequence != sequence + 1:
+            self.forget(event.upstream)
+        self.positions[event.upstream] = (event.incarnation, event.sequence)
+        for prefix in event.removed:
+            self.holders.get(prefix, {}).pop(event.upstream, None)
+        for prefix in event.stored:
+            self.sent(prefix, event.upstream, now)
+
+    def forget(self, upstream: str) -> None:
+        """Drop all that is believed of an upstream."""
+        self.positions.pop(upstream, None)
+        for held in self.holders.values():
+            held.pop(upstream, None)
+
+    def likely_holders(self, prefix: bytes, now: float) -> frozenset[str]:
+        """Return the upstreams that probably hold a prefix."""
+        held = self.holders.get(prefix, {})
+        return frozenset(
+            name for name, since in held.items() if now - since <= HOLDER_EXPIRY_S
+        )
--- /dev/null
+++ b/src/turmericusher/tasks/load_reports.py
@@ -0,0 +1,71 @@
+"""The task that reads the load pages of the upstreams in the instance's subset."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import aiohttp
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.load_reports import PollPlan, parse_load_page
+from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.upstream_load import LoadReport
+
+ROUND_S = 0.5
+PAGE_TIMEOUT_S = 1.0
+MAX_PAGE_BYTES = 65_536
+
+
+async def poll_load(
+    selector: Selector,
+    session: aiohttp.ClientSession,
+    seed: int,
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
+    """Read a few pages each round until cancelled, and tell the selector the time."""
+    plan = PollPlan(random.Random(seed))
+    while True:
+        selector.advance(clock())
+        names = frozenset[str]().union(*selector.subset_names.values())
+        chosen = plan.next_round(names, clock())
+        await asyncio.gather(
+            *(read_into(selector, session, selector.upstreams[n]) for n in chosen)
+        )
+        await asyncio.sleep(ROUND_S)
+
+
+async def read_into(
+    selector: Selector, session: aiohttp.ClientSession, upstream: UpstreamInstance
+) -> None:
+    """Read one page; an upstream without a usable page keeps its older report."""
+    report = await read_page(session, upstream.address)
+    if report is not None:
+        selector.merge_report(upstream.name, report)
+
+
+async def read_page(session: aiohttp.ClientSession, address: str) -> LoadReport | None:
+    """Return the load that an upstream reports, or None."""
+    timeout = aiohttp.ClientTimeout(total=PAGE_TIMEOUT_S)
+    try:
+        async with session.get(f"http://{address}/metrics", timeout=timeout) as answer:
+            if answer.status != 200:
+                return None
+            body = await read_bounded(answer)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return None
+    return parse_load_page(body.decode("utf-8", errors="replace"))
+
+
+async def read_bounded(answer: aiohttp.ClientResponse) -> bytes:
+    """Return the body up to the page limit."""
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in answer.content.iter_chunked(MAX_PAGE_BYTES):
+        parts.append(chunk)
+        size += len(chunk)
+        if size >= MAX_PAGE_BYTES:
+            break
+    return b"".join(parts)[:MAX_PAGE_BYTES]
--- /dev/null
+++ b/tests/cover/test_load_reports.py
@@ -0,0 +1,81 @@
+"""Load pages are read defensively, a few at a time."""
+
+import asyncio
+import random
+
+import aiohttp
+from aiohttp import web
+from parameterized import parameterized
+from testtools import TestCase
+
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.load_reports import (
+    PAGES_PER_ROUND,
+    PollPlan,
+    parse_load_page,
+)
+from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.upstream_load import LoadReport
+from turmericusher.tasks.load_reports import read_into
+
+PAGE = """# TYPE vllm:num_requests_running gauge
+vllm:num_requests_running{model="a b"} 3.0
+vllm:num_requests_running{model="c"} 2 1700000000
+vllm:num_requests_waiting 4
+"""
+
+
+class LoadPageTest(TestCase):
+    @parameterized.expand(
+        [
+            ("labels_add_up", PAGE, LoadReport(5.0, 4.0)),
+            ("no_waiting", "num_requests_running 1", LoadReport(1.0, 0.0)),
+            ("empty", "", None),
+            ("other_metrics", "up 1", None),
+            ("not_a_number", "num_requests_running x", None),
+            ("negative", "num_requests_running -1", None),
+            ("infinite", "num_requests_running +Inf", None),
+            ("undefined", PAGE + "num_requests_waiting NaN", None),
+            ("binary", "\x00\x01{{{", None),
+        ]
+    )
+    def test_a_page_is_read_or_ignored_whole(self, _name, text, expected) -> None:
+        self.assertEqual(expected, parse_load_page(text))
+
+    def test_no_upstream_stays_unread_for_longer_than_a_cycle(self) -> None:
+        plan = PollPlan(random.Random(1))
+        last = {f"u{index}": 0 for index in range(10)}
+        for now in range(40):
+            chosen = plan.next_round(last, float(now))
+            self.assertEqual(PAGES_PER_ROUND, len(set(chosen)))
+            last.update(dict.fromkeys(chosen, now))
+            self.assertLessEqual(now - min(last.values()), 3)
+
+    @parameterized.expand([("good", 200, 1), ("failing", 500, 0), ("gone", None, 0)])
+    def test_only_a_good_page_changes_the_known_load(
+        self, _name, status, expected
+    ) -> None:
+        async def answer(request: web.Request) -> web.Response:
+            return web.Response(text=PAGE, status=status or 200)
+
+        async def scenario() -> Selector:
+            app = web.Application()
+            app.router.add_get("/metrics", answer)
+            runner = web.AppRunner(app)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            port = runner.addresses[0][1]
+            if status is None:
+                await runner.cleanup()
+            engine = UpstreamInstance(
+                "u0", "s", UpstreamKind.ENGINE, f"127.0.0.1:{port}", "quai-nord"
+            )
+            chooser = Selector(random.Random(1))
+            chooser.update([engine])
+            async with aiohttp.ClientSession() as session:
+                await read_into(chooser, session, engine)
+            await runner.cleanup()
+            return chooser
+
+        self.assertEqual(expected, len(asyncio.run(scenario()).load.reports))
--- /dev/null
+++ b/tests/cover/test_selection.py
@@ -0,0 +1,218 @@
+"""Selection picks who can serve, spreads load, keeps prefixes and avoids failures."""
+
+import random
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from turmericusher.decisions.ejection import MAX_EJECTED_SHARE, EjectionTable
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance, UpstreamKind
+from turmericusher.decisions.prefix_cache import CacheEvent, PrefixDirectory
+from turmericusher.decisions.selection import PickRequest, Selector, can_serve
+from turmericusher.decisions.subsets import SUBSET_SIZE, Subset
+from turmericusher.decisions.upstream_load import LoadReport
+
+DOMAINS = ("quai-nord", "quai-sud", "bureau-criee")
+PREFIX = b"prefix"
+
+
+def upstream(index: int, lifecycle=Lifecycle.LIVE, incarnation="1") -> UpstreamInstance:
+    return UpstreamInstance(
+        name=f"u{index}",
+        service="s",
+        kind=UpstreamKind.ENGINE,
+        address="127.0.0.1:1",
+        failure_domain=DOMAINS[index % 3],
+        incarnation=incarnation,
+        version=f"v{index % 2}",
+        lifecycle=lifecycle,
+    )
+
+
+def selector(count: int = 6) -> Selector:
+    made = Selector(random.Random(1), "e0")
+    made.update(upstream(index) for index in range(count))
+    return made
+
+
+def picks(chooser: Selector, request: PickRequest, count: int = 100) -> Counter:
+    return Counter(chooser.pick(request).name for _ in range(count))
+
+
+class PickTest(TestCase):
+    @given(
+        leaving=st.sets(st.integers(0, 5)),
+        failed=st.sets(st.integers(0, 5)),
+        excluded=st.sets(st.integers(0, 5)),
+        avoided=st.sets(st.sampled_from(DOMAINS)),
+        version=st.sampled_from(["", "v0", "v1"]),
+        prefix=st.sampled_from([b"", PREFIX]),
+    )
+    def test_whoever_can_serve_is_found_and_nobody_else(
+        self, leaving, failed, excluded, avoided, version, prefix
+    ) -> None:
+        chooser = Selector(random.Random(1))
+        life = {True: Lifecycle.LEAVING, False: Lifecycle.LIVE}
+        chooser.update(upstream(index, life[index in leaving]) for index in range(6))
+        for index in failed:
+            chooser.failed(f"u{index}")
+        request = PickRequest(
+            "s",
+            version=version,
+            excluded=frozenset(f"u{index}" for index in excluded),
+            avoided_domains=frozenset(avoided),
+            prefix=prefix,
+        )
+        able = [u for u in chooser.upstreams.values() if can_serve(u, request)]
+        chosen = chooser.pick(request)
+        self.assertEqual(bool(able), chosen is not None)
+        if chosen is not None:
+            self.assertIn(chosen, able)
+            healthy = [u for u in able if u.name not in map("u{}".format, failed)]
+            if healthy:
+                outside = [u for u in healthy if u.failure_domain not in avoided]
+                self.assertIn(chosen, outside or healthy)
+
+    def test_own_sends_since_a_report_count(self) -> None:
+        chooser = selector(2)
+        chooser.merge_report("u0", LoadReport(3))
+        chooser.merge_report("u1", LoadReport(5))
+        self.assertEqual({"u0"}, set(picks(chooser, PickRequest("s"))))
+        for _ in range(4):
+            chooser.started("u0")
+        self.assertEqual({"u1"}, set(picks(chooser, PickRequest("s"))))
+
+    def test_an_old_report_gives_way_to_fresh_peer_counts(self) -> None:
+        chooser = selector(2)
+        chooser.merge_report("u0", LoadReport(0))
+        chooser.merge_report("u1", LoadReport(9))
+        chooser.advance(15.0)
+        chooser.merge_peer_counts("e1", {"u0": 9})
+        self.assertEqual({"u1"}, set(picks(chooser, PickRequest("s"))))
+
+    def test_two_random_choices_spread_over_all_equals(self) -> None:
+        self.assertEqual(6, len(picks(selector(), PickRequest("s"))))
+
+    def test_the_most_loaded_upstream_is_never_the_better_choice(self) -> None:
+        chooser = selector()
+        chooser.started("u3")
+        self.assertNotIn("u3", picks(chooser, PickRequest("s")))
+
+    def test_a_prefix_stays_until_its_upstream_is_above_the_bound(self) -> None:
+        chooser = selector()
+        request = PickRequest("s", prefix=PREFIX)
+        (place,) = picks(chooser, request)
+        for _ in range(9):
+            chooser.started(place)
+        self.assertNotIn(place, picks(chooser, request))
+
+    def test_a_likely_holder_goes_before_the_prefixs_place(self) -> None:
+        chooser = selector()
+        request = PickRequest("s", prefix=PREFIX)
+        (place,) = picks(chooser, request)
+        other = next(name for name in chooser.upstreams if name != place)
+        chooser.started(other, PREFIX)
+        chooser.finished(other)
+        self.assertEqual({other}, set(picks(chooser, request)))
+
+    def test_an_ejected_upstream_comes_back_when_its_time_is_over(self) -> None:
+        chooser = selector()
+        chooser.failed("u0")
+        self.assertNotIn("u0", picks(chooser, PickRequest("s")))
+        chooser.advance(2.1)
+        self.assertIn("u0", picks(chooser, PickRequest("s")))
+
+    def test_peers_in_flight_are_scaled_to_the_peers_not_heard(self) -> None:
+        chooser = selector()
+        chooser.update_instances(["e0", "e1", "e2", "e3", "e4"])
+        chooser.merge_peer_counts("e1", {"u0": 3, "unknown": 50})
+        chooser.merge_peer_counts("e2", {"u1": 5})
+        self.assertEqual(16, chooser.peers_in_flight("s"))
+
+
+class EjectionTest(TestCase):
+    def test_no_more_than_the_share_is_ejected_and_the_latest_first(self) -> None:
+        table = EjectionTable()
+        names = [f"u{index}" for index in range(6)]
+        for index, name in enumerate(names):
+            table.failed(name, index * 0.1)
+        ejected = table.ejected(names, 0.6)
+        self.assertEqual(set(names[3:]), ejected)
+        self.assertEqual(MAX_EJECTED_SHARE * 6, len(ejected))
+
+    @parameterized.expand([("once", 1, 2.0), ("thrice", 3, 8.0), ("often", 20, 30.0)])
+    def test_each_failure_in_a_row_doubles_the_time_up_to_a_bound(
+        self, _name, failures, expected
+    ) -> None:
+        table = EjectionTable()
+        for _ in range(failures):
+            table.failed("a", 0.0)
+        self.assertEqual(expected, table.ejections["a"].until)
+
+
+class SubsetTest(TestCase):
+    @parameterized.expand(
+        [
+            ("today", 8, 13, 13, 13),
+            ("letter", 42, 320, 15, 60),
+            ("many", 30, 900, 30, 95),
+        ]
+    )
+    def test_every_upstream_is_covered_evenly_by_subsets_of_like_size(
+        self, _name, instances, upstreams, smallest, largest
+    ) -> None:
+        names = [f"e{index}" for index in range(instances)]
+        covered: Counter = Counter()
+        for own in names:
+            subset = Subset(own)
+            subset.update(names, (f"u{index}" for index in range(upstreams)))
+            self.assertTrue(smallest <= len(subset.names()) <= largest)
+            covered.update(subset.names())
+        self.assertEqual(upstreams, len(covered))
+        self.assertEqual(1, len(set(covered.values())))
+
+    @given(
+        changes=st.lists(
+            st.tuples(st.integers(0, 9), st.integers(0, SUBSET_SIZE + 30)), max_size=20
+        )
+    )
+    def test_following_changes_gives_what_a_fresh_start_gives(self, changes) -> None:
+        followed = Subset("e0")
+        instances: set[str] = set()
+        upstreams = {f"u{index}" for index in range(SUBSET_SIZE + 10)}
+        for instance, changed in changes:
+            instances ^= {f"e{instance}"}
+            upstreams ^= {f"u{changed}"}
+            followed.update(instances, upstreams)
+            fresh = Subset("e0")
+            fresh.update(instances, upstreams)
+            self.assertEqual(fresh.names(), followed.names())
+
+
+class PrefixDirectoryTest(TestCase):
+    @parameterized.expand(
+        [
+            ("in_order", "1", 3, {"u0"}),
+            ("gap", "1", 5, set()),
+            ("repeated", "1", 2, {"u0"}),
+            ("new_incarnation", "2", 1, set()),
+        ]
+    )
+    def test_after_a_gap_or_a_restart_nothing_older_is_believed(
+        self, _name, incarnation, sequence, expected
+    ) -> None:
+        directory = PrefixDirectory()
+        directory.apply(CacheEvent("u0", "1", 1), 0.0)
+        directory.apply(CacheEvent("u0", "1", 2, stored=(PREFIX,)), 0.0)
+        directory.apply(CacheEvent("u0", incarnation, sequence), 0.0)
+        self.assertEqual(expected, directory.likely_holders(PREFIX, 1.0))
+        self.assertEqual(set(), directory.likely_holders(PREFIX, 301.0))
+
+    def test_a_removed_prefix_is_forgotten(self) -> None:
+        directory = PrefixDirectory()
+        directory.apply(CacheEvent("u0", "1", 1, stored=(PREFIX,)), 0.0)
+        directory.apply(CacheEvent("u0", "1", 2, removed=(PREFIX,)), 0.0)
+        self.assertEqual(set(), directory.likely_holders(PREFIX, 1.0))
