--- /dev/null
+++ b/benchmarks/load_model.py
@@ -0,0 +1,214 @@
+"""The model behind the load benchmark: events, engines, callers and their teams.
+
+An engine shares its speed evenly among its requests once it runs more than its
+capacity, as continuous batching does; up to the capacity each runs at full speed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+DOMAINS = ("quai-nord", "quai-sud", "bureau-criee")
+ENGINES = 12
+CAPACITY_PER_ENGINE = 16
+INSTANCE_SHARES = (0.30, 0.20, 0.12, 0.10, 0.10, 0.08, 0.06, 0.04)
+SHORT_S = 4.0
+LONG_S = 30.0
+LONG_SHARE = 0.15
+MEAN_WORK_S = SHORT_S * (1 - LONG_SHARE) + LONG_S * LONG_SHARE
+MAX_WAIT_S = 10.0
+SLACK_FACTOR = 2.0
+"""An answer is late when it takes longer than the wait and this times its work."""
+SMALL_TEAM_SHARE = 0.1
+"""The small team's offered load, as a share of the capacity."""
+RUN_S = 180.0
+WARM_UP_S = 30.0
+LOSS_AT_S = 80.0
+RETURN_AT_S = 120.0
+RECOVERED_AT_S = 140.0
+RUN_OUT_S = 200.0
+"""Time after the last arrival in which what runs may end, so that none is uncounted."""
+
+
+@dataclass(slots=True)
+class Simulation:
+    """A virtual clock in seconds and the events to come."""
+
+    now: float = 0.0
+    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+        entry = (self.now + max(0.0, delay_s), next(self.numbers), action)
+        heapq.heappush(self.events, entry)
+
+    def every(self, interval_s: float, action: Callable[[], None]) -> None:
+        """Run an action at a fixed interval."""
+
+        def again() -> None:
+            action()
+            self.after(interval_s, again)
+
+        self.after(interval_s, again)
+
+    def run(self, until_s: float) -> None:
+        """Run the events up to a time."""
+        while self.events and self.events[0][0] <= until_s:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+
+
+@dataclass(slots=True)
+class Job:
+    """One request; `remaining_s` is its work left at full speed."""
+
+    number: int
+    team: str
+    instance: int
+    arrived_at: float
+    work_s: float
+    remaining_s: float
+    engine: Engine | None = None
+    started_at: float = 0.0
+    is_over: bool = False
+    holds_slot: bool = False
+    was_resumed: bool = False
+
+    @property
+    def late_after(self) -> float:
+        """Return the time after which the caller has given up."""
+        return self.arrived_at + MAX_WAIT_S + SLACK_FACTOR * self.work_s
+
+
+@dataclass(slots=True)
+class Engine:
+    """An engine as a processor that its requests share.
+
+    `progress` is the work in seconds that a request present all the time has got.
+    """
+
+    name: str
+    domain: str
+    simulation: Simulation
+    on_done: Callable[[Job], None]
+    is_alive: bool = True
+    progress: float = 0.0
+    updated_at: float = 0.0
+    jobs: dict[int, tuple[Job, float]] = field(default_factory=dict)
+    ends: list[tuple[float, int]] = field(default_factory=list)
+    version: int = 0
+    peak: int = 0
+
+    def rate(self) -> float:
+        """Return the speed of each request, 1 being full speed."""
+        return min(1.0, CAPACITY_PER_ENGINE / max(1, len(self.jobs)))
+
+    def settle(self) -> None:
+        """Bring the progress up to now."""
+        self.progress += (self.simulation.now - self.updated_at) * self.rate()
+        self.updated_at = self.simulation.now
+
+    def start(self, job: Job) -> None:
+        """Take a request."""
+        self.settle()
+        job.engine = self
+        end = self.progress + job.remaining_s
+        self.jobs[job.number] = (job, end)
+        heapq.heappush(self.ends, (end, job.number))
+        self.peak = max(self.peak, len(self.jobs))
+        self.plan()
+
+    def stop(self, job: Job) -> None:
+        """Take a request off; its remaining work is kept in it."""
+        self.settle()
+        _, end = self.jobs.pop(job.number)
+        job.remaining_s = max(0.0, end - self.progress)
+        job.engine = None
+        self.plan()
+
+    def die(self) -> list[Job]:
+        """Lose every request."""
+        self.is_alive = False
+        lost = [job for job, _ in self.jobs.values()]
+        for job in lost:
+            self.stop(job)
+        return lost
+
+    def plan(self) -> None:
+        """Plan the event of the next request to end."""
+        self.version += 1
+        while self.ends and self.ends[0][1] not in self.jobs:
+            heapq.heappop(self.ends)
+        if self.ends:
+            version = self.version
+            delay_s = (self.ends[0][0] - self.progress) / self.rate()
+            self.simulation.after(delay_s, lambda: self.finish_first(version))
+
+    def finish_first(self, version: int) -> None:
+        """End the first request, unless the plan has changed since."""
+        if version != self.version:
+            return
+        self.settle()
+        _, number = heapq.heappop(self.ends)
+        job, _ = self.jobs.pop(number)
+        job.engine = None
+        self.plan()
+        self.on_done(job)
+
+
+@dataclass(slots=True)
+class Outcomes:
+    """What became of the requests; times in seconds of the virtual clock."""
+
+    offered_work_s: dict[str, float] = field(default_factory=dict)
+    good_work_s: dict[str, float] = field(default_factory=dict)
+    good_by_window: dict[str, float] = field(default_factory=dict)
+    accepted: int = 0
+    late: int = 0
+    refused: int = 0
+    refusal_s: list[float] = field(default_factory=list)
+    in_flight: dict[str, list[int]] = field(default_factory=dict)
+    resumes: int = 0
+    resumes_delayed: int = 0
+    resumes_late: int = 0
+    repeats: int = 0
+
+
+WINDOWS = {
+    "before": (WARM_UP_S, LOSS_AT_S),
+    "lost": (LOSS_AT_S, RETURN_AT_S),
+    "after": (RECOVERED_AT_S, RUN_S),
+}
+
+
+def window_of(at_s: float) -> str:
+    """Return the part of the run that a time lies in, or an empty string."""
+    for window, (start_s, end_s) in WINDOWS.items():
+        if start_s <= at_s < end_s:
+            return window
+    return ""
+
+
+def overlap_s(window: str, start_s: float, end_s: float) -> float:
+    """Return how much of a span lies in a window."""
+    window_start_s, window_end_s = WINDOWS[window]
+    return max(0.0, min(end_s, window_end_s) - max(start_s, window_start_s))
+
+
+def draw_work_s(source: random.Random) -> float:
+    """Return the work of one request in seconds at full speed."""
+    mean_s = LONG_S if source.random() < LONG_SHARE else SHORT_S
+    return source.expovariate(1 / mean_s)
+
+
+def jain_index(values: list[float]) -> float:
+    """Return Jain's fairness index (Jain, Chiu and Hawe, 1984); 1 is even."""
+    squares = sum(value * value for value in values)
+    if squares == 0:
+        return 1.0
+    return sum(values) ** 2 / (len(values) * squares)
--- a/src/turmericusher/decisions/admission.py
+++ b/src/turmericusher/decisions/admission.py
@@ -22,6 +22,9 @@
 HOLD_SHARE = 0.75
 """The part of a ticket's wait that may pass in the queue; the rest is for the caller,
 who needs time to go elsewhere."""
+ENTRY_MARGIN = 2.0
+"""How many times the predicted wait must fit before a ticket may queue: a refusal at
+once is worth more to its caller than one after waiting."""
 QUEUED_PATIENCE = 1.25
 """How far a prediction may exceed the time left before a queued ticket is refused; the
 margin keeps a noisy prediction from refusing what would have started in time."""
@@ -92,7 +95,7 @@
             text = f"deadline passed {-budget_s:.3f} s ago; allow a longer wait"
             return [self.refusal(number, ErrorCode.WAIT_EXCEEDED, text, 0.0)]
         wait_s = self.predicted_wait_s(self.queue.cost_ahead_s(ticket), ticket, now)
-        if wait_s > budget_s * HOLD_SHARE:
+        if wait_s * ENTRY_MARGIN > budget_s * HOLD_SHARE:
             return [self.wait_refusal(number, wait_s, budget_s * HOLD_SHARE)]
         queued = QueuedTicket(
             number, ticket, now, now + budget_s * HOLD_SHARE, self.cost_s(ticket)
--- a/src/turmericusher/decisions/capacity.py
+++ b/src/turmericusher/decisions/capacity.py
@@ -9,9 +9,6 @@
 import math
 from dataclasses import dataclass
 
-BORROW_RESERVE = 0.1
-"""The part of the capacity never borrowed: a peer whose callers come back finds room
-there while the borrowed slots drain."""
 PRESSURE_DECREASE = 0.9
 PRESSURE_INCREASE = 0.02
 PRESSURE_FLOOR = 0.5
@@ -40,24 +37,32 @@
 class ConcurrencyLimit:
     """The limit of one instance; `pressure` lowers it while upstreams queue.
 
+    An instance that still runs more than its limit is already giving way: queues seen
+    meanwhile say nothing of the limit, so that after the loss of a failure domain the
+    pressure does not take away what is left.
+
     Additive increase and multiplicative decrease (Chiu and Jain, 1989) let instances
     that see the same queues give way evenly.
     """
 
     pressure: float = 1.0
+    limit: int = 0
 
     def update(self, view: CapacityView, own_in_flight: int) -> int:
         """Return the limit after a new view, taken at a fixed interval."""
         total = view.upstreams * view.capacity_per_upstream
         if total <= 0:
             return 0
-        self.learn_pressure(view.waiting / total)
+        is_draining = own_in_flight > self.limit
+        if not is_draining:
+            self.learn_pressure(view.waiting / total)
         usable = total * self.pressure
         instances = max(1, view.entry_instances)
         share = usable / instances
-        lendable = usable * (1 - BORROW_RESERVE) - view.peers_in_flight - own_in_flight
+        lendable = usable - view.peers_in_flight - own_in_flight
         borrowed = own_in_flight + lendable / instances if lendable > 0 else 0.0
-        return max(1, math.floor(max(share, borrowed)))
+        self.limit = max(1, math.floor(max(share, borrowed)))
+        return self.limit
 
     def learn_pressure(self, queued_share: float) -> None:
         """Lower the pressure factor while upstreams queue, and raise it slowly."""
