--- a/src/turmericusher/standins/store_server.py
+++ b/src/turmericusher/standins/store_server.py
@@ -110,13 +110,13 @@
         """Stream the changes of a prefix, one line for each."""
         create = (await read_json(request))["create_request"]
         from_revision = int(create.get("start_revision", 0))
+        await self.store.apply_faults()
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         await response.prepare(request)
         if from_revision <= self.faults.compacted:
             compacted = {"canceled": True, "compact_revision": self.faults.compacted}
             await self.send_line(response, {"created": True} | compacted)
             return response
-        self.store.check_is_up()
         await self.send_line(response, {"created": True})
         self.watches += 1
         try:
