--- /dev/null
+++ b/src/turmericusher/decisions/entrypoints.py
@@ -0,0 +1,84 @@
+"""Entry points: which addresses a caller is told to use, and in what order.
+
+The caller's own failure domain comes first, and within a group the order is drawn by
+weights that fall with the load, so that callers who keep the answer for a while spread
+over the instances and no single address gets all of them.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from turmericusher.decisions.fleet import EntryInstance, Lifecycle
+from turmericusher.decisions.membership import Health, MemberClaim
+
+MAX_ENTRYPOINTS = 8
+FAR_SHARE = 0.1
+"""Part of the answers that do not begin in the caller's failure domain."""
+
+OVERLOAD_RATIO = 2.0
+"""A near instance with this many times the mean load goes behind the others."""
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPoint:
+    """One address in an answer."""
+
+    name: str
+    address: str
+    failure_domain: str
+
+
+def choose_entrypoints(
+    claims: Iterable[MemberClaim], failure_domain: str, rng: random.Random
+) -> list[EntryPoint]:
+    """Return the addresses for a caller, the best one first.
+
+    An instance that is dead, leaving or refuses new work is left out. A suspected one
+    comes last: it may be alive, and a caller with no better address should try it.
+    """
+    usable = [claim for claim in claims if is_usable(claim)]
+    mean_load = sum(claim.state.load for claim in usable) / max(1, len(usable))
+    ignores_domain = rng.random() < FAR_SHARE
+    drawn = {claim.instance.name: draw(claim, rng) for claim in usable}
+
+    def rank(claim: MemberClaim) -> tuple[bool, bool, float]:
+        is_near = claim.instance.failure_domain == failure_domain
+        is_overloaded = claim.state.load > OVERLOAD_RATIO * mean_load + 1
+        is_preferred = ignores_domain or (is_near and not is_overloaded)
+        is_suspect = claim.health is not Health.ALIVE
+        return is_suspect, not is_preferred, drawn[claim.instance.name]
+
+    ordered = sorted(usable, key=rank)
+    return [entrypoint_of(claim.instance) for claim in ordered[:MAX_ENTRYPOINTS]]
+
+
+def draw(claim: MemberClaim, rng: random.Random) -> float:
+    """Draw an instance's place; the smaller comes first, by weight.
+
+    An exponential variate whose rate is the weight gives a weighted random order
+    (Efraimidis and Spirakis, "Weighted random sampling with a reservoir", 2006).
+    """
+    weight = 1.0 / (1.0 + claim.state.load)
+    return -math.log(1.0 - rng.random()) / weight
+
+
+def is_usable(claim: MemberClaim) -> bool:
+    """Whether callers may be sent to an instance.
+
+    One that is known by its registration only has no heartbeat, and may be long gone.
+    """
+    return (
+        claim.state.heartbeat > 0
+        and claim.health is not Health.DEAD
+        and claim.instance.lifecycle is Lifecycle.LIVE
+        and claim.state.takes_work
+    )
+
+
+def entrypoint_of(instance: EntryInstance) -> EntryPoint:
+    """Return an instance as callers see it."""
+    return EntryPoint(instance.name, instance.caller_address, instance.failure_domain)
--- a/src/turmericusher/decisions/rollout.py
+++ b/src/turmericusher/decisions/rollout.py
@@ -82,13 +82,14 @@
 
     `cursor` is the peer's own, and `is_whole` is False when records were left out for
     size. `age_s` is the time since the peer was surely up to date, None when it never
-    was.
+    was. `is_voter` tells that the peer may be counted in a majority.
     """
 
     records: tuple[ProfileRecord, ...]
     cursor: int
     age_s: float | None
     is_whole: bool
+    is_voter: bool
 
 
 def plan_change(
@@ -185,8 +186,14 @@
     `unreadable` maps a profile to the revision of a record that this version of the
     program cannot read; new work under that profile is refused, because the record in
     force is known to be replaced.
+
+    `started_at` is when this process began to keep records, and `has_recovered` tells
+    that a majority has since passed on all that it held. A process that has forgotten
+    what an earlier one of its name held must not be counted before either.
     """
 
+    started_at: float = 0.0
+    has_recovered: bool = False
     records: dict[str, ProfileRecord] = field(default_factory=dict)
     cursor: int = 0
     fresh_as_of: float | None = None
@@ -212,27 +219,29 @@
         if held is None or held.revision < revision:
             self.unreadable[name] = max(revision, self.unreadable.get(name, 0))
 
-    def apply_read(
-        self, records: Iterable[ProfileRecord], revision: int, asked_at: float
-    ) -> None:
-        """Apply a read of all profiles that was sent at `asked_at`."""
+    def apply_read(self, records: Iterable[ProfileRecord], asked_at: float) -> None:
+        """Apply a read of all profiles that was sent at `asked_at`.
+
+        Profiles are never deleted, so the highest revision read is a true cursor.
+        """
         for record in records:
             self.apply(record)
-        self.cursor = max(self.cursor, revision)
+            self.advance(record.revision)
         self.confirm(asked_at)
 
-    def apply_event(self, record: ProfileRecord) -> None:
-        """Apply one watch event; events come in order, so the cursor follows."""
-        self.apply(record)
-        self.advance(record.revision)
-
     def advance(self, revision: int) -> None:
-        """Note that every event up to `revision` was seen.
+        """Note that every change up to `revision` was seen.
 
-        A watch event shows no time: it may have been delayed, so freshness stays.
+        A watch shows its events in order but no time: an event may have been delayed,
+        so freshness stays as it was.
         """
         self.cursor = max(self.cursor, revision)
 
+    @property
+    def cursor_in_force(self) -> int:
+        """The revision up to which every change is in force here."""
+        return min([self.cursor, *(one - 1 for one in self.unreadable.values())])
+
     def apply_peer(self, sent: PeerRecords, asked_at: float) -> bool:
         """Apply a peer's answer to a question that was sent at `asked_at`.
 
@@ -255,23 +264,24 @@
         if self.fresh_as_of is None or as_of > self.fresh_as_of:
             self.fresh_as_of = as_of
 
-    def records_above(
-        self,
-        cursor: int,
-        now: float,
-        max_records: int,
-        max_bytes: int,
-        record_size: int,
-    ) -> PeerRecords:
-        """Return what a peer at `cursor` lacks, bounded in number and in size."""
+    @property
+    def is_voter(self) -> bool:
+        """Whether this instance may be counted in a majority."""
+        is_confirmed = (
+            self.fresh_as_of is not None and self.fresh_as_of >= self.started_at
+        )
+        return is_confirmed or self.has_recovered
+
+    def records_above(self, cursor: int, now: float, max_records: int) -> PeerRecords:
+        """Return what a peer at `cursor` lacks, at most `max_records` of it."""
         newer = sorted(
             (held for held in self.records.values() if held.revision > cursor),
             key=lambda held: held.revision,
         )
-        limit = max(1, min(max_records, max_bytes // record_size))
         age_s = None if self.fresh_as_of is None else max(0.0, now - self.fresh_as_of)
-        is_whole = len(newer) <= limit and not self.unreadable
-        return PeerRecords(tuple(newer[:limit]), self.cursor, age_s, is_whole)
+        is_whole = len(newer) <= max_records and not self.unreadable
+        sent = tuple(newer[:max_records])
+        return PeerRecords(sent, self.cursor_in_force, age_s, is_whole, self.is_voter)
 
     def is_current(self, now: float, bound_s: float, hears_majority: bool) -> bool:
         """Whether new work may be taken.
--- /dev/null
+++ b/src/turmericusher/decisions/upstream_marks.py
@@ -0,0 +1,99 @@
+"""Leaving marks of upstreams: sticky for an incarnation and spread by peers.
+
+The platform's list lags, so a mark may come from an operator, from a peer or from the
+upstream's own answer long before the list shows it, and the list may go on showing the
+upstream as live. A mark is never taken back within an incarnation.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
+
+MAX_MARKS = 8192
+NEWEST_MARKS = 32
+RANDOM_MARKS = 8
+"""Marks in one answer to a peer: those learned last, and some at random."""
+
+KEEP_UNLISTED_S = 3600.0
+"""Seconds for which a mark is kept after the list has last shown the incarnation."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingMark:
+    """Says that one incarnation of an upstream takes no new work any more."""
+
+    upstream: str
+    incarnation: str
+
+
+@dataclass(slots=True)
+class LeavingMarks:
+    """The marks that one instance knows.
+
+    `marks` leads to the time in monotonic seconds at which the mark was learned or its
+    incarnation last listed. `newest` holds the marks in the order in which they came.
+    """
+
+    rng: random.Random
+    marks: dict[LeavingMark, float] = field(default_factory=dict)
+    newest: list[LeavingMark] = field(default_factory=list)
+
+    def add(self, marks: Iterable[LeavingMark], now: float) -> bool:
+        """Learn marks; say whether any was new."""
+        fresh = [mark for mark in dict.fromkeys(marks) if mark not in self.marks]
+        for mark in fresh:
+            self.make_room()
+            self.marks[mark] = now
+        self.newest = (self.newest + fresh)[-NEWEST_MARKS:]
+        return bool(fresh)
+
+    def make_room(self) -> None:
+        """Drop the mark whose incarnation was listed longest ago, when full."""
+        if len(self.marks) >= MAX_MARKS:
+            del self.marks[min(self.marks, key=lambda mark: self.marks[mark])]
+
+    def apply(
+        self, upstreams: Iterable[UpstreamInstance], now: float
+    ) -> tuple[UpstreamInstance, ...]:
+        """Return a list of upstreams with the marks applied to it.
+
+        What the list itself shows as leaving is marked, so that it stays so when a
+        later and staler list shows it as live.
+        """
+        listed = tuple(upstreams)
+        self.add((mark_of(u) for u in listed if u.lifecycle is Lifecycle.LEAVING), now)
+        for upstream in listed:
+            mark = mark_of(upstream)
+            if mark in self.marks:
+                self.marks[mark] = now
+        self.forget(now)
+        return tuple(self.marked(upstream) for upstream in listed)
+
+    def marked(self, upstream: UpstreamInstance) -> UpstreamInstance:
+        """Return the upstream as leaving if it is marked."""
+        if mark_of(upstream) not in self.marks:
+            return upstream
+        return replace(upstream, lifecycle=Lifecycle.LEAVING)
+
+    def forget(self, now: float) -> None:
+        """Drop the marks of incarnations that are long gone from the list."""
+        gone = [
+            mark for mark, seen in self.marks.items() if now - seen > KEEP_UNLISTED_S
+        ]
+        for mark in gone:
+            del self.marks[mark]
+        self.newest = [mark for mark in self.newest if mark in self.marks]
+
+    def for_answer(self) -> list[LeavingMark]:
+        """Return a bounded choice of marks for a peer."""
+        others = [mark for mark in self.marks if mark not in self.newest]
+        return self.newest + self.rng.sample(others, min(RANDOM_MARKS, len(others)))
+
+
+def mark_of(upstream: UpstreamInstance) -> LeavingMark:
+    """Return the mark that would name this incarnation."""
+    return LeavingMark(upstream.name, upstream.incarnation)
--- /dev/null
+++ b/src/turmericusher/standins/local_fleet.py
@@ -0,0 +1,186 @@
+"""Several entry instances' fleet parts in one process, with switches for faults.
+
+They share one store stand-in and exchange over real sockets on the loopback.
+"""
+
+from __future__ import annotations
+
+import random
+import uuid
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+
+from grpclib.client import Channel
+
+from turmericusher.decisions.fleet import EntryInstance
+from turmericusher.decisions.peer_messages import PeerAnswer, PeerQuestion
+from turmericusher.errors import ErrorCode, StoreUnavailableError, TurmericusherError
+from turmericusher.peers.exchange_service import (
+    address_of,
+    bound_socket,
+    running_exchange_server,
+)
+from turmericusher.ports.keyvalue import (
+    KeyValueStore,
+    Snapshot,
+    StoredValue,
+    SwapResult,
+    WatchEvent,
+)
+from turmericusher.tasks.membership import Fleet, make_fleet, running_membership
+from turmericusher.tasks.peers import PeerExchange, running_loop
+from turmericusher.tasks.profile_changes import ProfileChanger
+from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
+
+STORE_PREFIX = "/local/"
+DOMAINS = ("quai-nord", "quai-sud", "bureau-criee")
+
+
+@dataclass(slots=True)
+class CutStore:
+    """One instance's way to the store, which can be cut."""
+
+    store: KeyValueStore
+    is_cut: bool = False
+
+    def check(self) -> None:
+        """Raise `StoreUnavailableError` while the way is cut."""
+        if self.is_cut:
+            raise StoreUnavailableError("the way to the store is cut")
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key."""
+        self.check()
+        return await self.store.get(key)
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Read every key that starts with `prefix`."""
+        self.check()
+        return await self.store.get_prefix(prefix)
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> SwapResult:
+        """Write `value` if the key's revision is `expected_revision`."""
+        self.check()
+        return await self.store.compare_and_swap(key, expected_revision, value, lease)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Make a lease."""
+        self.check()
+        return await self.store.grant_lease(ttl_s)
+
+    async def renew_lease(self, lease: int) -> int:
+        """Renew a lease."""
+        self.check()
+        return await self.store.renew_lease(lease)
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease."""
+        self.check()
+        await self.store.revoke_lease(lease)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yield the changes under `prefix`; end when the way is cut."""
+        self.check()
+        async for event in self.store.watch(prefix, from_revision):
+            self.check()
+            yield event
+
+
+class CutExchange(PeerExchange):
+    """An exchange whose ways to and from peers can be cut."""
+
+    __slots__ = ("cut_from", "is_cut")
+
+    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+        super().__init__(fleet, rng)
+        self.is_cut = False
+        self.cut_from: set[str] = set()
+
+    def channel_to(self, address: str) -> Channel:
+        """Refuse to reach a peer that is cut off."""
+        if self.is_cut or address in self.cut_from:
+            raise ConnectionRefusedError(address)
+        return super().channel_to(address)
+
+    def answer(self, question: PeerQuestion) -> PeerAnswer:
+        """Refuse a peer that is cut off."""
+        asker = question.asker.instance.peer_address
+        if self.is_cut or asker in self.cut_from:
+            raise TurmericusherError(ErrorCode.INTERNAL, "cut off")
+        return self.fleet.answer(question)
+
+
+@dataclass(slots=True)
+class LocalInstance:
+    """The fleet parts of one entry instance."""
+
+    fleet: Fleet
+    table: ProfileTable
+    exchange: CutExchange
+    changer: ProfileChanger
+    store: CutStore
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+
+    @property
+    def name(self) -> str:
+        """The instance's name."""
+        return self.fleet.membership.own.name
+
+    @property
+    def peer_address(self) -> str:
+        """Where the instance answers its peers."""
+        return self.fleet.membership.own.peer_address
+
+    def cut(self, is_cut: bool) -> None:
+        """Cut the instance off from everything, or join it again."""
+        self.store.is_cut = is_cut
+        self.exchange.is_cut = is_cut
+
+
+async def start_instance(
+    store: KeyValueStore,
+    number: int,
+    seed: int,
+    stale_after_s: float = 10.0,
+    seeds: tuple[str, ...] = (),
+) -> LocalInstance:
+    """Start one instance; its `stack` ends it."""
+    rng = random.Random(f"{seed}/{number}")
+    stack = AsyncExitStack()
+    bound = stack.enter_context(bound_socket("127.0.0.1:0"))
+    own = EntryInstance(
+        name=f"entry-{number}",
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        caller_address=f"127.0.0.1:{10_000 + number}",
+        peer_address=address_of(bound),
+        incarnation=uuid.uuid4().hex,
+    )
+    way = CutStore(store)
+    table = await stack.enter_async_context(
+        running_profile_watch(way, STORE_PREFIX, stale_after_s=stale_after_s, rng=rng)
+    )
+    fleet = make_fleet(own, seeds, table, rng)
+    exchange = CutExchange(fleet, rng)
+    fleet.hurry = exchange.hurry
+    await stack.enter_async_context(running_exchange_server(bound, exchange.answer))
+    await stack.enter_async_context(running_membership(fleet, way))
+    await stack.enter_async_context(running_loop(exchange))
+    changer = ProfileChanger(way, table, exchange.wait_for_spread)
+    return LocalInstance(fleet, table, exchange, changer, way, stack)
+
+
+@asynccontextmanager
+async def running_fleet(
+    store: KeyValueStore, size: int, seed: int, stale_after_s: float = 10.0
+) -> AsyncIterator[list[LocalInstance]]:
+    """Run `size` instances while entered."""
+    async with AsyncExitStack() as stack:
+        instances = []
+        for number in range(size):
+            instance = await start_instance(store, number, seed, stale_after_s)
+            stack.push_async_callback(instance.stack.aclose)
+            instances.append(instance)
+        yield instances
--- /dev/null
+++ b/src/turmericusher/tasks/peers.py
@@ -0,0 +1,174 @@
+"""The exchange loop: a few questions a second to peers, however many there are."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from turmericusher.decisions.rollout import RolloutStatus, rollout_status
+from turmericusher.errors import TurmericusherError
+from turmericusher.peers.exchange_grpc import ExchangeStub
+from turmericusher.peers.messages import answer_from_wire, question_to_wire
+from turmericusher.tasks.membership import Fleet
+
+PULL_INTERVAL_S = 0.5
+PULL_TIMEOUT_S = 0.5
+MAX_PULLS_RUNNING = 4
+MAX_CHANNELS = 16
+HURRIED_INTERVAL_S = 0.1
+"""Shortest time in seconds between two questions asked out of turn."""
+
+SPREAD_PAUSE_FLOOR_S = 0.02
+SPREAD_PAUSE_CAP_S = 0.5
+SPREAD_BATCH = 16
+"""Instances asked at once for a revision that an operator waits for."""
+
+PULL_ERRORS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+    TurmericusherError,
+)
+
+
+@dataclass(slots=True)
+class PeerExchange:
+    """Asks peers and feeds their answers to the fleet view.
+
+    `channels` are the open connections by peer address, the least recently used first.
+    """
+
+    fleet: Fleet
+    rng: random.Random
+    channels: OrderedDict[str, Channel] = field(default_factory=OrderedDict)
+    running: set[asyncio.Task[bool]] = field(default_factory=set)
+    hurried_at: float = 0.0
+    pulls: int = 0
+    failures: int = 0
+
+    async def run(self) -> None:
+        """Ask one peer after another, for ever."""
+        while True:
+            if len(self.running) < MAX_PULLS_RUNNING:
+                name, address = self.fleet.membership.next_address()
+                if address:
+                    self.start_pull(name, address)
+            await asyncio.sleep(PULL_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+
+    def start_pull(self, name: str, address: str) -> None:
+        """Ask a peer in a task of its own, so that a dead one delays no other."""
+        task = asyncio.create_task(self.pull(name, address), name="peer-pull")
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
+    def hurry(self, address: str) -> None:
+        """Ask a peer out of turn, because it is known to hold more."""
+        now = self.fleet.table.clock()
+        if now - self.hurried_at < HURRIED_INTERVAL_S:
+            return
+        self.hurried_at = now
+        if len(self.running) < MAX_PULLS_RUNNING:
+            self.start_pull("", address)
+
+    async def pull(self, name: str, address: str) -> bool:
+        """Ask one peer; say whether it answered."""
+        clock = self.fleet.table.clock
+        asked_at = clock()
+        self.pulls += 1
+        self.fleet.membership.asked(name, asked_at)
+        request = question_to_wire(self.fleet.question_for(name))
+        try:
+            stub = ExchangeStub(self.channel_to(address))
+            wire = await stub.Pull(request, timeout=PULL_TIMEOUT_S)
+            self.fleet.take_answer(answer_from_wire(wire), asked_at)
+        except PULL_ERRORS:
+            self.failures += 1
+            self.drop_channel(address)
+            self.fleet.membership.failed(name, clock())
+            return False
+        return True
+
+    def channel_to(self, address: str) -> Channel:
+        """Return a connection to a peer; the least recently used one is closed."""
+        channel = self.channels.pop(address, None)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host.strip("[]"), int(port))
+        self.channels[address] = channel
+        while len(self.channels) > MAX_CHANNELS:
+            _, oldest = self.channels.popitem(last=False)
+            oldest.close()
+        return channel
+
+    def drop_channel(self, address: str) -> None:
+        """Close the connection to a peer that did not answer."""
+        channel = self.channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def stop(self, loop_task: asyncio.Task[None]) -> None:
+        """End the loop and what it started, and close every connection."""
+        tasks = [loop_task, *self.running]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for address in list(self.channels):
+            self.drop_channel(address)
+
+    async def wait_for_spread(self, revision: int, limit_s: float) -> RolloutStatus:
+        """Ask the instances until a majority holds a revision, at most `limit_s`.
+
+        A question shows the asked instance that it is behind, and it asks back at once.
+        """
+        clock = self.fleet.table.clock
+        deadline = clock() + limit_s
+        pause_s = SPREAD_PAUSE_FLOOR_S
+        while True:
+            status = rollout_status(revision, self.fleet.counted_revisions())
+            if status.is_held_by_majority or clock() >= deadline:
+                return status
+            await self.ask_missing(status)
+            await asyncio.sleep(pause_s)
+            pause_s = min(SPREAD_PAUSE_CAP_S, pause_s * 2)
+
+    async def ask_missing(self, status: RolloutStatus) -> None:
+        """Ask some of the instances that are not known to hold a revision."""
+        members = self.fleet.membership.members
+        names = [one.name for one in status.missing if one.name in members]
+        chosen = self.rng.sample(names, min(SPREAD_BATCH, len(names)))
+        await asyncio.gather(
+            *(
+                self.pull(name, members[name].claim.instance.peer_address)
+                for name in chosen
+            )
+        )
+
+
+@asynccontextmanager
+async def running_loop(exchange: PeerExchange) -> AsyncIterator[None]:
+    """Run an exchange while the context is entered."""
+    loop_task = asyncio.create_task(exchange.run(), name="peer-exchange")
+    try:
+        yield
+    finally:
+        await exchange.stop(loop_task)
+
+
+@asynccontextmanager
+async def running_peer_exchange(
+    fleet: Fleet, rng: random.Random
+) -> AsyncIterator[PeerExchange]:
+    """Exchange with peers while the context is entered."""
+    exchange = PeerExchange(fleet, rng)
+    fleet.hurry = exchange.hurry
+    async with running_loop(exchange):
+        yield exchange
--- a/src/turmericusher/tasks/profile_watch.py
+++ b/src/turmericusher/tasks/profile_watch.py
@@ -114,9 +114,7 @@
         self.rollout.apply(record)
         self.announce()
 
-    def apply_snapshot(
-        self, values: tuple[StoredValue, ...], revision: int, asked_at: float
-    ) -> None:
+    def apply_snapshot(self, values: tuple[StoredValue, ...], asked_at: float) -> None:
         """Apply a read of the whole prefix."""
         profiles = f"{self.prefix}profiles/"
         records = []
@@ -126,7 +124,7 @@
             record = self.read_record(value.key, value.value, value.revision)
             if record is not None:
                 records.append(record)
-        self.rollout.apply_read(records, revision, asked_at)
+        self.rollout.apply_read(records, asked_at)
         self.apply_registrations(values)
         self.announce()
 
@@ -155,7 +153,7 @@
             record = self.read_record(event.key, event.value, event.revision)
             if record is not None:
                 self.rollout.apply(record)
-        self.rollout.advance(event.revision)
+            self.rollout.advance(event.revision)
         self.announce()
 
     def apply_registration(self, name: str, value: bytes | None) -> None:
@@ -191,7 +189,7 @@
     asked_at = table.clock()
     async with asyncio.timeout(READ_TIMEOUT_S):
         snapshot = await store.get_prefix(table.prefix)
-    table.apply_snapshot(snapshot.values, snapshot.revision, asked_at)
+    table.apply_snapshot(snapshot.values, asked_at)
     return snapshot.revision
 
 
@@ -248,7 +246,10 @@
     `prefix` is the store's prefix from the settings. The context is entered at once,
     also while the store is down; the table then refuses new work until it has news.
     """
-    table = ProfileTable(f"{prefix}{FLEET_DIRECTORY}", stale_after_s, clock=clock)
+    rollout = Rollout(started_at=clock())
+    table = ProfileTable(
+        f"{prefix}{FLEET_DIRECTORY}", stale_after_s, rollout, clock=clock
+    )
     tasks = [
         asyncio.create_task(follow_store(store, table, rng), name="profile-watch"),
         asyncio.create_task(confirm_records(store, table, rng), name="profile-confirm"),
--- /dev/null
+++ b/tests/common/fleet_model.py
@@ -0,0 +1,122 @@
+"""Several instances' decisions in one thread, over a store without faults of its own.
+
+The clock, the network and the loss of replies belong to the test.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+import orjson
+
+from turmericusher.decisions.fleet import EntryInstance
+from turmericusher.decisions.membership import MemberClaim
+from turmericusher.decisions.peer_messages import PeerAnswer
+from turmericusher.decisions.rollout import Rollout
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.membership import Fleet, make_fleet
+from turmericusher.tasks.profile_watch import ProfileTable
+
+PREFIX = "/m/fleet/"
+BOUND_S = 10.0
+
+
+@dataclass
+class Model:
+    """The instances, the time in seconds and the state of the network."""
+
+    size: int
+    now: float = 100.0
+    store: MemoryStore = field(init=False)
+    fleets: list[Fleet] = field(default_factory=list)
+    sides: list[int] = field(default_factory=list)
+    reaches_store: list[bool] = field(default_factory=list)
+    is_running: list[bool] = field(default_factory=list)
+    starts: int = 0
+
+    def __post_init__(self) -> None:
+        self.store = MemoryStore(clock=lambda: self.now)
+        self.sides = [0] * self.size
+        self.reaches_store = [True] * self.size
+        self.is_running = [True] * self.size
+        self.fleets = [self.start(number) for number in range(self.size)]
+        for fleet in self.fleets:
+            self.meet_all(fleet)
+
+    def start(self, number: int) -> Fleet:
+        self.starts += 1
+        own = EntryInstance(
+            f"e{number}", "d", f"c{number}", f"p{number}", f"{self.starts:04d}"
+        )
+        rollout = Rollout(started_at=self.now)
+        table = ProfileTable(PREFIX, BOUND_S, rollout, clock=lambda: self.now)
+        return make_fleet(own, (), table, random.Random(self.starts))
+
+    def restart(self, number: int) -> None:
+        """Replace an instance by one of its name that has forgotten everything."""
+        self.fleets[number] = self.start(number)
+        self.is_running[number] = True
+        if self.reaches_store[number]:
+            self.meet_all(self.fleets[number])
+
+    def meet_all(self, fleet: Fleet) -> None:
+        """Let an instance know the others, as by their registrations."""
+        claims = [MemberClaim(other.membership.own) for other in self.fleets]
+        fleet.membership.merge(claims, self.now)
+
+    def can_reach(self, one: int, other: int) -> bool:
+        is_up = self.is_running[one] and self.is_running[other]
+        return is_up and self.sides[one] == self.sides[other]
+
+    def ask(self, asker: int, asked: int) -> PeerAnswer | None:
+        """Return the answer, or None and a suspicion when there is no way."""
+        fleet, other = self.fleets[asker], self.fleets[asked]
+        name = other.membership.own.name
+        fleet.membership.asked(name, self.now)
+        if not self.can_reach(asker, asked):
+            fleet.membership.failed(name, self.now)
+            return None
+        return other.answer(fleet.question_for(name))
+
+    def pull(self, asker: int, asked: int) -> None:
+        answer = self.ask(asker, asked)
+        if answer is not None:
+            self.fleets[asker].take_answer(answer, self.now)
+
+    def read_store(self, number: int, asked_at: float | None = None) -> None:
+        """Read the prefix, as a confirmation does."""
+        if self.reaches_store[number] and self.is_running[number]:
+            self.fleets[number].table.apply_snapshot(
+                tuple(self.store.values.values()),
+                self.now if asked_at is None else asked_at,
+            )
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for fleet in self.fleets:
+            fleet.advance()
+
+    def heal(self) -> None:
+        self.sides = [0] * self.size
+        self.reaches_store = [True] * self.size
+
+    def settle(self, rounds: int = 12) -> None:
+        """Let every running instance ask every other, round by round."""
+        for _ in range(rounds):
+            self.pass_time(0.5)
+            for asker in range(self.size):
+                for asked in range(self.size):
+                    if asker != asked and self.is_running[asker]:
+                        self.pull(asker, asked)
+
+
+def registration_of(instance: EntryInstance) -> bytes:
+    """Return the bytes of a registration."""
+    return orjson.dumps(
+        {
+            "name": instance.name,
+            "failure_domain": instance.failure_domain,
+            "caller_address": instance.caller_address,
+            "peer_address": instance.peer_address,
+            "incarnation": instance.incarnation,
+        }
+    )
--- /dev/null
+++ b/tests/cover/test_rollout_machine.py
@@ -0,0 +1,237 @@
+"""Racing operators, lost replies, partitions, outages and restarts lose no change."""
+
+from dataclasses import dataclass, replace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tests.common.fleet_model import BOUND_S, Model
+from turmericusher.decisions.peer_messages import PeerAnswer
+from turmericusher.decisions.rollout import (
+    AlreadyAccepted,
+    ProfileChange,
+    ProfileRecord,
+    WriteRecord,
+    plan_change,
+    rollout_status,
+)
+from turmericusher.errors import TurmericusherError, Verdict
+from turmericusher.profiles import Profile
+from turmericusher.tasks.profile_changes import record_of
+from turmericusher.tasks.profile_records import decode_record, encode_record
+
+SIZE = 4
+NUMBERS = st.integers(0, SIZE - 1)
+NAMES = st.sampled_from(["sheets", "drafts"])
+REPLIES = st.sampled_from(["given", "lost", "write_is_late"])
+
+
+@dataclass
+class Accepted:
+    """A change whose operator was told that it is accepted."""
+
+    name: str
+    revision: int
+    at: float
+
+
+class RolloutMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.model = Model(SIZE)
+        self.accepted: list[Accepted] = []
+        self.unsettled: list[ProfileChange] = []
+        self.late_writes: list[tuple[str, int, bytes]] = []
+        self.answers: list[tuple[int, PeerAnswer, float, str]] = []
+        self.held: dict[tuple[str, str], int] = {}
+        self.changes = 0
+        for number in range(SIZE):
+            self.model.read_store(number)
+
+    @rule(number=NUMBERS, name=NAMES, reply=REPLIES, retire=st.booleans())
+    def an_operator_changes(
+        self, number: int, name: str, reply: str, retire: bool
+    ) -> None:
+        self.changes += 1
+        held = self.model.fleets[number].table.rollout.records.get(name)
+        change = ProfileChange(
+            Profile(name, max_wait_s=float(self.changes)),
+            held.revision if held is not None else 0,
+            f"change-{self.changes}",
+            retire and held is not None and not held.retired,
+        )
+        self.send(number, change, reply)
+
+    @precondition(lambda self: self.unsettled)
+    @rule(number=NUMBERS, reply=REPLIES, data=st.data())
+    def an_operator_repeats(self, number: int, reply: str, data: st.DataObject) -> None:
+        self.send(number, data.draw(st.sampled_from(self.unsettled)), reply)
+
+    def send(self, number: int, change: ProfileChange, reply: str) -> None:
+        model = self.model
+        if not model.reaches_store[number]:
+            return
+        key = model.fleets[number].table.profile_key(change.profile.name)
+        current = record_of(model.store.values.get(key))
+        try:
+            plan = plan_change(current, change)
+        except TurmericusherError as error:
+            assert error.verdict is not Verdict.NOT_RUN or not self.was_made(change)
+            return
+        match plan:
+            case AlreadyAccepted(record):
+                assert self.was_made(change)
+                self.spread(number, record)
+            case WriteRecord(expected, record):
+                self.write(number, change, reply, key, expected, record)
+
+    def write(
+        self,
+        number: int,
+        change: ProfileChange,
+        reply: str,
+        key: str,
+        expected: int,
+        record: ProfileRecord,
+    ) -> None:
+        value = encode_record(record)
+        if reply == "write_is_late":
+            self.unsettled.append(change)
+            self.late_writes.append((key, expected, value))
+            return
+        result = self.model.store.swap(key, expected, value, 0)
+        if reply == "lost":
+            self.unsettled.append(change)
+        elif result.succeeded:
+            self.spread(number, replace(record, revision=result.revision))
+
+    def was_made(self, change: ProfileChange) -> bool:
+        mark = change.change_id.encode()
+        writes = [event.value or b"" for event in self.model.store.history]
+        return any(b'"' + mark + b'"' in value for value in writes)
+
+    def spread(self, number: int, record: ProfileRecord) -> None:
+        model = self.model
+        fleet = model.fleets[number]
+        fleet.table.apply_written(record)
+        model.read_store(number)
+        for other in range(SIZE):
+            if other != number:
+                if model.can_reach(other, number):
+                    model.pull(other, number)
+                model.pull(number, other)
+        status = rollout_status(record.revision, fleet.counted_revisions())
+        if status.is_held_by_majority:
+            name = record.profile.name
+            self.accepted.append(Accepted(name, record.revision, model.now))
+
+    @precondition(lambda self: self.late_writes)
+    @rule(data=st.data())
+    def a_late_write_arrives(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.late_writes) - 1))
+        key, expected, value = self.late_writes.pop(index)
+        self.model.store.swap(key, expected, value, 0)
+
+    @rule(number=NUMBERS, age_s=st.sampled_from([0.0, 2.0]))
+    def an_instance_reads(self, number: int, age_s: float) -> None:
+        self.model.read_store(number, self.model.now - age_s)
+
+    @rule(number=NUMBERS, start=st.integers(0, 20))
+    def old_events_come_again(self, number: int, start: int) -> None:
+        for event in self.model.store.history[start : start + 3]:
+            record = record_of_event(event.value, event.revision)
+            self.model.fleets[number].table.rollout.apply(record)
+
+    @rule(asker=NUMBERS, asked=NUMBERS)
+    def a_question_is_answered(self, asker: int, asked: int) -> None:
+        answer = self.model.ask(asker, asked) if asker != asked else None
+        if answer is not None:
+            incarnation = self.model.fleets[asker].membership.own.incarnation
+            self.answers.append((asker, answer, self.model.now, incarnation))
+
+    @precondition(lambda self: self.answers)
+    @rule(data=st.data(), limit=st.sampled_from([0, 1, 64]))
+    def an_answer_arrives(self, data: st.DataObject, limit: int) -> None:
+        index = data.draw(st.integers(0, len(self.answers) - 1))
+        asker, answer, asked_at, incarnation = self.answers.pop(index)
+        fleet = self.model.fleets[asker]
+        if fleet.membership.own.incarnation != incarnation:
+            return
+        sent = answer.records
+        is_whole = sent.is_whole and len(sent.records) <= limit
+        kept = replace(sent, records=sent.records[:limit], is_whole=is_whole)
+        fleet.take_answer(replace(answer, records=kept), asked_at)
+
+    @rule(seconds=st.sampled_from([0.5, 3.0, 8.0, 11.0]))
+    def time_passes(self, seconds: float) -> None:
+        self.model.pass_time(seconds)
+
+    @rule(sides=st.lists(st.integers(0, 2), min_size=SIZE, max_size=SIZE))
+    def the_network_changes(self, sides: list[int]) -> None:
+        self.model.sides = sides
+
+    @rule(reaches=st.lists(st.booleans(), min_size=SIZE, max_size=SIZE))
+    def the_way_to_the_store_changes(self, reaches: list[bool]) -> None:
+        self.model.reaches_store = reaches
+
+    @rule(number=NUMBERS)
+    def an_instance_restarts(self, number: int) -> None:
+        self.model.restart(number)
+
+    @rule(number=NUMBERS)
+    def an_instance_asks_all(self, number: int) -> None:
+        for other in range(SIZE):
+            if other != number:
+                self.model.pull(number, other)
+
+    @invariant()
+    def no_instance_reverts(self) -> None:
+        for fleet in self.model.fleets:
+            incarnation = fleet.membership.own.incarnation
+            for name, record in fleet.table.rollout.records.items():
+                place = (incarnation, name)
+                assert record.revision >= self.held.get(place, 0)
+                self.held[place] = record.revision
+
+    @invariant()
+    def every_record_is_one_that_was_written(self) -> None:
+        written = {event.revision: event.value for event in self.model.store.history}
+        for fleet in self.model.fleets:
+            for record in fleet.table.rollout.records.values():
+                assert encode_record(record) == written[record.revision]
+
+    @invariant()
+    def no_work_is_taken_without_an_accepted_change_after_the_bound(self) -> None:
+        for fleet in self.model.fleets:
+            if fleet.table.is_current():
+                self.check_holds_accepted(fleet.table.rollout.records)
+
+    def check_holds_accepted(self, records: dict[str, ProfileRecord]) -> None:
+        for change in self.accepted:
+            if self.model.now - change.at > BOUND_S:
+                record = records.get(change.name)
+                assert record is not None and record.revision >= change.revision
+
+    def teardown(self) -> None:
+        """After all faults, every change that took effect is in force everywhere."""
+        self.model.heal()
+        self.model.read_store(0)
+        self.model.settle(rounds=3)
+        expected = {
+            record.profile.name: record
+            for value in self.model.store.values.values()
+            if (record := record_of(value)) is not None
+        }
+        for fleet in self.model.fleets:
+            assert fleet.table.rollout.records == expected
+            assert fleet.table.is_current()
+
+
+def record_of_event(value: bytes | None, revision: int) -> ProfileRecord:
+    assert value is not None
+    return decode_record(value, revision)
+
+
+RolloutMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+TestRollout = RolloutMachine.TestCase
