--- a/src/turmericusher/decisions/rollout.py
+++ b/src/turmericusher/decisions/rollout.py
@@ -268,7 +268,7 @@
     def is_voter(self) -> bool:
         """Whether this instance may be counted in a majority."""
         is_confirmed = (
-            self.fresh_as_of is not None and self.fresh_as_of >= self.started_at
+            self.fresh_as_of is not None and self.fresh_as_of > self.started_at
         )
         return is_confirmed or self.has_recovered
 
--- a/tests/common/fleet_model.py
+++ b/tests/common/fleet_model.py
@@ -18,6 +18,8 @@
 
 PREFIX = "/m/fleet/"
 BOUND_S = 10.0
+START_S = 0.01
+"""Seconds that the start of an instance takes."""
 
 
 @dataclass
@@ -41,6 +43,7 @@
         self.fleets = [self.start(number) for number in range(self.size)]
         for fleet in self.fleets:
             self.meet_all(fleet)
+        self.now += START_S
 
     def start(self, number: int) -> Fleet:
         self.starts += 1
@@ -57,6 +60,7 @@
         self.is_running[number] = True
         if self.reaches_store[number]:
             self.meet_all(self.fleets[number])
+        self.now += START_S
 
     def meet_all(self, fleet: Fleet) -> None:
         """Let an instance know the others, as by their registrations."""
--- a/tests/cover/test_rollout.py
+++ b/tests/cover/test_rollout.py
@@ -11,13 +11,18 @@
 
 from tests.common.waiting import wait_until
 from turmericusher.decisions.rollout import (
+    RECENT_CHANGES,
     InstanceRevision,
     ProfileChange,
     ProfileRecord,
+    Rollout,
     RolloutStatus,
+    WriteRecord,
+    plan_change,
     rollout_status,
 )
 from turmericusher.errors import (
+    ConflictError,
     ErrorCode,
     StoreOutcomeUnknownError,
     TurmericusherError,
@@ -236,3 +241,40 @@
         for revision in (1, 8, 9):
             table.rollout.apply(replace(newer, profile=FIRST, revision=revision))
         self.assertEqual(SECOND, table.rollout.lookup("sheets"))
+
+
+class DecisionTest(TestCase):
+    def test_a_fate_that_is_no_longer_listed_is_not_denied(self) -> None:
+        record = None
+        for number in range(RECENT_CHANGES + 2):
+            expected = record.revision if record is not None else 0
+            plan = plan_change(record, ProfileChange(FIRST, expected, f"c-{number}"))
+            assert isinstance(plan, WriteRecord)
+            record = replace(plan.record, revision=number + 1)
+        verdicts = [
+            self.assertRaises(
+                ConflictError, plan_change, record, ProfileChange(SECOND, expected, "x")
+            ).verdict
+            for expected in (0, 1, 2, 3, RECENT_CHANGES)
+        ]
+        unknown, not_run = Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN
+        self.assertEqual([unknown, unknown, not_run, not_run, not_run], verdicts)
+
+    def test_an_answer_cut_short_leads_on_to_the_records_left_out(self) -> None:
+        full, empty = Rollout(), Rollout()
+        records = [
+            ProfileRecord(Profile(f"p{number}"), number) for number in range(1, 8)
+        ]
+        full.apply_read(records, 5.0)
+        for _ in range(4):
+            empty.apply_peer(full.records_above(empty.cursor, 6.0, 2), 6.0)
+        self.assertEqual(full.records, empty.records)
+        self.assertEqual(7, empty.cursor)
+
+    def test_a_record_that_a_peer_cannot_read_is_not_skipped(self) -> None:
+        full, empty = Rollout(), Rollout()
+        full.apply_read([ProfileRecord(FIRST, 3)], 5.0)
+        full.apply_unreadable("drafts", 2)
+        self.assertFalse(empty.apply_peer(full.records_above(0, 6.0, 64), 6.0))
+        self.assertEqual(1, empty.cursor)
+        self.assertIsNone(empty.fresh_as_of)
