Join the entry instances: exchange, entry points, leaving and graceful stop

Cause: the parts stood beside the thin path; each instance knew only itself. Ruled out: handing over by a wrapper around each piece (two futures a token); a timeout without a deadline costs nothing until the hand-over. Change: tasks/instance starts the fleet parts; callers' requests are counted and refused by one guard before routing; operators can mark an upstream as leaving; selection and suspicion get the peers' counts and charges. For users: SIGTERM now waits until callers have let go of the address; the entry points are served at /v1/entrypoints.

--- a/src/turmericusher/api/app.py
+++ b/src/turmericusher/api/app.py
@@ -11,6 +11,8 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from turmericusher.api.completions import completion_routes
+from turmericusher.api.draining import DrainGuard
+from turmericusher.api.entrypoints import entrypoint_routes, upstream_command_routes
 from turmericusher.api.errors import error_response, handle_turmericusher_error
 from turmericusher.api.health import health_routes
 from turmericusher.api.identity import check_operator, team_of
@@ -65,13 +67,18 @@
         ),
         *model_routes(runtime),
         *profile_command_routes(runtime.profile_changer),
-        *profile_query_routes(runtime.profiles, runtime.instance_revisions),
+        *profile_query_routes(runtime.profiles, runtime.fleet.live_revisions),
+        *entrypoint_routes(runtime.fleet, settings.entrypoint_ttl_s),
+        *upstream_command_routes(runtime.fleet),
         *state_routes(runtime),
         *health_routes(runtime),
     ]
     return Starlette(
         routes=routes,
-        middleware=[Middleware(OperatorGuard, settings=settings)],
+        middleware=[
+            Middleware(DrainGuard, draining=runtime.draining),
+            Middleware(OperatorGuard, settings=settings),
+        ],
         exception_handlers={
             TurmericusherError: handle_turmericusher_error,
             HTTPException: handle_http_exception,
--- /dev/null
+++ b/src/turmericusher/api/draining.py
@@ -0,0 +1,37 @@
+"""Counts callers' requests in flight, and refuses new ones once an instance stops."""
+
+from __future__ import annotations
+
+from starlette.types import ASGIApp, Receive, Scope, Send
+
+from turmericusher.api.errors import error_response
+from turmericusher.errors import RequestRefusedError
+from turmericusher.tasks.shutdown import Draining
+
+ALWAYS_ANSWERED = ("/v1/entrypoints", "/v1/operator/", "/debug/", "/healthz", "/readyz")
+"""Paths that are no work: a stopping instance answers them to the end."""
+
+
+class DrainGuard:
+    """Stands before routing, so that no request can be left uncounted."""
+
+    def __init__(self, app: ASGIApp, draining: Draining) -> None:
+        self.app = app
+        self.draining = draining
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Count the request while it runs, or refuse it as not run."""
+        if scope["type"] != "http":
+            await self.app(scope, receive, send)
+            return
+        if not scope["path"].startswith(ALWAYS_ANSWERED):
+            try:
+                self.draining.check_accepts()
+            except RequestRefusedError as error:
+                await error_response(error)(scope, receive, send)
+                return
+        self.draining.in_flight += 1
+        try:
+            await self.app(scope, receive, send)
+        finally:
+            self.draining.in_flight -= 1
--- /dev/null
+++ b/src/turmericusher/api/entrypoints.py
@@ -0,0 +1,37 @@
+"""Callers' query for the addresses to use, and operators' leave of an upstream."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from turmericusher.tasks.membership import Fleet
+
+
+def entrypoint_routes(fleet: Fleet, ttl_s: float) -> list[Route]:
+    """Return the route of entry points; an answer may be kept for `ttl_s` seconds."""
+
+    async def show_entrypoints(request: Request) -> Response:
+        failure_domain = request.query_params.get("failure_domain", "")
+        chosen = fleet.entrypoints(failure_domain)
+        return JSONResponse(
+            {"entrypoints": [asdict(one) for one in chosen], "ttl_s": ttl_s},
+            headers={"Cache-Control": f"max-age={int(ttl_s)}"},
+        )
+
+    return [Route("/v1/entrypoints", show_entrypoints, methods=["GET"])]
+
+
+def upstream_command_routes(fleet: Fleet) -> list[Route]:
+    """Return the operators' routes on upstreams."""
+
+    async def leave(request: Request) -> Response:
+        mark = fleet.mark_leaving(request.path_params["name"])
+        return JSONResponse(asdict(mark))
+
+    return [
+        Route("/v1/operator/upstreams/{name}/leave", leave, methods=["POST"]),
+    ]
--- a/src/turmericusher/decisions/peer_messages.py
+++ b/src/turmericusher/decisions/peer_messages.py
@@ -6,25 +6,10 @@
 
 from turmericusher.decisions.membership import MemberClaim
 from turmericusher.decisions.rollout import PeerRecords
+from turmericusher.decisions.suspicion import Charge
 from turmericusher.decisions.upstream_marks import LeavingMark
 
 
-@dataclass(frozen=True, slots=True)
-class PeerCharge:
-    """One death charged to one fingerprint, as instances exchange it.
-
-    `age_s` is the time since the death in seconds, because instances share no clock.
-    """
-
-    fingerprint: str
-    upstream: str
-    incarnation: str
-    failure_domain: str
-    domain_size: int
-    age_s: float
-    is_stall: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class PeerQuestion:
     """A question; it tells no time, because it may be delayed.
@@ -50,4 +35,4 @@
     records: PeerRecords
     marks: tuple[LeavingMark, ...] = ()
     loads: tuple[tuple[str, int], ...] = ()
-    charges: tuple[PeerCharge, ...] = ()
+    charges: tuple[Charge, ...] = ()
--- a/src/turmericusher/decisions/shutdown.py
+++ b/src/turmericusher/decisions/shutdown.py
@@ -13,6 +13,9 @@
 """Seconds that the leaving mark takes to reach every other instance."""
 
 
+HANDOVER_LIMIT_S = 30.0
+
+
 class ShutdownPhase(enum.StrEnum):
     """The phases of a shutdown, in order."""
 
@@ -29,21 +32,24 @@
 
     `entrypoint_ttl_s` is how long callers keep an answer. After `drain_limit_s` since
     the request to stop, what still runs is handed over. `handover_limit_s` bounds the
-    time that the handed-over streams get to end.
+    time that the handed-over streams, and calls that cannot be handed over, get to
+    end. With `is_alone` there is no other instance that callers could turn to.
     """
 
     entrypoint_ttl_s: float
     drain_limit_s: float
-    handover_limit_s: float = 5.0
+    handover_limit_s: float = HANDOVER_LIMIT_S
+    is_alone: bool = False
     phase: ShutdownPhase = ShutdownPhase.SERVING
     asked_at: float = 0.0
     handover_at: float = 0.0
 
-    def ask(self, now: float) -> None:
+    def ask(self, now: float, is_alone: bool) -> None:
         """Begin to stop; a second request changes nothing."""
         if self.phase is ShutdownPhase.SERVING:
             self.phase = ShutdownPhase.LEAVING
             self.asked_at = now
+            self.is_alone = is_alone
 
     def advance(self, now: float, in_flight: int) -> ShutdownPhase:
         """Move on as far as the time and the requests in flight allow.
@@ -70,6 +76,8 @@
 
     def accepts_until(self) -> float:
         """Return the time until which new work is taken while leaving."""
+        if self.is_alone:
+            return self.asked_at
         return self.asked_at + self.entrypoint_ttl_s + SPREAD_S
 
     def hands_over_at(self) -> float:
--- a/src/turmericusher/peers/messages.py
+++ b/src/turmericusher/peers/messages.py
@@ -4,8 +4,9 @@
 
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle
 from turmericusher.decisions.membership import Health, MemberClaim, MemberState
-from turmericusher.decisions.peer_messages import PeerAnswer, PeerCharge, PeerQuestion
+from turmericusher.decisions.peer_messages import PeerAnswer, PeerQuestion
 from turmericusher.decisions.rollout import PeerRecords, ProfileRecord
+from turmericusher.decisions.suspicion import Charge
 from turmericusher.decisions.upstream_marks import LeavingMark
 from turmericusher.errors import ErrorCode, TurmericusherError
 from turmericusher.peers import exchange_pb2 as pb
@@ -153,7 +154,7 @@
     return tuple(records)
 
 
-def charge_to_wire(charge: PeerCharge) -> pb.Charge:
+def charge_to_wire(charge: Charge) -> pb.Charge:
     """Return the wire form of a charge."""
     return pb.Charge(
         fingerprint=charge.fingerprint,
@@ -166,9 +167,9 @@
     )
 
 
-def charge_from_wire(wire: pb.Charge) -> PeerCharge:
+def charge_from_wire(wire: pb.Charge) -> Charge:
     """Return a charge."""
-    return PeerCharge(
+    return Charge(
         wire.fingerprint,
         wire.upstream,
         wire.incarnation,
--- a/src/turmericusher/serving.py
+++ b/src/turmericusher/serving.py
@@ -45,8 +45,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    async with serving_entry(settings):
+    async with serving_entry(settings) as runtime:
         await stopped.wait()
+        await runtime.draining.drain()
 
 
 @asynccontextmanager
--- /dev/null
+++ b/src/turmericusher/tasks/fleet_parts.py
@@ -0,0 +1,95 @@
+"""Puts the fleet parts of an entry instance together from its settings."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+
+import uuid6
+
+from turmericusher.decisions.fleet import EntryInstance
+from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.shutdown import Shutdown
+from turmericusher.decisions.suspicion import (
+    Charge,
+    SuspicionLedger,
+    merge_charges,
+    outgoing_charges,
+)
+from turmericusher.peers.exchange_service import bound_socket, running_exchange_server
+from turmericusher.ports.keyvalue import KeyValueStore
+from turmericusher.settings import Settings
+from turmericusher.tasks.membership import (
+    Fleet,
+    PeerFeeds,
+    make_fleet,
+    running_membership,
+)
+from turmericusher.tasks.peers import running_peer_exchange
+from turmericusher.tasks.profile_changes import ProfileChanger
+from turmericusher.tasks.profile_watch import ProfileTable
+from turmericusher.tasks.shutdown import Draining
+
+
+@dataclass(frozen=True, slots=True)
+class FleetParts:
+    """The parts of an entry instance that make it one of a fleet."""
+
+    fleet: Fleet
+    changer: ProfileChanger
+    draining: Draining
+
+
+def make_feeds(selector: Selector, suspicion: SuspicionLedger) -> PeerFeeds:
+    """Return what the exchange gives and takes for selection and suspicion."""
+
+    def own_loads() -> Mapping[str, int]:
+        return selector.in_flight
+
+    def own_charges(limit: int) -> Sequence[Charge]:
+        return outgoing_charges(suspicion, time.monotonic(), limit)
+
+    def take_charges(charges: Sequence[Charge]) -> None:
+        merge_charges(suspicion, charges, time.monotonic())
+
+    return PeerFeeds(
+        own_loads=own_loads,
+        own_charges=own_charges,
+        take_loads=selector.merge_peer_counts,
+        take_charges=take_charges,
+        take_instances=selector.update_instances,
+    )
+
+
+def own_instance(settings: Settings) -> EntryInstance:
+    """Return this instance as its peers are to know it.
+
+    The incarnation is a UUIDv7 (RFC 9562), so a later start sorts after an earlier one.
+    """
+    return EntryInstance(
+        name=settings.name,
+        failure_domain=settings.failure_domain,
+        caller_address=settings.caller_address,
+        peer_address=settings.peer_address,
+        incarnation=uuid6.uuid7().hex,
+    )
+
+
+@asynccontextmanager
+async def running_fleet_parts(
+    settings: Settings, store: KeyValueStore, table: ProfileTable, feeds: PeerFeeds
+) -> AsyncIterator[FleetParts]:
+    """Join the fleet while the context is entered."""
+    rng = random.Random(f"{settings.seed}/{settings.name}/fleet")
+    fleet = make_fleet(own_instance(settings), settings.peer_seeds, table, rng, feeds)
+    shutdown = Shutdown(settings.entrypoint_ttl_s, settings.drain_limit_s)
+    async with AsyncExitStack() as stack:
+        bound = stack.enter_context(bound_socket(settings.peer_address))
+        exchange = await stack.enter_async_context(running_peer_exchange(fleet, rng))
+        await stack.enter_async_context(running_exchange_server(bound, fleet.answer))
+        await stack.enter_async_context(running_membership(fleet, store))
+        changer = ProfileChanger(store, table, exchange.wait_for_spread)
+        yield FleetParts(fleet, changer, Draining(fleet, shutdown))
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -6,17 +6,16 @@
 import time
 import uuid
 from collections.abc import AsyncIterator
-from contextlib import AbstractAsyncContextManager, AsyncExitStack, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.idempotency_keys import KeyAges
 from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
-from turmericusher.decisions.rollout import (
-    InstanceRevision,
-    RolloutStatus,
-    rollout_status,
-)
 from turmericusher.decisions.selection import Selector
 from turmericusher.logs import log_event
 from turmericusher.metrics import Metrics, open_metrics
@@ -27,14 +26,17 @@
 from turmericusher.settings import Settings
 from turmericusher.tasks.calls import CallRunner
 from turmericusher.tasks.claims import Claims, running_claims
+from turmericusher.tasks.fleet_parts import make_feeds, running_fleet_parts
 from turmericusher.tasks.generation import (
     GenerationContext,
     make_generation_context,
     open_generation,
 )
 from turmericusher.tasks.instance_list import running_instance_list
+from turmericusher.tasks.membership import Fleet
 from turmericusher.tasks.profile_changes import ProfileChanger
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
+from turmericusher.tasks.shutdown import Draining, ending_at_handover
 
 
 @dataclass(slots=True)
@@ -53,7 +55,9 @@
     generation: GenerationContext
     calls: CallRunner
     metrics: Metrics
-    incarnation: str = field(default_factory=lambda: uuid.uuid4().hex)
+    fleet: Fleet
+    draining: Draining
+    incarnation: str
     started_at: float = field(default_factory=time.monotonic)
     generations_in_flight: int = 0
 
@@ -63,12 +67,6 @@
         """Open one generation; leaving the context cancels it."""
         return counted_generation(self, request)
 
-    def instance_revisions(self) -> list[InstanceRevision]:
-        """Return the revisions in force on the entry instances known here."""
-        cursor = self.profiles.rollout.cursor
-        settings = self.settings
-        return [InstanceRevision(settings.name, settings.failure_domain, cursor, 0.0)]
-
 
 @asynccontextmanager
 async def counted_generation(
@@ -78,7 +76,10 @@
     runtime.generations_in_flight += 1
     runtime.metrics.count("generations.started")
     try:
-        async with open_generation(runtime.generation, request) as pieces:
+        async with (
+            ending_at_handover(runtime.draining),
+            open_generation(runtime.generation, request) as pieces,
+        ):
             yield pieces
     finally:
         runtime.generations_in_flight -= 1
@@ -95,32 +96,41 @@
         store = await stack.enter_async_context(
             open_etcd_store(settings.store_url, settings.store_timeout_s)
         )
-        selector = Selector(random.Random(settings.seed))
-        await stack.enter_async_context(
-            running_instance_list(
-                settings.instance_list_url,
-                lambda found: take_over_list(selector, found),
-            )
-        )
+        selector = Selector(random.Random(settings.seed), own=settings.name)
         profiles = await stack.enter_async_context(
             running_profile_watch(
                 store,
                 settings.store_prefix,
                 stale_after_s=settings.stale_after_s,
-                rng=random.Random(settings.seed),
+                rng=random.Random(f"{settings.seed}/{settings.name}"),
             )
         )
         engine = await stack.enter_async_context(open_engine_port())
+        generation = make_generation_context(engine, selector, seed=settings.seed)
+        feeds = make_feeds(selector, generation.suspicion)
+        parts = await stack.enter_async_context(
+            running_fleet_parts(settings, store, profiles, feeds)
+        )
+        feeds.marks_changed = lambda: selector.update(parts.fleet.upstreams())
+        await stack.enter_async_context(
+            running_instance_list(
+                settings.instance_list_url,
+                lambda found: take_over_list(selector, parts.fleet, found),
+            )
+        )
         calls = await enter_calls(stack, settings, store, selector, profiles)
         yield EntryRuntime(
             settings=settings,
             store=store,
             selector=selector,
             profiles=profiles,
-            profile_changer=make_profile_changer(settings, store, profiles),
-            generation=make_generation_context(engine, selector, seed=settings.seed),
+            profile_changer=parts.changer,
+            generation=generation,
             calls=calls,
             metrics=metrics,
+            fleet=parts.fleet,
+            draining=parts.draining,
+            incarnation=parts.fleet.membership.own.incarnation,
         )
 
 
@@ -153,20 +163,10 @@
     )
 
 
-def make_profile_changer(
-    settings: Settings, store: KeyValueStore, profiles: ProfileTable
-) -> ProfileChanger:
-    """Return what carries out operators' changes."""
-
-    async def status_here(revision: int, _limit_s: float) -> RolloutStatus:
-        cursor = profiles.rollout.cursor
-        own = InstanceRevision(settings.name, settings.failure_domain, cursor, 0.0)
-        return rollout_status(revision, [own])
-
-    return ProfileChanger(store, profiles, status_here)
-
-
-def take_over_list(selector: Selector, found: tuple[UpstreamInstance, ...]) -> None:
-    """Take over a new list of upstreams."""
-    selector.update(found)
+def take_over_list(
+    selector: Selector, fleet: Fleet, found: tuple[UpstreamInstance, ...]
+) -> None:
+    """Take over a new list of upstreams, with the leaving marks applied."""
+    fleet.take_list(found)
+    selector.update(fleet.upstreams())
     log_event("instance_list_changed", upstreams=len(found))
--- a/src/turmericusher/tasks/membership.py
+++ b/src/turmericusher/tasks/membership.py
@@ -14,10 +14,20 @@
 from turmericusher.decisions.entrypoints import EntryPoint, choose_entrypoints
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle, UpstreamInstance
 from turmericusher.decisions.membership import MemberClaim, Membership, is_within
-from turmericusher.decisions.peer_messages import PeerAnswer, PeerCharge, PeerQuestion
+from turmericusher.decisions.peer_messages import PeerAnswer, PeerQuestion
 from turmericusher.decisions.rollout import InstanceRevision
-from turmericusher.decisions.upstream_marks import LeavingMark, LeavingMarks
-from turmericusher.errors import ConflictError, ErrorCode, TurmericusherError
+from turmericusher.decisions.suspicion import Charge
+from turmericusher.decisions.upstream_marks import (
+    LeavingMark,
+    LeavingMarks,
+    mark_of,
+)
+from turmericusher.errors import (
+    ConflictError,
+    ErrorCode,
+    RequestRefusedError,
+    TurmericusherError,
+)
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
 from turmericusher.tasks.profile_watch import ProfileTable, Registration
@@ -51,7 +61,7 @@
     return {}
 
 
-def no_charges(_limit: int) -> Sequence[PeerCharge]:
+def no_charges(_limit: int) -> Sequence[Charge]:
     """Stand in for an instance that charges no request."""
     return ()
 
@@ -60,10 +70,14 @@
     """Stand in for a selection that uses no loads of peers."""
 
 
-def ignore_charges(_charges: Sequence[PeerCharge]) -> None:
+def ignore_charges(_charges: Sequence[Charge]) -> None:
     """Stand in for an instance that keeps no charges."""
 
 
+def ignore_instances(_names: Iterable[str]) -> None:
+    """Stand in for a selection that knows no other instances."""
+
+
 def ignore_marks() -> None:
     """Stand in for a selection that follows no marks."""
 
@@ -73,14 +87,15 @@
     """What other parts give to the exchange and take from it.
 
     `own_loads` returns the requests in flight by upstream, and `own_charges` at most
-    the given number of charges. The others are called with what a peer sent, or when a
-    leaving mark was learned.
+    the given number of charges. The others are called with what a peer sent, with the
+    names of the live instances, or when a leaving mark was learned.
     """
 
     own_loads: Callable[[], Mapping[str, int]] = no_loads
-    own_charges: Callable[[int], Sequence[PeerCharge]] = no_charges
+    own_charges: Callable[[int], Sequence[Charge]] = no_charges
     take_loads: Callable[[str, Mapping[str, int]], None] = ignore_loads
-    take_charges: Callable[[Sequence[PeerCharge]], None] = ignore_charges
+    take_charges: Callable[[Sequence[Charge]], None] = ignore_charges
+    take_instances: Callable[[Iterable[str]], None] = ignore_instances
     marks_changed: Callable[[], None] = ignore_marks
 
 
@@ -89,7 +104,8 @@
     """One instance's view of the fleet; `hurry` asks a peer without delay.
 
     `accepts_work` is False once a stopping instance takes no new work. `lease` keeps
-    this instance's registration in the store; 0 before there is one.
+    this instance's registration in the store; 0 before there is one. `listed` is the
+    platform's last list of upstreams, as it came.
     """
 
     membership: Membership
@@ -99,6 +115,7 @@
     feeds: PeerFeeds = field(default_factory=PeerFeeds)
     accepts_work: bool = True
     lease: int = 0
+    listed: tuple[UpstreamInstance, ...] = ()
     hurry: Callable[[str], None] = lambda _address: None
 
     def question_for(self, name: str) -> PeerQuestion:
@@ -165,17 +182,33 @@
         fresh_as_of = self.table.rollout.fresh_as_of
         is_store_heard = is_within(fresh_as_of, now, self.table.stale_after_s)
         self.membership.advance(now, is_store_heard)
+        present = [claim.instance.name for claim in self.membership.present()]
+        self.feeds.take_instances([self.membership.own.name, *present])
 
     def take_marks(self, marks: Iterable[LeavingMark]) -> None:
         """Learn leaving marks of upstreams."""
         if self.marks.add(marks, self.table.clock()):
             self.feeds.marks_changed()
 
-    def apply_marks(
-        self, upstreams: Iterable[UpstreamInstance]
-    ) -> tuple[UpstreamInstance, ...]:
+    def take_list(self, upstreams: Iterable[UpstreamInstance]) -> None:
+        """Take over the platform's list of upstreams."""
+        self.listed = tuple(upstreams)
+
+    def upstreams(self) -> tuple[UpstreamInstance, ...]:
         """Return the platform's list with the leaving marks applied."""
-        return self.marks.apply(upstreams, self.table.clock())
+        return self.marks.apply(self.listed, self.table.clock())
+
+    def mark_leaving(self, name: str) -> LeavingMark:
+        """Mark the listed incarnation of an upstream as leaving."""
+        for upstream in self.listed:
+            if upstream.name == name:
+                mark = mark_of(upstream)
+                self.take_marks((mark,))
+                return mark
+        raise RequestRefusedError(
+            ErrorCode.NO_UPSTREAM,
+            f"upstream={name!r} is not in the platform's list; check the name",
+        )
 
     def hears_majority(self, now: float) -> bool:
         """Whether a majority of the instances answered within the bound."""
--- /dev/null
+++ b/src/turmericusher/tasks/shutdown.py
@@ -0,0 +1,96 @@
+"""The graceful stop of an entry instance, and the count of what it still runs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.shutdown import Shutdown, ShutdownPhase
+from turmericusher.errors import (
+    ErrorCode,
+    RequestRefusedError,
+    TurmericusherError,
+    Verdict,
+)
+from turmericusher.logs import log_event
+from turmericusher.tasks.membership import Fleet
+
+CHECK_INTERVAL_S = 0.05
+
+
+@dataclass(slots=True)
+class Draining:
+    """What a stopping instance still runs, and when it hands over.
+
+    `in_flight` counts the requests of callers from their head to the last byte, and
+    `running` holds the answers that can be handed over.
+    """
+
+    fleet: Fleet
+    shutdown: Shutdown
+    clock: Callable[[], float] = time.monotonic
+    in_flight: int = 0
+    running: set[asyncio.Timeout] = field(default_factory=set)
+
+    def check_accepts(self) -> None:
+        """Raise `RequestRefusedError` once no new work is taken."""
+        if not self.shutdown.is_accepting():
+            raise RequestRefusedError(
+                ErrorCode.INSTANCE_STOPPING,
+                "this entry instance is stopping; use another one of /v1/entrypoints",
+                retry_after_s=0.0,
+            )
+
+    async def drain(self) -> None:
+        """Leave, finish what runs, hand the longest over, and return."""
+        is_alone = not self.fleet.membership.present()
+        self.shutdown.ask(self.clock(), is_alone)
+        self.fleet.membership.leave()
+        phase = ShutdownPhase.SERVING
+        while phase is not ShutdownPhase.STOPPED:
+            moved = self.shutdown.advance(self.clock(), self.in_flight)
+            if moved is not phase:
+                phase = moved
+                self.enter(phase)
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def enter(self, phase: ShutdownPhase) -> None:
+        """Do what a new phase asks for."""
+        log_event("shutdown", phase=phase.value, in_flight=self.in_flight)
+        self.fleet.accepts_work = self.shutdown.is_accepting()
+        if phase is ShutdownPhase.HANDING_OVER:
+            for limit in list(self.running):
+                limit.reschedule(asyncio.get_running_loop().time())
+
+
+@asynccontextmanager
+async def ending_at_handover(draining: Draining) -> AsyncIterator[None]:
+    """End the body with a coded error when its work is handed over.
+
+    A timeout without a deadline costs nothing for each piece of an answer.
+    """
+    try:
+        async with asyncio.timeout(None) as limit:
+            draining.running.add(limit)
+            try:
+                yield
+            finally:
+                draining.running.discard(limit)
+    except TimeoutError:
+        if limit.expired():
+            raise handed_over() from None
+        raise
+
+
+def handed_over() -> TurmericusherError:
+    """Return the error on which the callers' library resumes elsewhere."""
+    return TurmericusherError(
+        ErrorCode.ANSWER_INTERRUPTED,
+        "this entry instance is stopping; resume the answer at another one with the "
+        "tokens received so far",
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_s=0.0,
+    )
