--- /dev/null
+++ b/tests/cover/test_membership.py
@@ -0,0 +1,245 @@
+"""Instances find one another, drop the dead, and forget no leaving mark."""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from testtools import TestCase
+
+from tests.common.fleet_model import Model, registration_of
+from turmericusher.decisions.fleet import (
+    EntryInstance,
+    Lifecycle,
+    UpstreamInstance,
+    UpstreamKind,
+)
+from turmericusher.decisions.membership import (
+    FORGET_DEAD_S,
+    NEWEST_CLAIMS,
+    RANDOM_CLAIMS,
+    SUSPICION_S,
+    Health,
+    MemberClaim,
+    Membership,
+    MemberState,
+)
+from turmericusher.decisions.upstream_marks import (
+    KEEP_UNLISTED_S,
+    MAX_MARKS,
+    LeavingMark,
+    LeavingMarks,
+)
+from turmericusher.tasks.profile_watch import Registration
+
+SIZE = 4
+NUMBERS = st.integers(0, SIZE - 1)
+SIDES = st.lists(st.integers(0, 1), min_size=SIZE, max_size=SIZE)
+UPSTREAMS = st.sampled_from(["u1", "u2"])
+INCARNATIONS = st.sampled_from(["a", "b"])
+
+
+def upstream(name: str, incarnation: str) -> UpstreamInstance:
+    return UpstreamInstance(name, "s", UpstreamKind.ENGINE, "x", "d", incarnation)
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Claims and marks come late, twice and in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.model = Model(SIZE)
+        self.old_claims: list[MemberClaim] = []
+        self.left: set[tuple[str, str]] = set()
+        self.latest: dict[tuple[str, str, str], str] = {}
+        self.marked: set[LeavingMark] = set()
+        self.knows_leaving: set[tuple[str, str, str, str]] = set()
+        self.knows_mark: set[tuple[str, LeavingMark]] = set()
+
+    def owner(self, number: int) -> str:
+        return self.model.fleets[number].membership.own.incarnation
+
+    @rule(asker=NUMBERS, asked=NUMBERS)
+    def one_asks_another(self, asker: int, asked: int) -> None:
+        if asker != asked and self.model.is_running[asker]:
+            self.model.pull(asker, asked)
+
+    @rule()
+    def all_ask_all(self) -> None:
+        self.model.chatter()
+
+    @rule(number=NUMBERS)
+    def claims_are_delayed(self, number: int) -> None:
+        members = self.model.fleets[number].membership.members.values()
+        self.old_claims += [member.claim for member in members]
+
+    @precondition(lambda self: self.old_claims)
+    @rule(number=NUMBERS, data=st.data())
+    def an_old_claim_arrives(self, number: int, data: st.DataObject) -> None:
+        claim = data.draw(st.sampled_from(self.old_claims))
+        self.model.fleets[number].membership.merge([claim], self.model.now)
+
+    @rule(seconds=st.sampled_from([0.5, SUSPICION_S, 8.0]))
+    def time_passes(self, seconds: float) -> None:
+        self.model.pass_time(seconds)
+
+    @rule(sides=SIDES)
+    def the_network_changes(self, sides: list[int]) -> None:
+        self.model.sides = sides
+
+    @rule(number=NUMBERS)
+    def an_instance_dies(self, number: int) -> None:
+        self.model.is_running[number] = False
+
+    @rule(number=NUMBERS)
+    def an_instance_restarts(self, number: int) -> None:
+        self.model.restart(number)
+
+    @rule(number=NUMBERS)
+    def an_instance_leaves(self, number: int) -> None:
+        membership = self.model.fleets[number].membership
+        membership.leave()
+        self.left.add((membership.own.name, membership.own.incarnation))
+
+    @rule(number=NUMBERS, name=UPSTREAMS, incarnation=INCARNATIONS)
+    def an_upstream_is_marked(self, number: int, name: str, incarnation: str) -> None:
+        mark = LeavingMark(name, incarnation)
+        self.marked.add(mark)
+        self.model.fleets[number].take_marks([mark])
+
+    @rule(number=NUMBERS, name=UPSTREAMS, incarnation=INCARNATIONS)
+    def a_stale_list_comes(self, number: int, name: str, incarnation: str) -> None:
+        fleet = self.model.fleets[number]
+        fleet.take_list([upstream(name, incarnation)])
+        for shown in fleet.upstreams():
+            is_marked = LeavingMark(name, incarnation) in fleet.marks.marks
+            assert is_marked == (shown.lifecycle is Lifecycle.LEAVING)
+
+    @invariant()
+    def no_incarnation_goes_back(self) -> None:
+        for number, fleet in enumerate(self.model.fleets):
+            for name, member in fleet.membership.members.items():
+                assert name != fleet.membership.own.name
+                place = (self.owner(number), name, "")
+                incarnation = member.claim.instance.incarnation
+                assert incarnation >= self.latest.get(place, "")
+                self.latest[place] = incarnation
+
+    @invariant()
+    def a_leaving_mark_of_an_instance_is_not_forgotten(self) -> None:
+        for number, fleet in enumerate(self.model.fleets):
+            for name, member in fleet.membership.members.items():
+                instance = member.claim.instance
+                place = (self.owner(number), name, instance.incarnation, "")
+                if instance.lifecycle is Lifecycle.LEAVING:
+                    assert (name, instance.incarnation) in self.left
+                    self.knows_leaving.add(place)
+                assert (place in self.knows_leaving) == (
+                    instance.lifecycle is Lifecycle.LEAVING
+                )
+
+    @invariant()
+    def a_leaving_mark_of_an_upstream_is_not_forgotten(self) -> None:
+        for number, fleet in enumerate(self.model.fleets):
+            known = {(self.owner(number), mark) for mark in fleet.marks.marks}
+            lost = {
+                place
+                for place in self.knows_mark - known
+                if place[0] == self.owner(number)
+            }
+            assert not lost
+            assert set(fleet.marks.marks) <= self.marked
+            self.knows_mark |= known
+
+    def teardown(self) -> None:
+        """After all faults, each knows who lives, who died and what is marked."""
+        self.model.heal()
+        self.model.settle(rounds=int(SUSPICION_S / 0.5) + 4)
+        running = [n for n in range(SIZE) if self.model.is_running[n]]
+        known_marks = [set(self.model.fleets[n].marks.marks) for n in running]
+        for number in running:
+            fleet = self.model.fleets[number]
+            present = {claim.instance.name for claim in fleet.membership.present()}
+            expected = {
+                self.model.fleets[other].membership.own.name
+                for other in running
+                if other != number
+                and self.model.fleets[other].membership.own.lifecycle is Lifecycle.LIVE
+            }
+            assert present == expected
+            assert set(fleet.marks.marks) == set().union(*known_marks)
+
+
+class TestMembership(MembershipMachine.TestCase):  # type: ignore[misc]
+    settings = settings(max_examples=150, stateful_step_count=30)
+
+
+def claim_of(name: str, health: Health = Health.ALIVE) -> MemberClaim:
+    instance = EntryInstance(name, "d", f"c-{name}", f"p-{name}", "1")
+    return MemberClaim(instance, 0, health, MemberState(1))
+
+
+def membership_of(size: int, seeds: tuple[str, ...] = ()) -> Membership:
+    own = EntryInstance("own", "d", "c-own", "p-own", "1")
+    membership = Membership(own, random.Random(1), seeds)
+    membership.merge([claim_of(f"e{number:03d}") for number in range(size)], 0.0)
+    return membership
+
+
+class MembershipTest(TestCase):
+    def test_a_round_asks_everyone_once(self) -> None:
+        membership = membership_of(7)
+        asked = [membership.next_address()[0] for _ in range(7)]
+        self.assertEqual(sorted(membership.members), sorted(asked))
+
+    def test_the_dead_and_the_seeds_are_asked_now_and_then(self) -> None:
+        membership = membership_of(2, seeds=("p-seed", "p-own", "p-e000"))
+        membership.merge([claim_of("e001", Health.DEAD)], 1.0)
+        asked = {membership.next_address()[1] for _ in range(3)}
+        self.assertEqual({"p-e000", "p-e001", "p-seed"}, asked)
+
+    def test_an_answer_carries_a_bounded_number_of_claims_and_the_newest(self) -> None:
+        membership = membership_of(420)
+        membership.merge([claim_of("e007", Health.DEAD)], 5.0)
+        claims = membership.claims_for_answer()
+        self.assertEqual(NEWEST_CLAIMS + RANDOM_CLAIMS, len(claims))
+        self.assertEqual(Health.DEAD, claims[0].health)
+
+    def test_the_long_dead_are_forgotten_only_with_news_of_the_store(self) -> None:
+        membership = membership_of(1)
+        membership.merge([claim_of("e000", Health.DEAD)], 0.0)
+        membership.advance(FORGET_DEAD_S, is_store_heard=False)
+        self.assertIn("e000", membership.members)
+        membership.advance(FORGET_DEAD_S, is_store_heard=True)
+        self.assertNotIn("e000", membership.members)
+
+    def test_a_registration_makes_an_instance_known_and_its_end_takes_nothing(
+        self,
+    ) -> None:
+        fleet = Model(1).fleets[0]
+        other = EntryInstance("e9", "d", "c9", "p9", "9")
+        fleet.take_registration(Registration("e9", registration_of(other)))
+        fleet.take_registration(Registration("e9", None))
+        fleet.take_registration(Registration("e8", b"{}"))
+        self.assertEqual(["e9"], list(fleet.membership.members))
+
+
+class LeavingMarksTest(TestCase):
+    def test_a_listed_incarnation_keeps_its_mark_and_an_unlisted_one_loses_it(
+        self,
+    ) -> None:
+        marks = LeavingMarks(random.Random(1))
+        marks.add([LeavingMark("u1", "a"), LeavingMark("u2", "a")], 0.0)
+        listed = [upstream("u1", "a")]
+        marks.apply(listed, KEEP_UNLISTED_S)
+        marks.apply(listed, KEEP_UNLISTED_S + 1)
+        self.assertEqual([LeavingMark("u1", "a")], list(marks.marks))
+
+    def test_marks_are_bounded_and_listed_ones_stay(self) -> None:
+        marks = LeavingMarks(random.Random(1))
+        marks.add([LeavingMark("kept", "a")], 0.0)
+        marks.apply([upstream("kept", "a")], 5.0)
+        many = [LeavingMark(f"u{number}", "a") for number in range(MAX_MARKS + 9)]
+        marks.add(many, 1.0)
+        self.assertEqual(MAX_MARKS, len(marks.marks))
+        self.assertIn(LeavingMark("kept", "a"), marks.marks)
