Measure load policies, bind admission to generations and follow the capacity

Cause: the load decisions had no figures, and no request passed through admission.

For users: each generation waits for its turn or is refused at once; /debug/state shows the limits and queues.

--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -177,6 +177,7 @@
     resumes_delayed: int = 0
     resumes_late: int = 0
     repeats: int = 0
+    repeats_refused: int = 0
 
 
 WINDOWS = {
--- a/src/turmericusher/decisions/budgets.py
+++ b/src/turmericusher/decisions/budgets.py
@@ -1,47 +1,33 @@
-"""Budgets that bound the extra load after a failure.
+"""The budget that bounds the extra load of resumes after a failure.
 
-A budget is a token bucket filled by successful work, so that repeats stay a share of
-what the service does; a small refill by time lets an idle instance repeat at all.
+A token bucket filled by successful work, so that resumes stay a share of what the
+service does; a small refill by time lets an idle instance resume at all.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, slots=True)
-class BudgetLimits:
-    """`share` is earned by each success, `floor_per_s` by each second.
-
-    `capacity` bounds what may be saved up, and so the largest burst.
-    """
-
-    share: float
-    floor_per_s: float
-    capacity: float
-
-
-RETRY_LIMITS = BudgetLimits(share=0.1, floor_per_s=0.5, capacity=10.0)
-RESUME_LIMITS = BudgetLimits(share=0.5, floor_per_s=2.0, capacity=32.0)
-"""Resumes get more than retries: each one saves work already delivered. The burst lets
-an instance resume at once what it runs in one failure domain."""
+SHARE_PER_SUCCESS = 0.5
+FLOOR_PER_S = 2.0
+CAPACITY = 32.0
+"""The largest burst: an instance resumes at once what it runs in one failure domain."""
 
 
 @dataclass(slots=True)
-class Budget:
+class ResumeBudget:
     """The tokens left at the monotonic time `updated_at`, in seconds."""
 
-    limits: BudgetLimits
-    tokens: float
     updated_at: float
+    tokens: float = CAPACITY
 
     def succeeded(self, now: float) -> None:
         """Earn the share of one success."""
         self.refill(now)
-        self.earn(self.limits.share)
+        self.earn(SHARE_PER_SUCCESS)
 
     def spend(self, now: float) -> bool:
-        """Take one token for a repeat; False when there is none."""
+        """Take one token for a resume; False when there is none."""
         self.refill(now)
         if self.tokens < 1.0:
             return False
@@ -52,24 +38,13 @@
         """Earn what the time since the last call gives."""
         elapsed_s = max(0.0, now - self.updated_at)
         self.updated_at = max(self.updated_at, now)
-        self.earn(elapsed_s * self.limits.floor_per_s)
+        self.earn(elapsed_s * FLOOR_PER_S)
 
     def earn(self, tokens: float) -> None:
         """Add tokens up to the capacity."""
-        self.tokens = min(self.limits.capacity, self.tokens + tokens)
+        self.tokens = min(CAPACITY, self.tokens + tokens)
 
     def wait_s(self, now: float) -> float:
         """Return the seconds after which a token is there at the latest."""
-        missing = max(0.0, 1.0 - self.tokens)
-        refill_s = missing / self.limits.floor_per_s
+        refill_s = max(0.0, 1.0 - self.tokens) / FLOOR_PER_S
         return max(0.0, self.updated_at + refill_s - now)
-
-
-def retry_budget(now: float) -> Budget:
-    """Return a full budget for repeats of failed calls."""
-    return Budget(RETRY_LIMITS, RETRY_LIMITS.capacity, now)
-
-
-def resume_budget(now: float) -> Budget:
-    """Return a full budget for resumes of generations."""
-    return Budget(RESUME_LIMITS, RESUME_LIMITS.capacity, now)
--- a/src/turmericusher/decisions/capacity.py
+++ b/src/turmericusher/decisions/capacity.py
@@ -53,7 +53,7 @@
         total = view.upstreams * view.capacity_per_upstream
         if total <= 0:
             return 0
-        is_draining = own_in_flight > self.limit
+        is_draining = 0 < self.limit < own_in_flight
         if not is_draining:
             self.learn_pressure(view.waiting / total)
         usable = total * self.pressure
--- a/src/turmericusher/tasks/admission.py
+++ b/src/turmericusher/tasks/admission.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -48,24 +47,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SetLimit:
-    """A service's concurrency limit changed."""
-
-    service: str
-    limit: int
+class FollowCapacity:
+    """It is time to take the limits from the services' capacity."""
 
 
-AdmissionMessage = Arrive | Leave | SetLimit
+AdmissionMessage = Arrive | Leave | FollowCapacity
 
 
 @dataclass(slots=True)
 class Admission:
     """The queues of all services and the inbox of their owner.
 
-    Only `run` touches `services` and `answers`; everything else sends messages.
+    Only `run` touches `services`, `limits` and `answers`; everything else sends
+    messages. `view` returns what is known of a service's capacity.
     """
 
     services: dict[str, ServiceAdmission]
+    limits: dict[str, ConcurrencyLimit]
+    view: Callable[[str], CapacityView]
     clock: Callable[[], float] = time.monotonic
     inbox: asyncio.Queue[AdmissionMessage] = field(default_factory=asyncio.Queue)
     answers: dict[int, asyncio.Future[None]] = field(default_factory=dict)
@@ -102,14 +101,18 @@
         match message:
             case Arrive(number, ticket, answer):
                 self.answers[number] = answer
+                # The first upstream of a service may have come since the last look.
+                if not self.services[ticket.service].limit:
+                    self.follow_capacity(ticket.service, now)
                 self.carry_out(
                     self.services[ticket.service].arrive(number, ticket, now)
                 )
             case Leave(number, service):
                 self.answers.pop(number, None)
                 self.carry_out(self.services[service].leave(number, now))
-            case SetLimit(service, limit):
-                self.carry_out(self.services[service].set_limit(limit, now))
+            case FollowCapacity():
+                for name in self.services:
+                    self.follow_capacity(name, now)
 
     def carry_out(self, actions: Iterable[AdmissionAction]) -> None:
         """Answer the callers; one that is gone sends its own `Leave`."""
@@ -128,9 +131,12 @@
                         RequestRefusedError(code, message, retry_after_s=retry_after_s)
                     )
 
-    def set_limit(self, service: str, limit: int) -> None:
-        """Tell the owner a new limit."""
-        self.inbox.put_nowait(SetLimit(service, limit))
+    def follow_capacity(self, service: str, now: float) -> None:
+        """Take a service's limit from its capacity."""
+        decision = self.services[service]
+        view = self.view(service)
+        limit = self.limits[service].update(view, len(decision.running))
+        self.carry_out(decision.set_limit(limit, now))
 
     def dump(self) -> dict[str, object]:
         """Return the state for operators."""
@@ -147,23 +153,28 @@
 
 @asynccontextmanager
 async def running_admission(
-    services: Mapping[str, int],
+    services: Iterable[str],
+    view: Callable[[str], CapacityView],
     seed: int,
     clock: Callable[[], float] = time.monotonic,
 ) -> AsyncIterator[Admission]:
-    """Run the owner task; `services` gives each service's first limit."""
+    """Run the owner task and let it follow the services' capacity."""
     decisions = {
-        name: ServiceAdmission(name, random.Random(f"{seed}:{name}"), limit)
-        for name, limit in services.items()
+        name: ServiceAdmission(name, random.Random(f"{seed}:{name}"))
+        for name in services
     }
-    admission = Admission(decisions, clock)
-    owner = asyncio.create_task(admission.run(), name="admission")
+    limits = {name: ConcurrencyLimit() for name in decisions}
+    admission = Admission(decisions, limits, view, clock)
+    tasks = [
+        asyncio.create_task(admission.run(), name="admission"),
+        asyncio.create_task(send_capacity_messages(admission), name="capacity"),
+    ]
     try:
         yield admission
     finally:
-        owner.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await owner
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @asynccontextmanager
@@ -194,13 +205,8 @@
         admission.inbox.put_nowait(Leave(number, ticket.service))
 
 
-async def keep_limits(
-    admission: Admission, views: Callable[[], Mapping[str, CapacityView]]
-) -> None:
-    """Follow the services' capacity until cancelled."""
-    limits = {name: ConcurrencyLimit() for name in admission.services}
+async def send_capacity_messages(admission: Admission) -> None:
+    """Tell the owner at a fixed interval to follow the capacity."""
     while True:
-        for name, view in views().items():
-            own = len(admission.services[name].running)
-            admission.set_limit(name, limits[name].update(view, own))
+        admission.inbox.put_nowait(FollowCapacity())
         await asyncio.sleep(CAPACITY_INTERVAL_S)
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -25,6 +25,7 @@
 from turmericusher.ports.keyvalue import KeyValueStore
 from turmericusher.ports.services import http_service_port
 from turmericusher.settings import Settings
+from turmericusher.tasks.admission import Admission, admitted
 from turmericusher.tasks.calls import CallRunner
 from turmericusher.tasks.claims import Claims, running_claims
 from turmericusher.tasks.generation import (
@@ -33,6 +34,7 @@
     open_generation,
 )
 from turmericusher.tasks.instance_list import running_instance_list
+from turmericusher.tasks.load_control import running_load_control, ticket_for
 from turmericusher.tasks.profile_changes import ProfileChanger
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
 
@@ -51,6 +53,7 @@
     profiles: ProfileTable
     profile_changer: ProfileChanger
     generation: GenerationContext
+    admission: Admission
     calls: CallRunner
     metrics: Metrics
     incarnation: str = field(default_factory=lambda: uuid.uuid4().hex)
@@ -78,7 +81,10 @@
     runtime.generations_in_flight += 1
     runtime.metrics.count("generations.started")
     try:
-        async with open_generation(runtime.generation, request) as pieces:
+        async with (
+            admitted(runtime.admission, ticket_for(request, time.monotonic())),
+            open_generation(runtime.generation, request) as pieces,
+        ):
             yield pieces
     finally:
         runtime.generations_in_flight -= 1
@@ -95,7 +101,7 @@
         store = await stack.enter_async_context(
             open_etcd_store(settings.store_url, settings.store_timeout_s)
         )
-        selector = Selector(random.Random(settings.seed))
+        selector = Selector(random.Random(settings.seed), settings.name)
         await stack.enter_async_context(
             running_instance_list(
                 settings.instance_list_url,
@@ -110,6 +116,9 @@
                 rng=random.Random(settings.seed),
             )
         )
+        admission = await stack.enter_async_context(
+            running_load_control(settings, selector)
+        )
         engine = await stack.enter_async_context(open_engine_port())
         calls = await enter_calls(stack, settings, store, selector, profiles)
         yield EntryRuntime(
@@ -119,6 +128,7 @@
             profiles=profiles,
             profile_changer=make_profile_changer(settings, store, profiles),
             generation=make_generation_context(engine, selector, seed=settings.seed),
+            admission=admission,
             calls=calls,
             metrics=metrics,
         )
--- /dev/null
+++ b/src/turmericusher/tasks/load_control.py
@@ -0,0 +1,64 @@
+"""What keeps an entry instance's load decisions up to date: reports and limits."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import aiohttp
+
+from turmericusher.decisions.capacity import CapacityView
+from turmericusher.decisions.fair_queue import Ticket
+from turmericusher.decisions.requests import GenerationRequest
+from turmericusher.decisions.selection import Selector
+from turmericusher.settings import Service, Settings
+from turmericusher.tasks.admission import Admission, running_admission
+from turmericusher.tasks.load_reports import poll_load
+
+
+@asynccontextmanager
+async def running_load_control(
+    settings: Settings, selector: Selector
+) -> AsyncIterator[Admission]:
+    """Run admission, its limits and the reading of load pages."""
+    services = {service.name: service for service in settings.services}
+
+    def view(name: str) -> CapacityView:
+        return capacity_view(services[name], selector)
+
+    async with AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        polling = asyncio.create_task(
+            poll_load(selector, session, settings.seed), name="load-reports"
+        )
+        try:
+            yield await stack.enter_async_context(
+                running_admission(services, view, settings.seed)
+            )
+        finally:
+            polling.cancel()
+            await asyncio.gather(polling, return_exceptions=True)
+
+
+def capacity_view(service: Service, selector: Selector) -> CapacityView:
+    """Return what the selector knows of a service's capacity."""
+    subset = selector.subsets.get(service.name)
+    return CapacityView(
+        upstreams=len(subset.covers) if subset is not None else 0,
+        capacity_per_upstream=service.capacity_per_upstream,
+        entry_instances=max(1, len(selector.instances)),
+        peers_in_flight=selector.peers_in_flight(service.name),
+        waiting=selector.reported_waiting(service.name),
+    )
+
+
+def ticket_for(request: GenerationRequest, now: float) -> Ticket:
+    """Return the ticket of a generation."""
+    return Ticket(
+        team=request.team,
+        urgency=request.profile.urgency,
+        deadline=now + request.profile.max_wait_s,
+        service=request.service,
+        is_resume=request.received is not None,
+    )
--- a/src/turmericusher/tasks/state_dump.py
+++ b/src/turmericusher/tasks/state_dump.py
@@ -26,5 +26,6 @@
             }
             for name, upstream in runtime.selector.upstreams.items()
         },
+        "admission": runtime.admission.dump(),
         "metrics": runtime.metrics.snapshot(),
     }
