Merge branch 'load'

Conflict in tasks/instance.py: both branches wire their parts; both are kept, the admission inside the handover so that a draining instance also ends a wait.

--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -24,6 +24,7 @@
 from turmericusher.ports.keyvalue import KeyValueStore
 from turmericusher.ports.services import http_service_port
 from turmericusher.settings import Settings
+from turmericusher.tasks.admission import Admission, admitted
 from turmericusher.tasks.calls import CallRunner
 from turmericusher.tasks.claims import Claims, running_claims
 from turmericusher.tasks.fleet_parts import make_feeds, running_fleet_parts
@@ -33,6 +34,7 @@
     open_generation,
 )
 from turmericusher.tasks.instance_list import running_instance_list
+from turmericusher.tasks.load_control import running_load_control, ticket_for
 from turmericusher.tasks.membership import Fleet
 from turmericusher.tasks.profile_changes import ProfileChanger
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
@@ -53,6 +55,7 @@
     profiles: ProfileTable
     profile_changer: ProfileChanger
     generation: GenerationContext
+    admission: Admission
     calls: CallRunner
     metrics: Metrics
     fleet: Fleet
@@ -78,6 +81,7 @@
     try:
         async with (
             ending_at_handover(runtime.draining),
+            admitted(runtime.admission, ticket_for(request, time.monotonic())),
             open_generation(runtime.generation, request) as pieces,
         ):
             yield pieces
@@ -105,6 +109,9 @@
                 rng=random.Random(f"{settings.seed}/{settings.name}"),
             )
         )
+        admission = await stack.enter_async_context(
+            running_load_control(settings, selector)
+        )
         engine = await stack.enter_async_context(open_engine_port())
         generation = make_generation_context(engine, selector, seed=settings.seed)
         feeds = make_feeds(selector, generation.suspicion)
@@ -126,6 +133,7 @@
             profiles=profiles,
             profile_changer=parts.changer,
             generation=generation,
+            admission=admission,
             calls=calls,
             metrics=metrics,
             fleet=parts.fleet,
