Drive generations through a state machine and find requests that kill

Cause: the matrix shows one order of events; late and crossed pieces need them all. Found and mended: a piece read just after a death passed for a sign of life and took the charge off the request that killed; a resumed request that was refused said not_run although the caller held tokens; refusals used up the attempts that a loss needs; an engine that froze twice counted as killed. Ruled out: counting silences as deaths, because overloaded engines are silent too. For users: a request that kills its engines is refused after three, everyone else in the same batches gets a whole answer.

--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -8,103 +8,42 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from turmericusher.decisions.attempts import Attempt, Release, release_held
-from turmericusher.decisions.extra_work import (
-    SECOND_ATTEMPT_TOKENS,
-    ExtraWorkBudget,
-    ResumeGate,
-)
-from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.extra_work import SECOND_ATTEMPT_TOKENS
 from turmericusher.decisions.generation_messages import (
     AttemptDied,
-    CancelAttempt,
     Deliver,
     Fail,
     GenerationAction,
     GenerationEvent,
     Loss,
     PieceArrived,
-    StartAttempt,
 )
-from turmericusher.decisions.patience import Patience, first_cap_s
-from turmericusher.decisions.placement import place_attempt
-from turmericusher.decisions.requests import AnswerPiece, GenerationRequest, Usage
-from turmericusher.decisions.selection import PickRequest, Selector
-from turmericusher.decisions.suspicion import DeathKey, SuspicionLedger
+from turmericusher.decisions.generation_state import (
+    REST_AFTER_LOSS_S,
+    GenerationState,
+    SharedState,
+)
+from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
 from turmericusher.errors import ErrorCode, Verdict
 from turmericusher.profiles import SecondAttempt
 
-FIRST_BACKOFF_S = 0.02
 LONGEST_BACKOFF_S = 0.5
 GATE_RETRY_S = 0.02
-REST_AFTER_LOSS_S = 2.0
-REST_AFTER_REFUSAL_S = 0.25
 RETRY_AFTER_S = 1.0
 STALL_RETRY_S = 0.1
-LEAST_WAIT_TO_RESUME_S = 30.0
 LIVE_ATTEMPTS = 2
+IMMEDIATE_RETRIES = 3
 CUT_OFF_REASONS = frozenset({"abort", "aborted", "cancelled", "error"})
 
 
 @dataclass(slots=True)
-class SharedState:
-    """What all generations of an instance decide with.
-
-    `resting` gives the time until which an upstream that failed one generation is not
-    the first choice of any.
-    """
-
-    selector: Selector
-    patience: Patience
-    suspicion: SuspicionLedger
-    extra_work: ExtraWorkBudget
-    resumes: ResumeGate
-    random: random.Random
-    resting: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class GenerationCounts:
-    """What happened to one generation, for metrics and for the tests' oracles."""
-
-    attempts: int = 0
-    deaths: int = 0
-    second_attempts: int = 0
-    dropped_pieces: int = 0
-    dropped_tokens: int = 0
-
-
-@dataclass(slots=True)
-class Generation:
-    """The state of one generation; `start`, `handle` and `tick` give its actions.
-
-    `delivered` are all tokens of the answer that the caller holds. `resting` gives the
-    time until which an upstream is not tried again.
-    """
-
-    request: GenerationRequest
-    shared: SharedState
-    started_at: float
-    delivered: list[int] = field(default_factory=list)
-    prompt_token_ids: tuple[int, ...] | None = None
-    version: str = ""
-    attempts: dict[int, Attempt] = field(default_factory=dict)
-    resting: dict[str, float] = field(default_factory=dict)
-    lost_domains: set[str] = field(default_factory=set)
-    counts: GenerationCounts = field(default_factory=GenerationCounts)
-    progress_at: float = 0.0
-    retry_at: float | None = None
-    backoff_s: float = FIRST_BACKOFF_S
-    has_delivered: bool = False
-    has_untracked_text: bool = False
-    may_have_run: bool = False
-    last_message: str = ""
-    is_over: bool = False
+class Generation(GenerationState):
+    """What follows from each event; `start`, `handle` and `tick` return actions."""
 
     # Events.
 
@@ -112,7 +51,6 @@
         """Begin: start the first attempt, or fail at once where none may run."""
         self.progress_at = now
         if self.request.received is not None and not self.request.profile.idempotent:
-            self.may_have_run = True
             return self.fail(
                 ErrorCode.UPSTREAM_FAILED,
                 "the answer cannot go on elsewhere because "
@@ -187,22 +125,6 @@
         """Whether a piece comes from another version than the answer so far."""
         return bool(piece.version and self.version and piece.version != self.version)
 
-    def learn(self, attempt: Attempt, piece: PieceArrived) -> None:
-        """Note how long the upstream took, and that it lives."""
-        shared, upstream = self.shared, attempt.upstream
-        silence_s = max(0.0, piece.at - attempt.heard_at)
-        if attempt.has_piece:
-            shared.patience.learn_gap(upstream.name, silence_s)
-        elif piece.token_ids:
-            shared.patience.learn_first(upstream.name, silence_s)
-        shared.patience.heard(upstream.name, piece.at)
-        shared.resting.pop(upstream.name, None)
-        key = DeathKey(upstream.name, upstream.incarnation)
-        if key in shared.suspicion.deaths:
-            shared.suspicion.seen_alive(key, attempt.started_at, piece.at)
-        if not attempt.has_piece and piece.token_ids:
-            self.leave_gate(attempt)
-
     def deliver(
         self, attempt: Attempt, release: Release, now: float
     ) -> list[GenerationAction]:
@@ -228,23 +150,6 @@
             actions += self.close(now)
         return actions
 
-    def adopt(self, attempt: Attempt, release: Release, now: float) -> None:
-        """Make the released tokens part of the answer."""
-        self.delivered.extend(release.token_ids)
-        self.prompt_token_ids = self.prompt_token_ids or attempt.prompt_token_ids
-        self.version = self.version or attempt.version
-        self.has_untracked_text |= bool(release.text and not release.token_ids)
-        self.has_delivered = True
-        self.progress_at = now
-        self.shared.extra_work.earn(len(release.token_ids), self.request.profile)
-
-    def usage(self) -> Usage:
-        """Return the token counts as an unbroken answer would have them."""
-        return Usage(
-            prompt_tokens=len(self.prompt_token_ids or ()),
-            completion_tokens=len(self.delivered),
-        )
-
     # Deaths.
 
     @take.register
@@ -261,45 +166,32 @@
         self.counts.deaths += 1
         self.last_message = death.message
         was_run = death.verdict is not Verdict.NOT_RUN or attempt.has_piece
-        actions = self.remove(attempt, now, was_run)
+        self.remove(attempt, was_run)
         self.rest(attempt.upstream, death, now)
         if death.loss is Loss.UPSTREAM and was_run:
             self.charge(attempt, now, is_stall=False)
         if self.attempts:
-            return actions + self.answer_stalls(now)
+            return self.answer_stalls(now)
         if death.loss is Loss.REQUEST:
-            return actions + self.fail(ErrorCode.UPSTREAM_REJECTED, death.message, now)
+            return self.fail(ErrorCode.UPSTREAM_REJECTED, death.message, now)
         if self.may_have_run and not self.request.profile.idempotent:
-            return actions + self.fail(ErrorCode.UPSTREAM_FAILED, death.message, now)
-        return actions + self.start_next(now)
-
-    def rest(self, upstream: UpstreamInstance, death: AttemptDied, now: float) -> None:
-        """Keep away from an upstream, and after a loss from its failure domain."""
-        usual_s = REST_AFTER_REFUSAL_S
-        if death.loss is Loss.UPSTREAM:
-            usual_s = REST_AFTER_LOSS_S
-            self.lost_domains.add(upstream.failure_domain)
-        rest_s = usual_s if death.retry_after_s is None else death.retry_after_s
-        self.resting[upstream.name] = now + rest_s
-        self.shared.resting[upstream.name] = now + rest_s
-
-    def charge(self, attempt: Attempt, now: float, is_stall: bool) -> None:
-        """Charge the loss of an attempt's upstream to this request."""
-        upstream = attempt.upstream
-        domain_size = sum(
-            other.failure_domain == upstream.failure_domain
-            and other.service == upstream.service
-            for other in self.shared.selector.upstreams.values()
-        )
-        self.shared.suspicion.charge(
-            self.request.fingerprint, upstream, domain_size, now, is_stall
-        )
+            return self.fail(ErrorCode.UPSTREAM_FAILED, death.message, now)
+        if not was_run:
+            return self.answer_refusal(now)
+        return self.start_next(now)
+
+    def answer_refusal(self, now: float) -> list[GenerationAction]:
+        """Try another upstream at once, but not all of them: they may be overloaded."""
+        self.refusals += 1
+        if self.refusals < IMMEDIATE_RETRIES:
+            return self.start_next(now)
+        return self.back_off(now)
 
     # Attempts.
 
     def start_next(self, now: float) -> list[GenerationAction]:
         """Start the next attempt, or say why there can be none."""
-        profile = self.request.profile
+        max_attempts = self.request.profile.max_attempts
         if self.remaining_tokens() == 0:
             return self.finish_at_length()
         if self.delivered and not self.can_resume():
@@ -308,12 +200,12 @@
                 f"the engine gave no token ids to resume from ({self.last_message})",
                 now,
             )
-        if self.shared.suspicion.is_refused(self.request.fingerprint, now):
+        if self.is_refused(now):
             return self.refuse_killer(now)
-        if self.counts.attempts >= profile.max_attempts:
+        if self.runs >= max_attempts:
             return self.fail(
                 ErrorCode.UPSTREAM_FAILED,
-                f"max_attempts={profile.max_attempts!r} attempts failed, the last "
+                f"max_attempts={max_attempts!r} attempts failed, the last "
                 f"with: {self.last_message}",
                 now,
             )
@@ -324,130 +216,8 @@
             return self.back_off(now)
         return self.open(upstream, now)
 
-    def is_resume(self) -> bool:
-        """Whether an attempt started now would go on with a part of the answer."""
-        return bool(self.delivered)
-
-    def can_resume(self) -> bool:
-        """Whether the tokens of the prompt and of the answer so far are known."""
-        return self.prompt_token_ids is not None and not self.has_untracked_text
-
-    def remaining_tokens(self) -> int | None:
-        """Return how many tokens may still be generated, or None without a limit."""
-        if self.request.max_tokens is None:
-            return None
-        return max(0, self.request.max_tokens - len(self.delivered))
-
-    def pick(self, now: float) -> UpstreamInstance | None:
-        """Choose the upstream for an attempt."""
-        running = {a.upstream.name for a in self.attempts.values()}
-        own = frozenset(running | names_resting(self.resting, now))
-        stalled = {a.upstream.failure_domain for a in self.attempts.values()}
-        wanted = PickRequest(
-            service=self.request.service,
-            model=self.request.model,
-            version=self.version,
-            excluded=own,
-            avoided_domains=frozenset(self.lost_domains | stalled),
-            is_resume=self.is_resume(),
-        )
-        resting = frozenset(names_resting(self.shared.resting, now))
-        first_choice = replace(wanted, excluded=own | resting)
-        return self.place(first_choice, now) or self.place(wanted, now)
-
-    def place(self, wanted: PickRequest, now: float) -> UpstreamInstance | None:
-        """Choose an upstream, keeping requests that may kill apart."""
-        shared, fingerprint = self.shared, self.request.fingerprint
-        return place_attempt(
-            shared.selector, shared.suspicion, wanted, fingerprint, now
-        )
-
-    def open(self, upstream: UpstreamInstance, now: float) -> list[GenerationAction]:
-        """Start an attempt on an upstream."""
-        self.counts.attempts += 1
-        number = self.counts.attempts
-        attempt = Attempt(number, upstream, len(self.delivered), now, now)
-        attempt.prompt_token_ids = self.prompt_token_ids
-        self.attempts[number] = attempt
-        self.retry_at = None
-        self.backoff_s = FIRST_BACKOFF_S
-        self.shared.selector.started(upstream.name)
-        self.shared.suspicion.started(self.request.fingerprint, upstream.name, now)
-        prompt = None
-        if self.is_resume():
-            attempt.is_in_gate = True
-            self.shared.resumes.enter()
-            prompt = (*(self.prompt_token_ids or ()), *self.delivered)
-        return [StartAttempt(number, upstream, prompt, self.remaining_tokens())]
-
-    def leave_gate(self, attempt: Attempt) -> None:
-        """Let the next resume start."""
-        if attempt.is_in_gate:
-            attempt.is_in_gate = False
-            self.shared.resumes.leave()
-
-    def remove(
-        self, attempt: Attempt, now: float, was_run: bool
-    ) -> list[GenerationAction]:
-        """Forget an attempt and give back what it held; its held tokens are lost."""
-        del self.attempts[attempt.number]
-        self.may_have_run |= was_run
-        self.leave_gate(attempt)
-        self.shared.selector.finished(attempt.upstream.name)
-        self.shared.suspicion.finished(self.request.fingerprint, attempt.upstream.name)
-        return []
-
-    def cancel(self, attempt: Attempt, now: float) -> list[GenerationAction]:
-        """Stop a live attempt; its silence so far is a gap like any other."""
-        self.remove(attempt, now, was_run=True)
-        if attempt.is_second:
-            beyond = attempt.token_count - SECOND_ATTEMPT_TOKENS
-            self.shared.extra_work.spend(max(0.0, beyond))
-        silence_s = max(0.0, now - attempt.heard_at)
-        if attempt.has_piece and attempt.is_suspected:
-            self.shared.patience.learn_gap(attempt.upstream.name, silence_s)
-        elif attempt.is_suspected:
-            self.shared.patience.learn_first(attempt.upstream.name, silence_s)
-        return [CancelAttempt(attempt.number)]
-
-    def cancel_all(self, now: float) -> list[GenerationAction]:
-        """Stop every live attempt."""
-        actions: list[GenerationAction] = []
-        for attempt in list(self.attempts.values()):
-            actions += self.cancel(attempt, now)
-        return actions
-
     # Time.
 
-    def deadline(self) -> float:
-        """Return when the wait for the next token ends."""
-        profile = self.request.profile
-        max_wait_s = profile.max_wait_s
-        if self.delivered and profile.idempotent:
-            max_wait_s = max(max_wait_s, LEAST_WAIT_TO_RESUME_S)
-        return self.progress_at + max_wait_s
-
-    def stall_times(self, attempt: Attempt) -> list[float]:
-        """Return when an attempt becomes suspected and overdue, where still to come."""
-        times = []
-        if not attempt.is_suspected:
-            times.append(attempt.heard_at + self.suspect_after_s(attempt))
-        if not attempt.is_overdue:
-            times.append(attempt.heard_at + self.overdue_after_s(attempt))
-        return times
-
-    def suspect_after_s(self, attempt: Attempt) -> float:
-        """Return the silence in seconds that this upstream does not usually show."""
-        patience, profile = self.shared.patience, self.request.profile
-        if attempt.has_piece:
-            return patience.gap_limit_s(attempt.upstream.name, profile)
-        return patience.first_limit_s(attempt.upstream.name, profile)
-
-    def overdue_after_s(self, attempt: Attempt) -> float:
-        """Return the silence in seconds that no profile waits out."""
-        profile = self.request.profile
-        return profile.stall_cap_s if attempt.has_piece else first_cap_s(profile)
-
     def answer_stalls(self, now: float) -> list[GenerationAction]:
         """Start a second attempt when every live one is silent for too long."""
         if not self.request.profile.idempotent:
@@ -478,13 +248,12 @@
         self, live: Sequence[Attempt], now: float
     ) -> list[GenerationAction]:
         """Start another attempt beside the newest overdue one."""
-        ledger, fingerprint = self.shared.suspicion, self.request.fingerprint
-        if ledger.is_refused(fingerprint, now):
+        if self.is_refused(now):
             return self.refuse_killer(now)
         if not self.may_start_beside():
             return self.recheck_later(now)
         actions: list[GenerationAction] = []
-        if len(live) >= LIVE_ATTEMPTS or ledger.is_at_limit(fingerprint, now):
+        if len(live) >= LIVE_ATTEMPTS or self.is_at_limit(now):
             self.resting[live[0].upstream.name] = now + REST_AFTER_LOSS_S
             actions += self.cancel(live[0], now)
         upstream = self.pick(now)
@@ -511,14 +280,6 @@
         self.attempts[self.counts.attempts].is_second = True
         return actions
 
-    def may_start_beside(self) -> bool:
-        """Whether another attempt may start while one is still live."""
-        if self.counts.attempts >= self.request.profile.max_attempts:
-            return False
-        if not self.is_resume():
-            return True
-        return self.can_resume() and self.shared.resumes.is_open()
-
     def back_off(self, now: float) -> list[GenerationAction]:
         """Wait for an upstream, with growing and scattered pauses."""
         pause_s = self.backoff_s * self.shared.random.uniform(0.5, 1.0)
@@ -587,17 +348,6 @@
         verdict = Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
         return [*actions, Fail(code, verdict, message, retry_after_s)]
 
-    def count_dropped(self, event: GenerationEvent) -> None:
-        """Count what was not delivered."""
-        if isinstance(event, PieceArrived):
-            self.counts.dropped_pieces += 1
-            self.counts.dropped_tokens += len(event.token_ids)
-
-
-def names_resting(resting: dict[str, float], now: float) -> set[str]:
-    """Return the upstreams whose rest has not ended."""
-    return {name for name, until in resting.items() if until > now}
-
 
 def cut_off(piece: PieceArrived) -> AttemptDied:
     """Return the death that a piece stands for when it cannot be part of the answer."""
@@ -621,4 +371,5 @@
         generation.delivered = list(received.token_ids)
         generation.prompt_token_ids = received.prompt_token_ids
         generation.version = received.version
+        generation.may_have_run = True
     return generation
--- /dev/null
+++ b/src/turmericusher/decisions/generation_state.py
@@ -0,0 +1,319 @@
+"""What is known of one generation, and the bookkeeping of its attempts."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from dataclasses import dataclass, field, replace
+
+from turmericusher.decisions.attempts import Attempt, Release
+from turmericusher.decisions.extra_work import (
+    SECOND_ATTEMPT_TOKENS,
+    ExtraWorkBudget,
+    ResumeGate,
+)
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.generation_messages import (
+    AttemptDied,
+    CancelAttempt,
+    GenerationAction,
+    GenerationEvent,
+    Loss,
+    PieceArrived,
+    StartAttempt,
+)
+from turmericusher.decisions.patience import Patience
+from turmericusher.decisions.placement import note_replaced, place_attempt
+from turmericusher.decisions.requests import GenerationRequest, Usage
+from turmericusher.decisions.selection import PickRequest, Selector
+from turmericusher.decisions.suspicion import DeathKey, SuspicionLedger
+
+FIRST_BACKOFF_S = 0.02
+REST_AFTER_LOSS_S = 2.0
+REST_AFTER_REFUSAL_S = 0.25
+MAX_DOUBLINGS = 4
+LEAST_WAIT_TO_RESUME_S = 30.0
+PREFIX_CHARACTERS = 1024
+PREFIX_HASH_BYTES = 16
+
+
+@dataclass(slots=True)
+class SharedState:
+    """What all generations of an instance decide with.
+
+    `resting` gives the time until which an upstream that failed one generation is not
+    the first choice of any.
+    """
+
+    selector: Selector
+    patience: Patience
+    suspicion: SuspicionLedger
+    extra_work: ExtraWorkBudget
+    resumes: ResumeGate
+    random: random.Random
+    resting: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class GenerationCounts:
+    """What happened to one generation, for metrics and for the tests' oracles."""
+
+    attempts: int = 0
+    deaths: int = 0
+    second_attempts: int = 0
+    dropped_pieces: int = 0
+    dropped_tokens: int = 0
+    lost_tokens: int = 0
+
+
+@dataclass(slots=True)
+class GenerationState:
+    """One generation: its answer so far, its live attempts and what it went through.
+
+    `delivered` are all tokens of the answer that the caller holds. `resting` gives the
+    time until which an upstream is not tried again. `runs` counts the attempts that an
+    engine may have run, `refusals` those in a row that none took.
+    """
+
+    request: GenerationRequest
+    shared: SharedState
+    started_at: float
+    delivered: list[int] = field(default_factory=list)
+    prompt_token_ids: tuple[int, ...] | None = None
+    version: str = ""
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    resting: dict[str, float] = field(default_factory=dict)
+    lost_domains: set[str] = field(default_factory=set)
+    counts: GenerationCounts = field(default_factory=GenerationCounts)
+    progress_at: float = 0.0
+    retry_at: float | None = None
+    backoff_s: float = FIRST_BACKOFF_S
+    has_delivered: bool = False
+    has_untracked_text: bool = False
+    may_have_run: bool = False
+    runs: int = 0
+    refusals: int = 0
+    last_message: str = ""
+    is_over: bool = False
+
+    # Queries.
+
+    def is_resume(self) -> bool:
+        """Whether an attempt started now would go on with a part of the answer."""
+        return bool(self.delivered)
+
+    def can_resume(self) -> bool:
+        """Whether the tokens of the prompt and of the answer so far are known."""
+        return self.prompt_token_ids is not None and not self.has_untracked_text
+
+    def remaining_tokens(self) -> int | None:
+        """Return how many tokens may still be generated, or None without a limit."""
+        if self.request.max_tokens is None:
+            return None
+        return max(0, self.request.max_tokens - len(self.delivered))
+
+    def usage(self) -> Usage:
+        """Return the token counts as an unbroken answer would have them."""
+        return Usage(
+            prompt_tokens=len(self.prompt_token_ids or ()),
+            completion_tokens=len(self.delivered),
+        )
+
+    def deadline(self) -> float:
+        """Return when the wait for the next token ends."""
+        profile = self.request.profile
+        max_wait_s = profile.max_wait_s
+        if self.delivered and profile.idempotent:
+            max_wait_s = max(max_wait_s, LEAST_WAIT_TO_RESUME_S)
+        return self.progress_at + max_wait_s
+
+    def stall_times(self, attempt: Attempt) -> list[float]:
+        """Return when an attempt becomes suspected and overdue, where still to come."""
+        times = []
+        if not attempt.is_suspected:
+            times.append(attempt.heard_at + self.suspect_after_s(attempt))
+        if not attempt.is_overdue:
+            times.append(attempt.heard_at + self.overdue_after_s(attempt))
+        return times
+
+    def suspect_after_s(self, attempt: Attempt) -> float:
+        """Return the silence in seconds that this upstream does not usually show."""
+        patience, profile = self.shared.patience, self.request.profile
+        if attempt.has_piece:
+            return patience.gap_limit_s(attempt.upstream.name, profile)
+        return patience.first_limit_s(attempt.upstream.name, profile)
+
+    def overdue_after_s(self, attempt: Attempt) -> float:
+        """Return the silence in seconds that no profile waits out."""
+        patience, profile = self.shared.patience, self.request.profile
+        if attempt.has_piece:
+            return profile.stall_cap_s
+        return patience.first_overdue_s(attempt.upstream.name, profile)
+
+    def may_start_beside(self) -> bool:
+        """Whether another attempt may start while one is still live."""
+        if self.runs >= self.request.profile.max_attempts:
+            return False
+        if not self.is_resume():
+            return True
+        return self.can_resume() and self.shared.resumes.is_open()
+
+    def is_refused(self, now: float) -> bool:
+        """Whether the request has killed as many upstreams as it may."""
+        return self.shared.suspicion.is_refused(self.request.fingerprint, now)
+
+    def is_at_limit(self, now: float) -> bool:
+        """Whether the request may not be put on one more upstream."""
+        return self.shared.suspicion.is_at_limit(self.request.fingerprint, now)
+
+    # Commands.
+
+    def learn(self, attempt: Attempt, piece: PieceArrived) -> None:
+        """Note how long the upstream took, and that it lives."""
+        shared, upstream = self.shared, attempt.upstream
+        silence_s = max(0.0, piece.at - attempt.heard_at)
+        if attempt.has_piece:
+            shared.patience.learn_gap(upstream.name, silence_s)
+        elif piece.token_ids:
+            shared.patience.learn_first(upstream.name, silence_s)
+        shared.patience.heard(upstream.name, piece.at)
+        shared.resting.pop(upstream.name, None)
+        key = DeathKey(upstream.name, upstream.incarnation)
+        if key in shared.suspicion.deaths:
+            shared.suspicion.seen_alive(key, attempt.started_at, piece.at)
+        if not attempt.has_piece and piece.token_ids:
+            self.leave_gate(attempt)
+
+    def adopt(self, attempt: Attempt, release: Release, now: float) -> None:
+        """Make the released tokens part of the answer."""
+        self.delivered.extend(release.token_ids)
+        self.prompt_token_ids = self.prompt_token_ids or attempt.prompt_token_ids
+        self.version = self.version or attempt.version
+        self.has_untracked_text |= bool(release.text and not release.token_ids)
+        self.has_delivered = True
+        self.backoff_s = FIRST_BACKOFF_S
+        self.refusals = 0
+        self.progress_at = now
+        self.shared.extra_work.earn(len(release.token_ids), self.request.profile)
+
+    def rest(self, upstream: UpstreamInstance, death: AttemptDied, now: float) -> None:
+        """Keep away from an upstream, and after a loss from its failure domain."""
+        usual_s = REST_AFTER_REFUSAL_S * 2 ** min(self.refusals, MAX_DOUBLINGS)
+        if death.loss is Loss.UPSTREAM:
+            usual_s = REST_AFTER_LOSS_S
+            self.lost_domains.add(upstream.failure_domain)
+        rest_s = usual_s if death.retry_after_s is None else death.retry_after_s
+        self.resting[upstream.name] = now + rest_s
+        self.shared.resting[upstream.name] = now + rest_s
+
+    def charge(self, attempt: Attempt, now: float, is_stall: bool) -> None:
+        """Charge the loss of an attempt's upstream to this request."""
+        upstream = attempt.upstream
+        domain_size = sum(
+            other.failure_domain == upstream.failure_domain
+            and other.service == upstream.service
+            for other in self.shared.selector.upstreams.values()
+        )
+        self.shared.suspicion.charge(
+            self.request.fingerprint, upstream, domain_size, now, is_stall
+        )
+
+    def pick(self, now: float) -> UpstreamInstance | None:
+        """Choose the upstream for an attempt."""
+        note_replaced(
+            self.shared.selector, self.shared.suspicion, self.request.fingerprint
+        )
+        running = {a.upstream.name for a in self.attempts.values()}
+        own = frozenset(running | names_resting(self.resting, now))
+        stalled = {a.upstream.failure_domain for a in self.attempts.values()}
+        wanted = PickRequest(
+            service=self.request.service,
+            model=self.request.model,
+            version=self.version,
+            excluded=own,
+            avoided_domains=frozenset(self.lost_domains | stalled),
+            prefix=prefix_of(self.request),
+            is_resume=self.is_resume(),
+        )
+        resting = frozenset(names_resting(self.shared.resting, now))
+        first_choice = replace(wanted, excluded=own | resting)
+        return self.place(first_choice, now) or self.place(wanted, now)
+
+    def place(self, wanted: PickRequest, now: float) -> UpstreamInstance | None:
+        """Choose an upstream, keeping requests that may kill apart."""
+        shared, fingerprint = self.shared, self.request.fingerprint
+        return place_attempt(
+            shared.selector, shared.suspicion, wanted, fingerprint, now
+        )
+
+    def open(self, upstream: UpstreamInstance, now: float) -> list[GenerationAction]:
+        """Start an attempt on an upstream."""
+        self.runs += 1
+        self.counts.attempts += 1
+        number = self.counts.attempts
+        attempt = Attempt(number, upstream, len(self.delivered), now, now)
+        attempt.prompt_token_ids = self.prompt_token_ids
+        self.attempts[number] = attempt
+        self.retry_at = None
+        self.shared.selector.started(upstream.name)
+        self.shared.suspicion.started(self.request.fingerprint, upstream.name, now)
+        prompt = None
+        if self.is_resume():
+            attempt.is_in_gate = True
+            self.shared.resumes.enter()
+            prompt = (*(self.prompt_token_ids or ()), *self.delivered)
+        return [StartAttempt(number, upstream, prompt, self.remaining_tokens())]
+
+    def leave_gate(self, attempt: Attempt) -> None:
+        """Let the next resume start."""
+        if attempt.is_in_gate:
+            attempt.is_in_gate = False
+            self.shared.resumes.leave()
+
+    def remove(self, attempt: Attempt, was_run: bool) -> None:
+        """Forget an attempt and give back what it held; its held tokens are lost."""
+        del self.attempts[attempt.number]
+        self.may_have_run |= was_run
+        self.runs -= not was_run
+        self.counts.lost_tokens += sum(len(s.token_ids) for s in attempt.held)
+        self.leave_gate(attempt)
+        self.shared.selector.finished(attempt.upstream.name)
+        self.shared.suspicion.finished(self.request.fingerprint, attempt.upstream.name)
+
+    def cancel(self, attempt: Attempt, now: float) -> list[GenerationAction]:
+        """Stop a live attempt; its silence so far is a gap like any other."""
+        self.remove(attempt, was_run=True)
+        if attempt.is_second:
+            beyond = attempt.token_count - SECOND_ATTEMPT_TOKENS
+            self.shared.extra_work.spend(max(0.0, beyond))
+        silence_s = max(0.0, now - attempt.heard_at)
+        if attempt.has_piece and attempt.is_suspected:
+            self.shared.patience.learn_gap(attempt.upstream.name, silence_s)
+        elif attempt.is_suspected:
+            self.shared.patience.learn_first(attempt.upstream.name, silence_s)
+        return [CancelAttempt(attempt.number)]
+
+    def cancel_all(self, now: float) -> list[GenerationAction]:
+        """Stop every live attempt."""
+        actions: list[GenerationAction] = []
+        for attempt in list(self.attempts.values()):
+            actions += self.cancel(attempt, now)
+        return actions
+
+    def count_dropped(self, event: GenerationEvent) -> None:
+        """Count what was not delivered."""
+        if isinstance(event, PieceArrived):
+            self.counts.dropped_pieces += 1
+            self.counts.dropped_tokens += len(event.token_ids)
+
+
+def names_resting(resting: dict[str, float], now: float) -> set[str]:
+    """Return the upstreams whose rest has not ended."""
+    return {name for name, until in resting.items() if until > now}
+
+
+def prefix_of(request: GenerationRequest) -> bytes:
+    """Return the hash of a prompt's beginning, by which its cache may be found."""
+    prompt = request.prompt or repr(request.prompt_token_ids or request.messages)
+    beginning = prompt[:PREFIX_CHARACTERS].encode()
+    return hashlib.blake2b(beginning, digest_size=PREFIX_HASH_BYTES).digest()
--- a/src/turmericusher/decisions/patience.py
+++ b/src/turmericusher/decisions/patience.py
@@ -121,8 +121,7 @@
 
     def gap_limit_s(self, upstream: str, profile: Profile) -> float:
         """Return the silence in seconds after which a stream is suspected."""
-        known = self.upstreams.get(upstream, self.pooled).between.percentile(PERCENTILE)
-        usual = known or self.pooled.between.percentile(PERCENTILE)
+        usual = self.usual(upstream, is_first=False)
         if usual is None:
             return profile.stall_cap_s
         return clamp(usual * GAP_MULTIPLE, profile.stall_floor_s, profile.stall_cap_s)
@@ -130,12 +129,30 @@
     def first_limit_s(self, upstream: str, profile: Profile) -> float:
         """Return the wait in seconds for a first piece after which it is suspected."""
         longest = first_cap_s(profile)
-        known = self.upstreams.get(upstream, self.pooled).first.percentile(PERCENTILE)
-        usual = known or self.pooled.first.percentile(PERCENTILE)
+        usual = self.usual(upstream, is_first=True)
         if usual is None:
             return longest
         return clamp(usual * FIRST_TOKEN_MULTIPLE, profile.stall_floor_s, longest)
 
+    def first_overdue_s(self, upstream: str, profile: Profile) -> float:
+        """Return the wait in seconds for a first piece that is waited out at most."""
+        longest = first_cap_s(profile)
+        usual = self.usual(upstream, is_first=True)
+        if usual is None:
+            return longest
+        return clamp(usual * FIRST_TOKEN_MULTIPLE, profile.stall_cap_s, longest)
+
+    def usual(self, upstream: str, is_first: bool) -> float | None:
+        """Return the high percentile of an upstream's gaps, or else of all gaps."""
+        for gaps in (self.upstreams.get(upstream), self.pooled):
+            if gaps is None:
+                continue
+            statistics = gaps.first if is_first else gaps.between
+            percentile = statistics.percentile(PERCENTILE)
+            if percentile is not None:
+                return percentile
+        return None
+
 
 def first_cap_s(profile: Profile) -> float:
     """Return the longest wait in seconds for a first piece.
--- a/src/turmericusher/decisions/placement.py
+++ b/src/turmericusher/decisions/placement.py
@@ -37,7 +37,7 @@
     if ledger.must_run_alone(fingerprint, now):
         yield forced | kept_apart | ledger.upstreams_running()
     if ledger.has_charges(fingerprint, now):
-        yield forced | kept_apart | ledger.upstreams_with_charged(fingerprint)
+        yield forced | kept_apart | ledger.upstreams_with_charged(fingerprint, now)
     yield forced | kept_apart
     yield forced
 
@@ -52,3 +52,13 @@
         if key.upstream in selector.upstreams
         and selector.upstreams[key.upstream].incarnation == key.incarnation
     )
+
+
+def note_replaced(
+    selector: Selector, ledger: SuspicionLedger, fingerprint: str
+) -> None:
+    """Turn silences into deaths where another incarnation has taken the place."""
+    for key in ledger.silent_keys(fingerprint):
+        upstream = selector.upstreams.get(key.upstream)
+        if upstream is not None and upstream.incarnation != key.incarnation:
+            ledger.seen_replaced(key)
--- a/src/turmericusher/decisions/suspicion.py
+++ b/src/turmericusher/decisions/suspicion.py
@@ -20,6 +20,7 @@
 MAX_VICTIMS = 1_000
 MAX_PROVEN = 10_000
 LIST_LAG_S = 15.0
+ALIVE_GRACE_S = 0.5
 DOMAIN_LOSS_WINDOW_S = 2.0
 DOMAIN_LOSS_SHARE = 0.5
 DOMAIN_LOSS_LEAST = 2
@@ -145,10 +146,10 @@
     def forget(self, now: float) -> None:
         """Drop the deaths that have expired, and the oldest above the bound."""
         expired = [d.key for d in self.deaths.values() if not is_recent(d, now)]
-        excess = len(self.deaths) - len(expired) - MAX_DEATHS
-        oldest = [key for key in self.deaths if key not in expired]
-        for key in expired + oldest[: max(0, excess)]:
+        for key in expired:
             self.remove(key)
+        while len(self.deaths) > MAX_DEATHS:
+            self.remove(next(iter(self.deaths)))
 
     def remove(self, key: DeathKey) -> None:
         """Take a death off everyone it was charged to."""
@@ -158,19 +159,19 @@
             if not keys:
                 del self.charged[fingerprint]
 
-    def seen_alive(
-        self, key: DeathKey, since: float, now: float, stalls_only: bool = False
-    ) -> None:
-        """Clear the charges for an incarnation that turns out to live.
+    def seen_alive(self, key: DeathKey, since: float, now: float) -> None:
+        """Clear the charges for an incarnation that turns out to live at `now`.
 
         `since` is the time from which the evidence counts: the start of a stream that
         still brings pieces, or minus infinity where the upstream itself reports its
-        incarnation. With `stalls_only` the evidence is a stream opened later, which a
-        restarted process could have answered too: it clears a silence but no broken
-        connection.
+        incarnation. A stream opened after a death may come from a restarted process
+        and clears only a silence.
         """
         death = self.deaths.get(key)
-        if death is None or (stalls_only and not death.is_stall):
+        if death is None:
+            return
+        # Pieces sent before a death are read a little after it.
+        if now < death.died_at + ALIVE_GRACE_S:
             return
         if not death.is_stall and death.died_at < since:
             return
@@ -185,23 +186,20 @@
         if key in self.deaths:
             self.deaths[key].is_stall = False
 
-    def counted(self, fingerprint: str, now: float) -> list[Death]:
-        """Return the deaths and silences that count against a fingerprint."""
-        deaths = [self.deaths[key] for key in self.charged.get(fingerprint, ())]
-        return [
-            death
-            for death in deaths
-            if is_recent(death, now) and not self.has_other_cause(death, fingerprint)
-        ]
-
     def kills(self, fingerprint: str, now: float) -> list[Death]:
         """Return the deaths that count against a fingerprint.
 
         A silence is none until another incarnation has taken the upstream's place: an
         overloaded, paused or cut-off engine is silent too.
         """
-        counted = self.counted(fingerprint, now)
-        return [death for death in counted if not death.is_stall]
+        deaths = [self.deaths[key] for key in self.charged.get(fingerprint, ())]
+        return [
+            death
+            for death in deaths
+            if not death.is_stall
+            and is_recent(death, now)
+            and not self.has_other_cause(death, fingerprint)
+        ]
 
     def has_other_cause(self, death: Death, fingerprint: str) -> bool:
         """Whether a death has a likelier cause than this fingerprint."""
@@ -241,11 +239,11 @@
 
     def has_charges(self, fingerprint: str, now: float) -> bool:
         """Whether any death counts against a fingerprint."""
-        return bool(self.counted(fingerprint, now))
+        return bool(self.kills(fingerprint, now))
 
     def must_run_alone(self, fingerprint: str, now: float) -> bool:
         """Whether the next death would be the last one allowed."""
-        return len(self.counted(fingerprint, now)) >= MAX_KILLS - 1
+        return len(self.kills(fingerprint, now)) >= MAX_KILLS - 1
 
     def is_at_limit(self, fingerprint: str, now: float) -> bool:
         """Whether a further upstream would put more at risk than a request may kill.
@@ -274,6 +272,11 @@
             key for key in keys if self.deaths[key].died_at + LIST_LAG_S > now
         )
 
+    def silent_keys(self, fingerprint: str) -> list[DeathKey]:
+        """Return the incarnations that only fell silent under a fingerprint."""
+        keys = self.charged.get(fingerprint, ())
+        return [key for key in keys if self.deaths[key].is_stall]
+
     def upstreams_of(self, fingerprint: str) -> frozenset[str]:
         """Return the upstreams that run a fingerprint now."""
         return frozenset(self.running.get(fingerprint, ()))
@@ -282,10 +285,14 @@
         """Return the upstreams that run anything of this instance now."""
         return frozenset(name for names in self.running.values() for name in names)
 
-    def upstreams_with_charged(self, fingerprint: str) -> frozenset[str]:
+    def upstreams_with_charged(self, fingerprint: str, now: float) -> frozenset[str]:
         """Return the upstreams that run another charged fingerprint now."""
-        others = (self.running.get(f, {}) for f in self.charged if f != fingerprint)
-        return frozenset(name for names in others for name in names)
+        return frozenset(
+            name
+            for other, names in self.running.items()
+            if other != fingerprint and self.has_charges(other, now)
+            for name in names
+        )
 
     def upstreams_held(self, fingerprint: str) -> frozenset[str]:
         """Return the upstreams kept free for other fingerprints."""
--- a/src/turmericusher/tasks/generation.py
+++ b/src/turmericusher/tasks/generation.py
@@ -15,11 +15,7 @@
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.extra_work import ExtraWorkBudget, ResumeGate
-from turmericusher.decisions.generation import (
-    Generation,
-    SharedState,
-    make_generation,
-)
+from turmericusher.decisions.generation import Generation, make_generation
 from turmericusher.decisions.generation_messages import (
     AttemptDied,
     CancelAttempt,
@@ -31,6 +27,7 @@
     PieceArrived,
     StartAttempt,
 )
+from turmericusher.decisions.generation_state import SharedState
 from turmericusher.decisions.patience import Patience
 from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
 from turmericusher.decisions.selection import Selector
--- a/tests/common/engines.py
+++ b/tests/common/engines.py
@@ -98,7 +98,9 @@
 class FakeEngines:
     """An engine port whose n-th opened stream suffers the n-th of `faults`.
 
-    `open_streams` and `sent` show what the engines run and got.
+    A request whose parameters hold `kill_at` kills its engine at that offset, and
+    every other stream there. `open_streams` and `sent` show what the engines run and
+    got; `dead` are the names of the engines that died.
     """
 
     faults: list[FaultAt | None] = field(default_factory=list)
@@ -107,6 +109,7 @@
     answer_length: int = ANSWER_LENGTH
     sent: list[tuple[UpstreamInstance, EngineRequest]] = field(default_factory=list)
     open_streams: int = 0
+    dead: set[str] = field(default_factory=set)
 
     @asynccontextmanager
     async def open_stream(
@@ -117,6 +120,8 @@
         self.sent.append((upstream, request))
         if fault is not None and fault.fault in SEND_FAULTS:
             raise SEND_FAULTS[fault.fault]
+        if upstream.name in self.dead:
+            raise SEND_FAULTS[Fault.REFUSE]
         self.open_streams += 1
         try:
             yield self.pieces(upstream, request, fault)
@@ -136,6 +141,10 @@
         version = upstream.version
         while True:
             offset = len(tokens) - len(PROMPT)
+            if offset >= request.parameters.get("kill_at", offset + 1):  # type: ignore[operator]
+                self.dead.add(upstream.name)
+            if upstream.name in self.dead:
+                await suffer(Fault.RESET)
             gap_s = self.gap_s
             if fault is not None and offset >= fault.at_offset:
                 if fault.fault is Fault.OTHER_VERSION:
--- /dev/null
+++ b/tests/cover/test_generation_machine.py
@@ -0,0 +1,358 @@
+"""A generation under any interleaving of faults, driven without tasks or a clock.
+
+Each attempt computes other tokens than the rest, as sampling engines do. The oracle
+keeps every token that any attempt computed, with all tokens before it: an answer that
+mixes two attempts holds a token that nobody computed from those before it.
+"""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests.common.engines import (
+    EURO_TOKEN,
+    HALF_TOKEN,
+    PROMPT,
+    VOCABULARY,
+    make_engines,
+    make_request,
+    text_of,
+)
+from turmericusher.decisions.extra_work import ExtraWorkBudget, ResumeGate
+from turmericusher.decisions.generation import Generation, make_generation
+from turmericusher.decisions.generation_messages import (
+    AttemptDied,
+    CancelAttempt,
+    Deliver,
+    Fail,
+    GenerationAction,
+    Loss,
+    PieceArrived,
+    StartAttempt,
+)
+from turmericusher.decisions.generation_state import SharedState
+from turmericusher.decisions.patience import Patience
+from turmericusher.decisions.requests import AnswerPiece, ReceivedAnswer
+from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.stop_strings import find_stop
+from turmericusher.decisions.suspicion import MAX_KILLS, SuspicionLedger
+from turmericusher.errors import ErrorCode, Verdict
+from turmericusher.profiles import Profile, SecondAttempt
+
+LIVE_ATTEMPTS = 2
+LOSSES = st.sampled_from(
+    [
+        (Loss.UPSTREAM, Verdict.MAY_HAVE_RUN),
+        (Loss.ATTEMPT, Verdict.NOT_RUN),
+        (Loss.ATTEMPT, Verdict.MAY_HAVE_RUN),
+    ]
+)
+PROFILES = st.builds(
+    Profile,
+    name=st.just("profile"),
+    idempotent=st.sampled_from([True, True, True, False]),
+    max_wait_s=st.sampled_from([1.0, 30.0]),
+    second_attempt=st.sampled_from(SecondAttempt),
+    stall_floor_s=st.just(0.1),
+    stall_cap_s=st.just(1.0),
+    max_attempts=st.sampled_from([2, 8, 32]),
+)
+STOPS = st.sampled_from(
+    [(), ("stop",), ("€a",), ("ab", "bc", "ca", "éa", "stst"), ("aa", "bcb", "é€")]
+)
+
+
+@dataclass(slots=True)
+class SimulatedStream:
+    """What an engine computes for one attempt, from its own prompt."""
+
+    number: int
+    tokens: list[int]
+    start: int
+    max_tokens: int | None
+    is_first_piece: bool = True
+    is_ended: bool = False
+
+
+@dataclass(slots=True)
+class Caller:
+    """What the caller holds, over all its connections."""
+
+    token_ids: list[int] = field(default_factory=list)
+    text: str = ""
+    prompt_token_ids: tuple[int, ...] = ()
+    version: str = ""
+    last: AnswerPiece | None = None
+    failure: Fail | None = None
+
+
+def sampled_token(tokens: Sequence[int], number: int) -> int:
+    """Return the token an attempt samples; another attempt samples another one."""
+    if tokens[-1] == HALF_TOKEN:
+        return EURO_TOKEN
+    token = zlib.crc32(repr((tuple(tokens), number)).encode()) % len(VOCABULARY)
+    return HALF_TOKEN if token == EURO_TOKEN else token
+
+
+class GenerationMachine(RuleBasedStateMachine):
+    """One caller, its connections one after the other, and engines that fail."""
+
+    @initialize(
+        profile=PROFILES,
+        stop=STOPS,
+        max_tokens=st.sampled_from([None, 1, 6, 40]),
+        engines=st.sampled_from([1, 3, 6]),
+        seed=st.integers(0, 99),
+    )
+    def begin(
+        self,
+        profile: Profile,
+        stop: tuple[str, ...],
+        max_tokens: int | None,
+        engines: int,
+        seed: int,
+    ) -> None:
+        self.now = 100.0
+        self.request = make_request(profile, stop=stop, max_tokens=max_tokens)
+        selector = Selector(random.Random(seed))
+        selector.update(make_engines(engines))
+        self.shared = SharedState(
+            selector=selector,
+            patience=Patience(),
+            suspicion=SuspicionLedger(),
+            extra_work=ExtraWorkBudget(),
+            resumes=ResumeGate(limit=1),
+            random=random.Random(seed),
+        )
+        self.caller = Caller()
+        self.streams: list[SimulatedStream] = []
+        self.computed: set[tuple[int, ...]] = set()
+        self.ran = 0
+        self.killed: set[str] = set()
+        self.connect(make_generation(self.request, self.shared, self.now))
+
+    def connect(self, generation: Generation) -> None:
+        self.generation = generation
+        self.live: dict[int, SimulatedStream] = {}
+        self.is_over = False
+        self.carry_out(generation.start(self.now))
+
+    def carry_out(self, actions: list[GenerationAction]) -> None:
+        for action in actions:
+            assert not self.is_over or isinstance(action, CancelAttempt | Fail)
+            if isinstance(action, StartAttempt):
+                self.open_stream(action)
+            elif isinstance(action, CancelAttempt):
+                del self.live[action.attempt]
+            elif isinstance(action, Deliver):
+                self.receive(action.piece)
+                assert len(self.live) <= 1, "a losing attempt goes on"
+            else:
+                self.caller.failure = action
+                self.is_over = True
+
+    def open_stream(self, action: StartAttempt) -> None:
+        prompt = action.prompt_token_ids or PROMPT
+        if self.caller.token_ids:
+            assert list(prompt) == [*PROMPT, *self.caller.token_ids]
+        start = len(prompt) - len(PROMPT)
+        if self.request.max_tokens is not None:
+            assert action.max_tokens == self.request.max_tokens - start
+        stream = SimulatedStream(action.attempt, list(prompt), start, action.max_tokens)
+        self.streams.append(stream)
+        self.live[action.attempt] = stream
+        self.ran += 1
+
+    def receive(self, piece: AnswerPiece) -> None:
+        for token in piece.token_ids:
+            self.caller.token_ids.append(token)
+            chain = (*PROMPT, *self.caller.token_ids)
+            assert chain in self.computed, "nobody computed this token from these"
+        self.caller.text += piece.text
+        if piece.prompt_token_ids is not None:
+            self.caller.prompt_token_ids = piece.prompt_token_ids
+            self.caller.version = piece.version
+        if piece.finish_reason is not None:
+            self.caller.last = piece
+            self.is_over = True
+
+    @rule(data=st.data(), count=st.integers(1, 3), finish=st.integers(0, 12))
+    def a_stream_brings_tokens(
+        self, data: st.DataObject, count: int, finish: int
+    ) -> None:
+        """Any stream that was ever opened may still bring pieces, cancelled or not."""
+        open_streams = [s for s in self.streams if not s.is_ended]
+        if not open_streams:
+            return
+        stream = data.draw(st.sampled_from(open_streams[-4:]))
+        self.feed(self.next_piece(stream, count, finish == 0), stream)
+
+    def next_piece(
+        self, stream: SimulatedStream, count: int, may_finish: bool
+    ) -> PieceArrived:
+        # A piece of several tokens ends in a whole character, as the port asks.
+        new: list[int] = []
+        text = ""
+        made = len(stream.tokens) - stream.start - len(PROMPT)
+        while len(new) < count or (count > 1 and new[-1] == HALF_TOKEN):
+            if stream.max_tokens is not None and made >= stream.max_tokens:
+                break
+            token = sampled_token(stream.tokens, len(self.streams) + stream.number)
+            stream.tokens.append(token)
+            self.computed.add(tuple(stream.tokens))
+            new.append(token)
+            text += VOCABULARY[token]
+            made += 1
+        is_full = stream.max_tokens is not None and made >= stream.max_tokens
+        ends_whole = stream.tokens[-1] != HALF_TOKEN
+        finish = "length" if is_full else "stop" if may_finish and ends_whole else None
+        prompt = tuple(stream.tokens[: len(stream.tokens) - len(new)])
+        piece = PieceArrived(
+            attempt=stream.number,
+            at=self.now,
+            token_ids=tuple(new),
+            text=text,
+            finish_reason=finish,
+            prompt_token_ids=prompt if stream.is_first_piece else None,
+            version="v1",
+        )
+        stream.is_first_piece = False
+        stream.is_ended = finish is not None
+        return piece
+
+    def feed(self, event: PieceArrived | AttemptDied, stream: SimulatedStream) -> None:
+        """Give an event to its own connection's generation, or to nobody."""
+        is_current = self.live.get(stream.number) is stream
+        if not is_current and event.attempt in self.live:
+            return
+        if isinstance(event, AttemptDied) and is_current:
+            del self.live[event.attempt]
+        self.carry_out(self.generation.handle(event, self.now))
+
+    @rule(data=st.data(), loss=LOSSES)
+    def a_stream_dies(self, data: st.DataObject, loss: tuple[Loss, Verdict]) -> None:
+        open_streams = [s for s in self.streams if not s.is_ended]
+        if not open_streams:
+            return
+        stream = data.draw(st.sampled_from(open_streams[-4:]))
+        stream.is_ended = True
+        is_live = self.live.get(stream.number) is stream
+        if is_live and loss[0] is Loss.UPSTREAM:
+            self.killed.add(self.generation.attempts[stream.number].upstream.name)
+        if is_live and loss[1] is Verdict.NOT_RUN and stream.is_first_piece:
+            self.ran -= 1
+        self.feed(AttemptDied(stream.number, self.now, loss[0], loss[1]), stream)
+
+    @precondition(lambda self: not self.is_over)
+    @rule()
+    def time_passes_to_the_next_wake(self) -> None:
+        self.now = max(self.now, self.generation.wake_at())
+        self.carry_out(self.generation.tick(self.now))
+        assert self.is_over or self.generation.wake_at() > self.now, "a busy loop"
+
+    @rule(seconds=st.floats(0.0, 2.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+        self.carry_out(self.generation.tick(self.now))
+
+    @precondition(
+        lambda self: (
+            self.caller.last is None
+            and (self.request.profile.idempotent or self.caller.token_ids)
+        )
+    )
+    @rule()
+    def the_caller_reconnects(self) -> None:
+        """Go to another instance with what was received."""
+        cancelled = self.generation.close(self.now)
+        self.carry_out([a for a in cancelled if a.attempt in self.live])
+        caller = self.caller
+        received = ReceivedAnswer(
+            caller.prompt_token_ids, tuple(caller.token_ids), caller.text, "v1"
+        )
+        request = make_request(
+            self.request.profile,
+            stop=self.request.stop,
+            max_tokens=self.request.max_tokens,
+            received=received if caller.token_ids else None,
+        )
+        for stream in self.streams:
+            stream.number += 1000
+        caller.failure = None
+        self.connect(make_generation(request, self.shared, self.now))
+
+    @invariant()
+    def the_bookkeeping_matches_the_live_attempts(self) -> None:
+        live = self.generation.attempts
+        assert set(live) == set(self.live)
+        assert len(live) <= LIVE_ATTEMPTS
+        names = sorted(attempt.upstream.name for attempt in live.values())
+        assert sorted(self.shared.selector.in_flight) == names
+        running = self.shared.suspicion.upstreams_running()
+        assert sorted(running) == names
+        assert self.shared.resumes.waiting == sum(a.is_in_gate for a in live.values())
+        assert not (self.is_over and live)
+
+    @invariant()
+    def the_text_is_that_of_the_tokens(self) -> None:
+        text = text_of(self.caller.token_ids)
+        stop_at = find_stop(text, self.request.stop)
+        is_finished = self.caller.last is not None
+        if is_finished and stop_at is not None:
+            assert self.caller.text == text[:stop_at]
+            assert self.caller.last.finish_reason == "stop"
+            return
+        assert stop_at is None, "a stop string was delivered"
+        assert self.caller.text == text
+        assert (
+            not self.caller.token_ids
+            or self.caller.token_ids[-1] != HALF_TOKEN
+            or (is_finished)
+        )
+
+    @invariant()
+    def a_whole_answer_counts_all_its_tokens(self) -> None:
+        last = self.caller.last
+        if last is None:
+            return
+        assert last.usage is not None
+        assert last.usage.completion_tokens == len(self.caller.token_ids)
+        assert last.usage.prompt_tokens == len(PROMPT)
+        if last.finish_reason == "length":
+            assert len(self.caller.token_ids) == self.request.max_tokens
+
+    @invariant()
+    def a_request_that_may_not_repeat_runs_at_most_once(self) -> None:
+        if not self.request.profile.idempotent:
+            assert self.ran <= 1
+
+    @invariant()
+    def a_request_loses_at_most_three_engines(self) -> None:
+        assert len(self.killed) <= MAX_KILLS
+
+    @invariant()
+    def a_failure_says_truly_whether_it_may_have_run(self) -> None:
+        failure = self.caller.failure
+        if failure is not None and failure.verdict is Verdict.NOT_RUN:
+            assert not self.caller.token_ids
+            assert failure.code is not ErrorCode.ANSWER_INTERRUPTED
+
+
+GenerationMachine.TestCase.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+)
+GenerationMachineTest = GenerationMachine.TestCase
--- /dev/null
+++ b/tests/cover/test_stop_strings.py
@@ -0,0 +1,40 @@
+"""Stop strings end an answer at the same place however its text is cut."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from turmericusher.decisions.stop_strings import find_stop, safe_length
+
+TEXTS = st.text(alphabet="ab", max_size=12)
+STOPS = st.lists(st.text(alphabet="ab", min_size=1, max_size=4), max_size=3)
+
+
+class StopStringsTest(TestCase):
+    @given(TEXTS, STOPS)
+    def test_the_stop_that_ends_first_wins(self, text: str, stops: list[str]) -> None:
+        prefixes = [text[:end] for end in range(len(text) + 1)]
+        ended = next((p for p in prefixes if p.endswith(tuple(stops))), None)
+        expected = None
+        if ended is not None:
+            expected = min(len(ended) - len(s) for s in stops if ended.endswith(s))
+        self.assertEqual(expected, find_stop(text, stops))
+
+    @given(TEXTS, TEXTS, STOPS)
+    def test_no_stop_reaches_back_into_safe_text(
+        self, text: str, more: str, stops: list[str]
+    ) -> None:
+        if find_stop(text, stops) is not None:
+            return
+        safe = safe_length(text, stops)
+        found = find_stop(text + more, stops)
+        self.assertTrue(found is None or found >= safe)
+
+    @given(TEXTS, STOPS)
+    def test_only_the_beginning_of_a_stop_is_held_back(
+        self, text: str, stops: list[str]
+    ) -> None:
+        rest = text[safe_length(text, stops) :]
+        self.assertTrue(not rest or any(stop.startswith(rest) for stop in stops))
