Measure the path under a steady and a saturating load

Cause: one burst of 48 streams measured the load tool's own queue, and pieces without text were compared with pieces that had some. Ruled out: fewer streams alone, which would hide where the process saturates. Change: benchmarks/path.py runs two loads with spread starts and compares only pieces with text. For users: nothing is different.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -29,7 +29,9 @@
 )
 
 ROUNDS = 3
-STREAMS = 48
+STEADY_STREAMS = 16
+SATURATING_STREAMS = 64
+START_SPREAD_S = 0.5
 TOKENS_PER_STREAM = 100
 TOKEN_GAP_S = 0.01
 FIRST_TOKEN_S = 0.02
@@ -70,9 +72,14 @@
 
 
 async def run_stream(
-    session: aiohttp.ClientSession, address: str, prompt: str, timings: Timings
+    session: aiohttp.ClientSession,
+    address: str,
+    prompt: str,
+    delay_s: float,
+    timings: Timings,
 ) -> None:
     """Stream one answer and note when each piece came."""
+    await asyncio.sleep(delay_s)
     body = {
         "model": "model",
         "prompt": prompt,
@@ -85,7 +92,9 @@
     async with session.post(f"http://{address}/v1/completions", json=body) as response:
         response.raise_for_status()
         async for line in response.content:
-            if not line.startswith(b"data: {"):
+            # A token that is half a character has no text yet; we hold it back, so
+            # only pieces with text are compared.
+            if not line.startswith(b"data: {") or b'"text":""' in line:
                 continue
             now = time.perf_counter()
             if last is None:
@@ -96,51 +105,69 @@
             timings.tokens += 1
 
 
-async def run_round(addresses: list[str], prompt: str, timings: Timings) -> None:
-    """Run all streams at once, spread over the addresses."""
+async def run_round(
+    addresses: list[str], prompt: str, streams: int, timings: Timings
+) -> None:
+    """Run all streams, with starts that are spread over time and addresses."""
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         began = time.perf_counter()
-        streams = [
-            run_stream(session, addresses[n % len(addresses)], f"{prompt} {n}", timings)
-            for n in range(STREAMS)
+        running = [
+            run_stream(
+                session,
+                addresses[n % len(addresses)],
+                f"{prompt} {n}",
+                START_SPREAD_S * n / streams,
+                timings,
+            )
+            for n in range(streams)
         ]
-        await asyncio.gather(*streams)
+        await asyncio.gather(*running)
         timings.elapsed_s += time.perf_counter() - began
 
 
 async def measure(deployment: Deployment, seed: int) -> dict[str, object]:
-    """Return the figures of both ways."""
+    """Return the figures of both ways under a steady and a saturating load."""
+    entry = deployment.entries[0]
+    steady = await measure_load(deployment, f"steady {seed}", STEADY_STREAMS)
+    saturated = await measure_load(deployment, f"full {seed}", SATURATING_STREAMS)
+    return {
+        "steady": steady,
+        "saturated": saturated,
+        "resident_mib": round(usage_of(entry).resident_bytes / MIB, 1),
+    }
+
+
+async def measure_load(
+    deployment: Deployment, prompt: str, streams: int
+) -> dict[str, object]:
+    """Return the figures of both ways under one load."""
     entry = deployment.entries[0]
     engines = [engine.address for engine in deployment.engines]
     direct = Timings()
     through = Timings()
     before = usage_of(entry)
     for number in range(ROUNDS):
-        await run_round(engines, f"direct {seed} {number}", direct)
-        await run_round([entry.address], f"through {seed} {number}", through)
-    after = usage_of(entry)
+        await run_round(engines, f"direct {prompt} {number}", streams, direct)
+        await run_round([entry.address], f"via {prompt} {number}", streams, through)
+    processor_s = usage_of(entry).processor_s - before.processor_s
     return {
-        "streams": STREAMS,
-        "tokens": through.tokens,
-        "direct": timings_summary(direct),
-        "through": timings_summary(through),
+        "streams": streams,
+        "direct": timings_summary(direct, streams),
+        "through": timings_summary(through, streams),
         "added_first_token_ms": added(direct.first_token_s, through.first_token_s),
         "added_gap_ms": added(direct.gaps_s, through.gaps_s),
-        "processor_us_per_token": round(
-            (after.processor_s - before.processor_s) / through.tokens * 1e6, 1
-        ),
-        "resident_mib": round(after.resident_bytes / MIB, 1),
+        "processor_us_per_token": round(processor_s / through.tokens * 1e6, 1),
     }
 
 
-def timings_summary(timings: Timings) -> dict[str, object]:
+def timings_summary(timings: Timings, streams: int) -> dict[str, object]:
     """Return the figures of one way."""
     return {
         "first_token": summary_ms(timings.first_token_s),
         "gap": summary_ms(timings.gaps_s),
         "tokens_per_s": round(timings.tokens / timings.elapsed_s),
-        "requests_per_s": round(ROUNDS * STREAMS / timings.elapsed_s, 1),
+        "requests_per_s": round(ROUNDS * streams / timings.elapsed_s, 1),
     }
 
 
@@ -156,7 +183,7 @@
     options = DeploymentOptions(
         entries=1,
         engines=ENGINES,
-        slots=STREAMS,
+        slots=SATURATING_STREAMS,
         first_token_s=FIRST_TOKEN_S,
         token_gap_s=TOKEN_GAP_S,
     )
