Send heartbeats also while a generation waits to be opened

Cause: since admission queues a request before its generation opens, a stream gave no sign of life in the queue, so a caller could not tell it from a dead instance. Ruled out: opening in a task of its own, because the context must be left by the task that entered it. Change: a heartbeat task that ends before the first piece is written. For users: a queued stream shows heartbeats; a refusal after the first one comes as the last event instead of an HTTP status.

--- a/src/turmericusher/api/completions.py
+++ b/src/turmericusher/api/completions.py
@@ -39,6 +39,7 @@
 from turmericusher.settings import Service, Settings
 from turmericusher.tasks.instance import EntryRuntime
 
+HEARTBEAT_INTERVAL_S = 1.0
 STREAM_HEADERS = [
     (b"content-type", b"text/event-stream; charset=utf-8"),
     (b"cache-control", b"no-cache"),
@@ -147,6 +148,12 @@
         pass
 
 
+async def end_task(task: asyncio.Task[None]) -> None:
+    """Cancel a task and wait until it has ended."""
+    task.cancel()
+    await asyncio.wait({task})
+
+
 def is_heartbeat(piece: AnswerPiece) -> bool:
     """Whether a piece only shows that the instance is alive."""
     return not (piece.token_ids or piece.text or piece.finish_reason)
@@ -185,14 +192,18 @@
 
     async def stream(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Write every piece; a failure becomes an HTTP error or a last event."""
+        opening = asyncio.create_task(self.beat(send))
         try:
             async with opened(self.runtime, self.generation) as pieces:
                 async for piece in pieces:
+                    if not opening.done():
+                        await end_task(opening)
                     await self.write(send, self.event_for(piece))
                     if piece.usage is not None and self.shape.with_usage:
                         await self.write(send, usage_event(self.shape, piece.usage))
             await self.write(send, STREAM_END)
         except TurmericusherError as error:
+            await end_task(opening)
             log_event(
                 "generation_failed",
                 request_id=self.generation.request_id,
@@ -204,8 +215,20 @@
                 await error_response(error)(scope, receive, send)
                 return
             await self.write(send, error_event(error))
+        finally:
+            opening.cancel()
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
+    async def beat(self, send: Send) -> None:
+        """Send heartbeats while the generation waits to be opened.
+
+        It may wait in a queue for a while; without a sign of life a caller could not
+        tell the wait from a dead instance.
+        """
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            await self.write(send, HEARTBEAT)
+
     def event_for(self, piece: AnswerPiece) -> bytes:
         """Return the event of a piece."""
         if is_heartbeat(piece):
@@ -217,7 +240,6 @@
     async def write(self, send: Send, data: bytes) -> None:
         """Send some bytes, after the head if it was not sent yet."""
         if not self.has_started:
-            self.has_started = True
             await send(
                 {
                     "type": "http.response.start",
@@ -225,4 +247,5 @@
                     "headers": STREAM_HEADERS,
                 }
             )
+            self.has_started = True
         await send({"type": "http.response.body", "body": data, "more_body": True})
