--- /dev/null
+++ b/src/turmericusher/peers/claims_messages.py
@@ -0,0 +1,136 @@
+"""The messages of `claims.proto` to and from the data classes of claims."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import Any
+
+from turmericusher.decisions.claim_pages import ClaimRecord, ClaimState
+from turmericusher.decisions.claims import (
+    ClaimCommand,
+    ClaimReply,
+    RecordOutcome,
+    ReleaseClaim,
+    ReplyKind,
+    TakeClaim,
+)
+from turmericusher.decisions.idempotency_keys import PageName
+from turmericusher.peers import claims_pb2
+
+Message = Any
+"""A generated message; its module has no types."""
+
+
+def request_message(name: PageName, command: ClaimCommand) -> Message:
+    """Return the request that carries a command to a page."""
+    message = claims_pb2.SubmitRequest(window=name.window, shard=name.shard)
+    fill_command(command, message)
+    return message
+
+
+@singledispatch
+def fill_command(command: ClaimCommand, message: Message) -> None:
+    """Set the request's command."""
+    raise TypeError(f"command={command!r} is no command of claims")
+
+
+@fill_command.register
+def fill_take(command: TakeClaim, message: Message) -> None:
+    """Set a `TakeClaim`."""
+    message.take.key = command.key
+    message.take.attempt_id = command.attempt_id
+    message.take.number = command.number
+    message.take.body_hash = command.body_hash
+    message.take.deadline_ms = command.deadline_ms
+
+
+@fill_command.register
+def fill_release(command: ReleaseClaim, message: Message) -> None:
+    """Set a `ReleaseClaim`."""
+    message.release.key = command.key
+    message.release.attempt_id = command.attempt_id
+    message.release.number = command.number
+    message.release.body_hash = command.body_hash
+
+
+@fill_command.register
+def fill_outcome(command: RecordOutcome, message: Message) -> None:
+    """Set a `RecordOutcome`."""
+    message.outcome.key = command.key
+    message.outcome.attempt_id = command.attempt_id
+    message.outcome.state = command.state.value
+    message.outcome.outcome = command.outcome
+
+
+def page_in(message: Message) -> PageName:
+    """Return the page that a request is for."""
+    return PageName(message.window, message.shard)
+
+
+def command_in(message: Message) -> ClaimCommand:
+    """Return the command in a request; raise ValueError when there is none."""
+    match message.WhichOneof("command"):
+        case "take":
+            take = message.take
+            return TakeClaim(
+                take.key,
+                take.attempt_id,
+                take.number,
+                take.body_hash,
+                take.deadline_ms,
+            )
+        case "release":
+            release = message.release
+            return ReleaseClaim(
+                release.key, release.attempt_id, release.number, release.body_hash
+            )
+        case "outcome":
+            outcome = message.outcome
+            return RecordOutcome(
+                outcome.key,
+                outcome.attempt_id,
+                ClaimState(outcome.state),
+                outcome.outcome,
+            )
+    raise ValueError("the request holds no command")
+
+
+def reply_message(reply: ClaimReply) -> Message:
+    """Return the message for a reply."""
+    message = claims_pb2.SubmitReply(kind=reply.kind.value)
+    record = reply.record
+    if record is not None:
+        message.record.CopyFrom(
+            claims_pb2.Record(
+                key=record.key,
+                state=record.state.value,
+                attempt_id=record.attempt_id,
+                body_hash=record.body_hash,
+                deadline_ms=record.deadline_ms,
+                outcome=record.outcome,
+                released_ids=record.released_ids,
+                fence=record.fence,
+            )
+        )
+    return message
+
+
+def reply_in(message: Message) -> ClaimReply:
+    """Return the reply in a message; raise ValueError when its words are unknown."""
+    kind = ReplyKind(message.kind)
+    if not message.HasField("record"):
+        return ClaimReply(kind)
+    record = message.record
+    return ClaimReply(
+        kind,
+        ClaimRecord(
+            key=record.key,
+            state=ClaimState(record.state),
+            attempt_id=record.attempt_id,
+            body_hash=record.body_hash,
+            deadline_ms=record.deadline_ms,
+            outcome=record.outcome,
+            released_ids=tuple(record.released_ids),
+            fence=record.fence,
+        ),
+    )
--- a/src/turmericusher/tasks/claims.py
+++ b/src/turmericusher/tasks/claims.py
@@ -22,6 +22,7 @@
 from typing import Protocol
 
 from turmericusher.decisions.claim_pages import (
+    FLOOR_KEY,
     MAX_OUTCOME_BYTES,
     ClaimRecord,
     ClaimState,
@@ -47,6 +48,7 @@
 from turmericusher.errors import (
     ErrorCode,
     RequestRefusedError,
+    StoreError,
     TurmericusherError,
     UpstreamError,
     Verdict,
@@ -70,6 +72,10 @@
     """The peer that owns a page gave no answer; the command may have taken effect."""
 
 
+class PeerWithoutStoreError(PeerUnavailableError):
+    """The peer lives, but could not commit in time; the command may yet take effect."""
+
+
 class ClaimUnsettledError(RequestRefusedError):
     """The wait ended while it was open whether the claim was or will be committed."""
 
@@ -87,6 +93,10 @@
         """Have the owner commit a command; raise `PeerUnavailableError`."""
         ...
 
+    def suspect(self, address: str) -> None:
+        """Choose other owners than this peer for a while."""
+        ...
+
 
 class LocalRouter:
     """A router for an instance that writes every page itself."""
@@ -101,6 +111,9 @@
         """Refuse, because there is no other owner."""
         raise PeerUnavailableError(f"no peer at {address!r}")
 
+    def suspect(self, address: str) -> None:
+        """Do nothing, because there is no other owner."""
+
 
 @dataclass(frozen=True, slots=True)
 class ClaimRequest:
@@ -171,18 +184,36 @@
     reports: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def submit(self, name: PageName, command: ClaimCommand) -> ClaimReply:
-        """Have a command committed by the page's owner, or by this instance.
+        """Have a command committed by the page's owner.
 
-        The command carries the attempt's identifier, so it does no harm when the
-        owner commits it as well.
+        The command carries the attempt's identifier, so it does no harm when more
+        than one owner commits it. The next owner in rank follows one that does not
+        answer, rather than each instance writing by itself: after an outage of the
+        store hundreds of writers would only be in each other's way.
         """
-        address = self.router.owner_of(name)
-        if address is None:
-            return await self.submit_here(name, command)
+        pause_s = FIRST_POLL_S
+        while True:
+            address = self.router.owner_of(name)
+            if address is None:
+                return await self.submit_here(name, command)
+            try:
+                return await self.router.submit(address, name, command)
+            except PeerWithoutStoreError:
+                if await self.can_reach_store():
+                    self.router.suspect(address)
+                else:
+                    await asyncio.sleep(pause_s)
+                    pause_s = min(LONGEST_POLL_S, 2 * pause_s)
+            except PeerUnavailableError:
+                self.router.suspect(address)
+
+    async def can_reach_store(self) -> bool:
+        """Whether the store answers this instance."""
         try:
-            return await self.router.submit(address, name, command)
-        except PeerUnavailableError:
-            return await self.submit_here(name, command)
+            await self.store.get(self.prefix + FLOOR_KEY)
+        except StoreError:
+            return False
+        return True
 
     async def submit_here(self, name: PageName, command: ClaimCommand) -> ClaimReply:
         """Commit a command by this instance's own write."""
--- /dev/null
+++ b/tests/common/claim_world.py
@@ -0,0 +1,267 @@
+"""A small world for claims: callers, entry instances, one store and one service.
+
+Everything runs in one `VirtualLoop`, with the real tasks and decisions; only the ports
+are replaced. The world remembers every request and every run, and `check` compares
+them with what the callers were told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from tests.common.call_parts import SERVICE, key_made_at, upstream_at
+from tests.common.gated_ports import (
+    Gate,
+    GatedRouter,
+    GatedServicePort,
+    GatedStore,
+    LedgerService,
+)
+from tests.common.virtual_loop import VirtualLoop
+from turmericusher.decisions.claims import UNNUMBERED
+from turmericusher.decisions.idempotency_keys import ClaimLayout, KeyAges
+from turmericusher.decisions.selection import Selector
+from turmericusher.errors import TurmericusherError, Verdict
+from turmericusher.ports.services import OutgoingCall
+from turmericusher.profiles import Profile
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.calls import CallAnswer, CallRunner, ServiceCall
+from turmericusher.tasks.claim_sweeper import sweep_once
+from turmericusher.tasks.claims import Claims
+
+UNIX_AT_ZERO_S = 1_700_000_000.0
+RETENTION_S = 20.0
+SKEW_S = 1.0
+PROFILES = {
+    "bookings": Profile("bookings", idempotent=False, max_wait_s=2.0),
+    "patient": Profile("patient", idempotent=False, max_wait_s=100.0),
+}
+
+
+@dataclass(slots=True)
+class WorldKey:
+    """A caller's key; `is_numbered` callers count their requests."""
+
+    text: str
+    is_numbered: bool
+    requests: list[WorldRequest] = field(default_factory=list)
+
+    @property
+    def runs(self) -> int:
+        """How often the key ran."""
+        return sum(request.runs for request in self.requests)
+
+
+@dataclass(slots=True)
+class WorldRequest:
+    """One request with a key and what became of it."""
+
+    key: WorldKey
+    number: int
+    name: str
+    service: LedgerService
+    had_run_before: bool
+    answer: CallAnswer | None = None
+    error: TurmericusherError | None = None
+
+    @property
+    def runs(self) -> int:
+        """How often the service ran this request."""
+        return self.service.runs[self.name]
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the caller was told that it did not run."""
+        return self.error is not None and self.error.verdict is Verdict.NOT_RUN
+
+
+@dataclass(slots=True)
+class Instance:
+    """One entry instance with its ports."""
+
+    number: int
+    gate: Gate
+    store: GatedStore
+    port: GatedServicePort
+    router: GatedRouter
+    calls: CallRunner
+    clock_error_s: float = 0.0
+
+
+@dataclass(slots=True)
+class ClaimWorld:
+    """The world; close it when done."""
+
+    seed: int = 1
+    loop: VirtualLoop = field(default_factory=VirtualLoop)
+    service: LedgerService = field(default_factory=LedgerService)
+    instances: dict[int, Instance] = field(default_factory=dict)
+    members: dict[int, tuple[Claims, Gate]] = field(default_factory=dict)
+    keys: list[WorldKey] = field(default_factory=list)
+    late_writes: list[object] = field(default_factory=list)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    crashes: list[dict[str, object]] = field(default_factory=list)
+    births: int = 0
+    store: MemoryStore = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.store = MemoryStore(clock=self.loop.time)
+        self.loop.set_exception_handler(lambda _, context: self.crashes.append(context))
+
+    def wall_s(self) -> float:
+        """Return the true Unix time in seconds."""
+        return UNIX_AT_ZERO_S + self.loop.time()
+
+    def start_instances(self) -> None:
+        """Start instances 1, 2 and 3, and set the floor as a first sweep does."""
+        for number in (1, 2, 3):
+            self.start_instance(number)
+        self.sweep(3)
+
+    def start_instance(self, number: int, clock_error_s: float = 0.0) -> Instance:
+        """Start an instance, in place of a former one of the same number."""
+        self.births += 1
+        gate = Gate()
+        store = GatedStore(self.store, gate, self.late_writes)
+        port = GatedServicePort(self.service, gate)
+        router = GatedRouter(number, gate, self.members)
+        claims = Claims(
+            store=store,
+            ages=KeyAges(RETENTION_S, SKEW_S),
+            wall_clock=lambda: self.wall_s() + clock_error_s,
+            random=random.Random(self.seed * 1_000 + self.births),
+            layout=ClaimLayout(window_ms=1000, shards=2),
+            router=router,
+        )
+        selector = Selector(random.Random(self.seed))
+        selector.update([upstream_at("127.0.0.1:1")])
+        calls = CallRunner(
+            port=port,
+            claims=claims,
+            selector=selector,
+            services={SERVICE.name: SERVICE},
+            profile_named=PROFILES.__getitem__,
+            random=random.Random(self.seed),
+        )
+        instance = Instance(number, gate, store, port, router, calls, clock_error_s)
+        self.instances[number] = instance
+        self.members[number] = (claims, gate)
+        return instance
+
+    def kill_instance(self, number: int) -> None:
+        """End an instance: nothing of it ever passes its gate again."""
+        self.instances.pop(number).gate.opened.clear()
+        self.members.pop(number)
+
+    def new_key(self, is_numbered: bool, caller_error_s: float = 0.0) -> WorldKey:
+        """Make a key by a caller's clock."""
+        text = key_made_at(self.wall_s() + caller_error_s, len(self.keys))
+        key = WorldKey(text, is_numbered)
+        self.keys.append(key)
+        return key
+
+    def request(
+        self, key: WorldKey, number: int, profile: str = "bookings"
+    ) -> WorldRequest:
+        """Send a request with a key to the instance of that number."""
+        ordinal = len(key.requests) + 1
+        name = f"{self.keys.index(key)}/{ordinal}"
+        attempt = ordinal if key.is_numbered else UNNUMBERED
+        request = WorldRequest(key, attempt, name, self.service, key.runs > 0)
+        key.requests.append(request)
+        headers = (("Request-Name", name),)
+        outgoing = OutgoingCall("POST", "/bookings", headers, b"{}")
+        call = ServiceCall(SERVICE.name, "criee", profile, outgoing, key.text, attempt)
+        instance = self.instances[number]
+        self.tasks.append(self.loop.create_task(self.follow(instance, call, request)))
+        self.settle()
+        return request
+
+    async def follow(
+        self, instance: Instance, call: ServiceCall, request: WorldRequest
+    ) -> None:
+        """Run a request to its answer and note what its caller is told."""
+        try:
+            answer = await instance.calls.run(call)
+            await instance.gate.passed()
+            request.answer = answer
+        except TurmericusherError as error:
+            await instance.gate.passed()
+            request.error = error
+
+    def sweep(self, number: int) -> None:
+        """Let an instance delete old pages."""
+        sweep = self.sweep_quietly(self.instances[number])
+        self.tasks.append(self.loop.create_task(sweep))
+        self.settle()
+
+    async def sweep_quietly(self, instance: Instance) -> None:
+        """Sweep once; a store that fails is left to the next sweep."""
+        try:
+            await sweep_once(instance.calls.claims)
+        except TurmericusherError:
+            return
+
+    def land_late_writes(self) -> None:
+        """Let the writes that were under way reach the store."""
+        for write in self.late_writes:
+            write()  # type: ignore[operator]
+        self.late_writes.clear()
+
+    def settle(self) -> None:
+        """Run what can run now, and check."""
+        self.loop.settle()
+        self.check()
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, and check."""
+        self.loop.advance(seconds)
+        self.check()
+
+    def check(self) -> None:
+        """Check every promise against the ledger."""
+        assert not self.crashes, f"a task crashed: {self.crashes}"
+        for task in self.tasks:
+            if task.done() and not task.cancelled():
+                task.result()
+        for key in self.keys:
+            assert key.runs <= 1, f"key {key.text} ran {key.runs} times"
+            answers = {r.answer.answer for r in key.requests if r.answer is not None}
+            assert len(answers) <= 1, f"key {key.text} got {answers}"
+            assert not answers or key.runs == 1, f"key {key.text} was not run"
+            for request in key.requests:
+                if request.is_not_run:
+                    self.check_not_run(request)
+
+    def check_not_run(self, request: WorldRequest) -> None:
+        """Check one `not_run`: the request never runs, and the key had not run before.
+
+        A caller that numbers its requests is also promised that no earlier one of
+        them runs later. Unnumbered, an earlier request that is still under way
+        cannot be told from the repeat that the caller was invited to send.
+        """
+        assert request.runs == 0, f"request {request.name} ran after its not_run"
+        assert not request.had_run_before, f"{request.name} is not_run, its key ran"
+        if request.key.is_numbered:
+            earlier = request.key.requests[: request.number]
+            ran = [other.name for other in earlier if other.runs]
+            assert not ran, f"request {request.name} is not_run, but {ran} ran"
+
+    def close(self) -> None:
+        """Heal everything, let it end, check and close the loop."""
+        self.store.faults.down = False
+        for instance in self.instances.values():
+            instance.store.is_cut = False
+            instance.gate.opened.set()
+        self.settle()
+        self.land_late_writes()
+        self.advance(5.0)
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.settle()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.settle()
+        self.loop.close()
--- /dev/null
+++ b/tests/common/gated_ports.py
@@ -0,0 +1,223 @@
+"""Ports whose every step waits for a test's leave, and may fail in any way.
+
+`Gate` holds the steps of one entry instance. While it is closed the instance is paused
+as by SIGSTOP as far as the outside can see: its calls have no effect, and the results
+of earlier ones do not reach it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.claims import ClaimCommand, ClaimReply
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.idempotency_keys import PageName
+from turmericusher.errors import (
+    ErrorCode,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    UpstreamError,
+    Verdict,
+)
+from turmericusher.ports.keyvalue import Snapshot, StoredValue, SwapResult
+from turmericusher.ports.services import OutgoingCall, ServiceAnswer
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.claims import Claims, PeerUnavailableError
+
+
+class Fault(enum.StrEnum):
+    """What happens at a step.
+
+    `REFUSE`: the step fails and has no effect. `LOSE`: it takes effect, and its
+    result is lost. `LATE`: its result is lost and it takes effect much later.
+    """
+
+    NONE = "none"
+    REFUSE = "refuse"
+    LOSE = "lose"
+    LATE = "late"
+
+
+class Step(enum.StrEnum):
+    """The places of a call at which its instance can be stopped."""
+
+    BEFORE_CLAIM = "before_claim"
+    CLAIM_COMMITTED = "claim_committed"
+    BEFORE_SEND = "before_send"
+    HALF_SENT = "half_sent"
+    SENT = "sent"
+    ANSWER_RECEIVED = "answer_received"
+    OUTCOME_WRITTEN = "outcome_written"
+
+
+@dataclass(slots=True)
+class Gate:
+    """The passage of one instance to the outside; open unless it is paused.
+
+    `stop_at` closes it once, when the first call of the instance comes to that step.
+    `faults` are what the coming store calls meet; `loses_reply` loses the reply of the
+    write that has just taken effect.
+    """
+
+    opened: asyncio.Event = field(default_factory=asyncio.Event)
+    faults: list[Fault] = field(default_factory=list)
+    stop_at: Step | None = None
+    has_sent: bool = False
+    loses_reply: bool = False
+
+    def __post_init__(self) -> None:
+        self.opened.set()
+
+    async def passed(self) -> None:
+        """Wait until the instance runs."""
+        await self.opened.wait()
+
+    async def reach(self, step: Step) -> None:
+        """Come to a step, and stop there if asked."""
+        if self.stop_at is step:
+            self.stop_at = None
+            self.opened.clear()
+        await self.opened.wait()
+
+    async def meet_fault(self) -> Fault:
+        """Wait until the instance runs, then return what a store call meets."""
+        await self.opened.wait()
+        return self.faults.pop(0) if self.faults else Fault.NONE
+
+
+@dataclass(slots=True)
+class GatedStore:
+    """One instance's connection to a shared store; `late_writes` run when told."""
+
+    shared: MemoryStore
+    gate: Gate
+    late_writes: list[Callable[[], object]]
+    is_cut: bool = False
+
+    async def get(self, key: str) -> StoredValue | None:
+        if await self.gate.meet_fault() is not Fault.NONE or self.is_cut:
+            raise StoreUnavailableError("the read failed")
+        value = await self.shared.get(key)
+        await self.gate.passed()
+        return value
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        if await self.gate.meet_fault() is not Fault.NONE or self.is_cut:
+            raise StoreUnavailableError("the read failed")
+        snapshot = await self.shared.get_prefix(prefix)
+        await self.gate.passed()
+        return snapshot
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> SwapResult:
+        is_outcome = self.gate.has_sent
+        before = Step.ANSWER_RECEIVED if is_outcome else Step.BEFORE_CLAIM
+        after = Step.OUTCOME_WRITTEN if is_outcome else Step.CLAIM_COMMITTED
+        await self.gate.reach(before)
+        fault = await self.gate.meet_fault()
+        if fault is Fault.REFUSE or self.is_cut:
+            raise StoreUnavailableError("the write was refused")
+        if fault is Fault.LATE:
+            self.late_writes.append(
+                lambda: self.shared.swap(key, expected_revision, value, 0)
+            )
+            raise StoreOutcomeUnknownError("the write is late")
+        result = await self.shared.compare_and_swap(key, expected_revision, value)
+        await self.gate.reach(after)
+        loses_reply, self.gate.loses_reply = self.gate.loses_reply, False
+        if fault is Fault.LOSE or loses_reply:
+            raise StoreOutcomeUnknownError("the reply was lost")
+        return result
+
+
+@dataclass(slots=True)
+class LedgerService:
+    """A service that counts runs by request; `pause_s` is how long one takes."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    pause_s: float = 0.2
+
+
+@dataclass(slots=True)
+class GatedServicePort:
+    """One instance's way to the service."""
+
+    service: LedgerService
+    gate: Gate
+    faults: list[Fault] = field(default_factory=list)
+    coming: Fault = Fault.NONE
+
+    async def send(
+        self, upstream: UpstreamInstance, call: OutgoingCall, timeout_s: float
+    ) -> ServiceAnswer:
+        await self.gate.reach(Step.BEFORE_SEND)
+        if self.take_fault() is Fault.REFUSE:
+            raise lost_call(Verdict.NOT_RUN)
+        self.gate.has_sent = True
+        await self.gate.reach(Step.HALF_SENT)
+        if self.coming is Fault.LATE:
+            raise lost_call(Verdict.MAY_HAVE_RUN)
+        name = dict(call.headers)["Request-Name"]
+        self.service.runs[name] += 1
+        await asyncio.sleep(self.service.pause_s)
+        await self.gate.reach(Step.SENT)
+        if self.coming is Fault.LOSE:
+            raise lost_call(Verdict.MAY_HAVE_RUN)
+        return ServiceAnswer(200, (), name.encode())
+
+    def take_fault(self) -> Fault:
+        """Decide what the call meets."""
+        self.coming = self.faults.pop(0) if self.faults else Fault.NONE
+        return self.coming
+
+
+def lost_call(verdict: Verdict) -> UpstreamError:
+    return UpstreamError(
+        ErrorCode.UPSTREAM_FAILED, f"the call failed: {verdict}", verdict=verdict
+    )
+
+
+@dataclass(slots=True)
+class GatedRouter:
+    """Routes every page to the instance that `owner` names, 0 for oneself."""
+
+    own: int
+    gate: Gate
+    members: dict[int, tuple[Claims, Gate]]
+    owner: int = 0
+    faults: list[Fault] = field(default_factory=list)
+
+    def owner_of(self, name: PageName) -> str | None:
+        return None if self.owner in (0, self.own) else str(self.owner)
+
+    def suspect(self, address: str) -> None:
+        if self.owner == int(address):
+            self.owner = 0
+
+    async def submit(
+        self, address: str, name: PageName, command: ClaimCommand
+    ) -> ClaimReply:
+        await self.gate.passed()
+        fault = self.faults.pop(0) if self.faults else Fault.NONE
+        if fault is Fault.REFUSE or int(address) not in self.members:
+            raise PeerUnavailableError(address)
+        claims, gate = self.members[int(address)]
+        task = asyncio.ensure_future(self.commit_there(claims, gate, name, command))
+        if fault is not Fault.NONE:
+            raise PeerUnavailableError(address)
+        done, _ = await asyncio.wait({task}, timeout=0.5)
+        await self.gate.passed()
+        if not done:
+            raise PeerUnavailableError(address)
+        return task.result()
+
+    async def commit_there(
+        self, claims: Claims, gate: Gate, name: PageName, command: ClaimCommand
+    ) -> ClaimReply:
+        await gate.passed()
+        return await claims.submit_here(name, command)
--- /dev/null
+++ b/tests/common/virtual_loop.py
@@ -0,0 +1,65 @@
+"""An event loop whose time stands still until a test moves it on."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import selectors
+from collections.abc import Callable
+from contextvars import Context
+from typing import Any
+
+
+class IdleSelector(selectors.SelectSelector):
+    """A selector for a loop without sockets: it stops the loop instead of waiting."""
+
+    stop: Callable[[], None]
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Return no events; a timeout other than 0 means that nothing can run now."""
+        if timeout != 0:
+            self.stop()
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A loop for code that waits on timers and in-memory events only."""
+
+    def __init__(self) -> None:
+        selector = IdleSelector()
+        selector.stop = self.stop
+        super().__init__(selector)
+        self.now = 1000.0
+        self.due_times: list[float] = []
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.now
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[..., object],
+        *args: Any,
+        context: Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Note when the timer falls due."""
+        heapq.heappush(self.due_times, when)
+        return super().call_at(when, callback, *args, context=context)
+
+    def settle(self) -> None:
+        """Run everything that can run without time passing."""
+        self.run_forever()
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass from timer to timer."""
+        end = self.now + seconds
+        while self.due_times and self.due_times[0] <= end:
+            self.now = max(self.now, heapq.heappop(self.due_times))
+            while self.due_times and self.due_times[0] <= self.now:
+                heapq.heappop(self.due_times)
+            self.settle()
+        self.now = end
+        self.settle()
--- /dev/null
+++ b/tests/cover/test_claims.py
@@ -0,0 +1,302 @@
+"""The narrow places of claims, each as one story."""
+
+from __future__ import annotations
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.call_parts import AGES, key_made_at
+from tests.common.claim_world import RETENTION_S, SKEW_S, ClaimWorld
+from tests.common.gated_ports import Fault, Step
+from turmericusher.decisions.claim_pages import (
+    FLOOR_KEY,
+    MAX_BYTES_WITH_OUTCOMES,
+    MAX_OUTCOME_BYTES,
+    RECORD_BYTES,
+    ClaimFloor,
+    ClaimPage,
+    ClaimState,
+    decode_floor,
+    decode_page,
+    encode_page,
+)
+from turmericusher.decisions.claims import (
+    ClaimCommand,
+    RecordOutcome,
+    ReleaseClaim,
+    ReplyKind,
+    TakeClaim,
+    apply_command,
+)
+from turmericusher.decisions.idempotency_keys import (
+    ClaimLayout,
+    KeyAges,
+    last_deletable_window,
+    page_of,
+    parse_key,
+)
+from turmericusher.decisions.page_owners import SUSPECTED_FOR_S, PageOwners
+from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
+from turmericusher.tasks.calls import RUN_GRACE_S
+from turmericusher.tasks.claims import ClaimRequest, HeldClaim
+
+KEY = key_made_at(1_700_000_000)
+BODY = "b1"
+
+
+def take(attempt: str, number: int = 0, body: str = BODY) -> TakeClaim:
+    return TakeClaim(KEY, attempt, number, body, 5_000)
+
+
+def release(attempt: str, number: int = 0, body: str = BODY) -> ReleaseClaim:
+    return ReleaseClaim(KEY, attempt, number, body)
+
+
+def ended(attempt: str, state: ClaimState = ClaimState.ANSWERED) -> RecordOutcome:
+    return RecordOutcome(KEY, attempt, state, "answer")
+
+
+class CommandTest(TestCase):
+    @parameterized.expand(
+        [
+            ("first", [], take("a"), ReplyKind.GRANTED),
+            ("again_by_itself", [take("a")], take("a"), ReplyKind.GRANTED),
+            ("by_another", [take("a")], take("b"), ReplyKind.HELD),
+            ("after_answer", [take("a"), ended("a")], take("b"), ReplyKind.HELD),
+            ("after_release", [take("a"), release("a")], take("b"), ReplyKind.GRANTED),
+            ("released", [take("a"), release("a")], take("a"), ReplyKind.SUPERSEDED),
+            ("late_copy", [release("a")], take("a"), ReplyKind.SUPERSEDED),
+            ("fenced", [release("b", 2)], take("a", 1), ReplyKind.SUPERSEDED),
+            ("above_fence", [release("b", 2)], take("c", 3), ReplyKind.GRANTED),
+            ("other_body", [take("a")], take("b", 0, "b2"), ReplyKind.KEY_REUSED),
+            (
+                "other_body_released",
+                [take("a"), release("a"), release("b", 0, "b2")],
+                take("c"),
+                ReplyKind.GRANTED,
+            ),
+            (
+                "outcome_after_release",
+                [take("a"), release("a"), ended("a")],
+                take("b"),
+                ReplyKind.GRANTED,
+            ),
+            ("others_release", [take("a"), release("b")], take("b"), ReplyKind.HELD),
+            (
+                "others_outcome",
+                [take("a"), ended("b")],
+                take("a"),
+                ReplyKind.GRANTED,
+            ),
+            (
+                "released_twice",
+                [release("a"), release("b"), take("c")],
+                take("a"),
+                ReplyKind.HELD,
+            ),
+        ]
+    )
+    def test_a_claim_asked_for(
+        self,
+        _name: str,
+        before: list[ClaimCommand],
+        command: TakeClaim,
+        expected: ReplyKind,
+    ) -> None:
+        page = ClaimPage()
+        for earlier in before:
+            apply_command(earlier, page)
+        self.assertEqual(expected, apply_command(command, page).kind)
+        self.assertEqual(expected, apply_command(command, page).kind)
+        self.assertEqual(page.records, decode_page(encode_page(page)).records)
+
+    def test_a_page_stays_below_the_limit_of_a_value(self) -> None:
+        page = ClaimPage()
+        outcome = '"' * MAX_OUTCOME_BYTES
+        kinds = set()
+        for number in range(2_500):
+            key = f"{KEY}{number:08}"
+            attempt = f"{number:024}"
+            taken = TakeClaim(key, attempt, 0, "f" * 32, 1_700_000_000_000)
+            kinds.add(apply_command(taken, page).kind)
+            state = ClaimState.ANSWERED
+            apply_command(RecordOutcome(key, attempt, state, outcome), page)
+            apply_command(ReleaseClaim(f"r{key}", attempt, 0, "f" * 32), page)
+        self.assertEqual({ReplyKind.GRANTED, ReplyKind.PAGE_FULL}, kinds)
+        self.assertLessEqual(
+            len(encode_page(page)), MAX_BYTES_WITH_OUTCOMES + RECORD_BYTES
+        )
+
+    def test_a_window_is_kept_beyond_every_accepted_key(self) -> None:
+        layout = ClaimLayout()
+        now_ms = 1_700_000_000_000
+        oldest_s = now_ms / 1000 - AGES.retention_s - AGES.clock_skew_s
+        oldest = page_of(parse_key(key_made_at(oldest_s)), layout)
+        self.assertLess(last_deletable_window(now_ms, AGES, layout), oldest.window)
+
+    def test_a_silent_owner_is_passed_over_for_a_while(self) -> None:
+        owners = PageOwners()
+        names = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"]
+        first = owners.owner(4, names, 0.0)
+        assert first is not None
+        owners.suspect(first, 0.0)
+        self.assertNotEqual(first, owners.owner(4, names, 1.0))
+        self.assertEqual(first, owners.owner(4, names, SUSPECTED_FOR_S))
+
+
+class NarrowPlaceTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.world = ClaimWorld()
+        self.addCleanup(self.world.close)
+        self.world.start_instances()
+
+    def test_a_page_made_anew_after_its_deletion_grants_nothing(self) -> None:
+        key = self.world.new_key(is_numbered=False)
+        self.world.instances[1].gate.stop_at = Step.BEFORE_CLAIM
+        late = self.world.request(key, 1, "patient")
+        first = self.world.request(key, 2, "patient")
+        self.world.advance(RETENTION_S + 10)
+        self.world.sweep(3)
+        self.world.sweep(3)
+        self.assertEqual(["claims/floor"], list(self.world.store.values))
+        self.world.instances[1].gate.opened.set()
+        self.world.settle()
+        self.assertIsNotNone(first.answer)
+        assert late.error is not None
+        self.assertEqual(ErrorCode.KEY_EXPIRED, late.error.code)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, late.error.verdict)
+        self.world.settle()
+        self.assertEqual(["claims/floor"], list(self.world.store.values))
+
+    def test_no_one_joins_a_page_made_anew_before_the_floor_was_read(self) -> None:
+        key = self.world.new_key(is_numbered=False)
+        for number in (1, 3):
+            self.world.instances[number].gate.stop_at = Step.BEFORE_CLAIM
+        self.world.request(key, 1, "patient")
+        self.world.request(key, 3, "patient")
+        self.world.request(key, 2, "patient")
+        self.world.advance(RETENTION_S + 10)
+        self.world.sweep(2)
+        self.world.sweep(2)
+        self.world.instances[1].gate.stop_at = Step.CLAIM_COMMITTED
+        self.world.instances[1].gate.opened.set()
+        self.world.settle()
+        self.world.instances[3].gate.opened.set()
+        self.world.settle()
+        self.assertEqual(1, key.runs)
+
+    def test_a_claim_that_lands_after_its_not_run_is_barred(self) -> None:
+        key = self.world.new_key(is_numbered=True)
+        self.world.instances[1].gate.faults[:] = [Fault.LATE, *[Fault.REFUSE] * 30]
+        refused = self.world.request(key, 1)
+        self.world.advance(2.1)
+        self.assertTrue(refused.is_not_run)
+        self.world.instances[1].gate.faults.clear()
+        self.world.land_late_writes()
+        self.world.advance(1.0)
+        repeat = self.world.request(key, 2)
+        self.world.advance(1.0)
+        self.assertIsNotNone(repeat.answer)
+        self.assertEqual(0, refused.runs)
+
+    def test_a_repeat_is_not_told_not_run_while_the_store_is_down(self) -> None:
+        for is_numbered in (False, True):
+            key = self.world.new_key(is_numbered)
+            self.world.request(key, 1)
+            self.world.advance(0.3)
+            self.world.store.faults.down = True
+            repeat = self.world.request(key, 2)
+            self.world.advance(2.1)
+            self.world.store.faults.down = False
+            assert repeat.error is not None
+            self.assertEqual(Verdict.MAY_HAVE_RUN, repeat.error.verdict)
+
+    def test_a_claim_whose_holder_died_is_never_sent_again(self) -> None:
+        key = self.world.new_key(is_numbered=True)
+        self.world.instances[1].gate.stop_at = Step.BEFORE_SEND
+        self.world.request(key, 1)
+        self.world.kill_instance(1)
+        waiting = self.world.request(key, 2)
+        self.world.advance(2.1)
+        assert waiting.error is not None
+        self.assertEqual(ErrorCode.REQUEST_IN_PROGRESS, waiting.error.code)
+        self.assertEqual(0, key.runs)
+
+    def test_after_the_holders_time_its_repeat_is_told_at_once(self) -> None:
+        key = self.world.new_key(is_numbered=True)
+        self.world.instances[1].gate.stop_at = Step.BEFORE_SEND
+        self.world.request(key, 1)
+        self.world.kill_instance(1)
+        self.world.instances[2].calls.claims.ages = KeyAges(1_000.0, SKEW_S)
+        self.world.advance(2.0 + RUN_GRACE_S + SKEW_S + 0.1)
+        repeat = self.world.request(key, 2)
+        assert repeat.error is not None
+        self.assertEqual(ErrorCode.ANSWER_INTERRUPTED, repeat.error.code)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, repeat.error.verdict)
+
+    def test_a_lost_answer_is_told_to_its_repeat_at_once(self) -> None:
+        key = self.world.new_key(is_numbered=True)
+        self.world.instances[1].port.faults[:] = [Fault.LOSE]
+        self.world.request(key, 1)
+        self.world.advance(0.5)
+        repeat = self.world.request(key, 2)
+        assert repeat.error is not None
+        self.assertEqual(ErrorCode.UPSTREAM_FAILED, repeat.error.code)
+
+    def test_nothing_is_sent_after_the_wait(self) -> None:
+        async def send_late() -> None:
+            now = self.world.loop.time()
+            key = parse_key(self.world.new_key(is_numbered=True).text)
+            HeldClaim(ClaimRequest(key, 1, BODY, now - 0.1, 1.0)).begin_send()
+
+        error = self.assertRaises(
+            RequestRefusedError, self.world.loop.run_until_complete, send_late()
+        )
+        self.assertEqual(ErrorCode.WAIT_EXCEEDED, error.code)
+
+    def test_the_floor_is_raised_before_a_page_is_deleted(self) -> None:
+        self.world.request(self.world.new_key(is_numbered=True), 1)
+        self.world.advance(RETENTION_S + 10)
+        self.world.sweep(3)
+        floor = ClaimFloor(0, 0)
+        deleted = 0
+        for event in self.world.store.history:
+            if event.key == FLOOR_KEY and event.value is not None:
+                floor = decode_floor(event.value)
+            elif event.value is None:
+                deleted += 1
+                self.assertGreater(floor.floor, int(event.key.split("/")[1]))
+        self.assertEqual(1, deleted)
+
+    def test_an_owner_that_died_is_replaced_within_the_wait(self) -> None:
+        key = self.world.new_key(is_numbered=True)
+        self.world.instances[1].router.owner = 2
+        self.world.instances[2].gate.opened.clear()
+        request = self.world.request(key, 1)
+        self.world.advance(1.0)
+        self.assertIsNotNone(request.answer)
+
+    def test_an_early_request_that_wakes_after_a_later_not_run_never_runs(self) -> None:
+        key = self.world.new_key(is_numbered=True)
+        self.world.instances[1].gate.stop_at = Step.BEFORE_CLAIM
+        early = self.world.request(key, 1, "patient")
+        self.world.instances[2].port.faults[:] = [Fault.REFUSE] * 8
+        later = self.world.request(key, 2)
+        self.world.advance(3.0)
+        self.assertTrue(later.is_not_run)
+        self.world.instances[1].gate.opened.set()
+        self.world.advance(3.0)
+        self.assertEqual(0, early.runs)
+
+    def test_many_claims_share_a_write(self) -> None:
+        before = self.world.store.counts.writes
+        keys = [self.world.new_key(is_numbered=True) for _ in range(40)]
+        requests = [self.world.request(key, 1 + n % 3) for n, key in enumerate(keys)]
+        for instance in self.world.instances.values():
+            instance.router.owner = 1
+        more = [self.world.new_key(is_numbered=True) for _ in range(200)]
+        requests += [self.world.request(key, 1 + n % 3) for n, key in enumerate(more)]
+        self.world.advance(3.0)
+        self.assertTrue(all(request.answer for request in requests))
+        self.assertLess(self.world.store.counts.writes - before, len(requests))
