Hold an admission ticket for plain calls and avoid services that refuse

Cause: plain calls passed by admission, and a service that refuses connections was picked again by every next call.

Ruled out: admitting inside `send`, after the claim (a refusal would then have to undo a claim, and a queue would hold claims open).

Change: `CallRunner.run` enters its admission before the claim; the verdict of a refused repeat stays what the claim rules say, so an attempt number above 1 is never told not_run. A failed send is told to the selector.

For users: calls to plain services wait in fair order too; a service instance that refuses connections is avoided for some seconds.

--- a/src/turmericusher/tasks/calls.py
+++ b/src/turmericusher/tasks/calls.py
@@ -12,6 +12,7 @@
 import hashlib
 import random
 from collections.abc import Callable, Mapping
+from contextlib import AbstractAsyncContextManager, AsyncExitStack, nullcontext
 from dataclasses import dataclass, field, replace
 
 import orjson
@@ -93,6 +94,19 @@
     pause_s: float = FIRST_PAUSE_S
 
 
+CallAdmission = Callable[
+    [ServiceCall, Profile, float], AbstractAsyncContextManager[None]
+]
+"""Holds a slot for a call that gives up at a monotonic time, or refuses it."""
+
+
+def admit_always(
+    _call: ServiceCall, _profile: Profile, _give_up_at: float
+) -> AbstractAsyncContextManager[None]:
+    """Admit every call."""
+    return nullcontext()
+
+
 @dataclass(slots=True)
 class CallRunner:
     """Runs plain calls; one for each entry instance."""
@@ -104,20 +118,24 @@
     profile_named: Callable[[str], Profile]
     random: random.Random
     budget: RetryBudget = field(default_factory=RetryBudget)
+    admit: CallAdmission = admit_always
     running: set[asyncio.Task[CallAnswer]] = field(default_factory=set)
 
     async def run(self, call: ServiceCall) -> CallAnswer:
         """Return the answer of a call; raise `TurmericusherError` with its verdict."""
-        try:
-            profile = self.profile_of(call)
-        except TurmericusherError as error:
-            if call.key is not None and error.verdict is Verdict.NOT_RUN:
-                error.verdict = verdict_before_claim(call.number)
-            raise
-        give_up_at = asyncio.get_running_loop().time() + profile.max_wait_s
-        if profile.idempotent:
-            return await self.run_idempotent(call, profile, give_up_at)
-        return await self.run_at_most_once(call, profile, give_up_at)
+        async with AsyncExitStack() as stack:
+            try:
+                profile = self.profile_of(call)
+                give_up_at = asyncio.get_running_loop().time() + profile.max_wait_s
+                slot = self.admit(call, profile, give_up_at)
+                await stack.enter_async_context(slot)
+            except TurmericusherError as error:
+                if call.key is not None and error.verdict is Verdict.NOT_RUN:
+                    error.verdict = verdict_before_claim(call.number)
+                raise
+            if profile.idempotent:
+                return await self.run_idempotent(call, profile, give_up_at)
+            return await self.run_at_most_once(call, profile, give_up_at)
 
     def profile_of(self, call: ServiceCall) -> Profile:
         """Return the profile that applies to a call."""
@@ -238,6 +256,10 @@
         self.selector.started(upstream.name)
         try:
             return await self.port.send(upstream, call.outgoing, timeout_s)
+        except UpstreamError as error:
+            if error.verdict is not Verdict.RAN:
+                self.selector.failed(upstream.name)
+            raise
         finally:
             self.selector.finished(upstream.name)
 
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -34,7 +34,11 @@
     open_generation,
 )
 from turmericusher.tasks.instance_list import running_instance_list
-from turmericusher.tasks.load_control import running_load_control, ticket_for
+from turmericusher.tasks.load_control import (
+    call_admission,
+    running_load_control,
+    ticket_for,
+)
 from turmericusher.tasks.profile_changes import ProfileChanger
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
 
@@ -120,7 +124,7 @@
             running_load_control(settings, selector)
         )
         engine = await stack.enter_async_context(open_engine_port())
-        calls = await enter_calls(stack, settings, store, selector, profiles)
+        calls = await enter_calls(stack, settings, store, selector, profiles, admission)
         yield EntryRuntime(
             settings=settings,
             store=store,
@@ -140,6 +144,7 @@
     store: KeyValueStore,
     selector: Selector,
     profiles: ProfileTable,
+    admission: Admission,
 ) -> CallRunner:
     """Start what plain calls need."""
     port = await stack.enter_async_context(http_service_port())
@@ -160,6 +165,7 @@
         services={service.name: service for service in settings.services},
         profile_named=profiles.get,
         random=random.Random(settings.seed),
+        admit=call_admission(admission),
     )
 
 
--- a/src/turmericusher/tasks/load_control.py
+++ b/src/turmericusher/tasks/load_control.py
@@ -4,7 +4,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
 
 import aiohttp
 
@@ -12,8 +16,10 @@
 from turmericusher.decisions.fair_queue import Ticket
 from turmericusher.decisions.requests import GenerationRequest
 from turmericusher.decisions.selection import Selector
+from turmericusher.profiles import Profile
 from turmericusher.settings import Service, Settings
-from turmericusher.tasks.admission import Admission, running_admission
+from turmericusher.tasks.admission import Admission, admitted, running_admission
+from turmericusher.tasks.calls import CallAdmission, ServiceCall
 from turmericusher.tasks.load_reports import poll_load
 
 
@@ -62,3 +68,15 @@
         service=request.service,
         is_resume=request.received is not None,
     )
+
+
+def call_admission(admission: Admission) -> CallAdmission:
+    """Return what holds a slot for a plain call."""
+
+    def admit(
+        call: ServiceCall, profile: Profile, give_up_at: float
+    ) -> AbstractAsyncContextManager[None]:
+        ticket = Ticket(call.team, profile.urgency, give_up_at, call.service)
+        return admitted(admission, ticket)
+
+    return admit
