Tell the selection which upstreams failed, and mend a lost finish

Cause: other generations went on choosing an engine that had just died or frozen. Change: deaths, refused connections and silences reach the selector's ejections in place of a list of our own; prefixes are passed for cache affinity. The matrix and the machine lose the finish after the last token. Mutations, each caught: finishing at the length left out, limit of deaths raised to four, engines at risk not counted. For users: new requests avoid an engine that another request just saw fail.

--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -146,6 +146,7 @@
         )
         actions.append(Deliver(piece))
         if finish:
+            self.shared.selector.succeeded(attempt.upstream.name)
             self.shared.suspicion.prove(self.request.fingerprint)
             actions += self.close(now)
         return actions
@@ -242,6 +243,7 @@
         attempt.is_overdue = True
         heard_at = self.shared.patience.heard_at(attempt.upstream.name)
         if heard_at <= attempt.heard_at:
+            self.shared.selector.failed(attempt.upstream.name)
             self.charge(attempt, now, is_stall=True)
 
     def replace_overdue(
--- a/src/turmericusher/decisions/generation_state.py
+++ b/src/turmericusher/decisions/generation_state.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from turmericusher.decisions.attempts import Attempt, Release
 from turmericusher.decisions.extra_work import (
@@ -39,11 +39,7 @@
 
 @dataclass(slots=True)
 class SharedState:
-    """What all generations of an instance decide with.
-
-    `resting` gives the time until which an upstream that failed one generation is not
-    the first choice of any.
-    """
+    """What all generations of an instance decide with."""
 
     selector: Selector
     patience: Patience
@@ -51,7 +47,6 @@
     extra_work: ExtraWorkBudget
     resumes: ResumeGate
     random: random.Random
-    resting: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -177,7 +172,8 @@
         elif piece.token_ids:
             shared.patience.learn_first(upstream.name, silence_s)
         shared.patience.heard(upstream.name, piece.at)
-        shared.resting.pop(upstream.name, None)
+        if attempt.is_overdue:
+            shared.selector.succeeded(upstream.name)
         key = DeathKey(upstream.name, upstream.incarnation)
         if key in shared.suspicion.deaths:
             shared.suspicion.seen_alive(key, attempt.started_at, piece.at)
@@ -204,7 +200,8 @@
             self.lost_domains.add(upstream.failure_domain)
         rest_s = usual_s if death.retry_after_s is None else death.retry_after_s
         self.resting[upstream.name] = now + rest_s
-        self.shared.resting[upstream.name] = now + rest_s
+        if death.loss is Loss.UPSTREAM:
+            self.shared.selector.failed(upstream.name)
 
     def charge(self, attempt: Attempt, now: float, is_stall: bool) -> None:
         """Charge the loss of an attempt's upstream to this request."""
@@ -220,6 +217,7 @@
 
     def pick(self, now: float) -> UpstreamInstance | None:
         """Choose the upstream for an attempt."""
+        self.shared.selector.advance(now)
         note_replaced(
             self.shared.selector, self.shared.suspicion, self.request.fingerprint
         )
@@ -235,12 +233,6 @@
             prefix=prefix_of(self.request),
             is_resume=self.is_resume(),
         )
-        resting = frozenset(names_resting(self.shared.resting, now))
-        first_choice = replace(wanted, excluded=own | resting)
-        return self.place(first_choice, now) or self.place(wanted, now)
-
-    def place(self, wanted: PickRequest, now: float) -> UpstreamInstance | None:
-        """Choose an upstream, keeping requests that may kill apart."""
         shared, fingerprint = self.shared, self.request.fingerprint
         return place_attempt(
             shared.selector, shared.suspicion, wanted, fingerprint, now
@@ -255,7 +247,7 @@
         attempt.prompt_token_ids = self.prompt_token_ids
         self.attempts[number] = attempt
         self.retry_at = None
-        self.shared.selector.started(upstream.name)
+        self.shared.selector.started(upstream.name, prefix_of(self.request))
         self.shared.suspicion.started(self.request.fingerprint, upstream.name, now)
         prompt = None
         if self.is_resume():
--- a/src/turmericusher/tasks/generation.py
+++ b/src/turmericusher/tasks/generation.py
@@ -52,7 +52,12 @@
 CLOSE_TIMEOUT_S = 1.0
 
 UPSTREAM_LOSSES = frozenset(
-    {DeathCause.RESET, DeathCause.EARLY_END, DeathCause.NEW_INCARNATION}
+    {
+        DeathCause.REFUSED,
+        DeathCause.RESET,
+        DeathCause.EARLY_END,
+        DeathCause.NEW_INCARNATION,
+    }
 )
 FINAL_STATUSES = frozenset({400, 404, 413, 422})
 REFUSAL_CODES = frozenset({ErrorCode.NO_UPSTREAM, ErrorCode.WAIT_EXCEEDED})
@@ -259,7 +264,7 @@
     """Return what a death says of the upstream and of the request."""
     if error.cause is DeathCause.REJECTED and error.status in FINAL_STATUSES:
         return Loss.REQUEST
-    if error.cause in UPSTREAM_LOSSES and error.verdict is not Verdict.NOT_RUN:
+    if error.cause in UPSTREAM_LOSSES:
         return Loss.UPSTREAM
     return Loss.ATTEMPT
 
--- a/tests/common/engines.py
+++ b/tests/common/engines.py
@@ -67,6 +67,7 @@
     SLOW = "slow"
     OTHER_VERSION = "other_version"
     ABORT = "abort"
+    LOST_FINISH = "lost_finish"
 
 
 SEND_FAULTS = {
@@ -153,21 +154,26 @@
                     gap_s = self.slow_gap_s
                 elif fault.fault is Fault.ABORT:
                     yield EnginePiece((), "", "abort")
-                else:
+                elif fault.fault is not Fault.LOST_FINISH:
                     await suffer(fault.fault)
             await asyncio.sleep(gap_s)
             tokens.append(next_token(tokens))
             is_last = len(tokens) >= end
+            has_finish = is_last and (
+                fault is None or fault.fault is not Fault.LOST_FINISH
+            )
             yield EnginePiece(
                 (tokens[-1],),
                 VOCABULARY[tokens[-1]],
-                "length" if is_last else None,
+                "length" if has_finish else None,
                 prompt,
                 version,
             )
             prompt = None
-            if is_last:
+            if has_finish:
                 return
+            if is_last:
+                await suffer(Fault.RESET)
 
 
 async def suffer(fault: Fault) -> None:
--- a/tests/cover/test_generation_machine.py
+++ b/tests/cover/test_generation_machine.py
@@ -53,6 +53,8 @@
 from turmericusher.profiles import Profile, SecondAttempt
 
 LIVE_ATTEMPTS = 2
+FINISH_EARLY = 0
+LOSE_THE_FINISH = 1
 LOSSES = st.sampled_from(
     [
         (Loss.UPSTREAM, Verdict.MAY_HAVE_RUN),
@@ -170,7 +172,7 @@
             assert list(prompt) == [*PROMPT, *self.caller.token_ids]
         start = len(prompt) - len(PROMPT)
         if self.request.max_tokens is not None:
-            assert action.max_tokens == self.request.max_tokens - start
+            assert action.max_tokens == self.request.max_tokens - start > 0
         stream = SimulatedStream(action.attempt, list(prompt), start, action.max_tokens)
         self.streams.append(stream)
         self.live[action.attempt] = stream
@@ -198,10 +200,10 @@
         if not open_streams:
             return
         stream = data.draw(st.sampled_from(open_streams[-4:]))
-        self.feed(self.next_piece(stream, count, finish == 0), stream)
+        self.feed(self.next_piece(stream, count, finish), stream)
 
     def next_piece(
-        self, stream: SimulatedStream, count: int, may_finish: bool
+        self, stream: SimulatedStream, count: int, finish_choice: int
     ) -> PieceArrived:
         # A piece of several tokens ends in a whole character, as the port asks.
         new: list[int] = []
@@ -218,7 +220,11 @@
             made += 1
         is_full = stream.max_tokens is not None and made >= stream.max_tokens
         ends_whole = stream.tokens[-1] != HALF_TOKEN
-        finish = "length" if is_full else "stop" if may_finish and ends_whole else None
+        finish = None
+        if is_full and finish_choice != LOSE_THE_FINISH:
+            finish = "length"
+        elif finish_choice == FINISH_EARLY and ends_whole and not is_full:
+            finish = "stop"
         prompt = tuple(stream.tokens[: len(stream.tokens) - len(new)])
         piece = PieceArrived(
             attempt=stream.number,
