Refuse bodies and settings that broke the process's own writers

Found by the new tests: - a field nested 255 to 1023 levels deep is read but cannot be written again: a chat message gave a 500, and a sampling parameter was tried on eight engines in turn and then reported as may_have_run, although nothing had been sent; - settings nested deeply, or with a date such as 2026-99-99, gave a traceback; - a path with one slash too many was redirected rather than refused. Ruled out: a guard against targets that are not ASCII. The application fails on them when called directly, but a trial with the web server in front showed that it answers 400 itself, so the test sends only what the server passes on. For users: such requests get 400 invalid_request, not_run; such settings get one line that names the fault; /v1/operator/profiles/ with a slash at its end is 404.

--- a/src/turmericusher/api/app.py
+++ b/src/turmericusher/api/app.py
@@ -73,7 +73,7 @@
         *state_routes(runtime),
         *health_routes(runtime),
     ]
-    return Starlette(
+    app = Starlette(
         routes=routes,
         middleware=[
             Middleware(DrainGuard, draining=runtime.draining),
@@ -85,6 +85,9 @@
             Exception: handle_unexpected_error,
         },
     )
+    # A redirect to the path without its last slash would have a body sent twice.
+    app.router.redirect_slashes = False
+    return app
 
 
 async def handle_http_exception(_request: Request, error: Exception) -> Response:
--- a/src/turmericusher/api/bodies.py
+++ b/src/turmericusher/api/bodies.py
@@ -132,13 +132,19 @@
     if isinstance(body, ChatBody):
         messages = tuple(m.model_dump(exclude_unset=True) for m in body.messages)
         max_tokens = body.max_completion_tokens or body.max_tokens
+    try:
+        fingerprint = fingerprint_of(body.model, prompt, messages)
+        orjson.dumps(parameters)
+    except orjson.JSONEncodeError as error:
+        # Reading allows deeper nesting than writing, and an engine gets it written.
+        raise invalid(f"body cannot be passed on to an engine: {error}") from error
     return GenerationRequest(
         request_id=request_id,
         team=team,
         profile=profile,
         service=service,
         model=body.model,
-        fingerprint=fingerprint_of(body.model, prompt, messages),
+        fingerprint=fingerprint,
         prompt=prompt if isinstance(prompt, str) else None,
         prompt_token_ids=prompt if isinstance(prompt, tuple) else None,
         messages=messages,
--- a/src/turmericusher/settings.py
+++ b/src/turmericusher/settings.py
@@ -205,7 +205,8 @@
     """Validate the text of a settings file."""
     try:
         mapping = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        # The loader lets through what its conversions raise, as for month 13.
         line = str(error).replace("\n", " ")
         raise SettingsError(f"settings are not valid YAML: {line}") from error
     try:
--- /dev/null
+++ b/tests/common/asgi.py
@@ -0,0 +1,74 @@
+"""Calling a web application directly, without a socket or an HTTP client."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import unquote
+
+import orjson
+from starlette.types import ASGIApp
+
+CALL_LIMIT_S = 30.0
+LOCAL = ("127.0.0.1", 1)
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+@dataclass
+class AsgiAnswer:
+    """What an application sent."""
+
+    status: int = 0
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytes = b""
+
+    def json(self) -> Any:
+        """Return the body as JSON; fail when it is not."""
+        return orjson.loads(self.body)
+
+
+async def call_app(
+    app: ASGIApp,
+    method: str,
+    target: bytes,
+    headers: Headers = (),
+    parts: Sequence[bytes] = (),
+) -> AsgiAnswer:
+    """Send one request whose body comes in `parts`; whatever is raised comes out."""
+    path, _, query = target.partition(b"?")
+    scope = {
+        "type": "http",
+        "asgi": {"version": "3.0"},
+        "http_version": "1.1",
+        "method": method,
+        "scheme": "http",
+        "path": unquote(path.decode("latin-1")),
+        "raw_path": path,
+        "query_string": query,
+        "root_path": "",
+        "headers": [(name.lower(), value) for name, value in headers],
+        "client": LOCAL,
+        "server": LOCAL,
+    }
+    pending = [*parts, b""]
+    answer = AsgiAnswer()
+
+    async def receive() -> dict[str, Any]:
+        if not pending:
+            await asyncio.Event().wait()
+        part = pending.pop(0)
+        return {"type": "http.request", "body": part, "more_body": bool(pending)}
+
+    async def send(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            answer.status = message["status"]
+            answer.headers = dict(message.get("headers", ()))
+        else:
+            answer.body += message.get("body", b"")
+
+    async with asyncio.timeout(CALL_LIMIT_S):
+        await app(scope, receive, send)
+    return answer
