--- /dev/null
+++ b/src/turmericusher/api/order_commands.py
@@ -0,0 +1,83 @@
+"""Operators' command on orders: the end wanted for every upstream of a service."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from turmericusher.api.profile_commands import read_limited
+from turmericusher.decisions.orders import EndState
+from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.profiles import describe_validation_error
+from turmericusher.tasks.orders import INTENT, OrderChanger
+
+ORDER_PATH = "/v1/operator/orders/{service}"
+
+
+class EndStateModel(BaseModel):
+    """The end wanted; a field that is left out does not matter."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    model: str = Field(default="", max_length=200)
+    version: str = Field(default="", max_length=200)
+    adapters: tuple[str, ...] = Field(default=(), max_length=64)
+    role: str = Field(default="", max_length=64)
+
+
+class OrderChangeModel(BaseModel):
+    """A change of the end wanted."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    wanted: EndStateModel
+    expected_revision: int = Field(ge=0)
+    change_id: str = Field(min_length=8, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")
+
+
+def order_command_routes(
+    changer: OrderChanger, services: Collection[str]
+) -> list[Route]:
+    """Return the route that changes what is wanted."""
+
+    async def put_order(request: Request) -> Response:
+        service = checked_service(request.path_params["service"], services)
+        change = parse_order_change(await read_limited(request))
+        wanted = EndState(**change.wanted.model_dump())
+        accepted = await changer.change(
+            service, wanted, change.expected_revision, change.change_id
+        )
+        return JSONResponse(
+            {
+                "service": service,
+                "revision": accepted.revision,
+                "intent": INTENT.dump_python(accepted.intent, mode="json"),
+            }
+        )
+
+    return [Route(ORDER_PATH, put_order, methods=["PUT"])]
+
+
+def parse_order_change(data: bytes) -> OrderChangeModel:
+    """Validate a change."""
+    try:
+        return OrderChangeModel.model_validate_json(data)
+    except ValidationError as error:
+        raise RequestRefusedError(
+            ErrorCode.INVALID_REQUEST, describe_validation_error("order", error)
+        ) from error
+
+
+def checked_service(service: str, services: Collection[str]) -> str:
+    """Refuse a service that the settings do not name."""
+    if service not in services:
+        raise RequestRefusedError(
+            ErrorCode.UNKNOWN_SERVICE,
+            f"service={service!r} is not in the settings; use one of "
+            f"{sorted(services)!r}",
+        )
+    return service
--- /dev/null
+++ b/src/turmericusher/api/order_queries.py
@@ -0,0 +1,39 @@
+"""Operators' query on orders: what is wanted, who holds the service, what was sent."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from turmericusher.api.order_commands import ORDER_PATH, checked_service
+from turmericusher.ports.keyvalue import KeyValueStore
+from turmericusher.tasks.orders import INTENT, RECORD, order_keys, read_intent
+
+
+def order_query_routes(
+    store: KeyValueStore, prefix: str, services: Collection[str]
+) -> list[Route]:
+    """Return the route that shows a service's orders, as the store has them."""
+
+    async def show_order(request: Request) -> Response:
+        service = checked_service(request.path_params["service"], services)
+        keys = order_keys(prefix, service)
+        intent, revision = await read_intent(store, keys.intent)
+        record = await store.get(keys.record)
+        holder = await store.get(keys.holder)
+        shown = RECORD.validate_json(record.value) if record is not None else None
+        return JSONResponse(
+            {
+                "service": service,
+                "revision": revision,
+                "intent": INTENT.dump_python(intent, mode="json") if intent else None,
+                "record": RECORD.dump_python(shown, mode="json") if shown else None,
+                "holder": holder.value.decode() if holder is not None else None,
+                "fencing": holder.revision if holder is not None else 0,
+            }
+        )
+
+    return [Route(ORDER_PATH, show_order, methods=["GET"])]
--- /dev/null
+++ b/src/turmericusher/decisions/order_holder.py
@@ -0,0 +1,306 @@
+"""The holder of a service's orders: a lease, a fencing number and one order at a time.
+
+`next_action` says what to do now; `take` is given its outcome. The fencing number is
+the revision at which the lease's key was written. Whoever sends to an upstream that
+does not check fencing numbers relies on time alone: the holder sends only while its
+lease outlasts the longest send, and a new holder first waits until nothing that the
+old one sent can still take effect.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.orders import (
+    LEASE_TTL_S,
+    LONGEST_SEND_S,
+    Intent,
+    Order,
+    OrderRecord,
+    Step,
+    UpstreamState,
+    next_step,
+)
+
+RENEW_SHARE = 1 / 3
+RETRY_S = 1.0
+ROUND_S = 1.0
+LOOK_S = 5.0
+"""Seconds between looks at a service that another instance holds."""
+QUIET_ROUND_S = 10.0
+"""Seconds between rounds while every upstream is where it is wanted."""
+
+
+class Stage(enum.Enum):
+    """What the holder does next."""
+
+    LOOK = "look"
+    GRANT = "grant"
+    ACQUIRE = "acquire"
+    READ_RECORD = "read_record"
+    CLAIM_RECORD = "claim_record"
+    READ_INTENT = "read_intent"
+    READ_STATES = "read_states"
+    ASK_WEIGHTS = "ask_weights"
+    WRITE_RECORD = "write_record"
+    SEND = "send"
+    RENEW = "renew"
+
+
+@dataclass(frozen=True, slots=True)
+class Action:
+    """A call for the task to make; what it needs is in the holder's fields."""
+
+    stage: Stage
+    asked_at: float
+    order: Order | None = None
+
+
+class Failure(enum.Enum):
+    """How a call failed: without effect, with an unknown one, or by a newer holder."""
+
+    NO_EFFECT = "no_effect"
+    UNKNOWN = "unknown"
+    STALE = "stale"
+
+
+@dataclass(frozen=True, slots=True)
+class Versioned:
+    """A value read from the store, with its revision; 0 and None when absent."""
+
+    value: object
+    revision: int
+
+
+Outcome = object
+
+
+@dataclass(slots=True)
+class OrderHolder:
+    """One entry instance's part in the orders of one service.
+
+    `name` is unique to this process. `valid_until` is when the lease may lapse, counted
+    from before the call that renewed it. Times are monotonic seconds.
+    """
+
+    service: str
+    name: str
+    minimum_upstreams: int
+    upstreams: Mapping[str, UpstreamInstance] = field(default_factory=dict)
+    stage: Stage = Stage.LOOK
+    wake_at: float = 0.0
+    attempt: int = 0
+    lease: int = 0
+    fencing: int = 0
+    valid_until: float = 0.0
+    renew_at: float = 0.0
+    settled_at: float = 0.0
+    record: OrderRecord | None = None
+    record_revision: int = 0
+    intent: Intent | None = None
+    order: Order | None = None
+    step: Step = field(default_factory=Step)
+
+    @property
+    def nonce(self) -> str:
+        """Return what marks this attempt's write of the holder's key."""
+        return f"{self.name}/{self.attempt}"
+
+    def next_action(self, now: float) -> Action | None:
+        """Return the call to make now, or None until `wake_at`."""
+        if self.lease and now >= self.valid_until:
+            self.step_down(now)
+        if self.fencing and now >= self.renew_at:
+            return Action(Stage.RENEW, now)
+        if now < self.wake_at:
+            return None
+        if self.stage is not Stage.SEND:
+            return Action(self.stage, now)
+        assert self.order is not None
+        if self.order.upstream not in self.upstreams:
+            self.go_on(Stage.READ_INTENT, now)
+            return Action(Stage.READ_INTENT, now)
+        if not self.may_send(self.order, now):
+            self.wake_at = now + min(RETRY_S, max(0.05, self.settled_at - now))
+            return None
+        return Action(Stage.SEND, now, self.order)
+
+    def may_send(self, order: Order, now: float) -> bool:
+        """Whether an order may leave now; asked again at the moment of sending."""
+        if order.fencing != self.fencing or now + LONGEST_SEND_S > self.valid_until:
+            return False
+        upstream = self.upstreams.get(order.upstream)
+        if upstream is None:
+            return False
+        return upstream.checks_fencing or now >= self.settled_at
+
+    def take(self, action: Action, outcome: Outcome, now: float) -> None:
+        """Take the outcome of a call: its value, or a `Failure`."""
+        if outcome is Failure.STALE:
+            self.step_down(now)
+            return
+        match action.stage:
+            case Stage.RENEW:
+                self.renewed(action, outcome, now)
+            case Stage.LOOK:
+                self.looked(outcome, now)
+            case Stage.GRANT:
+                self.granted(action, outcome, now)
+            case Stage.ACQUIRE:
+                self.acquired(outcome, now)
+            case Stage.READ_RECORD:
+                self.read_record(outcome, now)
+            case Stage.CLAIM_RECORD | Stage.WRITE_RECORD:
+                self.wrote_record(action, outcome, now)
+            case Stage.READ_INTENT:
+                self.read_intent(outcome, now)
+            case Stage.READ_STATES:
+                self.read_states(outcome, now)
+            case Stage.ASK_WEIGHTS:
+                self.asked_weights(outcome, now)
+            case Stage.SEND:
+                # Without a reply the order may still arrive; choosing another upstream
+                # before it does could take out two at once.
+                pause_s = ROUND_S if outcome is True else LONGEST_SEND_S
+                self.go_on(Stage.READ_INTENT, now + pause_s)
+
+    def step_down(self, now: float) -> None:
+        """Hold nothing any more; look again later."""
+        self.lease = 0
+        self.fencing = 0
+        self.valid_until = 0.0
+        self.record = None
+        self.order = None
+        self.intent = None
+        self.go_on(Stage.LOOK, now + RETRY_S)
+
+    def go_on(self, stage: Stage, wake_at: float) -> None:
+        """Continue with a stage at a time."""
+        self.stage = stage
+        self.wake_at = wake_at
+
+    def renewed(self, action: Action, outcome: Outcome, now: float) -> None:
+        """Count a renewal from before it was asked for; 0 means that it lapsed."""
+        if isinstance(outcome, Failure):
+            self.renew_at = now + RETRY_S
+        elif not outcome:
+            self.step_down(now)
+        else:
+            self.valid_until = action.asked_at + LEASE_TTL_S
+            self.renew_at = action.asked_at + LEASE_TTL_S * RENEW_SHARE
+
+    def looked(self, outcome: Outcome, now: float) -> None:
+        """Take the lease when nobody holds it, or find that an unsure write won."""
+        if not isinstance(outcome, Versioned):
+            self.go_on(Stage.LOOK, now + RETRY_S)
+        elif outcome.value is None:
+            self.lease = 0
+            self.go_on(Stage.GRANT, now)
+        elif outcome.value == self.nonce and self.lease:
+            self.hold(outcome.revision, now)
+        else:
+            self.go_on(Stage.LOOK, now + LOOK_S)
+
+    def granted(self, action: Action, outcome: Outcome, now: float) -> None:
+        """Go on to acquire with a fresh lease."""
+        if not isinstance(outcome, int):
+            self.go_on(Stage.LOOK, now + RETRY_S)
+            return
+        self.attempt += 1
+        self.lease = outcome
+        self.valid_until = action.asked_at + LEASE_TTL_S
+        self.renew_at = action.asked_at + LEASE_TTL_S * RENEW_SHARE
+        self.go_on(Stage.ACQUIRE, now)
+
+    def acquired(self, outcome: Outcome, now: float) -> None:
+        """Hold the service when the write won; read back when that is unsure."""
+        if isinstance(outcome, Versioned):
+            self.hold(outcome.revision, now)
+        else:
+            self.go_on(Stage.LOOK, now)
+
+    def hold(self, fencing: int, now: float) -> None:
+        """Begin to hold under the revision of the acquisition."""
+        self.fencing = fencing
+        self.go_on(Stage.READ_RECORD, now)
+
+    def read_record(self, outcome: Outcome, now: float) -> None:
+        """Learn what the last holder recorded, or how an own unsure write ended."""
+        if not isinstance(outcome, Versioned):
+            self.go_on(Stage.READ_RECORD, now + RETRY_S)
+            return
+        found = outcome.value
+        assert found is None or isinstance(found, OrderRecord)
+        if found is not None and found.fencing > self.fencing:
+            self.step_down(now)
+            return
+        self.record_revision = outcome.revision
+        if found is not None and found.fencing == self.fencing:
+            self.record = found
+            is_written = self.order is not None and found.pending == self.order
+            self.go_on(Stage.SEND if is_written else Stage.READ_INTENT, now)
+            return
+        # Nothing was ever sent before the first record, so there is nothing to outwait.
+        old_ttl_s = found.lease_ttl_s + LONGEST_SEND_S if found is not None else 0.0
+        self.settled_at = max(self.settled_at, now + old_ttl_s)
+        pending = found.pending if found is not None else None
+        self.record = OrderRecord(self.fencing, pending)
+        self.go_on(Stage.CLAIM_RECORD, now)
+
+    def wrote_record(self, action: Action, outcome: Outcome, now: float) -> None:
+        """Go on when the record stands; a lost race shows in the read that follows."""
+        if not isinstance(outcome, Versioned):
+            self.go_on(Stage.READ_RECORD, now)
+            return
+        self.record_revision = outcome.revision
+        is_order = action.stage is Stage.WRITE_RECORD
+        self.go_on(Stage.SEND if is_order else Stage.READ_INTENT, now)
+
+    def read_intent(self, outcome: Outcome, now: float) -> None:
+        """Learn the end wanted; without one there is nothing to do."""
+        self.order = None
+        if not isinstance(outcome, Versioned):
+            self.go_on(Stage.READ_INTENT, now + RETRY_S)
+            return
+        assert outcome.value is None or isinstance(outcome.value, Intent)
+        self.intent = outcome.value
+        if self.intent is None:
+            self.go_on(Stage.READ_INTENT, now + ROUND_S)
+        else:
+            self.go_on(Stage.READ_STATES, now)
+
+    def read_states(self, outcome: Outcome, now: float) -> None:
+        """Choose the next upstream from what the upstreams say of themselves."""
+        assert self.intent is not None
+        if not isinstance(outcome, tuple):
+            self.go_on(Stage.READ_INTENT, now + RETRY_S)
+            return
+        states: tuple[UpstreamState, ...] = outcome
+        wanted = self.intent.wanted
+        self.step = next_step(states, wanted, self.minimum_upstreams)
+        if not self.step.upstream:
+            pause_s = QUIET_ROUND_S if self.step.reason == "done" else ROUND_S
+            self.go_on(Stage.READ_INTENT, now + pause_s)
+            return
+        self.order = Order(self.service, self.step.upstream, wanted, self.fencing)
+        needs_weights = wanted.needs_weights()
+        self.go_on(Stage.ASK_WEIGHTS if needs_weights else Stage.WRITE_RECORD, now)
+
+    def asked_weights(self, outcome: Outcome, now: float) -> None:
+        """Order once the weight store allows a load; it says when to ask again."""
+        if isinstance(outcome, Failure):
+            self.go_on(Stage.READ_INTENT, now + RETRY_S)
+        elif isinstance(outcome, (int, float)) and outcome > 0:
+            self.go_on(Stage.READ_INTENT, now + outcome)
+        else:
+            self.go_on(Stage.WRITE_RECORD, now)
+
+    def record_to_write(self) -> OrderRecord:
+        """Return the record for a claim, or with the order about to be sent."""
+        assert self.record is not None
+        if self.stage is Stage.WRITE_RECORD:
+            self.record = replace(self.record, pending=self.order)
+        return self.record
--- /dev/null
+++ b/src/turmericusher/decisions/orders.py
@@ -0,0 +1,156 @@
+"""Orders to upstreams: the end that operators want, and the next upstream to order.
+
+An order states the end wanted, never a step, so that sending one twice does no harm.
+One upstream is changed at a time, as long as enough others stay ready.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from turmericusher.errors import ConflictError, ErrorCode
+
+LEASE_TTL_S = 10
+LONGEST_SEND_S = 2.0
+"""The timeout of an order: no order takes effect later than this after its sending."""
+KEPT_CHANGE_IDS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class EndState:
+    """What an upstream runs, or is to run; an empty field means no matter."""
+
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+
+    def needs_weights(self) -> bool:
+        """Whether reaching this end may read the weight store."""
+        return bool(self.model or self.version or self.adapters)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamState:
+    """An upstream's own word on its state; `target` is the end it is moving to."""
+
+    name: str
+    failure_domain: str
+    is_reachable: bool = True
+    is_ready: bool = True
+    actual: EndState = field(default_factory=EndState)
+    target: EndState | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Intent:
+    """The end that operators want for every upstream of a service.
+
+    `change_ids` holds the latest changes, newest last, so that an operator whose reply
+    was lost can learn that the change took effect.
+    """
+
+    wanted: EndState
+    change_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order to one upstream under the holder's fencing number."""
+
+    service: str
+    upstream: str
+    wanted: EndState
+    fencing: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRecord:
+    """What a holder writes before it sends; `lease_ttl_s` is that of its lease."""
+
+    fencing: int
+    pending: Order | None
+    lease_ttl_s: int = LEASE_TTL_S
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What to do next: order `upstream`, or, without one, wait for `reason`."""
+
+    upstream: str = ""
+    reason: str = ""
+
+
+def matches(actual: EndState, wanted: EndState) -> bool:
+    """Whether an upstream is where it is wanted."""
+    return (
+        wanted.model in ("", actual.model)
+        and wanted.version in ("", actual.version)
+        and wanted.role in ("", actual.role)
+        and set(wanted.adapters) <= set(actual.adapters)
+    )
+
+
+def next_step(
+    states: Iterable[UpstreamState], wanted: EndState, minimum_upstreams: int
+) -> Step:
+    """Return the upstream to order next, keeping at least the minimum ready.
+
+    An upstream that does not come back ready stops the change: the same order would
+    take the others out as well. Unreachable ones are neither counted nor waited for.
+    """
+    reachable = [state for state in states if state.is_reachable]
+    behind = [state for state in reachable if not is_on_its_way(state, wanted)]
+    underway = [
+        state
+        for state in reachable
+        if is_on_its_way(state, wanted) and not state.is_ready
+    ]
+    if underway:
+        return Step(reason=f"{underway[0].name} is not ready yet")
+    if not behind:
+        return Step(reason="done")
+    idle = [state for state in behind if not state.is_ready]
+    if idle:
+        return Step(min(state.name for state in idle))
+    ready = [state for state in reachable if state.is_ready]
+    if len(ready) - 1 < minimum_upstreams:
+        return Step(reason=f"only {len(ready)} upstreams are ready")
+    return Step(min(behind, key=lambda state: spare_order(state, ready)).name)
+
+
+def is_on_its_way(state: UpstreamState, wanted: EndState) -> bool:
+    """Whether an upstream has reached the wanted end or is moving to it."""
+    end = state.target if state.target is not None else state.actual
+    return matches(end, wanted)
+
+
+def spare_order(state: UpstreamState, ready: list[UpstreamState]) -> tuple[int, str]:
+    """Return the sort key that takes from the domain with the most ready upstreams."""
+    same = sum(other.failure_domain == state.failure_domain for other in ready)
+    return (-same, state.name)
+
+
+def plan_intent(
+    current: Intent | None,
+    current_revision: int,
+    wanted: EndState,
+    expected_revision: int,
+    change_id: str,
+) -> Intent | None:
+    """Return the intent to write, or None when the change was accepted before.
+
+    Raises `ConflictError`, which shows the rival's change, when another came first.
+    """
+    change_ids = current.change_ids if current is not None else ()
+    if change_id in change_ids:
+        return None
+    if current_revision != expected_revision:
+        shown = current.wanted if current is not None else None
+        raise ConflictError(
+            ErrorCode.REVISION_CONFLICT,
+            f"expected_revision={expected_revision!r} is not the present revision "
+            f"{current_revision!r}, which wants {shown!r}; look at it and repeat",
+        )
+    return Intent(wanted, (*change_ids, change_id)[-KEPT_CHANGE_IDS:])
--- /dev/null
+++ b/src/turmericusher/ports/weights.py
@@ -0,0 +1,65 @@
+"""The port to the platform's weight store, which limits the rate of loads.
+
+`POST /loads` with `{"weights": NAME}` answers 200 when a load may begin, or 429 with
+`Retry-After` in seconds. Upstreams read the weights themselves.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import aiohttp
+
+TIMEOUT_S = 2.0
+STATUS_OK = 200
+STATUS_TOO_MANY_REQUESTS = 429
+DEFAULT_RETRY_S = 5.0
+LONGEST_RETRY_S = 60.0
+
+
+class WeightStore(Protocol):
+    """Permits loads."""
+
+    async def ask_to_load(self, weights: str) -> float:
+        """Return 0 when a load may begin now, or the seconds after which to ask again.
+
+        A store that cannot be reached counts as busy.
+        """
+        ...
+
+
+class HttpWeightStore:
+    """The adapter over a shared `aiohttp` session."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+
+    async def ask_to_load(self, weights: str) -> float:
+        """Ask for one load."""
+        try:
+            async with self.session.post(
+                f"{self.url}/loads",
+                json={"weights": weights},
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+            ) as answer:
+                if answer.status == STATUS_OK:
+                    return 0.0
+                return parse_retry_after(answer.headers.get("Retry-After", ""))
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return DEFAULT_RETRY_S
+
+
+class UnlimitedWeightStore:
+    """Permits every load: for a platform without a weight store."""
+
+    async def ask_to_load(self, weights: str) -> float:
+        """Permit a load."""
+        return 0.0
+
+
+def parse_retry_after(text: str) -> float:
+    """Return a bounded number of seconds; a date or nonsense gives the default."""
+    if not text.isascii() or not text.isdigit():
+        return DEFAULT_RETRY_S
+    return min(LONGEST_RETRY_S, max(1.0, float(text[:9])))
--- /dev/null
+++ b/src/turmericusher/tasks/orders.py
@@ -0,0 +1,273 @@
+"""The task that carries out a service's orders, for as long as it holds the lease."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from pydantic import TypeAdapter, ValidationError
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.order_holder import (
+    Action,
+    Failure,
+    OrderHolder,
+    Outcome,
+    Stage,
+    Versioned,
+)
+from turmericusher.decisions.orders import (
+    LEASE_TTL_S,
+    EndState,
+    Intent,
+    OrderRecord,
+    UpstreamState,
+    plan_intent,
+)
+from turmericusher.decisions.subsets import rendezvous_weight
+from turmericusher.errors import (
+    ErrorCode,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    TurmericusherError,
+    Verdict,
+)
+from turmericusher.logs import log_event
+from turmericusher.ports.keyvalue import ABSENT, KeyValueStore, StoredValue, SwapResult
+from turmericusher.ports.orders import OrderPort, StaleFencingError
+from turmericusher.ports.weights import WeightStore
+
+CANDIDATES = 3
+"""Instances that contend for a service: the store's reads must not grow with the
+fleet."""
+IDLE_S = 0.25
+CALL_TIMEOUT_S = 2.0
+STATES_TIMEOUT_S = 3.0
+CONCURRENT_READS = 64
+CHANGE_LIMIT_S = 8.0
+RETRY_PAUSE_S = 0.1
+INTENT = TypeAdapter(Intent)
+RECORD = TypeAdapter(OrderRecord)
+
+
+@dataclass(frozen=True, slots=True)
+class OrderKeys:
+    """The store's keys for one service's orders."""
+
+    intent: str
+    record: str
+    holder: str
+
+
+def order_keys(prefix: str, service: str) -> OrderKeys:
+    """Return the keys of a service."""
+    base = f"{prefix}orders/{service}/"
+    return OrderKeys(f"{base}intent", f"{base}record", f"{base}holder")
+
+
+@dataclass(slots=True)
+class OrderCalls:
+    """Makes the calls that a holder asks for."""
+
+    holder: OrderHolder
+    keys: OrderKeys
+    store: KeyValueStore
+    port: OrderPort
+    weights: WeightStore
+    clock: Callable[[], float] = time.monotonic
+    reads: asyncio.Semaphore = field(
+        default_factory=lambda: asyncio.Semaphore(CONCURRENT_READS)
+    )
+
+    async def make(self, action: Action) -> Outcome:
+        """Make one call and return its outcome or how it failed."""
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S + STATES_TIMEOUT_S):
+                return await self.dispatch(action)
+        except StaleFencingError:
+            return Failure.STALE
+        except StoreUnavailableError:
+            return Failure.NO_EFFECT
+        except (StoreOutcomeUnknownError, TimeoutError):
+            return Failure.UNKNOWN
+
+    async def dispatch(self, action: Action) -> Outcome:
+        """Make the call of a stage."""
+        holder = self.holder
+        match action.stage:
+            case Stage.LOOK:
+                found = await self.store.get(self.keys.holder)
+                nonce = found.value.decode() if found is not None else None
+                return Versioned(nonce, revision_of(found))
+            case Stage.GRANT:
+                return await self.store.grant_lease(LEASE_TTL_S)
+            case Stage.RENEW:
+                return await self.store.renew_lease(holder.lease)
+            case Stage.ACQUIRE:
+                return swapped(
+                    await self.store.compare_and_swap(
+                        self.keys.holder, ABSENT, holder.nonce.encode(), holder.lease
+                    )
+                )
+            case Stage.READ_RECORD:
+                return read(RECORD, await self.store.get(self.keys.record))
+            case Stage.CLAIM_RECORD | Stage.WRITE_RECORD:
+                value = RECORD.dump_json(holder.record_to_write())
+                return swapped(
+                    await self.store.compare_and_swap(
+                        self.keys.record, holder.record_revision, value
+                    )
+                )
+            case Stage.READ_INTENT:
+                return read(INTENT, await self.store.get(self.keys.intent))
+            case Stage.READ_STATES:
+                return await self.read_states()
+            case Stage.ASK_WEIGHTS:
+                assert holder.order is not None
+                return await self.weights.ask_to_load(weights_of(holder.order.wanted))
+            case Stage.SEND:
+                return await self.send(action)
+
+    async def read_states(self) -> tuple[UpstreamState, ...]:
+        """Read every upstream's state, which also tells it the fencing number."""
+
+        async def read_one(upstream: UpstreamInstance) -> UpstreamState:
+            async with self.reads:
+                return await self.port.read_state(upstream, self.holder.fencing)
+
+        async with asyncio.timeout(STATES_TIMEOUT_S):
+            upstreams = self.holder.upstreams.values()
+            return tuple(await asyncio.gather(*map(read_one, upstreams)))
+
+    async def send(self, action: Action) -> bool:
+        """Send an order, unless its time has passed since it was chosen."""
+        order = action.order
+        if order is None or not self.holder.may_send(order, self.clock()):
+            return True
+        log_event(
+            "order_sent",
+            service=order.service,
+            upstream=order.upstream,
+            fencing=order.fencing,
+        )
+        return await self.port.send(self.holder.upstreams[order.upstream], order)
+
+
+def revision_of(found: StoredValue | None) -> int:
+    """Return a value's revision, or that of a missing key."""
+    return found.revision if found is not None else ABSENT
+
+
+def read(
+    adapter: TypeAdapter[Intent] | TypeAdapter[OrderRecord], found: StoredValue | None
+) -> Outcome:
+    """Return a decoded value; one that cannot be read fails the call."""
+    if found is None:
+        return Versioned(None, ABSENT)
+    try:
+        return Versioned(adapter.validate_json(found.value), found.revision)
+    except ValidationError as error:
+        log_event("order_value_unreadable", key=found.key, error=str(error))
+        return Failure.NO_EFFECT
+
+
+def swapped(result: SwapResult) -> Outcome:
+    """Return the outcome of a compare-and-swap."""
+    return Versioned(None, result.revision) if result.succeeded else Failure.NO_EFFECT
+
+
+def weights_of(wanted: EndState) -> str:
+    """Return the name under which the weight store is asked."""
+    return "/".join(filter(None, (wanted.model, wanted.version, *wanted.adapters)))
+
+
+async def carry_out_orders(
+    calls: OrderCalls,
+    upstreams: Callable[[], Mapping[str, UpstreamInstance]],
+    is_candidate: Callable[[], bool],
+) -> None:
+    """Contend for the service and carry out its orders until cancelled."""
+    holder = calls.holder
+    while True:
+        holder.upstreams = upstreams()
+        action = None
+        if holder.lease or is_candidate():
+            action = holder.next_action(calls.clock())
+        if action is None:
+            await asyncio.sleep(IDLE_S)
+            continue
+        outcome = await calls.make(action)
+        holder.take(action, outcome, calls.clock())
+
+
+def is_order_candidate(service: str, own: str, instances: frozenset[str]) -> bool:
+    """Whether an instance is among those that contend for a service."""
+    ranked = sorted(
+        instances | {own}, key=lambda name: rendezvous_weight(service, name)
+    )
+    return own in ranked[-CANDIDATES:]
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedIntent:
+    """A change that surely took effect, with the present intent and its revision."""
+
+    intent: Intent
+    revision: int
+
+
+@dataclass(slots=True)
+class OrderChanger:
+    """Carries out operators' changes of the end wanted."""
+
+    store: KeyValueStore
+    prefix: str
+    clock: Callable[[], float] = time.monotonic
+
+    async def change(
+        self, service: str, wanted: EndState, expected_revision: int, change_id: str
+    ) -> AcceptedIntent:
+        """Write the intent; repeat the same write until its fate is known.
+
+        Raises `ConflictError` when a rival came first.
+        """
+        key = order_keys(self.prefix, service).intent
+        give_up_at = self.clock() + CHANGE_LIMIT_S
+        has_unknown_write = False
+        while True:
+            try:
+                async with asyncio.timeout(CALL_TIMEOUT_S):
+                    current, revision = await read_intent(self.store, key)
+                    intent = plan_intent(
+                        current, revision, wanted, expected_revision, change_id
+                    )
+                    if intent is None and current is not None:
+                        return AcceptedIntent(current, revision)
+                    assert intent is not None
+                    value = INTENT.dump_json(intent)
+                    result = await self.store.compare_and_swap(key, revision, value)
+                if result.succeeded:
+                    return AcceptedIntent(intent, result.revision)
+            except StoreUnavailableError:
+                if not has_unknown_write:
+                    raise
+            except (StoreOutcomeUnknownError, TimeoutError):
+                has_unknown_write = True
+            if self.clock() >= give_up_at:
+                raise TurmericusherError(
+                    ErrorCode.STORE_OUTCOME_UNKNOWN,
+                    f"change_id={change_id!r} may have taken effect; repeat it with "
+                    "the same change_id to learn its fate",
+                    verdict=Verdict.MAY_HAVE_RUN,
+                    retry_after_s=RETRY_PAUSE_S,
+                )
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+
+async def read_intent(store: KeyValueStore, key: str) -> tuple[Intent | None, int]:
+    """Return a service's intent and its revision."""
+    found = await store.get(key)
+    intent = INTENT.validate_json(found.value) if found is not None else None
+    return intent, revision_of(found)
--- /dev/null
+++ b/tests/common/order_world.py
@@ -0,0 +1,210 @@
+"""A store and upstreams in memory, stepped by hand, for holders of orders."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.order_holder import (
+    Action,
+    Failure,
+    OrderHolder,
+    Stage,
+    Versioned,
+)
+from turmericusher.decisions.orders import (
+    LEASE_TTL_S,
+    LONGEST_SEND_S,
+    EndState,
+    Intent,
+    Order,
+    UpstreamState,
+    matches,
+)
+
+WRITES = (Stage.GRANT, Stage.ACQUIRE, Stage.CLAIM_RECORD, Stage.WRITE_RECORD)
+MINIMUM = 2
+
+
+@dataclass
+class Delivery:
+    order: Order
+    latest_at: float
+
+
+@dataclass
+class OrderWorld:
+    """`fenced` says which upstreams check fencing numbers.
+
+    `send_pause_s` is for how long a holder is paused between its check and its send.
+    """
+
+    fenced: dict[str, bool]
+    now: float = 0.0
+    revision: int = 1
+    keys: dict[str, Versioned] = field(default_factory=dict)
+    leases: dict[int, float] = field(default_factory=dict)
+    key_lease: int = 0
+    states: dict[str, UpstreamState] = field(default_factory=dict)
+    floors: dict[str, int] = field(default_factory=dict)
+    holders: list[OrderHolder] = field(default_factory=list)
+    deliveries: list[Delivery] = field(default_factory=list)
+    recorded: list[Order] = field(default_factory=list)
+    obeyed: list[Order] = field(default_factory=list)
+    highest_sent: int = 0
+    send_pause_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        listed = {
+            name: UpstreamInstance(
+                name, "s", UpstreamKind.ENGINE, "", "d", checks_fencing=fenced
+            )
+            for name, fenced in self.fenced.items()
+        }
+        for index, name in enumerate(listed):
+            domain = f"d{index % 2}"
+            actual = EndState(version="v0")
+            self.states[name] = UpstreamState(name, domain, actual=actual)
+        self.holders = [OrderHolder("s", f"h{i}", MINIMUM, listed) for i in range(2)]
+
+    def want(self, version: str) -> None:
+        intent = Intent(EndState(version=version), ())
+        self.write("intent", intent)
+
+    def write(self, key: str, value: Any) -> int:
+        self.revision += 1
+        self.keys[key] = Versioned(value, self.revision)
+        return self.revision
+
+    def read(self, key: str) -> Versioned:
+        self.expire()
+        return self.keys.get(key, Versioned(None, 0))
+
+    def swap(self, key: str, expected: int, value: Any) -> Any:
+        if self.read(key).revision != expected:
+            return Failure.NO_EFFECT
+        return Versioned(None, self.write(key, value))
+
+    def expire(self) -> None:
+        self.leases = {
+            number: until for number, until in self.leases.items() if until > self.now
+        }
+        if "holder" in self.keys and self.key_lease not in self.leases:
+            self.revision += 1
+            del self.keys["holder"]
+
+    def run(self, holder: OrderHolder, action: Action, fault: Any = None) -> None:
+        """Make a call; a fault of UNKNOWN loses the reply after the effect."""
+        outcome = Failure.NO_EFFECT
+        if fault is not Failure.NO_EFFECT:
+            outcome = self.make(holder, action)
+        if fault is Failure.UNKNOWN and action.stage in WRITES:
+            outcome = Failure.UNKNOWN
+        holder.take(action, outcome, self.now)
+
+    def make(self, holder: OrderHolder, action: Action) -> Any:
+        match action.stage:
+            case Stage.LOOK:
+                return self.read("holder")
+            case Stage.GRANT:
+                lease = len(self.recorded) + self.revision + len(self.leases) * 1000
+                self.revision += 1
+                self.leases[lease] = self.now + LEASE_TTL_S
+                return lease
+            case Stage.RENEW:
+                self.expire()
+                if holder.lease not in self.leases:
+                    return 0
+                self.leases[holder.lease] = self.now + LEASE_TTL_S
+                return LEASE_TTL_S
+            case Stage.ACQUIRE:
+                self.expire()
+                if holder.lease not in self.leases:
+                    return Failure.NO_EFFECT
+                result = self.swap("holder", 0, holder.nonce)
+                if result is not Failure.NO_EFFECT:
+                    self.key_lease = holder.lease
+                return result
+            case Stage.READ_RECORD:
+                return self.read("record")
+            case Stage.CLAIM_RECORD | Stage.WRITE_RECORD:
+                record = holder.record_to_write()
+                result = self.swap("record", holder.record_revision, record)
+                if result is not Failure.NO_EFFECT and record.pending is not None:
+                    self.recorded.append(record.pending)
+                return result
+            case Stage.READ_INTENT:
+                return self.read("intent")
+            case Stage.READ_STATES:
+                return self.read_states(holder.fencing)
+            case Stage.ASK_WEIGHTS:
+                return 0.0
+            case Stage.SEND:
+                if action.order and holder.may_send(action.order, self.now):
+                    self.highest_sent = max(self.highest_sent, action.order.fencing)
+                    latest_at = self.now + self.send_pause_s + LONGEST_SEND_S
+                    self.deliveries.append(Delivery(action.order, latest_at))
+                return None
+
+    def read_states(self, fencing: int) -> Any:
+        for name, is_fenced in self.fenced.items():
+            if is_fenced and fencing < self.floors.get(name, 0):
+                return Failure.STALE
+            self.floors[name] = max(fencing, self.floors.get(name, 0))
+        return tuple(self.states.values())
+
+    def deliver(self, delivery: Delivery) -> None:
+        self.deliveries.remove(delivery)
+        order = delivery.order
+        if self.fenced[order.upstream]:
+            if order.fencing < self.floors.get(order.upstream, 0):
+                return
+            self.floors[order.upstream] = order.fencing
+        self.obey(order)
+
+    def obey(self, order: Order) -> None:
+        assert order in self.recorded, "an order was sent before it was recorded"
+        if not self.fenced[order.upstream]:
+            assert order.fencing >= self.highest_sent, "a late order was obeyed"
+        self.obeyed.append(order)
+        state = self.states[order.upstream]
+        if not matches(state.actual, order.wanted):
+            self.states[order.upstream] = replace(
+                state, is_ready=False, target=order.wanted
+            )
+
+    def finish(self, name: str) -> None:
+        state = self.states[name]
+        if state.target is not None:
+            actual = replace(state.actual, version=state.target.version)
+            self.states[name] = replace(
+                state, is_ready=True, actual=actual, target=None
+            )
+
+    def pass_time(self, step_s: float) -> None:
+        end = self.now + step_s
+        for delivery in sorted(self.deliveries, key=lambda entry: entry.latest_at):
+            if delivery.latest_at <= end:
+                self.now = max(self.now, delivery.latest_at)
+                self.deliver(delivery)
+        self.now = end
+
+    def check(self) -> None:
+        """Check what must hold at any time."""
+        ready = sum(state.is_ready for state in self.states.values())
+        assert ready >= MINIMUM, "too few upstreams are ready"
+        valid = [h for h in self.holders if h.fencing and self.now < h.valid_until]
+        assert len(valid) <= 1, "two holders believe in a valid lease"
+
+    def run_quietly(self, rounds: int, indexes: tuple[int, ...] = (0, 1)) -> None:
+        """Run without faults; every change ends within a round."""
+        for _ in range(rounds):
+            for index in indexes:
+                action = self.holders[index].next_action(self.now)
+                if action is not None:
+                    self.run(self.holders[index], action)
+                self.check()
+            self.pass_time(0.25)
+            for name in self.states:
+                self.finish(name)
--- /dev/null
+++ b/tests/cover/test_orders.py
@@ -0,0 +1,326 @@
+"""Orders: one holder, the intent first, no late order, and the minimum stays ready."""
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from parameterized import parameterized
+from testtools import ExpectedException, TestCase
+
+from tests.common.asynchronous import run_async
+from tests.common.order_world import MINIMUM, OrderWorld
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.order_holder import Action, Failure, OrderHolder, Stage
+from turmericusher.decisions.orders import (
+    EndState,
+    Intent,
+    Order,
+    UpstreamState,
+    next_step,
+    plan_intent,
+)
+from turmericusher.errors import ConflictError
+from turmericusher.ports.orders import HttpOrderPort, StaleFencingError
+from turmericusher.ports.weights import HttpWeightStore, UnlimitedWeightStore
+from turmericusher.standins.store import MemoryStore
+from turmericusher.standins.weights import WeightStandin, running_weight_store
+from turmericusher.tasks.orders import (
+    OrderCalls,
+    OrderChanger,
+    carry_out_orders,
+    is_order_candidate,
+    order_keys,
+)
+
+FAULTS = st.sampled_from([None, None, None, Failure.UNKNOWN, Failure.NO_EFFECT])
+WANTED = EndState(version="v1")
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Two holders that pause and wake, lost replies, late deliveries, new intents."""
+
+    @initialize(fenced=st.lists(st.booleans(), min_size=3, max_size=4))
+    def start(self, fenced):
+        self.world = OrderWorld({f"u{i}": flag for i, flag in enumerate(fenced)})
+        self.world.want("v1")
+        self.paused = {}
+
+    @rule(index=st.integers(0, 1), steps=st.integers(1, 8), fault=FAULTS)
+    def act(self, index, steps, fault):
+        holder = self.world.holders[index]
+        for _ in range(steps):
+            action = None if index in self.paused else holder.next_action(self.now)
+            if action is None:
+                return
+            self.world.run(holder, action, fault)
+            self.world.check()
+
+    @property
+    def now(self):
+        return self.world.now
+
+    @rule(index=st.integers(0, 1), has_effect=st.booleans())
+    def pause(self, index, has_effect):
+        """Pause before a call, or between its effect and its reply."""
+        if index in self.paused:
+            return
+        holder = self.world.holders[index]
+        action = holder.next_action(self.now)
+        if action is not None:
+            outcome = self.world.make(holder, action) if has_effect else None
+            self.paused[index] = (action, has_effect, outcome)
+
+    @rule(index=st.integers(0, 1), fault=FAULTS)
+    def wake(self, index, fault):
+        action, has_effect, outcome = self.paused.pop(index, (None, False, None))
+        holder = self.world.holders[index]
+        if has_effect:
+            holder.take(action, outcome, self.now)
+        elif action is not None:
+            self.world.run(holder, action, fault)
+
+    @rule(index=st.integers(0, 1), seconds=st.integers(9, 18))
+    def the_other_holder_takes_over(self, index, seconds):
+        self.paused.pop(1 - index, None)
+        for _ in range(seconds):
+            self.act(1 - index, 8, None)
+            self.world.pass_time(1.0)
+            self.world.check()
+
+    @rule(step=st.sampled_from([0.3, 1.0, 2.0, 5.0, 11.0]))
+    def time_passes(self, step):
+        self.world.pass_time(step)
+
+    @rule(data=st.data())
+    def an_order_arrives(self, data):
+        if self.world.deliveries:
+            self.world.deliver(data.draw(st.sampled_from(self.world.deliveries)))
+
+    @rule(index=st.integers(0, 3))
+    def an_upstream_gets_ready(self, index):
+        if f"u{index}" in self.world.states:
+            self.world.finish(f"u{index}")
+
+    @rule(version=st.sampled_from(["v1", "v2"]))
+    def operators_change_their_mind(self, version):
+        self.world.want(version)
+
+    @invariant()
+    def what_must_hold(self):
+        self.world.check()
+
+
+OrdersMachineTest = OrdersMachine.TestCase
+
+
+class HolderTest(TestCase):
+    @parameterized.expand([("fenced", True), ("unfenced", False)])
+    def test_a_change_reaches_every_upstream(self, _name, fenced) -> None:
+        world = OrderWorld({f"u{i}": fenced for i in range(4)})
+        world.want("v1")
+        world.run_quietly(120)
+        versions = {state.actual.version for state in world.states.values()}
+        self.assertEqual({"v1"}, versions)
+        self.assertEqual(4, len(world.obeyed))
+
+    def test_the_next_holder_ends_what_the_first_began(self) -> None:
+        world = OrderWorld({f"u{i}": False for i in range(4)})
+        world.want("v1")
+        world.run_quietly(20, (0,))
+        self.assertTrue(0 < len(world.obeyed) < 4)
+        world.run_quietly(250, (1,))
+        versions = {state.actual.version for state in world.states.values()}
+        self.assertEqual({"v1"}, versions)
+
+    @parameterized.expand([("refused", True, 0), ("obeyed", False, 1)])
+    def test_a_pause_between_check_and_send_is_harmless_only_with_fencing(
+        self, _name, fenced, expected
+    ) -> None:
+        world = OrderWorld({f"u{i}": fenced for i in range(3)})
+        world.want("v1")
+        first = world.holders[0]
+        while (action := first.next_action(world.now)) is None or (
+            action.stage is not Stage.SEND
+        ):
+            if action is not None:
+                world.run(first, action)
+            world.pass_time(0.1)
+        late = action.order
+        world.pass_time(20.0)
+        world.want("v2")
+        world.run_quietly(200, (1,))
+        world.floors.setdefault(late.upstream, 0)
+        accepted = not fenced or late.fencing >= world.floors[late.upstream]
+        self.assertEqual(expected, int(accepted))
+        self.assertFalse(first.may_send(late, world.now))
+
+    def test_a_new_holder_outwaits_a_send_that_was_paused(self) -> None:
+        world = OrderWorld({f"u{i}": False for i in range(3)})
+        world.want("v1")
+        world.send_pause_s = 11.0
+        while not world.deliveries:
+            world.run_quietly(1, (0,))
+        world.send_pause_s = 0.0
+        world.want("v2")
+        world.run_quietly(200, (1,))
+        versions = {state.actual.version for state in world.states.values()}
+        self.assertEqual({"v2"}, versions)
+
+    def test_few_instances_contend_for_a_service(self) -> None:
+        names = frozenset(f"e{index}" for index in range(420))
+        contending = [n for n in names if is_order_candidate("s", n, names)]
+        self.assertEqual(3, len(contending))
+
+
+class StepTest(TestCase):
+    @parameterized.expand(
+        [
+            ("first", [], [], MINIMUM, "u0"),
+            ("waits_for_the_one_underway", ["u0"], [], 1, ""),
+            ("keeps_the_minimum", [], [], 3, ""),
+            ("unreachable_is_not_spare", [], ["u2"], MINIMUM, ""),
+        ]
+    )
+    def test_one_upstream_at_a_time_while_enough_stay_ready(
+        self, _name, underway, unreachable, minimum, expected
+    ) -> None:
+        states = [
+            UpstreamState(
+                name,
+                "d",
+                is_reachable=name not in unreachable,
+                is_ready=name not in underway,
+                target=WANTED if name in underway else None,
+            )
+            for name in ("u0", "u1", "u2")
+        ]
+        self.assertEqual(expected, next_step(states, WANTED, minimum).upstream)
+
+    def test_a_broken_upstream_is_ordered_first(self) -> None:
+        states = [
+            UpstreamState("u0", "d"),
+            UpstreamState("u1", "d", is_ready=False, target=EndState(version="bad")),
+        ]
+        self.assertEqual("u1", next_step(states, WANTED, 1).upstream)
+
+    def test_a_rivals_change_is_shown_and_an_own_one_recognised(self) -> None:
+        current = Intent(EndState(version="rival"), ("mine-0001", "rival-01"))
+        self.assertIsNone(plan_intent(current, 7, WANTED, 3, "mine-0001"))
+        with ExpectedException(ConflictError, ".*rival.*"):
+            plan_intent(current, 7, WANTED, 3, "mine-0002")
+
+
+class PortTest(TestCase):
+    @run_async
+    async def test_the_port_carries_the_fencing_number_both_ways(self) -> None:
+        seen: list[tuple[str, str]] = []
+
+        async def answer(request: web.Request) -> web.Response:
+            fencing = request.headers["Fencing-Number"]
+            seen.append((request.method, fencing))
+            if int(fencing) < 5:
+                return web.Response(status=409)
+            return web.json_response({"ready": True, "actual": {"version": "v1"}})
+
+        app = web.Application()
+        app.router.add_route("*", "/v1/{path}", answer)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        address = f"127.0.0.1:{runner.addresses[0][1]}"
+        engine = UpstreamInstance("u0", "s", UpstreamKind.ENGINE, address, "d")
+        async with aiohttp.ClientSession() as session:
+            port = HttpOrderPort(session)
+            state = await port.read_state(engine, 5)
+            await port.send(engine, Order("s", "u0", WANTED, 6))
+            with ExpectedException(StaleFencingError):
+                await port.send(engine, Order("s", "u0", WANTED, 4))
+            await runner.cleanup()
+            self.assertFalse((await port.read_state(engine, 5)).is_reachable)
+        self.assertEqual(UpstreamState("u0", "d", actual=WANTED), state)
+        self.assertEqual([("GET", "5"), ("PUT", "6"), ("PUT", "4")], seen)
+
+    @run_async
+    async def test_the_weight_stores_limit_is_told_to_who_asks(self) -> None:
+        standin = WeightStandin(loads_per_interval=1, interval_s=30.0)
+        async with (
+            running_weight_store(standin) as url,
+            aiohttp.ClientSession() as session,
+        ):
+            store = HttpWeightStore(session, url)
+            self.assertEqual(0.0, await store.ask_to_load("m"))
+            self.assertTrue(0 < await store.ask_to_load("m") <= 30)
+        self.assertEqual((["m"], 1), (standin.permitted, standin.refused))
+
+
+class FakeUpstreams:
+    """An order port whose upstreams change at once, and a count of its orders."""
+
+    def __init__(self) -> None:
+        self.actual = {f"u{index}": EndState(version="v0") for index in range(3)}
+        self.orders = 0
+
+    async def read_state(self, upstream, fencing) -> UpstreamState:
+        return UpstreamState(upstream.name, "d", actual=self.actual[upstream.name])
+
+    async def send(self, upstream, order) -> bool:
+        self.orders += 1
+        self.actual[upstream.name] = order.wanted
+        return True
+
+
+class OrderTaskTest(TestCase):
+    @parameterized.expand([("valid", 20.0, 1), ("lapsing", 11.0, 0)])
+    @run_async
+    async def test_an_order_is_checked_at_the_moment_of_sending(
+        self, _name, valid_until, expected
+    ) -> None:
+        fake = FakeUpstreams()
+        engine = UpstreamInstance(
+            "u0", "s", UpstreamKind.ENGINE, "", "d", checks_fencing=True
+        )
+        order = Order("s", "u0", WANTED, 3)
+        holder = OrderHolder("s", "h0", 1, {"u0": engine}, order=order, fencing=3)
+        holder.valid_until = valid_until
+        calls = OrderCalls(
+            holder,
+            order_keys("/t/", "s"),
+            MemoryStore(),
+            fake,
+            UnlimitedWeightStore(),
+            clock=lambda: 10.0,
+        )
+        await calls.make(Action(Stage.SEND, 0.0, order))
+        self.assertEqual(expected, fake.orders)
+
+    @parameterized.expand([("calm", 0), ("lost_replies", 4)])
+    @run_async
+    async def test_an_operators_change_reaches_every_upstream(
+        self, _name, lost
+    ) -> None:
+        store = MemoryStore()
+        store.faults.lose_replies = lost
+        fake = FakeUpstreams()
+        accepted = await OrderChanger(store, "/t/").change("s", WANTED, 0, "change-01")
+        self.assertEqual(WANTED, accepted.intent.wanted)
+        listed = {
+            name: UpstreamInstance(
+                name, "s", UpstreamKind.ENGINE, "", "d", checks_fencing=True
+            )
+            for name in fake.actual
+        }
+        holder = OrderHolder("s", "h0", 1)
+        calls = OrderCalls(
+            holder, order_keys("/t/", "s"), store, fake, UnlimitedWeightStore()
+        )
+        task = asyncio.create_task(
+            carry_out_orders(calls, lambda: listed, lambda: True)
+        )
+        async with asyncio.timeout(30):
+            while set(fake.actual.values()) != {WANTED}:
+                await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(3, fake.orders)
