Seed random choices by the instance's name as well

Cause: instances that share one settings file but for their names drew the same random numbers, so they would send their requests to the same upstreams at the same time. Found by reading; the seed's default is equal everywhere. Ruled out: no seed at all, because a run could then not be repeated. Change: Settings.random_for(purpose); all parts draw from it. Measured: test_instances_with_one_seed_choose_differently fails before. For users: one settings template may serve all instances.

--- a/src/turmericusher/settings.py
+++ b/src/turmericusher/settings.py
@@ -4,6 +4,7 @@
 
 import enum
 import ipaddress
+import random
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -162,7 +163,7 @@
     `claim_retention_s`: seconds for which the outcome of a key is kept.
     `clock_skew_s`: the largest difference between clocks that is allowed for.
     `peer_seeds`: peer addresses asked first; more are learned from the peers.
-    `seed`: the seed of every random choice of this instance.
+    `seed`: the seed of every random choice of this instance, with its name.
     """
 
     name: str
@@ -189,6 +190,15 @@
     peer_seeds: tuple[str, ...]
     seed: int
 
+    def random_for(self, purpose: str) -> random.Random:
+        """Return a generator of random numbers for one purpose.
+
+        The name is part of its seed: instances that share one settings file but for
+        their names would otherwise make the same choices at the same time, and send
+        all their requests to the same upstream.
+        """
+        return random.Random(f"{self.seed}/{self.name}/{purpose}")
+
 
 def load_settings(path: Path) -> Settings:
     """Read a settings file; raise `SettingsError` naming the setting and its value."""
--- a/src/turmericusher/tasks/fleet_parts.py
+++ b/src/turmericusher/tasks/fleet_parts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import time
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -83,7 +82,7 @@
     settings: Settings, store: KeyValueStore, table: ProfileTable, feeds: PeerFeeds
 ) -> AsyncIterator[FleetParts]:
     """Join the fleet while the context is entered."""
-    rng = random.Random(f"{settings.seed}/{settings.name}/fleet")
+    rng = settings.random_for("fleet")
     fleet = make_fleet(own_instance(settings), settings.peer_seeds, table, rng, feeds)
     shutdown = Shutdown(settings.entrypoint_ttl_s, settings.drain_limit_s)
     async with AsyncExitStack() as stack:
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -44,6 +44,8 @@
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
 from turmericusher.tasks.shutdown import Draining, ending_at_handover
 
+SEED_BITS = 32
+
 
 @dataclass(slots=True)
 class EntryRuntime:
@@ -104,20 +106,24 @@
         store = await stack.enter_async_context(
             open_etcd_store(settings.store_url, settings.store_timeout_s)
         )
-        selector = Selector(random.Random(settings.seed), own=settings.name)
+        selector = Selector(settings.random_for("selection"), own=settings.name)
         profiles = await stack.enter_async_context(
             running_profile_watch(
                 store,
                 settings.store_prefix,
                 stale_after_s=settings.stale_after_s,
-                rng=random.Random(f"{settings.seed}/{settings.name}"),
+                rng=settings.random_for("profiles"),
             )
         )
         admission = await stack.enter_async_context(
             running_load_control(settings, selector)
         )
         engine = await stack.enter_async_context(open_engine_port())
-        generation = make_generation_context(engine, selector, seed=settings.seed)
+        generation = make_generation_context(
+            engine,
+            selector,
+            seed=settings.random_for("generation").getrandbits(SEED_BITS),
+        )
         feeds = make_feeds(selector, generation.suspicion)
         parts = await stack.enter_async_context(
             running_fleet_parts(settings, store, profiles, feeds)
@@ -172,7 +178,7 @@
         selector=selector,
         services={service.name: service for service in settings.services},
         profile_named=profiles.get,
-        random=random.Random(settings.seed),
+        random=settings.random_for("calls"),
         admit=call_admission(admission),
     )
 
--- a/src/turmericusher/tasks/load_control.py
+++ b/src/turmericusher/tasks/load_control.py
@@ -22,6 +22,8 @@
 from turmericusher.tasks.calls import CallAdmission, ServiceCall
 from turmericusher.tasks.load_reports import poll_load
 
+SEED_BITS = 32
+
 
 @asynccontextmanager
 async def running_load_control(
@@ -29,6 +31,7 @@
 ) -> AsyncIterator[Admission]:
     """Run admission, its limits and the reading of load pages."""
     services = {service.name: service for service in settings.services}
+    seed = settings.random_for("load").getrandbits(SEED_BITS)
 
     def view(name: str) -> CapacityView:
         return capacity_view(services[name], selector)
@@ -36,11 +39,11 @@
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         polling = asyncio.create_task(
-            poll_load(selector, session, settings.seed), name="load-reports"
+            poll_load(selector, session, seed), name="load-reports"
         )
         try:
             yield await stack.enter_async_context(
-                running_admission(services, view, settings.seed)
+                running_admission(services, view, seed)
             )
         finally:
             polling.cancel()
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -32,6 +32,12 @@
         self.assertEqual("entry-1", settings.name)
         self.assertEqual(("lot-summaries",), settings.services[0].models)
 
+    def test_instances_with_one_seed_choose_differently(self) -> None:
+        other = parse_settings(GOOD.replace("entry-1", "entry-2"))
+        draws = [s.random_for("a").random() for s in (parse_settings(GOOD), other)]
+        self.assertNotEqual(*draws)
+        self.assertEqual(draws[0], parse_settings(GOOD).random_for("a").random())
+
     @parameterized.expand(
         [
             ("unknown_key", GOOD + "colour: red\n", "colour='red'"),
