--- /dev/null
+++ b/benchmarks/resume_model.py
@@ -0,0 +1,413 @@
+"""A simulation of callers, entry instances and engines on a virtual clock.
+
+Engines are modelled by times alone: a first token after the prompt is computed, then
+one token after each gap. Everything that decides is the shipped code.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from turmericusher.decisions.extra_work import ExtraWorkBudget, ResumeGate
+from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.generation import Generation, make_generation
+from turmericusher.decisions.generation_messages import (
+    AttemptDied,
+    CancelAttempt,
+    Deliver,
+    Fail,
+    GenerationAction,
+    GenerationEvent,
+    Loss,
+    PieceArrived,
+    StartAttempt,
+)
+from turmericusher.decisions.generation_state import SharedState
+from turmericusher.decisions.patience import Patience
+from turmericusher.decisions.requests import GenerationRequest, ReceivedAnswer
+from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.suspicion import SuspicionLedger
+from turmericusher.errors import Verdict
+from turmericusher.profiles import Profile
+
+NETWORK_S = 0.001
+FIRST_TOKEN_S = 0.03
+PROMPT_TOKEN_S = 0.00002
+TOKEN_GAP_S = 0.02
+GAP_SPREAD = 0.2
+STUTTER_S = 0.3
+PROMPT = tuple(range(1000, 1500))
+CLIENT_PAUSE_S = 0.05
+CLIENT_HEARTBEAT_TIMEOUT_S = 1.5
+
+
+@dataclass(slots=True)
+class Engine:
+    """One engine; `silent_until` holds back what it sends, `is_frozen` its work too.
+
+    A share `stutter_share` of its gaps is `STUTTER_S` long.
+    """
+
+    upstream: UpstreamInstance
+    is_dead: bool = False
+    silent_until: float = 0.0
+    is_frozen: bool = False
+    slow_factor: float = 1.0
+    stutter_share: float = 0.0
+    streams: set[Stream] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class Stream:
+    """One attempt on an engine; `chain` stands for all tokens so far."""
+
+    number: int
+    caller: Caller
+    generation: Generation
+    engine: Engine
+    chain: int
+    remaining: int
+    salt: int
+    is_first: bool = True
+    is_cancelled: bool = False
+
+
+@dataclass(slots=True)
+class Totals:
+    """What one run counted; latencies are in seconds."""
+
+    computed_tokens: int = 0
+    prompt_tokens: int = 0
+    delivered_tokens: int = 0
+    wrong_tokens: int = 0
+    lost_tokens: int = 0
+    repeated_tokens: int = 0
+    failures: int = 0
+    second_attempts: int = 0
+    latencies: list[float] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Caller:
+    """One caller and the answer that it holds.
+
+    `restarts` makes it the baseline that begins again from nothing: `shown` is then
+    the part that it had seen before, and only tokens past it count as output.
+    """
+
+    request: GenerationRequest
+    entry: int
+    restarts: bool
+    wanted: int
+    tokens: list[int] = field(default_factory=list)
+    chain: int = 0
+    shown: int = 0
+    lost_at: float | None = None
+    generation: Generation | None = None
+    streams: dict[int, Stream] = field(default_factory=dict)
+    is_done: bool = False
+    wakes_at: float = float("inf")
+
+
+@dataclass(slots=True)
+class Simulation:
+    """The virtual clock, its events, and everything that takes part."""
+
+    random: random.Random
+    engines: dict[str, Engine]
+    entries: list[SharedState]
+    now: float = 0.0
+    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    order: itertools.count[int] = field(default_factory=itertools.count)
+    callers: list[Caller] = field(default_factory=list)
+    totals: Totals = field(default_factory=Totals)
+    computed: set[int] = field(default_factory=set)
+
+    def at(self, time: float, event: Callable[[], None]) -> None:
+        """Let something happen at a time."""
+        heapq.heappush(self.events, (max(time, self.now), next(self.order), event))
+
+    def run(self, until: float) -> None:
+        """Run until every caller is done, or to a time."""
+        while self.events and not all(caller.is_done for caller in self.callers):
+            time, _, event = heapq.heappop(self.events)
+            if time > until:
+                return
+            self.now = time
+            event()
+
+    # Callers.
+
+    def connect(self, caller: Caller) -> None:
+        """Open a generation at the caller's entry instance."""
+        request = caller.request
+        if caller.tokens:
+            received = ReceivedAnswer(PROMPT, tuple(caller.tokens), "", "v1")
+            request = replace(request, received=received)
+        shared = self.entries[caller.entry]
+        caller.generation = make_generation(request, shared, self.now)
+        self.carry_out(caller, caller.generation.start(self.now))
+
+    def disconnect(self, caller: Caller) -> None:
+        """Close the generation and all its streams."""
+        assert caller.generation is not None
+        self.carry_out(caller, caller.generation.close(self.now))
+        caller.streams.clear()
+
+    def feed(self, stream: Stream, event: GenerationEvent) -> None:
+        """Give an event to the generation that opened the stream."""
+        caller = stream.caller
+        if caller.generation is stream.generation and not caller.is_done:
+            self.carry_out(caller, stream.generation.handle(event, self.now))
+
+    def carry_out(self, caller: Caller, actions: list[GenerationAction]) -> None:
+        """Carry out actions and see to the next tick."""
+        for action in actions:
+            match action:
+                case StartAttempt():
+                    self.open_stream(caller, action)
+                case CancelAttempt(attempt=number):
+                    self.cancel(caller.streams.pop(number, None))
+                case Deliver(piece=piece):
+                    self.receive(caller, piece.token_ids)
+                    caller.is_done = piece.finish_reason is not None
+                case Fail():
+                    self.totals.failures += 1
+                    caller.is_done = True
+        self.schedule_tick(caller)
+
+    def schedule_tick(self, caller: Caller) -> None:
+        """Wake the generation when it asks for it; an earlier wake asks again."""
+        generation = caller.generation
+        if generation is None or generation.is_over or caller.is_done:
+            return
+        wake_at = generation.wake_at()
+        if self.now < caller.wakes_at <= wake_at:
+            return
+        caller.wakes_at = wake_at
+        self.at(wake_at, lambda: self.tick(caller, generation))
+
+    def tick(self, caller: Caller, generation: Generation) -> None:
+        """Tell a generation the time, if it is still the caller's."""
+        if caller.generation is not generation or caller.is_done:
+            return
+        caller.wakes_at = float("inf")
+        if self.now >= generation.wake_at():
+            self.carry_out(caller, generation.tick(self.now))
+        else:
+            self.schedule_tick(caller)
+
+    def receive(self, caller: Caller, tokens: tuple[int, ...]) -> None:
+        """Check tokens against what engines computed, and time the end of a pause."""
+        for token in tokens:
+            caller.chain = hash((caller.chain, token))
+            self.totals.wrong_tokens += caller.chain not in self.computed
+            caller.tokens.append(token)
+        has_more = bool(tokens) and len(caller.tokens) > caller.shown
+        if has_more and caller.lost_at is not None:
+            self.totals.latencies.append(self.now - caller.lost_at)
+            caller.lost_at = None
+
+    def begin_again(self, caller: Caller) -> None:
+        """Do as a caller does that has no resume: forget all and ask again."""
+        for stream in caller.streams.values():
+            self.entries[caller.entry].selector.failed(stream.engine.upstream.name)
+        self.disconnect(caller)
+        caller.shown = max(caller.shown, len(caller.tokens))
+        caller.tokens.clear()
+        caller.chain = 0
+        self.connect(caller)
+
+    def move(
+        self, caller: Caller, entry: int, noticed_s: float, closed_s: float
+    ) -> None:
+        """Lose the caller's entry instance and go on at another one.
+
+        The caller notices after `noticed_s`; the engines see the instance's
+        connections close after `closed_s`.
+        """
+        caller.lost_at = self.now
+        streams = list(caller.streams.values())
+        generation = caller.generation
+        assert generation is not None
+        caller.generation = None
+
+        def close() -> None:
+            generation.close(self.now)
+            for stream in streams:
+                self.cancel(stream)
+
+        def reconnect() -> None:
+            caller.streams.clear()
+            caller.entry = entry
+            self.connect(caller)
+
+        self.at(self.now + closed_s, close)
+        self.at(self.now + noticed_s, reconnect)
+
+    # Engines.
+
+    def open_stream(self, caller: Caller, action: StartAttempt) -> None:
+        """Start an attempt on its engine, or find the engine dead."""
+        assert caller.generation is not None and action.max_tokens is not None
+        engine = self.engines[action.upstream.name]
+        salt = next(self.order)
+        stream = Stream(
+            action.attempt,
+            caller,
+            caller.generation,
+            engine,
+            caller.chain,
+            action.max_tokens,
+            salt,
+        )
+        caller.streams[action.attempt] = stream
+        if engine.is_dead:
+            self.at(self.now + NETWORK_S, lambda: self.refuse(stream))
+            return
+        engine.streams.add(stream)
+        prompt_length = len(action.prompt_token_ids or PROMPT)
+        self.totals.prompt_tokens += prompt_length
+        first_s = FIRST_TOKEN_S + prompt_length * PROMPT_TOKEN_S
+        self.at(
+            self.now + first_s * engine.slow_factor, lambda: self.next_token(stream)
+        )
+
+    def cancel(self, stream: Stream | None) -> None:
+        """Close a stream; a silent engine hears of it when it can be reached again."""
+        if stream is None:
+            return
+        heard_at = max(self.now, stream.engine.silent_until) + NETWORK_S
+
+        def hear() -> None:
+            stream.is_cancelled = True
+            stream.engine.streams.discard(stream)
+
+        self.at(heard_at, hear)
+
+    def next_token(self, stream: Stream) -> None:
+        """Compute one token and send it."""
+        engine = stream.engine
+        if stream.is_cancelled or engine.is_dead:
+            return
+        if engine.is_frozen and self.now < engine.silent_until:
+            self.at(engine.silent_until, lambda: self.next_token(stream))
+            return
+        token = hash((stream.chain, stream.salt)) % 50_000
+        stream.chain = hash((stream.chain, token))
+        self.computed.add(stream.chain)
+        self.totals.computed_tokens += 1
+        stream.remaining -= 1
+        is_last = stream.remaining == 0
+        is_first, stream.is_first = stream.is_first, False
+        arrives_at = max(self.now, engine.silent_until) + NETWORK_S
+
+        def arrive() -> None:
+            piece = PieceArrived(
+                stream.number,
+                self.now,
+                (token,),
+                "x",
+                "length" if is_last else None,
+                PROMPT if is_first else None,
+                "v1",
+            )
+            self.feed(stream, piece)
+
+        self.at(arrives_at, arrive)
+        if is_last:
+            engine.streams.discard(stream)
+            return
+        gap_s = TOKEN_GAP_S * self.random.uniform(1 - GAP_SPREAD, 1 + GAP_SPREAD)
+        if self.random.random() < engine.stutter_share:
+            gap_s = STUTTER_S
+        self.at(self.now + gap_s * engine.slow_factor, lambda: self.next_token(stream))
+
+    def refuse(self, stream: Stream) -> None:
+        """Refuse a connection."""
+        died = AttemptDied(stream.number, self.now, Loss.UPSTREAM, Verdict.NOT_RUN)
+        self.feed(stream, died)
+
+    def reset(self, stream: Stream) -> None:
+        """Break a stream off."""
+        if stream.caller.restarts and stream.caller.generation is stream.generation:
+            if not stream.caller.is_done:
+                self.begin_again(stream.caller)
+            return
+        died = AttemptDied(stream.number, self.now, Loss.UPSTREAM, Verdict.MAY_HAVE_RUN)
+        self.feed(stream, died)
+
+    def note_loss(self, streams: list[Stream]) -> None:
+        """Start the clock of every caller whose stream is hit."""
+        for stream in streams:
+            caller = stream.caller
+            if caller.generation is stream.generation and not caller.is_done:
+                caller.lost_at = self.now
+
+    def kill(self, engines: list[Engine]) -> None:
+        """Kill engines: their streams are reset and connections are refused."""
+        for engine in engines:
+            streams = list(engine.streams)
+            self.note_loss(streams)
+            engine.is_dead = True
+            for stream in streams:
+                self.at(self.now + NETWORK_S, lambda stream=stream: self.reset(stream))
+
+    def silence(self, engines: list[Engine], seconds: float, freezes: bool) -> None:
+        """Freeze engines, or cut off what they send."""
+        for engine in engines:
+            self.note_loss(list(engine.streams))
+            engine.silent_until = self.now + seconds
+            engine.is_frozen = freezes
+
+
+def request_for(profile: Profile, fingerprint: str, wanted: int) -> GenerationRequest:
+    """Return a caller's request."""
+    return GenerationRequest(
+        request_id=fingerprint,
+        team="team",
+        profile=profile,
+        service="drafts",
+        model="model",
+        fingerprint=fingerprint,
+        prompt=fingerprint,
+        max_tokens=wanted,
+    )
+
+
+def make_simulation(seed: int, engines: int, domains: int, entries: int) -> Simulation:
+    """Return a fleet in which nothing runs yet."""
+    upstreams = [
+        UpstreamInstance(
+            name=f"engine-{number}",
+            service="drafts",
+            kind=UpstreamKind.ENGINE,
+            address=f"127.0.0.1:{number}",
+            failure_domain=f"domain-{number % domains}",
+            incarnation="1",
+            version="v1",
+            models=("model",),
+        )
+        for number in range(engines)
+    ]
+    shared = [make_shared(seed + number, upstreams) for number in range(entries)]
+    fleet = {upstream.name: Engine(upstream) for upstream in upstreams}
+    return Simulation(random.Random(seed), fleet, shared)
+
+
+def make_shared(seed: int, upstreams: list[UpstreamInstance]) -> SharedState:
+    """Return the shared state of one entry instance."""
+    selector = Selector(random.Random(seed))
+    selector.update(upstreams)
+    return SharedState(
+        selector=selector,
+        patience=Patience(),
+        suspicion=SuspicionLedger(),
+        extra_work=ExtraWorkBudget(),
+        resumes=ResumeGate(),
+        random=random.Random(seed),
+    )
--- a/src/turmericusher/client.py
+++ b/src/turmericusher/client.py
@@ -97,12 +97,20 @@
     async def choose_address(self) -> str:
         """Return the address for the next connection, the healthy and near first."""
         now = self.clock()
-        if now >= self.entry_points.expires_at:
+        if now >= self.entry_points.expires_at or self.are_all_resting(now):
             await self.refresh_entry_points()
-        known = self.entry_points.known
-        if not known:
-            known = tuple(EntryPoint("", seed, "") for seed in self.options.seeds)
-        return min(known, key=lambda entry: self.rank(entry, now)).address
+        candidates = self.entry_points.known
+        if self.are_all_resting(now):
+            seeds = tuple(EntryPoint("", seed, "") for seed in self.options.seeds)
+            candidates += seeds
+        return min(candidates, key=lambda entry: self.rank(entry, now)).address
+
+    def are_all_resting(self, now: float) -> bool:
+        """Whether every known entry point failed lately, or none is known."""
+        resting = self.entry_points.resting
+        return all(
+            resting.get(entry.address, 0.0) > now for entry in self.entry_points.known
+        )
 
     def rank(self, entry: EntryPoint, now: float) -> tuple[float, bool, float]:
         """Return the sort key of an entry point."""
@@ -122,7 +130,9 @@
         for address in sorted(addresses, key=lambda a: resting.get(a, 0.0) > now):
             try:
                 body = await self.get_entry_points(address)
-            except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            except (aiohttp.ClientResponseError, ValueError):
+                continue
+            except (aiohttp.ClientError, TimeoutError, OSError):
                 self.rest(address)
                 continue
             self.take_entry_points(body)
--- a/tests/cover/test_client.py
+++ b/tests/cover/test_client.py
@@ -6,7 +6,7 @@
 import enum
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
@@ -206,6 +206,21 @@
 
         self.assertEqual(ANSWER, asyncio.run(complete()))
 
+    def test_an_instance_that_names_only_itself_is_left_for_a_seed(self) -> None:
+        entries = FakeEntries([EntryFault.RESET], LENGTH // 2)
+
+        async def complete() -> list[str]:
+            async with running_entries(entries) as client:
+                first, other = entries.addresses
+                entries.addresses = [first]
+                seeds = (first, other)
+                client.options = replace(client.options, seeds=seeds)
+                await client.complete(BODY)
+                return [first, *client.entry_points.resting]
+
+        first, *resting = asyncio.run(complete())
+        self.assertEqual([first], resting)
+
     def test_a_slow_engine_behind_heartbeats_is_no_dead_instance(self) -> None:
         entries = FakeEntries(gap_s=HEARTBEAT_TIMEOUT_S / 5)
 
