--- a/src/turmericusher/cli/main.py
+++ b/src/turmericusher/cli/main.py
@@ -17,6 +17,7 @@
 )
 from turmericusher.cli.profiles import ProfileCommand
 from turmericusher.cli.queries import Entrypoints, SettingsCommand, State
+from turmericusher.cli.snapshots import SnapshotCommand
 from turmericusher.cli.standins import Standin
 from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
 
@@ -38,6 +39,7 @@
         | State
         | SettingsCommand
         | ProfileCommand
+        | SnapshotCommand
     ]
 
 
