Share claim pages between instances and prove it with real processes

Ruled out: falling back to a direct write by each instance while the store is down: after an outage all would write each page at once; the next owner in rank follows. Change: ClaimParts wires router, peer service and sweeper; process test with 3 entries, 12 callers a fault: store frozen, service frozen, entry frozen, entry killed. For users: claims of all instances share writes; nothing to set.

--- a/src/turmericusher/peers/claims_service.py
+++ b/src/turmericusher/peers/claims_service.py
@@ -28,6 +28,7 @@
 from turmericusher.tasks.claims import PeerUnavailableError, PeerWithoutStoreError
 
 PEER_TIMEOUT_S = 0.5
+KEEP_OWNERS_S = 0.5
 OWNER_LIMIT_S = 0.3
 """Shorter than the peer's timeout, so that a living owner is not taken for dead."""
 
@@ -70,14 +71,29 @@
     instances: Callable[[], Sequence[EntryInstance]]
     owners: PageOwners = field(default_factory=PageOwners)
     channels: dict[str, Channel] = field(default_factory=dict)
+    chosen: dict[int, str | None] = field(default_factory=dict)
+    chosen_until: float = 0.0
 
     def owner_of(self, name: PageName) -> str | None:
         """Return the owner's peer address, or None when it is this instance."""
-        now = asyncio.get_running_loop().time()
-        addresses = [instance.peer_address for instance in self.instances()]
-        owner = self.owners.owner(name.shard, addresses, now)
+        owner = self.owner_of_shard(name.shard)
         return None if owner == self.own_address else owner
 
+    def owns(self, shard: int) -> bool:
+        """Whether a shard is this instance's."""
+        return self.owner_of_shard(shard) in (None, self.own_address)
+
+    def owner_of_shard(self, shard: int) -> str | None:
+        """Return the owner's address; it is looked up anew once a moment has passed."""
+        now = asyncio.get_running_loop().time()
+        if now >= self.chosen_until:
+            self.chosen.clear()
+            self.chosen_until = now + KEEP_OWNERS_S
+        if shard not in self.chosen:
+            addresses = [instance.peer_address for instance in self.instances()]
+            self.chosen[shard] = self.owners.owner(shard, addresses, now)
+        return self.chosen[shard]
+
     async def submit(
         self, address: str, name: PageName, command: ClaimCommand
     ) -> ClaimReply:
@@ -98,6 +114,7 @@
     def suspect(self, address: str) -> None:
         """Choose other owners than this peer for a while."""
         self.owners.suspect(address, asyncio.get_running_loop().time())
+        self.chosen.clear()
 
     def channel(self, address: str) -> Channel:
         """Return the connection to a peer."""
--- a/src/turmericusher/peers/exchange_service.py
+++ b/src/turmericusher/peers/exchange_service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 
 import grpclib
@@ -59,10 +59,10 @@
 
 @asynccontextmanager
 async def running_exchange_server(
-    bound: socket.socket, answer: Answerer
+    bound: socket.socket, answer: Answerer, others: Sequence[object] = ()
 ) -> AsyncIterator[None]:
-    """Answer peers on a bound socket while the context is entered."""
-    server = Server([ExchangeService(answer)])
+    """Answer peers on a bound socket, `others` too, while the context is entered."""
+    server = Server([ExchangeService(answer), *others])
     await server.start(sock=bound)
     try:
         yield
--- a/src/turmericusher/standins/service.py
+++ b/src/turmericusher/standins/service.py
@@ -4,6 +4,7 @@
 `Idempotency-Key`. The control routes read the ledger and set the faults:
 
 - `GET /control/ledger` gives the runs by key;
+- `GET /control/requests` gives the `Request-Name` headers of the runs by key;
 - `PUT /control/faults` takes the fields of `ServiceFaults` as JSON;
 - `GET /control/faults` gives them back.
 """
@@ -53,13 +54,14 @@
 
 @dataclass(slots=True)
 class ServiceLedger:
-    """The service's state: its runs by key and its faults.
+    """The service's state: its runs by key, their `Request-Name` headers, its faults.
 
-    `refusing` closes the listening socket while it is true, see `RunningService`.
+    `answer_bytes` is padding in each answer.
     """
 
     name: str
     runs: Counter[str] = field(default_factory=Counter)
+    request_names: dict[str, list[str]] = field(default_factory=dict)
     faults: ServiceFaults = field(default_factory=ServiceFaults)
     answer_bytes: int = 0
 
@@ -115,6 +117,8 @@
     await fail_before_run(request, fault)
     key = request.headers.get("Idempotency-Key", UNKEYED)
     ledger.runs[key] += 1
+    names = ledger.request_names.setdefault(key, [])
+    names.append(request.headers.get("Request-Name", ""))
     run = ledger.runs[key]
     if fault is ServiceFault.SLOW:
         await asyncio.sleep(ledger.faults.delay_s)
@@ -170,6 +174,11 @@
     return web.json_response(dict(request.app[LEDGER].runs))
 
 
+async def get_request_names(request: web.Request) -> web.Response:
+    """Give the names of the requests that ran, by key."""
+    return web.json_response(request.app[LEDGER].request_names)
+
+
 async def get_faults(request: web.Request) -> web.Response:
     """Give the faults that are switched on."""
     return web.json_response(asdict(request.app[LEDGER].faults))
@@ -187,6 +196,7 @@
     app = web.Application(client_max_size=MAX_BODY_BYTES)
     app[LEDGER] = ledger
     app.router.add_get("/control/ledger", get_ledger)
+    app.router.add_get("/control/requests", get_request_names)
     app.router.add_get("/control/faults", get_faults)
     app.router.add_put("/control/faults", put_faults)
     app.router.add_route("*", "/{path:.*}", handle_call)
--- /dev/null
+++ b/src/turmericusher/tasks/claim_parts.py
@@ -0,0 +1,82 @@
+"""Puts the claims of an entry instance together from its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+from collections.abc import AsyncIterator, Sequence
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
+from dataclasses import dataclass
+
+from turmericusher.decisions.fleet import EntryInstance, Lifecycle
+from turmericusher.decisions.idempotency_keys import KeyAges
+from turmericusher.peers.claims_service import (
+    ClaimPagesService,
+    PeerClaimRouter,
+    peer_claim_router,
+)
+from turmericusher.ports.keyvalue import KeyValueStore
+from turmericusher.settings import Settings
+from turmericusher.tasks.claim_sweeper import sweep_regularly
+from turmericusher.tasks.claims import Claims, running_claims
+from turmericusher.tasks.membership import Fleet
+
+SWEEPING_SHARD = -1
+"""Stands for the deletion of old pages where owners are chosen."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimParts:
+    """The claims, their router and the service for peers."""
+
+    claims: Claims
+    router: PeerClaimRouter
+    service: ClaimPagesService
+
+
+@asynccontextmanager
+async def running_claim_parts(
+    settings: Settings, store: KeyValueStore
+) -> AsyncIterator[ClaimParts]:
+    """Run claims; until `owning_pages` is entered, every page is written here."""
+    async with AsyncExitStack() as stack:
+        router = await stack.enter_async_context(
+            peer_claim_router(settings.peer_address, list)
+        )
+        claims = Claims(
+            store=store,
+            ages=KeyAges(settings.claim_retention_s, settings.clock_skew_s),
+            wall_clock=time.time,
+            # Attempt identifiers must differ between instances and incarnations, so
+            # they cannot come from the seed of the settings.
+            random=random.Random(uuid.uuid4().int),
+            prefix=settings.store_prefix,
+            router=router,
+        )
+        await stack.enter_async_context(running_claims(claims))
+        yield ClaimParts(claims, router, ClaimPagesService(claims.submit_here))
+
+
+@asynccontextmanager
+async def owning_pages(parts: ClaimParts, fleet: Fleet) -> AsyncIterator[None]:
+    """Share pages with the live instances, and delete old ones when it is on us."""
+    parts.router.instances = lambda: live_instances(fleet)
+    sweeping = asyncio.create_task(
+        sweep_regularly(parts.claims, lambda: parts.router.owns(SWEEPING_SHARD)),
+        name="claim-sweeper",
+    )
+    try:
+        yield
+    finally:
+        sweeping.cancel()
+        with suppress(asyncio.CancelledError):
+            await sweeping
+
+
+def live_instances(fleet: Fleet) -> Sequence[EntryInstance]:
+    """Return the entry instances that may own pages, this one among them."""
+    present = [claim.instance for claim in fleet.membership.present()]
+    known = [fleet.membership.own, *present]
+    return [one for one in known if one.lifecycle is Lifecycle.LIVE]
--- a/src/turmericusher/tasks/fleet_parts.py
+++ b/src/turmericusher/tasks/fleet_parts.py
@@ -80,16 +80,22 @@
 
 @asynccontextmanager
 async def running_fleet_parts(
-    settings: Settings, store: KeyValueStore, table: ProfileTable, feeds: PeerFeeds
+    settings: Settings,
+    store: KeyValueStore,
+    table: ProfileTable,
+    feeds: PeerFeeds,
+    peer_services: Sequence[object] = (),
 ) -> AsyncIterator[FleetParts]:
-    """Join the fleet while the context is entered."""
+    """Join the fleet while the context is entered; peers may call `peer_services`."""
     rng = random.Random(f"{settings.seed}/{settings.name}/fleet")
     fleet = make_fleet(own_instance(settings), settings.peer_seeds, table, rng, feeds)
     shutdown = Shutdown(settings.entrypoint_ttl_s, settings.drain_limit_s)
     async with AsyncExitStack() as stack:
         bound = stack.enter_context(bound_socket(settings.peer_address))
         exchange = await stack.enter_async_context(running_peer_exchange(fleet, rng))
-        await stack.enter_async_context(running_exchange_server(bound, fleet.answer))
+        await stack.enter_async_context(
+            running_exchange_server(bound, fleet.answer, peer_services)
+        )
         await stack.enter_async_context(running_membership(fleet, store))
         changer = ProfileChanger(store, table, exchange.wait_for_spread)
         yield FleetParts(fleet, changer, Draining(fleet, shutdown))
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -4,7 +4,6 @@
 
 import random
 import time
-import uuid
 from collections.abc import AsyncIterator
 from contextlib import (
     AbstractAsyncContextManager,
@@ -14,7 +13,6 @@
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.fleet import UpstreamInstance
-from turmericusher.decisions.idempotency_keys import KeyAges
 from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
 from turmericusher.decisions.selection import Selector
 from turmericusher.logs import log_event
@@ -26,7 +24,8 @@
 from turmericusher.settings import Settings
 from turmericusher.tasks.admission import Admission, admitted
 from turmericusher.tasks.calls import CallRunner
-from turmericusher.tasks.claims import Claims, running_claims
+from turmericusher.tasks.claim_parts import owning_pages, running_claim_parts
+from turmericusher.tasks.claims import Claims
 from turmericusher.tasks.fleet_parts import make_feeds, running_fleet_parts
 from turmericusher.tasks.generation import (
     GenerationContext,
@@ -115,9 +114,13 @@
         engine = await stack.enter_async_context(open_engine_port())
         generation = make_generation_context(engine, selector, seed=settings.seed)
         feeds = make_feeds(selector, generation.suspicion)
+        claim_parts = await stack.enter_async_context(
+            running_claim_parts(settings, store)
+        )
         parts = await stack.enter_async_context(
-            running_fleet_parts(settings, store, profiles, feeds)
+            running_fleet_parts(settings, store, profiles, feeds, [claim_parts.service])
         )
+        await stack.enter_async_context(owning_pages(claim_parts, parts.fleet))
         feeds.marks_changed = lambda: selector.update(parts.fleet.upstreams())
         await stack.enter_async_context(
             running_instance_list(
@@ -125,7 +128,8 @@
                 lambda found: take_over_list(selector, parts.fleet, found),
             )
         )
-        calls = await enter_calls(stack, settings, store, selector, profiles)
+        claims = claim_parts.claims
+        calls = await enter_calls(stack, settings, claims, selector, profiles)
         yield EntryRuntime(
             settings=settings,
             store=store,
@@ -145,22 +149,12 @@
 async def enter_calls(
     stack: AsyncExitStack,
     settings: Settings,
-    store: KeyValueStore,
+    claims: Claims,
     selector: Selector,
     profiles: ProfileTable,
 ) -> CallRunner:
     """Start what plain calls need."""
     port = await stack.enter_async_context(http_service_port())
-    claims = Claims(
-        store=store,
-        ages=KeyAges(settings.claim_retention_s, settings.clock_skew_s),
-        wall_clock=time.time,
-        # Attempt identifiers must differ between instances and incarnations, so they
-        # cannot come from the seed of the settings.
-        random=random.Random(uuid.uuid4().int),
-        prefix=settings.store_prefix,
-    )
-    await stack.enter_async_context(running_claims(claims))
     return CallRunner(
         port=port,
         claims=claims,
--- /dev/null
+++ b/tests/processes/test_once_processes.py
@@ -0,0 +1,159 @@
+"""At most once with real processes: callers repeat elsewhere while parts fail."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from itertools import count
+
+import uuid6
+from testtools import TestCase
+
+from tests.common.processes import (
+    OPERATOR_TOKEN,
+    Deployment,
+    DeploymentOptions,
+    deployed,
+    get_json,
+)
+
+OPTIONS = DeploymentOptions(entries=3, engines=0, services=2)
+CALLERS = 12
+CALLER_PATIENCE_S = 1.2
+CALLER_LIMIT_S = 7.0
+PAUSE_BETWEEN_S = 0.2
+SERVICE_DELAY_S = 0.5
+FAULT_AFTER_S = 0.25
+FAULT_LASTS_S = 2.0
+
+
+def put_json(address: str, path: str, body: object) -> None:
+    request = urllib.request.Request(
+        f"http://{address}{path}",
+        data=json.dumps(body).encode(),
+        method="PUT",
+        headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+    )
+    with urllib.request.urlopen(request, timeout=10) as response:
+        response.read()
+
+
+@dataclass(slots=True)
+class Caller:
+    """Sends one key until it is answered or known to be open for ever."""
+
+    entries: list[str]
+    first: int
+    is_numbered: bool
+    key: str = field(default_factory=lambda: str(uuid6.uuid7()))
+    not_run: list[int] = field(default_factory=list)
+    answer: str = ""
+    open_verdicts: int = 0
+
+    def run(self) -> None:
+        deadline = time.monotonic() + CALLER_LIMIT_S
+        for number in count(1):
+            entry = self.entries[(self.first + number - 1) % len(self.entries)]
+            if self.send(entry, number) or time.monotonic() > deadline:
+                return
+            time.sleep(PAUSE_BETWEEN_S)
+
+    def send(self, entry: str, number: int) -> bool:
+        """Send once; return whether there is nothing more to learn."""
+        headers = {
+            "Idempotency-Key": self.key,
+            "Turmericusher-Profile": "booking",
+            "Request-Name": str(number),
+        }
+        if self.is_numbered:
+            headers["Turmericusher-Attempt"] = str(number)
+        url = f"http://{entry}/v1/services/ledger/book"
+        request = urllib.request.Request(url, data=b'{"lot": 7}', headers=headers)
+        try:
+            with urllib.request.urlopen(request, timeout=CALLER_PATIENCE_S) as response:
+                self.answer = response.read().decode()
+                return True
+        except urllib.error.HTTPError as error:
+            detail = json.loads(error.read())["error"]
+            error.close()
+            if detail["verdict"] == "not_run":
+                self.not_run.append(number)
+            self.open_verdicts += detail["verdict"] == "may_have_run"
+            return bool(detail["verdict"] == "ran")
+        except (OSError, ValueError):
+            return False
+
+
+class OnceProcessTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        stack = ExitStack()
+        self.addCleanup(stack.close)
+        self.system: Deployment = stack.enter_context(deployed(OPTIONS))
+        self.entries = [entry.address for entry in self.system.entries]
+        profile = {
+            "idempotent": False,
+            "max_wait_s": 2.0,
+            "expected_revision": 0,
+            "change_id": "booking-0001",
+        }
+        put_json(self.entries[0], "/v1/operator/profiles/booking", profile)
+        slow = {"fault": "slow", "delay_s": SERVICE_DELAY_S}
+        for service in self.system.services:
+            put_json(service.address, "/control/faults", slow)
+        time.sleep(1.5)
+
+    def test_keys_run_once_while_parts_fail(self) -> None:
+        """Every caller is answered, unless what failed took the answer with it."""
+        system = self.system
+        store, service = system.store, system.services[0]
+        self.play("store frozen", store.freeze, store.thaw)
+        self.play("service frozen", service.freeze, service.thaw)
+        frozen, killed = system.entries[1], system.entries[2]
+        self.play("entry frozen", frozen.freeze, frozen.thaw)
+        self.play("entry killed", killed.kill, lambda: None, may_stay_open=True)
+
+    def play(
+        self,
+        name: str,
+        fail: Callable[[], None],
+        heal: Callable[[], None],
+        may_stay_open: bool = False,
+    ) -> None:
+        """Let callers repeat their keys while a part fails, and check the ledger."""
+        callers = [
+            Caller(self.entries, number, number % 2 == 0) for number in range(CALLERS)
+        ]
+        threads = [threading.Thread(target=caller.run) for caller in callers]
+        for thread in threads:
+            thread.start()
+        time.sleep(FAULT_AFTER_S)
+        fail()
+        time.sleep(FAULT_LASTS_S)
+        heal()
+        for thread in threads:
+            thread.join()
+        for caller in callers:
+            self.check(name, caller, may_stay_open)
+
+    def check(self, name: str, caller: Caller, may_stay_open: bool) -> None:
+        """Compare what one caller was told with what the services ran."""
+        ran: list[str] = []
+        for service in self.system.services:
+            names = get_json(service.address, "/control/requests")
+            ran += names.get(caller.key, [])
+        self.assertLessEqual(len(ran), 1, f"{name}: {ran}")
+        if caller.answer:
+            self.assertEqual(1, len(ran), name)
+        elif not may_stay_open:
+            self.fail(f"{name}: {caller} got no answer, ran {ran}")
+        for number in caller.not_run:
+            self.assertNotIn(str(number), ran, name)
+            if caller.is_numbered:
+                self.assertFalse([one for one in ran if int(one) < number], name)
