Tell a slow store from a dead owner, and measure three designs of claims

Ruled out: a longer timeout, which delays every call in a dead owner. Change: the owner sends heartbeats on the reply stream; a peer passes it over after 0.5 s of silence, or when its store fails it while the peer's does not. Mutation that fails: heartbeats that do not end the silence.

--- /dev/null
+++ b/benchmarks/once.py
@@ -0,0 +1,404 @@
+"""Store calls and latency of non-idempotent calls, by design, instances and rate.
+
+Three designs run the same arrivals in virtual time against a store that answers in
+milliseconds, with the real tasks and decisions for the pages:
+
+- `write_per_request`: one key a call, one write to claim it, one for its outcome;
+- `bound_keys`: the key names the instance that issued it; that instance claims its
+  calls in batches, and only it can answer a repeat;
+- `pages`: pages with group commit by a soft owner, as built.
+
+In the second part an instance dies and the store is down for a while, and callers
+repeat elsewhere; double runs and false `not_run` are counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from benchmarks.harness import (
+    BenchmarkArguments,
+    fit_line,
+    parse_arguments,
+    print_result,
+    summary_ms,
+)
+from tests.common.call_parts import key_made_at
+from tests.common.virtual_loop import VirtualLoop
+from turmericusher.decisions.claims import ClaimCommand, ClaimReply
+from turmericusher.decisions.idempotency_keys import (
+    KeyAges,
+    PageName,
+    parse_key,
+)
+from turmericusher.errors import TurmericusherError, Verdict
+from turmericusher.ports.keyvalue import ABSENT, StoredValue, SwapResult
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.claims import (
+    ClaimRequest,
+    Claims,
+    PeerUnavailableError,
+    PeerWithoutStoreError,
+    claimed,
+)
+
+UNIX_AT_ZERO_S = 1_700_000_000.0
+STORE_LATENCY_S = 0.004
+SLOW_STORE_LATENCY_S = 0.4
+PEER_LATENCY_S = 0.001
+HEARTBEAT_S = 0.15
+RUN_S = 0.05
+WAIT_S = 3.0
+INSTANCES = (1, 2, 4, 8)
+RATES = (5, 50, 400)
+HIGH_RATES = (2000, 6800)
+STEADY_S = 2.0
+TROUBLE_S = 8.0
+DEATH_AT_S = 2.0
+STORE_DOWN_AT_S = 3.0
+STORE_UP_AT_S = 7.0
+CALLER_PATIENCES_S = (1.0, 4.0)
+
+
+@dataclass(slots=True)
+class DistantStore:
+    """A store some milliseconds away; it can be switched off."""
+
+    shared: MemoryStore
+    latency_s: float = STORE_LATENCY_S
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key."""
+        await asyncio.sleep(self.latency_s)
+        return await self.shared.get(key)
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> SwapResult:
+        """Write one key."""
+        await asyncio.sleep(self.latency_s / 2)
+        result = await self.shared.compare_and_swap(key, expected_revision, value)
+        await asyncio.sleep(self.latency_s / 2)
+        return result
+
+
+@dataclass(slots=True)
+class SimulatedRouter:
+    """Reaches the owner of a shard in a millisecond, unless it is dead."""
+
+    own: int
+    members: dict[int, Claims]
+    count: int
+    suspected: dict[int, float] = field(default_factory=dict)
+
+    def owner_of(self, name: PageName) -> str | None:
+        """Return the owner's number, or None for oneself."""
+        now = asyncio.get_running_loop().time()
+        for step in range(self.count):
+            number = (name.shard + step) % self.count
+            if self.suspected.get(number, 0.0) <= now:
+                return None if number == self.own else str(number)
+        return None
+
+    async def submit(
+        self, address: str, name: PageName, command: ClaimCommand
+    ) -> ClaimReply:
+        """Have the owner commit a command."""
+        await asyncio.sleep(PEER_LATENCY_S)
+        owner = self.members.get(int(address))
+        if owner is None:
+            raise PeerUnavailableError(address)
+        committing = asyncio.ensure_future(owner.submit_here(name, command))
+        try:
+            while not committing.done():
+                await asyncio.wait({committing}, timeout=HEARTBEAT_S)
+                if int(address) not in self.members:
+                    raise PeerUnavailableError(address)
+                if not committing.done() and owner.is_store_failing(name):
+                    raise PeerWithoutStoreError(address)
+        finally:
+            committing.cancel()
+        await asyncio.sleep(PEER_LATENCY_S)
+        return committing.result()
+
+    def suspect(self, address: str) -> None:
+        """Pass over an owner for a while."""
+        self.suspected[int(address)] = asyncio.get_running_loop().time() + 5.0
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What ran, by key, and what callers were told."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    told_not_run: list[tuple[str, int]] = field(default_factory=list)
+    ran_by: dict[str, int] = field(default_factory=dict)
+    waits_s: list[float] = field(default_factory=list)
+    answered: int = 0
+    open_ended: int = 0
+
+    def run(self, key: str, number: int) -> None:
+        """Count a run of the caller's request `number`."""
+        self.runs[key] += 1
+        self.ran_by[key] = number
+
+    def false_not_run(self) -> int:
+        """Return how many requests were told `not_run` though they or earlier ran."""
+        return sum(
+            self.ran_by.get(key, number + 1) <= number
+            for key, number in self.told_not_run
+        )
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Entry instances on one store; `alive` are those that take calls."""
+
+    loop: VirtualLoop
+    store: MemoryStore
+    members: dict[int, Claims]
+    alive: list[int]
+    ledger: Ledger = field(default_factory=Ledger)
+    tasks: dict[int, set[asyncio.Task[None]]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One caller's call."""
+
+    key: str
+    number: int
+    instance: int
+
+
+def make_fleet(
+    count: int, seed: int, shares: bool, latency_s: float = STORE_LATENCY_S
+) -> Fleet:
+    """Return a fleet; with `shares` its instances have common owners of pages."""
+    loop = VirtualLoop()
+    store = MemoryStore(clock=loop.time)
+    members: dict[int, Claims] = {}
+    fleet = Fleet(loop, store, members, list(range(count)))
+    for number in range(count):
+        claims = Claims(
+            store=DistantStore(store, latency_s),  # type: ignore[arg-type]
+            ages=KeyAges(3600.0, 5.0),
+            wall_clock=lambda: UNIX_AT_ZERO_S + loop.time(),
+            random=random.Random(seed * 100 + number),
+            prefix="" if shares else f"instance-{number}/",
+        )
+        if shares:
+            claims.router = SimulatedRouter(number, members, count)
+        members[number] = claims
+    return fleet
+
+
+async def call_with_pages(fleet: Fleet, call: Call) -> None:
+    """Run a call under a claim in a page."""
+    claims = fleet.members[call.instance]
+    now = fleet.loop.time()
+    key = parse_key(call.key)
+    request = ClaimRequest(key, call.number, "body", now + WAIT_S, 60.0)
+    async with claimed(claims, request) as claim:
+        if claim.first_answer is not None:
+            return
+        claim.begin_send()
+        fleet.ledger.waits_s.append(fleet.loop.time() - now)
+        fleet.ledger.run(call.key, call.number)
+        await asyncio.sleep(RUN_S)
+        claim.keep_answer("x" * 300)
+
+
+async def call_with_one_write(fleet: Fleet, call: Call) -> None:
+    """Run a call under a key of its own in the store."""
+    store = DistantStore(fleet.store)
+    now = fleet.loop.time()
+    result = await store.compare_and_swap(f"claim/{call.key}", ABSENT, b"c" * 100)
+    if not result.succeeded:
+        return
+    fleet.ledger.waits_s.append(fleet.loop.time() - now)
+    fleet.ledger.run(call.key, call.number)
+    await asyncio.sleep(RUN_S)
+    await store.compare_and_swap(f"claim/{call.key}", result.revision, b"o" * 400)
+
+
+async def offer(
+    fleet: Fleet, design: Callable[..., object], rate: float, seconds: float, seed: int
+) -> None:
+    """Offer calls at a rate, as a Poisson process, spread over the instances."""
+    rng = random.Random(seed)
+    end = fleet.loop.time() + seconds
+    running: set[asyncio.Task[None]] = set()
+    while fleet.loop.time() < end:
+        await asyncio.sleep(rng.expovariate(rate))
+        key = key_made_at(UNIX_AT_ZERO_S + fleet.loop.time(), rng.getrandbits(60))
+        call = Call(key, 1, rng.choice(fleet.alive))
+        task = asyncio.ensure_future(design(fleet, call))  # type: ignore[arg-type]
+        running.add(task)
+    await asyncio.gather(*running)
+    await asyncio.sleep(1.0)
+
+
+def steady(
+    design: str,
+    count: int,
+    rate: float,
+    seed: int,
+    latency_s: float = STORE_LATENCY_S,
+) -> dict[str, object]:
+    """Measure one design at one size and rate without faults."""
+    run = call_with_one_write if design == "write_per_request" else call_with_pages
+    fleet = make_fleet(count, seed, design == "pages", latency_s)
+    fleet.loop.run_to_end(offer(fleet, run, rate, STEADY_S, seed))
+    calls = len(fleet.ledger.runs)
+    counts = fleet.store.counts
+    waits = summary_ms(fleet.ledger.waits_s)
+    end_everything(fleet)
+    return {
+        "design": design,
+        "instances": count,
+        "calls_per_s": rate,
+        "store_latency_ms": latency_s * 1000,
+        "writes_per_call": round(counts.writes / max(1, calls), 3),
+        "reads_per_call": round(counts.reads / max(1, calls), 3),
+        "writes_per_s": round(counts.writes / STEADY_S, 1),
+        "kb_written_per_call": round(
+            counts.value_bytes_written / 1000 / max(1, calls), 2
+        ),
+        "added_p50_ms": waits["p50_ms"],
+        "added_p95_ms": waits["p95_ms"],
+        "double_runs": sum(runs > 1 for runs in fleet.ledger.runs.values()),
+    }
+
+
+def end_everything(fleet: Fleet) -> None:
+    """Cancel what is left, and what the cancelled tasks began, and close the loop."""
+    while left := asyncio.all_tasks(fleet.loop):
+        for task in left:
+            task.cancel()
+        fleet.loop.settle()
+    fleet.loop.close()
+
+
+async def repeat_until_known(fleet: Fleet, key: str, rng: random.Random) -> None:
+    """Be one caller: repeat a key at live instances until its fate is known."""
+    for number in range(1, 9):
+        instance = rng.choice(fleet.alive)
+        call = Call(key, number, instance)
+        task = asyncio.ensure_future(call_with_pages(fleet, call))
+        fleet.tasks.setdefault(instance, set()).add(task)
+        await asyncio.wait({task}, timeout=rng.choice(CALLER_PATIENCES_S))
+        if not task.done():
+            task.add_done_callback(lambda late: late.cancelled() or late.exception())
+            continue
+        error = None if task.cancelled() else task.exception()
+        if not task.cancelled() and error is None:
+            fleet.ledger.answered += 1
+            return
+        if isinstance(error, TurmericusherError) and error.verdict is Verdict.NOT_RUN:
+            fleet.ledger.told_not_run.append((key, number))
+        await asyncio.sleep(0.3)
+    fleet.ledger.open_ended += 1
+
+
+async def troubled(fleet: Fleet, rate: float, seed: int) -> None:
+    """Kill an instance, then switch the store off for a while, under load."""
+    rng = random.Random(seed)
+    loop = fleet.loop
+    loop.call_later(DEATH_AT_S, kill_instance, fleet, 0)
+    loop.call_later(STORE_DOWN_AT_S, setattr, fleet.store.faults, "down", True)
+    loop.call_later(STORE_UP_AT_S, setattr, fleet.store.faults, "down", False)
+    end = loop.time() + TROUBLE_S
+    callers: set[asyncio.Task[None]] = set()
+    while loop.time() < end:
+        await asyncio.sleep(rng.expovariate(rate))
+        key = key_made_at(UNIX_AT_ZERO_S + loop.time(), rng.getrandbits(60))
+        callers.add(asyncio.ensure_future(repeat_until_known(fleet, key, rng)))
+    await asyncio.gather(*callers)
+
+
+def kill_instance(fleet: Fleet, number: int) -> None:
+    """End an instance: what it was doing stops, and nothing of it is written."""
+    fleet.alive.remove(number)
+    dead = fleet.members.pop(number)
+    dead.store = DeadStore()  # type: ignore[assignment]
+    for writer in dead.writers.values():
+        writer.store = dead.store
+    for task in fleet.tasks.get(number, set()):
+        task.cancel()
+
+
+class DeadStore:
+    """The store as a dead instance reaches it: never."""
+
+    async def get(self, key: str) -> None:
+        """Wait for ever."""
+        await asyncio.Event().wait()
+
+    async def compare_and_swap(self, *arguments: object) -> SwapResult:
+        """Wait for ever."""
+        await asyncio.Event().wait()
+        raise AssertionError("unreachable")
+
+
+def trouble(count: int, rate: float, seed: int) -> dict[str, object]:
+    """Measure the pages under an instance's death and a store outage."""
+    fleet = make_fleet(count, seed, shares=True)
+    fleet.loop.run_to_end(troubled(fleet, rate, seed))
+    ledger = fleet.ledger
+    end_everything(fleet)
+    return {
+        "instances": count,
+        "calls_per_s": rate,
+        "store_down_s": STORE_UP_AT_S - STORE_DOWN_AT_S,
+        "keys_run": len(ledger.runs),
+        "answered": ledger.answered,
+        "left_open": ledger.open_ended,
+        "told_not_run": len(ledger.told_not_run),
+        "double_runs": sum(runs > 1 for runs in ledger.runs.values()),
+        "false_not_run": ledger.false_not_run(),
+    }
+
+
+def measure(arguments: BenchmarkArguments) -> dict[str, object]:
+    """Return every figure."""
+    designs = ("write_per_request", "bound_keys", "pages")
+    chosen = [arguments.policy] if arguments.policy else list(designs)
+    sizes = [(count, rate) for count in INSTANCES for rate in RATES]
+    sizes += [(INSTANCES[-1], rate) for rate in HIGH_RATES]
+    rows = [
+        steady(design, count, rate, arguments.seed)
+        for design in chosen
+        for count, rate in sizes
+    ]
+    slopes = {}
+    for design in chosen:
+        points = [
+            (float(str(row["calls_per_s"])), float(str(row["writes_per_s"])))
+            for row in rows
+            if row["design"] == design and row["instances"] == INSTANCES[-1]
+        ]
+        slope, base = fit_line(points)
+        slopes[design] = {"writes_per_call": round(slope, 4), "base": round(base, 1)}
+    slow = [steady("pages", 8, 400, arguments.seed, SLOW_STORE_LATENCY_S)]
+    troubles = [trouble(count, 60, arguments.seed) for count in (2, 4, 8)]
+    return {
+        "steady": rows,
+        "slope_at_8_instances": slopes,
+        "slow_store": slow,
+        "trouble": troubles,
+    }
+
+
+def main() -> None:
+    """Run the benchmark."""
+    arguments = parse_arguments(__doc__ or "")
+    print_result("once", arguments, measure(arguments))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/turmericusher/peers/claims_grpc.py
+++ b/src/turmericusher/peers/claims_grpc.py
@@ -22,7 +22,7 @@
         return {
             '/turmericusher.claims.ClaimPages/Submit': grpclib.const.Handler(
                 self.Submit,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.UNARY_STREAM,
                 turmericusher.peers.claims_pb2.SubmitRequest,
                 turmericusher.peers.claims_pb2.SubmitReply,
             ),
@@ -32,7 +32,7 @@
 class ClaimPagesStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Submit = grpclib.client.UnaryUnaryMethod(
+        self.Submit = grpclib.client.UnaryStreamMethod(
             channel,
             '/turmericusher.claims.ClaimPages/Submit',
             turmericusher.peers.claims_pb2.SubmitRequest,
--- a/src/turmericusher/peers/claims_service.py
+++ b/src/turmericusher/peers/claims_service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,47 +17,57 @@
 from turmericusher.decisions.idempotency_keys import PageName
 from turmericusher.decisions.page_owners import PageOwners
 from turmericusher.errors import TurmericusherError
-from turmericusher.peers import claims_grpc
+from turmericusher.peers import claims_grpc, claims_pb2
 from turmericusher.peers.claims_messages import (
+    Message,
     command_in,
     page_in,
     reply_in,
     reply_message,
     request_message,
 )
-from turmericusher.tasks.claims import PeerUnavailableError, PeerWithoutStoreError
+from turmericusher.tasks.claims import (
+    Claims,
+    PeerUnavailableError,
+    PeerWithoutStoreError,
+)
 
-PEER_TIMEOUT_S = 0.5
-KEEP_OWNERS_S = 0.5
-OWNER_LIMIT_S = 0.3
-"""Shorter than the peer's timeout, so that a living owner is not taken for dead."""
+HEARTBEAT_S = 0.15
+SILENCE_LIMIT_S = 0.5
+"""An owner that sends nothing for so long is passed over."""
 
-Submit = Callable[[PageName, ClaimCommand], Awaitable[ClaimReply]]
+KEEP_OWNERS_S = 0.5
 
 
 class ClaimPagesService(claims_grpc.ClaimPagesBase):  # type: ignore[misc]
     """Commits the commands of peers by this instance's own writes.
 
-    `submit` must write by itself, never hand on: two instances that each take the
-    other for the owner would otherwise pass a command to and fro.
+    A command is never handed on: two instances that each take the other for the owner
+    would otherwise pass it to and fro.
     """
 
-    def __init__(self, submit: Submit) -> None:
-        self.submit = submit
+    def __init__(self, claims: Claims) -> None:
+        self.claims = claims
 
     async def Submit(self, stream: Any) -> None:  # noqa: N802
-        """Answer one request; fail with UNAVAILABLE when the store takes too long."""
+        """Answer one request; fail with UNAVAILABLE while the store fails us."""
         request = await stream.recv_message()
         try:
             page, command = page_in(request), command_in(request)
         except ValueError as error:
             raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        committing = asyncio.ensure_future(self.claims.submit_here(page, command))
         try:
-            async with asyncio.timeout(OWNER_LIMIT_S):
-                reply = await self.submit(page, command)
-        except (TimeoutError, TurmericusherError) as error:
-            raise GRPCError(Status.UNAVAILABLE, str(error)) from error
-        await stream.send_message(reply_message(reply))
+            while not committing.done():
+                await stream.send_message(claims_pb2.SubmitReply())
+                await asyncio.wait({committing}, timeout=HEARTBEAT_S)
+                if not committing.done() and self.claims.is_store_failing(page):
+                    raise GRPCError(Status.UNAVAILABLE, "the store does not answer")
+            await stream.send_message(reply_message(committing.result()))
+        except TurmericusherError as error:
+            raise GRPCError(Status.UNAVAILABLE, error.message) from error
+        finally:
+            committing.cancel()
 
 
 @dataclass(slots=True)
@@ -100,10 +110,8 @@
         """Have the owner commit a command; raise `PeerUnavailableError`."""
         stub = claims_grpc.ClaimPagesStub(self.channel(address))
         try:
-            message = await stub.Submit(
-                request_message(name, command), timeout=PEER_TIMEOUT_S
-            )
-            return reply_in(message)
+            async with asyncio.timeout(SILENCE_LIMIT_S) as silence:
+                return await last_reply(stub, request_message(name, command), silence)
         except GRPCError as error:
             if error.status is Status.UNAVAILABLE:
                 raise PeerWithoutStoreError(f"peer {address!r}: {error}") from error
@@ -124,6 +132,20 @@
         return self.channels[address]
 
 
+async def last_reply(
+    stub: Any, request: Message, silence: asyncio.Timeout
+) -> ClaimReply:
+    """Return the reply that has a kind; each one before it ends the silence."""
+    loop = asyncio.get_running_loop()
+    async with stub.Submit.open() as stream:
+        await stream.send_message(request, end=True)
+        async for message in stream:
+            if message.kind:
+                return reply_in(message)
+            silence.reschedule(loop.time() + SILENCE_LIMIT_S)
+    raise ValueError("the owner ended without a reply")
+
+
 @asynccontextmanager
 async def peer_claim_router(
     own_address: str, instances: Callable[[], Sequence[EntryInstance]]
--- a/src/turmericusher/tasks/claim_pages.py
+++ b/src/turmericusher/tasks/claim_pages.py
@@ -73,6 +73,7 @@
     pending: list[PendingCommand] = field(default_factory=list)
     cached: StoredPage | None = None
     cached_at: float = 0.0
+    is_store_failing: bool = False
     urgent: asyncio.Event = field(default_factory=asyncio.Event)
     runner: asyncio.Task[None] | None = None
 
@@ -113,7 +114,9 @@
             try:
                 await self.commit(batch)
                 backoff = FIRST_BACKOFF_S
+                self.is_store_failing = False
             except StoreError:
+                self.is_store_failing = True
                 self.pending[:0] = [waiting for waiting in batch if waiting.is_wanted]
                 await asyncio.sleep(backoff)
                 backoff = min(LONGEST_BACKOFF_S, 2 * backoff)
--- a/src/turmericusher/tasks/claim_parts.py
+++ b/src/turmericusher/tasks/claim_parts.py
@@ -56,7 +56,7 @@
             router=router,
         )
         await stack.enter_async_context(running_claims(claims))
-        yield ClaimParts(claims, router, ClaimPagesService(claims.submit_here))
+        yield ClaimParts(claims, router, ClaimPagesService(claims))
 
 
 @asynccontextmanager
--- a/src/turmericusher/tasks/claims.py
+++ b/src/turmericusher/tasks/claims.py
@@ -207,6 +207,11 @@
             except PeerUnavailableError:
                 self.router.suspect(address)
 
+    def is_store_failing(self, name: PageName) -> bool:
+        """Whether the last commit to a page failed for the store's sake."""
+        writer = self.writers.get(name)
+        return writer is not None and writer.is_store_failing
+
     async def can_reach_store(self) -> bool:
         """Whether the store answers this instance."""
         try:
--- a/tests/common/virtual_loop.py
+++ b/tests/common/virtual_loop.py
@@ -5,9 +5,11 @@
 import asyncio
 import heapq
 import selectors
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextvars import Context
-from typing import Any
+from typing import Any, TypeVar
+
+Result = TypeVar("Result")
 
 
 class IdleSelector(selectors.SelectSelector):
@@ -53,6 +55,16 @@
         """Run everything that can run without time passing."""
         self.run_forever()
 
+    def run_to_end(self, work: Coroutine[Any, Any, Result]) -> Result:
+        """Let as much time pass as the work takes, and return its result."""
+        task = self.create_task(work)
+        self.settle()
+        while not task.done():
+            if not self.due_times:
+                raise AssertionError(f"{task!r} waits for something that never comes")
+            self.advance(max(0.0, self.due_times[0] - self.now))
+        return task.result()
+
     def advance(self, seconds: float) -> None:
         """Let time pass from timer to timer."""
         end = self.now + seconds
--- /dev/null
+++ b/tests/cover/test_claim_peers.py
@@ -0,0 +1,116 @@
+"""The peer call for claims over real sockets: shared writes, slow and dead owners."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+
+from grpclib.server import Server
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.asynchronous import run_async
+from tests.common.call_parts import claims_on, key_made_at
+from turmericusher.decisions.claim_pages import ClaimState
+from turmericusher.decisions.claims import (
+    ClaimCommand,
+    RecordOutcome,
+    ReleaseClaim,
+    ReplyKind,
+    TakeClaim,
+)
+from turmericusher.decisions.fleet import EntryInstance
+from turmericusher.decisions.idempotency_keys import PageName
+from turmericusher.peers.claims_messages import (
+    command_in,
+    reply_in,
+    reply_message,
+    request_message,
+)
+from turmericusher.peers.claims_service import (
+    ClaimPagesService,
+    PeerClaimRouter,
+    peer_claim_router,
+)
+from turmericusher.peers.exchange_service import address_of, bound_socket
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.claims import Claims
+
+KEY = key_made_at(1_700_000_000)
+PAGE = PageName(1_700_000_000, 7)
+TAKE = TakeClaim(KEY, "a", 3, "body", 5_000)
+
+
+class Pair:
+    """An owner that serves peers, and an asker that takes it for the owner."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.owner = claims_on(self.store, seed=1)
+        self.asker: Claims = claims_on(MemoryStore(), seed=2)
+        self.router: PeerClaimRouter | None = None
+        self.server: Server | None = None
+
+    async def start(self, stack: AsyncExitStack) -> None:
+        bound = stack.enter_context(bound_socket("127.0.0.1:0"))
+        address = address_of(bound)
+        self.server = Server([ClaimPagesService(self.owner)])
+        await self.server.start(sock=bound)
+        stack.callback(self.server.close)
+        instance = EntryInstance("owner", "quai-nord", "", address)
+        self.router = await stack.enter_async_context(
+            peer_claim_router("127.0.0.1:1", lambda: [instance])
+        )
+        self.asker.router = self.router
+
+
+class ClaimPeersTest(TestCase):
+    @parameterized.expand([("at_once", 0.0), ("slowly", 0.9)])
+    @run_async
+    async def test_the_owner_commits_for_its_peer(
+        self, _name: str, delay_s: float
+    ) -> None:
+        pair = Pair()
+        async with AsyncExitStack() as stack:
+            await pair.start(stack)
+            pair.store.faults.delay_s = delay_s
+            reply = await pair.asker.submit(PAGE, TAKE)
+            self.assertEqual(ReplyKind.GRANTED, reply.kind)
+            self.assertEqual(1, pair.store.counts.writes)
+            self.assertEqual({}, pair.asker.writers)
+
+    @parameterized.expand([("dead",), ("without_store",)])
+    @run_async
+    async def test_an_owner_that_cannot_commit_is_passed_over(self, how: str) -> None:
+        pair = Pair()
+        async with AsyncExitStack() as stack:
+            await pair.start(stack)
+            assert pair.server is not None
+            if how == "dead":
+                pair.server.close()
+            else:
+                pair.store.faults.down = True
+            reply = await pair.asker.submit(PAGE, TAKE)
+            self.assertEqual(ReplyKind.GRANTED, reply.kind)
+            self.assertEqual([PAGE], list(pair.asker.writers))
+
+    @parameterized.expand(
+        [
+            ("take", TAKE),
+            ("release", ReleaseClaim(KEY, "a", 3, "body")),
+            ("outcome", RecordOutcome(KEY, "a", ClaimState.ANSWERED, "x")),
+        ]
+    )
+    def test_a_command_survives_the_wire(
+        self, _name: str, command: ClaimCommand
+    ) -> None:
+        self.assertEqual(command, command_in(request_message(PAGE, command)))
+
+    @run_async
+    async def test_a_held_record_survives_the_wire(self) -> None:
+        claims = claims_on(MemoryStore())
+        await claims.submit_here(PAGE, ReleaseClaim(KEY, "z", 1, "body"))
+        await claims.submit_here(PAGE, TAKE)
+        other = TakeClaim(KEY, "b", 4, "body", 6_000)
+        reply = await claims.submit_here(PAGE, other)
+        self.assertEqual(ReplyKind.HELD, reply.kind)
+        self.assertEqual(reply, reply_in(reply_message(reply)))
