--- a/benchmarks/once.py
+++ b/benchmarks/once.py
@@ -38,12 +38,11 @@
 from turmericusher.errors import TurmericusherError, Verdict
 from turmericusher.ports.keyvalue import ABSENT, StoredValue, SwapResult
 from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.claimed import ClaimRequest, claimed
 from turmericusher.tasks.claims import (
-    ClaimRequest,
     Claims,
     PeerUnavailableError,
     PeerWithoutStoreError,
-    claimed,
 )
 
 UNIX_AT_ZERO_S = 1_700_000_000.0
--- a/src/turmericusher/tasks/calls.py
+++ b/src/turmericusher/tasks/calls.py
@@ -37,13 +37,13 @@
 from turmericusher.ports.services import OutgoingCall, ServiceAnswer, ServicePort
 from turmericusher.profiles import Profile
 from turmericusher.settings import Service
-from turmericusher.tasks.claims import (
+from turmericusher.tasks.claimed import (
     ClaimRequest,
-    Claims,
     HeldClaim,
     claimed,
     verdict_before_claim,
 )
+from turmericusher.tasks.claims import Claims
 
 RUN_GRACE_S = 60.0
 """Seconds for which an answer is awaited after its caller was told to repeat."""
--- a/src/turmericusher/tasks/claims.py
+++ b/src/turmericusher/tasks/claims.py
@@ -1,16 +1,4 @@
-"""Claims at run time: taking one, sending under it, and keeping its outcome.
-
-`claimed` guards a call that must run at most once, be it a plain call or a generation:
-
-    async with claimed(claims, request) as claim:
-        if claim.first_answer is not None:
-            return claim.first_answer
-        claim.begin_send()
-        claim.keep_answer(await send())
-
-Whatever ends the block without an answer is recorded as "may have run" once
-`begin_send` was called, and releases the key before.
-"""
+"""Claims at run time: commands go to the owners of pages, and reports go on behind."""
 
 from __future__ import annotations
 
@@ -23,35 +11,21 @@
 
 from turmericusher.decisions.claim_pages import (
     FLOOR_KEY,
-    MAX_OUTCOME_BYTES,
-    ClaimRecord,
-    ClaimState,
 )
 from turmericusher.decisions.claims import (
     ClaimCommand,
     ClaimReply,
-    RecordOutcome,
-    ReleaseClaim,
-    ReplyKind,
-    TakeClaim,
 )
 from turmericusher.decisions.idempotency_keys import (
     MS_PER_S,
     ClaimLayout,
-    IdempotencyKey,
     KeyAges,
     PageName,
-    check_age,
-    page_of,
 )
 from turmericusher.decisions.write_pacing import WritePacer, write_pacer
 from turmericusher.errors import (
-    ErrorCode,
-    RequestRefusedError,
     StoreError,
     TurmericusherError,
-    UpstreamError,
-    Verdict,
 )
 from turmericusher.ports.keyvalue import KeyValueStore
 from turmericusher.tasks.claim_pages import PageWriter
@@ -60,11 +34,10 @@
 """Writes a second that claims may make in all, divided evenly over the shards."""
 
 WRITE_BURST = 4.0
-FIRST_POLL_S = 0.1
-LONGEST_POLL_S = 0.5
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.5
 REPORT_LIMIT_S = 60.0
 STOP_LIMIT_S = 5.0
-RETRY_AFTER_S = 1.0
 MAX_IDLE_WRITERS = 512
 ATTEMPT_ID_BITS = 96
 
@@ -77,10 +50,6 @@
     """The peer lives, but could not commit in time; the command may yet take effect."""
 
 
-class ClaimUnsettledError(RequestRefusedError):
-    """The wait ended while it was open whether the claim was or will be committed."""
-
-
 class ClaimRouter(Protocol):
     """Finds the peer that writes a page, and hands commands to it."""
 
@@ -116,58 +85,6 @@
         """Do nothing, because there is no other owner."""
 
 
-@dataclass(frozen=True, slots=True)
-class ClaimRequest:
-    """One request that asks for its key.
-
-    `number` counts the caller's requests with this key from 1, or is `UNNUMBERED`.
-    `body_hash` is equal for equal requests. `give_up_at` is the event loop's time in
-    seconds after which nothing is sent any more; `run_limit_s` is how much longer the
-    outcome of a sent call may take.
-    """
-
-    key: IdempotencyKey
-    number: int
-    body_hash: str
-    give_up_at: float
-    run_limit_s: float
-
-
-@dataclass(slots=True)
-class HeldClaim:
-    """A claim that this attempt holds, or the first answer of an earlier attempt."""
-
-    request: ClaimRequest
-    first_answer: str | None = None
-    is_sent: bool = False
-    answer: str | None = None
-    has_answer: bool = False
-
-    def begin_send(self) -> None:
-        """Note that bytes may leave from now on; refuse when it is too late."""
-        if asyncio.get_running_loop().time() > self.request.give_up_at:
-            raise RequestRefusedError(
-                ErrorCode.WAIT_EXCEEDED,
-                f"key {self.request.key.text!r}: the profile's wait ended before the "
-                "call could be sent; repeat it",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        self.is_sent = True
-
-    def not_sent(self) -> None:
-        """Note that after all no byte left."""
-        self.is_sent = False
-
-    def keep_answer(self, answer: str) -> None:
-        """Keep the answer for repeats."""
-        self.answer = answer
-        self.has_answer = True
-
-    def keep_as_run(self) -> None:
-        """Note that the call ran, but has no answer that can be kept."""
-        self.has_answer = True
-
-
 @dataclass(slots=True)
 class Claims:
     """The claims of one instance; a page's commands go through its owner."""
@@ -192,7 +109,7 @@
         answer, rather than each instance writing by itself: after an outage of the
         store hundreds of writers would only be in each other's way.
         """
-        pause_s = FIRST_POLL_S
+        pause_s = FIRST_PAUSE_S
         while True:
             address = self.router.owner_of(name)
             if address is None:
@@ -204,7 +121,7 @@
                     self.router.suspect(address)
                 else:
                     await asyncio.sleep(pause_s)
-                    pause_s = min(LONGEST_POLL_S, 2 * pause_s)
+                    pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
             except PeerUnavailableError:
                 self.router.suspect(address)
 
@@ -274,175 +191,6 @@
         return f"{self.random.getrandbits(ATTEMPT_ID_BITS):024x}"
 
 
-def verdict_before_claim(number: int) -> Verdict:
-    """Return the verdict of a refusal that says nothing of the key's record.
-
-    This request is not run, but an earlier one with the same key may have been: its
-    caller may have lost the answer. Only a first request excludes that.
-    """
-    return Verdict.NOT_RUN if number == 1 else Verdict.MAY_HAVE_RUN
-
-
-@asynccontextmanager
-async def claimed(claims: Claims, request: ClaimRequest) -> AsyncIterator[HeldClaim]:
-    """Hold the key's claim, or give the first answer; raise when there is neither."""
-    verdict = verdict_before_claim(request.number)
-    check_age(request.key, claims.now_ms(), claims.ages, verdict)
-    name = page_of(request.key, claims.layout)
-    attempt_id = claims.attempt_id()
-    claim = HeldClaim(request)
-    release = ReleaseClaim(
-        request.key.text, attempt_id, request.number, request.body_hash
-    )
-    try:
-        claim.first_answer = await take_claim(claims, name, request, attempt_id)
-    except (asyncio.CancelledError, ClaimUnsettledError):
-        claims.report(name, release)
-        raise
-    if claim.first_answer is not None:
-        yield claim
-        return
-    try:
-        yield claim
-    finally:
-        if claim.is_sent:
-            claims.report(name, outcome_of(claim, attempt_id))
-        else:
-            claims.report(name, release)
-
-
-def outcome_of(claim: HeldClaim, attempt_id: str) -> RecordOutcome:
-    """Return what is to be kept of a sent call."""
-    key = claim.request.key.text
-    if not claim.has_answer:
-        return RecordOutcome(key, attempt_id, ClaimState.UNKNOWN)
-    if claim.answer is None or len(claim.answer) > MAX_OUTCOME_BYTES:
-        return RecordOutcome(key, attempt_id, ClaimState.RAN)
-    return RecordOutcome(key, attempt_id, ClaimState.ANSWERED, claim.answer)
-
-
-async def take_claim(
-    claims: Claims, name: PageName, request: ClaimRequest, attempt_id: str
-) -> str | None:
-    """Return None once the claim is ours, or the first answer of another attempt.
-
-    While another attempt is in progress the command is submitted again and again: it
-    takes the claim over should that attempt release it.
-    """
-    loop = asyncio.get_running_loop()
-    wait_ms = (request.give_up_at - loop.time() + request.run_limit_s) * MS_PER_S
-    command = TakeClaim(
-        key=request.key.text,
-        attempt_id=attempt_id,
-        number=request.number,
-        body_hash=request.body_hash,
-        deadline_ms=claims.now_ms() + int(wait_ms),
-    )
-    poll_s = FIRST_POLL_S
-    while True:
-        reply = await submit_in_time(claims, name, request, command)
-        if reply.kind is ReplyKind.GRANTED:
-            return None
-        record = reply.record
-        if record is None:
-            raise refusal(reply.kind, request)
-        if record.state is not ClaimState.CLAIMED:
-            return first_answer(record)
-        check_in_progress(claims, record, request)
-        await asyncio.sleep(min(poll_s, max(0.0, request.give_up_at - loop.time())))
-        check_in_progress(claims, record, request)
-        poll_s = min(LONGEST_POLL_S, 2 * poll_s)
-
-
-async def submit_in_time(
-    claims: Claims, name: PageName, request: ClaimRequest, command: ClaimCommand
-) -> ClaimReply:
-    """Submit a command; raise when the profile's wait ends before the reply."""
-    try:
-        async with asyncio.timeout_at(request.give_up_at):
-            return await claims.submit(name, command)
-    except TimeoutError:
-        raise ClaimUnsettledError(
-            ErrorCode.STORE_UNAVAILABLE,
-            f"key {request.key.text!r}: its claim could not be committed within the "
-            "profile's wait; repeat the request with the same key",
-            verdict=verdict_before_claim(request.number),
-            retry_after_s=RETRY_AFTER_S,
-        ) from None
-
-
-def first_answer(record: ClaimRecord) -> str:
-    """Return the kept answer; raise when it is known that there is none."""
-    if record.state is ClaimState.ANSWERED:
-        return record.outcome
-    if record.state is ClaimState.RAN:
-        raise UpstreamError(
-            ErrorCode.OUTCOME_TOO_LARGE,
-            f"key {record.key!r}: the call ran, but its answer was too large to keep",
-            verdict=Verdict.RAN,
-        )
-    raise UpstreamError(
-        ErrorCode.UPSTREAM_FAILED,
-        f"key {record.key!r}: the call was sent and its answer was lost; look up "
-        "what became of it",
-        verdict=Verdict.MAY_HAVE_RUN,
-    )
-
-
-def check_in_progress(
-    claims: Claims, record: ClaimRecord, request: ClaimRequest
-) -> None:
-    """Raise when the outcome of another attempt is not worth waiting for."""
-    skew_ms = claims.ages.clock_skew_s * MS_PER_S
-    if claims.now_ms() > record.deadline_ms + skew_ms:
-        raise UpstreamError(
-            ErrorCode.ANSWER_INTERRUPTED,
-            f"key {record.key!r}: the instance that claimed it recorded no outcome; "
-            "look up what became of the call",
-            verdict=Verdict.MAY_HAVE_RUN,
-        )
-    if asyncio.get_running_loop().time() >= request.give_up_at:
-        raise ClaimUnsettledError(
-            ErrorCode.REQUEST_IN_PROGRESS,
-            f"key {record.key!r}: an earlier request with it is in progress; repeat "
-            "it with the same key",
-            verdict=Verdict.MAY_HAVE_RUN,
-            retry_after_s=RETRY_AFTER_S,
-        )
-
-
-def refusal(kind: ReplyKind, request: ClaimRequest) -> RequestRefusedError:
-    """Return the error for a key that this request cannot have."""
-    subject = f"key {request.key.text!r}"
-    verdict = verdict_before_claim(request.number)
-    match kind:
-        case ReplyKind.KEY_REUSED:
-            return RequestRefusedError(
-                ErrorCode.KEY_REUSED,
-                f"{subject} belongs to a request with another body or target; use a "
-                "new key for each request",
-            )
-        case ReplyKind.PAGE_FULL:
-            return RequestRefusedError(
-                ErrorCode.OVERLOADED,
-                f"{subject}: too many keys were made at its time; make a new key now",
-                verdict=verdict,
-            )
-        case ReplyKind.EXPIRED:
-            return RequestRefusedError(
-                ErrorCode.KEY_EXPIRED,
-                f"{subject} is older than the retention; look up what became of the "
-                "call, then use a new key",
-                verdict=verdict,
-            )
-    return RequestRefusedError(
-        ErrorCode.REQUEST_IN_PROGRESS,
-        f"{subject}: a later request with it took this one's place",
-        verdict=Verdict.MAY_HAVE_RUN,
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
 @asynccontextmanager
 async def running_claims(claims: Claims) -> AsyncIterator[Claims]:
     """Run the claims; the reports under way are finished before the context ends."""
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -38,7 +38,7 @@
 from turmericusher.decisions.page_owners import SUSPECTED_FOR_S, PageOwners
 from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
 from turmericusher.tasks.calls import RUN_GRACE_S
-from turmericusher.tasks.claims import ClaimRequest, HeldClaim
+from turmericusher.tasks.claimed import ClaimRequest, HeldClaim
 
 KEY = key_made_at(1_700_000_000)
 BODY = "b1"
