Run generations of a non-idempotent profile under a claim

Ruled out: claiming after admission, whose not_run would be false for a repeat. Change: open_claimed wraps the generation in EntryRuntime.generate; completions pass key, attempt number and a hash of the body; the repeat gets the answer as one piece. Conclusion: 4 tests with a fake engine pass; not yet shown with real processes. For users: under a non-idempotent profile a completion needs an Idempotency-Key.

--- a/src/turmericusher/api/completions.py
+++ b/src/turmericusher/api/completions.py
@@ -7,7 +7,7 @@
 import uuid
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -33,10 +33,12 @@
 )
 from turmericusher.api.errors import error_response
 from turmericusher.api.identity import PROFILE_HEADER, team_of
+from turmericusher.api.services import ATTEMPT_HEADER, KEY_HEADER, attempt_number
 from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
 from turmericusher.errors import ErrorCode, RequestRefusedError, TurmericusherError
 from turmericusher.logs import log_event
 from turmericusher.settings import Service, Settings
+from turmericusher.tasks.claimed import hash_of_request
 from turmericusher.tasks.instance import EntryRuntime
 
 HEARTBEAT_INTERVAL_S = 1.0
@@ -74,7 +76,12 @@
     name = request.headers.get(PROFILE_HEADER, service.default_profile)
     profile = runtime.profiles.get(name)
     request_id = uuid.uuid4().hex
-    generation = generation_from_body(body, request_id, team, profile, service.name)
+    generation = replace(
+        generation_from_body(body, request_id, team, profile, service.name),
+        idempotency_key=request.headers.get(KEY_HEADER),
+        attempt_number=attempt_number(request.headers.get(ATTEMPT_HEADER)),
+        body_hash=hash_of_request((team.encode(), request.url.path.encode(), data)),
+    )
     shape = shape_for(body, isinstance(body, ChatBody), request_id)
     if not body.stream:
         return await whole_answer(runtime, request, generation, shape)
--- a/src/turmericusher/decisions/requests.py
+++ b/src/turmericusher/decisions/requests.py
@@ -28,7 +28,9 @@
     Exactly one of `prompt`, `prompt_token_ids` and `messages` is set. `parameters` are
     sampling parameters that engines get as they are; `max_tokens` and `stop` are not
     among them because a resumed attempt needs them changed. `fingerprint` is equal
-    for equal requests, whichever instance they reach.
+    for equal requests, whichever instance they reach. `idempotency_key`,
+    `attempt_number` (0 when not given) and `body_hash` matter under a profile that is
+    not idempotent only.
     """
 
     request_id: str
@@ -44,6 +46,9 @@
     stop: tuple[str, ...] = ()
     parameters: dict[str, object] = field(default_factory=dict)
     received: ReceivedAnswer | None = None
+    idempotency_key: str | None = None
+    attempt_number: int = 0
+    body_hash: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/tasks/calls.py
+++ b/src/turmericusher/tasks/calls.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import base64
-import hashlib
 import random
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import (
@@ -41,6 +40,7 @@
     ClaimRequest,
     HeldClaim,
     claimed,
+    hash_of_request,
     verdict_before_claim,
 )
 from turmericusher.tasks.claims import Claims
@@ -320,11 +320,7 @@
     """Return a hash that is equal for equal calls of one team."""
     outgoing = call.outgoing
     parts = (call.team, call.service, outgoing.method, outgoing.target)
-    digest = hashlib.sha256()
-    for part in (*(text.encode() for text in parts), outgoing.body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()[:32]
+    return hash_of_request((*(text.encode() for text in parts), outgoing.body))
 
 
 def remaining_s(give_up_at: float) -> float:
--- a/src/turmericusher/tasks/claimed.py
+++ b/src/turmericusher/tasks/claimed.py
@@ -15,7 +15,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+import hashlib
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -108,6 +109,15 @@
         self.has_answer = True
 
 
+def hash_of_request(parts: Iterable[bytes]) -> str:
+    """Return a hash that is equal for equal requests only."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()[:32]
+
+
 def verdict_before_claim(number: int) -> Verdict:
     """Return the verdict of a refusal that says nothing of the key's record.
 
--- /dev/null
+++ b/src/turmericusher/tasks/claimed_generation.py
@@ -0,0 +1,119 @@
+"""Generations under a non-idempotent profile: they run under a claim, once.
+
+A repeat gets the first answer as one piece. Nothing is resumed or sent again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import dataclass, field
+
+import orjson
+
+from turmericusher.decisions.idempotency_keys import parse_key
+from turmericusher.decisions.requests import AnswerPiece, GenerationRequest, Usage
+from turmericusher.errors import TurmericusherError, Verdict
+from turmericusher.tasks.claimed import ClaimRequest, HeldClaim, claimed
+from turmericusher.tasks.claims import Claims
+
+RUN_LIMIT_S = 1800.0
+
+Pieces = AsyncIterator[AnswerPiece]
+OpenGeneration = Callable[[], AbstractAsyncContextManager[Pieces]]
+
+
+@asynccontextmanager
+async def open_claimed(
+    claims: Claims, request: GenerationRequest, open_generation: OpenGeneration
+) -> AsyncIterator[Pieces]:
+    """Open a generation under its key's claim, or give the pieces of its answer.
+
+    Raises the errors of `claimed`, and those of `open_generation`.
+    """
+    loop = asyncio.get_running_loop()
+    claim_request = ClaimRequest(
+        key=parse_key(request.idempotency_key),
+        number=request.attempt_number,
+        body_hash=request.body_hash,
+        give_up_at=loop.time() + request.profile.max_wait_s,
+        run_limit_s=RUN_LIMIT_S,
+    )
+    async with claimed(claims, claim_request) as claim:
+        if claim.first_answer is not None:
+            yield first_pieces(claim.first_answer)
+            return
+        async with open_generation() as pieces:
+            claim.begin_send()
+            try:
+                yield kept_pieces(claim, pieces)
+            except TurmericusherError as error:
+                note_failure(claim, error)
+                raise
+
+
+def note_failure(claim: HeldClaim, error: TurmericusherError) -> None:
+    """Release the claim of a generation of which no byte was sent."""
+    if error.verdict is Verdict.NOT_RUN:
+        claim.not_sent()
+
+
+async def kept_pieces(claim: HeldClaim, pieces: Pieces) -> Pieces:
+    """Yield the pieces, and keep the whole answer when it ends."""
+    whole = WholeAnswer()
+    async for piece in pieces:
+        whole.add(piece)
+        if piece.finish_reason is not None:
+            claim.keep_answer(whole.encode())
+        yield piece
+
+
+async def first_pieces(text: str) -> Pieces:
+    """Yield the answer that was kept."""
+    yield decode_piece(text)
+
+
+@dataclass(slots=True)
+class WholeAnswer:
+    """The pieces of an answer, put together."""
+
+    token_ids: list[int] = field(default_factory=list)
+    texts: list[str] = field(default_factory=list)
+    first: AnswerPiece | None = None
+    last: AnswerPiece | None = None
+
+    def add(self, piece: AnswerPiece) -> None:
+        """Add the next piece."""
+        self.token_ids.extend(piece.token_ids)
+        self.texts.append(piece.text)
+        if piece.prompt_token_ids is not None:
+            self.first = piece
+        self.last = piece
+
+    def encode(self) -> str:
+        """Return the answer as it is kept with its claim."""
+        first, last = self.first, self.last
+        usage = last.usage if last is not None else None
+        fields = [
+            self.token_ids,
+            "".join(self.texts),
+            last.finish_reason if last is not None else None,
+            first.prompt_token_ids if first is not None else None,
+            first.version if first is not None else "",
+            [usage.prompt_tokens, usage.completion_tokens] if usage else None,
+        ]
+        return orjson.dumps(fields).decode()
+
+
+def decode_piece(text: str) -> AnswerPiece:
+    """Return a kept answer as one piece."""
+    tokens, words, finish_reason, prompt, version, usage = orjson.loads(text)
+    return AnswerPiece(
+        token_ids=tuple(tokens),
+        text=words,
+        finish_reason=finish_reason,
+        prompt_token_ids=tuple(prompt) if prompt is not None else None,
+        version=version,
+        usage=Usage(*usage) if usage is not None else None,
+    )
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -25,6 +25,7 @@
 from turmericusher.tasks.admission import Admission, admitted
 from turmericusher.tasks.calls import CallRunner, finishing_calls
 from turmericusher.tasks.claim_parts import owning_pages, running_claim_parts
+from turmericusher.tasks.claimed_generation import open_claimed
 from turmericusher.tasks.claims import Claims
 from turmericusher.tasks.fleet_parts import make_feeds, running_fleet_parts
 from turmericusher.tasks.generation import (
@@ -71,7 +72,10 @@
         self, request: GenerationRequest
     ) -> AbstractAsyncContextManager[AsyncIterator[AnswerPiece]]:
         """Open one generation; leaving the context cancels it."""
-        return counted_generation(self, request)
+        if request.profile.idempotent:
+            return counted_generation(self, request)
+        claims = self.calls.claims
+        return open_claimed(claims, request, lambda: counted_generation(self, request))
 
 
 @asynccontextmanager
--- /dev/null
+++ b/tests/cover/test_claimed_generation.py
@@ -0,0 +1,115 @@
+"""Generations under a non-idempotent profile run once, and repeats get the answer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.asynchronous import run_async
+from tests.common.call_parts import PROFILES, claims_on, new_key
+from turmericusher.decisions.requests import AnswerPiece, GenerationRequest, Usage
+from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.claimed_generation import Pieces, open_claimed
+from turmericusher.tasks.claims import finish_reports
+
+PIECES = (
+    AnswerPiece((1, 2), "one ", prompt_token_ids=(9, 9), version="v1"),
+    AnswerPiece((3,), 'two "', finish_reason="stop", usage=Usage(2, 3)),
+)
+WHOLE = AnswerPiece((1, 2, 3), 'one two "', "stop", (9, 9), "v1", Usage(2, 3))
+
+
+@dataclass(slots=True)
+class FakeEngine:
+    """Counts generations, and fails after a number of pieces when told."""
+
+    runs: int = 0
+    failure: TurmericusherError | None = None
+    pieces_before_failure: int = 0
+
+    @asynccontextmanager
+    async def open(self) -> AsyncIterator[Pieces]:
+        yield self.generate()
+
+    async def generate(self) -> Pieces:
+        failure, self.failure = self.failure, None
+        if failure is None or failure.verdict is not Verdict.NOT_RUN:
+            self.runs += 1
+        if failure is not None:
+            for piece in PIECES[: self.pieces_before_failure]:
+                yield piece
+            raise failure
+        for piece in PIECES:
+            yield piece
+
+
+def request_with(key: str) -> GenerationRequest:
+    return GenerationRequest(
+        request_id="r",
+        team="criee",
+        profile=PROFILES["bookings"],
+        service="drafts",
+        model="m",
+        fingerprint="f",
+        prompt="p",
+        idempotency_key=key,
+        body_hash="b",
+    )
+
+
+class ClaimedGenerationTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = MemoryStore()
+        self.engine = FakeEngine()
+        self.key = new_key()
+
+    async def ask(self) -> list[AnswerPiece]:
+        """Ask at an instance of its own."""
+        claims = claims_on(self.store, seed=self.store.counts.reads + 7)
+        request = request_with(self.key)
+        try:
+            async with open_claimed(claims, request, self.engine.open) as pieces:
+                return [piece async for piece in pieces]
+        finally:
+            await finish_reports(claims.reports)
+
+    async def fail(self) -> TurmericusherError:
+        try:
+            await self.ask()
+        except TurmericusherError as error:
+            return error
+        raise AssertionError("the generation did not fail")
+
+    @run_async
+    async def test_a_repeat_gets_the_whole_answer_without_a_run(self) -> None:
+        self.assertEqual(list(PIECES), await self.ask())
+        self.assertEqual([WHOLE], await self.ask())
+        self.assertEqual(1, self.engine.runs)
+
+    @parameterized.expand([("at_first", 0), ("midway", 1)])
+    @run_async
+    async def test_a_generation_that_may_have_run_is_not_sent_again(
+        self, _name: str, pieces: int
+    ) -> None:
+        self.engine.failure = failure_with(Verdict.MAY_HAVE_RUN)
+        self.engine.pieces_before_failure = pieces
+        self.assertEqual(Verdict.MAY_HAVE_RUN, (await self.fail()).verdict)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, (await self.fail()).verdict)
+        self.assertEqual(1, self.engine.runs)
+
+    @run_async
+    async def test_a_generation_that_was_refused_may_be_repeated(self) -> None:
+        self.engine.failure = failure_with(Verdict.NOT_RUN)
+        self.assertEqual(Verdict.NOT_RUN, (await self.fail()).verdict)
+        self.assertEqual(list(PIECES), await self.ask())
+        self.assertEqual(1, self.engine.runs)
+
+
+def failure_with(verdict: Verdict) -> TurmericusherError:
+    return TurmericusherError(ErrorCode.UPSTREAM_FAILED, "it failed", verdict=verdict)
