--- a/src/turmericusher/tasks/calls.py
+++ b/src/turmericusher/tasks/calls.py
@@ -9,10 +9,14 @@
 
 import asyncio
 import base64
-import hashlib
 import random
-from collections.abc import Callable, Mapping
-from contextlib import AbstractAsyncContextManager, AsyncExitStack, nullcontext
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+    nullcontext,
+)
 from dataclasses import dataclass, field, replace
 
 import orjson
@@ -32,13 +36,14 @@
 from turmericusher.ports.services import OutgoingCall, ServiceAnswer, ServicePort
 from turmericusher.profiles import Profile
 from turmericusher.settings import Service
-from turmericusher.tasks.claims import (
+from turmericusher.tasks.claimed import (
     ClaimRequest,
-    Claims,
     HeldClaim,
     claimed,
+    hash_of_request,
     verdict_before_claim,
 )
+from turmericusher.tasks.claims import Claims
 
 RUN_GRACE_S = 60.0
 """Seconds for which an answer is awaited after its caller was told to repeat."""
@@ -284,6 +289,22 @@
         return None
 
 
+@asynccontextmanager
+async def finishing_calls(calls: CallRunner, limit_s: float) -> AsyncIterator[None]:
+    """Let calls that outlive their requests end, at most `limit_s`, then cancel them.
+
+    A cancelled call is recorded as one that may have run.
+    """
+    try:
+        yield
+    finally:
+        if calls.running:
+            _, late = await asyncio.wait(set(calls.running), timeout=limit_s)
+            for task in late:
+                task.cancel()
+            await asyncio.gather(*late, return_exceptions=True)
+
+
 def claim_request(call: ServiceCall, give_up_at: float) -> ClaimRequest:
     """Return the claim that a call needs; raise when its key is no key."""
     return ClaimRequest(
@@ -299,11 +320,7 @@
     """Return a hash that is equal for equal calls of one team."""
     outgoing = call.outgoing
     parts = (call.team, call.service, outgoing.method, outgoing.target)
-    digest = hashlib.sha256()
-    for part in (*(text.encode() for text in parts), outgoing.body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()[:32]
+    return hash_of_request((*(text.encode() for text in parts), outgoing.body))
 
 
 def remaining_s(give_up_at: float) -> float:
--- a/tests/cover/test_calls.py
+++ b/tests/cover/test_calls.py
@@ -23,7 +23,13 @@
     running_service,
 )
 from turmericusher.standins.store import MemoryStore
-from turmericusher.tasks.calls import CallAnswer, CallRunner, ServiceCall
+from turmericusher.tasks.calls import (
+    CallAnswer,
+    CallRunner,
+    ServiceCall,
+    finishing_calls,
+)
+from turmericusher.tasks.claims import finish_reports
 
 MAY = Verdict.MAY_HAVE_RUN
 NOT = Verdict.NOT_RUN
@@ -108,6 +114,16 @@
             answer = await self.calls.run(booking(new_key()))
             self.assertEqual(200, answer.answer.status)
 
+    async def test_a_stopping_instance_lets_a_late_booking_end(self) -> None:
+        self.set_fault(ServiceFault.SLOW)
+        key = new_key()
+        async with finishing_calls(self.calls, limit_s=5.0):
+            await failure_of(self.calls, booking(key, profile="hurried"))
+        await finish_reports(self.calls.claims.reports)
+        other = runner_on(self.port, self.store, [self.upstream], seed=2)
+        answer = await other.run(booking(key))
+        self.assertTrue(answer.is_repeat)
+
     async def test_a_slow_booking_is_answered_to_its_repeat(self) -> None:
         self.set_fault(ServiceFault.SLOW)
         key = new_key()
