Bind orders to an entry instance and to the operators' routes

Cause: the orders stood alone.

Ruled out: orders without a weight store in the settings; such an instance takes no part.

Change: tasks/order_control.py runs a holder for each service; api/order_queries.py brings the command and the query into the application. An upstream counts as checking fencing numbers when the list's label or the service's setting says so.

For users: `GET` and `PUT /v1/operator/orders/{service}` serve.

--- a/src/turmericusher/api/app.py
+++ b/src/turmericusher/api/app.py
@@ -17,6 +17,7 @@
 from turmericusher.api.health import health_routes
 from turmericusher.api.identity import check_operator, team_of
 from turmericusher.api.models import model_routes
+from turmericusher.api.order_queries import order_routes
 from turmericusher.api.profile_commands import profile_command_routes
 from turmericusher.api.profile_queries import profile_query_routes
 from turmericusher.api.services import service_routes
@@ -71,6 +72,7 @@
         *entrypoint_routes(runtime.fleet, settings.entrypoint_ttl_s),
         *upstream_command_routes(runtime.fleet),
         *state_routes(runtime),
+        *order_routes(runtime),
         *health_routes(runtime),
     ]
     app = Starlette(
--- a/src/turmericusher/api/order_queries.py
+++ b/src/turmericusher/api/order_queries.py
@@ -8,9 +8,31 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from turmericusher.api.order_commands import ORDER_PATH, checked_service
+from turmericusher.api.order_commands import (
+    ORDER_PATH,
+    checked_service,
+    order_command_routes,
+)
 from turmericusher.ports.keyvalue import KeyValueStore
-from turmericusher.tasks.orders import INTENT, RECORD, order_keys, read_intent
+from turmericusher.tasks.instance import EntryRuntime
+from turmericusher.tasks.orders import (
+    INTENT,
+    RECORD,
+    OrderChanger,
+    order_keys,
+    read_intent,
+)
+
+
+def order_routes(runtime: EntryRuntime) -> list[Route]:
+    """Return the command and the query on orders."""
+    settings = runtime.settings
+    services = frozenset(service.name for service in settings.services)
+    changer = OrderChanger(runtime.store, settings.store_prefix)
+    return [
+        *order_command_routes(changer, services),
+        *order_query_routes(runtime.store, settings.store_prefix, services),
+    ]
 
 
 def order_query_routes(
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -40,6 +40,7 @@
     ticket_for,
 )
 from turmericusher.tasks.membership import Fleet
+from turmericusher.tasks.order_control import running_orders
 from turmericusher.tasks.profile_changes import ProfileChanger
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
 from turmericusher.tasks.shutdown import Draining, ending_at_handover
@@ -136,6 +137,10 @@
             )
         )
         calls = await enter_calls(stack, settings, store, selector, profiles, admission)
+        incarnation = parts.fleet.membership.own.incarnation
+        await stack.enter_async_context(
+            running_orders(settings, store, selector, incarnation)
+        )
         yield EntryRuntime(
             settings=settings,
             store=store,
@@ -148,7 +153,7 @@
             metrics=metrics,
             fleet=parts.fleet,
             draining=parts.draining,
-            incarnation=parts.fleet.membership.own.incarnation,
+            incarnation=incarnation,
         )
 
 
--- /dev/null
+++ b/src/turmericusher/tasks/order_control.py
@@ -0,0 +1,79 @@
+"""Runs the part of one entry instance in the orders of every service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
+
+import aiohttp
+
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
+from turmericusher.decisions.order_holder import OrderHolder
+from turmericusher.decisions.selection import Selector
+from turmericusher.ports.keyvalue import KeyValueStore
+from turmericusher.ports.orders import HttpOrderPort
+from turmericusher.ports.weights import HttpWeightStore
+from turmericusher.settings import Service, Settings
+from turmericusher.tasks.orders import (
+    OrderCalls,
+    carry_out_orders,
+    is_order_candidate,
+    order_keys,
+)
+
+
+@asynccontextmanager
+async def running_orders(
+    settings: Settings, store: KeyValueStore, selector: Selector, incarnation: str
+) -> AsyncIterator[None]:
+    """Contend for every service; without a weight store there are no orders."""
+    if settings.weight_store_url is None:
+        yield
+        return
+    async with AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        weights = HttpWeightStore(session, settings.weight_store_url)
+        tasks = []
+        for service in settings.services:
+            holder = OrderHolder(
+                service.name,
+                f"{settings.name}/{incarnation}",
+                service.minimum_upstreams,
+            )
+            keys = order_keys(settings.store_prefix, service.name)
+            calls = OrderCalls(holder, keys, store, HttpOrderPort(session), weights)
+            tasks.append(
+                asyncio.create_task(
+                    follow_service(calls, service, settings.name, selector),
+                    name=f"orders-{service.name}",
+                )
+            )
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def follow_service(
+    calls: OrderCalls, service: Service, own: str, selector: Selector
+) -> None:
+    """Carry out one service's orders while this instance is a candidate or holds it."""
+
+    def upstreams() -> dict[str, UpstreamInstance]:
+        return {
+            name: replace(
+                upstream,
+                checks_fencing=upstream.checks_fencing or service.checks_fencing,
+            )
+            for name, upstream in selector.upstreams.items()
+            if upstream.service == service.name and upstream.lifecycle is Lifecycle.LIVE
+        }
+
+    def is_candidate() -> bool:
+        return is_order_candidate(service.name, own, selector.instances)
+
+    await carry_out_orders(calls, upstreams, is_candidate)
