Leave one budget for retries and one gate for resumes

Cause: budgets.py stood beside retries.py and the gate in extra_work.py; nothing but the benchmark used it.

Ruled out: a second limit on resumes as a share of successes. A resume goes on in the slot that its generation was admitted to, so resumes add no requests in flight; only the prompts that they compute at one time have to be bounded, which the gate does.

The properties of test_budgets.py now test these two; the one about a clock that steps back went with the clock.

For users: nothing changes.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -39,8 +39,8 @@
     Admit,
     ServiceAdmission,
 )
-from turmericusher.decisions.budgets import ResumeBudget
 from turmericusher.decisions.capacity import CapacityView, ConcurrencyLimit
+from turmericusher.decisions.extra_work import ResumeGate
 from turmericusher.decisions.fair_queue import Ticket
 from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
 from turmericusher.decisions.retries import RetryBudget
@@ -60,6 +60,7 @@
 TICK_S = 0.1
 CONNECT_FAILURE_S = 0.01
 PREFILL_S = 0.3
+GATE_POLL_S = 0.05
 
 
 @dataclass(slots=True)
@@ -71,7 +72,7 @@
     admission: ServiceAdmission
     limit: ConcurrencyLimit
     retries: RetryBudget
-    resumes: ResumeBudget
+    resumes: ResumeGate
     turn: int = 0
     jobs: dict[int, Job] = field(default_factory=dict)
 
@@ -153,10 +154,17 @@
             entry.selector.failed(engine.name)
             self.repeat(entry, job, avoided | {engine.domain}, is_resume)
             return
+        if is_resume:
+            self.pass_gate(entry)
         entry.selector.started(engine.name)
         job.started_at = job.started_at or self.simulation.now
         engine.start(job)
 
+    def pass_gate(self, entry: Entry) -> None:
+        """Count a resume until its prompt is computed."""
+        entry.resumes.enter()
+        self.simulation.after(PREFILL_S, entry.resumes.leave)
+
     def pick(
         self, entry: Entry, avoided: frozenset[str], is_resume: bool
     ) -> UpstreamInstance | None:
@@ -176,12 +184,11 @@
         self, entry: Entry, job: Job, avoided: frozenset[str], is_resume: bool
     ) -> None:
         """Send again after a failure, as far as the budget allows."""
-        now = self.simulation.now
-        if self.is_ours and is_resume and not entry.resumes.spend(now):
-            delay_s = max(CONNECT_FAILURE_S, entry.resumes.wait_s(now))
-            self.outcomes.resumes_delayed += 1
+        if self.is_ours and is_resume and not entry.resumes.is_open():
+            self.outcomes.resumes_delayed += not job.waits_at_gate
+            job.waits_at_gate = True
             self.simulation.after(
-                delay_s, lambda: self.repeat(entry, job, avoided, is_resume)
+                GATE_POLL_S, lambda: self.repeat(entry, job, avoided, is_resume)
             )
             return
         if self.is_ours and not is_resume and not entry.retries.spend():
@@ -202,7 +209,6 @@
         for window in WINDOWS:
             work_s = rate * overlap_s(window, job.started_at, now)
             add(self.outcomes.good_by_window, window, work_s)
-        entry.resumes.succeeded(now)
         self.end(entry, job)
 
     def give_up(self, job: Job) -> None:
@@ -356,7 +362,7 @@
         ServiceAdmission(SERVICE, chance, first_limit),
         ConcurrencyLimit(),
         RetryBudget(),
-        ResumeBudget(0.0),
+        ResumeGate(),
     )
 
 
--- a/benchmarks/load_model.py
+++ b/benchmarks/load_model.py
@@ -78,6 +78,7 @@
     is_over: bool = False
     holds_slot: bool = False
     was_resumed: bool = False
+    waits_at_gate: bool = False
 
     @property
     def late_after(self) -> float:
--- a/tests/cover/test_budgets.py
+++ b/tests/cover/test_budgets.py
@@ -1,50 +1,33 @@
-"""Budgets keep repeats a share of the work done."""
+"""Budgets keep repeats a share of the work, and resumes few at a time."""
 
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from turmericusher.decisions.budgets import (
-    CAPACITY,
-    FLOOR_PER_S,
-    SHARE_PER_SUCCESS,
-    ResumeBudget,
-)
+from turmericusher.decisions.extra_work import ResumeGate
+from turmericusher.decisions.retries import RetryBudget
 
 
 class BudgetTest(TestCase):
-    @given(
-        events=st.lists(
-            st.tuples(st.booleans(), st.floats(0, 2, allow_nan=False)), max_size=200
-        )
-    )
-    def test_resumes_never_exceed_the_share_the_floor_and_one_burst(
-        self, events
-    ) -> None:
-        budget = ResumeBudget(0.0)
-        now, successes, spent = 0.0, 0, 0
-        for is_success, step in events:
-            now += step
-            if is_success:
-                successes += 1
-                budget.succeeded(now)
-            elif budget.spend(now):
-                spent += 1
-            allowed = CAPACITY + SHARE_PER_SUCCESS * successes + FLOOR_PER_S * now
-            self.assertLessEqual(spent, allowed + 1e-6)
+    @given(events=st.lists(st.booleans(), max_size=300))
+    def test_retries_never_exceed_the_share_and_one_reserve(self, events) -> None:
+        budget = RetryBudget()
+        calls, spent = 0, 0
+        for is_call in events:
+            if is_call:
+                calls += 1
+                budget.earn()
+            else:
+                spent += budget.spend()
+            self.assertLessEqual(spent, budget.reserve + budget.ratio * calls + 1e-6)
 
-    def test_an_empty_budget_says_when_to_ask_again(self) -> None:
-        budget = ResumeBudget(0.0)
-        while budget.spend(0.0):
-            pass
-        wait_s = budget.wait_s(0.0)
-        self.assertGreater(wait_s, 0)
-        self.assertFalse(budget.spend(wait_s / 2))
-        self.assertTrue(budget.spend(wait_s + 1e-6))
-
-    def test_a_clock_that_steps_back_earns_nothing(self) -> None:
-        budget = ResumeBudget(100.0)
-        while budget.spend(100.0):
-            pass
-        self.assertFalse(budget.spend(50.0))
-        self.assertFalse(budget.spend(100.0))
+    @given(events=st.lists(st.booleans(), max_size=300))
+    def test_no_more_resumes_wait_than_the_gate_allows(self, events) -> None:
+        gate = ResumeGate(limit=3)
+        for wants_to_enter in events:
+            if wants_to_enter and gate.is_open():
+                gate.enter()
+            elif not wants_to_enter and gate.waiting:
+                gate.leave()
+            self.assertTrue(0 <= gate.waiting <= 3)
+            self.assertEqual(gate.waiting < 3, gate.is_open())
