Log deaths and resumes, count them, and spend less time on each token

Cause: operators look for upstream_died with its fingerprint, the state dump wants counts, and dispatch, timeouts and percentiles cost processor time at every token. Change: events upstream_died, attempt_failed and resumed; counts() of the context; the timing generation.pause; a module-level dispatch, one timer for an owner and one for heartbeats, the percentile refreshed every 16 samples; tasks/attempts.py split off. For users: logs say which upstream died under which request and where it went on.

--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from turmericusher.decisions.attempts import Attempt, Release, release_held
 from turmericusher.decisions.extra_work import SECOND_ATTEMPT_TOKENS
@@ -65,7 +65,7 @@
         if self.is_over or attempt is None:
             self.count_dropped(event)
             return []
-        return self.take(event, attempt, now)
+        return take(event, self, attempt, now)
 
     def tick(self, now: float) -> list[GenerationAction]:
         """Act on what time alone has brought: retries, stalls and deadlines."""
@@ -96,14 +96,6 @@
 
     # Pieces.
 
-    @singledispatchmethod
-    def take(
-        self, event: object, attempt: Attempt, now: float
-    ) -> list[GenerationAction]:
-        """Take in one event of a live attempt."""
-        raise TypeError(f"event={event!r} is not a generation event")
-
-    @take.register
     def take_piece(
         self, event: PieceArrived, attempt: Attempt, now: float
     ) -> list[GenerationAction]:
@@ -153,13 +145,6 @@
 
     # Deaths.
 
-    @take.register
-    def take_death(
-        self, event: AttemptDied, attempt: Attempt, now: float
-    ) -> list[GenerationAction]:
-        """Go on elsewhere after a death, unless the request must not run twice."""
-        return self.lose(attempt, event, now)
-
     def lose(
         self, attempt: Attempt, death: AttemptDied, now: float
     ) -> list[GenerationAction]:
@@ -351,6 +336,30 @@
         return [*actions, Fail(code, verdict, message, retry_after_s)]
 
 
+@singledispatch
+def take(
+    event: object, generation: Generation, attempt: Attempt, now: float
+) -> list[GenerationAction]:
+    """Let a generation take in one event of a live attempt."""
+    raise TypeError(f"event={event!r} is not a generation event")
+
+
+@take.register
+def take_piece(
+    event: PieceArrived, generation: Generation, attempt: Attempt, now: float
+) -> list[GenerationAction]:
+    """Take in a piece."""
+    return generation.take_piece(event, attempt, now)
+
+
+@take.register
+def take_death(
+    event: AttemptDied, generation: Generation, attempt: Attempt, now: float
+) -> list[GenerationAction]:
+    """Go on elsewhere after a death, unless the request must not run twice."""
+    return generation.lose(attempt, event, now)
+
+
 def cut_off(piece: PieceArrived) -> AttemptDied:
     """Return the death that a piece stands for when it cannot be part of the answer."""
     return AttemptDied(
--- a/src/turmericusher/decisions/generation_state.py
+++ b/src/turmericusher/decisions/generation_state.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 from turmericusher.decisions.attempts import Attempt, Release
 from turmericusher.decisions.extra_work import (
@@ -37,6 +37,28 @@
 PREFIX_HASH_BYTES = 16
 
 
+@dataclass(slots=True)
+class GenerationCounts:
+    """What happened to one generation, or to all that have ended.
+
+    `dropped` came from attempts that were not live any more; `lost_tokens` were held
+    back when their attempt ended.
+    """
+
+    attempts: int = 0
+    deaths: int = 0
+    second_attempts: int = 0
+    dropped_pieces: int = 0
+    dropped_tokens: int = 0
+    lost_tokens: int = 0
+
+    def add(self, other: GenerationCounts) -> None:
+        """Add another generation's counts."""
+        for entry in fields(GenerationCounts):
+            total = getattr(self, entry.name) + getattr(other, entry.name)
+            setattr(self, entry.name, total)
+
+
 @dataclass(slots=True)
 class SharedState:
     """What all generations of an instance decide with."""
@@ -47,18 +69,7 @@
     extra_work: ExtraWorkBudget
     resumes: ResumeGate
     random: random.Random
-
-
-@dataclass(slots=True)
-class GenerationCounts:
-    """What happened to one generation, for metrics and for the tests' oracles."""
-
-    attempts: int = 0
-    deaths: int = 0
-    second_attempts: int = 0
-    dropped_pieces: int = 0
-    dropped_tokens: int = 0
-    lost_tokens: int = 0
+    totals: GenerationCounts = field(default_factory=GenerationCounts)
 
 
 @dataclass(slots=True)
--- a/src/turmericusher/decisions/patience.py
+++ b/src/turmericusher/decisions/patience.py
@@ -22,6 +22,7 @@
 FIRST_TOKEN_CAP_MULTIPLE = 4.0
 FIRST_TOKEN_SHARE_OF_WAIT = 0.5
 ENOUGH_SAMPLES = 32
+REFRESH_SAMPLES = 16
 DECAY_AT_SAMPLES = 1024
 MAX_UPSTREAMS = 4096
 
@@ -30,11 +31,14 @@
 class GapStatistics:
     """A histogram of gaps in seconds, in buckets of constant ratio.
 
-    Counts are halved when there are many, so that old behaviour is forgotten.
+    Counts are halved when there are many, so that old behaviour is forgotten. The high
+    percentile is kept, because it is wanted far more often than it changes.
     """
 
     counts: list[float] = field(default_factory=lambda: [0.0] * BUCKETS)
     total: float = 0.0
+    usual_s: float | None = None
+    until_refresh: int = ENOUGH_SAMPLES
 
     def add(self, gap_s: float) -> None:
         """Count one gap."""
@@ -43,6 +47,10 @@
         if self.total >= DECAY_AT_SAMPLES:
             self.counts = [count / 2 for count in self.counts]
             self.total /= 2
+        self.until_refresh -= 1
+        if self.until_refresh == 0:
+            self.usual_s = self.percentile(PERCENTILE)
+            self.until_refresh = REFRESH_SAMPLES
 
     def percentile(self, share: float) -> float | None:
         """Return the gap that `share` of all stay under; None with few samples."""
@@ -148,9 +156,8 @@
             if gaps is None:
                 continue
             statistics = gaps.first if is_first else gaps.between
-            percentile = statistics.percentile(PERCENTILE)
-            if percentile is not None:
-                return percentile
+            if statistics.usual_s is not None:
+                return statistics.usual_s
         return None
 
 
--- /dev/null
+++ b/src/turmericusher/tasks/attempts.py
@@ -0,0 +1,193 @@
+"""Attempts: one task for each, which owns the stream to an engine."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+
+from turmericusher.decisions.extra_work import ExtraWorkBudget, ResumeGate
+from turmericusher.decisions.generation_messages import (
+    AttemptDied,
+    GenerationEvent,
+    Loss,
+    PieceArrived,
+    StartAttempt,
+)
+from turmericusher.decisions.generation_state import SharedState
+from turmericusher.decisions.patience import Patience
+from turmericusher.decisions.requests import GenerationRequest
+from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.suspicion import SuspicionLedger
+from turmericusher.errors import Verdict
+from turmericusher.metrics import Metrics
+from turmericusher.ports.upstream import (
+    DeathCause,
+    EnginePiece,
+    EnginePort,
+    EngineRequest,
+    StreamDiedError,
+)
+
+UPSTREAM_LOSSES = frozenset(
+    {
+        DeathCause.REFUSED,
+        DeathCause.RESET,
+        DeathCause.EARLY_END,
+        DeathCause.NEW_INCARNATION,
+    }
+)
+FINAL_STATUSES = frozenset({400, 404, 413, 422})
+
+Inbox = asyncio.Queue[GenerationEvent | None]
+"""Events of attempts; None only wakes the owner."""
+
+
+@dataclass(slots=True)
+class GenerationContext:
+    """What all generations of an instance share.
+
+    `heartbeat_s` is the silence in seconds after which a caller gets a heartbeat.
+    """
+
+    engine: EnginePort
+    shared: SharedState
+    clock: Callable[[], float]
+    heartbeat_s: float
+    metrics: Metrics
+
+    def counts(self) -> dict[str, float]:
+        """Return what generations went through, for the state dump."""
+        shared = self.shared
+        totals = {f"ended_{name}": n for name, n in asdict(shared.totals).items()}
+        return totals | {
+            "suspects": len(shared.suspicion.charged),
+            "deaths_remembered": len(shared.suspicion.deaths),
+            "upstreams_held": len(shared.suspicion.held),
+            "resumes_waiting": shared.resumes.waiting,
+            "extra_work_credit": shared.extra_work.credit,
+        }
+
+    @property
+    def selector(self) -> Selector:
+        """The selection of upstreams."""
+        return self.shared.selector
+
+    @property
+    def suspicion(self) -> SuspicionLedger:
+        """The ledger of deaths charged to requests."""
+        return self.shared.suspicion
+
+    @property
+    def patience(self) -> Patience:
+        """The gaps learned of each upstream."""
+        return self.shared.patience
+
+
+def make_generation_context(
+    engine: EnginePort,
+    selector: Selector,
+    clock: Callable[[], float] = time.monotonic,
+    seed: int = 0,
+    heartbeat_s: float = 0.5,
+    metrics: Metrics | None = None,
+) -> GenerationContext:
+    """Return the shared state for an instance that has just started."""
+    shared = SharedState(
+        selector=selector,
+        patience=Patience(),
+        suspicion=SuspicionLedger(),
+        extra_work=ExtraWorkBudget(),
+        resumes=ResumeGate(),
+        random=random.Random(seed),
+    )
+    return GenerationContext(engine, shared, clock, heartbeat_s, metrics or Metrics())
+
+
+async def run_attempt(
+    context: GenerationContext,
+    action: StartAttempt,
+    request: EngineRequest,
+    inbox: Inbox,
+) -> None:
+    """Own one stream: report its pieces, and its death unless it finished."""
+    number, clock = action.attempt, context.clock
+    try:
+        async with context.engine.open_stream(action.upstream, request) as pieces:
+            async for piece in pieces:
+                await inbox.put(arrived(number, clock(), piece))
+                if piece.finish_reason is not None:
+                    return
+        await inbox.put(died_early(number, clock()))
+    except StreamDiedError as error:
+        await inbox.put(death_of(number, clock(), error))
+    except Exception as error:
+        await inbox.put(died_strangely(number, clock(), error))
+
+
+def arrived(number: int, at: float, piece: EnginePiece) -> PieceArrived:
+    """Return the event for a piece."""
+    return PieceArrived(
+        attempt=number,
+        at=at,
+        token_ids=piece.token_ids,
+        text=piece.text,
+        finish_reason=piece.finish_reason,
+        prompt_token_ids=piece.prompt_token_ids,
+        version=piece.version,
+    )
+
+
+def death_of(number: int, at: float, error: StreamDiedError) -> AttemptDied:
+    """Return the event for a stream that died."""
+    return AttemptDied(
+        attempt=number,
+        at=at,
+        loss=loss_of(error),
+        verdict=error.verdict,
+        message=error.message,
+        retry_after_s=error.retry_after_s,
+    )
+
+
+def loss_of(error: StreamDiedError) -> Loss:
+    """Return what a death says of the upstream and of the request."""
+    if error.cause is DeathCause.REJECTED and error.status in FINAL_STATUSES:
+        return Loss.REQUEST
+    if error.cause in UPSTREAM_LOSSES:
+        return Loss.UPSTREAM
+    return Loss.ATTEMPT
+
+
+def died_early(number: int, at: float) -> AttemptDied:
+    """Return the event for a stream that just stopped, with no finish reason."""
+    message = "the stream ended without a finish reason"
+    return AttemptDied(number, at, Loss.UPSTREAM, Verdict.MAY_HAVE_RUN, message)
+
+
+def died_strangely(number: int, at: float, error: Exception) -> AttemptDied:
+    """Return the event for a stream that failed in a way the port does not name."""
+    message = f"{type(error).__name__}: {error}"
+    return AttemptDied(number, at, Loss.ATTEMPT, Verdict.MAY_HAVE_RUN, message)
+
+
+def engine_request(request: GenerationRequest, action: StartAttempt) -> EngineRequest:
+    """Return what the engine gets: the caller's prompt, or the tokens so far."""
+    if action.prompt_token_ids is not None:
+        prompt, messages = None, None
+        prompt_token_ids: tuple[int, ...] | None = action.prompt_token_ids
+    else:
+        prompt, messages = request.prompt, request.messages
+        prompt_token_ids = request.prompt_token_ids
+    return EngineRequest(
+        model=request.model,
+        prompt=prompt,
+        prompt_token_ids=prompt_token_ids,
+        messages=messages,
+        max_tokens=action.max_tokens,
+        priority=request.profile.urgency,
+        parameters=request.parameters,
+        request_id=f"{request.request_id}-{action.attempt}",
+    )
--- a/src/turmericusher/tasks/generation.py
+++ b/src/turmericusher/tasks/generation.py
@@ -8,13 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-import random
-import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
-from turmericusher.decisions.extra_work import ExtraWorkBudget, ResumeGate
 from turmericusher.decisions.generation import Generation, make_generation
 from turmericusher.decisions.generation_messages import (
     AttemptDied,
@@ -24,14 +21,9 @@
     GenerationAction,
     GenerationEvent,
     Loss,
-    PieceArrived,
     StartAttempt,
 )
-from turmericusher.decisions.generation_state import SharedState
-from turmericusher.decisions.patience import Patience
 from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
-from turmericusher.decisions.selection import Selector
-from turmericusher.decisions.suspicion import SuspicionLedger
 from turmericusher.errors import (
     ErrorCode,
     RequestRefusedError,
@@ -39,77 +31,25 @@
     UpstreamError,
     Verdict,
 )
-from turmericusher.ports.upstream import (
-    DeathCause,
-    EnginePiece,
-    EnginePort,
-    EngineRequest,
-    StreamDiedError,
+from turmericusher.logs import log_event
+from turmericusher.tasks.attempts import (
+    GenerationContext,
+    Inbox,
+    engine_request,
+    make_generation_context,
+    run_attempt,
 )
 
+__all__ = ["GenerationContext", "make_generation_context", "open_generation"]
+
 INBOX_SIZE = 64
 OUTBOX_SIZE = 64
 CLOSE_TIMEOUT_S = 1.0
+MIN_BEAT_S = 0.01
 
-UPSTREAM_LOSSES = frozenset(
-    {
-        DeathCause.REFUSED,
-        DeathCause.RESET,
-        DeathCause.EARLY_END,
-        DeathCause.NEW_INCARNATION,
-    }
-)
-FINAL_STATUSES = frozenset({400, 404, 413, 422})
 REFUSAL_CODES = frozenset({ErrorCode.NO_UPSTREAM, ErrorCode.WAIT_EXCEEDED})
 
 
-@dataclass(slots=True)
-class GenerationContext:
-    """What all generations of an instance share.
-
-    `heartbeat_s` is the silence in seconds after which a caller gets a heartbeat.
-    """
-
-    engine: EnginePort
-    shared: SharedState
-    clock: Callable[[], float]
-    heartbeat_s: float
-
-    @property
-    def selector(self) -> Selector:
-        """The selection of upstreams."""
-        return self.shared.selector
-
-    @property
-    def suspicion(self) -> SuspicionLedger:
-        """The ledger of deaths charged to requests."""
-        return self.shared.suspicion
-
-    @property
-    def patience(self) -> Patience:
-        """The gaps learned of each upstream."""
-        return self.shared.patience
-
-
-def make_generation_context(
-    engine: EnginePort,
-    selector: Selector,
-    clock: Callable[[], float] = time.monotonic,
-    seed: int = 0,
-    heartbeat_s: float = 0.5,
-) -> GenerationContext:
-    """Return the shared state for an instance that has just started."""
-    shared = SharedState(
-        selector=selector,
-        patience=Patience(),
-        suspicion=SuspicionLedger(),
-        extra_work=ExtraWorkBudget(),
-        resumes=ResumeGate(),
-        random=random.Random(seed),
-    )
-    return GenerationContext(engine, shared, clock, heartbeat_s)
-
-
 @dataclass(frozen=True, slots=True)
 class Ended:
     """The last message in an outbox: the error, or None after a whole answer."""
@@ -125,14 +65,18 @@
     """The task that owns one generation, and the tasks of its attempts.
 
     `closing` are attempts already cancelled whose streams are still being closed.
+    `paused_at` is when the answer stopped, until it goes on.
     """
 
     context: GenerationContext
     generation: Generation
-    inbox: asyncio.Queue[GenerationEvent]
+    inbox: Inbox
     outbox: asyncio.Queue[OutboxMessage]
     attempts: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     closing: set[asyncio.Task[None]] = field(default_factory=set)
+    paused_at: float | None = None
+    timer: asyncio.TimerHandle | None = None
+    timer_at: float = 0.0
 
     async def run(self) -> None:
         """Run the generation to its end and put the end in the outbox."""
@@ -154,9 +98,52 @@
             if event is None:
                 actions = self.generation.tick(clock())
             else:
+                self.note(event)
                 actions = self.generation.handle(event, clock())
             await self.carry_out(actions)
 
+    def note(self, event: GenerationEvent) -> None:
+        """Log the death of a live attempt."""
+        if not isinstance(event, AttemptDied):
+            return
+        if event.attempt not in self.generation.attempts:
+            return
+        self.paused_at = event.at if self.paused_at is None else self.paused_at
+        upstream = self.generation.attempts[event.attempt].upstream
+        is_upstream = event.loss is Loss.UPSTREAM
+        self.context.metrics.count("generation.attempts_lost")
+        log_event(
+            "upstream_died" if is_upstream else "attempt_failed",
+            request_id=self.generation.request.request_id,
+            fingerprint=self.generation.request.fingerprint,
+            attempt=event.attempt,
+            upstream=upstream.name,
+            verdict=event.verdict.value,
+            message=event.message,
+        )
+
+    def note_start(self, action: StartAttempt) -> None:
+        """Log an attempt after the first one."""
+        if action.attempt == 1:
+            return
+        if self.paused_at is None:
+            self.paused_at = self.generation.progress_at
+        self.context.metrics.count("generation.attempts_repeated")
+        log_event(
+            "resumed",
+            request_id=self.generation.request.request_id,
+            attempt=action.attempt,
+            upstream=action.upstream.name,
+            offset=len(self.generation.delivered),
+        )
+
+    def note_delivery(self) -> None:
+        """Time the pause that a delivery ends."""
+        if self.paused_at is not None:
+            pause_s = self.context.clock() - self.paused_at
+            self.context.metrics.timing("generation.pause", pause_s)
+            self.paused_at = None
+
     async def next_event(self) -> GenerationEvent | None:
         """Return the next event, or None when time has to be acted on.
 
@@ -165,14 +152,31 @@
         """
         if not self.inbox.empty():
             return self.inbox.get_nowait()
-        wait_s = self.generation.wake_at() - self.context.clock()
-        if wait_s <= 0:
-            return None
-        try:
-            async with asyncio.timeout(wait_s):
-                return await self.inbox.get()
-        except TimeoutError:
+        wake_at = self.generation.wake_at()
+        if wake_at <= self.context.clock():
             return None
+        if self.timer is None or wake_at < self.timer_at:
+            self.set_timer(wake_at)
+        return await self.inbox.get()
+
+    def set_timer(self, wake_at: float) -> None:
+        """Wake the owner at a time, in place of any later one.
+
+        One timer serves many events: it is left where it is when the time to wake
+        moves on, and looks again when it goes off.
+        """
+        if self.timer is not None:
+            self.timer.cancel()
+        wait_s = wake_at - self.context.clock()
+        loop = asyncio.get_running_loop()
+        self.timer_at = wake_at
+        self.timer = loop.call_later(wait_s, self.wake)
+
+    def wake(self) -> None:
+        """Let the owner look at the time, unless it is busy with its inbox."""
+        self.timer = None
+        if self.inbox.empty():
+            self.inbox.put_nowait(None)
 
     async def carry_out(self, actions: list[GenerationAction]) -> None:
         """Carry out actions in their order."""
@@ -183,12 +187,14 @@
                 case CancelAttempt(attempt=number):
                     self.cancel_attempt(number)
                 case Deliver(piece=piece):
+                    self.note_delivery()
                     await self.outbox.put(piece)
                 case Fail():
                     raise error_of(action)
 
     def start_attempt(self, action: StartAttempt) -> None:
         """Start the task of an attempt."""
+        self.note_start(action)
         request = engine_request(self.generation.request, action)
         attempt = run_attempt(self.context, action, request, self.inbox)
         name = f"attempt {action.attempt} of {self.generation.request.request_id}"
@@ -206,6 +212,9 @@
     def cancel_all(self) -> None:
         """Cancel every attempt, without waiting for anything."""
         self.generation.close(self.context.clock())
+        self.context.shared.totals.add(self.generation.counts)
+        if self.timer is not None:
+            self.timer.cancel()
         for number in list(self.attempts):
             self.cancel_attempt(number)
 
@@ -214,93 +223,6 @@
         await asyncio.wait([owner_task, *self.closing], timeout=CLOSE_TIMEOUT_S)
 
 
-async def run_attempt(
-    context: GenerationContext,
-    action: StartAttempt,
-    request: EngineRequest,
-    inbox: asyncio.Queue[GenerationEvent],
-) -> None:
-    """Own one stream: report its pieces, and its death unless it finished."""
-    number, clock = action.attempt, context.clock
-    try:
-        async with context.engine.open_stream(action.upstream, request) as pieces:
-            async for piece in pieces:
-                await inbox.put(arrived(number, clock(), piece))
-                if piece.finish_reason is not None:
-                    return
-        await inbox.put(died_early(number, clock()))
-    except StreamDiedError as error:
-        await inbox.put(death_of(number, clock(), error))
-    except Exception as error:
-        await inbox.put(died_strangely(number, clock(), error))
-
-
-def arrived(number: int, at: float, piece: EnginePiece) -> PieceArrived:
-    """Return the event for a piece."""
-    return PieceArrived(
-        attempt=number,
-        at=at,
-        token_ids=piece.token_ids,
-        text=piece.text,
-        finish_reason=piece.finish_reason,
-        prompt_token_ids=piece.prompt_token_ids,
-        version=piece.version,
-    )
-
-
-def death_of(number: int, at: float, error: StreamDiedError) -> AttemptDied:
-    """Return the event for a stream that died."""
-    return AttemptDied(
-        attempt=number,
-        at=at,
-        loss=loss_of(error),
-        verdict=error.verdict,
-        message=error.message,
-        retry_after_s=error.retry_after_s,
-    )
-
-
-def loss_of(error: StreamDiedError) -> Loss:
-    """Return what a death says of the upstream and of the request."""
-    if error.cause is DeathCause.REJECTED and error.status in FINAL_STATUSES:
-        return Loss.REQUEST
-    if error.cause in UPSTREAM_LOSSES:
-        return Loss.UPSTREAM
-    return Loss.ATTEMPT
-
-
-def died_early(number: int, at: float) -> AttemptDied:
-    """Return the event for a stream that just stopped, with no finish reason."""
-    message = "the stream ended without a finish reason"
-    return AttemptDied(number, at, Loss.UPSTREAM, Verdict.MAY_HAVE_RUN, message)
-
-
-def died_strangely(number: int, at: float, error: Exception) -> AttemptDied:
-    """Return the event for a stream that failed in a way the port does not name."""
-    message = f"{type(error).__name__}: {error}"
-    return AttemptDied(number, at, Loss.ATTEMPT, Verdict.MAY_HAVE_RUN, message)
-
-
-def engine_request(request: GenerationRequest, action: StartAttempt) -> EngineRequest:
-    """Return what the engine gets: the caller's prompt, or the tokens so far."""
-    if action.prompt_token_ids is not None:
-        prompt, messages = None, None
-        prompt_token_ids: tuple[int, ...] | None = action.prompt_token_ids
-    else:
-        prompt, messages = request.prompt, request.messages
-        prompt_token_ids = request.prompt_token_ids
-    return EngineRequest(
-        model=request.model,
-        prompt=prompt,
-        prompt_token_ids=prompt_token_ids,
-        messages=messages,
-        max_tokens=action.max_tokens,
-        priority=request.profile.urgency,
-        parameters=request.parameters,
-        request_id=f"{request.request_id}-{action.attempt}",
-    )
-
-
 def error_of(failure: Fail) -> TurmericusherError:
     """Return the error that a caller gets."""
     is_refusal = failure.verdict is Verdict.NOT_RUN and failure.code in REFUSAL_CODES
@@ -339,9 +261,13 @@
         outbox=asyncio.Queue(OUTBOX_SIZE),
     )
     task = asyncio.create_task(owner.run(), name=f"owner of {request.request_id}")
+    loop = asyncio.get_running_loop()
+    reader = OutboxReader(owner.outbox, context.heartbeat_s, loop.time())
+    reader.beat()
     try:
-        yield OutboxReader(owner.outbox, context.heartbeat_s)
+        yield reader
     finally:
+        reader.stop()
         task.cancel()
         owner.cancel_all()
         await owner.wait_closed(task)
@@ -353,6 +279,22 @@
 
     outbox: asyncio.Queue[OutboxMessage]
     heartbeat_s: float
+    read_at: float = 0.0
+    timer: asyncio.TimerHandle | None = None
+
+    def beat(self) -> None:
+        """Put a heartbeat into a silent outbox, and look again when one is due."""
+        loop = asyncio.get_running_loop()
+        due_at = self.read_at + self.heartbeat_s
+        if loop.time() >= due_at and self.outbox.empty():
+            self.outbox.put_nowait(AnswerPiece())
+            due_at = loop.time() + self.heartbeat_s
+        self.timer = loop.call_at(max(due_at, loop.time() + MIN_BEAT_S), self.beat)
+
+    def stop(self) -> None:
+        """Send no more heartbeats."""
+        if self.timer is not None:
+            self.timer.cancel()
 
     def __aiter__(self) -> OutboxReader:
         """Return itself."""
@@ -360,11 +302,8 @@
 
     async def __anext__(self) -> AnswerPiece:
         """Return the next piece; raise the error that ended the generation."""
-        try:
-            async with asyncio.timeout(self.heartbeat_s):
-                message = await self.outbox.get()
-        except TimeoutError:
-            return AnswerPiece()
+        message = await self.outbox.get()
+        self.read_at = asyncio.get_running_loop().time()
         if not isinstance(message, Ended):
             return message
         self.outbox.put_nowait(message)
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -117,7 +117,9 @@
             running_load_control(settings, selector)
         )
         engine = await stack.enter_async_context(open_engine_port())
-        generation = make_generation_context(engine, selector, seed=settings.seed)
+        generation = make_generation_context(
+            engine, selector, seed=settings.seed, metrics=metrics
+        )
         feeds = make_feeds(selector, generation.suspicion)
         parts = await stack.enter_async_context(
             running_fleet_parts(settings, store, profiles, feeds)
