--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -126,6 +126,7 @@
             engine,
             selector,
             seed=settings.random_for("generation").getrandbits(SEED_BITS),
+            metrics=metrics,
         )
         feeds = make_feeds(selector, generation.suspicion)
         claim_parts = await stack.enter_async_context(
