Save, check and restore the profiles by an operator's file

Cause: the profiles live in the platform's service only; an operator had no way to bring them back after it lost its data. Ruled out: a restore that replaces a lower revision, because the revisions of a rebuilt service cannot be compared with those of the file. A restore writes by compare-and-swap on an absent key only, so that it can neither undo an accepted change nor revive a retired profile, however many replies are lost.

--- a/src/turmericusher/cli/main.py
+++ b/src/turmericusher/cli/main.py
@@ -16,6 +16,7 @@
     run_command,
 )
 from turmericusher.cli.queries import Entrypoints, SettingsCommand, State
+from turmericusher.cli.snapshots import SnapshotCommand
 from turmericusher.cli.standins import Standin
 from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
 
@@ -28,7 +29,15 @@
     """Serve long model generations whole on engines that fail."""
 
     command: cappa.Subcommands[
-        Serve | Try | Standin | Generate | Call | Entrypoints | State | SettingsCommand
+        Serve
+        | Try
+        | Standin
+        | Generate
+        | Call
+        | Entrypoints
+        | State
+        | SettingsCommand
+        | SnapshotCommand
     ]
 
 
--- /dev/null
+++ b/src/turmericusher/cli/snapshots.py
@@ -0,0 +1,134 @@
+"""Commands on snapshots of the profiles: save, check and restore."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import cappa
+
+from turmericusher.cli.access import print_json
+from turmericusher.cli.dispatch import EXIT_OK, run_command
+from turmericusher.ports.etcd import open_etcd_store
+from turmericusher.ports.keyvalue import KeyValueStore
+from turmericusher.snapshots import (
+    SnapshotError,
+    read_file,
+    restore_snapshot,
+    take_snapshot,
+    write_file,
+)
+from turmericusher.tasks.profile_watch import FLEET_DIRECTORY
+
+STORE_TIMEOUT_S = 10.0
+PROFILES_DIRECTORY = FLEET_DIRECTORY + "profiles/"
+
+StoreUrl = Annotated[str, cappa.Arg(long=True, help="URL of the key-value service")]
+Prefix = Annotated[str, cappa.Arg(long=True, help="store.prefix of the settings")]
+Json = Annotated[bool, cappa.Arg(long=True, help="print JSON")]
+Result = TypeVar("Result")
+
+
+@dataclass
+class Save:
+    """Save every profile, retired ones included, to a file."""
+
+    path: Path
+    store: StoreUrl
+    prefix: Prefix = "/turmericusher/"
+    json: Json = False
+
+
+@cappa.command(name="check")
+@dataclass
+class CheckFile:
+    """Check that a file is whole and can be read by this version."""
+
+    path: Path
+    json: Json = False
+
+
+@dataclass
+class Restore:
+    """Write the profiles that the key-value service lacks."""
+
+    path: Path
+    store: StoreUrl
+    prefix: Prefix = "/turmericusher/"
+    only_missing: Annotated[
+        bool, cappa.Arg(long=True, help="required: nothing that stands is replaced")
+    ] = False
+    json: Json = False
+
+
+@cappa.command(name="snapshot")
+@dataclass
+class SnapshotCommand:
+    """Work on snapshots of the profiles."""
+
+    command: cappa.Subcommands[Save | CheckFile | Restore]
+
+
+@run_command.register
+def run_snapshot(command: SnapshotCommand) -> int:
+    """Carry out a snapshot command."""
+    return run_command(command.command)
+
+
+@run_command.register
+def run_save(command: Save) -> int:
+    """Save a snapshot."""
+    prefix = command.prefix + PROFILES_DIRECTORY
+    snapshot = with_store(command.store, lambda store: take_snapshot(store, prefix))
+    write_file(command.path, snapshot)
+    result = {"profiles": len(snapshot.profiles), "revision": snapshot.revision}
+    return report(f"{command.path}: saved", result, command.json)
+
+
+@run_command.register
+def run_check_file(command: CheckFile) -> int:
+    """Check a snapshot."""
+    snapshot = read_file(command.path)
+    result = {"profiles": len(snapshot.profiles), "revision": snapshot.revision}
+    return report(f"{command.path}: whole", result, command.json)
+
+
+@run_command.register
+def run_restore(command: Restore) -> int:
+    """Restore a snapshot."""
+    if not command.only_missing:
+        raise SnapshotError(
+            "only_missing=False: a restore writes only the profiles that are missing; "
+            "say so with --only-missing"
+        )
+    snapshot = read_file(command.path)
+    prefix = command.prefix + PROFILES_DIRECTORY
+    restored = with_store(
+        command.store, lambda store: restore_snapshot(store, prefix, snapshot)
+    )
+    counts = Counter(outcome.value for outcome in restored.values())
+    return report(f"{command.path}: restored", dict(counts), command.json)
+
+
+def with_store(url: str, use: Callable[[KeyValueStore], Awaitable[Result]]) -> Result:
+    """Run something against the key-value service at `url`."""
+
+    async def run() -> Result:
+        async with open_etcd_store(url, STORE_TIMEOUT_S) as store:
+            return await use(store)
+
+    return asyncio.run(run())
+
+
+def report(title: str, result: dict[str, int], as_json: bool) -> int:
+    """Print what was done."""
+    if as_json:
+        print_json(result)
+    else:
+        figures = ", ".join(f"{value} {name}" for name, value in result.items())
+        print(f"{title}, {figures}")
+    return EXIT_OK
--- /dev/null
+++ b/tests/cover/test_snapshots.py
@@ -0,0 +1,245 @@
+"""A snapshot comes back whole, and restoring it changes nothing that stands."""
+
+import asyncio
+import contextlib
+import io
+import tempfile
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+from parameterized import parameterized
+from testtools import TestCase
+
+from turmericusher.cli.main import run_reporting_errors
+from turmericusher.cli.snapshots import CheckFile, Restore, Save, SnapshotCommand
+from turmericusher.decisions.rollout import ProfileRecord
+from turmericusher.errors import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    TurmericusherError,
+)
+from turmericusher.ports.keyvalue import SwapResult
+from turmericusher.profiles import Profile
+from turmericusher.snapshots import (
+    ProfileSnapshot,
+    Restored,
+    SavedProfile,
+    SnapshotError,
+    checksum_of,
+    decode_snapshot,
+    encode_snapshot,
+    restore_snapshot,
+    take_snapshot,
+)
+from turmericusher.standins.store import MemoryStore
+from turmericusher.standins.store_server import running_store
+from turmericusher.tasks.profile_records import encode_record
+
+PREFIX = "/t/fleet/profiles/"
+KEY = PREFIX + "a"
+
+
+def record(name: str = "a", urgency: int = 5, retired: bool = False) -> bytes:
+    return encode_record(ProfileRecord(Profile(name, urgency=urgency), 0, retired))
+
+
+def saved(name: str = "a", revision: int = 9, **fields) -> SavedProfile:
+    return SavedProfile(name, revision, record(name, **fields).decode())
+
+
+SNAPSHOT = ProfileSnapshot(9, (saved("a"), saved("b", 4, retired=True)))
+ONE = ProfileSnapshot(9, (saved("a"),))
+
+
+def file_with(**content) -> bytes:
+    """Return a file whose checksum fits a changed content."""
+    body = orjson.loads(encode_snapshot(SNAPSHOT))
+    body["content"].update(content)
+    return orjson.dumps(body | {"checksum": checksum_of(body["content"])})
+
+
+def restore(store: MemoryStore, snapshot: ProfileSnapshot = ONE) -> Restored:
+    return asyncio.run(restore_snapshot(store, PREFIX, snapshot, pause_s=0.0))["a"]
+
+
+class RivalStore(MemoryStore):
+    """A store in which an operator's change comes before one of the writes."""
+
+    rival: bytes = b""
+    rival_before: int = 0
+    tries: int = 0
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> SwapResult:
+        if self.tries == self.rival_before:
+            self.write(key, self.rival)
+        self.tries += 1
+        return await super().compare_and_swap(key, expected_revision, value, lease)
+
+
+class FileTest(TestCase):
+    @given(st.integers(min_value=0), st.binary(min_size=1, max_size=3))
+    def test_a_changed_file_is_refused_or_means_the_same(
+        self, position: int, junk: bytes
+    ) -> None:
+        data = encode_snapshot(SNAPSHOT)
+        self.assertEqual(SNAPSHOT, decode_snapshot(data))
+        position %= len(data)
+        try:
+            found = decode_snapshot(data[:position] + junk + data[position + 1 :])
+        except SnapshotError as error:
+            self.assertNotIn("\n", error.message)
+        else:
+            self.assertEqual(SNAPSHOT, found)
+
+    @parameterized.expand(
+        [
+            ("empty", b"", "not whole JSON"),
+            ("cut", encode_snapshot(SNAPSHOT)[:-20], "not whole JSON"),
+            ("list", b"[]", "snapshot=[]"),
+            ("other_format", encode_snapshot(SNAPSHOT).replace(
+                b'"format": 1', b'"format": 2'), "snapshot.format=2"),
+            ("no_checksum", file_with().replace(b"sha256:", b"sha256:0"), "checksum"),
+            ("twice", file_with(profiles=[{"name": "a", "revision": 1, "record":
+                record().decode()}] * 2), "stands twice"),
+            ("other_name", file_with(profiles=[{"name": "a", "revision": 1, "record":
+                record("b").decode()}]), "holds the record of 'b'"),
+            ("unreadable", file_with(profiles=[{"name": "a", "revision": 1,
+                "record": "{}"}]), "profile 'a'"),
+            ("revision_zero", file_with(profiles=[{"name": "a", "revision": 0,
+                "record": ""}]), "revision=0"),
+            ("unknown_field", file_with(colour="red"), "colour"),
+        ]
+    )  # fmt: skip
+    def test_a_bad_file_is_refused(self, _name: str, data: bytes, part: str) -> None:
+        error = self.assertRaises(SnapshotError, decode_snapshot, data)
+        self.assertIn(part, error.message)
+
+
+class RestoreTest(TestCase):
+    @parameterized.expand(
+        [
+            ("absent", None, Restored.WRITTEN),
+            ("in_force", record(urgency=1), Restored.KEPT),
+            ("the_same", record(), Restored.KEPT),
+            ("retired", record(retired=True), Restored.KEPT_RETIRED),
+            ("unreadable", b"?", Restored.KEPT),
+        ]
+    )
+    def test_only_what_is_missing_is_written(
+        self, _name: str, standing: bytes | None, expected: Restored
+    ) -> None:
+        for revision in (1, 50):
+            store = MemoryStore(revision=revision)
+            if standing is not None:
+                store.write(KEY, standing)
+            self.assertIs(expected, restore(store))
+            self.assertEqual(standing or record(), store.values[KEY].value)
+
+    def test_a_saved_tombstone_keeps_its_name_retired(self) -> None:
+        store = MemoryStore()
+        restore(store, SNAPSHOT)
+        taken = asyncio.run(take_snapshot(store, PREFIX))
+        self.assertEqual(
+            [one.record for one in SNAPSHOT.profiles],
+            [one.record for one in taken.profiles],
+        )
+
+    @given(st.integers(0, 4), st.integers(0, 6), st.booleans())
+    def test_a_rivals_change_stands_whatever_replies_are_lost(
+        self, lost: int, rival_before: int, retired: bool
+    ) -> None:
+        store = RivalStore()
+        store.faults.lose_replies = lost
+        store.rival = record(urgency=0, retired=retired)
+        store.rival_before = rival_before
+        outcome = restore(store)
+        has_rival = rival_before < store.tries
+        kept = Restored.KEPT_RETIRED if retired else Restored.KEPT
+        self.assertIs(kept if has_rival else Restored.WRITTEN, outcome)
+        expected = store.rival if has_rival else record()
+        self.assertEqual(expected, store.values[KEY].value)
+        self.assertLessEqual(len(store.history), 2)
+
+    def test_when_no_reply_comes_the_outcome_is_said_to_be_unknown(self) -> None:
+        store = MemoryStore()
+        store.faults.lose_replies = 99
+        self.assertRaises(StoreOutcomeUnknownError, restore, store)
+        self.assertEqual(1, len(store.history))
+        store.faults.lose_replies = 0
+        self.assertIs(Restored.KEPT, restore(store))
+
+    def test_a_store_that_is_down_is_left_as_it_is(self) -> None:
+        store = MemoryStore()
+        store.faults.down = True
+        self.assertRaises(StoreUnavailableError, restore, store)
+        self.assertEqual({}, store.values)
+
+    def test_a_record_that_cannot_be_read_is_not_saved(self) -> None:
+        store = MemoryStore()
+        store.write(KEY, b"?")
+        error = self.assertRaises(
+            TurmericusherError, lambda: asyncio.run(take_snapshot(store, PREFIX))
+        )
+        self.assertIn("revision=2", error.message)
+
+
+@contextlib.contextmanager
+def store_in_a_thread(store: MemoryStore) -> Iterator[str]:
+    """Serve a store beside the test's own thread; yield its URL."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    server = running_store("127.0.0.1", 0, store)
+    try:
+        starting = asyncio.run_coroutine_threadsafe(server.__aenter__(), loop)
+        yield f"http://{starting.result(20)}"
+        ending = server.__aexit__(None, None, None)
+        asyncio.run_coroutine_threadsafe(ending, loop).result(20)
+    finally:
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+class CommandTest(TestCase):
+    def run_command(self, command: object) -> tuple[int, str]:
+        output = io.StringIO()
+        with (
+            contextlib.redirect_stdout(output),
+            contextlib.redirect_stderr(output),
+        ):
+            status = run_reporting_errors(SnapshotCommand(command))
+        return status, output.getvalue()
+
+    def test_a_lost_service_gets_its_profiles_back(self) -> None:
+        directory = self.enterContext(tempfile.TemporaryDirectory())
+        path = Path(directory, "profiles.json")
+        full, empty = MemoryStore(), MemoryStore()
+        full.write(KEY, record())
+        with store_in_a_thread(full) as url:
+            status, text = self.run_command(Save(path, url, "/t/"))
+        self.assertEqual(
+            (0, f"{path}: saved, 1 profiles, 2 revision\n"), (status, text)
+        )
+        self.assertEqual(0, self.run_command(CheckFile(path))[0])
+        with store_in_a_thread(empty) as url:
+            status, text = self.run_command(Restore(path, url, "/t/"))
+            self.assertEqual(2, status)
+            self.assertIn("--only-missing", text)
+            self.assertEqual({}, empty.values)
+            command = Restore(path, url, "/t/", only_missing=True)
+            self.assertEqual(0, self.run_command(command)[0])
+            again = self.run_command(command)
+        self.assertEqual((0, f"{path}: restored, 1 kept\n"), again)
+        self.assertEqual(record(), empty.values[KEY].value)
+
+    def test_a_file_that_is_not_there_gets_one_line(self) -> None:
+        status, text = self.run_command(CheckFile(Path("/nowhere/profiles.json")))
+        self.assertEqual((2, 1), (status, text.count("\n")))
+        self.assertIn("/nowhere/profiles.json", text)
