Write every measurement as tables and plots by one command

Ruled out: a plot library (none is in the lock file, and lines and bars are some hundred lines of SVG); a table written for each benchmark, which would have to follow each change of its result. Change: reports/tables.py makes tables of any nested result, reports/plots.py draws lines and bars, benchmarks/all.py runs each benchmark in a process of its own with a limit and says which failed or did not exist; its status is then 1. Shown able to fail, by hand: all figures in one table, bars in a cell not escaped, points that are not finite drawn, names not escaped, an axis without length, bars not scaled, a failed process taken for a result, the first line read. Not covered: that a benchmark over its limit is killed; without the kill the test only takes as long as that benchmark.

--- /dev/null
+++ b/benchmarks/all.py
@@ -0,0 +1,149 @@
+"""Runs every benchmark within five minutes and writes docs/measurements.md.
+
+python -m benchmarks.all --seed N
+"""
+
+from __future__ import annotations
+
+import argparse
+import importlib.util
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from turmericusher.reports.measurements import (
+    BarSource,
+    LineSource,
+    Machine,
+    Measurement,
+    PlotSource,
+    page_of,
+    plot_of,
+)
+from turmericusher.reports.plots import svg_of
+
+ROOT = Path(__file__).parents[1]
+BENCHMARKS = ("path", "resume", "once", "rollout", "load", "peers")
+TOTAL_LIMIT_S = 295.0
+EACH_LIMIT_S = 60.0
+MAX_FAILURE_CHARACTERS = 300
+PLOTS: tuple[PlotSource, ...] = (
+    BarSource("path", "Time to first token, half of all", "ms", "*.first_token.p50_ms"),
+    BarSource("path", "Processor time", "us a token", "*.processor_us_per_token"),
+    BarSource("resume", "Resume latency, 95 in 100", "ms", "*resume_latency.p95_ms"),
+    BarSource("resume", "Extra tokens", "a token", "*.extra_tokens_per_token"),
+    LineSource("load", "Goodput", "runs", "policy", "offered_load", "goodput.before"),
+    LineSource("load", "Goodput while a domain is lost", "runs", "policy",
+               "offered_load", "goodput.lost"),
+)  # fmt: skip
+
+
+def measure(name: str, seed: int, limit_s: float) -> Measurement:
+    """Run one benchmark in a process of its own."""
+    module = f"benchmarks.{name}"
+    command = f"python -m {module} --seed {seed} --json"
+    if importlib.util.find_spec(module) is None:
+        return Measurement(name, command, failure="not run, there is no such module")
+    started_at = time.monotonic()
+    process = subprocess.Popen(
+        [sys.executable, "-m", module, "--seed", str(seed), "--json"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        start_new_session=True,
+    )
+    try:
+        output, errors = process.communicate(timeout=limit_s)
+    except subprocess.TimeoutExpired:
+        # The benchmark's own children are in its session, and end with it.
+        os.killpg(process.pid, signal.SIGKILL)
+        process.communicate()
+        return Measurement(name, command, failure=f"failed, over {limit_s:.0f} s")
+    seconds = time.monotonic() - started_at
+    if process.returncode != 0:
+        last = (errors.strip().splitlines() or ["no message"])[-1]
+        failure = f"failed with status {process.returncode}: {last}"
+        return Measurement(name, command, seconds, failure=shorten(failure))
+    return read_result(name, command, seconds, output)
+
+
+def read_result(name: str, command: str, seconds: float, output: str) -> Measurement:
+    """Read the JSON object in the last line of a benchmark's output."""
+    last = (output.strip().splitlines() or [""])[-1]
+    try:
+        result = json.loads(last)
+    except json.JSONDecodeError:
+        result = None
+    if not isinstance(result, dict):
+        failure = shorten(f"failed, no JSON object in {last!r}")
+        return Measurement(name, command, seconds, failure=failure)
+    return Measurement(name, command, seconds, result)
+
+
+def shorten(message: str) -> str:
+    """Return a message cut to a length that fits the page."""
+    return message[:MAX_FAILURE_CHARACTERS]
+
+
+def measure_all(seed: int, names: Sequence[str]) -> list[Measurement]:
+    """Run the benchmarks one after another; none begins after the whole limit."""
+    deadline = time.monotonic() + TOTAL_LIMIT_S
+    measurements = []
+    for name in names:
+        limit_s = min(EACH_LIMIT_S, deadline - time.monotonic())
+        measurements.append(measure(name, seed, max(0.0, limit_s)))
+        print(f"{name}: {measurements[-1].failure or 'measured'}", flush=True)
+    return measurements
+
+
+def write_plots(directory: Path, measurements: list[Measurement]) -> dict[str, Any]:
+    """Draw the plots and return their paths by benchmark."""
+    results = {one.name: one.result for one in measurements if one.result is not None}
+    drawn: dict[str, list[str]] = {}
+    for number, source in enumerate(PLOTS):
+        result = results.get(source.benchmark)
+        plot = plot_of(source, result) if result is not None else None
+        if plot is not None:
+            path = f"plots/{source.benchmark}-{number}.svg"
+            (directory / "plots").mkdir(parents=True, exist_ok=True)
+            (directory / path).write_text(svg_of(plot), encoding="utf-8")
+            drawn.setdefault(source.benchmark, []).append(path)
+    return drawn
+
+
+def commit_name() -> str:
+    """Return the commit that is checked out, and whether files differ from it."""
+    described = subprocess.run(
+        ["git", "describe", "--always", "--dirty", "--exclude", "*"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    return described.stdout.strip() or "unknown"
+
+
+def main() -> int:
+    """Measure everything, write the page and tell whether all of it ran."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--output", type=Path, default=ROOT / "docs")
+    parser.add_argument("names", nargs="*", default=BENCHMARKS)
+    arguments = parser.parse_args()
+    commit, load_before = commit_name(), os.getloadavg()
+    measurements = measure_all(arguments.seed, arguments.names)
+    machine = Machine(commit, os.cpu_count() or 0, load_before, os.getloadavg())
+    plots = write_plots(arguments.output, measurements)
+    page = page_of(machine, measurements, plots)
+    (arguments.output / "measurements.md").write_text(page, encoding="utf-8")
+    return 0 if all(one.result is not None for one in measurements) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/turmericusher/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports: the results of benchmarks as tables and plots."""
--- /dev/null
+++ b/src/turmericusher/reports/measurements.py
@@ -0,0 +1,122 @@
+"""The page of measurements: what ran, on what, and every figure that it gave."""
+
+from __future__ import annotations
+
+import fnmatch
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from turmericusher.reports.plots import BarChart, LinePlot, Series
+from turmericusher.reports.tables import flat_figures, markdown_of, tables_of
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """One benchmark's run; `failure` tells why there is no result."""
+
+    name: str
+    command: str
+    seconds: float = 0.0
+    result: Mapping[str, object] | None = None
+    failure: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """What the figures depend on: commit, processors and load averages."""
+
+    commit: str
+    processors: int
+    load_before: tuple[float, ...]
+    load_after: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BarSource:
+    """Draws every figure whose dotted name matches `pattern` as a bar."""
+
+    benchmark: str
+    title: str
+    unit: str
+    pattern: str
+
+
+@dataclass(frozen=True, slots=True)
+class LineSource:
+    """Draws the objects of the list `rows`, one line for each value of `by`."""
+
+    benchmark: str
+    title: str
+    rows: str
+    by: str
+    x: str
+    y: str
+
+
+PlotSource = BarSource | LineSource
+
+
+def plot_of(
+    source: PlotSource, result: Mapping[str, object]
+) -> BarChart | LinePlot | None:
+    """Return the plot of a result, or None when it has no such figures."""
+    match source:
+        case BarSource():
+            return bar_chart_of(source, result)
+        case LineSource():
+            return line_plot_of(source, result)
+
+
+def bar_chart_of(source: BarSource, result: Mapping[str, object]) -> BarChart | None:
+    """Return the bars of the figures that match."""
+    bars = tuple(
+        (name, float(figure))
+        for name, figure in flat_figures(result)
+        if fnmatch.fnmatchcase(name, source.pattern) and isinstance(figure, int | float)
+    )
+    return BarChart(source.title, source.unit, bars) if bars else None
+
+
+def line_plot_of(source: LineSource, result: Mapping[str, object]) -> LinePlot | None:
+    """Return the lines of a list of objects."""
+    rows = result.get(source.rows)
+    lines: dict[str, list[tuple[float, float]]] = {}
+    for row in rows if isinstance(rows, list) else []:
+        figures = dict(flat_figures(row))
+        x, y = figures.get(source.x), figures.get(source.y)
+        if isinstance(x, int | float) and isinstance(y, int | float):
+            name = str(figures.get(source.by, ""))
+            lines.setdefault(name, []).append((float(x), float(y)))
+    if not lines:
+        return None
+    series = tuple(Series(name, tuple(points)) for name, points in lines.items())
+    return LinePlot(source.title, source.x, source.y, series)
+
+
+def page_of(
+    machine: Machine, measurements: list[Measurement], plots: Mapping[str, list[str]]
+) -> str:
+    """Return the page; `plots` are the files drawn for each benchmark."""
+    parts = [heading_of(machine)]
+    for measurement in measurements:
+        parts.append(f"## {measurement.name}\n\n    {measurement.command}\n")
+        if measurement.result is None:
+            parts.append(f"**No figures: {measurement.failure}**\n")
+            continue
+        parts.append(f"Took {measurement.seconds:.1f} s.\n")
+        parts += [f"![{path}]({path})\n" for path in plots.get(measurement.name, [])]
+        parts += [markdown_of(table) for table in tables_of(measurement.result)]
+    return "\n".join(parts)
+
+
+def heading_of(machine: Machine) -> str:
+    """Return the beginning of the page."""
+    before = ", ".join(f"{load:.2f}" for load in machine.load_before)
+    after = ", ".join(f"{load:.2f}" for load in machine.load_after)
+    return (
+        "# Measurements\n\n"
+        "Written by `python -m benchmarks.all --seed N`; do not edit by hand. The git\n"
+        "history of this page is the record of the figures.\n\n"
+        f"Commit {machine.commit}; {machine.processors} processors; load averages\n"
+        f"over 1, 5 and 15 minutes {before} before and {after} after the run.\n"
+    )
--- /dev/null
+++ b/src/turmericusher/reports/plots.py
@@ -0,0 +1,159 @@
+"""Line plots and bar charts as SVG, written without a plot library."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatch
+from xml.sax.saxutils import escape
+
+WIDTH_PX = 720
+PLOT_HEIGHT_PX = 360
+MARGIN_PX = 60
+LEGEND_STEP_PX = 18
+BAR_STEP_PX = 22
+BAR_LABEL_PX = 340
+TICKS = 5
+COLOURS = ("#1b6ca8", "#c0392b", "#27864a", "#8e44ad", "#b9770e", "#555555")
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """One line: points of x and y."""
+
+    name: str
+    points: tuple[tuple[float, float], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LinePlot:
+    """Lines over one axis; both axes begin at zero."""
+
+    title: str
+    x_label: str
+    y_label: str
+    series: tuple[Series, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BarChart:
+    """Labelled bars of one unit."""
+
+    title: str
+    unit: str
+    bars: tuple[tuple[str, float], ...]
+
+
+@singledispatch
+def svg_of(plot: object) -> str:
+    """Return a plot as an SVG document."""
+    raise NotImplementedError(f"plot={plot!r} cannot be drawn")
+
+
+@svg_of.register
+def svg_of_lines(plot: LinePlot) -> str:
+    """Draw a line plot."""
+    series = [Series(s.name, finite_points(s.points)) for s in plot.series]
+    points = [point for one in series for point in one.points]
+    x_top = top_of([x for x, _ in points])
+    y_top = top_of([y for _, y in points])
+    height = PLOT_HEIGHT_PX + LEGEND_STEP_PX * len(series)
+    parts = [*axes(plot, x_top, y_top)]
+    for number, one in enumerate(series):
+        colour = COLOURS[number % len(COLOURS)]
+        places = [(place_x(x, x_top), place_y(y, y_top)) for x, y in one.points]
+        path = " ".join(f"{x:.1f},{y:.1f}" for x, y in places)
+        parts.append(
+            f'<polyline points="{path}" fill="none" stroke="{colour}" '
+            'stroke-width="2"/>'
+        )
+        y = PLOT_HEIGHT_PX + LEGEND_STEP_PX * number
+        parts.append(text(MARGIN_PX, y, one.name, colour=colour))
+    return document(height + LEGEND_STEP_PX, parts)
+
+
+@svg_of.register
+def svg_of_bars(chart: BarChart) -> str:
+    """Draw a bar chart with one line for each bar."""
+    bars = [(label, value) for label, value in chart.bars if math.isfinite(value)]
+    top = top_of([value for _, value in bars])
+    room = WIDTH_PX - BAR_LABEL_PX - 2 * MARGIN_PX
+    parts = [text(10, 24, f"{chart.title} ({chart.unit})", size=15)]
+    for number, (label, value) in enumerate(bars):
+        y = 48 + BAR_STEP_PX * number
+        width = max(0.0, value) / top * room
+        parts.append(text(BAR_LABEL_PX, y + 12, label, anchor="end"))
+        parts.append(
+            f'<rect x="{BAR_LABEL_PX + 8}" y="{y}" width="{width:.1f}" height="15" '
+            f'fill="{COLOURS[0]}"/>'
+        )
+        parts.append(text(BAR_LABEL_PX + 14 + width, y + 12, f"{value:.6g}"))
+    return document(60 + BAR_STEP_PX * len(bars), parts)
+
+
+def axes(plot: LinePlot, x_top: float, y_top: float) -> list[str]:
+    """Draw the title, the axes and their ticks."""
+    bottom, right = PLOT_HEIGHT_PX - MARGIN_PX, WIDTH_PX - MARGIN_PX
+    parts = [
+        text(10, 24, plot.title, size=15),
+        text(right, bottom + 36, plot.x_label, anchor="end"),
+        text(MARGIN_PX, MARGIN_PX - 14, plot.y_label),
+        f'<path d="M{MARGIN_PX},{MARGIN_PX} V{bottom} H{right}" fill="none" '
+        'stroke="#333333"/>',
+    ]
+    for number in range(TICKS + 1):
+        x, y = x_top * number / TICKS, y_top * number / TICKS
+        parts.append(text(place_x(x, x_top), bottom + 18, f"{x:.3g}", anchor="middle"))
+        parts.append(text(MARGIN_PX - 6, place_y(y, y_top) + 4, f"{y:.3g}", "end"))
+    return parts
+
+
+def place_x(value: float, top: float) -> float:
+    """Return the pixel of a value on the x axis."""
+    return MARGIN_PX + value / top * (WIDTH_PX - 2 * MARGIN_PX)
+
+
+def place_y(value: float, top: float) -> float:
+    """Return the pixel of a value on the y axis."""
+    return PLOT_HEIGHT_PX - MARGIN_PX - value / top * (PLOT_HEIGHT_PX - 2 * MARGIN_PX)
+
+
+def top_of(values: Sequence[float]) -> float:
+    """Return the end of an axis that holds all values."""
+    top = max(values, default=0.0)
+    return top if top > 0 else 1.0
+
+
+def finite_points(
+    points: Sequence[tuple[float, float]],
+) -> tuple[tuple[float, float], ...]:
+    """Return the points that can be drawn, from left to right."""
+    kept = [(x, y) for x, y in points if math.isfinite(x) and math.isfinite(y)]
+    return tuple(sorted(kept))
+
+
+def text(
+    x: float,
+    y: float,
+    words: str,
+    anchor: str = "start",
+    colour: str = "#222222",
+    size: int = 12,
+) -> str:
+    """Return a line of text; characters that XML forbids are left out."""
+    printable = "".join(character for character in words if character.isprintable())
+    return (
+        f'<text x="{x:.1f}" y="{y:.1f}" text-anchor="{anchor}" fill="{colour}" '
+        f'font-size="{size}">{escape(printable)}</text>'
+    )
+
+
+def document(height: float, parts: Sequence[str]) -> str:
+    """Return a whole SVG document."""
+    body = "\n".join(parts)
+    return (
+        f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH_PX}" '
+        f'height="{height:.0f}" font-family="sans-serif">\n'
+        f'<rect width="100%" height="100%" fill="white"/>\n{body}\n</svg>\n'
+    )
--- /dev/null
+++ b/src/turmericusher/reports/tables.py
@@ -0,0 +1,83 @@
+"""Tables of any benchmark's result, without knowing the benchmark.
+
+A result is nested JSON. Objects whose figures have the same names become the rows of
+one table, labelled by where they stand.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from typing import TypeGuard
+
+Figure = str | int | float | bool | None
+Figures = dict[str, Figure]
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """Rows of figures under the same columns; the first cell is the row's label."""
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[str, ...], ...]
+
+
+def tables_of(result: Mapping[str, object]) -> list[Table]:
+    """Return the tables of a result, in the order in which its figures stand."""
+    grouped: dict[tuple[str, ...], list[tuple[str, ...]]] = {}
+    for label, figures in figure_groups(result, ""):
+        cells = tuple(format_figure(figure) for figure in figures.values())
+        grouped.setdefault(tuple(figures), []).append((label, *cells))
+    return [Table(columns, tuple(rows)) for columns, rows in grouped.items()]
+
+
+def figure_groups(value: object, label: str) -> Iterator[tuple[str, Figures]]:
+    """Yield each object's own figures with the place where it stands."""
+    if isinstance(value, Mapping):
+        own = {str(key): item for key, item in value.items() if is_figure(item)}
+        if own:
+            yield label, own
+        for key, item in value.items():
+            yield from figure_groups(item, f"{label}.{key}".lstrip("."))
+    elif isinstance(value, Sequence) and not isinstance(value, str):
+        for number, item in enumerate(value):
+            yield f"{label}[{number}]", dict(flat_figures(item))
+
+
+def flat_figures(value: object, name: str = "") -> Iterator[tuple[str, Figure]]:
+    """Yield every figure inside a value with its dotted name."""
+    if isinstance(value, Mapping):
+        for key, item in value.items():
+            yield from flat_figures(item, f"{name}.{key}".lstrip("."))
+    elif isinstance(value, Sequence) and not isinstance(value, str):
+        for number, item in enumerate(value):
+            yield from flat_figures(item, f"{name}[{number}]")
+    elif is_figure(value):
+        yield name or "value", value
+
+
+def is_figure(value: object) -> TypeGuard[Figure]:
+    """Whether a value fills one cell."""
+    return value is None or isinstance(value, str | int | float)
+
+
+def format_figure(figure: Figure) -> str:
+    """Return a figure as it stands in a cell."""
+    if isinstance(figure, float):
+        return f"{figure:.6g}"
+    return str(figure).replace("|", "\\|").replace("\n", " ")
+
+
+def markdown_of(table: Table) -> str:
+    """Return a table in Markdown."""
+    lines = [
+        row_of(("", *table.columns)),
+        row_of(["---"] * (len(table.columns) + 1)),
+        *(row_of(row) for row in table.rows),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def row_of(cells: Sequence[str]) -> str:
+    """Return one row in Markdown."""
+    return "| " + " | ".join(cells) + " |"
