--- a/benchmarks/resume_model.py
+++ b/benchmarks/resume_model.py
@@ -58,7 +58,7 @@
     is_frozen: bool = False
     slow_factor: float = 1.0
     stutter_share: float = 0.0
-    streams: set[Stream] = field(default_factory=set)
+    streams: dict[Stream, None] = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
@@ -269,7 +269,7 @@
         if engine.is_dead:
             self.at(self.now + NETWORK_S, lambda: self.refuse(stream))
             return
-        engine.streams.add(stream)
+        engine.streams[stream] = None
         prompt_length = len(action.prompt_token_ids or PROMPT)
         self.totals.prompt_tokens += prompt_length
         first_s = FIRST_TOKEN_S + prompt_length * PROMPT_TOKEN_S
@@ -285,7 +285,7 @@
 
         def hear() -> None:
             stream.is_cancelled = True
-            stream.engine.streams.discard(stream)
+            stream.engine.streams.pop(stream, None)
 
         self.at(heard_at, hear)
 
@@ -320,7 +320,7 @@
 
         self.at(arrives_at, arrive)
         if is_last:
-            engine.streams.discard(stream)
+            engine.streams.pop(stream, None)
             return
         gap_s = TOKEN_GAP_S * self.random.uniform(1 - GAP_SPREAD, 1 + GAP_SPREAD)
         if self.random.random() < engine.stutter_share:
--- a/src/turmericusher/tasks/attempts.py
+++ b/src/turmericusher/tasks/attempts.py
@@ -39,6 +39,9 @@
         DeathCause.NEW_INCARNATION,
     }
 )
+RESUME_PRIORITY = 10
+"""What a resume is ahead of new work; lower is sooner, and urgencies end at 9."""
+
 FINAL_STATUSES = frozenset({400, 404, 413, 422})
 
 Inbox = asyncio.Queue[GenerationEvent | None]
@@ -175,8 +178,10 @@
 
 def engine_request(request: GenerationRequest, action: StartAttempt) -> EngineRequest:
     """Return what the engine gets: the caller's prompt, or the tokens so far."""
+    priority = request.profile.urgency
     if action.prompt_token_ids is not None:
         prompt, messages = None, None
+        priority -= RESUME_PRIORITY
         prompt_token_ids: tuple[int, ...] | None = action.prompt_token_ids
     else:
         prompt, messages = request.prompt, request.messages
@@ -187,7 +192,7 @@
         prompt_token_ids=prompt_token_ids,
         messages=messages,
         max_tokens=action.max_tokens,
-        priority=request.profile.urgency,
+        priority=priority,
         parameters=request.parameters,
         request_id=f"{request.request_id}-{action.attempt}",
     )
--- a/tests/matrix/test_generation_matrix.py
+++ b/tests/matrix/test_generation_matrix.py
@@ -147,6 +147,50 @@
             self.assertIs(Verdict.MAY_HAVE_RUN, failure(engines, request).verdict)
         self.assertEqual(1, len(engines.sent))
 
+    def test_a_resume_goes_ahead_of_all_new_work(self) -> None:
+        engines = FakeEngines([FaultAt(Fault.RESET, 3)])
+        self.assert_whole(run(engines, make_request(PROFILES["early"])))
+        first, resume = [request for _, request in engines.sent]
+        self.assertEqual(first.max_tokens, ANSWER_LENGTH)
+        self.assertEqual(resume.max_tokens, ANSWER_LENGTH - 3)
+        self.assertTrue(resume.priority < 0 <= first.priority)
+
+    def test_a_caller_that_leaves_cancels_the_work_at_once(self) -> None:
+        engines = FakeEngines([FaultAt(Fault.FREEZE, 3)])
+
+        async def leave() -> None:
+            context = make_context(engines)
+            request = make_request(PROFILES["when_dead"])
+            async with open_generation(context, request) as pieces:
+                await anext(aiter(pieces))
+                self.assertEqual(1, engines.open_streams)
+            self.assertEqual(0, engines.open_streams)
+            self.assertEqual({}, context.selector.in_flight)
+            await asyncio.sleep(0)
+            self.assertEqual({asyncio.current_task()}, asyncio.all_tasks())
+
+        asyncio.run(leave())
+
+    def test_heartbeats_come_while_an_engine_is_silent(self) -> None:
+        engines = FakeEngines(gap_s=0.03)
+
+        async def answer() -> list[AnswerPiece]:
+            context = make_context(engines)
+            context.heartbeat_s = 0.01
+            return await collect(context, make_request(PROFILES["when_dead"]))
+
+        pieces = asyncio.run(answer())
+        self.assertIn(AnswerPiece(), pieces)
+        self.assert_whole([piece for piece in pieces if piece != AnswerPiece()])
+
+    def test_no_upstream_is_said_within_the_wait(self) -> None:
+        engines = FakeEngines()
+        profile = Profile(name="p", max_wait_s=0.05)
+        error = failure(engines, make_request(profile, service="none"))
+        self.assertIs(ErrorCode.NO_UPSTREAM, error.code)
+        self.assertIs(Verdict.NOT_RUN, error.verdict)
+        self.assertIsNotNone(error.retry_after_s)
+
     def test_a_rejected_request_fails_at_once_and_was_not_run(self) -> None:
         engines = FakeEngines([FaultAt(Fault.REJECT)])
         error = failure(engines, make_request(PROFILES["early"]))
