--- a/src/turmericusher/api/draining.py
+++ b/src/turmericusher/api/draining.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from starlette.datastructures import Headers
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from turmericusher.api.errors import error_response
+from turmericusher.api.services import weaken_not_run
 from turmericusher.errors import RequestRefusedError
 from turmericusher.tasks.shutdown import Draining
 
@@ -28,6 +30,7 @@
             try:
                 self.draining.check_accepts()
             except RequestRefusedError as error:
+                weaken_not_run(Headers(scope=scope), error)
                 await error_response(error)(scope, receive, send)
                 return
         self.draining.in_flight += 1
--- a/src/turmericusher/client.py
+++ b/src/turmericusher/client.py
@@ -21,6 +21,7 @@
 from uuid6 import uuid7
 
 from turmericusher.client_answers import (
+    SETTLED_BY_REPEAT,
     STREAM_END,
     CallResult,
     ConnectionLostError,
@@ -97,12 +98,20 @@
     async def choose_address(self) -> str:
         """Return the address for the next connection, the healthy and near first."""
         now = self.clock()
-        if now >= self.entry_points.expires_at:
+        if now >= self.entry_points.expires_at or self.are_all_resting(now):
             await self.refresh_entry_points()
-        known = self.entry_points.known
-        if not known:
-            known = tuple(EntryPoint("", seed, "") for seed in self.options.seeds)
-        return min(known, key=lambda entry: self.rank(entry, now)).address
+        candidates = self.entry_points.known
+        if self.are_all_resting(now):
+            seeds = tuple(EntryPoint("", seed, "") for seed in self.options.seeds)
+            candidates += seeds
+        return min(candidates, key=lambda entry: self.rank(entry, now)).address
+
+    def are_all_resting(self, now: float) -> bool:
+        """Whether every known entry point failed lately, or none is known."""
+        resting = self.entry_points.resting
+        return all(
+            resting.get(entry.address, 0.0) > now for entry in self.entry_points.known
+        )
 
     def rank(self, entry: EntryPoint, now: float) -> tuple[float, bool, float]:
         """Return the sort key of an entry point."""
@@ -122,7 +131,9 @@
         for address in sorted(addresses, key=lambda a: resting.get(a, 0.0) > now):
             try:
                 body = await self.get_entry_points(address)
-            except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            except (aiohttp.ClientResponseError, ValueError):
+                continue
+            except (aiohttp.ClientError, TimeoutError, OSError):
                 self.rest(address)
                 continue
             self.take_entry_points(body)
@@ -303,8 +314,9 @@
             if error is None:
                 return CallResult(response.status, data, dict(response.headers))
             is_untouched = error.verdict is Verdict.NOT_RUN
-            is_running = error.code is ErrorCode.REQUEST_IN_PROGRESS
-            if is_running or (is_untouched and error.retry_after_s is not None):
+            is_settled_by_repeat = error.code in SETTLED_BY_REPEAT
+            may_be_mended = is_untouched or is_settled_by_repeat
+            if may_be_mended and error.retry_after_s is not None:
                 raise ElsewhereError(error)
             raise error
 
