--- a/src/turmericusher/api/completions.py
+++ b/src/turmericusher/api/completions.py
@@ -33,10 +33,16 @@
 )
 from turmericusher.api.errors import error_response
 from turmericusher.api.identity import PROFILE_HEADER, team_of
-from turmericusher.api.services import ATTEMPT_HEADER, KEY_HEADER, attempt_number
+from turmericusher.api.services import (
+    ATTEMPT_HEADER,
+    KEY_HEADER,
+    attempt_number,
+    weaken_not_run,
+)
 from turmericusher.decisions.requests import AnswerPiece, GenerationRequest
 from turmericusher.errors import ErrorCode, RequestRefusedError, TurmericusherError
 from turmericusher.logs import log_event
+from turmericusher.profiles import Profile
 from turmericusher.settings import Service, Settings
 from turmericusher.tasks.claimed import hash_of_request
 from turmericusher.tasks.instance import EntryRuntime
@@ -74,7 +80,7 @@
     body = parse_body(data, model)
     service = service_for_model(runtime.settings, body.model)
     name = request.headers.get(PROFILE_HEADER, service.default_profile)
-    profile = runtime.profiles.get(name)
+    profile = profile_of(runtime, request, name)
     request_id = uuid.uuid4().hex
     generation = replace(
         generation_from_body(body, request_id, team, profile, service.name),
@@ -88,6 +94,15 @@
     return StreamedAnswer(runtime, generation, shape)
 
 
+def profile_of(runtime: EntryRuntime, request: Request, name: str) -> Profile:
+    """Return the profile in force; raise when there is none."""
+    try:
+        return runtime.profiles.get(name)
+    except TurmericusherError as error:
+        weaken_not_run(request.headers, error)
+        raise
+
+
 def service_for_model(settings: Settings, model: str) -> Service:
     """Return the service that serves a model."""
     for service in settings.services:
--- a/src/turmericusher/api/services.py
+++ b/src/turmericusher/api/services.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from starlette.requests import Request
@@ -10,9 +10,15 @@
 from starlette.routing import Route
 
 from turmericusher.decisions.claims import UNNUMBERED
-from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.errors import (
+    ErrorCode,
+    RequestRefusedError,
+    TurmericusherError,
+    Verdict,
+)
 from turmericusher.ports.services import Headers, OutgoingCall, end_to_end_headers
 from turmericusher.tasks.calls import CallAnswer, CallRunner, ServiceCall
+from turmericusher.tasks.claimed import verdict_before_claim
 
 PROFILE_HEADER = "Turmericusher-Profile"
 ATTEMPT_HEADER = "Turmericusher-Attempt"
@@ -105,6 +111,17 @@
     )
 
 
+def weaken_not_run(headers: Mapping[str, str], error: TurmericusherError) -> None:
+    """Doubt a `not_run` that was decided without a look at the key's record.
+
+    An earlier request with the key may have run; only its first one excludes that.
+    """
+    if headers.get(KEY_HEADER) is None or error.verdict is not Verdict.NOT_RUN:
+        return
+    is_first = headers.get(ATTEMPT_HEADER) == "1"
+    error.verdict = verdict_before_claim(1 if is_first else UNNUMBERED)
+
+
 def response_of(answer: CallAnswer) -> Response:
     """Return the response for the caller."""
     response = Response(answer.answer.body, answer.answer.status)
--- a/src/turmericusher/client.py
+++ b/src/turmericusher/client.py
@@ -21,6 +21,7 @@
 from uuid6 import uuid7
 
 from turmericusher.client_answers import (
+    SETTLED_BY_REPEAT,
     STREAM_END,
     CallResult,
     ConnectionLostError,
@@ -313,8 +314,9 @@
             if error is None:
                 return CallResult(response.status, data, dict(response.headers))
             is_untouched = error.verdict is Verdict.NOT_RUN
-            is_running = error.code is ErrorCode.REQUEST_IN_PROGRESS
-            if is_running or (is_untouched and error.retry_after_s is not None):
+            is_settled_by_repeat = error.code in SETTLED_BY_REPEAT
+            may_be_mended = is_untouched or is_settled_by_repeat
+            if may_be_mended and error.retry_after_s is not None:
                 raise ElsewhereError(error)
             raise error
 
--- a/src/turmericusher/client_answers.py
+++ b/src/turmericusher/client_answers.py
@@ -40,6 +40,20 @@
 )
 """Errors that another entry instance need not give."""
 
+SETTLED_BY_REPEAT = frozenset(
+    {
+        ErrorCode.INSTANCE_STOPPING,
+        ErrorCode.INSTANCE_STALE,
+        ErrorCode.NO_UPSTREAM,
+        ErrorCode.OVERLOADED,
+        ErrorCode.REQUEST_IN_PROGRESS,
+        ErrorCode.STORE_UNAVAILABLE,
+        ErrorCode.WAIT_EXCEEDED,
+    }
+)
+"""Errors of a call whose fate a repeat with the same key may show, though by then it
+may have run."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedPiece:
--- a/tests/cover/test_client.py
+++ b/tests/cover/test_client.py
@@ -252,6 +252,16 @@
                 [],
                 [coded(ErrorCode.REQUEST_IN_PROGRESS, Verdict.MAY_HAVE_RUN)],
             ),
+            (
+                "store_down_at_a_repeat",
+                [],
+                [coded(ErrorCode.STORE_UNAVAILABLE, Verdict.MAY_HAVE_RUN)],
+            ),
+            (
+                "still_running",
+                [],
+                [coded(ErrorCode.WAIT_EXCEEDED, Verdict.MAY_HAVE_RUN)],
+            ),
         ]
     )
     def test_a_safe_repeat_has_the_same_key_and_the_next_number(
