--- /dev/null
+++ b/benchmarks/peers.py
@@ -0,0 +1,145 @@
+"""What the exchange costs each instance at several sizes of the fleet.
+
+All instances of a size run in one process, over real sockets, so processor time and
+memory include both ends of each question. Bytes are of messages without framing.
+`python -m benchmarks.peers --seed N --json` prints one JSON object.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import os
+import time
+from pathlib import Path
+
+import uvloop
+
+from turmericusher.decisions.rollout import ProfileRecord
+from turmericusher.decisions.suspicion import Charge
+from turmericusher.decisions.upstream_marks import LeavingMark
+from turmericusher.profiles import Profile
+from turmericusher.standins.local_fleet import (
+    LocalInstance,
+    running_fleet,
+    wait_until_met,
+)
+from turmericusher.standins.store import MemoryStore
+from turmericusher.tasks.profile_records import encode_record
+
+SIZES = (4, 8, 16, 32)
+MEASURED_S = 4.0
+SETTLE_S = 1.0
+MEETING_S = 4.0
+MEETS_ALL = 8
+UPSTREAMS = 15
+MARKS = 8
+CHARGES = 8
+PROFILES = 20
+
+
+def give_content(instance: LocalInstance) -> None:
+    """Give an instance as much to say as an ordinary day does."""
+    loads = {f"engine-{number}": 5 for number in range(UPSTREAMS)}
+    charges = [
+        Charge(f"{number:032d}", "engine-1", "incarnation", "quai-nord", 5, 1.0)
+        for number in range(CHARGES)
+    ]
+    instance.fleet.feeds.own_loads = lambda: loads
+    instance.fleet.feeds.own_charges = lambda limit: charges[:limit]
+    instance.fleet.take_marks(
+        LeavingMark(f"engine-{number}", "incarnation") for number in range(MARKS)
+    )
+
+
+def resident_bytes() -> int:
+    """Return the process's resident memory."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+async def measure(size: int, seed: int) -> dict[str, float]:
+    """Return the cost for each instance of a fleet of the given size."""
+    gc.collect()
+    memory_before = resident_bytes()
+    store = MemoryStore()
+    async with running_fleet(store, size, seed) as instances:
+        for number in range(PROFILES):
+            record = ProfileRecord(Profile(f"p{number}"), 0)
+            store.write(
+                instances[0].table.profile_key(f"p{number}"), encode_record(record)
+            )
+        for one in instances:
+            give_content(one)
+        if size <= MEETS_ALL:
+            await wait_until_met(instances)
+        else:
+            await asyncio.sleep(MEETING_S)
+        await asyncio.sleep(SETTLE_S)
+        before = totals(instances)
+        calls_before = store.counts.reads + store.counts.writes
+        processor_before = time.process_time()
+        started_at = time.monotonic()
+        await asyncio.sleep(MEASURED_S)
+        elapsed_s = time.monotonic() - started_at
+        processor_s = time.process_time() - processor_before
+        after = totals(instances)
+        calls = store.counts.reads + store.counts.writes - calls_before
+        memory = resident_bytes() - memory_before
+    pulls, sent, received = (a - b for a, b in zip(after, before, strict=True))
+    share = 1 / size / elapsed_s
+    return {
+        "instances": size,
+        "messages_per_s": round(2 * pulls * share, 3),
+        "bytes_asked_per_s": round((sent + received) * share, 1),
+        "bytes_per_answer": round(received / max(1, pulls), 1),
+        "processor_percent": round(100 * processor_s * share, 3),
+        "store_calls_per_s": round(calls * share, 3),
+        "memory_kib": round(memory / size / 1024, 1),
+    }
+
+
+def totals(instances: list[LocalInstance]) -> tuple[int, int, int]:
+    """Return the questions and bytes of all instances so far."""
+    exchanges = [one.exchange for one in instances]
+    return (
+        sum(one.pulls for one in exchanges),
+        sum(one.bytes_sent for one in exchanges),
+        sum(one.bytes_received for one in exchanges),
+    )
+
+
+def slope(rows: list[dict[str, float]], name: str) -> float:
+    """Return the least-squares growth of a figure for each instance more."""
+    sizes = [row["instances"] for row in rows]
+    values = [row[name] for row in rows]
+    mean_size = sum(sizes) / len(sizes)
+    mean_value = sum(values) / len(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    joint = sum(
+        (size - mean_size) * (value - mean_value)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return round(joint / spread, 4)
+
+
+def main() -> None:
+    """Run the benchmark and print its figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    arguments = parser.parse_args()
+    rows = [uvloop.run(measure(size, arguments.seed)) for size in SIZES]
+    names = [name for name in rows[0] if name != "instances"]
+    figures = {
+        "seed": arguments.seed,
+        "per_instance": rows,
+        "slope_per_instance_more": {name: slope(rows, name) for name in names},
+    }
+    print(json.dumps(figures, indent=None if arguments.json else 2))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/rollout.py
@@ -0,0 +1,234 @@
+"""Time from an accepted change to its being in force on every instance.
+
+Eight instances run in one process over one store stand-in and real peer sockets.
+`python -m benchmarks.rollout --seed N --json` prints one JSON object.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import uvloop
+
+from turmericusher.decisions.rollout import ProfileChange
+from turmericusher.errors import TurmericusherError
+from turmericusher.profiles import Profile
+from turmericusher.standins.local_fleet import (
+    LocalInstance,
+    running_fleet,
+    wait_until_met,
+)
+from turmericusher.standins.store import MemoryStore
+
+SIZE = 8
+CHANGES = 40
+OUTAGES = 6
+IDLE_S = 8.0
+STALE_AFTER_S = 10.0
+POLL_S = 0.002
+LIMIT_S = 19.0
+MAX_LOOPS = 1_000_000
+
+Fault = Callable[["Bench"], None]
+
+
+@dataclass
+class Timing:
+    """Seconds that one change took."""
+
+    accepted: float
+    everywhere: float
+
+    @property
+    def after_acceptance(self) -> float:
+        """Seconds from acceptance to in force everywhere."""
+        return max(0.0, self.everywhere - self.accepted)
+
+
+@dataclass
+class Bench:
+    """The fleet under measurement."""
+
+    store: MemoryStore
+    instances: list[LocalInstance]
+    rng: random.Random
+    revision: int = 0
+    changes: int = 0
+    refused: dict[str, int] = field(default_factory=dict)
+
+    async def measure_change(
+        self, is_done: Callable[[LocalInstance, int], bool]
+    ) -> Timing:
+        """Make one change at a random instance and time it."""
+        self.changes += 1
+        urgency = self.changes % 10
+        writer = self.rng.choice(
+            [one for one in self.instances if not one.store.is_cut]
+        )
+        change = ProfileChange(
+            Profile("sheets", urgency=urgency), self.revision, f"change-{self.changes}"
+        )
+        started_at = time.monotonic()
+        changing = asyncio.create_task(self.accepted_at(writer, change))
+        revision = self.revision
+        while not all(is_done(one, revision + 1) for one in self.instances):
+            if time.monotonic() - started_at > LIMIT_S:
+                raise AssertionError("not in force everywhere within the bound")
+            await asyncio.sleep(POLL_S)
+        everywhere_at = time.monotonic()
+        accepted_at = await changing
+        return Timing(accepted_at - started_at, everywhere_at - started_at)
+
+    async def accepted_at(self, writer: LocalInstance, change: ProfileChange) -> float:
+        """Make a change until it is accepted; return the time."""
+        while True:
+            try:
+                accepted = await writer.changer.change(change)
+            except TurmericusherError as error:
+                code = error.code.value
+                self.refused[code] = self.refused.get(code, 0) + 1
+                await asyncio.sleep(0.1)
+                continue
+            self.revision = accepted.record.revision
+            return time.monotonic()
+
+
+def is_in_force(instance: LocalInstance, revision: int) -> bool:
+    """Whether an instance has the change."""
+    record = instance.table.rollout.records.get("sheets")
+    return record is not None and record.revision >= revision
+
+
+def is_in_force_or_refusing(instance: LocalInstance, revision: int) -> bool:
+    """Whether an instance takes no work by the replaced profile."""
+    return is_in_force(instance, revision) or not instance.table.is_current()
+
+
+def summary(timings: list[Timing]) -> dict[str, float]:
+    """Return the percentiles of some changes, in milliseconds."""
+    after = sorted(one.after_acceptance * 1000 for one in timings)
+    everywhere = sorted(one.everywhere * 1000 for one in timings)
+    accepted = sorted(one.accepted * 1000 for one in timings)
+    return {
+        "changes": len(timings),
+        "accepted_p50_ms": round(statistics.median(accepted), 1),
+        "accepted_max_ms": round(accepted[-1], 1),
+        "sent_to_everywhere_p50_ms": round(statistics.median(everywhere), 1),
+        "sent_to_everywhere_p95_ms": round(percentile(everywhere, 0.95), 1),
+        "sent_to_everywhere_max_ms": round(everywhere[-1], 1),
+        "accepted_to_everywhere_p50_ms": round(statistics.median(after), 1),
+        "accepted_to_everywhere_p95_ms": round(percentile(after, 0.95), 1),
+        "accepted_to_everywhere_max_ms": round(after[-1], 1),
+    }
+
+
+def percentile(ordered: list[float], share: float) -> float:
+    """Return the value that a share of the values does not exceed."""
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+async def measure_faultless(bench: Bench) -> dict[str, float]:
+    """Measure changes without faults."""
+    return summary([await bench.measure_change(is_in_force) for _ in range(CHANGES)])
+
+
+async def measure_lost_replies(bench: Bench) -> dict[str, float]:
+    """Measure changes whose first write takes effect and whose reply is lost."""
+    timings = []
+    for _ in range(CHANGES):
+        bench.store.faults.lose_replies = 1
+        timings.append(await bench.measure_change(is_in_force))
+    return summary(timings)
+
+
+async def measure_without_watch(bench: Bench) -> dict[str, float]:
+    """Measure changes after whose write nobody reaches the store any more."""
+    timings = []
+    for _ in range(OUTAGES):
+        cutting = asyncio.create_task(cut_after_write(bench))
+        timings.append(await bench.measure_change(is_in_force))
+        await cutting
+        for one in bench.instances:
+            one.store.is_cut = False
+        await asyncio.sleep(0.5)
+    return summary(timings)
+
+
+async def cut_after_write(bench: Bench) -> None:
+    """Cut every instance off from the store as soon as the next write stands."""
+    key = bench.instances[0].table.profile_key("sheets")
+    before = bench.store.values[key].revision
+    for _ in range(MAX_LOOPS):
+        if bench.store.values[key].revision != before:
+            break
+        await asyncio.sleep(0)
+    for one in bench.instances:
+        one.store.is_cut = True
+
+
+async def measure_one_cut_off(bench: Bench, from_peers: bool) -> dict[str, float]:
+    """Measure changes while one instance is cut off.
+
+    Without peers it cannot learn of the change: the time is then the one until it
+    refuses new work.
+    """
+    cut = bench.instances[-1]
+    cut.store.is_cut = True
+    cut.exchange.is_cut = from_peers
+    is_done = is_in_force_or_refusing if from_peers else is_in_force
+    count = 1 if from_peers else OUTAGES
+    timings = [await bench.measure_change(is_done) for _ in range(count)]
+    cut.cut(False)
+    return summary(timings)
+
+
+async def measure_idle(bench: Bench) -> dict[str, float]:
+    """Measure the calls that the store takes from an idle fleet."""
+    counts = bench.store.counts
+    before = counts.reads + counts.writes
+    await asyncio.sleep(IDLE_S)
+    calls = counts.reads + counts.writes - before
+    return {
+        "store_calls_per_s": round(calls / IDLE_S, 2),
+        "store_calls_per_s_per_instance": round(calls / IDLE_S / SIZE, 3),
+    }
+
+
+async def run(seed: int) -> dict[str, object]:
+    """Run every measurement on one fleet."""
+    store = MemoryStore()
+    async with running_fleet(store, SIZE, seed, STALE_AFTER_S) as instances:
+        bench = Bench(store, instances, random.Random(seed))
+        await wait_until_met(instances)
+        return {
+            "seed": seed,
+            "instances": SIZE,
+            "faultless": await measure_faultless(bench),
+            "reply_lost": await measure_lost_replies(bench),
+            "store_lost_after_write": await measure_without_watch(bench),
+            "one_cut_off_from_store": await measure_one_cut_off(bench, False),
+            "one_cut_off_from_all": await measure_one_cut_off(bench, True),
+            "idle": await measure_idle(bench),
+            "refusals_repeated": bench.refused,
+        }
+
+
+def main() -> None:
+    """Run the benchmark and print its figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    arguments = parser.parse_args()
+    figures = uvloop.run(run(arguments.seed))
+    print(json.dumps(figures, indent=None if arguments.json else 2))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/turmericusher/decisions/membership.py
+++ b/src/turmericusher/decisions/membership.py
@@ -285,13 +285,17 @@
     )
     lifecycle = Lifecycle.LEAVING if is_leaving else Lifecycle.LIVE
     state = max(held.state, claim.state, key=lambda one: one.heartbeat)
+    if stronger.instance.lifecycle is lifecycle and stronger.state is state:
+        return stronger
     instance = replace(stronger.instance, lifecycle=lifecycle)
     return replace(stronger, instance=instance, state=state)
 
 
 def is_news(held: MemberClaim, merged: MemberClaim) -> bool:
     """Whether a claim says more than a later heartbeat."""
-    return replace(merged, state=held.state) != held
+    if merged.precedence != held.precedence:
+        return True
+    return merged.instance != held.instance
 
 
 def is_gone(member: Member) -> bool:
--- a/src/turmericusher/decisions/rollout.py
+++ b/src/turmericusher/decisions/rollout.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from turmericusher.errors import ConflictError, ErrorCode, RequestRefusedError, Verdict
@@ -283,7 +283,13 @@
         sent = tuple(newer[:max_records])
         return PeerRecords(sent, self.cursor_in_force, age_s, is_whole, self.is_voter)
 
-    def is_current(self, now: float, bound_s: float, hears_majority: bool) -> bool:
+    def is_fresh(self, now: float, bound_s: float) -> bool:
+        """Whether a read of the store, by whomever, is known to be recent."""
+        return self.fresh_as_of is not None and now - self.fresh_as_of <= bound_s
+
+    def is_current(
+        self, now: float, bound_s: float, hears_majority: Callable[[float], bool]
+    ) -> bool:
         """Whether new work may be taken.
 
         A change is accepted only once a majority of the instances holds it. While no
@@ -292,7 +298,7 @@
         """
         if self.fresh_as_of is None:
             return False
-        return now - self.fresh_as_of <= bound_s or hears_majority
+        return self.is_fresh(now, bound_s) or hears_majority(now)
 
     def lookup(self, name: str) -> Profile:
         """Return the profile in force; raise `RequestRefusedError` without one."""
--- a/src/turmericusher/standins/local_fleet.py
+++ b/src/turmericusher/standins/local_fleet.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import uuid
 from collections.abc import AsyncIterator
@@ -34,6 +35,8 @@
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
 
 STORE_PREFIX = "/local/"
+MEETING_LIMIT_S = 30.0
+MEETING_POLL_S = 0.05
 DOMAINS = ("quai-nord", "quai-sud", "bureau-criee")
 
 
@@ -184,3 +187,18 @@
             stack.push_async_callback(instance.stack.aclose)
             instances.append(instance)
         yield instances
+
+
+def has_met(instance: LocalInstance, others: int) -> bool:
+    """Whether as many peers as given have answered an instance."""
+    members = instance.fleet.membership.members.values()
+    return sum(member.answered_at is not None for member in members) >= others
+
+
+async def wait_until_met(instances: list[LocalInstance]) -> None:
+    """Return once every instance has answered every other."""
+    for _ in range(int(MEETING_LIMIT_S / MEETING_POLL_S)):
+        if all(has_met(one, len(instances) - 1) for one in instances):
+            return
+        await asyncio.sleep(MEETING_POLL_S)
+    raise TimeoutError(f"the instances did not meet within {MEETING_LIMIT_S} s")
--- a/src/turmericusher/tasks/peers.py
+++ b/src/turmericusher/tasks/peers.py
@@ -45,6 +45,7 @@
     """Asks peers and feeds their answers to the fleet view.
 
     `channels` are the open connections by peer address, the least recently used first.
+    The counts of bytes are of messages without their framing.
     """
 
     fleet: Fleet
@@ -54,6 +55,8 @@
     hurried_at: float = 0.0
     pulls: int = 0
     failures: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
 
     async def run(self) -> None:
         """Ask one peer after another, for ever."""
@@ -88,7 +91,9 @@
         request = question_to_wire(self.fleet.question_for(name))
         try:
             stub = ExchangeStub(self.channel_to(address))
+            self.bytes_sent += request.ByteSize()
             wire = await stub.Pull(request, timeout=PULL_TIMEOUT_S)
+            self.bytes_received += wire.ByteSize()
             self.fleet.take_answer(answer_from_wire(wire), asked_at)
         except PULL_ERRORS:
             self.failures += 1
--- a/src/turmericusher/tasks/profile_watch.py
+++ b/src/turmericusher/tasks/profile_watch.py
@@ -86,9 +86,8 @@
 
     def is_current(self) -> bool:
         """Whether new work may be taken."""
-        now = self.clock()
         return self.rollout.is_current(
-            now, self.stale_after_s, self.hears_majority(now)
+            self.clock(), self.stale_after_s, self.hears_majority
         )
 
     def check_current(self) -> None:
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -1,7 +1,6 @@
 """Instances exchange over real sockets, whatever peers send or fail to send."""
 
 import asyncio
-from collections.abc import Callable
 
 from testtools import TestCase
 
@@ -22,27 +21,16 @@
     question_to_wire,
 )
 from turmericusher.profiles import Profile
-from turmericusher.standins.local_fleet import LocalInstance, running_fleet
+from turmericusher.standins.local_fleet import (
+    LocalInstance,
+    running_fleet,
+    wait_until_met,
+)
 from turmericusher.standins.store import MemoryStore
 
 SHEETS = Profile("sheets", urgency=2)
 
 
-def all_met(instances: list[LocalInstance]) -> Callable[[], bool]:
-    others = len(instances) - 1
-
-    def is_met() -> bool:
-        answered = [
-            sum(
-                m.answered_at is not None for m in one.fleet.membership.members.values()
-            )
-            for one in instances
-        ]
-        return answered == [others] * len(instances)
-
-    return is_met
-
-
 def names_at(instance: LocalInstance) -> set[str]:
     return {one.name for one in instance.fleet.entrypoints("")}
 
@@ -54,7 +42,7 @@
     ) -> None:
         async with running_fleet(MemoryStore(), 3, seed=1) as instances:
             first, _, cut = instances
-            await wait_until(all_met(instances))
+            await wait_until_met(instances)
             cut.store.is_cut = True
             accepted = await first.changer.change(ProfileChange(SHEETS, 0, "change-1"))
             self.assertTrue(accepted.status.is_held_by_majority)
@@ -66,7 +54,7 @@
         store = MemoryStore()
         async with running_fleet(store, 3, seed=2, stale_after_s=3.0) as instances:
             alone = instances[2]
-            await wait_until(all_met(instances))
+            await wait_until_met(instances)
             alone.exchange.is_cut = True
             store.faults.down = True
             await wait_until(lambda: not alone.table.is_current())
@@ -84,7 +72,7 @@
             UpstreamInstance("u1", "s", UpstreamKind.ENGINE, "x", "d", incarnation="a")
         ]
         async with running_fleet(MemoryStore(), 3, seed=3) as instances:
-            await wait_until(all_met(instances))
+            await wait_until_met(instances)
             first, _, last = instances
             charges: list[Charge] = []
             loads: dict[str, int] = {}
--- /dev/null
+++ b/tests/processes/test_fleet_processes.py
@@ -0,0 +1,178 @@
+"""Entry instances as processes: a rolling restart under load cuts nothing."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import urllib.error
+import urllib.request
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from typing import Any
+
+from testtools import TestCase
+
+from tests.common.processes import (
+    OPERATOR_TOKEN,
+    Deployment,
+    DeploymentOptions,
+    RunningProcess,
+    deployed,
+    get_json,
+    post_json,
+    started_process,
+    wait_until_ready,
+)
+from tests.processes.test_path import stream_completion
+from turmericusher.standins.token_model import encode_prompt, unbroken_answer
+
+TTL_S = 1.0
+TOKENS = 40
+CALLERS = 4
+STOP_LIMIT_S = 40.0
+SPREAD_LIMIT_S = 3.0
+OPTIONS = DeploymentOptions(
+    entries=3,
+    engines=2,
+    services=1,
+    extra_settings={"entrypoint_ttl_s": TTL_S, "stop": {"drain_limit_s": 20.0}},
+)
+OPERATOR = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+
+
+@dataclass
+class Caller:
+    """Asks for the entry points, keeps the answer as long as it may, and uses it."""
+
+    number: int
+    addresses: list[str]
+    stopped: threading.Event
+    answered: int = 0
+    used: set[str] = field(default_factory=set)
+    faults: list[str] = field(default_factory=list)
+    kept: list[str] = field(default_factory=list)
+    kept_until: float = 0.0
+
+    def run(self) -> None:
+        while not self.stopped.is_set():
+            address = self.first_address()
+            self.used.add(address)
+            try:
+                self.check_answer(address)
+                post_json(address, "/v1/services/ledger/book", {"lot": self.answered})
+            except (OSError, ValueError, AssertionError) as error:
+                self.faults.append(f"{address}: {error!r}")
+            self.answered += 1
+
+    def first_address(self) -> str:
+        if time.monotonic() >= self.kept_until:
+            self.kept = self.ask()
+            self.kept_until = time.monotonic() + TTL_S
+        return self.kept[0]
+
+    def ask(self) -> list[str]:
+        """Ask any instance that listens; one that restarts does not."""
+        for address in self.addresses[self.number % 3 :] + self.addresses:
+            asked_at = time.monotonic()
+            try:
+                answer = get_json(address, "/v1/entrypoints")
+            except OSError:
+                continue
+            if answer["entrypoints"] and time.monotonic() - asked_at < TTL_S:
+                return [entry["address"] for entry in answer["entrypoints"]]
+        raise AssertionError("no instance gives an entry point")
+
+    def check_answer(self, address: str) -> None:
+        prompt = f"caller {self.number} request {self.answered}"
+        body = {
+            "model": "model",
+            "prompt": prompt,
+            "max_tokens": TOKENS,
+            "return_token_ids": True,
+        }
+        tokens: list[int] = []
+        for event in stream_completion(address, body):
+            if "error" in event:
+                raise AssertionError(event["error"])
+            tokens += event["choices"][0]["token_ids"]
+        if tuple(tokens) != unbroken_answer(encode_prompt(prompt), 0, TOKENS):
+            raise AssertionError(f"{len(tokens)} tokens are not the whole answer")
+
+
+class FleetProcessTest(TestCase):
+    def test_a_rolling_restart_under_load_cuts_nothing(self) -> None:
+        with ExitStack() as stack:
+            system = stack.enter_context(deployed(OPTIONS))
+            self.wait_for_entrypoints(system, 3)
+            stopped = threading.Event()
+            addresses = [entry.address for entry in system.entries]
+            callers = [Caller(n, addresses, stopped) for n in range(CALLERS)]
+            threads = [threading.Thread(target=caller.run) for caller in callers]
+            for thread in threads:
+                thread.start()
+            try:
+                for entry in system.entries:
+                    self.restart(entry, stack)
+                    self.wait_for_entrypoints(system, 3)
+            finally:
+                stopped.set()
+                for thread in threads:
+                    thread.join()
+            self.assertEqual([], [fault for one in callers for fault in one.faults])
+            self.assertGreater(min(caller.answered for caller in callers), 5)
+            self.assertEqual(set(addresses), set().union(*(c.used for c in callers)))
+            self.check_profile_and_leaving(system)
+
+    def restart(self, entry: RunningProcess, stack: ExitStack) -> None:
+        assert entry.log_path is not None
+        folder = entry.log_path.parent
+        entry.terminate()
+        self.assertEqual(0, entry.popen.wait(STOP_LIMIT_S))
+        arguments = ["serve", str(folder / f"{entry.name}.yaml")]
+        started = stack.enter_context(started_process(entry.name, arguments, folder))
+        started.address = entry.address
+        wait_until_ready(started)
+
+    def wait_for_entrypoints(self, system: Deployment, count: int) -> None:
+        deadline = time.monotonic() + STOP_LIMIT_S
+        while time.monotonic() < deadline:
+            counts = [
+                len(get_json(entry.address, "/v1/entrypoints")["entrypoints"])
+                for entry in system.entries
+            ]
+            if counts == [count] * len(counts):
+                return
+            time.sleep(0.1)
+        raise AssertionError(f"entry points: {counts}")
+
+    def check_profile_and_leaving(self, system: Deployment) -> None:
+        """Check that one instance's change and mark hold at another one."""
+        here, there = system.entries[0].address, system.entries[2].address
+        profile = put_profile(here, "urgent", {"urgency": 1, "expected_revision": 0})
+        rollout = get_json(there, "/v1/operator/profiles/urgent/rollout", OPERATOR)
+        self.assertEqual(profile["revision"], rollout["revision"])
+        self.assertEqual(3, len(rollout["in_force"] + rollout["missing"]))
+        post_json(here, "/v1/operator/upstreams/engine-0/leave", {}, OPERATOR)
+        time.sleep(SPREAD_LIMIT_S)
+        engine = system.engines[0].address
+        before = get_json(engine, "/control/counts")
+        body = {"model": "model", "prompt": "after the mark", "max_tokens": 4}
+        for _ in range(8):
+            post_json(there, "/v1/completions", body)
+        self.assertEqual(before, get_json(engine, "/control/counts"))
+
+
+def put_profile(address: str, name: str, fields: dict[str, Any]) -> Any:
+    """Change a profile as an operator does."""
+    request = urllib.request.Request(
+        f"http://{address}/v1/operator/profiles/{name}",
+        data=json.dumps({**fields, "change_id": "change-0001"}).encode(),
+        headers={"Content-Type": "application/json", **OPERATOR},
+        method="PUT",
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=STOP_LIMIT_S) as response:
+            return json.loads(response.read())
+    except urllib.error.HTTPError as error:
+        raise AssertionError(error.read()) from error
