Mark an upstream that answers that it is shutting down

Cause: the platform's list lags, and a stopping engine says so itself. Ruled out: any 503 (an overloaded engine gives it too), and a 503 that closes from an engine never heard before (a starting one may give it). Change: a load page answered 503 with Connection: close marks the incarnation. For users: a stopping engine gets no new work before the list shows it.

--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -116,9 +116,6 @@
                 rng=settings.random_for("profiles"),
             )
         )
-        admission = await stack.enter_async_context(
-            running_load_control(settings, selector)
-        )
         engine = await stack.enter_async_context(open_engine_port())
         generation = make_generation_context(
             engine,
@@ -129,6 +126,9 @@
         parts = await stack.enter_async_context(
             running_fleet_parts(settings, store, profiles, feeds)
         )
+        admission = await stack.enter_async_context(
+            running_load_control(settings, selector, parts.fleet.mark_upstream)
+        )
         feeds.marks_changed = lambda: selector.update(parts.fleet.upstreams())
         await stack.enter_async_context(
             running_instance_list(
--- a/src/turmericusher/tasks/load_control.py
+++ b/src/turmericusher/tasks/load_control.py
@@ -20,14 +20,20 @@
 from turmericusher.settings import Service, Settings
 from turmericusher.tasks.admission import Admission, admitted, running_admission
 from turmericusher.tasks.calls import CallAdmission, ServiceCall
-from turmericusher.tasks.load_reports import poll_load
+from turmericusher.tasks.load_reports import (
+    LeavingListener,
+    ignore_leaving,
+    poll_load,
+)
 
 SEED_BITS = 32
 
 
 @asynccontextmanager
 async def running_load_control(
-    settings: Settings, selector: Selector
+    settings: Settings,
+    selector: Selector,
+    on_leaving: LeavingListener = ignore_leaving,
 ) -> AsyncIterator[Admission]:
     """Run admission, its limits and the reading of load pages."""
     services = {service.name: service for service in settings.services}
@@ -39,7 +45,8 @@
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         polling = asyncio.create_task(
-            poll_load(selector, session, seed), name="load-reports"
+            poll_load(selector, session, seed, on_leaving=on_leaving),
+            name="load-reports",
         )
         try:
             yield await stack.enter_async_context(
--- a/src/turmericusher/tasks/load_reports.py
+++ b/src/turmericusher/tasks/load_reports.py
@@ -17,6 +17,14 @@
 ROUND_S = 0.5
 PAGE_TIMEOUT_S = 1.0
 MAX_PAGE_BYTES = 65_536
+SERVICE_UNAVAILABLE = 503
+
+
+LeavingListener = Callable[[UpstreamInstance], None]
+
+
+def ignore_leaving(_upstream: UpstreamInstance) -> None:
+    """Stand in for an instance that keeps no leaving marks."""
 
 
 async def poll_load(
@@ -24,6 +32,7 @@
     session: aiohttp.ClientSession,
     seed: int,
     clock: Callable[[], float] = time.monotonic,
+    on_leaving: LeavingListener = ignore_leaving,
 ) -> None:
     """Read a few pages each round until cancelled, and tell the selector the time."""
     plan = PollPlan(random.Random(seed))
@@ -32,30 +41,49 @@
         names = frozenset[str]().union(*selector.subset_names.values())
         chosen = plan.next_round(names, clock())
         await asyncio.gather(
-            *(read_into(selector, session, selector.upstreams[n]) for n in chosen)
+            *(
+                read_into(selector, session, selector.upstreams[name], on_leaving)
+                for name in chosen
+            )
         )
         await asyncio.sleep(ROUND_S)
 
 
 async def read_into(
-    selector: Selector, session: aiohttp.ClientSession, upstream: UpstreamInstance
+    selector: Selector,
+    session: aiohttp.ClientSession,
+    upstream: UpstreamInstance,
+    on_leaving: LeavingListener = ignore_leaving,
 ) -> None:
-    """Read one page; an upstream without a usable page keeps its older report."""
-    report = await read_page(session, upstream.address)
-    if report is not None:
-        selector.merge_report(upstream.name, report)
+    """Read one page; an upstream without a usable page keeps its older report.
 
-
-async def read_page(session: aiohttp.ClientSession, address: str) -> LoadReport | None:
-    """Return the load that an upstream reports, or None."""
+    A starting upstream may answer like a stopping one, so only an upstream that has
+    given a report before is taken at its word that it is leaving.
+    """
     timeout = aiohttp.ClientTimeout(total=PAGE_TIMEOUT_S)
+    url = f"http://{upstream.address}/metrics"
     try:
-        async with session.get(f"http://{address}/metrics", timeout=timeout) as answer:
-            if answer.status != 200:
-                return None
-            body = await read_bounded(answer)
+        async with session.get(url, timeout=timeout) as answer:
+            if is_leaving(answer) and upstream.name in selector.load.reports:
+                on_leaving(upstream)
+            report = await read_report(answer)
     except (aiohttp.ClientError, TimeoutError, OSError):
+        return
+    if report is not None:
+        selector.merge_report(upstream.name, report)
+
+
+def is_leaving(answer: aiohttp.ClientResponse) -> bool:
+    """Whether an upstream answers that it is shutting down."""
+    closes = answer.headers.get("Connection", "").lower() == "close"
+    return answer.status == SERVICE_UNAVAILABLE and closes
+
+
+async def read_report(answer: aiohttp.ClientResponse) -> LoadReport | None:
+    """Return the load that a page reports, or None."""
+    if answer.status != 200:
         return None
+    body = await read_bounded(answer)
     return parse_load_page(body.decode("utf-8", errors="replace"))
 
 
--- a/src/turmericusher/tasks/membership.py
+++ b/src/turmericusher/tasks/membership.py
@@ -198,13 +198,16 @@
         """Return the platform's list with the leaving marks applied."""
         return self.marks.apply(self.listed, self.table.clock())
 
+    def mark_upstream(self, upstream: UpstreamInstance) -> None:
+        """Mark an incarnation of an upstream as leaving."""
+        self.take_marks((mark_of(upstream),))
+
     def mark_leaving(self, name: str) -> LeavingMark:
         """Mark the listed incarnation of an upstream as leaving."""
         for upstream in self.listed:
             if upstream.name == name:
-                mark = mark_of(upstream)
-                self.take_marks((mark,))
-                return mark
+                self.mark_upstream(upstream)
+                return mark_of(upstream)
         raise RequestRefusedError(
             ErrorCode.NO_UPSTREAM,
             f"upstream={name!r} is not in the platform's list; check the name",
--- a/tests/cover/test_load_reports.py
+++ b/tests/cover/test_load_reports.py
@@ -79,3 +79,38 @@
             return chooser
 
         self.assertEqual(expected, len(asyncio.run(scenario()).load.reports))
+
+    @parameterized.expand(
+        [
+            ("stopping", True, 503, "close", 1),
+            ("starting", False, 503, "close", 0),
+            ("overloaded", True, 503, "keep-alive", 0),
+            ("well", True, 200, "close", 0),
+        ]
+    )
+    def test_an_upstream_is_taken_at_its_word_that_it_is_leaving(
+        self, _name, is_known, status, connection, expected
+    ) -> None:
+        async def answer(request: web.Request) -> web.Response:
+            headers = {"Connection": connection}
+            return web.Response(text=PAGE, status=status, headers=headers)
+
+        async def scenario() -> int:
+            app = web.Application()
+            app.router.add_get("/metrics", answer)
+            runner = web.AppRunner(app)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            address = f"127.0.0.1:{runner.addresses[0][1]}"
+            engine = UpstreamInstance("u0", "s", UpstreamKind.ENGINE, address, "d")
+            chooser = Selector(random.Random(1))
+            chooser.update([engine])
+            if is_known:
+                chooser.merge_report("u0", LoadReport(1.0, 0.0))
+            marked: list[UpstreamInstance] = []
+            async with aiohttp.ClientSession() as session:
+                await read_into(chooser, session, engine, marked.append)
+            await runner.cleanup()
+            return len(marked)
+
+        self.assertEqual(expected, asyncio.run(scenario()))
