--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -48,7 +48,14 @@
 from turmericusher.decisions.upstream_load import LoadReport
 
 LOADS = (0.5, 0.9, 1.2, 2.0, 3.0)
-POLICIES = ("turmericusher", "round_robin", "least_reported")
+POLICIES = (
+    "turmericusher",
+    "admission_round_robin",
+    "admission_least_reported",
+    "round_robin",
+    "least_reported",
+)
+"""The whole policy, its admission with other selections, and the two baselines."""
 SERVICE = "redacteur"
 CAPACITY = ENGINES * CAPACITY_PER_ENGINE
 LIST_LAG_S = 5.0
@@ -93,9 +100,9 @@
     count: int = 0
 
     @property
-    def is_ours(self) -> bool:
-        """Whether the run uses the project's admission and selection."""
-        return self.policy == "turmericusher"
+    def has_admission(self) -> bool:
+        """Whether the run uses the project's admission and budgets."""
+        return self.policy not in ("round_robin", "least_reported")
 
     def arrive(self, team: str, rate: float) -> None:
         """Let one request of a team arrive and plan the team's next."""
@@ -114,7 +121,7 @@
         entry.jobs[job.number] = job
         late_s = job.late_after - now
         self.simulation.after(late_s, lambda: self.give_up(job))
-        if not self.is_ours:
+        if not self.has_admission:
             self.outcomes.accepted += 1
             self.send(entry, job, frozenset(), False)
             return
@@ -170,11 +177,11 @@
     ) -> UpstreamInstance | None:
         """Return the upstream that the policy picks."""
         entry.selector.advance(self.simulation.now)
-        if self.is_ours:
+        if self.policy == "turmericusher":
             request = PickRequest(SERVICE, avoided_domains=avoided, is_resume=is_resume)
             return entry.selector.pick(request)
         known = list(entry.selector.upstreams.values())
-        if self.policy == "round_robin":
+        if self.policy.endswith("round_robin"):
             entry.turn += 1
             return known[entry.turn % len(known)]
         reports = entry.selector.load.reports
@@ -184,14 +191,14 @@
         self, entry: Entry, job: Job, avoided: frozenset[str], is_resume: bool
     ) -> None:
         """Send again after a failure, as far as the budget allows."""
-        if self.is_ours and is_resume and not entry.resumes.is_open():
+        if self.has_admission and is_resume and not entry.resumes.is_open():
             self.outcomes.resumes_delayed += not job.waits_at_gate
             job.waits_at_gate = True
             self.simulation.after(
                 GATE_POLL_S, lambda: self.repeat(entry, job, avoided, is_resume)
             )
             return
-        if self.is_ours and not is_resume and not entry.retries.spend():
+        if self.has_admission and not is_resume and not entry.retries.spend():
             self.outcomes.repeats_refused += 1
             self.end(entry, job)
             return
