--- a/src/turmericusher/decisions/admission.py
+++ b/src/turmericusher/decisions/admission.py
@@ -93,6 +93,7 @@
         if budget_s <= 0:
             text = f"deadline passed {-budget_s:.3f} s ago; allow a longer wait"
             return [self.refusal(number, ErrorCode.WAIT_EXCEEDED, text, 0.0)]
+        self.learn_from_running(now)
         wait_s = self.predicted_wait_s(self.queue.cost_ahead_s(ticket), ticket, now)
         if wait_s * ENTRY_MARGIN > budget_s * HOLD_SHARE:
             return [self.wait_refusal(number, wait_s, budget_s * HOLD_SHARE)]
@@ -126,6 +127,7 @@
 
     def tick(self, now: float) -> list[AdmissionAction]:
         """Admit what fits and refuse the queued tickets that cannot start in time."""
+        self.learn_from_running(now)
         actions = self.fill(now)
         ahead_s = 0.0
         for queued in list(self.queue.service_order()):
@@ -192,7 +194,6 @@
 
         Slots come free at the rate (slots / mean time held).
         """
-        self.learn_from_running(now)
         limit = self.limit if rank_of(ticket) == RESUME_RANK else self.new_work_limit()
         if limit <= 0:
             return float("inf")
--- a/src/turmericusher/tasks/admission.py
+++ b/src/turmericusher/tasks/admission.py
@@ -18,7 +18,7 @@
 )
 from turmericusher.decisions.capacity import CapacityView, ConcurrencyLimit
 from turmericusher.decisions.fair_queue import Ticket
-from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
 from turmericusher.logs import log_event
 
 TICK_S = 0.1
@@ -158,6 +158,11 @@
         limit = self.limits[service].update(view, len(decision.running))
         self.carry_out(decision.set_limit(limit, now))
 
+    def leave(self, number: int, service: str) -> None:
+        """Tell the owner that a ticket is done with."""
+        if service in self.services and not self.has_stopped:
+            self.inbox.put_nowait(Leave(number, service))
+
     def dump(self) -> dict[str, object]:
         """Return the state for operators."""
         return {
@@ -201,9 +206,33 @@
 async def admitted(admission: Admission, ticket: Ticket) -> AsyncIterator[None]:
     """Hold a slot for the length of the context.
 
-    Raises `RequestRefusedError` (verdict `NOT_RUN`) when the ticket is refused. The
-    departure is sent on every way out, so that no slot is lost to a cancelled caller.
+    Raises `RequestRefusedError` when the ticket is refused: `NOT_RUN`, but for a
+    resume, whose request has run already, `MAY_HAVE_RUN`. The departure is sent on
+    every way out, so that no slot is lost to a cancelled caller.
     """
+    number = next(admission.numbers)
+    try:
+        await ask_for_slot(admission, number, ticket)
+        yield
+    finally:
+        admission.leave(number, ticket.service)
+
+
+async def ask_for_slot(admission: Admission, number: int, ticket: Ticket) -> None:
+    """Wait until the ticket holds a slot; raise when it is refused."""
+    try:
+        check_open(admission, ticket)
+        answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        admission.inbox.put_nowait(Arrive(number, ticket, answer))
+        await answer
+    except RequestRefusedError as error:
+        if ticket.is_resume:
+            error.verdict = Verdict.MAY_HAVE_RUN
+        raise
+
+
+def check_open(admission: Admission, ticket: Ticket) -> None:
+    """Refuse what the owner task cannot or need not be asked."""
     if ticket.service not in admission.services:
         raise RequestRefusedError(
             ErrorCode.UNKNOWN_SERVICE,
@@ -217,14 +246,6 @@
             f"{INBOX_LIMIT} messages wait for admission; repeat after the time given",
             retry_after_s=1.0,
         )
-    number = next(admission.numbers)
-    answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-    admission.inbox.put_nowait(Arrive(number, ticket, answer))
-    try:
-        await answer
-        yield
-    finally:
-        admission.inbox.put_nowait(Leave(number, ticket.service))
 
 
 def stopped_error() -> RequestRefusedError:
