--- a/src/turmericusher/tasks/admission.py
+++ b/src/turmericusher/tasks/admission.py
@@ -18,7 +18,8 @@
 )
 from turmericusher.decisions.capacity import CapacityView, ConcurrencyLimit
 from turmericusher.decisions.fair_queue import Ticket
-from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
+from turmericusher.logs import log_event
 
 TICK_S = 0.1
 CAPACITY_INTERVAL_S = 0.5
@@ -70,16 +71,35 @@
     answers: dict[int, asyncio.Future[None]] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
     refused: dict[str, int] = field(default_factory=dict)
+    has_stopped: bool = False
 
     async def run(self) -> None:
-        """Own the queues until cancelled."""
-        while True:
-            message = await self.next_message()
-            now = self.clock()
-            if message is None:
-                self.tick(now)
-            else:
-                self.handle(message, now)
+        """Own the queues until cancelled; then nobody is left waiting."""
+        try:
+            while True:
+                message = await self.next_message()
+                now = self.clock()
+                if message is None:
+                    self.tick(now)
+                else:
+                    self.handle(message, now)
+        except Exception as error:
+            log_event("admission_failed", error=repr(error))
+            raise
+        finally:
+            self.stop()
+
+    def stop(self) -> None:
+        """Refuse every caller that waits, and those to come."""
+        self.has_stopped = True
+        while not self.inbox.empty():
+            message = self.inbox.get_nowait()
+            if isinstance(message, Arrive):
+                self.answers[message.number] = message.answer
+        for answer in self.answers.values():
+            if not answer.done():
+                answer.set_exception(stopped_error())
+        self.answers.clear()
 
     async def next_message(self) -> AdmissionMessage | None:
         """Return the next message, or None when it is time to look at the queues."""
@@ -138,6 +158,11 @@
         limit = self.limits[service].update(view, len(decision.running))
         self.carry_out(decision.set_limit(limit, now))
 
+    def leave(self, number: int, service: str) -> None:
+        """Tell the owner that a ticket is done with."""
+        if service in self.services and not self.has_stopped:
+            self.inbox.put_nowait(Leave(number, service))
+
     def dump(self) -> dict[str, object]:
         """Return the state for operators."""
         return {
@@ -181,32 +206,59 @@
 async def admitted(admission: Admission, ticket: Ticket) -> AsyncIterator[None]:
     """Hold a slot for the length of the context.
 
-    Raises `RequestRefusedError` (verdict `NOT_RUN`) when the ticket is refused. The
-    departure is sent on every way out, so that no slot is lost to a cancelled caller.
+    Raises `RequestRefusedError` when the ticket is refused: `NOT_RUN`, but for a
+    resume, whose request has run already, `MAY_HAVE_RUN`. The departure is sent on
+    every way out, so that no slot is lost to a cancelled caller.
     """
+    number = next(admission.numbers)
+    try:
+        await ask_for_slot(admission, number, ticket)
+        yield
+    finally:
+        admission.leave(number, ticket.service)
+
+
+async def ask_for_slot(admission: Admission, number: int, ticket: Ticket) -> None:
+    """Wait until the ticket holds a slot; raise when it is refused."""
+    try:
+        check_open(admission, ticket)
+        answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        admission.inbox.put_nowait(Arrive(number, ticket, answer))
+        await answer
+    except RequestRefusedError as error:
+        if ticket.is_resume:
+            error.verdict = Verdict.MAY_HAVE_RUN
+        raise
+
+
+def check_open(admission: Admission, ticket: Ticket) -> None:
+    """Refuse what the owner task cannot or need not be asked."""
     if ticket.service not in admission.services:
         raise RequestRefusedError(
             ErrorCode.UNKNOWN_SERVICE,
             f"service={ticket.service!r} is not in the settings; name a known one",
         )
+    if admission.has_stopped:
+        raise stopped_error()
     if admission.inbox.qsize() >= INBOX_LIMIT:
         raise RequestRefusedError(
             ErrorCode.OVERLOADED,
             f"{INBOX_LIMIT} messages wait for admission; repeat after the time given",
             retry_after_s=1.0,
         )
-    number = next(admission.numbers)
-    answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-    admission.inbox.put_nowait(Arrive(number, ticket, answer))
-    try:
-        await answer
-        yield
-    finally:
-        admission.inbox.put_nowait(Leave(number, ticket.service))
+
+
+def stopped_error() -> RequestRefusedError:
+    """Return the refusal of an instance whose admission has ended."""
+    return RequestRefusedError(
+        ErrorCode.INSTANCE_STOPPING,
+        "this instance admits nothing any more; use another entry instance",
+        retry_after_s=1.0,
+    )
 
 
 async def send_capacity_messages(admission: Admission) -> None:
     """Tell the owner at a fixed interval to follow the capacity."""
-    while True:
+    while not admission.has_stopped:
         admission.inbox.put_nowait(FollowCapacity())
         await asyncio.sleep(CAPACITY_INTERVAL_S)
