Show changes, leaving marks and stops among real entry instances

Cause: docs/proof.md had no test with real processes for the last three promises. Ruled out: reading the entry points only after the stop; a mutation that never left them survived, because a dead instance is found dead. They are now read while the stopping instance still runs, and it must still serve whoever holds its address. Shown able to fail, by hand: marks not passed on to peers, no drain, entry points not left. For users: nothing is different.

--- /dev/null
+++ b/tests/processes/test_fleet_processes.py
@@ -0,0 +1,155 @@
+"""Changes, leaving marks and planned stops among real entry instances."""
+
+from __future__ import annotations
+
+import json
+import time
+import urllib.request
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+
+from testtools import TestCase
+
+from tests.common.processes import (
+    OPERATOR_TOKEN,
+    POLL_S,
+    STOP_LIMIT_S,
+    Deployment,
+    DeploymentOptions,
+    RunningProcess,
+    deployed,
+    get_json,
+    post_json,
+    read_log,
+)
+from turmericusher.standins.token_model import encode_prompt, unbroken_answer
+
+OPTIONS = DeploymentOptions(
+    entries=3, engines=2, extra_settings={"entrypoint_ttl_s": 1.0}
+)
+OPERATOR = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+CHANGE_LIMIT_S = 19.0
+"""The time within which an accepted change is in force everywhere."""
+
+LEAVE_LIMIT_S = 5.0
+"""The few seconds after which a leaving upstream gets no new work."""
+
+STOP_SEEN_S = 0.3
+"""Long enough for the signal to be handled, and within the time of accepting."""
+
+STREAM_TOKENS = 200
+STOP_AT_TOKEN = 20
+REQUESTS_AFTER_LEAVE = 12
+
+
+def seconds_until(is_reached: Callable[[], bool], limit_s: float) -> float:
+    """Return how long a condition took to hold; fail after the limit."""
+    started_at = time.monotonic()
+    while not is_reached():
+        if time.monotonic() - started_at > limit_s:
+            raise AssertionError(f"not reached within {limit_s} s")
+        time.sleep(POLL_S)
+    return time.monotonic() - started_at
+
+
+def put_profile(address: str, name: str, fields: dict[str, Any]) -> Any:
+    """Make an operator's change and return the answer."""
+    request = urllib.request.Request(
+        f"http://{address}/v1/operator/profiles/{name}",
+        data=json.dumps(fields).encode(),
+        headers=OPERATOR,
+        method="PUT",
+    )
+    with urllib.request.urlopen(request, timeout=STOP_LIMIT_S) as response:
+        return json.loads(response.read())
+
+
+class FleetProcessesTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        stack = ExitStack()
+        self.addCleanup(stack.close)
+        self.system: Deployment = stack.enter_context(deployed(OPTIONS))
+
+    def test_changes_marks_and_stops_reach_every_instance(self) -> None:
+        self.check_change_is_in_force_everywhere()
+        self.check_leaving_engine_gets_no_new_work()
+        self.check_stop_cuts_off_no_stream()
+
+    def check_change_is_in_force_everywhere(self) -> None:
+        fields = {"expected_revision": 0, "change_id": "change-1", "urgency": 1}
+        first, *others = self.system.entries
+        revision = put_profile(first.address, "sheets", fields)["revision"]
+        for entry in others:
+            seconds_until(lambda: self.holds(entry, revision), CHANGE_LIMIT_S)  # noqa: B023
+
+    def holds(self, entry: RunningProcess, revision: int) -> bool:
+        shown = get_json(entry.address, "/v1/operator/profiles", OPERATOR)
+        return any(
+            profile["revision"] == revision and profile["profile"]["urgency"] == 1
+            for profile in shown["profiles"]
+        )
+
+    def check_leaving_engine_gets_no_new_work(self) -> None:
+        leaving = self.system.engines[0]
+        path = f"/v1/operator/upstreams/{leaving.name}/leave"
+        post_json(self.system.entries[0].address, path, {}, OPERATOR)
+        time.sleep(LEAVE_LIMIT_S)
+        before = self.requests_of(leaving)
+        for number in range(REQUESTS_AFTER_LEAVE):
+            entry = self.system.entries[number % len(self.system.entries)]
+            body = {"model": "model", "prompt": f"p{number}", "max_tokens": 2}
+            post_json(entry.address, "/v1/completions", body)
+        self.assertEqual(before, self.requests_of(leaving))
+        self.assertGreaterEqual(
+            self.requests_of(self.system.engines[1]), REQUESTS_AFTER_LEAVE
+        )
+
+    def requests_of(self, engine: RunningProcess) -> int:
+        return int(get_json(engine.address, "/control/counts")["requests"])
+
+    def check_still_accepts(self, stopping: RunningProcess) -> None:
+        """Check that callers who still hold its address are served, others sent on."""
+        time.sleep(STOP_SEEN_S)
+        body = {"model": "model", "prompt": "late", "max_tokens": 2}
+        answer = post_json(stopping.address, "/v1/completions", body)
+        self.assertEqual(2, answer["usage"]["completion_tokens"])
+        seconds_until(lambda: not self.is_entry_point(stopping), LEAVE_LIMIT_S)
+        self.assertIsNone(stopping.popen.poll())
+
+    def is_entry_point(self, entry: RunningProcess) -> bool:
+        other = self.system.entries[1]
+        found = get_json(other.address, "/v1/entrypoints")["entrypoints"]
+        return entry.name in [one["name"] for one in found]
+
+    def check_stop_cuts_off_no_stream(self) -> None:
+        stopping = self.system.entries[0]
+        tokens: list[int] = []
+        finish: list[str] = []
+        body = {
+            "model": "model",
+            "prompt": "stop",
+            "max_tokens": STREAM_TOKENS,
+            "stream": True,
+            "return_token_ids": True,
+        }
+        request = urllib.request.Request(
+            f"http://{stopping.address}/v1/completions", json.dumps(body).encode()
+        )
+        with urllib.request.urlopen(request, timeout=STOP_LIMIT_S) as response:
+            for line in response:
+                if not line.startswith(b"data: {"):
+                    continue
+                (choice,) = json.loads(line.removeprefix(b"data: "))["choices"]
+                tokens += choice["token_ids"]
+                if len(tokens) == STOP_AT_TOKEN:
+                    stopping.terminate()
+                    self.check_still_accepts(stopping)
+                if choice["finish_reason"]:
+                    finish.append(choice["finish_reason"])
+        expected = unbroken_answer(encode_prompt("stop"), 0, STREAM_TOKENS)
+        self.assertEqual(expected, tuple(tokens))
+        self.assertEqual(["length"], finish)
+        status = stopping.popen.wait(STOP_LIMIT_S)
+        self.assertEqual(0, status, read_log(stopping))
