Feed bad input to the routes of orders and of leaving upstreams

Cause: these routes came after the first tests of bad input. Ruled out: nothing to mend; both answered with coded refusals. Shown able to fail, by hand: the order's model not checked, any service taken. For users: nothing is different.

--- a/tests/cover/test_bad_input.py
+++ b/tests/cover/test_bad_input.py
@@ -45,10 +45,12 @@
 COMPLETION = {"model": "m", "prompt": "a", "max_tokens": 2}
 CHAT = {"model": "m", "messages": [{"role": "user", "content": "a"}], "max_tokens": 2}
 PROFILE = {"expected_revision": 0, "change_id": "change-1", "max_wait_s": 5}
+ORDER = {"expected_revision": 0, "change_id": "change-2", "wanted": {"version": "v2"}}
 BODIES = {
     ("POST", b"/v1/completions"): COMPLETION,
     ("POST", b"/v1/chat/completions"): CHAT,
     ("PUT", b"/v1/operator/profiles/p"): PROFILE,
+    ("PUT", b"/v1/operator/orders/redacteur"): ORDER,
 }
 
 few_examples = settings(max_examples=40)
@@ -179,7 +181,7 @@
     def test_any_value_in_any_field(self, _name: str, method: str, path: bytes) -> None:
         body = BODIES[method, path]
         known = [*body, "stop", "stream", "stream_options", "turmericusher_resume",
-                 "n", "seed", "name", "urgency", "second_attempt"]  # fmt: skip
+                 "n", "seed", "name", "urgency", "second_attempt", "wanted"]  # fmt: skip
         names = st.sampled_from([n for n in known if n != "max_tokens"])
 
         @few_examples
@@ -215,6 +217,10 @@
              ((b"turmericusher-profile", b"x"),), "unknown_profile"),
             ("unknown_service", "POST", b"/v1/services/x/y", {}, (),
              "unknown_service"),
+            ("unknown_service_of_an_order", "PUT", b"/v1/operator/orders/x", ORDER,
+             (OPERATOR,), "unknown_service"),
+            ("unknown_upstream", "POST", b"/v1/operator/upstreams/x/leave", {},
+             (OPERATOR,), "no_upstream"),
             ("engines_as_a_service", "POST", b"/v1/services/redacteur/y", {}, (),
              "unknown_service"),
             ("bad_team", "POST", b"/v1/completions", COMPLETION,
