--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,134 @@
+"""The slopes of an entry instance: processor time by tokens, memory by open streams.
+
+One real entry instance before real engines, under rising numbers of open streams. The
+line through the steps gives the cost of one more token a second and of one more open
+stream; what it has at zero is the cost of being idle.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+import aiohttp
+import uvloop
+
+from benchmarks.harness import (
+    BenchmarkArguments,
+    fit_line,
+    parse_arguments,
+    print_result,
+)
+from benchmarks.path import MIB, usage_of
+from tests.common.processes import Deployment, DeploymentOptions, deployed
+
+STEPS = (0, 40, 80, 160)
+STEP_S = 4.0
+SETTLE_S = 1.5
+TOKEN_GAP_S = 0.1
+ENGINES = 2
+MAX_TOKENS = 1_000_000
+KIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What one number of open streams cost.
+
+    `tokens_per_s` are the pieces that came through; `processor_share` is the part of
+    one core; `resident_bytes` is the memory at the end of the step.
+    """
+
+    streams: int
+    tokens_per_s: float
+    processor_share: float
+    resident_bytes: int
+
+
+@dataclass(slots=True)
+class Counter:
+    """Pieces that came through so far."""
+
+    pieces: int = 0
+
+
+async def hold_stream(
+    session: aiohttp.ClientSession, address: str, prompt: str, counter: Counter
+) -> None:
+    """Read one stream until it is cancelled."""
+    body = {
+        "model": "model",
+        "prompt": prompt,
+        "max_tokens": MAX_TOKENS,
+        "stream": True,
+        "return_token_ids": True,
+    }
+    async with session.post(f"http://{address}/v1/completions", json=body) as response:
+        response.raise_for_status()
+        async for line in response.content:
+            counter.pieces += line.startswith(b"data: {")
+
+
+async def measure_step(deployment: Deployment, streams: int, seed: int) -> Step:
+    """Hold a number of streams open and measure the entry instance."""
+    entry = deployment.entries[0]
+    counter = Counter()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        running = [
+            asyncio.create_task(
+                hold_stream(session, entry.address, f"{seed} {streams} {n}", counter)
+            )
+            for n in range(streams)
+        ]
+        await asyncio.sleep(SETTLE_S)
+        before, pieces, began = usage_of(entry), counter.pieces, time.perf_counter()
+        await asyncio.sleep(STEP_S)
+        after, elapsed_s = usage_of(entry), time.perf_counter() - began
+        tokens_per_s = (counter.pieces - pieces) / elapsed_s
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+    return Step(
+        streams=streams,
+        tokens_per_s=tokens_per_s,
+        processor_share=(after.processor_s - before.processor_s) / elapsed_s,
+        resident_bytes=after.resident_bytes,
+    )
+
+
+async def measure(deployment: Deployment, seed: int) -> dict[str, object]:
+    """Return every step and the fitted lines."""
+    steps = [await measure_step(deployment, count, seed) for count in STEPS]
+    by_token = fit_line([(step.tokens_per_s, step.processor_share) for step in steps])
+    by_stream = fit_line([(step.streams, step.resident_bytes) for step in steps])
+    return {
+        "steps": [
+            {
+                "streams": step.streams,
+                "tokens_per_s": round(step.tokens_per_s),
+                "processor_percent": round(100 * step.processor_share, 1),
+                "resident_mib": round(step.resident_bytes / MIB, 1),
+            }
+            for step in steps
+        ],
+        "processor_us_per_token": round(by_token[0] * 1e6, 1),
+        "idle_processor_percent": round(100 * by_token[1], 2),
+        "memory_kib_per_stream": round(by_stream[0] / KIB, 1),
+        "idle_memory_mib": round(by_stream[1] / MIB, 1),
+    }
+
+
+def run(arguments: BenchmarkArguments) -> dict[str, object]:
+    """Deploy the processes and measure."""
+    options = DeploymentOptions(
+        entries=1, engines=ENGINES, slots=max(STEPS), token_gap_s=TOKEN_GAP_S
+    )
+    with deployed(options) as deployment:
+        return uvloop.run(measure(deployment, arguments.seed))
+
+
+if __name__ == "__main__":
+    given = parse_arguments(__doc__ or "")
+    print_result("capacity", given, run(given))
