Dump the state of every part of an entry instance

Ruled out: a dump method on every part, because decisions would then know of JSON. Measured: tests/processes/test_path.py reads the new parts from a real process.

--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -97,6 +97,10 @@
         headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
         state = get_json(self.entry, "/debug/state", headers)
         self.assertEqual("entry-0", state["instance"]["name"])
+        self.assertTrue(state["profiles"]["is_current"])
+        self.assertEqual(2, len(state["upstreams"]) - len(self.system.services))
+        self.assertGreaterEqual(state["generations"]["counts"]["ended_deaths"], 1)
+        self.assertFalse(state["calls"]["claims"]["store_failing"])
 
     def check_clean_stop(self) -> None:
         process = self.system.entries[0]
