Read bodies in one place, and name the headers in one place

Cause: three copies of the size-limited reader and two sets of header names stood in the HTTP interface. `min_tokens` was passed on to engines, which would count it anew after a resume, so an answer could come out longer than unbroken. Ruled out: rewriting min_tokens on a resume, because engines without it ignore it. Change: api/reading.py and api/headers.py; min_tokens above 0 is refused with unsupported_parameter like the other fields that cannot survive a resume. Measured: the tests of bad input, verdicts, completions and calls pass as before. For users: min_tokens is refused instead of answered wrongly.

--- a/src/turmericusher/api/bodies.py
+++ b/src/turmericusher/api/bodies.py
@@ -1,4 +1,4 @@
-"""Reading of callers' bodies: size limit, JSON, and the border models."""
+"""Callers' bodies: the border models and what the decisions get of them."""
 
 from __future__ import annotations
 
@@ -7,14 +7,13 @@
 
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
-from starlette.requests import Request
 
+from turmericusher.api.reading import invalid, parse_object, shorten
 from turmericusher.decisions.requests import GenerationRequest, ReceivedAnswer
 from turmericusher.errors import ErrorCode, RequestRefusedError
 from turmericusher.profiles import Profile, describe_validation_error
 
 MAX_STOP_STRINGS = 16
-MAX_VALUE_SHOWN = 80
 
 
 class ResumeModel(BaseModel):
@@ -80,34 +79,15 @@
     "guided_json": (None,),
     "guided_regex": (None,),
     "prompt_logprobs": (None,),
+    "min_tokens": (None, 0),
 }
 
 
-async def read_body(request: Request, limit_bytes: int) -> bytes:
-    """Read a body; refuse one that is larger than the limit."""
-    parts: list[bytes] = []
-    size = 0
-    async for part in request.stream():
-        size += len(part)
-        if size > limit_bytes:
-            raise RequestRefusedError(
-                ErrorCode.REQUEST_TOO_LARGE,
-                f"body is larger than {limit_bytes} bytes; send a smaller one",
-            )
-        parts.append(part)
-    return b"".join(parts)
-
-
 def parse_body(
     data: bytes, model: type[CompletionBody] | type[ChatBody]
 ) -> GenerationBody:
     """Validate a completion's body."""
-    try:
-        mapping = orjson.loads(data)
-    except orjson.JSONDecodeError as error:
-        raise invalid(f"body is not JSON: {error}") from error
-    if not isinstance(mapping, dict):
-        raise invalid(f"body={shorten(mapping)} is not a JSON object")
+    mapping = parse_object(data)
     for name, accepted in SUPPORTED_ONLY_AS.items():
         if mapping.get(name) not in accepted:
             raise RequestRefusedError(
@@ -184,14 +164,3 @@
     """Return a hash that is equal for equal requests at every instance."""
     data = orjson.dumps([model, prompt, messages], option=orjson.OPT_SORT_KEYS)
     return hashlib.sha256(data).hexdigest()[:32]
-
-
-def invalid(message: str) -> RequestRefusedError:
-    """Return the error for a body that cannot be used."""
-    return RequestRefusedError(ErrorCode.INVALID_REQUEST, message)
-
-
-def shorten(value: object) -> str:
-    """Return a value's repr, cut to a length that fits a message."""
-    text = repr(value)
-    return text if len(text) <= MAX_VALUE_SHOWN else text[:MAX_VALUE_SHOWN] + "..."
--- a/src/turmericusher/api/completions.py
+++ b/src/turmericusher/api/completions.py
@@ -20,7 +20,6 @@
     GenerationBody,
     generation_from_body,
     parse_body,
-    read_body,
 )
 from turmericusher.api.chunks import (
     HEARTBEAT,
@@ -32,10 +31,10 @@
     whole_body,
 )
 from turmericusher.api.errors import error_response
-from turmericusher.api.identity import PROFILE_HEADER, team_of
+from turmericusher.api.headers import ATTEMPT_HEADER, KEY_HEADER, PROFILE_HEADER
+from turmericusher.api.identity import team_of
+from turmericusher.api.reading import read_body
 from turmericusher.api.services import (
-    ATTEMPT_HEADER,
-    KEY_HEADER,
     attempt_number,
     weaken_not_run,
 )
--- a/src/turmericusher/api/identity.py
+++ b/src/turmericusher/api/identity.py
@@ -7,12 +7,10 @@
 
 from starlette.requests import Request
 
+from turmericusher.api.headers import TEAM_HEADER
 from turmericusher.errors import ErrorCode, RequestRefusedError
 from turmericusher.settings import CallerIdentity, Settings
 
-TEAM_HEADER = "turmericusher-team"
-PROFILE_HEADER = "turmericusher-profile"
-KEY_HEADER = "idempotency-key"
 DEFAULT_TEAM = "default"
 TEAM_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 BEARER = "bearer "
@@ -29,7 +27,7 @@
     if not TEAM_PATTERN.fullmatch(team):
         raise RequestRefusedError(
             ErrorCode.INVALID_REQUEST,
-            f"Turmericusher-Team={team[:80]!r}: use up to 63 letters, digits, . _ -",
+            f"{TEAM_HEADER}={team[:80]!r}: use up to 63 letters, digits, . _ -",
         )
     return team
 
--- a/src/turmericusher/api/order_commands.py
+++ b/src/turmericusher/api/order_commands.py
@@ -9,12 +9,13 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from turmericusher.api.profile_commands import read_limited
+from turmericusher.api.reading import read_body
 from turmericusher.decisions.orders import EndState
 from turmericusher.errors import ErrorCode, RequestRefusedError
 from turmericusher.profiles import describe_validation_error
 from turmericusher.tasks.orders import INTENT, OrderChanger
 
+MAX_BODY_BYTES = 16_384
 ORDER_PATH = "/v1/operator/orders/{service}"
 
 
@@ -46,7 +47,7 @@
 
     async def put_order(request: Request) -> Response:
         service = checked_service(request.path_params["service"], services)
-        change = parse_order_change(await read_limited(request))
+        change = parse_order_change(await read_body(request, MAX_BODY_BYTES))
         wanted = EndState(**change.wanted.model_dump())
         accepted = await changer.change(
             service, wanted, change.expected_revision, change.change_id
--- a/src/turmericusher/api/profile_commands.py
+++ b/src/turmericusher/api/profile_commands.py
@@ -4,12 +4,12 @@
 
 from typing import Any
 
-import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from turmericusher.api.reading import parse_object, read_body
 from turmericusher.decisions.rollout import ProfileChange
 from turmericusher.errors import ErrorCode, RequestRefusedError
 from turmericusher.profiles import (
@@ -36,7 +36,7 @@
     """Return the routes that change profiles."""
 
     async def put_profile(request: Request) -> Response:
-        fields = parse_object(await read_limited(request))
+        fields = parse_object(await read_body(request, MAX_BODY_BYTES))
         change = parse_change(fields)
         name = request.path_params["name"]
         profile = profile_from_mapping(profile_fields(fields, name))
@@ -61,34 +61,6 @@
     ]
 
 
-async def read_limited(request: Request) -> bytes:
-    """Read a body; refuse one that is larger than any profile."""
-    data = bytearray()
-    async for part in request.stream():
-        data += part
-        if len(data) > MAX_BODY_BYTES:
-            raise RequestRefusedError(
-                ErrorCode.REQUEST_TOO_LARGE,
-                f"body is larger than {MAX_BODY_BYTES} bytes; send a smaller one",
-            )
-    return bytes(data)
-
-
-def parse_object(data: bytes) -> dict[str, Any]:
-    """Return a JSON object's fields."""
-    try:
-        fields = orjson.loads(data)
-    except orjson.JSONDecodeError as error:
-        raise RequestRefusedError(
-            ErrorCode.INVALID_REQUEST, f"body is not JSON: {error}"
-        ) from error
-    if not isinstance(fields, dict):
-        raise RequestRefusedError(
-            ErrorCode.INVALID_REQUEST, f"body={fields!r} is not a JSON object"
-        )
-    return fields
-
-
 def parse_change(fields: dict[str, Any]) -> ChangeModel:
     """Validate where a change belongs."""
     try:
--- a/src/turmericusher/api/services.py
+++ b/src/turmericusher/api/services.py
@@ -9,6 +9,14 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from turmericusher.api.headers import (
+    ATTEMPT_HEADER,
+    KEY_HEADER,
+    OWN_HEADERS_PREFIX,
+    PROFILE_HEADER,
+    REPLAYED_HEADER,
+)
+from turmericusher.api.reading import read_body
 from turmericusher.decisions.claims import UNNUMBERED
 from turmericusher.errors import (
     ErrorCode,
@@ -20,11 +28,6 @@
 from turmericusher.tasks.calls import CallAnswer, CallRunner, ServiceCall
 from turmericusher.tasks.claimed import verdict_before_claim
 
-PROFILE_HEADER = "Turmericusher-Profile"
-ATTEMPT_HEADER = "Turmericusher-Attempt"
-KEY_HEADER = "Idempotency-Key"
-REPLAYED_HEADER = "Idempotent-Replayed"
-OWN_HEADERS_PREFIX = "turmericusher-"
 ROUTE_PREFIX = "/v1/services/"
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 LARGEST_ATTEMPT = 1_000_000
@@ -85,19 +88,6 @@
     return path[len(prefix) :] + (f"?{query}" if query else "")
 
 
-async def read_body(request: Request, max_bytes: int) -> bytes:
-    """Read the body; raise when it is larger than the settings allow."""
-    body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > max_bytes:
-            raise RequestRefusedError(
-                ErrorCode.REQUEST_TOO_LARGE,
-                f"the request's body is larger than {max_bytes} bytes; send less",
-            )
-    return bytes(body)
-
-
 def attempt_number(text: str | None) -> int:
     """Return the caller's count of its requests with this key."""
     if text is None:
--- a/tests/cover/test_weakened_verdicts.py
+++ b/tests/cover/test_weakened_verdicts.py
@@ -7,7 +7,8 @@
 from testtools import TestCase
 
 from tests.common.call_parts import new_key
-from turmericusher.api.services import ATTEMPT_HEADER, KEY_HEADER, weaken_not_run
+from turmericusher.api.headers import ATTEMPT_HEADER, KEY_HEADER
+from turmericusher.api.services import weaken_not_run
 from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
 
 
