Number a call's requests truly, and send each of them once

Cause: the client library numbered a caller's own key from 1, so a program that started anew with an old key claimed to send its first request; and aiohttp sends GET, PUT and DELETE again by itself, under the same number. Both could turn a repeat's cautious may_have_run into a not_run that is not true. Ruled out: a pooled connection with a counter, because a resend on a kept connection makes no new one that could be counted. For users: give first_number with a key of your own, or leave it out to get the more cautious verdicts.

--- a/src/turmericusher/client.py
+++ b/src/turmericusher/client.py
@@ -41,6 +41,7 @@
     UpstreamError,
     Verdict,
 )
+from turmericusher.single_send import SendProgress, single_send_trace
 
 CONNECT_TIMEOUT_S = 1.0
 HEARTBEAT_TIMEOUT_S = 1.5
@@ -265,19 +266,26 @@
         method: str = "POST",
         key: str | None = None,
         headers: Mapping[str, str] | None = None,
+        first_number: int | None = None,
     ) -> CallResult:
         """Call a plain service; repeat at another entry point where that is safe.
 
         Every repeat carries the same key and its own number, and the system runs a key
         at most once, so a lost connection may be repeated. An error is repeated only
         when its verdict says that the call did not run and when it is not final.
+
+        A `key` of the caller's own may have been sent before, by an earlier run of the
+        same program, so its requests are numbered only where `first_number` gives the
+        number of the first one. Unnumbered requests get more cautious verdicts.
         """
-        key = str(uuid7()) if key is None else key
+        if key is None:
+            key, first_number = str(uuid7()), 1
         sent = {**(headers or {}), **self.headers(), "Idempotency-Key": key}
         deadline = self.clock() + self.options.call_timeout_s
         pause_s = PAUSE_S
-        for number in itertools.count(1):
-            sent["Turmericusher-Attempt"] = str(number)
+        for repeats in itertools.count():
+            if first_number is not None:
+                sent["Turmericusher-Attempt"] = str(first_number + repeats)
             address = await self.choose_address()
             url = f"http://{address}/v1/services/{service}/{path.lstrip('/')}"
             try:
@@ -307,7 +315,12 @@
             total=max(0.01, deadline - self.clock()), sock_connect=CONNECT_TIMEOUT_S
         )
         async with self.session.request(
-            method, url, data=body, headers=headers, timeout=timeout
+            method,
+            url,
+            data=body,
+            headers=headers,
+            timeout=timeout,
+            trace_request_ctx=SendProgress(),
         ) as response:
             data = await response.read()
             error = error_in(data) if response.status >= 400 else None
@@ -342,8 +355,10 @@
     Without a `seed` each client spreads over the entry points by its own chance.
     """
     chance = random.Random(uuid.uuid4().int if seed is None else seed)
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    async with aiohttp.ClientSession(
+        connector=connector, trace_configs=[single_send_trace()]
+    ) as session:
         yield Client(options, session, chance)
 
 
--- a/src/turmericusher/ports/services.py
+++ b/src/turmericusher/ports/services.py
@@ -10,7 +10,6 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from types import SimpleNamespace
 from typing import Protocol
 
 import aiohttp
@@ -18,6 +17,7 @@
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.errors import ErrorCode, UpstreamError, Verdict
+from turmericusher.single_send import SendProgress, single_send_trace
 
 MAX_ANSWER_BYTES = 16_000_000
 READ_CHUNK_BYTES = 65_536
@@ -78,14 +78,6 @@
         ...
 
 
-@dataclass(slots=True)
-class SendProgress:
-    """How far one call came: whether a connection stood, and how often one was made."""
-
-    is_connected: bool = False
-    connections: int = 0
-
-
 @dataclass(slots=True)
 class HttpServicePort:
     """A `ServicePort` over aiohttp; every call has a connection of its own.
@@ -165,38 +157,13 @@
     )
 
 
-async def note_connection_start(
-    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
-) -> None:
-    """Refuse a second connection for one call.
-
-    After a lost connection aiohttp sends GET, PUT, DELETE and other methods again
-    by itself. Whether a call may be sent again is not for the method to say, so the
-    second connection is refused before a byte is written to it.
-    """
-    progress: SendProgress = context.trace_request_ctx
-    progress.connections += 1
-    if progress.connections > 1:
-        raise aiohttp.ServerDisconnectedError("connection lost before the answer")
-
-
-async def note_connection_end(
-    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
-) -> None:
-    """Note that bytes may leave from now on."""
-    context.trace_request_ctx.is_connected = True
-
-
 @asynccontextmanager
 async def http_service_port() -> AsyncIterator[HttpServicePort]:
     """Open the port; its session closes with the context."""
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_create_start.append(note_connection_start)
-    trace.on_connection_create_end.append(note_connection_end)
     connector = aiohttp.TCPConnector(force_close=True, limit=0)
     async with aiohttp.ClientSession(
         connector=connector,
-        trace_configs=[trace],
+        trace_configs=[single_send_trace()],
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
--- a/tests/cover/test_client.py
+++ b/tests/cover/test_client.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 from parameterized import parameterized
 from testtools import TestCase
+from uuid6 import uuid7
 
 from tests.common.engines import PROMPT, VOCABULARY, text_of, unbroken_tokens
 from turmericusher.api.errors import error_body
@@ -46,7 +47,7 @@
     errors: list[TurmericusherError | None] = field(default_factory=list)
     gap_s: float = 0.0
     bodies: list[dict[str, Any]] = field(default_factory=list)
-    calls: list[tuple[str, str]] = field(default_factory=list)
+    calls: list[tuple[str, str | None]] = field(default_factory=list)
     addresses: list[str] = field(default_factory=list)
 
     async def entry_points(self, _request: web.Request) -> web.Response:
@@ -99,7 +100,7 @@
     async def call(self, request: web.Request) -> web.Response:
         headers = request.headers
         self.calls.append(
-            (headers["Idempotency-Key"], headers["Turmericusher-Attempt"])
+            (headers["Idempotency-Key"], headers.get("Turmericusher-Attempt"))
         )
         if self.faults and self.faults.pop(0) is EntryFault.REFUSE:
             request.transport.abort()  # type: ignore[union-attr]
@@ -146,7 +147,7 @@
             app = web.Application()
             app.router.add_get("/v1/entrypoints", entries.entry_points)
             app.router.add_post("/v1/completions", entries.complete)
-            app.router.add_post("/v1/services/ledger/book", entries.call)
+            app.router.add_route("*", "/v1/services/ledger/book", entries.call)
             runner = web.AppRunner(app, shutdown_timeout=0.1)
             await runner.setup()
             stack.push_async_callback(runner.cleanup)
@@ -232,10 +233,10 @@
 
 
 class ClientCallTest(TestCase):
-    def run_call(self, entries: FakeEntries) -> bytes:
+    def run_call(self, entries: FakeEntries, **options: Any) -> bytes:
         async def call() -> bytes:
             async with running_entries(entries) as client:
-                return (await client.call("ledger", "book", b"{}")).body
+                return (await client.call("ledger", "book", b"{}", **options)).body
 
         return asyncio.run(call())
 
@@ -276,6 +277,25 @@
         self.assertEqual(1, len(keys))
         self.assertEqual(["1", "2"], [number for _, number in entries.calls])
 
+    @parameterized.expand(
+        [
+            ("that_may_be_old", None, [None, None]),
+            ("that_was_sent_twice", 3, ["3", "4"]),
+        ]
+    )
+    def test_a_key_of_the_callers_own(
+        self, name: str, first_number: int | None, expected: list[str | None]
+    ) -> None:
+        entries = FakeEntries([EntryFault.REFUSE])
+        self.run_call(entries, key=str(uuid7()), first_number=first_number)
+        self.assertEqual(expected, [number for _, number in entries.calls])
+
+    @parameterized.expand([("PUT",), ("DELETE",), ("GET",)])
+    def test_each_sending_has_a_number_of_its_own(self, method: str) -> None:
+        entries = FakeEntries([EntryFault.REFUSE])
+        self.run_call(entries, method=method)
+        self.assertEqual(["1", "2"], [number for _, number in entries.calls])
+
     @parameterized.expand(
         [
             ("may_have_run", coded(ErrorCode.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN)),
