Show that a stop past its limit hands long answers over whole

Cause: the hand-over was shown inside one process only. Change: two entry processes, four answers of 10 s, a drain limit of 1 s; the callers' library resumes at the other instance and every token arrives once. For users: nothing is different.

--- a/tests/processes/test_fleet_processes.py
+++ b/tests/processes/test_fleet_processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import threading
 import time
@@ -14,6 +15,7 @@
 from testtools import TestCase
 
 from tests.common.processes import (
+    DOMAINS,
     OPERATOR_TOKEN,
     Deployment,
     DeploymentOptions,
@@ -25,6 +27,7 @@
     wait_until_ready,
 )
 from tests.processes.test_path import stream_completion
+from turmericusher.client import ClientOptions, Received, open_client
 from turmericusher.standins.token_model import encode_prompt, unbroken_answer
 
 TTL_S = 1.0
@@ -38,6 +41,13 @@
     services=1,
     extra_settings={"entrypoint_ttl_s": TTL_S, "stop": {"drain_limit_s": 20.0}},
 )
+LONG_TOKENS = 500
+HANDOVER_OPTIONS = DeploymentOptions(
+    entries=2,
+    engines=2,
+    token_gap_s=0.02,
+    extra_settings={"entrypoint_ttl_s": 0.5, "stop": {"drain_limit_s": 1.0}},
+)
 OPERATOR = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
 
 
@@ -104,7 +114,7 @@
     def test_a_rolling_restart_under_load_cuts_nothing(self) -> None:
         with ExitStack() as stack:
             system = stack.enter_context(deployed(OPTIONS))
-            self.wait_for_entrypoints(system, 3)
+            wait_for_entrypoints(system, 3)
             stopped = threading.Event()
             addresses = [entry.address for entry in system.entries]
             callers = [Caller(n, addresses, stopped) for n in range(CALLERS)]
@@ -114,7 +124,7 @@
             try:
                 for entry in system.entries:
                     self.restart(entry, stack)
-                    self.wait_for_entrypoints(system, 3)
+                    wait_for_entrypoints(system, 3)
             finally:
                 stopped.set()
                 for thread in threads:
@@ -134,18 +144,6 @@
         started.address = entry.address
         wait_until_ready(started)
 
-    def wait_for_entrypoints(self, system: Deployment, count: int) -> None:
-        deadline = time.monotonic() + STOP_LIMIT_S
-        while time.monotonic() < deadline:
-            counts = [
-                len(get_json(entry.address, "/v1/entrypoints")["entrypoints"])
-                for entry in system.entries
-            ]
-            if counts == [count] * len(counts):
-                return
-            time.sleep(0.1)
-        raise AssertionError(f"entry points: {counts}")
-
     def check_profile_and_leaving(self, system: Deployment) -> None:
         """Check that one instance's change and mark hold at another one."""
         here, there = system.entries[0].address, system.entries[2].address
@@ -163,6 +161,46 @@
         self.assertEqual(before, get_json(engine, "/control/counts"))
 
 
+class HandoverTest(TestCase):
+    def test_a_stop_past_its_limit_hands_long_answers_over_whole(self) -> None:
+        with ExitStack() as stack:
+            system = stack.enter_context(deployed(HANDOVER_OPTIONS))
+            wait_for_entrypoints(system, 2)
+            stopping = system.entries[0]
+            terminate = threading.Timer(1.0, stopping.terminate)
+            terminate.start()
+            answers = asyncio.run(self.answers(stopping.address))
+            self.assertEqual(0, stopping.popen.wait(STOP_LIMIT_S))
+            for number, answer in enumerate(answers):
+                prompt = encode_prompt(f"long {number}")
+                expected = unbroken_answer(prompt, 0, LONG_TOKENS)
+                self.assertEqual(expected, tuple(answer.token_ids))
+                self.assertEqual(1, answer.resumes)
+
+    async def answers(self, seed_address: str) -> list[Received]:
+        """Return whole answers that begin at the instance that will stop."""
+        options = ClientOptions(seeds=(seed_address,), failure_domain=DOMAINS[0])
+        async with open_client(options, seed=1) as client:
+            bodies = [
+                {"model": "model", "prompt": f"long {n}", "max_tokens": LONG_TOKENS}
+                for n in range(CALLERS)
+            ]
+            return await asyncio.gather(*(client.complete(body) for body in bodies))
+
+
+def wait_for_entrypoints(system: Deployment, count: int) -> None:
+    deadline = time.monotonic() + STOP_LIMIT_S
+    while time.monotonic() < deadline:
+        counts = [
+            len(get_json(entry.address, "/v1/entrypoints")["entrypoints"])
+            for entry in system.entries
+        ]
+        if counts == [count] * len(counts):
+            return
+        time.sleep(0.1)
+    raise AssertionError(f"entry points: {counts}")
+
+
 def put_profile(address: str, name: str, fields: dict[str, Any]) -> Any:
     """Change a profile as an operator does."""
     request = urllib.request.Request(
