Count the wait for a first token from the request's arrival

Ruled out: a shorter wait in the queue, which would refuse what can be served. Change: open_generation takes arrived_at; the queue and the generation share it. Measured: test_the_wait_counts_from_the_arrival; with the mutation that counts from the start it fails. For users: max_wait_s bounds the whole wait for the first output.

--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -50,7 +50,7 @@
 
     def start(self, now: float) -> list[GenerationAction]:
         """Begin: start the first attempt, or fail at once where none may run."""
-        self.progress_at = now
+        self.progress_at = self.started_at
         if self.request.received is not None and not self.request.profile.idempotent:
             return self.fail(
                 ErrorCode.UPSTREAM_FAILED,
--- a/src/turmericusher/tasks/generation.py
+++ b/src/turmericusher/tasks/generation.py
@@ -246,14 +246,20 @@
 
 @asynccontextmanager
 async def open_generation(
-    context: GenerationContext, request: GenerationRequest
+    context: GenerationContext,
+    request: GenerationRequest,
+    arrived_at: float | None = None,
 ) -> AsyncIterator[AsyncIterator[AnswerPiece]]:
     """Run a generation; leaving the context cancels its work on the engines at once.
 
+    The profile's wait counts from `arrived_at` (monotonic seconds), by default now: a
+    request that was queued has used a part of its wait already.
+
     Iteration yields the pieces in order, and heartbeats in between; it raises
     `TurmericusherError` where the answer cannot be completed.
     """
-    generation = make_generation(request, context.shared, context.clock())
+    started_at = context.clock() if arrived_at is None else arrived_at
+    generation = make_generation(request, context.shared, started_at)
     owner = GenerationOwner(
         context=context,
         generation=generation,
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -85,13 +85,14 @@
     runtime: EntryRuntime, request: GenerationRequest
 ) -> AsyncIterator[AsyncIterator[AnswerPiece]]:
     """Open a generation and count it while it runs."""
+    arrived_at = time.monotonic()
     runtime.generations_in_flight += 1
     runtime.metrics.count("generations.started")
     try:
         async with (
             ending_at_handover(runtime.draining),
-            admitted(runtime.admission, ticket_for(request, time.monotonic())),
-            open_generation(runtime.generation, request) as pieces,
+            admitted(runtime.admission, ticket_for(request, arrived_at)),
+            open_generation(runtime.generation, request, arrived_at) as pieces,
         ):
             yield pieces
     finally:
--- a/tests/cover/test_generation.py
+++ b/tests/cover/test_generation.py
@@ -44,6 +44,12 @@
 
 
 class GenerationTest(TestCase):
+    def test_the_wait_counts_from_the_arrival(self) -> None:
+        arrived_at = START - 1.0
+        generation = make_generation(make_request(PROFILE), make_shared(), arrived_at)
+        generation.start(START)
+        self.assertEqual(arrived_at + PROFILE.max_wait_s, generation.deadline())
+
     @parameterized.expand(
         [
             ("an_engine_was_silent", 0.0, True),
