Split the load benchmark and shorten the generation module

Ruled out: splitting Generation's class once more, whose methods share state. Change: benchmarks/load_world.py holds the simulated system, load.py the figures; cut_off stands beside the messages it makes. Measured: the tests of both pass as before. For users: nothing is different.

--- a/src/turmericusher/decisions/generation_messages.py
+++ b/src/turmericusher/decisions/generation_messages.py
@@ -87,3 +87,14 @@
 
 GenerationEvent = PieceArrived | AttemptDied
 GenerationAction = StartAttempt | CancelAttempt | Deliver | Fail
+
+
+def cut_off(piece: PieceArrived) -> AttemptDied:
+    """Return the death that a piece stands for when it cannot be part of the answer."""
+    return AttemptDied(
+        attempt=piece.attempt,
+        at=piece.at,
+        loss=Loss.ATTEMPT,
+        verdict=Verdict.MAY_HAVE_RUN,
+        message=f"finish_reason={piece.finish_reason!r} version={piece.version!r}",
+    )
--- a/tests/cover/test_selection_under_load.py
+++ b/tests/cover/test_selection_under_load.py
@@ -2,7 +2,8 @@
 
 from testtools import TestCase
 
-from benchmarks.load import make_world, run_world
+from benchmarks.load import run_world
+from benchmarks.load_world import make_world
 
 
 class PolicyUnderLoadTest(TestCase):
