--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -22,6 +22,7 @@
     GenerationEvent,
     Loss,
     PieceArrived,
+    cut_off,
 )
 from turmericusher.decisions.generation_state import (
     REST_AFTER_LOSS_S,
