Use the field's terms for cooldowns, evictions and crashing requests

Cause: read as a newcomer, `rest`, `resting`, `victim`, `hurry`, `forgive` and `refuse_killer` need explaining. For users: nothing is different.

--- a/src/turmericusher/client.py
+++ b/src/turmericusher/client.py
@@ -48,7 +48,7 @@
 CALL_TIMEOUT_S = 60.0
 PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
-REST_AFTER_FAILURE_S = 2.0
+FAILURE_COOLDOWN_S = 2.0
 RESUME_LIMIT_S = 60.0
 STATUS_OK = 200
 
@@ -76,12 +76,12 @@
 class EntryPoints:
     """The entry points last learned, valid until `expires_at` (monotonic seconds).
 
-    `resting` gives the time until which an address that failed is the last choice.
+    `cooldowns` gives the time until which an address that failed is the last choice.
     """
 
     known: tuple[EntryPoint, ...] = ()
     expires_at: float = 0.0
-    resting: dict[str, float] = field(default_factory=dict)
+    cooldowns: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -109,16 +109,16 @@
 
     def are_all_resting(self, now: float) -> bool:
         """Whether every known entry point failed lately, or none is known."""
-        resting = self.entry_points.resting
+        cooldowns = self.entry_points.cooldowns
         return all(
-            resting.get(entry.address, 0.0) > now for entry in self.entry_points.known
+            cooldowns.get(entry.address, 0.0) > now for entry in self.entry_points.known
         )
 
     def rank(self, entry: EntryPoint, now: float) -> tuple[float, bool, float]:
         """Return the sort key of an entry point."""
-        rests_until = self.entry_points.resting.get(entry.address, 0.0)
+        cools_until = self.entry_points.cooldowns.get(entry.address, 0.0)
         return (
-            max(0.0, rests_until - now),
+            max(0.0, cools_until - now),
             entry.failure_domain != self.options.failure_domain,
             self.random.random(),
         )
@@ -128,14 +128,14 @@
         known = [entry.address for entry in self.entry_points.known]
         now = self.clock()
         addresses = dict.fromkeys([*known, *self.options.seeds])
-        resting = self.entry_points.resting
-        for address in sorted(addresses, key=lambda a: resting.get(a, 0.0) > now):
+        cooldowns = self.entry_points.cooldowns
+        for address in sorted(addresses, key=lambda a: cooldowns.get(a, 0.0) > now):
             try:
                 body = await self.get_entry_points(address)
             except (aiohttp.ClientResponseError, ValueError):
                 continue
             except (aiohttp.ClientError, TimeoutError, OSError):
-                self.rest(address)
+                self.cool_down(address)
                 continue
             self.take_entry_points(body)
             return
@@ -160,12 +160,12 @@
         now = self.clock()
         self.entry_points.known = entries
         self.entry_points.expires_at = now + float(body["ttl_s"])
-        resting = self.entry_points.resting
-        self.entry_points.resting = {a: t for a, t in resting.items() if t > now}
+        cooldowns = self.entry_points.cooldowns
+        self.entry_points.cooldowns = {a: t for a, t in cooldowns.items() if t > now}
 
-    def rest(self, address: str) -> None:
+    def cool_down(self, address: str) -> None:
         """Make an address the last choice for a while."""
-        self.entry_points.resting[address] = self.clock() + REST_AFTER_FAILURE_S
+        self.entry_points.cooldowns[address] = self.clock() + FAILURE_COOLDOWN_S
 
     # Generations.
 
@@ -189,7 +189,7 @@
                     yield piece
                 continue
             except (ConnectionLostError, ElsewhereError) as error:
-                self.rest(address)
+                self.cool_down(address)
                 lost = error
             if len(answer.token_ids) > count:
                 deadline = self.clock() + self.options.resume_limit_s
@@ -253,7 +253,7 @@
             f"resume_limit_s={self.options.resume_limit_s!r}; the last one failed "
             f"with: {lost}",
             verdict=Verdict.MAY_HAVE_RUN,
-            retry_after_s=REST_AFTER_FAILURE_S,
+            retry_after_s=FAILURE_COOLDOWN_S,
         )
 
     # Plain services.
@@ -295,7 +295,7 @@
             except ElsewhereError as error:
                 failure = error.error
                 pause_s = max(pause_s, failure.retry_after_s or 0.0)
-            self.rest(address)
+            self.cool_down(address)
             if self.clock() + pause_s >= deadline:
                 raise failure
             await asyncio.sleep(pause_s)
@@ -368,5 +368,5 @@
         ErrorCode.UPSTREAM_FAILED,
         f"the connection was lost ({error!r}); ask again with Idempotency-Key={key!r}",
         verdict=Verdict.MAY_HAVE_RUN,
-        retry_after_s=REST_AFTER_FAILURE_S,
+        retry_after_s=FAILURE_COOLDOWN_S,
     )
--- a/src/turmericusher/decisions/admission.py
+++ b/src/turmericusher/decisions/admission.py
@@ -174,20 +174,20 @@
         if len(self.queue.waiting) < self.queue_limit:
             return []
         text = f"queue of service={self.service!r} is full ({self.queue_limit} tickets)"
-        victim = self.queue.eviction_candidate()
-        if victim is None or not self.goes_before(newcomer, victim):
+        evicted = self.queue.eviction_candidate()
+        if evicted is None or not self.goes_before(newcomer, evicted):
             return [self.overload(newcomer.number, text)]
-        self.queue.remove(victim.number)
-        return [self.overload(victim.number, text)]
+        self.queue.remove(evicted.number)
+        return [self.overload(evicted.number, text)]
 
-    def goes_before(self, newcomer: QueuedTicket, victim: QueuedTicket) -> bool:
+    def goes_before(self, newcomer: QueuedTicket, evicted: QueuedTicket) -> bool:
         """Whether a newcomer may push a queued ticket out."""
         mine = rank_of(newcomer.ticket)
-        theirs = rank_of(victim.ticket)
+        theirs = rank_of(evicted.ticket)
         if mine != theirs:
             return mine < theirs
         own_waiting = self.queue.waiting_of(mine, newcomer.ticket.team)
-        return own_waiting + 1 < self.queue.waiting_of(theirs, victim.ticket.team)
+        return own_waiting + 1 < self.queue.waiting_of(theirs, evicted.ticket.team)
 
     def predicted_wait_s(self, ahead_s: float, ticket: Ticket, now: float) -> float:
         """Return the seconds until a ticket would start behind `ahead_s` slot-seconds.
--- a/src/turmericusher/decisions/ejection.py
+++ b/src/turmericusher/decisions/ejection.py
@@ -7,7 +7,7 @@
 
 BASE_EJECTION_S = 2.0
 MAX_EJECTION_S = 30.0
-FORGIVEN_AFTER_S = 60.0
+FAILURE_MEMORY_S = 60.0
 """Failures further apart than this are not counted together."""
 MAX_EJECTED_SHARE = 0.5
 """No more of a service's upstreams are avoided at once: a fault of the callers or of
@@ -32,13 +32,13 @@
     def failed(self, name: str, now: float) -> None:
         """Count a failure; each further one in a row doubles the time."""
         last = self.ejections.get(name)
-        repeated = last is not None and now - last.failed_at <= FORGIVEN_AFTER_S
+        repeated = last is not None and now - last.failed_at <= FAILURE_MEMORY_S
         failures = last.failures + 1 if last is not None and repeated else 1
         length_s = min(MAX_EJECTION_S, BASE_EJECTION_S * 2 ** min(failures - 1, 8))
         self.ejections[name] = Ejection(failures, now, now + length_s)
 
     def succeeded(self, name: str) -> None:
-        """Forgive an upstream that has answered again."""
+        """End the ejection of an upstream that has answered again."""
         self.ejections.pop(name, None)
 
     def ejected(self, names: Iterable[str], now: float) -> frozenset[str]:
@@ -57,5 +57,5 @@
         self.ejections = {
             name: ejection
             for name, ejection in self.ejections.items()
-            if name in names and now - ejection.failed_at <= FORGIVEN_AFTER_S
+            if name in names and now - ejection.failed_at <= FAILURE_MEMORY_S
         }
--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -25,7 +25,7 @@
     cut_off,
 )
 from turmericusher.decisions.generation_state import (
-    REST_AFTER_LOSS_S,
+    LOSS_COOLDOWN_S,
     GenerationState,
     SharedState,
 )
@@ -74,7 +74,7 @@
         if self.is_over:
             return []
         if now - self.wake_at() > OWN_PAUSE_S:
-            return self.forgive_own_pause(now)
+            return self.discount_own_pause(now)
         if now >= self.deadline():
             return self.give_up(now)
         if self.retry_at is not None and now >= self.retry_at:
@@ -83,7 +83,7 @@
             return self.answer_stalls(now)
         return self.start_next(now) if self.retry_at is None else []
 
-    def forgive_own_pause(self, now: float) -> list[GenerationAction]:
+    def discount_own_pause(self, now: float) -> list[GenerationAction]:
         """Take no silence of a time in which this instance itself did not run.
 
         What the engines sent meanwhile waits in the sockets and is read next.
@@ -169,7 +169,7 @@
         self.last_message = death.message
         was_run = death.verdict is not Verdict.NOT_RUN or attempt.has_piece
         self.remove(attempt, was_run)
-        self.rest(attempt.upstream, death, now)
+        self.cool_down(attempt.upstream, death, now)
         if death.loss is Loss.UPSTREAM and was_run:
             self.charge(attempt, now, is_stall=False)
         if self.attempts:
@@ -203,7 +203,7 @@
                 now,
             )
         if self.is_refused(now):
-            return self.refuse_killer(now)
+            return self.refuse_crashing_request(now)
         if self.runs >= max_attempts:
             return self.fail(
                 ErrorCode.UPSTREAM_FAILED,
@@ -252,12 +252,12 @@
     ) -> list[GenerationAction]:
         """Start another attempt beside the newest overdue one."""
         if self.is_refused(now):
-            return self.refuse_killer(now)
+            return self.refuse_crashing_request(now)
         if not self.may_start_beside():
             return self.recheck_later(now)
         actions: list[GenerationAction] = []
         if len(live) >= LIVE_ATTEMPTS or self.is_at_limit(now):
-            self.resting[live[0].upstream.name] = now + REST_AFTER_LOSS_S
+            self.cooldowns[live[0].upstream.name] = now + LOSS_COOLDOWN_S
             actions += self.cancel(live[0], now)
         upstream = self.pick(now)
         if upstream is not None:
@@ -316,8 +316,8 @@
             )
         return self.fail(code, message, now)
 
-    def refuse_killer(self, now: float) -> list[GenerationAction]:
-        """Refuse a request that killed as many upstreams as it may."""
+    def refuse_crashing_request(self, now: float) -> list[GenerationAction]:
+        """Refuse a request on which as many upstreams crashed as are allowed."""
         fingerprint = self.request.fingerprint
         retry_after_s = self.shared.suspicion.retry_after_s(fingerprint, now)
         message = (
--- a/src/turmericusher/decisions/generation_state.py
+++ b/src/turmericusher/decisions/generation_state.py
@@ -29,8 +29,8 @@
 from turmericusher.decisions.suspicion import DeathKey, SuspicionLedger
 
 FIRST_BACKOFF_S = 0.02
-REST_AFTER_LOSS_S = 2.0
-REST_AFTER_REFUSAL_S = 0.25
+LOSS_COOLDOWN_S = 2.0
+REFUSAL_COOLDOWN_S = 0.25
 MAX_DOUBLINGS = 4
 LEAST_WAIT_TO_RESUME_S = 30.0
 PREFIX_CHARACTERS = 1024
@@ -76,9 +76,9 @@
 class GenerationState:
     """One generation: its answer so far, its live attempts and what it went through.
 
-    `delivered` are all tokens of the answer that the caller holds. `resting` gives the
-    time until which an upstream is not tried again. `runs` counts the attempts that an
-    engine may have run, `refusals` those in a row that none took.
+    `delivered` are all tokens of the answer that the caller holds. `cooldowns` gives
+    the time until which an upstream is not tried again. `runs` counts the attempts
+    that an engine may have run, `refusals` those in a row that none took.
     """
 
     request: GenerationRequest
@@ -88,7 +88,7 @@
     prompt_token_ids: tuple[int, ...] | None = None
     version: str = ""
     attempts: dict[int, Attempt] = field(default_factory=dict)
-    resting: dict[str, float] = field(default_factory=dict)
+    cooldowns: dict[str, float] = field(default_factory=dict)
     lost_domains: set[str] = field(default_factory=set)
     counts: GenerationCounts = field(default_factory=GenerationCounts)
     progress_at: float = 0.0
@@ -203,14 +203,16 @@
         self.progress_at = now
         self.shared.extra_work.earn(len(release.token_ids), self.request.profile)
 
-    def rest(self, upstream: UpstreamInstance, death: AttemptDied, now: float) -> None:
+    def cool_down(
+        self, upstream: UpstreamInstance, death: AttemptDied, now: float
+    ) -> None:
         """Keep away from an upstream, and after a loss from its failure domain."""
-        usual_s = REST_AFTER_REFUSAL_S * 2 ** min(self.refusals, MAX_DOUBLINGS)
+        usual_s = REFUSAL_COOLDOWN_S * 2 ** min(self.refusals, MAX_DOUBLINGS)
         if death.loss is Loss.UPSTREAM:
-            usual_s = REST_AFTER_LOSS_S
+            usual_s = LOSS_COOLDOWN_S
             self.lost_domains.add(upstream.failure_domain)
-        rest_s = usual_s if death.retry_after_s is None else death.retry_after_s
-        self.resting[upstream.name] = now + rest_s
+        cooldown_s = usual_s if death.retry_after_s is None else death.retry_after_s
+        self.cooldowns[upstream.name] = now + cooldown_s
         if death.loss is Loss.UPSTREAM:
             self.shared.selector.failed(upstream.name)
 
@@ -233,7 +235,7 @@
             self.shared.selector, self.shared.suspicion, self.request.fingerprint
         )
         running = {a.upstream.name for a in self.attempts.values()}
-        own = frozenset(running | names_resting(self.resting, now))
+        own = frozenset(running | names_cooling_down(self.cooldowns, now))
         stalled = {a.upstream.failure_domain for a in self.attempts.values()}
         wanted = PickRequest(
             service=self.request.service,
@@ -310,9 +312,9 @@
             self.counts.dropped_tokens += len(event.token_ids)
 
 
-def names_resting(resting: dict[str, float], now: float) -> set[str]:
-    """Return the upstreams whose rest has not ended."""
-    return {name for name, until in resting.items() if until > now}
+def names_cooling_down(cooldowns: dict[str, float], now: float) -> set[str]:
+    """Return the upstreams whose cooldown has not ended."""
+    return {name for name, until in cooldowns.items() if until > now}
 
 
 def prefix_of(request: GenerationRequest) -> bytes:
--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -192,7 +192,7 @@
         self.ejections.failed(name, self.now)
 
     def succeeded(self, name: str) -> None:
-        """Forgive an upstream that has answered a whole attempt."""
+        """End the ejection of an upstream that has answered a whole attempt."""
         self.ejections.succeeded(name)
 
     def merge_report(self, name: str, report: LoadReport) -> None:
--- a/src/turmericusher/decisions/suspicion.py
+++ b/src/turmericusher/decisions/suspicion.py
@@ -17,7 +17,7 @@
 MAX_KILLS = 3
 CHARGE_LIFE_S = 3600.0
 MAX_DEATHS = 2_000
-MAX_VICTIMS = 1_000
+MAX_CHARGED_REQUESTS = 1_000
 MAX_PROVEN = 10_000
 LIST_LAG_S = 15.0
 ALIVE_GRACE_S = 0.5
@@ -61,7 +61,7 @@
     domain_size: int
     died_at: float
     is_stall: bool
-    victims: set[str] = field(default_factory=set)
+    fingerprints: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -137,9 +137,9 @@
             return
         death = self.deaths.setdefault(reported.key, reported)
         death.is_stall = death.is_stall and reported.is_stall
-        if len(death.victims) >= MAX_VICTIMS:
+        if len(death.fingerprints) >= MAX_CHARGED_REQUESTS:
             return
-        death.victims.add(fingerprint)
+        death.fingerprints.add(fingerprint)
         self.charged.setdefault(fingerprint, set()).add(reported.key)
         self.proven.pop(fingerprint, None)
 
@@ -153,7 +153,7 @@
 
     def remove(self, key: DeathKey) -> None:
         """Take a death off everyone it was charged to."""
-        for fingerprint in self.deaths.pop(key).victims:
+        for fingerprint in self.deaths.pop(key).fingerprints:
             keys = self.charged[fingerprint]
             keys.discard(key)
             if not keys:
@@ -214,7 +214,7 @@
         of one request must not pass for a lost domain.
         """
         others = sum(
-            is_together(death, other) and fingerprint not in other.victims
+            is_together(death, other) and fingerprint not in other.fingerprints
             for other in self.deaths.values()
         )
         needed = max(
@@ -226,7 +226,9 @@
         """Whether a request with deaths up to the limit died there too."""
         if self.broken_count(fingerprint) >= MAX_KILLS:
             return False
-        return any(self.broken_count(victim) >= MAX_KILLS for victim in death.victims)
+        return any(
+            self.broken_count(other) >= MAX_KILLS for other in death.fingerprints
+        )
 
     def broken_count(self, fingerprint: str) -> int:
         """Return the deaths charged to a fingerprint, whatever their likely cause."""
@@ -322,7 +324,7 @@
         charge_of(fingerprint, death, now)
         for death in reversed(ledger.deaths.values())
         if is_recent(death, now)
-        for fingerprint in sorted(death.victims)
+        for fingerprint in sorted(death.fingerprints)
     ]
     return newest[:limit]
 
--- a/src/turmericusher/tasks/claim_pages.py
+++ b/src/turmericusher/tasks/claim_pages.py
@@ -122,7 +122,7 @@
                 backoff = min(LONGEST_BACKOFF_S, 2 * backoff)
 
     async def linger(self) -> None:
-        """Wait a moment for company while only outcomes are pending."""
+        """Wait a moment while only outcomes are pending, to share the write."""
         if all(waiting.can_linger for waiting in self.pending):
             try:
                 async with asyncio.timeout(OUTCOME_DELAY_S):
--- a/src/turmericusher/tasks/membership.py
+++ b/src/turmericusher/tasks/membership.py
@@ -101,7 +101,7 @@
 
 @dataclass(slots=True)
 class Fleet:
-    """One instance's view of the fleet; `hurry` asks a peer without delay.
+    """One instance's view of the fleet; `ask_now` asks a peer without delay.
 
     `accepts_work` is False once a stopping instance takes no new work. `lease` keeps
     this instance's registration in the store; 0 before there is one. `listed` is the
@@ -116,7 +116,7 @@
     accepts_work: bool = True
     lease: int = 0
     listed: tuple[UpstreamInstance, ...] = ()
-    hurry: Callable[[str], None] = lambda _address: None
+    ask_now: Callable[[str], None] = lambda _address: None
 
     def question_for(self, name: str) -> PeerQuestion:
         """Return the question for a peer, whose name is empty when it is unknown."""
@@ -139,7 +139,7 @@
         about = [] if question.about_asked is None else [question.about_asked]
         self.membership.merge([question.asker, *about], now)
         if question.cursor > self.table.rollout.cursor:
-            self.hurry(question.asker.instance.peer_address)
+            self.ask_now(question.asker.instance.peer_address)
         self.renew_state()
         return PeerAnswer(
             own=self.membership.own_claim(),
--- a/src/turmericusher/tasks/peers.py
+++ b/src/turmericusher/tasks/peers.py
@@ -22,7 +22,7 @@
 PULL_TIMEOUT_S = 0.5
 MAX_PULLS_RUNNING = 4
 MAX_CHANNELS = 16
-HURRIED_INTERVAL_S = 0.1
+ASK_NOW_INTERVAL_S = 0.1
 """Shortest time in seconds between two questions asked out of turn."""
 
 SPREAD_PAUSE_FLOOR_S = 0.02
@@ -52,7 +52,7 @@
     rng: random.Random
     channels: OrderedDict[str, Channel] = field(default_factory=OrderedDict)
     running: set[asyncio.Task[bool]] = field(default_factory=set)
-    hurried_at: float = 0.0
+    asked_now_at: float = 0.0
     pulls: int = 0
     failures: int = 0
     bytes_sent: int = 0
@@ -73,12 +73,12 @@
         self.running.add(task)
         task.add_done_callback(self.running.discard)
 
-    def hurry(self, address: str) -> None:
+    def ask_now(self, address: str) -> None:
         """Ask a peer out of turn, because it is known to hold more."""
         now = self.fleet.table.clock()
-        if now - self.hurried_at < HURRIED_INTERVAL_S:
+        if now - self.asked_now_at < ASK_NOW_INTERVAL_S:
             return
-        self.hurried_at = now
+        self.asked_now_at = now
         if len(self.running) < MAX_PULLS_RUNNING:
             self.start_pull("", address)
 
@@ -174,6 +174,6 @@
 ) -> AsyncIterator[PeerExchange]:
     """Exchange with peers while the context is entered."""
     exchange = PeerExchange(fleet, rng)
-    fleet.hurry = exchange.hurry
+    fleet.ask_now = exchange.ask_now
     async with running_loop(exchange):
         yield exchange
--- a/tests/cover/test_client.py
+++ b/tests/cover/test_client.py
@@ -217,10 +217,10 @@
                 seeds = (first, other)
                 client.options = replace(client.options, seeds=seeds)
                 await client.complete(BODY)
-                return [first, *client.entry_points.resting]
+                return [first, *client.entry_points.cooldowns]
 
-        first, *resting = asyncio.run(complete())
-        self.assertEqual([first], resting)
+        first, *cooldowns = asyncio.run(complete())
+        self.assertEqual([first], cooldowns)
 
     def test_a_slow_engine_behind_heartbeats_is_no_dead_instance(self) -> None:
         entries = FakeEntries(gap_s=HEARTBEAT_TIMEOUT_S / 5)
