Start the processes of a test side by side

Cause: each process takes more than a second to import its libraries, and a deployment started up to ten of them one after another. Ruled out: importing lazily by command, which hides import errors until a command is run. Change: tests/common/processes.py starts all stand-ins, then waits; the same for entry instances, whose port pairs are kept apart. For users: `make test` takes less time.

--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -114,32 +114,26 @@
         popen.stdout.close()
 
 
-@contextmanager
-def started_standin(
-    name: str, arguments: list[str], folder: Path
-) -> Iterator[RunningProcess]:
-    """Run one stand-in and wait until it says where it listens."""
-    with started_process(name, ["standin", *arguments], folder) as process:
-        assert process.popen.stdout is not None
-        line = process.popen.stdout.readline().strip()
-        if not line.startswith(READY_PREFIX):
-            raise AssertionError(f"{name} did not start: {read_log(process)}")
-        process.address = line.removeprefix(READY_PREFIX)
-        yield process
+def wait_until_listening(process: RunningProcess) -> None:
+    """Wait until a stand-in says where it listens."""
+    assert process.popen.stdout is not None
+    line = process.popen.stdout.readline().strip()
+    if not line.startswith(READY_PREFIX):
+        raise AssertionError(f"{process.name} did not start: {read_log(process)}")
+    process.address = line.removeprefix(READY_PREFIX)
 
 
 @contextmanager
 def started_entry(
     number: int, deployment: Deployment, options: DeploymentOptions, folder: Path
 ) -> Iterator[RunningProcess]:
-    """Run one entry instance and wait until it answers."""
+    """Run one entry instance; it is not ready yet."""
     name = f"entry-{number}"
     settings = entry_settings(number, deployment, options)
     path = folder / f"{name}.yaml"
     path.write_text(yaml.safe_dump(settings))
     with started_process(name, ["serve", str(path)], folder) as process:
         process.address = settings["instance"]["caller_address"]
-        wait_until_ready(process)
         yield process
 
 
@@ -148,7 +142,8 @@
 ) -> dict[str, Any]:
     """Return the settings of one entry instance."""
     peers = [entry_peer_address(entry.address) for entry in deployment.entries]
-    caller_port = free_port_pair()
+    taken = {int(entry.address.rpartition(":")[2]) for entry in deployment.entries}
+    caller_port = free_port_pair(taken)
     return {
         "instance": {
             "name": f"entry-{number}",
@@ -181,34 +176,57 @@
 
 @contextmanager
 def deployed(options: DeploymentOptions) -> Iterator[Deployment]:
-    """Run a whole system; every process is ended at the end."""
+    """Run a whole system; every process is ended at the end.
+
+    Processes that do not need one another's addresses start side by side, because
+    each takes more than a second to import its libraries.
+    """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-
-        def standin(name: str, *arguments: str) -> RunningProcess:
-            started = started_standin(name, list(arguments), folder)
-            return stack.enter_context(started)
-
-        deployment = Deployment(
-            store=standin("store", "store"),
-            instances=standin("instances", "instances", "--lag-s", "0"),
-        )
-        for number in range(options.engines):
-            name = f"engine-{number}"
-            engine = standin(name, "engine", "--name", name, *engine_options(options))
-            deployment.engines.append(engine)
-            list_upstream(deployment, engine, "drafts", "engine", number)
-        for number in range(options.services):
-            name = f"service-{number}"
-            service = standin(name, "service", "--name", name)
-            deployment.services.append(service)
-            list_upstream(deployment, service, "ledger", "service", number)
+        deployment = start_standins(options, folder, stack)
+        list_upstreams(deployment)
         for number in range(options.entries):
             started = started_entry(number, deployment, options, folder)
             deployment.entries.append(stack.enter_context(started))
+        for entry in deployment.entries:
+            wait_until_ready(entry)
         yield deployment
 
 
+def start_standins(
+    options: DeploymentOptions, folder: Path, stack: ExitStack
+) -> Deployment:
+    """Start every stand-in, and wait until all listen."""
+
+    def start(name: str, *arguments: str) -> RunningProcess:
+        started = started_process(name, ["standin", *arguments], folder)
+        return stack.enter_context(started)
+
+    deployment = Deployment(
+        store=start("store", "store"),
+        instances=start("instances", "instances", "--lag-s", "0"),
+    )
+    for number in range(options.engines):
+        name = f"engine-{number}"
+        engine = start(name, "engine", "--name", name, *engine_options(options))
+        deployment.engines.append(engine)
+    for number in range(options.services):
+        name = f"service-{number}"
+        deployment.services.append(start(name, "service", "--name", name))
+    standins = [*deployment.engines, *deployment.services]
+    for process in (deployment.store, deployment.instances, *standins):
+        wait_until_listening(process)
+    return deployment
+
+
+def list_upstreams(deployment: Deployment) -> None:
+    """Enter every upstream into the platform's list."""
+    for number, engine in enumerate(deployment.engines):
+        list_upstream(deployment, engine, "drafts", "engine", number)
+    for number, service in enumerate(deployment.services):
+        list_upstream(deployment, service, "ledger", "service", number)
+
+
 def engine_options(options: DeploymentOptions) -> list[str]:
     """Return the command line of an engine."""
     return [
@@ -286,12 +304,18 @@
     return process.log_path.read_text()[-2000:]
 
 
-def free_port_pair() -> int:
-    """Return a port that is free together with the next one."""
+def free_port_pair(taken: set[int]) -> int:
+    """Return a port that is free together with the next one.
+
+    `taken` are the first ports of pairs that were given out and may not be bound yet.
+    """
+    reserved = taken | {port + 1 for port in taken}
     while True:
         with socket.socket() as first, socket.socket() as second:
             first.bind(("127.0.0.1", 0))
             port = int(first.getsockname()[1])
+            if port in reserved or port + 1 in reserved:
+                continue
             try:
                 second.bind(("127.0.0.1", port + 1))
             except OSError:
