Measure every slope by one command, and print commands that work

Cause: benchmarks.all left out the two that docs/CAPACITY.md rests on; `make try` printed a command that is not on the path of a fresh clone. Ruled out: installing the package in `make try`, which needs a build at each start. Change: benchmarks/all.py runs capacity and load_costs too; the guide names the command as it can be called. Measured: a fresh clone with a fresh environment: make try serves, the client library and the command line get whole answers. For users: the printed commands can be pasted.

--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -29,7 +29,16 @@
 from turmericusher.reports.plots import svg_of
 
 ROOT = Path(__file__).parents[1]
-BENCHMARKS = ("path", "resume", "once", "rollout", "load", "peers")
+BENCHMARKS = (
+    "path",
+    "capacity",
+    "resume",
+    "once",
+    "rollout",
+    "load",
+    "peers",
+    "load_costs",
+)
 TOTAL_LIMIT_S = 295.0
 EACH_LIMIT_S = 60.0
 MAX_FAILURE_CHARACTERS = 300
--- a/src/turmericusher/standins/trial.py
+++ b/src/turmericusher/standins/trial.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import signal
 from contextlib import AsyncExitStack
 
@@ -50,8 +51,8 @@
 
 A call to the plain service, and the state of the process:
 
-  turmericusher call ledger book --address {entry} --body '{{"lot": 7}}'
-  turmericusher state --address {entry} --token {token}
+  {program} call ledger book --address {entry} --body '{{"lot": 7}}'
+  {program} state --address {entry} --token {token}
 
 Kill an engine while it generates, and see the answer go on:
 
@@ -141,7 +142,18 @@
     )
     return GUIDE.format(
         entry=settings.caller_address,
+        program=program(),
         token=OPERATOR_TOKEN,
         model=MODEL,
         engines=kills,
     )
+
+
+def program() -> str:
+    """Return how the command line is called where this process was started.
+
+    `make try` leaves the package uninstalled, so its command is not on the path.
+    """
+    if shutil.which("turmericusher"):
+        return "turmericusher"
+    return "PYTHONPATH=src .venv/bin/python -m turmericusher"
