Carry an order end to end, with engine stand-ins that take orders

Cause: orders had run with fakes in one process only; no stand-in spoke their protocol, so nothing showed that the adapters fit together. Ruled out: separate processes for this, because the in-process test uses the same sockets and can watch how many engines are ready at each moment. For users: `turmericusher standin engine` can be used to try orders.

--- a/src/turmericusher/cli/standins.py
+++ b/src/turmericusher/cli/standins.py
@@ -14,6 +14,7 @@
 
 from turmericusher.cli.dispatch import EXIT_OK, run_command
 from turmericusher.standins.engine import EngineOptions, EngineStandin, running_engine
+from turmericusher.standins.engine_orders import OrderTaker, make_ordered_engine_app
 from turmericusher.standins.instances import InstanceListStandin, running_instance_list
 from turmericusher.standins.service import running_service
 from turmericusher.standins.store import MemoryStore
@@ -91,7 +92,9 @@
         token_gap_s=command.token_gap_s,
         exits_on_death=True,
     )
-    return serve(lambda: running_engine(EngineStandin(options), HOST, command.port))
+    standin = EngineStandin(options)
+    app = make_ordered_engine_app(OrderTaker(standin))
+    return serve(lambda: running_engine(standin, HOST, command.port, app))
 
 
 @run_command.register
--- a/src/turmericusher/standins/engine.py
+++ b/src/turmericusher/standins/engine.py
@@ -380,20 +380,21 @@
 
 @asynccontextmanager
 async def running_engine(
-    standin: EngineStandin, host: str = "127.0.0.1", port: int = 0
+    standin: EngineStandin,
+    host: str = "127.0.0.1",
+    port: int = 0,
+    app: web.Application | None = None,
 ) -> AsyncIterator[str]:
-    """Serve an engine and yield its `ip:port`."""
+    """Serve an engine, by default its plain application, and yield its `ip:port`."""
     runner = web.AppRunner(
-        make_engine_app(standin),
+        app or make_engine_app(standin),
         access_log=None,
         handler_cancellation=True,
         shutdown_timeout=STOP_GRACE_S,
     )
     await runner.setup()
     try:
-        site = web.TCPSite(runner, host, port)
-        await site.start()
-        bound = runner.addresses[0]
-        yield f"{bound[0]}:{bound[1]}"
+        await web.TCPSite(runner, host, port).start()
+        yield f"{host}:{runner.addresses[0][1]}"
     finally:
         await runner.cleanup()
