Let the orders' end-to-end test fail when orders overlap

Ruled out: a shorter pause in the product for a test's sake. Change: the stand-ins load for 2.0 s in this test. Measured: passes in 7 s; without the check of the minimum and the wait for the one under way it fails with 1 engine ready in place of 2. For users: nothing is different.

--- a/tests/cover/test_orders_end_to_end.py
+++ b/tests/cover/test_orders_end_to_end.py
@@ -25,6 +25,8 @@
 ENGINES = 3
 LIMIT_S = 60.0
 POLL_S = 0.02
+LOAD_S = 2.0
+"""Longer than the pause between two rounds, so that a second order would overlap."""
 SETTINGS = """
 instance: {{name: entry-1, failure_domain: a,
            caller_address: "127.0.0.1:0", peer_address: "127.0.0.1:0"}}
@@ -102,6 +104,6 @@
 async def start_engine(stack: AsyncExitStack, number: int) -> tuple[OrderTaker, str]:
     """Start an engine that takes orders; return it with its address."""
     standin = EngineStandin(EngineOptions(name=f"e{number}", models=("m",)))
-    taker = OrderTaker(standin)
+    taker = OrderTaker(standin, load_s=LOAD_S)
     app = make_ordered_engine_app(taker)
     return taker, await stack.enter_async_context(running_engine(standin, app=app))
