Kill a plain service under calls that must not repeat

Cause: the process test froze a service but never killed one, because the stand-in's ledger died with it. Ruled out: reading the ledger before the kill, which misses runs in between. Change: the service stand-in logs each run before it counts it, and the test reads the log, which outlives the process. For users: nothing is different.

--- a/src/turmericusher/cli/standins.py
+++ b/src/turmericusher/cli/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass
@@ -13,6 +14,7 @@
 import cappa
 
 from turmericusher.cli.dispatch import EXIT_OK, run_command
+from turmericusher.logs import configure_logs
 from turmericusher.standins.engine import EngineOptions, EngineStandin, running_engine
 from turmericusher.standins.engine_orders import OrderTaker, make_ordered_engine_app
 from turmericusher.standins.instances import InstanceListStandin, running_instance_list
@@ -100,6 +102,7 @@
 @run_command.register
 def run_service(command: PlainService) -> int:
     """Run a plain service."""
+    configure_logs(sys.stderr)
     return serve(lambda: service_address(command))
 
 
--- a/src/turmericusher/standins/service.py
+++ b/src/turmericusher/standins/service.py
@@ -21,6 +21,8 @@
 from aiohttp import web
 from pydantic import TypeAdapter
 
+from turmericusher.logs import log_event
+
 LOOPBACK = "127.0.0.1"
 UNKEYED = "-"
 MAX_BODY_BYTES = 16_000_000
@@ -116,9 +118,11 @@
     fault = ledger.take_fault()
     await fail_before_run(request, fault)
     key = request.headers.get("Idempotency-Key", UNKEYED)
+    name = request.headers.get("Request-Name", "")
+    # The log outlives the process, so that a kill does not hide what has run.
+    log_event("service_ran", key=key, request_name=name)
     ledger.runs[key] += 1
-    names = ledger.request_names.setdefault(key, [])
-    names.append(request.headers.get("Request-Name", ""))
+    ledger.request_names.setdefault(key, []).append(name)
     run = ledger.runs[key]
     if fault is ServiceFault.SLOW:
         await asyncio.sleep(ledger.faults.delay_s)
--- a/tests/processes/test_once_processes.py
+++ b/tests/processes/test_once_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import threading
 import time
 import urllib.error
@@ -19,8 +20,8 @@
     OPERATOR_TOKEN,
     Deployment,
     DeploymentOptions,
+    RunningProcess,
     deployed,
-    get_json,
 )
 
 OPTIONS = DeploymentOptions(entries=3, engines=0, services=2)
@@ -44,6 +45,14 @@
         response.read()
 
 
+def logged_runs(service: RunningProcess, key: str) -> list[str]:
+    """Return the names of the requests that a service ran, also before its death."""
+    assert service.log_path is not None
+    pattern = re.compile(rf"event=service_ran key={key} request_name=(\d+)$")
+    found = (pattern.search(line) for line in service.log_path.read_text().splitlines())
+    return [match.group(1) for match in found if match is not None]
+
+
 @dataclass(slots=True)
 class Caller:
     """Sends one key until it is answered or known to be open for ever."""
@@ -118,6 +127,7 @@
         frozen, killed = system.entries[1], system.entries[2]
         self.play("entry frozen", frozen.freeze, frozen.thaw)
         self.play("entry killed", killed.kill, lambda: None, may_stay_open=True)
+        self.play("service killed", service.kill, lambda: None, may_stay_open=True)
 
     def play(
         self,
@@ -146,8 +156,7 @@
         """Compare what one caller was told with what the services ran."""
         ran: list[str] = []
         for service in self.system.services:
-            names = get_json(service.address, "/control/requests")
-            ran += names.get(caller.key, [])
+            ran += logged_runs(service, caller.key)
         self.assertLessEqual(len(ran), 1, f"{name}: {ran}")
         if caller.answer:
             self.assertEqual(1, len(ran), name)
