Drop a wrapper that did nothing, and make the engines in one place

Cause: reading the whole change again. completions.opened only passed runtime.generate on, under a docstring that was no longer true; the resume model built the same list of engines as tests/common/engines.make_engines. Ruled out: one base class for the command line's profile commands, whose shared fields are few and are read better where they stand. Change: both call the piece that was there already. For users: nothing is different.

--- a/benchmarks/resume_model.py
+++ b/benchmarks/resume_model.py
@@ -12,8 +12,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from tests.common.engines import make_engines
 from turmericusher.decisions.extra_work import ExtraWorkBudget, ResumeGate
-from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.generation import Generation, make_generation
 from turmericusher.decisions.generation_messages import (
     AttemptDied,
@@ -381,19 +382,7 @@
 
 def make_simulation(seed: int, engines: int, domains: int, entries: int) -> Simulation:
     """Return a fleet in which nothing runs yet."""
-    upstreams = [
-        UpstreamInstance(
-            name=f"engine-{number}",
-            service="drafts",
-            kind=UpstreamKind.ENGINE,
-            address=f"127.0.0.1:{number}",
-            failure_domain=f"domain-{number % domains}",
-            incarnation="1",
-            version="v1",
-            models=("model",),
-        )
-        for number in range(engines)
-    ]
+    upstreams = make_engines(engines, domains)
     shared = [make_shared(seed + number, upstreams) for number in range(entries)]
     fleet = {upstream.name: Engine(upstream) for upstream in upstreams}
     return Simulation(random.Random(seed), fleet, shared)
--- a/src/turmericusher/api/completions.py
+++ b/src/turmericusher/api/completions.py
@@ -5,8 +5,6 @@
 import asyncio
 import time
 import uuid
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 from starlette.requests import Request
@@ -125,15 +123,6 @@
     )
 
 
-@asynccontextmanager
-async def opened(
-    runtime: EntryRuntime, generation: GenerationRequest
-) -> AsyncIterator[AsyncIterator[AnswerPiece]]:
-    """Open a generation and count it while it runs."""
-    async with runtime.generate(generation) as pieces:
-        yield pieces
-
-
 async def whole_answer(
     runtime: EntryRuntime,
     request: Request,
@@ -159,7 +148,7 @@
     runtime: EntryRuntime, generation: GenerationRequest
 ) -> list[AnswerPiece]:
     """Return all pieces of an answer."""
-    async with opened(runtime, generation) as pieces:
+    async with runtime.generate(generation) as pieces:
         return [piece async for piece in pieces if not is_heartbeat(piece)]
 
 
@@ -215,7 +204,7 @@
         """Write every piece; a failure becomes an HTTP error or a last event."""
         opening = asyncio.create_task(self.beat(send))
         try:
-            async with opened(self.runtime, self.generation) as pieces:
+            async with self.runtime.generate(self.generation) as pieces:
                 async for piece in pieces:
                     if not opening.done():
                         await end_task(opening)
