--- /dev/null
+++ b/src/turmericusher/api/relay.py
@@ -0,0 +1,314 @@
+"""The relay's HTTP interface: any request of a caller, passed on along its route.
+
+The names on the wire come from a codec, so that this module knows HTTP only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from starlette.types import Receive, Scope, Send
+
+from turmericusher.decisions.generation_messages import Fail
+from turmericusher.decisions.relay_messages import (
+    BreakStream,
+    DeliverAnswer,
+    DeliverEvents,
+    EndStream,
+    Headers,
+    RelayedRequest,
+    RelayOutput,
+)
+from turmericusher.decisions.routing import NewestTable, RoutedRequest
+from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
+from turmericusher.logs import log_event
+from turmericusher.metrics import Metrics
+from turmericusher.tasks.relay import RelayContext, open_relay
+
+STATUS_OF_CODE = {
+    ErrorCode.UNKNOWN_ROUTE: 404,
+    ErrorCode.UNAUTHORIZED: 401,
+    ErrorCode.REQUEST_TOO_LARGE: 413,
+    ErrorCode.INVALID_REQUEST: 400,
+}
+"""Statuses of refusals that a repeat would get again."""
+
+STATUS_NOT_RUN = 503
+STATUS_UPSTREAM_FAILED = 502
+STATUS_TIMED_OUT = 504
+
+
+class RelayCodec(Protocol):
+    """Translates between HTTP heads and the relay's types."""
+
+    def decode(self, scope: Scope, body: bytes, arrived_at: float) -> RelayedRequest:
+        """Return the request; raise `RequestRefusedError` where it is malformed."""
+        ...
+
+    def encode_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return an upstream's headers as the caller gets them."""
+        ...
+
+    def encode_failure(
+        self, scope: Scope, retry_after_s: float | None
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer of our own."""
+        ...
+
+
+class BodyTooLargeError(Exception):
+    """The caller sent more than the configuration allows."""
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection before the request was read."""
+
+
+@dataclass(slots=True)
+class RelayFrontend:
+    """Serves callers as an ASGI application.
+
+    `in_flight` counts requests from their head to the last byte of their answer, and
+    `idle` is set while there is none.
+    `is_closing` makes every answer the last of its connection; `refuses` takes no new
+    request.
+    """
+
+    context: RelayContext
+    tables: NewestTable
+    codec: RelayCodec
+    metrics: Metrics
+    random: random.Random
+    in_flight: int = 0
+    idle: asyncio.Event = field(default_factory=asyncio.Event)
+    is_closing: bool = False
+    refuses: bool = False
+    clock: Callable[[], float] = field(
+        default=lambda: asyncio.get_running_loop().time()
+    )
+
+    def __post_init__(self) -> None:
+        """Begin with nothing in flight."""
+        self.idle.set()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        self.in_flight += 1
+        self.idle.clear()
+        exchange = Exchange(self, scope, receive, send, self.clock())
+        try:
+            await exchange.run()
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self.idle.set()
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request and its answer."""
+
+    frontend: RelayFrontend
+    scope: Scope
+    receive: Receive
+    send: Send
+    arrived_at: float
+    request_id: str = ""
+    route: str = ""
+    first_event_at: float | None = None
+
+    async def run(self) -> None:
+        """Read, route, relay and answer."""
+        if self.frontend.refuses:
+            text = "this instance is stopping; use another one"
+            code = ErrorCode.INSTANCE_STOPPING
+            await self.refuse(Fail(code, Verdict.NOT_RUN, text, 0.0))
+            return
+        try:
+            body = await read_body(self.receive, self.body_limit())
+            request = self.frontend.codec.decode(self.scope, body, self.arrived_at)
+            self.request_id = request.request_id
+            routed = self.frontend.tables.current().admit(
+                request.host, request.path, request.key, self.frontend.random
+            )
+        except CallerGoneError:
+            return
+        except BodyTooLargeError:
+            code = ErrorCode.REQUEST_TOO_LARGE
+            await self.refuse(Fail(code, Verdict.NOT_RUN, "the body is too large"))
+            return
+        except RequestRefusedError as error:
+            await self.refuse(
+                Fail(error.code, error.verdict, error.message, error.retry_after_s)
+            )
+            return
+        self.route = routed.route.name
+        async with cancelled_by_disconnect(self.receive):
+            await self.relay(request, routed)
+
+    def body_limit(self) -> int:
+        """Return the largest body that is read, in bytes."""
+        table = self.frontend.tables.table
+        return table.limits.max_body_bytes if table is not None else 0
+
+    async def relay(self, request: RelayedRequest, routed: RoutedRequest) -> None:
+        """Pass the request on and answer with what comes."""
+        context = self.frontend.context
+        outcome = "caller_gone"
+        try:
+            async with open_relay(context, request, routed) as outputs:
+                async for output in outputs:
+                    outcome = await self.answer(output)
+        finally:
+            self.log_outcome(request, routed, outcome)
+
+    async def answer(self, output: RelayOutput) -> str:
+        """Send one output to the caller and return what it makes of the request."""
+        match output:
+            case DeliverEvents(payload, headers):
+                if headers is not None:
+                    self.first_event_at = self.frontend.clock()
+                    await self.start(200, self.frontend.codec.encode_headers(headers))
+                await self.write(payload, more=True)
+                return "streaming"
+            case DeliverAnswer(answer):
+                length = (b"content-length", str(len(answer.body)).encode())
+                head = self.frontend.codec.encode_headers(answer.headers)
+                await self.start(answer.status, [*head, length])
+                await self.write(answer.body, more=False)
+                return f"answered_{answer.status}"
+            case EndStream():
+                await self.write(b"", more=False)
+                return "answered_200"
+            case BreakStream(reason):
+                # An answer left without its end makes the server close the connection.
+                return f"broken_off: {reason}"
+            case Fail():
+                await self.refuse(output)
+                return f"failed_{output.code.value}: {output.message}"
+        return "unknown"
+
+    async def refuse(self, failure: Fail) -> None:
+        """Answer with an error of our own."""
+        status = status_of(failure)
+        headers = self.frontend.codec.encode_failure(self.scope, failure.retry_after_s)
+        body = f"{failure.code.value}: {failure.message}\n".encode()
+        length = (b"content-length", str(len(body)).encode())
+        self.frontend.metrics.count(f"refused.{failure.code.value}")
+        if not self.route:
+            log_event(
+                "request_refused",
+                id=self.request_id or None,
+                code=failure.code.value,
+                status=status,
+                message=failure.message,
+            )
+        await self.start(status, [*headers, length])
+        await self.write(body, more=False)
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send the head of the answer."""
+        if self.frontend.is_closing:
+            headers = [*headers, (b"connection", b"close")]
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+
+    async def write(self, payload: bytes, more: bool) -> None:
+        """Send a part of the answer's body."""
+        await self.send(
+            {"type": "http.response.body", "body": payload, "more_body": more}
+        )
+
+    def log_outcome(
+        self, request: RelayedRequest, routed: RoutedRequest, outcome: str
+    ) -> None:
+        """Log and count how a request ended."""
+        took_s = self.frontend.clock() - self.arrived_at
+        kind = routed.route.kind.value
+        word = outcome.partition(":")[0]
+        self.frontend.metrics.count(f"requests.{kind}.{word}")
+        self.frontend.metrics.timing(f"latency.{kind}", took_s)
+        first_s = None
+        if self.first_event_at is not None:
+            first_s = self.first_event_at - self.arrived_at
+            self.frontend.metrics.timing(f"first_event.{kind}", first_s)
+        log_event(
+            "request_ended",
+            id=request.request_id,
+            outcome=outcome,
+            route=routed.route.name,
+            service=routed.service.name,
+            team=routed.team,
+            configuration=routed.version,
+            kind=kind,
+            took_s=took_s,
+            first_event_s=first_s,
+        )
+
+
+def status_of(failure: Fail) -> int:
+    """Return the HTTP status of an error of our own.
+
+    503 promises that the request has not run, so that whatever may have run gets
+    another one.
+    """
+    if failure.code in STATUS_OF_CODE:
+        return STATUS_OF_CODE[failure.code]
+    if failure.verdict is Verdict.NOT_RUN:
+        return STATUS_NOT_RUN
+    if failure.code is ErrorCode.WAIT_EXCEEDED:
+        return STATUS_TIMED_OUT
+    return STATUS_UPSTREAM_FAILED
+
+
+async def read_body(receive: Receive, limit: int) -> bytes:
+    """Read a whole body; raise where it is too large or the caller has gone."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message: Any = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        part = message.get("body", b"")
+        size += len(part)
+        if limit and size > limit:
+            raise BodyTooLargeError
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+@asynccontextmanager
+async def cancelled_by_disconnect(receive: Receive) -> AsyncIterator[None]:
+    """Cancel the body as soon as the caller closes its connection.
+
+    Nothing else tells a handler that only waits for an upstream.
+    """
+    body = asyncio.current_task()
+    assert body is not None
+    has_gone = False
+
+    async def watch() -> None:
+        nonlocal has_gone
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        has_gone = True
+        body.cancel()
+
+    watching = asyncio.create_task(watch())
+    try:
+        yield
+    except asyncio.CancelledError:
+        if not has_gone:
+            raise
+        body.uncancel()
+    finally:
+        watching.cancel()
--- a/src/turmericusher/cli/commands.py
+++ b/src/turmericusher/cli/commands.py
@@ -38,6 +38,17 @@
     path: Path
 
 
+@dataclass
+class ServePlatform:
+    """Run one entry instance on the users' platform until it is told to stop.
+
+    The settings file is the one that the platform names in the environment, unless a
+    path is given.
+    """
+
+    path: Annotated[Path | None, cappa.Arg(long=True)] = None
+
+
 @dataclass
 class Try:
     """Run an entry instance with stand-ins of the platform in one process."""
@@ -81,6 +92,17 @@
     return EXIT_OK
 
 
+@run_command.register
+def run_serve_platform(command: ServePlatform) -> int:
+    """Run an entry instance on the platform."""
+    from turmericusher.platform.node import serve_node
+    from turmericusher.platform.settings import settings_path
+
+    configure_logs(sys.stdout)
+    uvloop.run(serve_node(command.path or settings_path()))
+    return EXIT_OK
+
+
 @run_command.register
 def run_try(command: Try) -> int:
     """Run everything in one process."""
--- a/src/turmericusher/cli/main.py
+++ b/src/turmericusher/cli/main.py
@@ -8,7 +8,7 @@
 import cappa
 
 from turmericusher.cli.access import print_error
-from turmericusher.cli.commands import Call, Generate, Serve, Try
+from turmericusher.cli.commands import Call, Generate, Serve, ServePlatform, Try
 from turmericusher.cli.dispatch import (
     EXIT_FAILED,
     EXIT_MAY_HAVE_RUN,
@@ -31,6 +31,7 @@
 
     command: cappa.Subcommands[
         Serve
+        | ServePlatform
         | Try
         | Standin
         | Generate
--- /dev/null
+++ b/src/turmericusher/decisions/relay.py
@@ -0,0 +1,427 @@
+"""One relayed request: when it is sent again, where to, and what the caller gets.
+
+A request that must not repeat goes to a second upstream only while it surely has not
+run. An idempotent call is repeated, and sent to a second upstream when the first is
+late. A stream that may be resumed goes on behind the last event delivered, at the
+upstream that holds a copy of its memory where there is one.
+
+Load: each attempt beyond the first takes from the service's retry budget, so that a
+service that fails or is full gets at most a fixed share of extra requests.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.relay_messages import (
+    AnswerArrived,
+    AttemptCause,
+    AttemptFailed,
+    DeliverAnswer,
+    DeliverEvents,
+    EndStream,
+    EventsArrived,
+    ProbeUpstream,
+    RelayAction,
+    RelayedRequest,
+    RelayEvent,
+    StartRelay,
+    StreamFinished,
+    StreamOpened,
+    UpstreamProbed,
+)
+from turmericusher.decisions.relay_state import (
+    LOSS_CAUSES,
+    OWN_PAUSE_S,
+    SHORTEST_ATTEMPT_S,
+    WAIT_FOR_UPSTREAM_S,
+    RelayAttempt,
+    RelayShared,
+    RelayState,
+)
+from turmericusher.decisions.routing import RequestKind, RoutedRequest
+from turmericusher.errors import ErrorCode, Verdict
+
+NO_UPSTREAM_RETRY_S = 0.5
+"""Seconds after which engines that crashed together are usually listed again."""
+
+FULL_RETRY_S = 0.15
+"""Seconds after which a full service has usually finished several of its calls."""
+
+RETRY_JITTER = 0.3
+"""Part by which a Retry-After varies, so that the refused do not return together."""
+
+
+@dataclass(slots=True)
+class Relay(RelayState):
+    """What follows from each event; `start`, `handle` and `tick` return actions."""
+
+    def start(self, now: float) -> list[RelayAction]:
+        """Send the first attempt, or refuse at once where none can be made."""
+        self.position = self.request.resume_after
+        self.shared.budget_of(self.routed.service.name).earn()
+        if self.deadline() - now < SHORTEST_ATTEMPT_S:
+            return self.fail(ErrorCode.WAIT_EXCEEDED, "no time was left on arrival")
+        return self.start_next(now)
+
+    def handle(self, event: RelayEvent, now: float) -> list[RelayAction]:
+        """Take in what an attempt brought; drop it unless the attempt is live."""
+        attempt = self.attempts.get(event.attempt)
+        if self.is_over or attempt is None:
+            return []
+        return take(event, self, attempt, now)
+
+    def tick(self, now: float) -> list[RelayAction]:
+        """Act on what time alone has brought."""
+        if self.is_over:
+            return []
+        if now >= self.deadline():
+            return self.give_up()
+        if now - self.wake_at() > OWN_PAUSE_S:
+            return self.discount_own_pause(now)
+        if self.retry_at is not None and now >= self.retry_at:
+            self.retry_at = None
+            return self.start_next(now)
+        hedge_at = self.hedge_due_at()
+        if hedge_at is not None and now >= hedge_at:
+            return self.hedge(now)
+        return self.answer_silence(now) if self.kind.is_stream else []
+
+    def wake_at(self) -> float:
+        """Return when `tick` is due next, in monotonic seconds."""
+        times = [self.deadline()]
+        if self.retry_at is not None:
+            times.append(self.retry_at)
+        hedge_at = self.hedge_due_at()
+        if hedge_at is not None:
+            times.append(hedge_at)
+        if self.kind is RequestKind.RESUMABLE_STREAM:
+            for attempt in self.attempts.values():
+                times.append(self.probe_due_at(attempt))
+                times.append(self.given_up_at(attempt))
+        return min(times)
+
+    def close(self) -> list[RelayAction]:
+        """End it because the caller is done or gone."""
+        self.is_over = True
+        return self.cancel_all()
+
+    # Starting attempts.
+
+    def start_next(self, now: float) -> list[RelayAction]:
+        """Send the request to the best upstream there is."""
+        standby = self.live_standby()
+        if standby is not None:
+            self.shared.totals.copies_used += 1
+            return [self.start_on(standby, now, from_copy=True)]
+        upstream = self.next_upstream()
+        if upstream is None:
+            return self.wait_or_refuse(now)
+        return [self.start_on(upstream, now)]
+
+    def next_upstream(self) -> UpstreamInstance | None:
+        """Return an upstream that has not failed this request, or None."""
+        wanted = self.pick_request(self.excluded, self.lost_domains)
+        return self.shared.selector.pick(wanted)
+
+    def start_on(
+        self, upstream: UpstreamInstance, now: float, from_copy: bool = False
+    ) -> StartRelay:
+        """Start an attempt, with a standby for its memory where that is of use."""
+        self.numbers += 1
+        self.sends += 1
+        self.standby = self.choose_standby(upstream)
+        attempt = RelayAttempt(
+            self.numbers, upstream, now, now, self.standby, from_copy=from_copy
+        )
+        self.attempts[attempt.number] = attempt
+        self.shared.selector.started(upstream.name)
+        totals = self.shared.totals
+        totals.attempts += 1
+        totals.repeats += self.numbers > 1
+        totals.resumes += self.numbers > 1 and self.has_delivered
+        return StartRelay(
+            attempt=attempt.number,
+            upstream=upstream,
+            deadline=self.deadline(),
+            resume_after=self.position,
+            from_copy=from_copy,
+            standby=self.standby,
+        )
+
+    def choose_standby(self, upstream: UpstreamInstance) -> UpstreamInstance | None:
+        """Return an upstream in another failure domain to hold a copy, or None."""
+        if self.kind is not RequestKind.RESUMABLE_STREAM:
+            return None
+        if not self.routed.service.keeps_copies:
+            return None
+        domains = self.lost_domains | {upstream.failure_domain}
+        wanted = self.pick_request(self.excluded | {upstream.name}, domains)
+        return self.shared.selector.pick(wanted)
+
+    def wait_or_refuse(self, now: float) -> list[RelayAction]:
+        """Refuse what has not run; let what may go on wait for an upstream."""
+        if self.excluded and self.kind.may_repeat and self.may_have_run:
+            self.excluded.clear()
+            self.retry_at = now + WAIT_FOR_UPSTREAM_S
+            return []
+        if self.has_delivered:
+            self.retry_at = now + WAIT_FOR_UPSTREAM_S
+            return []
+        if self.excluded:
+            return self.refuse_full()
+        return self.fail(
+            ErrorCode.NO_UPSTREAM,
+            f"service={self.routed.service.name!r} has no live upstream",
+            self.jittered(NO_UPSTREAM_RETRY_S),
+        )
+
+    def refuse_full(self) -> list[RelayAction]:
+        """Refuse a request that the upstreams asked had no room for."""
+        return self.fail(
+            ErrorCode.OVERLOADED
+            if not self.may_have_run
+            else ErrorCode.UPSTREAM_FAILED,
+            f"service={self.routed.service.name!r} took no attempt of "
+            f"{self.sends}: {self.last_message}",
+            self.jittered(FULL_RETRY_S),
+        )
+
+    def jittered(self, seconds: float) -> float:
+        """Return a time that differs between requests refused together."""
+        spread = self.shared.random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+        return seconds * spread
+
+    def hedge(self, now: float) -> list[RelayAction]:
+        """Send a late idempotent call to a second upstream; the first answer wins."""
+        self.was_hedged = True
+        busy = {attempt.upstream.name for attempt in self.attempts.values()}
+        wanted = self.pick_request(self.excluded | busy, self.lost_domains)
+        upstream = self.shared.selector.pick(wanted)
+        if upstream is None or not self.may_spend():
+            return []
+        self.shared.totals.hedges += 1
+        return [self.start_on(upstream, now)]
+
+    def may_spend(self) -> bool:
+        """Take one more send out of the service's retry budget."""
+        return self.shared.budget_of(self.routed.service.name).spend()
+
+    # Time.
+
+    def give_up(self) -> list[RelayAction]:
+        """End a request whose time has passed."""
+        self.may_have_run = self.may_have_run or bool(self.attempts)
+        return self.fail(
+            ErrorCode.WAIT_EXCEEDED,
+            f"no whole answer in time after {self.sends} attempts; {self.last_message}",
+        )
+
+    def discount_own_pause(self, now: float) -> list[RelayAction]:
+        """Take no silence of a time in which this process itself did not run."""
+        for attempt in self.attempts.values():
+            attempt.heard_at = now
+            attempt.started_at = max(attempt.started_at, now)
+        if self.retry_at is not None:
+            self.retry_at = now
+        return []
+
+    def answer_silence(self, now: float) -> list[RelayAction]:
+        """Probe the upstreams of silent attempts, and give up the hopeless ones."""
+        if not self.kind.may_repeat:
+            return []
+        actions: list[RelayAction] = []
+        for attempt in list(self.attempts.values()):
+            if now >= self.given_up_at(attempt):
+                silent_s = now - attempt.heard_at
+                actions.extend(
+                    self.abandon(attempt, f"silent for {silent_s:.2f} s", now)
+                )
+            elif now >= self.probe_due_at(attempt):
+                attempt.probed_at = now
+                self.shared.totals.probes += 1
+                actions.append(ProbeUpstream(attempt.number, attempt.upstream))
+        return actions
+
+    def abandon(
+        self, attempt: RelayAttempt, message: str, now: float
+    ) -> list[RelayAction]:
+        """Cancel an attempt that brings nothing and go on elsewhere."""
+        event = AttemptFailed(
+            attempt.number, now, AttemptCause.SILENT, Verdict.MAY_HAVE_RUN, message
+        )
+        actions = self.cancel(attempt.number)
+        return actions + self.go_on(attempt, event, now)
+
+    # Ends of attempts.
+
+    def lose(
+        self, attempt: RelayAttempt, event: AttemptFailed, now: float
+    ) -> list[RelayAction]:
+        """Note the end of an attempt and go on as its kind allows."""
+        del self.attempts[attempt.number]
+        self.shared.selector.finished(attempt.upstream.name)
+        return self.go_on(attempt, event, now)
+
+    def go_on(
+        self, attempt: RelayAttempt, event: AttemptFailed, now: float
+    ) -> list[RelayAction]:
+        """Send the request again where that is allowed, or fail."""
+        self.learn_failure(attempt, event)
+        if self.attempts:
+            return []
+        has_run = event.verdict is not Verdict.NOT_RUN
+        if has_run and not self.kind.may_repeat:
+            return self.fail_or_pass_on(event)
+        if self.deadline() - now < SHORTEST_ATTEMPT_S:
+            return self.give_up()
+        if not self.may_send_again(event):
+            return self.fail_or_pass_on(event)
+        return self.start_next(now)
+
+    def learn_failure(self, attempt: RelayAttempt, event: AttemptFailed) -> None:
+        """Note what the end of an attempt says of its upstream."""
+        name = attempt.upstream.name
+        self.last_message = f"{name}: {event.cause.value} {event.message}"
+        if event.verdict is not Verdict.NOT_RUN:
+            self.may_have_run = True
+        if event.cause is AttemptCause.NO_COPY:
+            return
+        self.excluded.add(name)
+        if event.cause in LOSS_CAUSES:
+            self.shared.selector.failed(name)
+        if event.cause in (AttemptCause.LOST, AttemptCause.SILENT):
+            self.lost_domains.add(attempt.upstream.failure_domain)
+
+    def may_send_again(self, event: AttemptFailed) -> bool:
+        """Whether attempts and budget allow one more send.
+
+        A send that found no connection reached no upstream and costs nothing. A stream
+        in progress is never given up for want of budget: its caller would ask again
+        for all of it.
+        """
+        if event.cause is AttemptCause.UNREACHABLE:
+            self.sends -= 1
+            return True
+        if self.sends >= self.routed.route.max_attempts:
+            return False
+        return self.may_spend() or self.has_delivered
+
+    def fail_or_pass_on(self, event: AttemptFailed) -> list[RelayAction]:
+        """Answer with the upstream's own failure, or with one of ours."""
+        if event.answer is not None and not self.has_delivered:
+            self.is_over = True
+            return [*self.cancel_all(), DeliverAnswer(event.answer)]
+        if not self.may_have_run:
+            return self.refuse_full()
+        return self.fail(ErrorCode.UPSTREAM_FAILED, self.last_message)
+
+    # What attempts bring.
+
+    def deliver_event(
+        self, attempt: RelayAttempt, event: EventsArrived, now: float
+    ) -> list[RelayAction]:
+        """Hand an event to the caller if it is the next one."""
+        attempt.heard_at = max(attempt.heard_at, event.at)
+        attempt.has_event = True
+        self.shared.patience.heard(attempt.upstream.name, event.at)
+        if self.position is not None and event.last_id <= self.position:
+            return []
+        if self.position is not None and event.first_id != self.position + 1:
+            reason = f"event {event.first_id} came after event {self.position}"
+            return self.cut_malformed(attempt, reason, now)
+        headers = None if self.has_delivered else attempt.headers
+        self.has_delivered = True
+        self.may_have_run = True
+        self.position = event.last_id
+        return [DeliverEvents(event.payload, headers)]
+
+    def cut_malformed(
+        self, attempt: RelayAttempt, reason: str, now: float
+    ) -> list[RelayAction]:
+        """Cancel an attempt whose stream is not the one asked for."""
+        event = AttemptFailed(
+            attempt.number, now, AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN, reason
+        )
+        actions = self.cancel(attempt.number)
+        return actions + self.go_on(attempt, event, now)
+
+    def finish(self, attempt: RelayAttempt) -> None:
+        """Note an attempt that ended well."""
+        self.is_over = True
+        del self.attempts[attempt.number]
+        self.shared.selector.finished(attempt.upstream.name)
+        self.shared.selector.succeeded(attempt.upstream.name)
+
+
+@singledispatch
+def take(
+    event: RelayEvent, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Return the actions that follow from an event of a live attempt."""
+    raise NotImplementedError(f"event={event!r} is not known")
+
+
+@take.register
+def take_answer(
+    event: AnswerArrived, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Pass a whole answer on; the other attempts are of no use any more."""
+    relay.finish(attempt)
+    return [*relay.cancel_all(), DeliverAnswer(event.answer)]
+
+
+@take.register
+def take_opened(
+    event: StreamOpened, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Keep the headers for the first event."""
+    attempt.headers = event.headers
+    attempt.heard_at = max(attempt.heard_at, event.at)
+    return []
+
+
+@take.register
+def take_event(
+    event: EventsArrived, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Deliver an event."""
+    return relay.deliver_event(attempt, event, now)
+
+
+@take.register
+def take_end(
+    event: StreamFinished, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """End the caller's stream as the upstream ended its own."""
+    if not relay.has_delivered:
+        return relay.cut_malformed(attempt, "the stream ended without an event", now)
+    relay.finish(attempt)
+    return [*relay.cancel_all(), EndStream()]
+
+
+@take.register
+def take_failure(
+    event: AttemptFailed, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Go on after a failed attempt."""
+    return relay.lose(attempt, event, now)
+
+
+@take.register
+def take_probe(
+    event: UpstreamProbed, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Leave an upstream that takes no connection and has stayed silent."""
+    if event.is_reachable or relay.silent_since(attempt) > (attempt.probed_at or 0.0):
+        return []
+    return relay.abandon(attempt, "takes no connection", now)
+
+
+def make_relay(
+    request: RelayedRequest, routed: RoutedRequest, shared: RelayShared
+) -> Relay:
+    """Return the decisions for one request."""
+    return Relay(request, routed, shared)
--- /dev/null
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -0,0 +1,190 @@
+"""What goes into a relayed request's decisions and what comes out of them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.errors import Verdict
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedRequest:
+    """A caller's request, passed on without being understood.
+
+    `target` is the raw path with its query. `deadline` is in monotonic seconds: the
+    caller has gone then. `resume_after` is the id of the last event that the caller
+    already holds, or None. `size` orders requests by the work they ask for, in tokens;
+    0 where it is not told.
+    """
+
+    request_id: str
+    host: str
+    method: str
+    path: str
+    target: str
+    headers: Headers
+    body: bytes
+    key: str | None
+    arrived_at: float
+    deadline: float
+    resume_after: int | None = None
+    size: int = 0
+
+
+class AttemptCause(enum.StrEnum):
+    """Why an attempt brought no answer.
+
+    `OVERLOADED`: the upstream has no room and says so. `MISDIRECTED`: another upstream
+    has the address now. `NO_COPY`: the standby copy it should go on from is missing.
+    `UNREACHABLE`: no connection. `LOST`: the connection ended before the answer did.
+    `MALFORMED`: what came is no answer to this request. `SILENT`: given up on after a
+    silence. `FAILED`: the upstream itself said that it failed.
+    """
+
+    OVERLOADED = "overloaded"
+    MISDIRECTED = "misdirected"
+    NO_COPY = "no_copy"
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+    MALFORMED = "malformed"
+    SILENT = "silent"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """A whole answer of an upstream, as it goes to the caller."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerArrived:
+    """An attempt brought a whole answer that is not a stream."""
+
+    attempt: int
+    at: float
+    answer: RelayAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOpened:
+    """An attempt's stream began; `headers` are those of its answer."""
+
+    attempt: int
+    at: float
+    headers: Headers
+
+
+@dataclass(frozen=True, slots=True)
+class EventsArrived:
+    """Whole events of a stream; `first_id` and `last_id` are their ids."""
+
+    attempt: int
+    at: float
+    payload: bytes
+    first_id: int
+    last_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamFinished:
+    """An attempt's stream ended as a whole one does."""
+
+    attempt: int
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt ended without its answer.
+
+    `answer` is the upstream's own failure, where it sent one that may be passed on.
+    """
+
+    attempt: int
+    at: float
+    cause: AttemptCause
+    verdict: Verdict
+    message: str = ""
+    answer: RelayAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamProbed:
+    """A connection to the upstream of an attempt was tried."""
+
+    attempt: int
+    at: float
+    is_reachable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StartRelay:
+    """Send the request to `upstream`.
+
+    `resume_after` is the id of the last event delivered, or None at the beginning.
+    With `from_copy` the attempt goes on from the copy that `upstream` holds. `standby`
+    is the upstream that is to hold a copy of this attempt's memory.
+    """
+
+    attempt: int
+    upstream: UpstreamInstance
+    deadline: float
+    resume_after: int | None = None
+    from_copy: bool = False
+    standby: UpstreamInstance | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeUpstream:
+    """Try a connection to the upstream of an attempt that has been silent."""
+
+    attempt: int
+    upstream: UpstreamInstance
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverAnswer:
+    """Hand a whole answer to the caller; the last action."""
+
+    answer: RelayAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverEvents:
+    """Hand events to the caller; `headers` come with the first of them."""
+
+    payload: bytes
+    headers: Headers | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EndStream:
+    """End the caller's stream as a whole one; the last action."""
+
+
+@dataclass(frozen=True, slots=True)
+class BreakStream:
+    """Close the caller's connection in mid-stream: the answer stays incomplete."""
+
+    reason: str
+
+
+RelayEvent = (
+    AnswerArrived
+    | StreamOpened
+    | EventsArrived
+    | StreamFinished
+    | AttemptFailed
+    | UpstreamProbed
+)
+RelayOutput = DeliverAnswer | DeliverEvents | EndStream | BreakStream | Fail
+RelayAction = StartRelay | CancelAttempt | ProbeUpstream | RelayOutput
--- /dev/null
+++ b/src/turmericusher/decisions/relay_state.py
@@ -0,0 +1,234 @@
+"""What is known of one relayed request, and what all of them decide with."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
+from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.patience import Patience
+from turmericusher.decisions.relay_messages import (
+    AttemptCause,
+    BreakStream,
+    RelayAction,
+    RelayedRequest,
+)
+from turmericusher.decisions.retries import RetryBudget
+from turmericusher.decisions.routing import RequestKind, RoutedRequest
+from turmericusher.decisions.selection import PickRequest, Selector
+from turmericusher.errors import ErrorCode, Verdict
+
+RUNNING_PROBE_AFTER_S = 0.2
+"""Silence of a running stream after which its upstream is probed: several usual gaps
+between events, and a third of the pause that callers accept."""
+
+RUNNING_LIMIT_S = 1.0
+"""Silence of a running stream on a reachable upstream that is waited out."""
+
+STARTING_PROBE_AFTER_S = 0.4
+"""Wait for a first event after which the upstream is probed, and between probes."""
+
+STARTING_LIMIT_S = 6.0
+"""Wait for a first event on a reachable upstream: long prompts take seconds to read,
+and giving up wastes what was read."""
+
+HEDGE_SHARE = 0.6
+"""Part of the target latency after which an idempotent call goes to a second
+upstream; the rest is what that one needs to answer in time."""
+
+OWN_PAUSE_S = 0.5
+"""A wake-up this late means that this process was paused: the silence was its own."""
+
+WAIT_FOR_UPSTREAM_S = 0.1
+"""Seconds between looks for an upstream while a stream has none to go on at."""
+
+SHORTEST_ATTEMPT_S = 0.01
+"""No attempt is started with less time than this left of its request."""
+
+LOSS_CAUSES = frozenset(
+    {
+        AttemptCause.UNREACHABLE,
+        AttemptCause.LOST,
+        AttemptCause.SILENT,
+        AttemptCause.MALFORMED,
+        AttemptCause.FAILED,
+        AttemptCause.MISDIRECTED,
+    }
+)
+"""Ends of an attempt after which others should avoid the upstream for a while."""
+
+
+@dataclass(slots=True)
+class RelayTotals:
+    """Counts over all relayed requests, by what happened."""
+
+    attempts: int = 0
+    repeats: int = 0
+    resumes: int = 0
+    copies_used: int = 0
+    hedges: int = 0
+    probes: int = 0
+
+
+@dataclass(slots=True)
+class RelayShared:
+    """What all relayed requests of an instance decide with.
+
+    `budgets` holds the retries that each service still allows; `budget_ratio` and
+    `budget_reserve` make the budget of a service seen for the first time.
+    """
+
+    selector: Selector
+    random: random.Random
+    patience: Patience = field(default_factory=Patience)
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    budget_ratio: float = 0.2
+    budget_reserve: float = 10.0
+    totals: RelayTotals = field(default_factory=RelayTotals)
+
+    def budget_of(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            reserve = self.budget_reserve
+            budget = RetryBudget(self.budget_ratio, reserve, reserve)
+            self.budgets[service] = budget
+        return budget
+
+    def set_budgets(self, ratio: float, reserve: float) -> None:
+        """Change what every budget allows, as when the fleet grows or shrinks."""
+        self.budget_ratio, self.budget_reserve = ratio, reserve
+        for budget in self.budgets.values():
+            budget.ratio, budget.reserve = ratio, reserve
+            budget.balance = min(budget.balance, reserve)
+
+
+@dataclass(slots=True)
+class RelayAttempt:
+    """One sending of the request; times are monotonic seconds."""
+
+    number: int
+    upstream: UpstreamInstance
+    started_at: float
+    heard_at: float
+    standby: UpstreamInstance | None
+    has_event: bool = False
+    from_copy: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
+    probed_at: float | None = None
+
+
+@dataclass(slots=True)
+class RelayState:
+    """One relayed request: what was delivered, what runs and what failed.
+
+    `position` is the id of the last event that the caller holds. `sends` counts the
+    attempts that reached an upstream.
+    """
+
+    request: RelayedRequest
+    routed: RoutedRequest
+    shared: RelayShared
+    position: int | None = None
+    attempts: dict[int, RelayAttempt] = field(default_factory=dict)
+    excluded: set[str] = field(default_factory=set)
+    lost_domains: set[str] = field(default_factory=set)
+    standby: UpstreamInstance | None = None
+    numbers: int = 0
+    sends: int = 0
+    has_delivered: bool = False
+    may_have_run: bool = False
+    was_hedged: bool = False
+    retry_at: float | None = None
+    last_message: str = ""
+    is_over: bool = False
+
+    # Queries.
+
+    @property
+    def kind(self) -> RequestKind:
+        """What may be done with the request."""
+        return self.routed.route.kind
+
+    def deadline(self) -> float:
+        """Return when the caller or the route gives up, whichever is first."""
+        by_route = self.request.arrived_at + self.routed.route.timeout_s
+        return min(self.request.deadline, by_route)
+
+    def silent_since(self, attempt: RelayAttempt) -> float:
+        """Return when the attempt's upstream last showed that it works.
+
+        Any stream of the upstream counts: one that waits for its first event is not
+        stuck while others beside it go on.
+        """
+        heard_at = self.shared.patience.heard_at(attempt.upstream.name)
+        return max(attempt.heard_at, heard_at)
+
+    def probe_due_at(self, attempt: RelayAttempt) -> float:
+        """Return when the upstream of a silent attempt is probed next."""
+        running = attempt.has_event
+        wait_s = RUNNING_PROBE_AFTER_S if running else STARTING_PROBE_AFTER_S
+        return max(self.silent_since(attempt), attempt.probed_at or 0.0) + wait_s
+
+    def given_up_at(self, attempt: RelayAttempt) -> float:
+        """Return when an attempt is given up though its upstream is reachable."""
+        if attempt.has_event or attempt.from_copy:
+            return attempt.heard_at + RUNNING_LIMIT_S
+        return attempt.heard_at + STARTING_LIMIT_S
+
+    def hedge_due_at(self) -> float | None:
+        """Return when an idempotent call goes to a second upstream, if it still may."""
+        if self.kind is not RequestKind.IDEMPOTENT or self.was_hedged:
+            return None
+        if len(self.attempts) != 1 or self.sends >= self.routed.route.max_attempts:
+            return None
+        (attempt,) = self.attempts.values()
+        return attempt.started_at + HEDGE_SHARE * self.routed.route.target_latency_s
+
+    def pick_request(self, excluded: set[str], domains: set[str]) -> PickRequest:
+        """Return what the next attempt needs of its upstream."""
+        return PickRequest(
+            service=self.routed.service.name,
+            excluded=frozenset(excluded),
+            avoided_domains=frozenset(domains),
+        )
+
+    def live_standby(self) -> UpstreamInstance | None:
+        """Return the upstream that holds a copy, if it is still the one that got it."""
+        standby = self.standby
+        if standby is None or standby.name in self.excluded:
+            return None
+        now = self.shared.selector.upstreams.get(standby.name)
+        if now is None or now.incarnation != standby.incarnation:
+            return None
+        return now if now.lifecycle is Lifecycle.LIVE else None
+
+    def verdict(self) -> Verdict:
+        """Return whether any attempt may have run."""
+        return Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
+
+    # Commands.
+
+    def cancel_all(self) -> list[RelayAction]:
+        """Cancel every attempt that still runs."""
+        actions: list[RelayAction] = []
+        for number in list(self.attempts):
+            actions.extend(self.cancel(number))
+        return actions
+
+    def cancel(self, number: int) -> list[RelayAction]:
+        """Cancel one attempt."""
+        attempt = self.attempts.pop(number)
+        self.shared.selector.finished(attempt.upstream.name)
+        return [CancelAttempt(number)]
+
+    def fail(
+        self, code: ErrorCode, message: str, retry_after_s: float | None = None
+    ) -> list[RelayAction]:
+        """End without a whole answer: refuse it, or break off what was begun."""
+        actions = self.cancel_all()
+        self.is_over = True
+        if self.has_delivered:
+            return [*actions, BreakStream(message)]
+        return [*actions, Fail(code, self.verdict(), message, retry_after_s)]
--- /dev/null
+++ b/src/turmericusher/decisions/routing.py
@@ -0,0 +1,206 @@
+"""Routing: which service a request goes to, for which team and within which limits.
+
+A route is chosen by the host and the longest prefix of the path. A table belongs to one
+version of the configuration and is never changed; a newer version makes a new table.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from turmericusher.errors import ErrorCode, RequestRefusedError
+
+NO_CONFIGURATION_RETRY_S = 0.5
+"""Seconds after which an instance that has just started has usually read its
+configuration: one read of the store and a margin."""
+
+
+class RequestKind(enum.StrEnum):
+    """What may be done with a request whose attempt failed."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    RESUMABLE_STREAM = "resumable_stream"
+    STREAM = "stream"
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self in (RequestKind.RESUMABLE_STREAM, RequestKind.STREAM)
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether an attempt that may have run can be followed by another."""
+        return self in (RequestKind.RESUMABLE_STREAM, RequestKind.IDEMPOTENT)
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A service and its share of a route's requests."""
+
+    name: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """What the requests under one prefix need; times are in seconds.
+
+    `timeout_s` bounds the whole answer. `target_latency_s` is when an answer, or the
+    first event of a stream, should have come. `longest_gap_s` is the pause between two
+    events that callers accept. `max_attempts` bounds the upstreams that one request is
+    sent to. `needs_team` is False where callers need no key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    target_latency_s: float
+    longest_gap_s: float = 1.0
+    urgency: int = 0
+    max_attempts: int = 1
+    needs_team: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTraits:
+    """What is known of a service's upstreams.
+
+    `slots` is the number of requests that one of them runs at once, None where it is
+    not told. `keeps_copies`: whether they take standby copies of an attempt's memory.
+    """
+
+    name: str
+    slots: int | None = None
+    keeps_copies: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What callers may send, and how long a connection may be idle, in seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """Where a request goes; `team` is empty on a route that needs none."""
+
+    route: Route
+    service: ServiceTraits
+    team: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """One version of the configuration.
+
+    `by_host` holds each host's routes, the longest prefix first. `team_of_key` is None
+    where the deployment has no teams.
+    """
+
+    version: int
+    by_host: Mapping[str, tuple[Route, ...]]
+    services: Mapping[str, ServiceTraits]
+    team_of_key: Mapping[str, str] | None = None
+    limits: RequestLimits = field(default_factory=RequestLimits)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, or None."""
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def admit(
+        self, host: str, path: str, key: str | None, rng: random.Random
+    ) -> RoutedRequest:
+        """Return where a request goes; raise `RequestRefusedError` where nowhere."""
+        route = self.match(host, path)
+        if route is None:
+            raise RequestRefusedError(
+                ErrorCode.UNKNOWN_ROUTE,
+                f"host={host!r} has no route for path={path!r}; check the address",
+            )
+        team = self.team_for(route, key)
+        service = choose_service(route.services, rng)
+        traits = self.services.get(service) or ServiceTraits(service)
+        return RoutedRequest(route, traits, team, self.version)
+
+    def team_for(self, route: Route, key: str | None) -> str:
+        """Return the team that holds a key; raise where one is needed and missing."""
+        if self.team_of_key is None or not route.needs_team:
+            return ""
+        team = self.team_of_key.get(key) if key is not None else None
+        if team is None:
+            raise RequestRefusedError(
+                ErrorCode.UNAUTHORIZED,
+                f"route={route.name!r} needs the key of a team; send a valid one",
+            )
+        return team
+
+
+@dataclass(slots=True)
+class NewestTable:
+    """The newest table known; an older version never replaces it."""
+
+    table: RoutingTable | None = None
+
+    def offer(self, table: RoutingTable) -> bool:
+        """Take over a table if it is newer; return whether it was."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        return True
+
+    def current(self) -> RoutingTable:
+        """Return the table in force; raise while none was ever read."""
+        if self.table is None:
+            raise RequestRefusedError(
+                ErrorCode.NO_CONFIGURATION,
+                "this instance has not read its configuration yet; repeat the request",
+                retry_after_s=NO_CONFIGURATION_RETRY_S,
+            )
+        return self.table
+
+
+def choose_service(services: tuple[WeightedService, ...], rng: random.Random) -> str:
+    """Draw one service by weight; a weight of zero is never drawn."""
+    if len(services) == 1:
+        return services[0].name
+    usable = [service for service in services if service.weight > 0] or list(services)
+    weights = [max(service.weight, 0.0) or 1.0 for service in usable]
+    return rng.choices(usable, weights)[0].name
+
+
+def make_routing_table(
+    version: int,
+    routes: Iterable[Route],
+    services: Iterable[ServiceTraits],
+    team_of_key: Mapping[str, str] | None = None,
+    limits: RequestLimits | None = None,
+) -> RoutingTable:
+    """Return a table with each host's routes in the order of matching."""
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    ordered = {
+        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+        for host, found in by_host.items()
+    }
+    return RoutingTable(
+        version=version,
+        by_host=ordered,
+        services={service.name: service for service in services},
+        team_of_key=team_of_key,
+        limits=limits or RequestLimits(),
+    )
--- a/src/turmericusher/errors.py
+++ b/src/turmericusher/errors.py
@@ -28,6 +28,8 @@
     UNKNOWN_PROFILE = "unknown_profile"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
+    NO_CONFIGURATION = "no_configuration"
     INVALID_KEY = "invalid_idempotency_key"
     KEY_EXPIRED = "idempotency_key_expired"
     KEY_REUSED = "idempotency_key_reused"
@@ -106,5 +108,9 @@
         )
 
 
+class StoreHistoryLostError(StoreUnavailableError):
+    """The store no longer holds the changes asked for: read everything again."""
+
+
 class ConflictError(TurmericusherError):
     """A change was refused because another change came first."""
--- a/src/turmericusher/metrics.py
+++ b/src/turmericusher/metrics.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import bisect
 import re
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -18,13 +19,22 @@
 UNSAFE_CHARACTERS = re.compile(r"[^A-Za-z0-9_.-]")
 
 
+BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+"""Upper bounds of the latency histograms in seconds, around the users' targets of
+100 ms to 5 s."""
+
+
 @dataclass(slots=True)
 class TimingSummary:
-    """How often something was timed, and its total and longest time in seconds."""
+    """How often something was timed, and its total and longest time in seconds.
+
+    `buckets` counts the times up to each of `BUCKETS_S`, and those above all of them.
+    """
 
     count: int = 0
     total_s: float = 0.0
     longest_s: float = 0.0
+    buckets: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS_S) + 1))
 
 
 @dataclass(slots=True)
@@ -54,6 +64,7 @@
             summary.count += 1
             summary.total_s += seconds
             summary.longest_s = max(summary.longest_s, seconds)
+            summary.buckets[bisect.bisect_left(BUCKETS_S, seconds)] += 1
         if self.client is not None:
             self.client.timing(safe_name(name), seconds * MILLISECONDS_PER_S)
 
@@ -116,6 +127,40 @@
     return name in kept or len(kept) < MAX_NAMES
 
 
+def exposition(metrics: Metrics) -> str:
+    """Return every figure as text in the exposition format of Prometheus.
+
+    Names are counted as labels of one metric of each kind, so that a name made from
+    input makes no new metric.
+    """
+    lines = ["# TYPE turmericusher_events_total counter"]
+    for name, value in sorted(metrics.counts.items()):
+        lines.append(
+            f'turmericusher_events_total{{name="{safe_name(name)}"}} {value:g}'
+        )
+    lines.append("# TYPE turmericusher_state gauge")
+    for name, value in sorted(metrics.gauges.items()):
+        lines.append(f'turmericusher_state{{name="{safe_name(name)}"}} {value:g}')
+    lines.append("# TYPE turmericusher_seconds histogram")
+    for name, summary in sorted(metrics.timings.items()):
+        lines.extend(histogram_lines(safe_name(name), summary))
+    return "\n".join(lines) + "\n"
+
+
+def histogram_lines(name: str, summary: TimingSummary) -> list[str]:
+    """Return the lines of one histogram."""
+    lines, total = [], 0
+    for bound_s, count in zip((*BUCKETS_S, None), summary.buckets, strict=True):
+        total += count
+        edge = "+Inf" if bound_s is None else f"{bound_s:g}"
+        lines.append(
+            f'turmericusher_seconds_bucket{{name="{name}",le="{edge}"}} {total}'
+        )
+    lines.append(f'turmericusher_seconds_sum{{name="{name}"}} {summary.total_s:g}')
+    lines.append(f'turmericusher_seconds_count{{name="{name}"}} {summary.count}')
+    return lines
+
+
 @lru_cache(maxsize=MAX_NAMES)
 def safe_name(name: str) -> str:
     """Replace the characters that statsd's line format gives a meaning."""
--- /dev/null
+++ b/src/turmericusher/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/src/turmericusher/platform/codec.py
@@ -0,0 +1,144 @@
+"""Translates callers' requests, and our answers, between the wire and the relay."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from starlette.types import Scope
+
+from turmericusher.decisions.relay_messages import Headers, RelayedRequest
+from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.platform.names import (
+    LAST_EVENT_ID,
+    LOAD,
+    REQUEST_ID,
+    SYSTEM_HEADERS,
+    TOKEN_COUNTS,
+    UPSTREAM_ONLY_HEADERS,
+    WAIT_MS,
+)
+from turmericusher.platform.settings import MILLISECONDS_PER_S
+from turmericusher.ports.services import HOP_BY_HOP_HEADERS
+
+BEARER = "bearer "
+OUTPUT_TOKEN_WEIGHT = 10
+"""What a token of output counts against one of input, as the users weigh them."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformCodec:
+    """The platform's heads; one object serves all requests."""
+
+    def decode(self, scope: Scope, body: bytes, arrived_at: float) -> RelayedRequest:
+        """Return the request; raise `RequestRefusedError` where it is malformed."""
+        headers = [
+            (name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in scope["headers"]
+        ]
+        first = dict(reversed(headers))
+        request_id = first.get(REQUEST_ID, "")
+        if not request_id:
+            raise malformed(REQUEST_ID, request_id)
+        raw_path = scope["raw_path"].decode("latin-1")
+        query = scope["query_string"].decode("latin-1")
+        wait_ms = parse_number(WAIT_MS, first.get(WAIT_MS))
+        resume_after = parse_number(LAST_EVENT_ID, first.get(LAST_EVENT_ID))
+        return RelayedRequest(
+            request_id=request_id,
+            host=first.get("host", "").partition(":")[0].lower(),
+            method=scope["method"],
+            path=raw_path,
+            target=f"{raw_path}?{query}" if query else raw_path,
+            headers=passed_on(headers, SYSTEM_HEADERS),
+            body=body,
+            key=bearer_key(first.get("authorization")),
+            arrived_at=arrived_at,
+            deadline=arrived_at
+            + (math.inf if wait_ms is None else wait_ms / MILLISECONDS_PER_S),
+            resume_after=None if resume_after is None else int(resume_after),
+            size=size_of(first.get(TOKEN_COUNTS)),
+        )
+
+    def encode_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return an upstream's headers as the caller gets them."""
+        return [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in passed_on(list(headers), UPSTREAM_ONLY_HEADERS)
+        ]
+
+    def encode_failure(
+        self, scope: Scope, retry_after_s: float | None
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer of our own."""
+        headers = [(b"content-type", b"text/plain")]
+        wanted = REQUEST_ID.encode()
+        for name, value in scope["headers"]:
+            if name.lower() == wanted:
+                headers.append((wanted, value))
+        if retry_after_s is not None:
+            headers.append((b"retry-after", f"{retry_after_s:.3f}".encode()))
+        return headers
+
+
+def passed_on(headers: list[tuple[str, str]], kept_back: frozenset[str]) -> Headers:
+    """Return the headers that go on to the other side.
+
+    A `Connection` header may name more headers that concern one connection only.
+    """
+    named: set[str] = set()
+    for name, value in headers:
+        if name.lower() == "connection":
+            named.update(part.strip().lower() for part in value.split(","))
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in HOP_BY_HOP_HEADERS
+        and name.lower() not in kept_back
+        and name.lower() not in named
+    )
+
+
+def bearer_key(value: str | None) -> str | None:
+    """Return the key of an `Authorization` header."""
+    if value is None or not value.lower().startswith(BEARER):
+        return None
+    return value[len(BEARER) :].strip()
+
+
+def parse_number(name: str, value: str | None) -> float | None:
+    """Return a header's number, or None where the header is missing."""
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        raise malformed(name, value) from None
+    if not 0 <= number < math.inf:
+        raise malformed(name, value)
+    return number
+
+
+def malformed(name: str, value: str) -> RequestRefusedError:
+    """Return the refusal of a header that cannot be used."""
+    return RequestRefusedError(
+        ErrorCode.INVALID_REQUEST, f"header {name}={value!r} is not usable; correct it"
+    )
+
+
+def size_of(value: str | None) -> int:
+    """Return how much work a request asks for, in tokens; 0 where it does not say."""
+    parts = (value or "").split(",")
+    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+        return 0
+    return int(parts[0]) + OUTPUT_TOKEN_WEIGHT * int(parts[1])
+
+
+def parse_load(headers: Headers) -> tuple[float, float] | None:
+    """Return the running and waiting requests that an upstream reports, if it does."""
+    for name, value in headers:
+        if name.lower() == LOAD:
+            parts = value.split(",")
+            if len(parts) >= 2 and all(part.strip().isdigit() for part in parts):
+                return float(parts[0]), float(parts[1])
+    return None
--- /dev/null
+++ b/src/turmericusher/platform/records.py
@@ -0,0 +1,251 @@
+"""What lies in the platform's store, decoded into the product's types."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import orjson
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    StrictBool,
+    StrictFloat,
+    StrictInt,
+    StrictStr,
+    ValidationError,
+)
+
+from turmericusher.decisions.fleet import (
+    EntryInstance,
+    Lifecycle,
+    UpstreamInstance,
+    UpstreamKind,
+)
+from turmericusher.decisions.routing import (
+    RequestKind,
+    RequestLimits,
+    Route,
+    RoutingTable,
+    ServiceTraits,
+    WeightedService,
+    make_routing_table,
+)
+from turmericusher.logs import log_event
+from turmericusher.platform.settings import MILLISECONDS_PER_S
+from turmericusher.profiles import describe_validation_error
+from turmericusher.settings import check_address
+
+StrictAddress = Annotated[StrictStr, AfterValidator(check_address)]
+Number = StrictInt | StrictFloat
+
+
+class WireModel(BaseModel):
+    """A border model; unknown fields are passed over, other types refused."""
+
+    model_config = ConfigDict(frozen=True)
+
+
+class SplitModel(WireModel):
+    """A service's part of a route."""
+
+    service: StrictStr
+    weight: Number
+
+
+class RouteModel(WireModel):
+    """One route; exactly one of `service` and `traffic_split` is set."""
+
+    name: StrictStr
+    host: StrictStr
+    prefix: StrictStr
+    kind: Literal["idempotent", "non_idempotent", "streaming"]
+    timeout_ms: Number
+    target_latency_ms: Number = 1_000
+    target_gap_ms: Number = 1_000
+    priority: StrictInt = 0
+    service: StrictStr | None = None
+    traffic_split: tuple[SplitModel, ...] = ()
+    max_attempts: StrictInt = 1
+    public_access: StrictBool = False
+    stream_resumption: StrictBool = False
+
+
+class EngineModel(WireModel):
+    """What model engines of a service can do; `backups`: hold standby copies."""
+
+    slots: StrictInt | None = None
+    backups: StrictBool = False
+
+
+class ServiceModel(WireModel):
+    """One service."""
+
+    name: StrictStr
+    engine: EngineModel | None = None
+
+
+class LimitsModel(WireModel):
+    """What callers may send."""
+
+    max_header_bytes: StrictInt = 16_384
+    max_body_bytes: StrictInt = 4_194_304
+    idle_timeout_ms: Number = 15_000
+
+
+class TeamModel(WireModel):
+    """One team and its keys."""
+
+    name: StrictStr
+    access_keys: tuple[StrictStr, ...] = ()
+
+
+class ConfigurationModel(WireModel):
+    """A whole configuration."""
+
+    version: StrictInt
+    routes: tuple[RouteModel, ...]
+    services: tuple[ServiceModel, ...] = ()
+    limits: LimitsModel = LimitsModel()
+    tenants: tuple[TeamModel, ...] | None = None
+
+
+class UpstreamModel(WireModel):
+    """What an upstream says of itself.
+
+    `born` is the Unix millisecond of its start, by which two lives of one id differ.
+    """
+
+    service: StrictStr
+    address: StrictAddress
+    zone: StrictStr
+    version: StrictStr
+    slots: StrictInt = Field(gt=0)
+    state: Literal["ready", "draining"]
+    sequence: StrictInt
+    born: StrictInt | None = None
+
+
+class InstanceModel(WireModel):
+    """An entry instance, as it registers itself."""
+
+    address: StrictAddress
+    failure_domain: StrictStr
+    incarnation: StrictStr
+
+
+def decode_configuration(value: bytes) -> RoutingTable | None:
+    """Return the routing table of a configuration, or None where it is unreadable."""
+    try:
+        model = ConfigurationModel.model_validate_json(value)
+    except ValidationError as error:
+        reason = describe_validation_error("configuration", error)
+        log_event("configuration_unreadable", reason=reason)
+        return None
+    return make_routing_table(
+        version=model.version,
+        routes=[decode_route(route) for route in model.routes],
+        services=[decode_service(service) for service in model.services],
+        team_of_key=team_of_key(model),
+        limits=RequestLimits(
+            max_header_bytes=model.limits.max_header_bytes,
+            max_body_bytes=model.limits.max_body_bytes,
+            idle_timeout_s=model.limits.idle_timeout_ms / MILLISECONDS_PER_S,
+        ),
+    )
+
+
+def team_of_key(model: ConfigurationModel) -> dict[str, str] | None:
+    """Return each key's team, or None where the deployment has no teams."""
+    if model.tenants is None:
+        return None
+    return {key: team.name for team in model.tenants for key in team.access_keys}
+
+
+def decode_route(model: RouteModel) -> Route:
+    """Return a route."""
+    if model.service is not None:
+        services: tuple[WeightedService, ...] = (WeightedService(model.service, 1.0),)
+    else:
+        services = tuple(
+            WeightedService(part.service, float(part.weight))
+            for part in model.traffic_split
+        )
+    return Route(
+        name=model.name,
+        host=model.host.lower(),
+        prefix=model.prefix,
+        kind=kind_of(model),
+        services=services,
+        timeout_s=model.timeout_ms / MILLISECONDS_PER_S,
+        target_latency_s=model.target_latency_ms / MILLISECONDS_PER_S,
+        longest_gap_s=model.target_gap_ms / MILLISECONDS_PER_S,
+        urgency=model.priority,
+        max_attempts=max(1, model.max_attempts),
+        needs_team=not model.public_access,
+    )
+
+
+def kind_of(model: RouteModel) -> RequestKind:
+    """Return what may be done with a route's requests."""
+    if model.kind != "streaming":
+        return RequestKind(model.kind)
+    if model.stream_resumption:
+        return RequestKind.RESUMABLE_STREAM
+    return RequestKind.STREAM
+
+
+def decode_service(model: ServiceModel) -> ServiceTraits:
+    """Return what is known of a service."""
+    if model.engine is None:
+        return ServiceTraits(model.name)
+    return ServiceTraits(model.name, model.engine.slots, model.engine.backups)
+
+
+def decode_upstream(name: str, value: bytes) -> UpstreamInstance | None:
+    """Return an upstream, or None where the entry names none that can be used."""
+    try:
+        model = UpstreamModel.model_validate_json(value)
+    except ValidationError as error:
+        reason = describe_validation_error("entry", error)
+        log_event("upstream_entry_dropped", upstream=name, reason=reason)
+        return None
+    return UpstreamInstance(
+        name=name,
+        service=model.service,
+        kind=UpstreamKind.SERVICE,
+        address=model.address,
+        failure_domain=model.zone,
+        incarnation=f"{model.address}/{model.born}",
+        version=model.version,
+        lifecycle=Lifecycle.LIVE if model.state == "ready" else Lifecycle.LEAVING,
+    )
+
+
+def decode_instance(name: str, value: bytes) -> EntryInstance | None:
+    """Return an entry instance, or None where its record is unreadable."""
+    try:
+        model = InstanceModel.model_validate_json(value)
+    except ValidationError as error:
+        reason = describe_validation_error("instance", error)
+        log_event("instance_entry_dropped", instance=name, reason=reason)
+        return None
+    return EntryInstance(
+        name=name,
+        failure_domain=model.failure_domain,
+        caller_address=model.address,
+        peer_address=model.address,
+        incarnation=model.incarnation,
+    )
+
+
+def encode_instance(instance: EntryInstance) -> bytes:
+    """Return an entry instance's record."""
+    return orjson.dumps(
+        {
+            "address": instance.caller_address,
+            "failure_domain": instance.failure_domain,
+            "incarnation": instance.incarnation,
+        }
+    )
--- /dev/null
+++ b/src/turmericusher/platform/settings.py
@@ -0,0 +1,153 @@
+"""The platform's settings file: lines of `a.b=value`, lists joined by commas."""
+
+from __future__ import annotations
+
+import os
+import random
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from turmericusher.errors import SettingsError
+from turmericusher.platform.names import SETTINGS_VARIABLE
+from turmericusher.profiles import describe_validation_error
+from turmericusher.settings import Address, Name
+
+MILLISECONDS_PER_S = 1_000.0
+METRICS_PORT = 9464
+"""The port that the deploy file names for metrics; the usual one of exporters."""
+
+
+class LenientModel(BaseModel):
+    """A border model that passes over what it does not know."""
+
+    model_config = ConfigDict(frozen=True)
+
+
+class ListenModel(LenientModel):
+    """The addresses that the process serves."""
+
+    frontend: Address
+    readiness: Address
+    directory: Address | None = None
+
+
+class BoundsModel(LenientModel):
+    """The platform's bounds that this system plans with."""
+
+    grace_s: float = Field(default=8.0, gt=0)
+    retry_budget_ratio: float = Field(default=0.8, ge=0)
+    budget_slack: float = Field(default=150.0, ge=0)
+    ttl_max_s: float = Field(default=5.0, gt=0)
+
+
+class StoreModel(LenientModel):
+    """The platform's key-value service."""
+
+    address: Address
+
+
+class NodeModel(LenientModel):
+    """A whole settings file."""
+
+    node_name: Name
+    ip_address: str
+    zone: Name
+    listen_addresses: ListenModel
+    bounds: BoundsModel = BoundsModel()
+    platform: StoreModel
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """The settings of one instance on the platform; times are in seconds.
+
+    `retry_ratio` and `retry_slack` bound the repeats of all instances together: a
+    share of the requests, and a number on top. `stop_limit_s` is the time between the
+    signal to stop and the kill.
+    """
+
+    name: str
+    failure_domain: str
+    caller_address: str
+    readiness_address: str
+    directory_address: str | None
+    metrics_address: str
+    store_address: str
+    stop_limit_s: float
+    retry_ratio: float
+    retry_slack: float
+    entrypoint_ttl_limit_s: float
+
+    def random_for(self, purpose: str) -> random.Random:
+        """Return a generator of random numbers for one purpose."""
+        return random.Random(f"{self.name}/{purpose}")
+
+
+def settings_path() -> Path:
+    """Return the path that the platform gives in the environment."""
+    value = os.environ.get(SETTINGS_VARIABLE, "")
+    if not value:
+        raise SettingsError(
+            f"environment variable {SETTINGS_VARIABLE}={value!r} names no settings "
+            "file; set it to the file's path"
+        )
+    return Path(value)
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read a settings file; raise `SettingsError` naming the setting and its value."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f"cannot read settings file {str(path)!r}: {error}"
+        ) from error
+    return parse_node_settings(text)
+
+
+def parse_node_settings(text: str) -> NodeSettings:
+    """Validate the text of a settings file."""
+    try:
+        model = NodeModel.model_validate(nested(text))
+    except ValidationError as error:
+        raise SettingsError(describe_validation_error("settings", error)) from error
+    return NodeSettings(
+        name=model.node_name,
+        failure_domain=model.zone,
+        caller_address=model.listen_addresses.frontend,
+        readiness_address=model.listen_addresses.readiness,
+        directory_address=model.listen_addresses.directory,
+        metrics_address=f"{model.ip_address}:{METRICS_PORT}",
+        store_address=model.platform.address,
+        stop_limit_s=model.bounds.grace_s,
+        retry_ratio=model.bounds.retry_budget_ratio,
+        retry_slack=model.bounds.budget_slack,
+        entrypoint_ttl_limit_s=model.bounds.ttl_max_s,
+    )
+
+
+def nested(text: str) -> dict[str, object]:
+    """Return the lines of a file as nested tables."""
+    tables: dict[str, object] = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip():
+            continue
+        name, separator, value = line.partition("=")
+        if not separator:
+            raise SettingsError(
+                f"settings line {number}={line!r} has no '='; write name=value"
+            )
+        *parents, last = name.strip().split(".")
+        table = tables
+        for parent in parents:
+            inner = table.setdefault(parent, {})
+            if not isinstance(inner, dict):
+                raise SettingsError(
+                    f"settings.{name.strip()}={value!r}: {parent!r} has a value "
+                    "already; remove one of the two"
+                )
+            table = inner
+        table[last] = value.strip()
+    return tables
--- /dev/null
+++ b/src/turmericusher/platform/store.py
@@ -0,0 +1,217 @@
+"""The platform's key-value service as the product's `KeyValueStore`."""
+
+from __future__ import annotations
+
+import base64
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import orjson
+
+from turmericusher.errors import (
+    StoreHistoryLostError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from turmericusher.platform.settings import MILLISECONDS_PER_S
+from turmericusher.ports.keyvalue import (
+    Snapshot,
+    StoredValue,
+    SwapResult,
+    WatchEvent,
+)
+
+CALL_TIMEOUT_S = 1.0
+"""Answers take milliseconds, and some hundred when the store is slow."""
+
+WATCH_WAIT_S = 25.0
+"""Below the longest wait of 30 s that the store allows."""
+
+WATCH_MARGIN_S = 2.0
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+"""A silent connection is dropped after about 3 s, the time that the platform allows an
+instance to be out of touch."""
+
+OK, MISSING, GONE, CONFLICT = 200, 404, 410, 412
+BUSY = frozenset({429, 503})
+
+
+@dataclass(slots=True)
+class PlatformStore:
+    """Calls the store; `calls` counts them by name."""
+
+    session: aiohttp.ClientSession
+    address: str
+    calls: dict[str, int] = field(default_factory=dict)
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Read one key."""
+        status, body = await self.read("kv-key", {"key": key})
+        return stored_value(body) if status == OK else None
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Read every key that starts with `prefix`, page by page."""
+        values: list[StoredValue] = []
+        revision: int | None = None
+        query = {"prefix": prefix}
+        while True:
+            status, body = await self.read("kv-range", query)
+            if status != OK:
+                raise StoreUnavailableError(f"range of {prefix!r}: status={status}")
+            values.extend(stored_value(item) for item in body["items"])
+            # Pages differ in age: changes since the first page are watched for.
+            revision = body["as_of"] if revision is None else revision
+            if not body["more_pages"] or not values:
+                return Snapshot(tuple(values), revision)
+            # The field is named after revisions but takes the last key of a page.
+            query = {"prefix": prefix, "after_revision": values[-1].key}
+
+    async def compare_and_swap(
+        self, key: str, expected_revision: int, value: bytes | None, lease: int = 0
+    ) -> SwapResult:
+        """Write `value` if the key's revision is `expected_revision`."""
+        change: dict[str, Any] = {
+            "expected_revision": [{"key": key, "revision": expected_revision}],
+            "puts": [],
+            "removals": [],
+        }
+        if value is None:
+            change["removals"] = [key]
+        else:
+            text = base64.b64encode(value).decode()
+            change["puts"] = [{"key": key, "value": text, "lease": lease}]
+        status, body = await self.write("kv-txn", "POST", change)
+        if status == OK:
+            return SwapResult(True, int(body["revision"]))
+        if status == CONFLICT:
+            found = [item for item in body["items"] if item.get("key") == key]
+            present = [item for item in found if item.get("revision")]
+            return SwapResult(False, 0, stored_value(present[0]) if present else None)
+        raise StoreUnavailableError(f"swap of {key!r}: status={status}")
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Make a lease that lapses after `ttl_s` seconds without a renewal."""
+        change = {"expiry_ms": int(ttl_s * MILLISECONDS_PER_S)}
+        status, body = await self.write("kv-lease", "POST", change)
+        if status != OK:
+            raise StoreUnavailableError(f"lease: status={status}")
+        return int(body["lease"])
+
+    async def renew_lease(self, lease: int) -> int:
+        """Renew a lease and return its time to live in seconds; 0 when it lapsed."""
+        status, body = await self.write(f"kv-keep/{lease}", "POST", None)
+        if status == MISSING:
+            return 0
+        if status != OK:
+            raise StoreUnavailableError(f"renewal of {lease}: status={status}")
+        return max(1, round(body["expiry_ms"] / MILLISECONDS_PER_S))
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease; the keys that are bound to it are deleted."""
+        await self.write(f"kv-lease-end/{lease}", "DELETE", None)
+
+    async def watch(self, prefix: str, from_revision: int) -> AsyncIterator[WatchEvent]:
+        """Yield the changes under `prefix` from `from_revision` on, in order.
+
+        Raises `StoreHistoryLostError` when that history is gone, and
+        `StoreUnavailableError` when a call fails; the watcher may then watch again
+        from the revision after the last event.
+        """
+        after = from_revision - 1
+        while True:
+            query = {
+                "prefix": prefix,
+                "after_revision": str(after),
+                "wait_ms": str(int(WATCH_WAIT_S * MILLISECONDS_PER_S)),
+            }
+            timeout_s = WATCH_WAIT_S + WATCH_MARGIN_S
+            status, body = await self.read("kv-watch", query, timeout_s)
+            if status == GONE:
+                raise StoreHistoryLostError(f"no history after revision {after}")
+            if status != OK:
+                raise StoreUnavailableError(f"watch of {prefix!r}: status={status}")
+            for event in body["events"]:
+                yield watch_event(event)
+            after = max(after, body["as_of"])
+
+    async def read(
+        self, call: str, query: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
+    ) -> tuple[int, dict[str, Any]]:
+        """Make a call that changes nothing."""
+        try:
+            return await self.call("GET", call, query, None, timeout_s)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise StoreUnavailableError(f"{call}: {error!r}") from error
+
+    async def write(
+        self, call: str, method: str, change: dict[str, Any] | None
+    ) -> tuple[int, dict[str, Any]]:
+        """Make a call that may have taken effect although its answer is missing."""
+        try:
+            return await self.call(method, call, {}, change, CALL_TIMEOUT_S)
+        except aiohttp.ClientConnectorError as error:
+            raise StoreUnavailableError(f"{call}: {error!r}") from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise StoreOutcomeUnknownError(f"{call}: {error!r}") from error
+
+    async def call(
+        self,
+        method: str,
+        call: str,
+        query: dict[str, str],
+        change: dict[str, Any] | None,
+        timeout_s: float,
+    ) -> tuple[int, dict[str, Any]]:
+        """Make one call; raise `StoreUnavailableError` where it had no effect."""
+        name = call.partition("/")[0]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        async with self.session.request(
+            method,
+            f"http://{self.address}/v1/{call}",
+            params=query,
+            data=orjson.dumps(change) if change is not None else None,
+            headers={"Content-Type": "application/json"} if change else None,
+            timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CALL_TIMEOUT_S),
+        ) as response:
+            data = await response.read()
+            if response.status in BUSY:
+                raise StoreUnavailableError(f"{call}: status={response.status}")
+            is_json = response.status in (OK, CONFLICT) and data
+            return response.status, orjson.loads(data) if is_json else {}
+
+
+def stored_value(item: dict[str, Any]) -> StoredValue:
+    """Return one item of the store."""
+    value = base64.b64decode(item["value"])
+    return StoredValue(item["key"], value, item["revision"], item.get("lease", 0))
+
+
+def watch_event(event: dict[str, Any]) -> WatchEvent:
+    """Return one change."""
+    removed = event.get("removed", False)
+    value = None if removed else base64.b64decode(event["value"])
+    return WatchEvent(event["key"], value, event["revision"])
+
+
+def probing_socket(addr_info: Any) -> socket.socket:
+    """Return a socket that notices a peer that has gone silent."""
+    family, kind, protocol, *_ = addr_info
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    return made
+
+
+@asynccontextmanager
+async def open_platform_store(address: str) -> AsyncIterator[PlatformStore]:
+    """Open the store at `ip:port`; its connections close with the context."""
+    connector = aiohttp.TCPConnector(socket_factory=probing_socket)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield PlatformStore(session, address)
--- /dev/null
+++ b/src/turmericusher/platform/upstreams.py
@@ -0,0 +1,318 @@
+"""Attempts on the wire: one connection each, its answer told as typed events.
+
+Every attempt has a connection of its own. What an upstream sends behind a whole answer
+then belongs to nobody, and a connection that failed before it stood proves that the
+request has not run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import aiohttp
+from yarl import URL
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.relay_messages import (
+    AnswerArrived,
+    AttemptCause,
+    AttemptFailed,
+    EventsArrived,
+    Headers,
+    RelayAnswer,
+    RelayedRequest,
+    RelayEvent,
+    StartRelay,
+    StreamFinished,
+    StreamOpened,
+)
+from turmericusher.decisions.routing import RoutedRequest
+from turmericusher.decisions.upstream_load import LoadReport
+from turmericusher.errors import Verdict
+from turmericusher.platform.codec import parse_load
+from turmericusher.platform.names import (
+    COPY_SOURCE,
+    LAST_EVENT_ID,
+    NOT_RUN_MARK,
+    REQUEST_ID,
+    SIGNATURE,
+    STANDBY_ADDRESS,
+    TARGET_UPSTREAM,
+    TEAM,
+    WAIT_MS,
+)
+from turmericusher.platform.settings import MILLISECONDS_PER_S
+from turmericusher.ports.relay import EventSink
+from turmericusher.ports.services import MAX_ANSWER_BYTES, READ_CHUNK_BYTES
+from turmericusher.single_send import SendProgress, single_send_trace
+
+CONNECT_TIMEOUT_S = 0.3
+"""Connections between failure domains take a few milliseconds, and one that is not
+answered at once is tried again by the kernel only after a second."""
+
+PROBE_TIMEOUT_S = 0.15
+"""Part of the pause that callers accept in a stream; a probe decides within it."""
+
+MISDIRECTED = 421
+SUCCESS = range(200, 300)
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that nothing ran; not passed on where it may have."""
+
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_ID = re.compile(rb"^id:[ ]*([0-9]+)[ ]*\r?$", re.MULTILINE)
+
+LoadListener = Callable[[str, LoadReport], None]
+
+
+class MalformedStreamError(Exception):
+    """A stream holds an event without a usable id, or ended within an event."""
+
+
+@dataclass(frozen=True, slots=True)
+class EventBlock:
+    """One whole event of a stream, as it came."""
+
+    event_id: int
+    payload: bytes
+
+
+@dataclass(slots=True)
+class PlatformUpstreams:
+    """A `RelayPort` over aiohttp."""
+
+    session: aiohttp.ClientSession
+    on_load: LoadListener
+
+    async def send(
+        self,
+        start: StartRelay,
+        request: RelayedRequest,
+        routed: RoutedRequest,
+        sink: EventSink,
+    ) -> None:
+        """Send one attempt and report its events, the last of which ends it."""
+        progress = SendProgress()
+        clock = asyncio.get_running_loop().time
+        try:
+            async with self.session.request(
+                request.method,
+                URL(f"http://{start.upstream.address}{request.target}", encoded=True),
+                headers=attempt_headers(start, request, routed, clock()),
+                data=request.body or None,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=max(0.0, start.deadline - clock()),
+                    sock_connect=CONNECT_TIMEOUT_S,
+                ),
+                trace_request_ctx=progress,
+            ) as response:
+                exchange = AttemptExchange(start, request, response, sink)
+                load = parse_load(exchange.headers)
+                if load is not None:
+                    self.on_load(start.upstream.name, LoadReport(*load))
+                await exchange.report(routed.route.kind.is_stream)
+        except MalformedStreamError as error:
+            cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
+            await sink(failure(start, cause, verdict, str(error)))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            await sink(broken_attempt(start, progress, error))
+
+    async def probe(self, upstream: UpstreamInstance) -> bool:
+        """Return whether the upstream takes a connection."""
+        host, _, port = upstream.address.rpartition(":")
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
+        return True
+
+
+@dataclass(slots=True)
+class AttemptExchange:
+    """An answer that has begun, and who hears of it."""
+
+    start: StartRelay
+    request: RelayedRequest
+    response: aiohttp.ClientResponse
+    sink: EventSink
+
+    @property
+    def headers(self) -> Headers:
+        """Return the answer's headers."""
+        return tuple(self.response.headers.items())
+
+    async def report(self, is_stream: bool) -> None:
+        """Read the answer and report what it is."""
+        early = self.failure_by_head()
+        if early is not None:
+            await self.sink(early)
+            return
+        if is_stream and self.response.status in SUCCESS:
+            await self.report_stream()
+            return
+        body = await read_whole(self.response)
+        await self.sink(
+            self.answer_event(RelayAnswer(self.response.status, self.headers, body))
+        )
+
+    def failure_by_head(self) -> AttemptFailed | None:
+        """Return the failure that the head alone shows, if it does."""
+        status, headers = self.response.status, self.response.headers
+        if status == MISDIRECTED:
+            return failure(self.start, AttemptCause.MISDIRECTED, Verdict.NOT_RUN)
+        if NOT_RUN_MARK in headers:
+            is_copy = self.start.from_copy
+            cause = AttemptCause.NO_COPY if is_copy else AttemptCause.OVERLOADED
+            return failure(self.start, cause, Verdict.NOT_RUN, f"status={status}")
+        problem = ""
+        if headers.get(REQUEST_ID, self.request.request_id) != self.request.request_id:
+            problem = f"answer to request {headers[REQUEST_ID]!r}"
+        elif status in SUCCESS and SIGNATURE not in headers:
+            problem = f"status={status} without a signature"
+        elif "Content-Encoding" in headers:
+            problem = f"encoded as {headers['Content-Encoding']!r}"
+        if not problem:
+            return None
+        return failure(
+            self.start, AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN, problem
+        )
+
+    def answer_event(self, answer: RelayAnswer) -> RelayEvent:
+        """Return the event for a whole answer."""
+        number, at = self.start.attempt, asyncio.get_running_loop().time()
+        is_promise = answer.status in PROMISES_NOT_RUN
+        if answer.status < 500 and not is_promise:
+            return AnswerArrived(number, at, answer)
+        return AttemptFailed(
+            number,
+            at,
+            AttemptCause.FAILED,
+            Verdict.MAY_HAVE_RUN,
+            f"status={answer.status}",
+            None if is_promise else answer,
+        )
+
+    async def report_stream(self) -> None:
+        """Report the events of a stream as they come."""
+        number, clock = self.start.attempt, asyncio.get_running_loop().time
+        await self.sink(StreamOpened(number, clock(), self.headers))
+        async for block in read_events(self.response):
+            await self.sink(
+                EventsArrived(
+                    number, clock(), block.payload, block.event_id, block.event_id
+                )
+            )
+        await self.sink(StreamFinished(number, clock()))
+
+
+async def read_events(response: aiohttp.ClientResponse) -> AsyncIterator[EventBlock]:
+    """Yield the whole events of a stream; raise where it does not end with one."""
+    pending = b""
+    async for chunk in read_chunks(response):
+        pending += chunk
+        while (end := EVENT_END.search(pending)) is not None:
+            payload, pending = pending[: end.end()], pending[end.end() :]
+            found = EVENT_ID.search(payload)
+            if found is None:
+                raise MalformedStreamError(f"event without an id: {payload[:80]!r}")
+            yield EventBlock(int(found[1]), payload)
+        if len(pending) > MAX_ANSWER_BYTES:
+            raise MalformedStreamError("an event is too large")
+    if pending.strip():
+        raise MalformedStreamError("the stream ended within an event")
+
+
+async def read_whole(response: aiohttp.ClientResponse) -> bytes:
+    """Read a whole answer."""
+    body = bytearray()
+    async for chunk in read_chunks(response):
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise MalformedStreamError(f"more than {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
+
+
+async def read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield an answer's bytes; raise where the connection was reset before its end.
+
+    The end of an answer without a length is the end of its connection, and aiohttp
+    takes a reset for one.
+    """
+    connection = response.connection
+    protocol = connection.protocol if connection is not None else None
+    async for chunk in response.content.iter_any():
+        yield chunk
+    error = protocol.exception() if protocol is not None else None
+    if isinstance(error, OSError) and not isinstance(
+        error, aiohttp.ServerDisconnectedError
+    ):
+        raise error
+
+
+def attempt_headers(
+    start: StartRelay, request: RelayedRequest, routed: RoutedRequest, now: float
+) -> list[tuple[str, str]]:
+    """Return the headers of one attempt."""
+    left_ms = max(1, int((start.deadline - now) * MILLISECONDS_PER_S))
+    headers = [
+        ("Host", request.host),
+        *request.headers,
+        (WAIT_MS, str(left_ms)),
+        (TARGET_UPSTREAM, start.upstream.name),
+    ]
+    if routed.team:
+        headers.append((TEAM, routed.team))
+    if start.from_copy:
+        source = f"{start.upstream.address}/{request.request_id}"
+        headers.append((COPY_SOURCE, source))
+    if start.resume_after is not None:
+        headers.append((LAST_EVENT_ID, str(start.resume_after)))
+    elif start.from_copy:
+        headers.append((LAST_EVENT_ID, "0"))
+    if start.standby is not None:
+        headers.append((STANDBY_ADDRESS, start.standby.address))
+    return headers
+
+
+def broken_attempt(
+    start: StartRelay, progress: SendProgress, error: Exception
+) -> AttemptFailed:
+    """Return the end of an attempt whose connection failed."""
+    if not progress.is_connected:
+        cause, verdict = AttemptCause.UNREACHABLE, Verdict.NOT_RUN
+    elif isinstance(error, aiohttp.ClientResponseError | ValueError):
+        cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
+    else:
+        cause, verdict = AttemptCause.LOST, Verdict.MAY_HAVE_RUN
+    return failure(start, cause, verdict, repr(error)[:200])
+
+
+def failure(
+    start: StartRelay, cause: AttemptCause, verdict: Verdict, message: str = ""
+) -> AttemptFailed:
+    """Return the end of an attempt, as of now."""
+    now = asyncio.get_running_loop().time()
+    return AttemptFailed(start.attempt, now, cause, verdict, message)
+
+
+@asynccontextmanager
+async def open_platform_upstreams(
+    on_load: LoadListener,
+) -> AsyncIterator[PlatformUpstreams]:
+    """Open the port; its session closes with the context."""
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    async with aiohttp.ClientSession(
+        connector=connector,
+        trace_configs=[single_send_trace()],
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+        read_bufsize=READ_CHUNK_BYTES,
+    ) as session:
+        yield PlatformUpstreams(session, on_load)
--- /dev/null
+++ b/src/turmericusher/ports/relay.py
@@ -0,0 +1,41 @@
+"""The port through which relayed requests reach upstreams.
+
+An adapter sends one attempt, knows the wire's names, and reports what came as typed
+events; it takes no decision.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.relay_messages import (
+    RelayedRequest,
+    RelayEvent,
+    StartRelay,
+)
+from turmericusher.decisions.routing import RoutedRequest
+
+EventSink = Callable[[RelayEvent], Awaitable[None]]
+
+
+class RelayPort(Protocol):
+    """Sends attempts and probes upstreams."""
+
+    async def send(
+        self,
+        start: StartRelay,
+        request: RelayedRequest,
+        routed: RoutedRequest,
+        sink: EventSink,
+    ) -> None:
+        """Send one attempt and report its events, the last of which ends it.
+
+        Cancelling the call closes the connection, which ends the upstream's work.
+        """
+        ...
+
+    async def probe(self, upstream: UpstreamInstance) -> bool:
+        """Return whether the upstream takes a connection."""
+        ...
--- /dev/null
+++ b/src/turmericusher/tasks/registration.py
@@ -0,0 +1,81 @@
+"""Keeps this instance's record in the store, under a lease, while it takes work."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from turmericusher.errors import StoreError
+from turmericusher.logs import log_event
+from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
+
+LEASE_S = 4
+"""Time after which callers are no longer sent to an instance that died: several
+renewals, so that one lost renewal takes nobody out."""
+
+RENEWAL_S = 1.2
+RETRY_S = 0.3
+
+
+@dataclass(slots=True)
+class Registration:
+    """The record at `key`; `lease` is 0 while there is none."""
+
+    store: KeyValueStore
+    key: str
+    value: bytes
+    lease: int = 0
+
+    async def run(self) -> None:
+        """Write the record and renew its lease until cancelled."""
+        while True:
+            try:
+                if not self.lease:
+                    await self.register()
+                elif not await self.store.renew_lease(self.lease):
+                    log_event("registration_lapsed", key=self.key)
+                    self.lease = 0
+                    continue
+                pause_s = RENEWAL_S
+            except StoreError as error:
+                log_event("registration_failed", key=self.key, message=error.message)
+                pause_s = RETRY_S
+            await asyncio.sleep(pause_s)
+
+    async def register(self) -> None:
+        """Write the record under a new lease, over one of an earlier life."""
+        lease = await self.store.grant_lease(LEASE_S)
+        expected = ABSENT
+        while True:
+            swap = await self.store.compare_and_swap(
+                self.key, expected, self.value, lease
+            )
+            if swap.succeeded:
+                self.lease = lease
+                log_event("registered", key=self.key, lease=lease)
+                return
+            expected = swap.current.revision if swap.current is not None else ABSENT
+
+    async def withdraw(self) -> None:
+        """Take the record out."""
+        lease, self.lease = self.lease, 0
+        if not lease:
+            return
+        try:
+            await self.store.revoke_lease(lease)
+        except StoreError as error:
+            log_event("withdrawal_failed", key=self.key, message=error.message)
+
+
+@asynccontextmanager
+async def registered(registration: Registration) -> AsyncIterator[None]:
+    """Keep the record while the context is open, and take it out at its end."""
+    task = asyncio.create_task(registration.run(), name="registration")
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await registration.withdraw()
--- /dev/null
+++ b/src/turmericusher/tasks/relay.py
@@ -0,0 +1,210 @@
+"""Runs relayed requests: one owner for each, and one task for each attempt.
+
+The owner feeds the decisions and carries out their actions. An attempt's task owns the
+connection to its upstream and reports to the owner's inbox. Leaving `open_relay` ends
+all of it, so that no upstream works on for a caller who is gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.relay import Relay, make_relay
+from turmericusher.decisions.relay_messages import (
+    AttemptCause,
+    AttemptFailed,
+    BreakStream,
+    DeliverAnswer,
+    EndStream,
+    ProbeUpstream,
+    RelayAction,
+    RelayedRequest,
+    RelayEvent,
+    RelayOutput,
+    StartRelay,
+    UpstreamProbed,
+)
+from turmericusher.decisions.relay_state import RelayShared
+from turmericusher.decisions.routing import RoutedRequest
+from turmericusher.errors import Verdict
+from turmericusher.logs import log_event
+from turmericusher.ports.relay import RelayPort
+
+INBOX_SIZE = 64
+"""Events that an attempt may be ahead of a caller that reads slowly."""
+
+LAST_OUTPUTS = (DeliverAnswer, EndStream, BreakStream, Fail)
+
+
+@dataclass(slots=True)
+class RelayContext:
+    """What the relays of one instance share.
+
+    `probes` holds the probe that runs for an upstream, so that all attempts on it wait
+    for one answer.
+    """
+
+    port: RelayPort
+    shared: RelayShared
+    probes: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
+
+    async def probe(self, upstream: UpstreamInstance) -> bool:
+        """Return whether an upstream takes a connection."""
+        running = self.probes.get(upstream.address)
+        if running is None:
+            running = asyncio.create_task(self.port.probe(upstream))
+            self.probes[upstream.address] = running
+            running.add_done_callback(lambda _: self.probes.pop(upstream.address, None))
+        return await asyncio.shield(running)
+
+
+@dataclass(slots=True)
+class RelayOwner:
+    """The owner of one relayed request and of the tasks that work for it."""
+
+    context: RelayContext
+    relay: Relay
+    inbox: asyncio.Queue[RelayEvent] = field(
+        default_factory=lambda: asyncio.Queue(INBOX_SIZE)
+    )
+    attempts: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    helpers: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def outputs(self) -> AsyncIterator[RelayOutput]:
+        """Yield what the caller gets; the last one is final."""
+        clock = asyncio.get_running_loop().time
+        actions = self.relay.start(clock())
+        while True:
+            for action in actions:
+                output = self.carry_out(action)
+                if output is not None:
+                    yield output
+                if isinstance(output, LAST_OUTPUTS):
+                    return
+            event = await self.next_event()
+            now = clock()
+            if event is None:
+                actions = self.relay.tick(now)
+            else:
+                log_failure(self.relay, event)
+                actions = self.relay.handle(event, now)
+
+    async def next_event(self) -> RelayEvent | None:
+        """Return the next event, or None when it is time for a tick."""
+        if not self.inbox.empty():
+            return self.inbox.get_nowait()
+        try:
+            async with asyncio.timeout_at(self.relay.wake_at()):
+                return await self.inbox.get()
+        except TimeoutError:
+            return None
+
+    def carry_out(self, action: RelayAction) -> RelayOutput | None:
+        """Carry out an action, or return it where it is for the caller."""
+        match action:
+            case StartRelay():
+                task = asyncio.create_task(self.run_attempt(action))
+                self.attempts[action.attempt] = task
+                log_start(self.relay, action)
+            case CancelAttempt(attempt):
+                self.attempts.pop(attempt).cancel()
+            case ProbeUpstream():
+                helper = asyncio.create_task(self.run_probe(action))
+                self.helpers.add(helper)
+                helper.add_done_callback(self.helpers.discard)
+            case _:
+                return action
+        return None
+
+    async def run_attempt(self, start: StartRelay) -> None:
+        """Send one attempt; whatever goes wrong is reported as its end."""
+        try:
+            await self.context.port.send(
+                start, self.relay.request, self.relay.routed, self.inbox.put
+            )
+        except Exception as error:
+            log_event(
+                "attempt_error", id=self.relay.request.request_id, error=repr(error)
+            )
+            await self.inbox.put(
+                AttemptFailed(
+                    start.attempt,
+                    asyncio.get_running_loop().time(),
+                    AttemptCause.LOST,
+                    Verdict.MAY_HAVE_RUN,
+                    repr(error),
+                )
+            )
+
+    async def run_probe(self, action: ProbeUpstream) -> None:
+        """Probe an upstream and report the answer."""
+        is_reachable = await self.context.probe(action.upstream)
+        now = asyncio.get_running_loop().time()
+        await self.inbox.put(UpstreamProbed(action.attempt, now, is_reachable))
+
+    async def close(self) -> None:
+        """End what still runs and wait until its connections are closed."""
+        for action in self.relay.close():
+            self.carry_out(action)
+        running = [*self.attempts.values(), *self.helpers]
+        for task in running:
+            task.cancel()
+        if running:
+            await asyncio.gather(*running, return_exceptions=True)
+
+
+@asynccontextmanager
+async def open_relay(
+    context: RelayContext, request: RelayedRequest, routed: RoutedRequest
+) -> AsyncIterator[AsyncIterator[RelayOutput]]:
+    """Relay one request; leaving the context ends all work for it."""
+    owner = RelayOwner(context, make_relay(request, routed, context.shared))
+    context.shared.selector.advance(asyncio.get_running_loop().time())
+    try:
+        yield owner.outputs()
+    finally:
+        await owner.close()
+
+
+def log_start(relay: Relay, start: StartRelay) -> None:
+    """Log where an attempt goes and what decided it; a first one goes unlogged.
+
+    The line that ends a request names its upstream, so the usual case costs one line.
+    """
+    if start.attempt == 1:
+        return
+    log_event(
+        "attempt_started",
+        id=relay.request.request_id,
+        attempt=start.attempt,
+        upstream=start.upstream.name,
+        resume_after=start.resume_after,
+        from_copy=start.from_copy,
+        reason=relay.last_message,
+    )
+
+
+def log_failure(relay: Relay, event: RelayEvent) -> None:
+    """Log the end of an attempt that brought no answer."""
+    if not isinstance(event, AttemptFailed):
+        return
+    attempt = relay.attempts.get(event.attempt)
+    if attempt is None:
+        return
+    log_event(
+        "attempt_failed",
+        id=relay.request.request_id,
+        attempt=event.attempt,
+        upstream=attempt.upstream.name,
+        domain=attempt.upstream.failure_domain,
+        cause=event.cause.value,
+        verdict=event.verdict.value,
+        after_s=event.at - attempt.started_at,
+        position=relay.position,
+        message=event.message,
+    )
--- /dev/null
+++ b/src/turmericusher/web_server.py
@@ -0,0 +1,87 @@
+"""The web server around an ASGI application, for every role of the program."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+
+import uvicorn
+from starlette.types import ASGIApp
+
+LISTEN_BACKLOG = 512
+STOP_GRACE_S = 5
+KEEP_ALIVE_S = 60
+
+
+class QuietServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to its owner and tells when it serves."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ready = asyncio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to serve, and tell so."""
+        await super().startup(sockets)
+        self.ready.set()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no signal handlers: the entry instance drains before it stops."""
+        yield
+
+
+@asynccontextmanager
+async def serving_app(
+    app: ASGIApp,
+    address: str,
+    stop_grace_s: int = STOP_GRACE_S,
+    keep_alive_s: int = KEEP_ALIVE_S,
+) -> AsyncIterator[str]:
+    """Serve an application at `ip:port` and yield the address that was bound."""
+    listener = listen(address)
+    config = uvicorn.Config(
+        app,
+        log_config=None,
+        access_log=False,
+        lifespan="off",
+        loop="none",
+        http="httptools",
+        ws="none",
+        server_header=False,
+        date_header=False,
+        timeout_graceful_shutdown=stop_grace_s,
+        timeout_keep_alive=keep_alive_s,
+    )
+    server = QuietServer(config)
+    serving = asyncio.create_task(server.serve(sockets=[listener]))
+    try:
+        await wait_until_ready(server, serving)
+        bound = listener.getsockname()
+        yield f"{bound[0]}:{bound[1]}"
+    finally:
+        server.should_exit = True
+        await serving
+
+
+async def wait_until_ready(server: QuietServer, serving: asyncio.Task[None]) -> None:
+    """Return when the server serves, or at once when it failed to start."""
+    ready = asyncio.create_task(server.ready.wait())
+    await asyncio.wait({ready, serving}, return_when=asyncio.FIRST_COMPLETED)
+    ready.cancel()
+
+
+def listen(address: str) -> socket.socket:
+    """Return a listening socket for `ip:port`."""
+    host, _, port = address.rpartition(":")
+    bare_host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in bare_host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((bare_host, int(port)))
+    listener.listen(LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
