Ask for changes within the bound, and for copies that exist

Ruled out: a cut watch that was not noticed (no store_lost line before the 410).

Change: waits of 0.6 of the bound; a standby counts only for an attempt that may have run; refusals are counted apart from sends; the platform's program loads no command line.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -50,6 +50,9 @@
 FULL_RETRY_S = 0.15
 """Seconds after which a full service has usually finished several of its calls."""
 
+MAX_REFUSALS = 3
+"""Upstreams that may turn a request away before its caller is told to come back."""
+
 RETRY_JITTER = 0.3
 """Part by which a Retry-After varies, so that the refused do not return together."""
 
@@ -132,9 +135,9 @@
         """Start an attempt, with a standby for its memory where that is of use."""
         self.numbers += 1
         self.sends += 1
-        self.standby = self.choose_standby(upstream)
+        standby = self.choose_standby(upstream)
         attempt = RelayAttempt(
-            self.numbers, upstream, now, now, self.standby, from_copy=from_copy
+            self.numbers, upstream, now, now, standby, from_copy=from_copy
         )
         self.attempts[attempt.number] = attempt
         self.shared.selector.started(upstream.name)
@@ -148,7 +151,7 @@
             deadline=self.deadline(),
             resume_after=self.position,
             from_copy=from_copy,
-            standby=self.standby,
+            standby=standby,
         )
 
     def choose_standby(self, upstream: UpstreamInstance) -> UpstreamInstance | None:
@@ -287,7 +290,12 @@
         self.last_message = f"{name}: {event.cause.value} {event.message}"
         if event.verdict is not Verdict.NOT_RUN:
             self.may_have_run = True
+            self.standby = attempt.standby
+        else:
+            self.sends -= 1
+            self.refusals += event.cause is not AttemptCause.UNREACHABLE
         if event.cause is AttemptCause.NO_COPY:
+            self.standby = None
             return
         self.excluded.add(name)
         if event.cause in LOSS_CAUSES:
@@ -303,10 +311,11 @@
         for all of it.
         """
         if event.cause is AttemptCause.UNREACHABLE:
-            self.sends -= 1
             return True
         if self.sends >= self.routed.route.max_attempts:
             return False
+        if self.refusals >= MAX_REFUSALS and not self.has_delivered:
+            return False
         return self.may_spend() or self.has_delivered
 
     def fail_or_pass_on(self, event: AttemptFailed) -> list[RelayAction]:
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -124,7 +124,9 @@
     """One relayed request: what was delivered, what runs and what failed.
 
     `position` is the id of the last event that the caller holds. `sends` counts the
-    attempts that reached an upstream.
+    attempts that an upstream may have run, those in flight included, and `refusals`
+    those that one answered without running them. `standby` holds a copy of the last
+    attempt that may have run.
     """
 
     request: RelayedRequest
@@ -137,6 +139,7 @@
     standby: UpstreamInstance | None = None
     numbers: int = 0
     sends: int = 0
+    refusals: int = 0
     has_delivered: bool = False
     may_have_run: bool = False
     was_hedged: bool = False
--- /dev/null
+++ b/src/turmericusher/platform/__main__.py
@@ -0,0 +1,28 @@
+"""Runs one instance on the platform without loading the command line's libraries."""
+
+from __future__ import annotations
+
+import sys
+
+import uvloop
+
+from turmericusher.errors import SettingsError
+from turmericusher.logs import configure_logs, log_event
+from turmericusher.platform.node import serve_node
+from turmericusher.platform.settings import settings_path
+
+EXIT_USAGE = 2
+
+
+def main() -> int:
+    """Serve until told to stop; return the exit status."""
+    configure_logs(sys.stdout)
+    try:
+        uvloop.run(serve_node(settings_path()))
+    except SettingsError as error:
+        log_event("settings_refused", message=error.message)
+        return EXIT_USAGE
+    return 0
+
+
+sys.exit(main())
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -41,6 +41,10 @@
 """Part of the platform's bound on repeats that the instances plan with together; the
 rest is for their differing views of the fleet."""
 
+WATCH_SHARE = 0.6
+"""Part of the time for a change to be in force that one wait for changes may take; the
+rest is for reading everything again where a change was missed."""
+
 CALLER_KEEP_ALIVE_S = 60
 
 
@@ -142,7 +146,9 @@
     """Start every task of an instance and stop them at the end."""
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(
-            open_platform_store(settings.store_address)
+            open_platform_store(
+                settings.store_address, WATCH_SHARE * settings.configuration_limit_s
+            )
         )
         selector = Selector(settings.random_for("selection"), own=settings.name)
         shared = RelayShared(selector, settings.random_for("relay"))
--- a/src/turmericusher/platform/settings.py
+++ b/src/turmericusher/platform/settings.py
@@ -40,6 +40,7 @@
     retry_budget_ratio: float = Field(default=0.8, ge=0)
     budget_slack: float = Field(default=150.0, ge=0)
     ttl_max_s: float = Field(default=5.0, gt=0)
+    configuration_apply_ms: float = Field(default=2000.0, gt=0)
 
 
 class StoreModel(LenientModel):
@@ -65,7 +66,8 @@
 
     `retry_ratio` and `retry_slack` bound the repeats of all instances together: a
     share of the requests, and a number on top. `stop_limit_s` is the time between the
-    signal to stop and the kill.
+    signal to stop and the kill. `configuration_limit_s` is the time within which an
+    accepted change must be in force.
     """
 
     name: str
@@ -79,6 +81,7 @@
     retry_ratio: float
     retry_slack: float
     entrypoint_ttl_limit_s: float
+    configuration_limit_s: float
 
     def random_for(self, purpose: str) -> random.Random:
         """Return a generator of random numbers for one purpose."""
@@ -125,6 +128,7 @@
         retry_ratio=model.bounds.retry_budget_ratio,
         retry_slack=model.bounds.budget_slack,
         entrypoint_ttl_limit_s=model.bounds.ttl_max_s,
+        configuration_limit_s=model.bounds.configuration_apply_ms / MILLISECONDS_PER_S,
     )
 
 
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -28,7 +28,7 @@
 CALL_TIMEOUT_S = 1.0
 """Answers take milliseconds, and some hundred when the store is slow."""
 
-WATCH_WAIT_S = 25.0
+LONGEST_WATCH_S = 25.0
 """Below the longest wait of 30 s that the store allows."""
 
 WATCH_MARGIN_S = 2.0
@@ -43,10 +43,15 @@
 
 @dataclass(slots=True)
 class PlatformStore:
-    """Calls the store; `calls` counts them by name."""
+    """Calls the store; `calls` counts them by name.
+
+    A watch that waits may miss changes while the store drops its history, and is told
+    only when it asks again. `watch_wait_s` therefore bounds how late a change is seen.
+    """
 
     session: aiohttp.ClientSession
     address: str
+    watch_wait_s: float = LONGEST_WATCH_S
     calls: dict[str, int] = field(default_factory=dict)
 
     async def get(self, key: str) -> StoredValue | None:
@@ -127,9 +132,9 @@
             query = {
                 "prefix": prefix,
                 "after_revision": str(after),
-                "wait_ms": str(int(WATCH_WAIT_S * MILLISECONDS_PER_S)),
+                "wait_ms": str(int(self.watch_wait_s * MILLISECONDS_PER_S)),
             }
-            timeout_s = WATCH_WAIT_S + WATCH_MARGIN_S
+            timeout_s = self.watch_wait_s + WATCH_MARGIN_S
             status, body = await self.read("kv-watch", query, timeout_s)
             if status == GONE:
                 raise StoreHistoryLostError(f"no history after revision {after}")
@@ -210,8 +215,10 @@
 
 
 @asynccontextmanager
-async def open_platform_store(address: str) -> AsyncIterator[PlatformStore]:
+async def open_platform_store(
+    address: str, watch_wait_s: float = LONGEST_WATCH_S
+) -> AsyncIterator[PlatformStore]:
     """Open the store at `ip:port`; its connections close with the context."""
     connector = aiohttp.TCPConnector(socket_factory=probing_socket)
     async with aiohttp.ClientSession(connector=connector) as session:
-        yield PlatformStore(session, address)
+        yield PlatformStore(session, address, watch_wait_s)
