--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -187,8 +187,8 @@
             ErrorCode.OVERLOADED
             if not self.may_have_run
             else ErrorCode.UPSTREAM_FAILED,
-            f"service={self.routed.service.name!r} took no attempt of "
-            f"{self.sends}: {self.last_message}",
+            f"service={self.routed.service.name!r} turned {self.refusals} attempts "
+            f"away: {self.last_message}",
             self.jittered(FULL_RETRY_S),
         )
 
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -91,6 +91,12 @@
     calls: list[ReceivedCall] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     closed_early: int = 0
+    server: asyncio.Server | None = None
+
+    def refuse(self) -> None:
+        """Take no more connections; those that stand go on."""
+        if self.server is not None:
+            self.server.close()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -268,6 +274,7 @@
     """Run an upstream on a port that the system chooses."""
     standin = UpstreamStandin(name, **state)  # type: ignore[arg-type]
     server = await asyncio.start_server(standin.serve, LOOPBACK, 0)
+    standin.server = server
     port = server.sockets[0].getsockname()[1]
     standin.address = f"{LOOPBACK}:{port}"
     try:
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -186,8 +186,8 @@
                 async for part in response.content.iter_any():
                     body += part
             except aiohttp.ClientPayloadError:
-                return Answer(response.status, dict(response.headers), body, False)
-            return Answer(response.status, dict(response.headers), body, True)
+                return Answer(response.status, lower_case(response), body, False)
+            return Answer(response.status, lower_case(response), body, True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +200,11 @@
     is_whole: bool
 
 
+def lower_case(response: aiohttp.ClientResponse) -> dict[str, str]:
+    """Return the headers by their names in lower case."""
+    return {name.lower(): value for name, value in response.headers.items()}
+
+
 def free_address() -> str:
     """Return an address that nothing listens at."""
     import socket
--- /dev/null
+++ b/tests/cover/test_relay.py
@@ -0,0 +1,349 @@
+"""What becomes of a relayed request whose attempts fail, by the kind of request."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.relay_parts import make_shared, make_upstream, started_relay
+from turmericusher.decisions.fleet import Lifecycle
+from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.relay_messages import (
+    AnswerArrived,
+    AttemptCause,
+    AttemptFailed,
+    BreakStream,
+    DeliverAnswer,
+    DeliverEvents,
+    EndStream,
+    EventsArrived,
+    ProbeUpstream,
+    RelayAnswer,
+    StartRelay,
+    StreamFinished,
+    StreamOpened,
+    UpstreamProbed,
+)
+from turmericusher.decisions.relay_state import (
+    RUNNING_LIMIT_S,
+    RUNNING_PROBE_AFTER_S,
+    STARTING_LIMIT_S,
+    STARTING_PROBE_AFTER_S,
+)
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.errors import ErrorCode, Verdict
+
+IDEMPOTENT, ONCE = RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT
+RESUMABLE, STREAM = RequestKind.RESUMABLE_STREAM, RequestKind.STREAM
+NOT_RUN, MAY_HAVE_RUN = Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN
+ANSWER = RelayAnswer(200, (), b"whole")
+FAILURE = RelayAnswer(500, (), b"no")
+
+
+def failed(attempt, cause, verdict, at=0.1, answer=None):
+    return AttemptFailed(attempt, at, cause, verdict, "", answer)
+
+
+def event(attempt, number, at=0.1):
+    return EventsArrived(attempt, at, f"{number};".encode(), number, number)
+
+
+def only(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def begun_stream(shared, events=3, kind=RESUMABLE):
+    """Return a stream that has delivered some events, and its first start."""
+    relay = started_relay(kind, shared)
+    (start,) = relay.start(0.0)
+    relay.handle(StreamOpened(1, 0.05, (("seal", "first"),)), 0.05)
+    for number in range(1, events + 1):
+        relay.handle(event(1, number), 0.1)
+    return relay, start
+
+
+class RepeatTest(TestCase):
+    @parameterized.expand(
+        [
+            (f"{kind.value} {cause.value}", kind, cause, verdict, is_repeated)
+            for kind, cause, verdict, is_repeated in [
+                (ONCE, AttemptCause.OVERLOADED, NOT_RUN, True),
+                (ONCE, AttemptCause.MISDIRECTED, NOT_RUN, True),
+                (ONCE, AttemptCause.UNREACHABLE, NOT_RUN, True),
+                (ONCE, AttemptCause.LOST, MAY_HAVE_RUN, False),
+                (ONCE, AttemptCause.MALFORMED, MAY_HAVE_RUN, False),
+                (ONCE, AttemptCause.FAILED, MAY_HAVE_RUN, False),
+                (STREAM, AttemptCause.LOST, MAY_HAVE_RUN, False),
+                (STREAM, AttemptCause.OVERLOADED, NOT_RUN, True),
+                (IDEMPOTENT, AttemptCause.LOST, MAY_HAVE_RUN, True),
+                (IDEMPOTENT, AttemptCause.FAILED, MAY_HAVE_RUN, True),
+                (RESUMABLE, AttemptCause.LOST, MAY_HAVE_RUN, True),
+                (RESUMABLE, AttemptCause.FAILED, MAY_HAVE_RUN, True),
+            ]
+        ]
+    )
+    def test_only_what_may_repeat_is_sent_again(
+        self, _, kind, cause, verdict, is_repeated
+    ):
+        relay = started_relay(kind, make_shared())
+        (first,) = relay.start(0.0)
+        actions = relay.handle(failed(1, cause, verdict), 0.1)
+        starts = only(actions, StartRelay)
+        self.assertEqual(is_repeated, bool(starts))
+        if starts:
+            self.assertNotEqual(first.upstream.name, starts[0].upstream.name)
+        else:
+            (failure,) = only(actions, Fail)
+            self.assertEqual(MAY_HAVE_RUN, failure.verdict)
+
+    def test_an_upstreams_own_failure_is_passed_on_when_attempts_are_used_up(self):
+        relay = started_relay(IDEMPOTENT, make_shared(), max_attempts=2)
+        relay.start(0.0)
+        first = failed(1, AttemptCause.FAILED, MAY_HAVE_RUN, answer=FAILURE)
+        self.assertEqual(1, len(only(relay.handle(first, 0.1), StartRelay)))
+        second = failed(2, AttemptCause.FAILED, MAY_HAVE_RUN, answer=FAILURE)
+        self.assertEqual([DeliverAnswer(FAILURE)], relay.handle(second, 0.2))
+
+    def test_a_request_that_all_turn_away_is_refused_as_not_run(self):
+        relay = started_relay(ONCE, make_shared())
+        relay.start(0.0)
+        actions, attempt = [], 1
+        while not only(actions, Fail):
+            refusal = failed(attempt, AttemptCause.OVERLOADED, NOT_RUN)
+            actions = relay.handle(refusal, 0.1)
+            attempt += 1
+        (failure,) = only(actions, Fail)
+        self.assertEqual(NOT_RUN, failure.verdict)
+        self.assertEqual(ErrorCode.OVERLOADED, failure.code)
+        self.assertTrue(0 < failure.retry_after_s < 1)
+        self.assertTrue(attempt - 1 <= 3, attempt)
+
+    def test_refusals_of_a_whole_fleet_stay_within_the_retry_budget(self):
+        # Load: every upstream is full while 1,000 calls arrive at one instance.
+        shared = make_shared()
+        shared.set_budgets(ratio=0.5, reserve=10.0)
+        sends = 0
+        for _ in range(1_000):
+            relay = started_relay(ONCE, shared)
+            actions, attempt = relay.start(0.0), 0
+            while only(actions, StartRelay):
+                sends, attempt = sends + 1, attempt + 1
+                refusal = failed(attempt, AttemptCause.OVERLOADED, NOT_RUN)
+                actions = relay.handle(refusal, 0.0)
+            self.assertEqual(NOT_RUN, only(actions, Fail)[0].verdict)
+        self.assertTrue(sends <= 1_000 * 1.5 + 10, sends)
+
+    def test_without_upstreams_a_request_is_refused_at_once(self):
+        for kind in RequestKind:
+            relay = started_relay(kind, make_shared(0))
+            (failure,) = relay.start(0.0)
+            self.assertEqual(ErrorCode.NO_UPSTREAM, failure.code)
+            self.assertEqual(NOT_RUN, failure.verdict)
+            self.assertTrue(0 < failure.retry_after_s < 1)
+
+    def test_a_leaving_upstream_gets_no_attempt(self):
+        shared = make_shared(0)
+        life = Lifecycle.LEAVING
+        shared.selector.update([make_upstream(0, life), make_upstream(1)])
+        for _ in range(20):
+            (start,) = started_relay(RESUMABLE, shared).start(0.0)
+            self.assertEqual("u1", start.upstream.name)
+            self.assertIsNone(start.standby)
+
+
+class DeadlineTest(TestCase):
+    @parameterized.expand(
+        [
+            ("the caller's", 2.0, 20.0, 2.0),
+            ("the route's", 10.0, 1.5, 1.5),
+        ]
+    )
+    def test_the_earlier_limit_ends_the_request(self, _, deadline, timeout_s, at):
+        shared = make_shared()
+        relay = started_relay(ONCE, shared, deadline=deadline, timeout_s=timeout_s)
+        (start,) = relay.start(0.0)
+        self.assertEqual(at, start.deadline)
+        self.assertEqual(at, relay.wake_at())
+        actions = relay.tick(at)
+        self.assertEqual([CancelAttempt(1)], only(actions, CancelAttempt))
+        (failure,) = only(actions, Fail)
+        self.assertEqual(ErrorCode.WAIT_EXCEEDED, failure.code)
+        self.assertEqual(MAY_HAVE_RUN, failure.verdict)
+
+    def test_a_late_idempotent_call_goes_to_a_second_upstream(self):
+        relay = started_relay(IDEMPOTENT, make_shared(), target_latency_s=0.1)
+        (first,) = relay.start(0.0)
+        (second,) = relay.tick(relay.wake_at())
+        self.assertNotEqual(first.upstream.name, second.upstream.name)
+        actions = relay.handle(AnswerArrived(2, 0.1, ANSWER), 0.1)
+        self.assertEqual([CancelAttempt(1), DeliverAnswer(ANSWER)], actions)
+
+    def test_a_late_call_that_must_not_repeat_goes_nowhere_else(self):
+        relay = started_relay(ONCE, make_shared(), target_latency_s=0.1)
+        relay.start(0.0)
+        self.assertEqual(10.0, relay.wake_at())
+        self.assertEqual([], relay.tick(5.0 - 4.9))
+
+
+class StreamTest(TestCase):
+    def test_a_whole_stream_is_delivered_event_by_event(self):
+        relay, _ = begun_stream(make_shared(), events=0)
+        opened = relay.handle(event(1, 1), 0.1)
+        self.assertEqual([DeliverEvents(b"1;", (("seal", "first"),))], opened)
+        self.assertEqual([DeliverEvents(b"2;")], relay.handle(event(1, 2), 0.1))
+        self.assertEqual([EndStream()], relay.handle(StreamFinished(1, 0.2), 0.2))
+
+    def test_a_lost_stream_goes_on_from_its_copy_behind_the_last_event(self):
+        relay, start = begun_stream(make_shared())
+        self.assertNotEqual(start.upstream.failure_domain, start.standby.failure_domain)
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN)
+        (resumed,) = relay.handle(lost, 0.2)
+        self.assertEqual(start.standby, resumed.upstream)
+        self.assertTrue(resumed.from_copy)
+        self.assertEqual(3, resumed.resume_after)
+        self.assertEqual([DeliverEvents(b"4;")], relay.handle(event(2, 4), 0.3))
+
+    def test_a_missing_copy_is_asked_for_once(self):
+        relay, start = begun_stream(make_shared())
+        relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN), 0.2)
+        refusal = failed(2, AttemptCause.NO_COPY, NOT_RUN)
+        (resumed,) = relay.handle(refusal, 0.2)
+        self.assertFalse(resumed.from_copy)
+        self.assertEqual(3, resumed.resume_after)
+        self.assertNotEqual(start.upstream.name, resumed.upstream.name)
+        # The next copy belongs to an attempt that never ran.
+        turned_away = failed(3, AttemptCause.OVERLOADED, NOT_RUN)
+        (again,) = relay.handle(turned_away, 0.2)
+        self.assertFalse(again.from_copy)
+
+    @parameterized.expand(
+        [
+            ("gone", None),
+            ("leaving", Lifecycle.LEAVING),
+            ("started again", Lifecycle.LIVE),
+        ]
+    )
+    def test_a_standby_that_holds_no_copy_any_more_is_not_used(self, _, life):
+        shared = make_shared()
+        relay, start = begun_stream(shared)
+        others = [
+            upstream
+            for upstream in shared.selector.upstreams.values()
+            if upstream.name != start.standby.name
+        ]
+        index = int(start.standby.name[1:])
+        if life is not None:
+            others.append(make_upstream(index, life, incarnation="2"))
+        shared.selector.update(others)
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN)
+        (resumed,) = relay.handle(lost, 0.2)
+        self.assertFalse(resumed.from_copy)
+
+    def test_events_that_were_delivered_already_are_dropped(self):
+        relay, _ = begun_stream(make_shared())
+        relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN), 0.2)
+        self.assertEqual([], relay.handle(event(2, 2), 0.3))
+        self.assertEqual([], relay.handle(event(2, 3), 0.3))
+        self.assertEqual([DeliverEvents(b"4;")], relay.handle(event(2, 4), 0.3))
+
+    def test_an_event_of_an_abandoned_attempt_is_dropped(self):
+        relay, _ = begun_stream(make_shared())
+        relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN), 0.2)
+        self.assertEqual([], relay.handle(event(1, 4), 0.3))
+
+    def test_a_gap_between_events_ends_the_attempt_and_not_the_stream(self):
+        relay, _ = begun_stream(make_shared())
+        actions = relay.handle(event(1, 5), 0.2)
+        self.assertEqual([CancelAttempt(1)], only(actions, CancelAttempt))
+        (resumed,) = only(actions, StartRelay)
+        self.assertEqual(3, resumed.resume_after)
+
+    def test_the_callers_own_position_is_where_the_stream_begins(self):
+        relay = started_relay(RESUMABLE, make_shared(), resume_after=7)
+        (start,) = relay.start(0.0)
+        self.assertEqual(7, start.resume_after)
+        relay.handle(StreamOpened(1, 0.05, ()), 0.05)
+        self.assertEqual([], relay.handle(event(1, 7), 0.1))
+        self.assertEqual(1, len(relay.handle(event(1, 8), 0.1)))
+
+    def test_a_stream_that_cannot_resume_is_broken_off(self):
+        relay, _ = begun_stream(make_shared(), kind=STREAM)
+        actions = relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN), 0.2)
+        self.assertEqual(1, len(only(actions, BreakStream)))
+
+    def test_a_stream_in_progress_waits_for_an_upstream(self):
+        shared = make_shared()
+        relay, _ = begun_stream(shared)
+        shared.selector.update([])
+        self.assertEqual(
+            [], relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN), 0.2)
+        )
+        shared.selector.update([make_upstream(9)])
+        (resumed,) = relay.tick(relay.wake_at())
+        self.assertEqual("u9", resumed.upstream.name)
+
+
+class SilenceTest(TestCase):
+    @parameterized.expand(
+        [
+            ("before the first event", 0, STARTING_PROBE_AFTER_S),
+            ("between events", 3, 0.1 + RUNNING_PROBE_AFTER_S),
+        ]
+    )
+    def test_a_silent_upstream_is_probed_and_left_when_unreachable(
+        self, _, events, due_at
+    ):
+        relay, start = begun_stream(make_shared(), events)
+        if not events:
+            relay.attempts[1].heard_at = 0.0
+        self.assertAlmostEqual(due_at, relay.wake_at())
+        (probe,) = relay.tick(due_at)
+        self.assertEqual(ProbeUpstream(1, start.upstream), probe)
+        at = due_at + 0.1
+        actions = relay.handle(UpstreamProbed(1, at, is_reachable=False), at)
+        self.assertEqual([CancelAttempt(1)], only(actions, CancelAttempt))
+        (resumed,) = only(actions, StartRelay)
+        self.assertEqual(start.standby, resumed.upstream)
+
+    def test_a_reachable_upstream_is_waited_for(self):
+        relay, _ = begun_stream(make_shared(), 0)
+        relay.attempts[1].heard_at = 0.0
+        relay.tick(STARTING_PROBE_AFTER_S)
+        answer = UpstreamProbed(1, 0.45, is_reachable=True)
+        self.assertEqual([], relay.handle(answer, 0.45))
+        now = 0.45
+        while now < STARTING_LIMIT_S:
+            self.assertEqual([], only(relay.tick(now), StartRelay))
+            now = max(relay.wake_at(), now + 0.01)
+        self.assertEqual(1, len(only(relay.tick(STARTING_LIMIT_S), StartRelay)))
+
+    def test_an_event_during_the_probe_keeps_the_attempt(self):
+        relay, _ = begun_stream(make_shared())
+        relay.tick(0.1 + RUNNING_PROBE_AFTER_S)
+        relay.handle(event(1, 4, at=0.35), 0.35)
+        late = UpstreamProbed(1, 0.4, is_reachable=False)
+        self.assertEqual([], relay.handle(late, 0.4))
+
+    def test_another_stream_of_the_same_upstream_counts_as_a_sign_of_life(self):
+        shared = make_shared(1)
+        waiting = started_relay(RESUMABLE, shared)
+        waiting.start(0.0)
+        beside, _ = begun_stream(shared)
+        beside.handle(event(1, 4, at=0.35), 0.35)
+        self.assertEqual([], waiting.tick(STARTING_PROBE_AFTER_S))
+
+    def test_a_running_stream_that_stays_silent_goes_on_elsewhere(self):
+        relay, _ = begun_stream(make_shared())
+        at = 0.1 + RUNNING_LIMIT_S
+        relay.attempts[1].probed_at = at - 0.01
+        self.assertEqual(1, len(only(relay.tick(at), StartRelay)))
+
+    def test_a_pause_of_this_process_is_not_taken_for_silence(self):
+        relay, _ = begun_stream(make_shared())
+        self.assertEqual([], relay.tick(5.0))
+        self.assertTrue(relay.wake_at() > 5.0)
+
+    def test_closing_cancels_what_runs_and_frees_its_place(self):
+        shared = make_shared()
+        relay, start = begun_stream(shared)
+        self.assertEqual(1, shared.selector.in_flight[start.upstream.name])
+        self.assertEqual([CancelAttempt(1)], relay.close())
+        self.assertEqual({}, shared.selector.in_flight)
--- /dev/null
+++ b/tests/cover/test_relay_node.py
@@ -0,0 +1,355 @@
+"""An instance on stand-ins of the platform: what callers get, whatever upstreams do."""
+
+import asyncio
+
+import aiohttp
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.asynchronous import run_async
+from tests.common.relay_parts import KEY, configuration, relay_world
+from tests.common.waiting import wait_until
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.platform.calls import METRICS_PATH, STATE_PATH
+from turmericusher.platform.names import (
+    CONFIGURATION_KEY,
+    ENTRYPOINTS_PATH,
+    INSTANCE_PREFIX,
+    READINESS_PATH,
+    TEAM,
+)
+from turmericusher.standins.platform_upstream import UpstreamFault, event
+
+IDEMPOTENT, ONCE = RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT
+RESUMABLE, STREAM = RequestKind.RESUMABLE_STREAM, RequestKind.STREAM
+SEAL = "x-response-seal"
+EVENTS = 12
+WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
+
+SPOILT = [
+    UpstreamFault.RESET,
+    UpstreamFault.CUT,
+    UpstreamFault.UNFRAMED_RESET,
+    UpstreamFault.OTHER_ID,
+    UpstreamFault.UNSIGNED,
+    UpstreamFault.ENCODED,
+    UpstreamFault.GARBAGE,
+    UpstreamFault.FALSE_PROMISE,
+]
+
+
+def set_fault(world, fault, calls=1):
+    """Let the first calls fail, whichever upstream they reach."""
+    shared = [fault] * calls
+    for upstream in world.upstreams:
+        upstream.faults = shared
+
+
+def runs(world):
+    return sum(len(upstream.runs) for upstream in world.upstreams)
+
+
+class WholeAnswerTest(TestCase):
+    @parameterized.expand([(kind.value, kind) for kind in (IDEMPOTENT, ONCE)])
+    @run_async
+    async def test_a_call_is_passed_on_unchanged(self, _, kind):
+        async with relay_world() as world:
+            headers = {TEAM: "forged", "X_Cache_Hold": "1", "X_Other": "kept"}
+            answer = await world.call(kind, **headers)
+            self.assertEqual(200, answer.status)
+            self.assertEqual(b"whole answer", answer.body)
+            (call,) = [call for each in world.upstreams for call in each.calls]
+            self.assertEqual(b"body", call.body)
+            self.assertEqual("team-1", call.headers[TEAM])
+            self.assertEqual("kept", call.headers["x-other"])
+            self.assertNotIn("authorization", call.headers)
+            self.assertNotIn("x-cache-hold", call.headers)
+            self.assertTrue(int(call.headers["x-deadline-milliseconds"]) > 2_500)
+
+    @parameterized.expand([(fault.value, fault) for fault in SPOILT])
+    @run_async
+    async def test_a_call_that_must_not_repeat_runs_once(self, _, fault):
+        async with relay_world() as world:
+            set_fault(world, fault)
+            answer = await world.call(ONCE)
+            self.assertEqual(502, answer.status)
+            self.assertNotIn(SEAL, answer.headers)
+            self.assertEqual(1, runs(world))
+
+    @parameterized.expand([(fault.value, fault) for fault in SPOILT])
+    @run_async
+    async def test_an_idempotent_call_is_repeated_elsewhere(self, _, fault):
+        async with relay_world() as world:
+            set_fault(world, fault)
+            answer = await world.call(IDEMPOTENT)
+            self.assertEqual((200, b"whole answer"), (answer.status, answer.body))
+            self.assertEqual(2, runs(world))
+
+    @parameterized.expand(
+        [
+            ("an answer without a length", UpstreamFault.UNFRAMED),
+            ("a second answer behind the first", UpstreamFault.EXTRA),
+        ]
+    )
+    @run_async
+    async def test_an_odd_but_whole_answer_is_passed_on(self, _, fault):
+        async with relay_world() as world:
+            set_fault(world, fault)
+            for _number in range(2):
+                answer = await world.call(ONCE)
+                self.assertEqual((200, b"whole answer"), (answer.status, answer.body))
+
+    @run_async
+    async def test_an_upstreams_own_failure_keeps_its_signature(self):
+        async with relay_world() as world:
+            set_fault(world, UpstreamFault.FAIL)
+            answer = await world.call(ONCE)
+            self.assertEqual(500, answer.status)
+            self.assertIn(SEAL, answer.headers)
+
+    @run_async
+    async def test_a_full_service_is_refused_with_the_time_to_come_back(self):
+        async with relay_world() as world:
+            set_fault(world, UpstreamFault.SHED, calls=99)
+            answer = await world.call(ONCE)
+            self.assertEqual(503, answer.status)
+            self.assertTrue(0 < float(answer.headers["retry-after"]) < 1)
+            self.assertEqual(0, runs(world))
+
+    @run_async
+    async def test_a_silent_upstream_costs_an_idempotent_call_little(self):
+        async with relay_world() as world:
+            set_fault(world, UpstreamFault.HANG)
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            answer = await world.call(IDEMPOTENT)
+            self.assertEqual(200, answer.status)
+            self.assertTrue(loop.time() - started_at < 1.0)
+
+    @run_async
+    async def test_a_call_past_its_deadline_is_answered_as_one_that_may_have_run(self):
+        async with relay_world() as world:
+            set_fault(world, UpstreamFault.HANG)
+            answer = await world.call(ONCE, wait_ms=300)
+            self.assertEqual(504, answer.status)
+            await wait_until(
+                lambda: sum(each.closed_early for each in world.upstreams) == 1, 1.0
+            )
+
+    @run_async
+    async def test_the_upstreams_work_ends_when_the_caller_leaves(self):
+        async with relay_world() as world:
+            set_fault(world, UpstreamFault.HANG)
+            calling = asyncio.create_task(world.call(ONCE))
+            await wait_until(lambda: runs(world) == 1)
+            calling.cancel()
+            await wait_until(
+                lambda: sum(each.closed_early for each in world.upstreams) == 1, 1.0
+            )
+
+    @run_async
+    async def test_another_upstream_at_a_known_address_runs_nothing(self):
+        async with relay_world(1) as world:
+            world.upstreams[0].name = "another"
+            answer = await world.call(ONCE)
+            self.assertEqual(503, answer.status)
+            self.assertEqual(0, runs(world))
+
+
+class StreamTest(TestCase):
+    @parameterized.expand(
+        [
+            ("nothing", None, None),
+            ("a death after the first event", 1, None),
+            ("a death in mid-stream", 6, None),
+            ("a death before the end", EVENTS - 1, None),
+            ("a silence after the first event", None, 1),
+            ("a silence in mid-stream", None, 6),
+        ]
+    )
+    @run_async
+    async def test_a_stream_is_whole_whatever_happens(self, _, die_after, stop_after):
+        async with relay_world() as world:
+            for upstream in world.upstreams:
+                upstream.events, upstream.event_gap_s = EVENTS, 0.005
+                upstream.first_event_s = 0.05
+            calling = asyncio.create_task(world.call(RESUMABLE))
+            await wait_until(lambda: runs(world) == 1)
+            (first,) = [each for each in world.upstreams if each.runs]
+            first.die_after, first.stop_after = die_after, stop_after
+            answer = await calling
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(WHOLE_STREAM, answer.body)
+            self.assertEqual(f"by-{first.name}", answer.headers[SEAL])
+            if die_after or stop_after:
+                copies = [call for each in world.upstreams for call in each.calls]
+                self.assertEqual(1, sum("kv-from" in call.headers for call in copies))
+
+    @run_async
+    async def test_a_stream_that_cannot_resume_does_not_look_whole(self):
+        async with relay_world() as world:
+            for upstream in world.upstreams:
+                upstream.events, upstream.die_after = EVENTS, 6
+            answer = await world.call(STREAM)
+            self.assertFalse(answer.is_whole)
+            self.assertEqual(1, runs(world))
+
+    @run_async
+    async def test_a_dead_upstream_is_left_before_the_first_event(self):
+        async with relay_world() as world:
+            for upstream in world.upstreams:
+                upstream.events = EVENTS
+            set_fault(world, UpstreamFault.HANG)
+            calling = asyncio.create_task(world.call(RESUMABLE))
+            await wait_until(lambda: runs(world) == 1)
+            (hung,) = [each for each in world.upstreams if each.runs]
+            hung.refuse()
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            answer = await calling
+            self.assertEqual(WHOLE_STREAM, answer.body)
+            self.assertTrue(loop.time() - started_at < 2.0)
+            await wait_until(lambda: hung.closed_early == 1, 1.0)
+
+
+class FleetTest(TestCase):
+    @run_async
+    async def test_a_leaving_upstream_gets_nothing_more(self):
+        async with relay_world(2) as world:
+            world.list_upstream(0, state="draining")
+            fleet = world.node.fleet
+            await wait_until(
+                lambda: fleet.upstreams.entries["u0"].lifecycle.value == "leaving"
+            )
+            for _ in range(10):
+                await world.call(IDEMPOTENT)
+            self.assertEqual([], world.upstreams[0].runs)
+
+    @parameterized.expand(
+        [
+            ("not JSON", b"\xff{"),
+            ("a field is missing", b'{"service": "s", "address": "127.0.0.1:1"}'),
+            (
+                "a number as text",
+                b'{"service":"s","address":"127.0.0.1:1","zone":"z","version":"v",'
+                b'"slots":"8","state":"ready","sequence":1}',
+            ),
+            (
+                "an unknown state",
+                b'{"service":"s","address":"127.0.0.1:1","zone":"z","version":"v",'
+                b'"slots":8,"state":"odd","sequence":1}',
+            ),
+        ]
+    )
+    @run_async
+    async def test_a_spoilt_entry_names_no_upstream(self, _, value):
+        async with relay_world(1) as world:
+            world.store.store.write("servers/spoilt", value)
+            world.store.store.write(CONFIGURATION_KEY, configuration(2))
+            await wait_until(lambda: world.node.tables.current().version == 2)
+            self.assertEqual({"u0"}, set(world.node.fleet.upstreams.entries))
+
+    @run_async
+    async def test_requests_are_served_while_the_store_is_away(self):
+        async with relay_world() as world:
+            world.store.store.faults.down = True
+            await asyncio.sleep(0.3)
+            self.assertEqual(200, (await world.call(ONCE)).status)
+            world.store.store.write(CONFIGURATION_KEY, configuration(5))
+            world.store.store.faults.down = False
+            await wait_until(lambda: world.node.tables.current().version == 5)
+
+    @run_async
+    async def test_a_change_missed_by_a_waiting_watch_is_in_force_in_time(self):
+        async with relay_world() as world:
+            world.store.faults.deaf_watches = True
+            await asyncio.sleep(0.02)
+            world.store.store.write(CONFIGURATION_KEY, configuration(7))
+            world.store.faults.history_from = world.store.store.revision
+            limit_s = world.node.settings.configuration_limit_s
+            await wait_until(lambda: world.node.tables.current().version == 7, limit_s)
+
+    @parameterized.expand(
+        [
+            ("an unknown path", {"path": "/nowhere/"}, 404),
+            ("an unknown key", {"key": "wrong"}, 401),
+        ]
+    )
+    @run_async
+    async def test_what_the_configuration_does_not_allow(self, _, change, status):
+        async with relay_world(1) as world:
+            key = change.get("key", KEY)
+            world.headers["Authorization"] = f"Bearer {key}"
+            if "path" in change:
+                world.headers["Host"] = "other.example"
+            answer = await world.call(ONCE)
+            self.assertEqual(status, answer.status)
+            self.assertEqual(0, runs(world))
+
+
+class OtherCallsTest(TestCase):
+    @run_async
+    async def test_entry_points_readiness_metrics_and_state_are_served(self):
+        async with relay_world(1) as world:
+            settings = world.node.settings
+            key = f"{INSTANCE_PREFIX}{settings.name}"
+            await wait_until(lambda: key in world.store.store.values)
+            await wait_until(lambda: bool(world.node.fleet.entrypoints()))
+            await world.call(ONCE)
+            resolve = f"http://{settings.directory_address}{ENTRYPOINTS_PATH}"
+            async with world.session.get(resolve) as response:
+                body = await response.json()
+            self.assertEqual([settings.caller_address], body["addresses"])
+            self.assertTrue(0 < body["expiry_s"] <= settings.entrypoint_ttl_limit_s)
+            ready = f"http://{settings.readiness_address}{READINESS_PATH}"
+            async with world.session.get(ready) as response:
+                self.assertEqual(200, response.status)
+            metrics = f"http://{settings.metrics_address}{METRICS_PATH}"
+            async with world.session.get(metrics) as response:
+                text = await response.text()
+            name = "requests.non_idempotent.answered_200"
+            self.assertIn(f'events_total{{name="{name}"}} 1', text)
+            self.assertIn('le="+Inf"} 1', text)
+            state = f"http://{settings.metrics_address}{STATE_PATH}"
+            async with world.session.get(state) as response:
+                self.assertIn("u0", (await response.json())["upstreams"])
+
+    @run_async
+    async def test_a_stopping_instance_is_not_ready_and_ends_its_connections(self):
+        async with relay_world(1) as world:
+            world.node.is_stopping = True
+            world.node.frontend.is_closing = True
+            ready = f"http://{world.node.settings.readiness_address}{READINESS_PATH}"
+            async with world.session.get(ready) as response:
+                self.assertEqual(503, response.status)
+            answer = await world.call(ONCE)
+            self.assertEqual(200, answer.status)
+            self.assertEqual("close", answer.headers["connection"])
+
+    @run_async
+    async def test_an_instance_without_a_configuration_says_when_to_come_back(self):
+        async with relay_world(1) as world:
+            world.node.tables.table = None
+            answer = await world.call(ONCE)
+            self.assertEqual(503, answer.status)
+            self.assertIn("retry-after", answer.headers)
+
+    @run_async
+    async def test_a_lapsed_record_is_written_again(self):
+        async with relay_world(1) as world:
+            registration = world.node.registration
+            store = world.store.store
+            await wait_until(lambda: registration.key in store.values)
+            store.end_lease(registration.lease)
+            await wait_until(lambda: registration.key in store.values, 5.0)
+
+
+class CallerConnectionTest(TestCase):
+    @run_async
+    async def test_a_connection_serves_many_requests(self):
+        async with relay_world(1) as world:
+            connector = aiohttp.TCPConnector(limit=1)
+            async with aiohttp.ClientSession(connector=connector) as session:
+                world.session = session
+                for _ in range(5):
+                    self.assertEqual(200, (await world.call(ONCE)).status)
