--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -24,6 +24,7 @@
     RelayedRequest,
     RelayOutput,
 )
+from turmericusher.decisions.relay_stop import RelayStop
 from turmericusher.decisions.routing import NewestTable, RoutedRequest
 from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
 from turmericusher.logs import log_event
@@ -38,6 +39,9 @@
 }
 """Statuses of refusals that a repeat would get again."""
 
+ELSEWHERE_RETRY_S = 0.0
+"""Other instances take a request that a stopping one refuses, so there is no wait."""
+
 STATUS_NOT_RUN = 503
 STATUS_UPSTREAM_FAILED = 502
 STATUS_TIMED_OUT = 504
@@ -75,8 +79,8 @@
 
     `in_flight` counts requests from their head to the last byte of their answer, and
     `idle` is set while there is none.
-    `is_closing` makes every answer the last of its connection; `refuses` takes no new
-    request.
+    `stop` tells what is still taken once the instance is stopping; every answer is
+    then the last of its connection.
     """
 
     context: RelayContext
@@ -84,10 +88,9 @@
     codec: RelayCodec
     metrics: Metrics
     random: random.Random
+    stop: RelayStop
     in_flight: int = 0
     idle: asyncio.Event = field(default_factory=asyncio.Event)
-    is_closing: bool = False
-    refuses: bool = False
     clock: Callable[[], float] = field(
         default=lambda: asyncio.get_running_loop().time()
     )
@@ -126,11 +129,6 @@
 
     async def run(self) -> None:
         """Read, route, relay and answer."""
-        if self.frontend.refuses:
-            text = "this instance is stopping; use another one"
-            code = ErrorCode.INSTANCE_STOPPING
-            await self.refuse(Fail(code, Verdict.NOT_RUN, text, 0.0))
-            return
         try:
             body = await read_body(self.receive, self.body_limit())
             request = self.frontend.codec.decode(self.scope, body, self.arrived_at)
@@ -138,6 +136,7 @@
             routed = self.frontend.tables.current().admit(
                 request.host, request.path, request.key, self.frontend.random
             )
+            self.check_accepts(routed)
         except CallerGoneError:
             return
         except BodyTooLargeError:
@@ -153,6 +152,17 @@
         async with cancelled_by_disconnect(self.receive):
             await self.relay(request, routed)
 
+    def check_accepts(self, routed: RoutedRequest) -> None:
+        """Raise `RequestRefusedError` where the stop would cut the request off."""
+        kind = routed.route.kind
+        if not self.frontend.stop.may_take(kind, self.frontend.clock()):
+            raise RequestRefusedError(
+                ErrorCode.INSTANCE_STOPPING,
+                f"this instance is stopping and takes no request of kind={kind.value!r}"
+                "; use another one",
+                retry_after_s=ELSEWHERE_RETRY_S,
+            )
+
     def body_limit(self) -> int:
         """Return the largest body that is read, in bytes."""
         table = self.frontend.tables.table
@@ -185,6 +195,9 @@
                 await self.write(answer.body, more=False)
                 return f"answered_{answer.status}"
             case EndStream():
+                self.frontend.stop.streams.learn(
+                    self.frontend.clock() - self.arrived_at
+                )
                 await self.write(b"", more=False)
                 return "answered_200"
             case BreakStream(reason):
@@ -215,7 +228,7 @@
 
     async def start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of the answer."""
-        if self.frontend.is_closing:
+        if self.frontend.stop.is_asked():
             headers = [*headers, (b"connection", b"close")]
         await self.send(
             {"type": "http.response.start", "status": status, "headers": headers}
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -17,12 +17,14 @@
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
+    AskLoads,
     AttemptCause,
     AttemptFailed,
     DeliverAnswer,
     DeliverEvents,
     EndStream,
     EventsArrived,
+    LoadsReported,
     ProbeUpstream,
     RelayAction,
     RelayedRequest,
@@ -36,11 +38,13 @@
     LOSS_CAUSES,
     OWN_PAUSE_S,
     SHORTEST_ATTEMPT_S,
+    UNSEEN_EVENTS,
     WAIT_FOR_UPSTREAM_S,
     RelayAttempt,
     RelayShared,
     RelayState,
 )
+from turmericusher.decisions.room import can_take, rank_by_room
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.errors import ErrorCode, Verdict
 
@@ -50,6 +54,10 @@
 FULL_RETRY_S = 0.15
 """Seconds after which a full service has usually finished several of its calls."""
 
+CANDIDATES = 5
+"""Upstreams asked for their load before a stream is placed: the best of a few random
+choices is nearly the best of all (Mitzenmacher, 2001), and one is left as standby."""
+
 MAX_REFUSALS = 3
 """Upstreams that may turn a request away before its caller is told to come back."""
 
@@ -71,6 +79,8 @@
 
     def handle(self, event: RelayEvent, now: float) -> list[RelayAction]:
         """Take in what an attempt brought; drop it unless the attempt is live."""
+        if isinstance(event, LoadsReported):
+            return self.place(event, now)
         attempt = self.attempts.get(event.attempt)
         if self.is_over or attempt is None:
             return []
@@ -119,28 +129,69 @@
         if standby is not None:
             self.shared.totals.copies_used += 1
             return [self.start_on(standby, now, from_copy=True)]
+        if self.kind.is_stream and self.routed.service.reports_load:
+            return self.ask_loads(now)
         upstream = self.next_upstream()
         if upstream is None:
             return self.wait_or_refuse(now)
         return [self.start_on(upstream, now)]
 
+    def ask_loads(self, now: float) -> list[RelayAction]:
+        """Ask some candidates for their load; the answers place the attempt."""
+        wanted = self.pick_request(self.excluded, self.lost_domains)
+        candidates = self.shared.selector.sample(wanted, CANDIDATES)
+        if not candidates:
+            return self.wait_or_refuse(now)
+        self.is_asking = True
+        self.shared.totals.load_questions += len(candidates)
+        return [AskLoads(candidates)]
+
+    def place(self, event: LoadsReported, now: float) -> list[RelayAction]:
+        """Start the attempt at the candidate with the most room."""
+        if self.is_over or not self.is_asking:
+            return []
+        self.is_asking = False
+        selector = self.shared.selector
+        placements, size = self.shared.placements, self.request.size
+        ranked = rank_by_room(event.reports, placements, size, now)
+        usable = [
+            selector.upstreams[name]
+            for name in ranked
+            if name in selector.upstreams and can_take(selector.upstreams[name])
+        ]
+        upstream = usable[0] if usable else self.next_upstream()
+        if upstream is None:
+            return self.wait_or_refuse(now)
+        others = [
+            other
+            for other in usable[1:]
+            if other.failure_domain != upstream.failure_domain
+            and other.failure_domain not in self.lost_domains
+        ]
+        return [self.start_on(upstream, now, standby=others[0] if others else None)]
+
     def next_upstream(self) -> UpstreamInstance | None:
         """Return an upstream that has not failed this request, or None."""
         wanted = self.pick_request(self.excluded, self.lost_domains)
         return self.shared.selector.pick(wanted)
 
     def start_on(
-        self, upstream: UpstreamInstance, now: float, from_copy: bool = False
+        self,
+        upstream: UpstreamInstance,
+        now: float,
+        from_copy: bool = False,
+        standby: UpstreamInstance | None = None,
     ) -> StartRelay:
         """Start an attempt, with a standby for its memory where that is of use."""
         self.numbers += 1
         self.sends += 1
-        standby = self.choose_standby(upstream)
+        standby = standby or self.choose_standby(upstream)
         attempt = RelayAttempt(
             self.numbers, upstream, now, now, standby, from_copy=from_copy
         )
         self.attempts[attempt.number] = attempt
         self.shared.selector.started(upstream.name)
+        self.shared.placements.note(upstream.name, now)
         totals = self.shared.totals
         totals.attempts += 1
         totals.repeats += self.numbers > 1
@@ -239,9 +290,8 @@
         for attempt in list(self.attempts.values()):
             if now >= self.given_up_at(attempt):
                 silent_s = now - attempt.heard_at
-                actions.extend(
-                    self.abandon(attempt, f"silent for {silent_s:.2f} s", now)
-                )
+                text = f"silent for {silent_s:.2f} s"
+                actions.extend(self.abandon(attempt, AttemptCause.SILENT, text, now))
             elif now >= self.probe_due_at(attempt):
                 attempt.probed_at = now
                 self.shared.totals.probes += 1
@@ -249,12 +299,10 @@
         return actions
 
     def abandon(
-        self, attempt: RelayAttempt, message: str, now: float
+        self, attempt: RelayAttempt, cause: AttemptCause, message: str, now: float
     ) -> list[RelayAction]:
         """Cancel an attempt that brings nothing and go on elsewhere."""
-        event = AttemptFailed(
-            attempt.number, now, AttemptCause.SILENT, Verdict.MAY_HAVE_RUN, message
-        )
+        event = AttemptFailed(attempt.number, now, cause, Verdict.MAY_HAVE_RUN, message)
         actions = self.cancel(attempt.number)
         return actions + self.go_on(attempt, event, now)
 
@@ -334,29 +382,19 @@
     ) -> list[RelayAction]:
         """Hand an event to the caller if it is the next one."""
         attempt.heard_at = max(attempt.heard_at, event.at)
-        attempt.has_event = True
+        attempt.events += 1
         self.shared.patience.heard(attempt.upstream.name, event.at)
         if self.position is not None and event.last_id <= self.position:
             return []
         if self.position is not None and event.first_id != self.position + 1:
             reason = f"event {event.first_id} came after event {self.position}"
-            return self.cut_malformed(attempt, reason, now)
+            return self.abandon(attempt, AttemptCause.MALFORMED, reason, now)
         headers = None if self.has_delivered else attempt.headers
         self.has_delivered = True
         self.may_have_run = True
         self.position = event.last_id
         return [DeliverEvents(event.payload, headers)]
 
-    def cut_malformed(
-        self, attempt: RelayAttempt, reason: str, now: float
-    ) -> list[RelayAction]:
-        """Cancel an attempt whose stream is not the one asked for."""
-        event = AttemptFailed(
-            attempt.number, now, AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN, reason
-        )
-        actions = self.cancel(attempt.number)
-        return actions + self.go_on(attempt, event, now)
-
     def finish(self, attempt: RelayAttempt) -> None:
         """Note an attempt that ended well."""
         self.is_over = True
@@ -406,7 +444,8 @@
 ) -> list[RelayAction]:
     """End the caller's stream as the upstream ended its own."""
     if not relay.has_delivered:
-        return relay.cut_malformed(attempt, "the stream ended without an event", now)
+        text = "the stream ended without an event"
+        return relay.abandon(attempt, AttemptCause.MALFORMED, text, now)
     relay.finish(attempt)
     return [*relay.cancel_all(), EndStream()]
 
@@ -423,10 +462,22 @@
 def take_probe(
     event: UpstreamProbed, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
-    """Leave an upstream that takes no connection and has stayed silent."""
-    if event.is_reachable or relay.silent_since(attempt) > (attempt.probed_at or 0.0):
+    """Leave an upstream that does not answer, or whose answer has been lost."""
+    if relay.silent_since(attempt) > (attempt.probed_at or 0.0):
         return []
-    return relay.abandon(attempt, "takes no connection", now)
+    if event.report is None:
+        text = "does not answer"
+        return relay.abandon(attempt, AttemptCause.SILENT, text, now)
+    made = event.report.events_made.get(relay.request.request_id)
+    unseen = UNSEEN_EVENTS if attempt.has_event else 1
+    if made is not None and made >= attempt.events + unseen and not attempt.from_copy:
+        text = f"has made {made} events, {attempt.events} came"
+        return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
+    if made is None and attempt.has_event and not event.report.waiting:
+        text = "does not run the request any more"
+        return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
+    attempt.is_held_up = made is not None or event.report.waiting > 0
+    return []
 
 
 def make_relay(
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from turmericusher.decisions.fleet import UpstreamInstance
@@ -18,8 +19,8 @@
 
     `target` is the raw path with its query. `deadline` is in monotonic seconds: the
     caller has gone then. `resume_after` is the id of the last event that the caller
-    already holds, or None. `size` orders requests by the work they ask for, in tokens;
-    0 where it is not told.
+    already holds, or None. `size` is the memory that it needs on an
+    upstream, in tokens; 0 where it is not told.
     """
 
     request_id: str
@@ -43,7 +44,8 @@
     has the address now. `NO_COPY`: the standby copy it should go on from is missing.
     `UNREACHABLE`: no connection. `LOST`: the connection ended before the answer did.
     `MALFORMED`: what came is no answer to this request. `SILENT`: given up on after a
-    silence. `FAILED`: the upstream itself said that it failed.
+    silence. `UNANSWERED`: the upstream has run it, and nothing came. `FAILED`: the
+    upstream itself said that it failed.
     """
 
     OVERLOADED = "overloaded"
@@ -53,6 +55,7 @@
     LOST = "lost"
     MALFORMED = "malformed"
     SILENT = "silent"
+    UNANSWERED = "unanswered"
     FAILED = "failed"
 
 
@@ -117,13 +120,40 @@
     answer: RelayAnswer | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """What an upstream says of itself when asked, some hundred milliseconds old.
+
+    `memory_used` and `memory_total` are in tokens. `events_made` gives the events of
+    each request that it runs, by the request's id.
+    """
+
+    running: int
+    waiting: int
+    memory_used: int
+    memory_total: int
+    events_made: Mapping[str, int]
+
+    def reading(self) -> int:
+        """Return how many requests have their prompts read now."""
+        return sum(made == 0 for made in self.events_made.values())
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamProbed:
-    """A connection to the upstream of an attempt was tried."""
+    """The upstream of a silent attempt was asked; None where it did not answer."""
 
     attempt: int
     at: float
-    is_reachable: bool
+    report: UpstreamReport | None
+
+
+@dataclass(frozen=True, slots=True)
+class LoadsReported:
+    """What the candidates for an attempt answered in time, by name."""
+
+    at: float
+    reports: Mapping[str, UpstreamReport]
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,9 +173,16 @@
     standby: UpstreamInstance | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class AskLoads:
+    """Ask candidates for their load before an attempt is placed."""
+
+    candidates: tuple[UpstreamInstance, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeUpstream:
-    """Try a connection to the upstream of an attempt that has been silent."""
+    """Ask the upstream of an attempt that has been silent what it does."""
 
     attempt: int
     upstream: UpstreamInstance
@@ -185,6 +222,7 @@
     | StreamFinished
     | AttemptFailed
     | UpstreamProbed
+    | LoadsReported
 )
 RelayOutput = DeliverAnswer | DeliverEvents | EndStream | BreakStream | Fail
-RelayAction = StartRelay | CancelAttempt | ProbeUpstream | RelayOutput
+RelayAction = StartRelay | CancelAttempt | ProbeUpstream | AskLoads | RelayOutput
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -15,6 +15,7 @@
     RelayedRequest,
 )
 from turmericusher.decisions.retries import RetryBudget
+from turmericusher.decisions.room import RecentPlacements
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.selection import PickRequest, Selector
 from turmericusher.errors import ErrorCode, Verdict
@@ -29,9 +30,21 @@
 STARTING_PROBE_AFTER_S = 0.4
 """Wait for a first event after which the upstream is probed, and between probes."""
 
-STARTING_LIMIT_S = 6.0
-"""Wait for a first event on a reachable upstream: long prompts take seconds to read,
-and giving up wastes what was read."""
+STARTING_SHARE = 0.75
+"""Part of the target latency for which a first event is waited for on a reachable
+upstream. Long prompts take seconds to read, and giving up wastes what was read but for
+what the standby has of it; the rest of the time is what going on from there needs."""
+
+SHORTEST_START_S = 1.0
+"""No upstream is given up sooner before its first event, whatever the target."""
+
+HELD_UP_LIMIT_S = 6.0
+"""Wait for a first event while the upstream tells that it is at work on the request or
+has others before it: elsewhere the prompt would be read from its beginning."""
+
+UNSEEN_EVENTS = 3
+"""Events that an upstream has made beyond those that came, above which its answer is
+lost: a report is older than any event on its way."""
 
 HEDGE_SHARE = 0.6
 """Part of the target latency after which an idempotent call goes to a second
@@ -69,6 +82,7 @@
     copies_used: int = 0
     hedges: int = 0
     probes: int = 0
+    load_questions: int = 0
 
 
 @dataclass(slots=True)
@@ -82,6 +96,7 @@
     selector: Selector
     random: random.Random
     patience: Patience = field(default_factory=Patience)
+    placements: RecentPlacements = field(default_factory=RecentPlacements)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     budget_ratio: float = 0.2
     budget_reserve: float = 10.0
@@ -106,17 +121,27 @@
 
 @dataclass(slots=True)
 class RelayAttempt:
-    """One sending of the request; times are monotonic seconds."""
+    """One sending of the request; times are monotonic seconds.
+
+    `is_held_up`: its upstream has told that it is at work on the request, or that
+    requests wait there.
+    """
 
     number: int
     upstream: UpstreamInstance
     started_at: float
     heard_at: float
     standby: UpstreamInstance | None
-    has_event: bool = False
+    events: int = 0
     from_copy: bool = False
     headers: tuple[tuple[str, str], ...] = ()
     probed_at: float | None = None
+    is_held_up: bool = False
+
+    @property
+    def has_event(self) -> bool:
+        """Whether the attempt has brought an event."""
+        return self.events > 0
 
 
 @dataclass(slots=True)
@@ -125,7 +150,8 @@
 
     `position` is the id of the last event that the caller holds. `sends` counts the
     attempts that an upstream may have run, those in flight included, and `refusals`
-    those that one answered without running them. `standby` holds a copy of the last
+    those that one answered without running them. `is_asking`: candidates were asked for
+    their load, and no attempt runs yet. `standby` holds a copy of the last
     attempt that may have run.
     """
 
@@ -143,6 +169,7 @@
     has_delivered: bool = False
     may_have_run: bool = False
     was_hedged: bool = False
+    is_asking: bool = False
     retry_at: float | None = None
     last_message: str = ""
     is_over: bool = False
@@ -178,7 +205,10 @@
         """Return when an attempt is given up though its upstream is reachable."""
         if attempt.has_event or attempt.from_copy:
             return attempt.heard_at + RUNNING_LIMIT_S
-        return attempt.heard_at + STARTING_LIMIT_S
+        if attempt.is_held_up:
+            return attempt.heard_at + HELD_UP_LIMIT_S
+        share_s = STARTING_SHARE * self.routed.route.target_latency_s
+        return attempt.heard_at + max(SHORTEST_START_S, share_s)
 
     def hedge_due_at(self) -> float | None:
         """Return when an idempotent call goes to a second upstream, if it still may."""
--- /dev/null
+++ b/src/turmericusher/decisions/room.py
@@ -0,0 +1,64 @@
+"""Room: which of the upstreams asked has the most of it for one more request.
+
+Load: long prompts fill an engine's memory before its slots. An engine out of memory
+lets requests wait for seconds, or preempts one and reads its prompt again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
+from turmericusher.decisions.relay_messages import UpstreamReport
+
+NEARLY_FULL = 0.9
+"""Part of the memory above which one more request is likely to wait."""
+
+
+def can_take(upstream: UpstreamInstance) -> bool:
+    """Whether an upstream takes new work."""
+    return upstream.lifecycle is Lifecycle.LIVE
+
+
+REPORT_AGE_S = 0.4
+"""Time for which an attempt that was placed may be missing from the reports."""
+
+
+@dataclass(slots=True)
+class RecentPlacements:
+    """When this instance last placed attempts, by upstream; monotonic seconds."""
+
+    times: dict[str, list[float]] = field(default_factory=dict)
+
+    def note(self, name: str, now: float) -> None:
+        """Note an attempt that was placed on an upstream."""
+        recent = [at for at in self.times.get(name, ()) if now - at < REPORT_AGE_S]
+        self.times[name] = [*recent, now]
+
+    def count(self, name: str, now: float) -> int:
+        """Return the attempts that the upstream's report may not show yet."""
+        return sum(now - at < REPORT_AGE_S for at in self.times.get(name, ()))
+
+
+def rank_by_room(
+    reports: Mapping[str, UpstreamReport],
+    placements: RecentPlacements,
+    size: int,
+    now: float,
+) -> list[str]:
+    """Return the names of the upstreams that answered, the one with most room first.
+
+    Prompts are read one after another, so those that wait or are being read count
+    before the requests that already bring events. `size` is the request's own need in
+    tokens.
+    """
+
+    def order(name: str) -> tuple[bool, int, int]:
+        report = reports[name]
+        recent = placements.count(name, now)
+        needed = report.memory_used + size * (1 + recent)
+        is_full = needed > NEARLY_FULL * report.memory_total
+        return is_full, report.waiting + report.reading() + recent, report.running
+
+    return sorted(reports, key=order)
--- a/src/turmericusher/decisions/routing.py
+++ b/src/turmericusher/decisions/routing.py
@@ -79,6 +79,7 @@
     name: str
     slots: int | None = None
     keeps_copies: bool = False
+    reports_load: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -122,6 +122,13 @@
             chosen = self.random.sample(candidates, CHOICES)
         return min(chosen, key=self.load_order)
 
+    def sample(self, request: PickRequest, count: int) -> tuple[UpstreamInstance, ...]:
+        """Return up to `count` upstreams of the best class, drawn by chance."""
+        found = self.preferred(self.candidates(request), request)
+        if len(found) <= count:
+            return tuple(found)
+        return tuple(self.random.sample(found, count))
+
     def candidates(self, request: PickRequest) -> list[UpstreamInstance]:
         """Return who can serve a request: of the subset, or else of the service."""
         names = self.subset_names.get(request.service, frozenset())
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -22,8 +22,6 @@
 from turmericusher.ports.services import HOP_BY_HOP_HEADERS
 
 BEARER = "bearer "
-OUTPUT_TOKEN_WEIGHT = 10
-"""What a token of output counts against one of input, as the users weigh them."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,11 +125,11 @@
 
 
 def size_of(value: str | None) -> int:
-    """Return how much work a request asks for, in tokens; 0 where it does not say."""
+    """Return the memory that a request needs, in tokens; 0 where it does not say."""
     parts = (value or "").split(",")
     if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
         return 0
-    return int(parts[0]) + OUTPUT_TOKEN_WEIGHT * int(parts[1])
+    return int(parts[0]) + int(parts[1])
 
 
 def parse_load(headers: Headers) -> tuple[float, float] | None:
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -59,4 +59,7 @@
 READINESS_PATH = "/v1/readiness"
 ENTRYPOINTS_PATH = "/v1/resolve"
 
+# The call by which an engine tells its load.
+REPORT_PATH = "/v1/report"
+
 SETTINGS_VARIABLE = "TURMERICUSHER_NODE_FILE"
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -13,6 +13,7 @@
 from turmericusher.api.relay import RelayFrontend
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.relay_state import RelayShared
+from turmericusher.decisions.relay_stop import RelayStop
 from turmericusher.decisions.routing import NewestTable
 from turmericusher.decisions.selection import Selector
 from turmericusher.errors import SettingsError
@@ -29,11 +30,10 @@
 from turmericusher.tasks.registration import Registration, registered
 from turmericusher.tasks.relay import RelayContext
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
-from turmericusher.tasks.relay_stop import StopPlan, drain_relay
 from turmericusher.tasks.store_follower import StoreFollower, following_store
-from turmericusher.web_server import serving_app
+from turmericusher.web_server import QuietServer, running_server, serving_app
 
-ENTRYPOINT_TTL_S = 2.0
+ENTRYPOINT_TTL_S = 1.0
 """Seconds for which callers keep an answer: a stopped instance is out of use after
 them, and each caller asks again that often."""
 
@@ -45,8 +45,6 @@
 """Part of the time for a change to be in force that one wait for changes may take; the
 rest is for reading everything again where a change was missed."""
 
-CALLER_KEEP_ALIVE_S = 60
-
 
 @dataclass(slots=True)
 class Node:
@@ -59,7 +57,23 @@
     fleet: RelayFleet
     registration: Registration
     metrics: Metrics
-    is_stopping: bool = False
+    serving: QuietServer | None = None
+
+    @property
+    def server(self) -> QuietServer:
+        """The server for callers, once it runs."""
+        assert self.serving is not None
+        return self.serving
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the signal to stop has come."""
+        return self.frontend.stop.is_asked()
+
+    async def leave(self) -> None:
+        """Take this instance out of the entry points, and keep it out."""
+        self.registration.is_leaving = True
+        await self.registration.withdraw()
 
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
@@ -119,6 +133,7 @@
         except SettingsError as error:
             log_event("reload_failed", message=error.message)
             return
+        self.frontend.stop.limit_s = self.settings.stop_limit_s
         self.set_budgets(max(1, len(self.fleet.instances.entries)))
         log_event("reloaded", path=str(path))
 
@@ -134,13 +149,31 @@
     async with running_node(settings) as node:
         loop.add_signal_handler(signal.SIGHUP, node.reload, path)
         await stopped.wait()
-        node.is_stopping = True
-        plan = StopPlan(node.settings.stop_limit_s)
-        await node.registration.withdraw()
-        await drain_relay(node.frontend, plan)
+        await drain(node)
     log_event("stopped", name=settings.name)
 
 
+async def drain(node: Node) -> None:
+    """Leave the entry points, let requests end, and return when the process may end."""
+    stop, frontend = node.frontend.stop, node.frontend
+    stop.ask(frontend.clock())
+    log_event("stopping", in_flight=frontend.in_flight, limit_s=stop.limit_s)
+    await node.leave()
+    await sleep_until(stop.accepts_until())
+    node.server.stop_accepting()
+    log_event("draining", in_flight=frontend.in_flight)
+    try:
+        async with asyncio.timeout_at(stop.ends_at()):
+            await frontend.idle.wait()
+    except TimeoutError:
+        log_event("drain_cut_short", in_flight=frontend.in_flight)
+
+
+async def sleep_until(at: float) -> None:
+    """Sleep until a time of the event loop."""
+    await asyncio.sleep(max(0.0, at - asyncio.get_running_loop().time()))
+
+
 @asynccontextmanager
 async def running_node(settings: NodeSettings) -> AsyncIterator[Node]:
     """Start every task of an instance and stop them at the end."""
@@ -163,12 +196,8 @@
         await stack.enter_async_context(following_store(follower))
         await stack.enter_async_context(expiring_entries(node.fleet))
         await stack.enter_async_context(serving_calls(node))
-        await stack.enter_async_context(
-            serving_app(
-                node.frontend,
-                settings.caller_address,
-                keep_alive_s=CALLER_KEEP_ALIVE_S,
-            )
+        node.serving = await stack.enter_async_context(
+            running_server(node.frontend, settings.caller_address, stop_grace_s=0)
         )
         await stack.enter_async_context(registered(node.registration))
         log_event("serving", name=settings.name, address=settings.caller_address)
@@ -184,7 +213,12 @@
     """Return the parts of an instance, none of them started."""
     tables, metrics = NewestTable(), Metrics()
     frontend = RelayFrontend(
-        context, tables, PlatformCodec(), metrics, settings.random_for("routing")
+        context,
+        tables,
+        PlatformCodec(),
+        metrics,
+        settings.random_for("routing"),
+        RelayStop(settings.stop_limit_s),
     )
     key = f"{INSTANCE_PREFIX}{settings.name}"
     own = own_instance(settings, key)
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -23,6 +23,7 @@
     UpstreamInstance,
     UpstreamKind,
 )
+from turmericusher.decisions.relay_messages import UpstreamReport
 from turmericusher.decisions.routing import (
     RequestKind,
     RequestLimits,
@@ -127,6 +128,20 @@
     born: StrictInt | None = None
 
 
+class ReportModel(WireModel):
+    """What an engine says of its load; `cache_used` is memory that cannot be freed.
+
+    `runs` has rows of the request's id, its tokens in memory, the events made, and its
+    priority.
+    """
+
+    active_requests: StrictInt
+    waiting: StrictInt
+    cache_used: Number
+    cache_total: Number
+    runs: tuple[tuple[StrictStr, Number, StrictInt, Number], ...] = ()
+
+
 class InstanceModel(WireModel):
     """An entry instance, as it registers itself."""
 
@@ -200,7 +215,9 @@
     """Return what is known of a service."""
     if model.engine is None:
         return ServiceTraits(model.name)
-    return ServiceTraits(model.name, model.engine.slots, model.engine.backups)
+    return ServiceTraits(
+        model.name, model.engine.slots, model.engine.backups, reports_load=True
+    )
 
 
 def decode_upstream(name: str, value: bytes) -> UpstreamInstance | None:
@@ -223,6 +240,31 @@
     )
 
 
+def decode_report(value: bytes) -> UpstreamReport:
+    """Return an engine's report; raise `ValueError` where it is unreadable."""
+    model = ReportModel.model_validate_json(value)
+    return UpstreamReport(
+        running=model.active_requests,
+        waiting=model.waiting,
+        memory_used=int(model.cache_used),
+        memory_total=int(model.cache_total),
+        events_made={run[0]: run[2] for run in model.runs},
+    )
+
+
+def encode_report(report: UpstreamReport) -> bytes:
+    """Return a report as an engine sends it."""
+    return orjson.dumps(
+        {
+            "active_requests": report.running,
+            "waiting": report.waiting,
+            "cache_used": report.memory_used,
+            "cache_total": report.memory_total,
+            "runs": [[name, 0, made, 5] for name, made in report.events_made.items()],
+        }
+    )
+
+
 def decode_instance(name: str, value: bytes) -> EntryInstance | None:
     """Return an entry instance, or None where its record is unreadable."""
     try:
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -29,15 +29,18 @@
     StartRelay,
     StreamFinished,
     StreamOpened,
+    UpstreamReport,
 )
 from turmericusher.decisions.routing import RoutedRequest
 from turmericusher.decisions.upstream_load import LoadReport
 from turmericusher.errors import Verdict
+from turmericusher.logs import log_event
 from turmericusher.platform.codec import parse_load
 from turmericusher.platform.names import (
     COPY_SOURCE,
     LAST_EVENT_ID,
     NOT_RUN_MARK,
+    REPORT_PATH,
     REQUEST_ID,
     SIGNATURE,
     STANDBY_ADDRESS,
@@ -45,6 +48,7 @@
     TEAM,
     WAIT_MS,
 )
+from turmericusher.platform.records import decode_report
 from turmericusher.platform.settings import MILLISECONDS_PER_S
 from turmericusher.ports.relay import EventSink
 from turmericusher.ports.services import MAX_ANSWER_BYTES, READ_CHUNK_BYTES
@@ -54,8 +58,8 @@
 """Connections between failure domains take a few milliseconds, and one that is not
 answered at once is tried again by the kernel only after a second."""
 
-PROBE_TIMEOUT_S = 0.15
-"""Part of the pause that callers accept in a stream; a probe decides within it."""
+REPORT_TIMEOUT_S = 0.15
+"""Part of the pause that callers accept in a stream; a report decides within it."""
 
 MISDIRECTED = 421
 SUCCESS = range(200, 300)
@@ -121,16 +125,17 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             await sink(broken_attempt(start, progress, error))
 
-    async def probe(self, upstream: UpstreamInstance) -> bool:
-        """Return whether the upstream takes a connection."""
-        host, _, port = upstream.address.rpartition(":")
+    async def report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
+        """Ask an upstream for its load; None where no answer came in time."""
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+        url = f"http://{upstream.address}{REPORT_PATH}"
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
-        writer.transport.abort()
-        return True
+            async with self.session.get(url, timeout=timeout) as response:
+                data = await response.read()
+            return decode_report(data)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            log_event("report_missing", upstream=upstream.name, error=repr(error))
+            return None
 
 
 @dataclass(slots=True)
--- a/src/turmericusher/ports/relay.py
+++ b/src/turmericusher/ports/relay.py
@@ -14,6 +14,7 @@
     RelayedRequest,
     RelayEvent,
     StartRelay,
+    UpstreamReport,
 )
 from turmericusher.decisions.routing import RoutedRequest
 
@@ -36,6 +37,6 @@
         """
         ...
 
-    async def probe(self, upstream: UpstreamInstance) -> bool:
-        """Return whether the upstream takes a connection."""
+    async def report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
+        """Ask an upstream for its load; None where no answer came in time."""
         ...
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -14,18 +14,22 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+from turmericusher.decisions.relay_messages import UpstreamReport
 from turmericusher.platform.names import (
     COPY_SOURCE,
     LAST_EVENT_ID,
     LOAD,
     NOT_RUN_MARK,
+    REPORT_PATH,
     REQUEST_ID,
     SIGNATURE,
     STANDBY_ADDRESS,
     TARGET_UPSTREAM,
 )
+from turmericusher.platform.records import encode_report
 
 LOOPBACK = "127.0.0.1"
+IDLE = UpstreamReport(0, 0, 0, 100_000, {})
 RESET_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -74,7 +78,8 @@
     up. A stream has `events` events, `event_gap_s` apart; `die_after` is the event
     behind which the connection is reset, and `stop_after` that behind which nothing
     more comes. `copies` holds the requests of which this upstream has a copy, and is
-    shared with those that make them through `peers`.
+    shared with those that make them through `peers`. `report` is what it says of its
+    load.
     """
 
     name: str
@@ -91,6 +96,7 @@
     calls: list[ReceivedCall] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     closed_early: int = 0
+    report: UpstreamReport = IDLE
     server: asyncio.Server | None = None
 
     def refuse(self) -> None:
@@ -104,7 +110,11 @@
         """Serve the one call of a connection."""
         try:
             call = await read_call(reader)
-            if call is not None:
+            if call is not None and call.target == REPORT_PATH:
+                body = encode_report(self.report)
+                length = {"Content-Length": str(len(body))}
+                writer.write(head(200, length) + body)
+            elif call is not None:
                 self.calls.append(call)
                 await self.answer(call, reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
--- a/src/turmericusher/tasks/registration.py
+++ b/src/turmericusher/tasks/registration.py
@@ -21,16 +21,20 @@
 
 @dataclass(slots=True)
 class Registration:
-    """The record at `key`; `lease` is 0 while there is none."""
+    """The record at `key`; `lease` is 0 while there is none.
+
+    Once `is_leaving` is set, the record is not written again.
+    """
 
     store: KeyValueStore
     key: str
     value: bytes
     lease: int = 0
+    is_leaving: bool = False
 
     async def run(self) -> None:
         """Write the record and renew its lease until cancelled."""
-        while True:
+        while not self.is_leaving:
             try:
                 if not self.lease:
                     await self.register()
@@ -54,6 +58,9 @@
             )
             if swap.succeeded:
                 self.lease = lease
+                if self.is_leaving:
+                    await self.withdraw()
+                    return
                 log_event("registered", key=self.key, lease=lease)
                 return
             expected = swap.current.revision if swap.current is not None else ABSENT
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -8,19 +8,22 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
 from turmericusher.decisions.relay import Relay, make_relay
 from turmericusher.decisions.relay_messages import (
+    AskLoads,
     AttemptCause,
     AttemptFailed,
     BreakStream,
     DeliverAnswer,
     EndStream,
+    LoadsReported,
     ProbeUpstream,
     RelayAction,
     RelayedRequest,
@@ -28,6 +31,7 @@
     RelayOutput,
     StartRelay,
     UpstreamProbed,
+    UpstreamReport,
 )
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.routing import RoutedRequest
@@ -38,6 +42,10 @@
 INBOX_SIZE = 64
 """Events that an attempt may be ahead of a caller that reads slowly."""
 
+LOAD_TIMEOUT_S = 0.05
+"""Time for candidates to tell their load: several round trips between failure domains,
+and little against a first event."""
+
 LAST_OUTPUTS = (DeliverAnswer, EndStream, BreakStream, Fail)
 
 
@@ -45,21 +53,25 @@
 class RelayContext:
     """What the relays of one instance share.
 
-    `probes` holds the probe that runs for an upstream, so that all attempts on it wait
-    for one answer.
+    `questions` holds the question that runs for an upstream, so that all attempts on it
+    wait for one answer.
     """
 
     port: RelayPort
     shared: RelayShared
-    probes: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
+    questions: dict[str, asyncio.Task[UpstreamReport | None]] = field(
+        default_factory=dict
+    )
 
-    async def probe(self, upstream: UpstreamInstance) -> bool:
-        """Return whether an upstream takes a connection."""
-        running = self.probes.get(upstream.address)
+    async def report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
+        """Return what an upstream says of itself; None where it does not answer."""
+        running = self.questions.get(upstream.address)
         if running is None:
-            running = asyncio.create_task(self.port.probe(upstream))
-            self.probes[upstream.address] = running
-            running.add_done_callback(lambda _: self.probes.pop(upstream.address, None))
+            running = asyncio.create_task(self.port.report(upstream))
+            self.questions[upstream.address] = running
+            running.add_done_callback(
+                lambda _: self.questions.pop(upstream.address, None)
+            )
         return await asyncio.shield(running)
 
 
@@ -114,9 +126,9 @@
             case CancelAttempt(attempt):
                 self.attempts.pop(attempt).cancel()
             case ProbeUpstream():
-                helper = asyncio.create_task(self.run_probe(action))
-                self.helpers.add(helper)
-                helper.add_done_callback(self.helpers.discard)
+                self.help(self.run_probe(action))
+            case AskLoads():
+                self.help(self.ask_loads(action))
             case _:
                 return action
         return None
@@ -143,9 +155,31 @@
 
     async def run_probe(self, action: ProbeUpstream) -> None:
         """Probe an upstream and report the answer."""
-        is_reachable = await self.context.probe(action.upstream)
+        report = await self.context.report(action.upstream)
         now = asyncio.get_running_loop().time()
-        await self.inbox.put(UpstreamProbed(action.attempt, now, is_reachable))
+        await self.inbox.put(UpstreamProbed(action.attempt, now, report))
+
+    async def ask_loads(self, action: AskLoads) -> None:
+        """Ask candidates for their load and report what came in time."""
+        asked = {
+            upstream.name: asyncio.create_task(self.context.report(upstream))
+            for upstream in action.candidates
+        }
+        await asyncio.wait(asked.values(), timeout=LOAD_TIMEOUT_S)
+        reports = {}
+        for name, task in asked.items():
+            if not task.done():
+                task.cancel()
+            elif (report := task.result()) is not None:
+                reports[name] = report
+        now = asyncio.get_running_loop().time()
+        await self.inbox.put(LoadsReported(now, reports))
+
+    def help(self, work: Coroutine[Any, Any, None]) -> None:
+        """Let a task work beside the owner."""
+        helper = asyncio.create_task(work)
+        self.helpers.add(helper)
+        helper.add_done_callback(self.helpers.discard)
 
     async def close(self) -> None:
         """End what still runs and wait until its connections are closed."""
--- a/src/turmericusher/web_server.py
+++ b/src/turmericusher/web_server.py
@@ -28,6 +28,16 @@
         await super().startup(sockets)
         self.ready.set()
 
+    def stop_accepting(self) -> None:
+        """Take no new connections, and close those that wait for a request.
+
+        Requests in flight go on, each as the last of its connection.
+        """
+        for server in self.servers:
+            server.close()
+        for connection in list(self.server_state.connections):
+            connection.shutdown()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Install no signal handlers: the entry instance drains before it stops."""
@@ -36,12 +46,19 @@
 
 @asynccontextmanager
 async def serving_app(
-    app: ASGIApp,
-    address: str,
-    stop_grace_s: int = STOP_GRACE_S,
-    keep_alive_s: int = KEEP_ALIVE_S,
+    app: ASGIApp, address: str, stop_grace_s: int = STOP_GRACE_S
 ) -> AsyncIterator[str]:
     """Serve an application at `ip:port` and yield the address that was bound."""
+    async with running_server(app, address, stop_grace_s) as server:
+        bound = server.servers[0].sockets[0].getsockname()
+        yield f"{bound[0]}:{bound[1]}"
+
+
+@asynccontextmanager
+async def running_server(
+    app: ASGIApp, address: str, stop_grace_s: int = STOP_GRACE_S
+) -> AsyncIterator[QuietServer]:
+    """Serve an application at `ip:port` and yield its server."""
     listener = listen(address)
     config = uvicorn.Config(
         app,
@@ -54,14 +71,13 @@
         server_header=False,
         date_header=False,
         timeout_graceful_shutdown=stop_grace_s,
-        timeout_keep_alive=keep_alive_s,
+        timeout_keep_alive=KEEP_ALIVE_S,
     )
     server = QuietServer(config)
     serving = asyncio.create_task(server.serve(sockets=[listener]))
     try:
         await wait_until_ready(server, serving)
-        bound = listener.getsockname()
-        yield f"{bound[0]}:{bound[1]}"
+        yield server
     finally:
         server.should_exit = True
         await serving
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import random
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -36,6 +38,7 @@
 SERVICE = "s"
 KEY = "key-of-a-team"
 HOST = "a.example"
+HOSTS = itertools.count()
 PATHS = {
     RequestKind.IDEMPOTENT: "/idempotent/",
     RequestKind.NON_IDEMPOTENT: "/once/",
@@ -205,23 +208,24 @@
     return {name.lower(): value for name, value in response.headers.items()}
 
 
-def free_address() -> str:
-    """Return an address that nothing listens at."""
-    import socket
+def own_host() -> str:
+    """Return a loopback address that no other instance and no other process uses.
 
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    A port that was free a moment ago may be taken by any connection on 127.0.0.1.
+    """
+    number = next(HOSTS)
+    return f"127.{1 + os.getpid() % 250}.{number // 250}.{1 + number % 250}"
 
 
 def node_settings(store_address: str) -> NodeSettings:
+    host = own_host()
     return NodeSettings(
         name="entry-1",
         failure_domain=DOMAINS[0],
-        caller_address=free_address(),
-        readiness_address=free_address(),
-        directory_address=free_address(),
-        metrics_address=free_address(),
+        caller_address=f"{host}:20001",
+        readiness_address=f"{host}:20002",
+        directory_address=f"{host}:20003",
+        metrics_address=f"{host}:20004",
         store_address=store_address,
         stop_limit_s=3.0,
         retry_ratio=0.8,
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -1,5 +1,7 @@
 """What becomes of a relayed request whose attempts fail, by the kind of request."""
 
+from dataclasses import replace
+
 from parameterized import parameterized
 from testtools import TestCase
 
@@ -8,6 +10,7 @@
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
+    AskLoads,
     AttemptCause,
     AttemptFailed,
     BreakStream,
@@ -15,18 +18,22 @@
     DeliverEvents,
     EndStream,
     EventsArrived,
+    LoadsReported,
     ProbeUpstream,
     RelayAnswer,
     StartRelay,
     StreamFinished,
     StreamOpened,
     UpstreamProbed,
+    UpstreamReport,
 )
 from turmericusher.decisions.relay_state import (
+    HELD_UP_LIMIT_S,
     RUNNING_LIMIT_S,
     RUNNING_PROBE_AFTER_S,
-    STARTING_LIMIT_S,
+    SHORTEST_START_S,
     STARTING_PROBE_AFTER_S,
+    STARTING_SHARE,
 )
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.errors import ErrorCode, Verdict
@@ -46,6 +53,10 @@
     return EventsArrived(attempt, at, f"{number};".encode(), number, number)
 
 
+def report(running=0, waiting=0, used=0, made=None):
+    return UpstreamReport(running, waiting, used, 88_000, made or {})
+
+
 def only(actions, kind):
     return [action for action in actions if isinstance(action, kind)]
 
@@ -281,6 +292,78 @@
         self.assertEqual("u9", resumed.upstream.name)
 
 
+class PlacementTest(TestCase):
+    """Load: long prompts on engines whose memory holds few of them."""
+
+    @parameterized.expand(
+        [
+            ("the least busy", {0: report(3), 1: report(1), 2: report(2)}, "u1"),
+            ("the shortest queue", {0: report(1, 3), 1: report(3)}, "u1"),
+            (
+                "the fewest prompts to read",
+                {0: report(2, made={"a": 0, "b": 0}), 1: report(5, made={"c": 9})},
+                "u1",
+            ),
+            ("room in memory", {0: report(1, used=85_000), 1: report(4)}, "u1"),
+            ("the only one that answers", {2: report(9, 9, 88_000)}, "u2"),
+        ]
+    )
+    def test_a_stream_goes_where_there_is_room(self, _, reports, expected):
+        relay, asked = asking_relay()
+        named = {f"u{index}": found for index, found in reports.items()}
+        (start,) = relay.handle(LoadsReported(0.01, named), 0.01)
+        self.assertEqual(expected, start.upstream.name)
+        self.assertTrue(len(asked.candidates) > 1)
+
+    def test_streams_that_come_together_spread_over_the_upstreams(self):
+        # Load: six streams within the time for which reports are behind.
+        shared, chosen = make_shared(), set()
+        for _ in range(6):
+            relay, _asked = asking_relay(shared)
+            reports = {f"u{index}": report() for index in range(6)}
+            (start,) = relay.handle(LoadsReported(0.01, reports), 0.01)
+            chosen.add(start.upstream.name)
+        self.assertEqual(6, len(chosen))
+
+    def test_without_an_answer_the_stream_is_placed_by_what_is_known(self):
+        relay, _ = asking_relay()
+        self.assertEqual(
+            1, len(only(relay.handle(LoadsReported(0.05, {}), 0.05), StartRelay))
+        )
+
+    def test_an_upstream_that_left_meanwhile_is_not_used(self):
+        relay, _ = asking_relay()
+        upstreams = relay.shared.selector.upstreams
+        leaving = make_upstream(0, Lifecycle.LEAVING)
+        others = [each for name, each in upstreams.items() if name != "u0"]
+        relay.shared.selector.update([leaving, *others])
+        reports = {"u0": report(0), "u1": report(9)}
+        (start,) = relay.handle(LoadsReported(0.01, reports), 0.01)
+        self.assertEqual("u1", start.upstream.name)
+
+    def test_the_standby_is_the_next_best_of_another_domain(self):
+        relay, _ = asking_relay()
+        reports = {"u0": report(0), "u3": report(1), "u4": report(2), "u5": report(3)}
+        (start,) = relay.handle(LoadsReported(0.01, reports), 0.01)
+        self.assertEqual(("u0", "u4"), (start.upstream.name, start.standby.name))
+
+    def test_the_deadline_ends_the_question(self):
+        relay, _ = asking_relay()
+        (failure,) = relay.tick(relay.wake_at())
+        self.assertEqual(NOT_RUN, failure.verdict)
+        self.assertEqual([], relay.handle(LoadsReported(11.0, {"u0": report()}), 11.0))
+
+
+def asking_relay(shared=None):
+    """Return a stream that has asked for loads, and its question."""
+    relay = started_relay(RESUMABLE, shared or make_shared())
+    traits = replace(relay.routed.service, reports_load=True)
+    relay.routed = replace(relay.routed, service=traits)
+    (asked,) = relay.start(0.0)
+    assert isinstance(asked, AskLoads)
+    return relay, asked
+
+
 class SilenceTest(TestCase):
     @parameterized.expand(
         [
@@ -298,28 +381,57 @@
         (probe,) = relay.tick(due_at)
         self.assertEqual(ProbeUpstream(1, start.upstream), probe)
         at = due_at + 0.1
-        actions = relay.handle(UpstreamProbed(1, at, is_reachable=False), at)
+        actions = relay.handle(UpstreamProbed(1, at, None), at)
         self.assertEqual([CancelAttempt(1)], only(actions, CancelAttempt))
         (resumed,) = only(actions, StartRelay)
         self.assertEqual(start.standby, resumed.upstream)
 
-    def test_a_reachable_upstream_is_waited_for(self):
-        relay, _ = begun_stream(make_shared(), 0)
-        relay.attempts[1].heard_at = 0.0
+    @parameterized.expand(
+        [
+            ("a short target", 0.1, {}, SHORTEST_START_S),
+            ("a long target", 4.0, {}, 4.0 * STARTING_SHARE),
+            ("the prompt is being read", 0.1, {"q1": 0}, HELD_UP_LIMIT_S),
+        ]
+    )
+    def test_an_upstream_that_answers_is_waited_for(self, _, target_s, made, limit_s):
+        relay = started_relay(RESUMABLE, make_shared(), target_latency_s=target_s)
+        relay.start(0.0)
         relay.tick(STARTING_PROBE_AFTER_S)
-        answer = UpstreamProbed(1, 0.45, is_reachable=True)
+        answer = UpstreamProbed(1, 0.45, report(made=made))
         self.assertEqual([], relay.handle(answer, 0.45))
         now = 0.45
-        while now < STARTING_LIMIT_S:
+        while now < limit_s - 0.01:
             self.assertEqual([], only(relay.tick(now), StartRelay))
             now = max(relay.wake_at(), now + 0.01)
-        self.assertEqual(1, len(only(relay.tick(STARTING_LIMIT_S), StartRelay)))
+        self.assertEqual(1, len(only(relay.tick(limit_s), StartRelay)))
+
+    @parameterized.expand(
+        [
+            ("it makes events that do not come", 0, {"q1": 2}, 0, True),
+            ("it has made none yet", 0, {"q1": 0}, 0, False),
+            ("it has not begun", 0, {}, 1, False),
+            ("events are on their way", 3, {"q1": 5}, 0, False),
+            ("events are lost", 3, {"q1": 6}, 0, True),
+            ("it runs the request no more", 3, {}, 0, True),
+            ("it has put the request back", 3, {}, 1, False),
+        ]
+    )
+    def test_what_a_silent_upstream_reports(self, _, events, made, waiting, is_left):
+        relay, start = begun_stream(make_shared(), events)
+        at = relay.wake_at()
+        relay.tick(at)
+        answer = UpstreamProbed(1, at, report(waiting=waiting, made=made))
+        starts = only(relay.handle(answer, at), StartRelay)
+        self.assertEqual(is_left, bool(starts))
+        if is_left:
+            self.assertEqual(start.standby, starts[0].upstream)
+            self.assertTrue(starts[0].from_copy)
 
     def test_an_event_during_the_probe_keeps_the_attempt(self):
         relay, _ = begun_stream(make_shared())
         relay.tick(0.1 + RUNNING_PROBE_AFTER_S)
         relay.handle(event(1, 4, at=0.35), 0.35)
-        late = UpstreamProbed(1, 0.4, is_reachable=False)
+        late = UpstreamProbed(1, 0.4, None)
         self.assertEqual([], relay.handle(late, 0.4))
 
     def test_another_stream_of_the_same_upstream_counts_as_a_sign_of_life(self):
--- a/tests/cover/test_relay_node.py
+++ b/tests/cover/test_relay_node.py
@@ -18,6 +18,7 @@
     READINESS_PATH,
     TEAM,
 )
+from turmericusher.platform.node import drain
 from turmericusher.standins.platform_upstream import UpstreamFault, event
 
 IDEMPOTENT, ONCE = RequestKind.IDEMPOTENT, RequestKind.NON_IDEMPOTENT
@@ -317,14 +318,35 @@
     @run_async
     async def test_a_stopping_instance_is_not_ready_and_ends_its_connections(self):
         async with relay_world(1) as world:
-            world.node.is_stopping = True
-            world.node.frontend.is_closing = True
+            for upstream in world.upstreams:
+                upstream.events = EVENTS
+            frontend = world.node.frontend
+            frontend.stop.ask(frontend.clock())
             ready = f"http://{world.node.settings.readiness_address}{READINESS_PATH}"
             async with world.session.get(ready) as response:
                 self.assertEqual(503, response.status)
             answer = await world.call(ONCE)
             self.assertEqual(200, answer.status)
             self.assertEqual("close", answer.headers["connection"])
+            # A stream would outlast the process: its caller is sent elsewhere at once.
+            refused = await world.call(RESUMABLE)
+            self.assertEqual(503, refused.status)
+            self.assertEqual(0.0, float(refused.headers["retry-after"]))
+
+    @run_async
+    async def test_a_drain_ends_after_the_last_request(self):
+        async with relay_world(1) as world:
+            upstream = world.upstreams[0]
+            upstream.events, upstream.event_gap_s = EVENTS, 0.15
+            calling = asyncio.create_task(world.call(RESUMABLE))
+            await wait_until(lambda: runs(world) == 1)
+            await asyncio.gather(calling, drain(world.node))
+            self.assertEqual(WHOLE_STREAM, calling.result().body)
+            self.assertNotIn(world.node.registration.key, world.store.store.values)
+            address = world.node.settings.caller_address
+            host, _, port = address.rpartition(":")
+            with self.assertRaises(ConnectionRefusedError):
+                await asyncio.open_connection(host, int(port))
 
     @run_async
     async def test_an_instance_without_a_configuration_says_when_to_come_back(self):
--- /dev/null
+++ b/tests/cover/test_relay_stop.py
@@ -0,0 +1,54 @@
+"""A stopping instance takes what will end in time and refuses the rest at once."""
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from turmericusher.decisions.relay_stop import DurationEstimate, RelayStop
+from turmericusher.decisions.routing import RequestKind
+
+LIMIT_S = 8.0
+
+
+def stop_asked_at(at: float, stream_s: float) -> RelayStop:
+    made = RelayStop(LIMIT_S)
+    for _ in range(50):
+        made.streams.learn(stream_s)
+    made.ask(at)
+    return made
+
+
+class RelayStopTest(TestCase):
+    @parameterized.expand(
+        [
+            ("a short stream at once", RequestKind.RESUMABLE_STREAM, 2.0, 0.0, True),
+            ("a short stream late", RequestKind.RESUMABLE_STREAM, 2.0, 6.5, False),
+            ("a long stream at once", RequestKind.STREAM, 12.0, 0.0, False),
+            ("a call", RequestKind.NON_IDEMPOTENT, 12.0, 6.5, True),
+            ("a call at the end", RequestKind.IDEMPOTENT, 12.0, 7.9, False),
+        ]
+    )
+    def test_what_is_taken(self, _, kind, stream_s, after_s, is_taken):
+        made = stop_asked_at(100.0, stream_s)
+        self.assertEqual(is_taken, made.may_take(kind, 100.0 + after_s))
+
+    def test_everything_is_taken_before_the_signal(self):
+        made = RelayStop(LIMIT_S)
+        for kind in RequestKind:
+            self.assertTrue(made.may_take(kind, 1e9))
+
+    def test_a_second_signal_changes_nothing(self):
+        made = stop_asked_at(100.0, 1.0)
+        ends_at = made.ends_at()
+        made.ask(105.0)
+        self.assertEqual(ends_at, made.ends_at())
+        self.assertTrue(100.0 < made.accepts_until() < ends_at < 100.0 + LIMIT_S)
+
+
+class DurationEstimateTest(TestCase):
+    def test_nine_in_ten_streams_are_shorter_than_the_longest_likely(self):
+        estimate = DurationEstimate()
+        lengths = [4.0 + (index * 7 % 20) / 10 for index in range(200)]
+        for length_s in lengths:
+            estimate.learn(length_s)
+        shorter = [each for each in lengths if each <= estimate.likely_longest_s()]
+        self.assertTrue(len(shorter) >= 0.9 * len(lengths), len(shorter))
