Pass over engines that were replaced, and move requests an engine does not know

A standby was chosen in the attempt's own domain once all domains had been lost at some time. Requests whose engine knew nothing of them waited for 3.4 s.

Ruled out: sending to the instance that a 421 names, since it may serve another service.

Change: a report or a 421 from another life of an upstream takes it out until the list shows the new one; 421 is no refusal; lost domains are avoided for 3 s; reports count prompts being read.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import singledispatch
 
@@ -33,6 +34,7 @@
     StreamFinished,
     StreamOpened,
     UpstreamProbed,
+    UpstreamReport,
 )
 from turmericusher.decisions.relay_state import (
     LOSS_CAUSES,
@@ -58,6 +60,9 @@
 """Upstreams asked for their load before a stream is placed: the best of a few random
 choices is nearly the best of all (Mitzenmacher, 2001), and one is left as standby."""
 
+KNOWN_AFTER_S = 0.8
+"""Time after which an attempt shows in its upstream's reports, with a margin."""
+
 MAX_REFUSALS = 3
 """Upstreams that may turn a request away before its caller is told to come back."""
 
@@ -131,14 +136,14 @@
             return [self.start_on(standby, now, from_copy=True)]
         if self.kind.is_stream and self.routed.service.reports_load:
             return self.ask_loads(now)
-        upstream = self.next_upstream()
+        upstream = self.next_upstream(now)
         if upstream is None:
             return self.wait_or_refuse(now)
         return [self.start_on(upstream, now)]
 
     def ask_loads(self, now: float) -> list[RelayAction]:
         """Ask some candidates for their load; the answers place the attempt."""
-        wanted = self.pick_request(self.excluded, self.lost_domains)
+        wanted = self.pick_request(self.excluded, self.recently_lost(now))
         candidates = self.shared.selector.sample(wanted, CANDIDATES)
         if not candidates:
             return self.wait_or_refuse(now)
@@ -152,27 +157,39 @@
             return []
         self.is_asking = False
         selector = self.shared.selector
+        reports = self.true_reports(event.reports)
         placements, size = self.shared.placements, self.request.size
-        ranked = rank_by_room(event.reports, placements, size, now)
+        ranked = rank_by_room(reports, placements, size, now)
         usable = [
             selector.upstreams[name]
             for name in ranked
             if name in selector.upstreams and can_take(selector.upstreams[name])
         ]
-        upstream = usable[0] if usable else self.next_upstream()
+        upstream = usable[0] if usable else self.next_upstream(now)
         if upstream is None:
             return self.wait_or_refuse(now)
-        others = [
-            other
-            for other in usable[1:]
-            if other.failure_domain != upstream.failure_domain
-            and other.failure_domain not in self.lost_domains
-        ]
+        avoided = self.recently_lost(now) | {upstream.failure_domain}
+        others = [other for other in usable[1:] if other.failure_domain not in avoided]
         return [self.start_on(upstream, now, standby=others[0] if others else None)]
 
-    def next_upstream(self) -> UpstreamInstance | None:
+    def true_reports(
+        self, reports: Mapping[str, UpstreamReport]
+    ) -> dict[str, UpstreamReport]:
+        """Leave out the reports of instances that have taken another's address."""
+        selector, true = self.shared.selector, {}
+        for name, report in reports.items():
+            upstream = selector.upstreams.get(name)
+            if upstream is None:
+                continue
+            if report.incarnation == upstream.incarnation:
+                true[name] = report
+            else:
+                selector.note_replaced(upstream)
+        return true
+
+    def next_upstream(self, now: float) -> UpstreamInstance | None:
         """Return an upstream that has not failed this request, or None."""
-        wanted = self.pick_request(self.excluded, self.lost_domains)
+        wanted = self.pick_request(self.excluded, self.recently_lost(now))
         return self.shared.selector.pick(wanted)
 
     def start_on(
@@ -185,7 +202,7 @@
         """Start an attempt, with a standby for its memory where that is of use."""
         self.numbers += 1
         self.sends += 1
-        standby = standby or self.choose_standby(upstream)
+        standby = standby or self.choose_standby(upstream, now)
         attempt = RelayAttempt(
             self.numbers, upstream, now, now, standby, from_copy=from_copy
         )
@@ -205,14 +222,22 @@
             standby=standby,
         )
 
-    def choose_standby(self, upstream: UpstreamInstance) -> UpstreamInstance | None:
+    def choose_standby(
+        self, upstream: UpstreamInstance, now: float
+    ) -> UpstreamInstance | None:
         """Return an upstream in another failure domain to hold a copy, or None."""
         if self.kind is not RequestKind.RESUMABLE_STREAM:
             return None
         if not self.routed.service.keeps_copies:
             return None
-        domains = self.lost_domains | {upstream.failure_domain}
-        wanted = self.pick_request(self.excluded | {upstream.name}, domains)
+        excluded = self.excluded | {upstream.name}
+        domains = self.recently_lost(now) | {upstream.failure_domain}
+        wanted = self.pick_request(excluded, domains)
+        found = self.shared.selector.pick(wanted)
+        if found is None or found.failure_domain != upstream.failure_domain:
+            return found
+        # Every other domain was lost lately: one of those is still better than this.
+        wanted = self.pick_request(excluded, {upstream.failure_domain})
         return self.shared.selector.pick(wanted)
 
     def wait_or_refuse(self, now: float) -> list[RelayAction]:
@@ -252,7 +277,7 @@
         """Send a late idempotent call to a second upstream; the first answer wins."""
         self.was_hedged = True
         busy = {attempt.upstream.name for attempt in self.attempts.values()}
-        wanted = self.pick_request(self.excluded | busy, self.lost_domains)
+        wanted = self.pick_request(self.excluded | busy, self.recently_lost(now))
         upstream = self.shared.selector.pick(wanted)
         if upstream is None or not self.may_spend():
             return []
@@ -341,15 +366,17 @@
             self.standby = attempt.standby
         else:
             self.sends -= 1
-            self.refusals += event.cause is not AttemptCause.UNREACHABLE
+            self.refusals += event.cause is AttemptCause.OVERLOADED
         if event.cause is AttemptCause.NO_COPY:
             self.standby = None
             return
         self.excluded.add(name)
+        if event.cause is AttemptCause.MISDIRECTED:
+            self.shared.selector.note_replaced(attempt.upstream)
         if event.cause in LOSS_CAUSES:
             self.shared.selector.failed(name)
         if event.cause in (AttemptCause.LOST, AttemptCause.SILENT):
-            self.lost_domains.add(attempt.upstream.failure_domain)
+            self.lost_domains[attempt.upstream.failure_domain] = event.at
 
     def may_send_again(self, event: AttemptFailed) -> bool:
         """Whether attempts and budget allow one more send.
@@ -465,18 +492,27 @@
     """Leave an upstream that does not answer, or whose answer has been lost."""
     if relay.silent_since(attempt) > (attempt.probed_at or 0.0):
         return []
-    if event.report is None:
+    report = event.report
+    if report is not None and report.incarnation != attempt.upstream.incarnation:
+        relay.shared.selector.note_replaced(attempt.upstream)
+        text = "has started again"
+        return relay.abandon(attempt, AttemptCause.SILENT, text, now)
+    if report is None:
         text = "does not answer"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
-    made = event.report.events_made.get(relay.request.request_id)
+    made = report.events_made.get(relay.request.request_id)
     unseen = UNSEEN_EVENTS if attempt.has_event else 1
     if made is not None and made >= attempt.events + unseen and not attempt.from_copy:
         text = f"has made {made} events, {attempt.events} came"
         return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
-    if made is None and attempt.has_event and not event.report.waiting:
+    if made is None and attempt.has_event and not report.waiting:
         text = "does not run the request any more"
         return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
-    attempt.is_held_up = made is not None or event.report.waiting > 0
+    is_busy = report.waiting > 0 or report.reading() > 0
+    if made is None and not is_busy and now - attempt.started_at >= KNOWN_AFTER_S:
+        text = "does not know the request"
+        return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
+    attempt.is_held_up = is_busy
     return []
 
 
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -124,10 +124,12 @@
 class UpstreamReport:
     """What an upstream says of itself when asked, some hundred milliseconds old.
 
-    `memory_used` and `memory_total` are in tokens. `events_made` gives the events of
-    each request that it runs, by the request's id.
+    `memory_used` and `memory_total` are in tokens. `running` counts the requests at
+    work; `events_made` gives the events of those that have made any, by the request's
+    id. `incarnation` tells which life of the upstream answered.
     """
 
+    incarnation: str
     running: int
     waiting: int
     memory_used: int
@@ -136,7 +138,7 @@
 
     def reading(self) -> int:
         """Return how many requests have their prompts read now."""
-        return sum(made == 0 for made in self.events_made.values())
+        return max(0, self.running - len(self.events_made))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -59,6 +59,10 @@
 SHORTEST_ATTEMPT_S = 0.01
 """No attempt is started with less time than this left of its request."""
 
+LOST_DOMAIN_S = 3.0
+"""Time for which a failure domain is avoided after it lost an attempt: about what
+engines that crashed together take to come back."""
+
 LOSS_CAUSES = frozenset(
     {
         AttemptCause.UNREACHABLE,
@@ -66,7 +70,6 @@
         AttemptCause.SILENT,
         AttemptCause.MALFORMED,
         AttemptCause.FAILED,
-        AttemptCause.MISDIRECTED,
     }
 )
 """Ends of an attempt after which others should avoid the upstream for a while."""
@@ -148,11 +151,11 @@
 class RelayState:
     """One relayed request: what was delivered, what runs and what failed.
 
-    `position` is the id of the last event that the caller holds. `sends` counts the
-    attempts that an upstream may have run, those in flight included, and `refusals`
-    those that one answered without running them. `is_asking`: candidates were asked for
-    their load, and no attempt runs yet. `standby` holds a copy of the last
-    attempt that may have run.
+    `position` is the id of the last event that the caller holds. `lost_domains` gives
+    the time at which a failure domain last lost an attempt. `sends` counts the attempts
+    that an upstream may have run, those in flight included, and `refusals` those that
+    one had no room for. `standby` holds a copy of the last attempt that may have run.
+    `is_asking`: candidates were asked for their load, and no attempt runs yet.
     """
 
     request: RelayedRequest
@@ -161,7 +164,7 @@
     position: int | None = None
     attempts: dict[int, RelayAttempt] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
-    lost_domains: set[str] = field(default_factory=set)
+    lost_domains: dict[str, float] = field(default_factory=dict)
     standby: UpstreamInstance | None = None
     numbers: int = 0
     sends: int = 0
@@ -219,6 +222,14 @@
         (attempt,) = self.attempts.values()
         return attempt.started_at + HEDGE_SHARE * self.routed.route.target_latency_s
 
+    def recently_lost(self, now: float) -> set[str]:
+        """Return the failure domains that have just lost an attempt."""
+        return {
+            domain
+            for domain, lost_at in self.lost_domains.items()
+            if now - lost_at < LOST_DOMAIN_S
+        }
+
     def pick_request(self, excluded: set[str], domains: set[str]) -> PickRequest:
         """Return what the next attempt needs of its upstream."""
         return PickRequest(
@@ -235,6 +246,8 @@
         now = self.shared.selector.upstreams.get(standby.name)
         if now is None or now.incarnation != standby.incarnation:
             return None
+        if standby.name in self.shared.selector.replaced:
+            return None
         return now if now.lifecycle is Lifecycle.LIVE else None
 
     def verdict(self) -> Verdict:
--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -9,7 +9,7 @@
 
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from turmericusher.decisions.ejection import EjectionTable
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
@@ -46,7 +46,8 @@
     """Picks upstreams by the load that this instance knows of.
 
     `own` is the instance's name. `now` is the monotonic time in seconds as last told
-    by `advance`; reports and failures are aged by it.
+    by `advance`; reports and failures are aged by it. `replaced` gives the incarnation
+    of upstreams at whose address another one has answered.
     """
 
     random: random.Random
@@ -59,6 +60,7 @@
     load: LoadTable = field(default_factory=LoadTable)
     ejections: EjectionTable = field(default_factory=EjectionTable)
     prefixes: PrefixDirectory = field(default_factory=PrefixDirectory)
+    replaced: dict[str, str] = field(default_factory=dict)
 
     @property
     def in_flight(self) -> dict[str, int]:
@@ -80,6 +82,11 @@
         for name in self.upstreams.keys() - known.keys():
             self.prefixes.forget(name)
         self.upstreams = known
+        self.replaced = {
+            name: incarnation
+            for name, incarnation in self.replaced.items()
+            if name in known and known[name].incarnation == incarnation
+        }
         self.load.forget(set(known), self.now)
         self.ejections.forget(set(known), self.now)
         self.update_subsets()
@@ -131,6 +138,9 @@
 
     def candidates(self, request: PickRequest) -> list[UpstreamInstance]:
         """Return who can serve a request: of the subset, or else of the service."""
+        if self.replaced:
+            gone = request.excluded | self.replaced.keys()
+            request = replace(request, excluded=gone)
         names = self.subset_names.get(request.service, frozenset())
         near = [self.upstreams[name] for name in sorted(names)]
         found = [upstream for upstream in near if can_serve(upstream, request)]
@@ -202,6 +212,16 @@
         """End the ejection of an upstream that has answered a whole attempt."""
         self.ejections.succeeded(name)
 
+    def note_replaced(self, upstream: UpstreamInstance) -> None:
+        """Note that another instance answers at an upstream's address.
+
+        This life of the upstream is over, whatever the list says, so nothing more is
+        sent to it until the list shows another one.
+        """
+        known = self.upstreams.get(upstream.name)
+        if known is not None and known.incarnation == upstream.incarnation:
+            self.replaced[upstream.name] = upstream.incarnation
+
     def merge_report(self, name: str, report: LoadReport) -> None:
         """Take an upstream's load report."""
         if name in self.upstreams:
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -131,14 +131,16 @@
 class ReportModel(WireModel):
     """What an engine says of its load; `cache_used` is memory that cannot be freed.
 
-    `runs` has rows of the request's id, its tokens in memory, the events made, and its
-    priority.
+    `active_requests` includes those whose prompts are being read; `runs` does not. It
+    has rows of the request's id, its tokens in memory, the events made, and its
+    priority. `born` is the Unix millisecond of the engine's start.
     """
 
     active_requests: StrictInt
     waiting: StrictInt
     cache_used: Number
     cache_total: Number
+    born: StrictInt | None = None
     runs: tuple[tuple[StrictStr, Number, StrictInt, Number], ...] = ()
 
 
@@ -234,16 +236,22 @@
         kind=UpstreamKind.SERVICE,
         address=model.address,
         failure_domain=model.zone,
-        incarnation=f"{model.address}/{model.born}",
+        incarnation=incarnation_of(model.born),
         version=model.version,
         lifecycle=Lifecycle.LIVE if model.state == "ready" else Lifecycle.LEAVING,
     )
 
 
+def incarnation_of(born: int | None) -> str:
+    """Return the name of one life of an upstream."""
+    return "" if born is None else str(born)
+
+
 def decode_report(value: bytes) -> UpstreamReport:
     """Return an engine's report; raise `ValueError` where it is unreadable."""
     model = ReportModel.model_validate_json(value)
     return UpstreamReport(
+        incarnation=incarnation_of(model.born),
         running=model.active_requests,
         waiting=model.waiting,
         memory_used=int(model.cache_used),
@@ -256,6 +264,7 @@
     """Return a report as an engine sends it."""
     return orjson.dumps(
         {
+            "born": int(report.incarnation) if report.incarnation else None,
             "active_requests": report.running,
             "waiting": report.waiting,
             "cache_used": report.memory_used,
