--- a/src/turmericusher/cli/commands.py
+++ b/src/turmericusher/cli/commands.py
@@ -23,7 +23,8 @@
 from turmericusher.cli.dispatch import EXIT_OK, run_command
 from turmericusher.cli.queries import Address, Json
 from turmericusher.errors import ErrorCode, UpstreamError, Verdict
-from turmericusher.logs import configure_logs
+from turmericusher.log_queue import bounded_logs
+from turmericusher.logs import STATE, configure_logs
 from turmericusher.serving import serve_until_stopped
 from turmericusher.settings import load_settings
 
@@ -98,8 +99,8 @@
     from turmericusher.platform.node import serve_node
     from turmericusher.platform.settings import settings_path
 
-    configure_logs(sys.stdout)
-    uvloop.run(serve_node(command.path or settings_path()))
+    with bounded_logs(sys.stdout, STATE):
+        uvloop.run(serve_node(command.path or settings_path()))
     return EXIT_OK
 
 
--- a/src/turmericusher/cli/main.py
+++ b/src/turmericusher/cli/main.py
@@ -19,6 +19,7 @@
 from turmericusher.cli.queries import Entrypoints, SettingsCommand, State
 from turmericusher.cli.snapshots import SnapshotCommand
 from turmericusher.cli.standins import Standin
+from turmericusher.cli.stories import Story
 from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
 
 USAGE_CODES = frozenset({ErrorCode.INVALID_SETTINGS, ErrorCode.INVALID_REQUEST})
@@ -41,6 +42,7 @@
         | SettingsCommand
         | ProfileCommand
         | SnapshotCommand
+        | Story
     ]
 
 
--- /dev/null
+++ b/src/turmericusher/cli/stories.py
@@ -0,0 +1,39 @@
+"""A query over log files: what became of one request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import cappa
+
+from turmericusher.cli.dispatch import EXIT_FAILED, EXIT_OK, run_command
+from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.reports.story import format_line, parse_lines, story_of
+
+
+@cappa.command(name="story")
+@dataclass
+class Story:
+    """Show the log lines of one request, in order, out of any number of files."""
+
+    request_id: str
+    files: list[Path]
+
+
+@run_command.register
+def run_story(command: Story) -> int:
+    """Print the story of a request."""
+    read = []
+    for path in command.files:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as stream:
+                read.append(parse_lines(path.name, stream))
+        except OSError as error:
+            raise RequestRefusedError(
+                ErrorCode.INVALID_REQUEST, f"cannot read file {str(path)!r}: {error}"
+            ) from error
+    lines = story_of(command.request_id, read)
+    for line in lines:
+        print(format_line(line))
+    return EXIT_OK if lines else EXIT_FAILED
--- /dev/null
+++ b/src/turmericusher/log_queue.py
@@ -0,0 +1,168 @@
+"""Logs that never block: a bounded queue before the stream, and a limit for each event.
+
+A reader of standard output that has stopped reading costs lines, which are counted, and
+neither memory nor time.
+"""
+
+from __future__ import annotations
+
+import queue
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import TextIO
+
+from turmericusher.logs import LogState, configure_logs, log_event
+
+QUEUE_LINES = 2_048
+"""Lines that wait for a slow reader: at most a few megabytes."""
+
+LINES_PER_S = 200.0
+"""Lines of one event that an instance writes on average: several times what a request
+costs at the load of one instance."""
+
+BURST_LINES = 400.0
+MAX_EVENTS = 1_000
+BATCH_LINES = 256
+REPORT_INTERVAL_S = 1.0
+CLOSE_TIMEOUT_S = 0.2
+
+
+@dataclass(slots=True)
+class Allowance:
+    """The token bucket of one event, and the lines it held back."""
+
+    tokens: float = BURST_LINES
+    at: float = 0.0
+    held_back: int = 0
+
+
+@dataclass(slots=True)
+class LineLimit:
+    """Allows each event so many lines a second, and counts the others."""
+
+    lines_per_s: float = LINES_PER_S
+    burst: float = BURST_LINES
+    allowances: dict[str, Allowance] = field(default_factory=dict)
+    reported_at: float = 0.0
+
+    def allows(self, event: str, now: float) -> bool:
+        """Whether one more line of an event may be written now."""
+        found = self.allowances.get(event)
+        if found is None:
+            if len(self.allowances) >= MAX_EVENTS:
+                return False
+            found = self.allowances[event] = Allowance(self.burst, now)
+        gained = (now - found.at) * self.lines_per_s
+        found.tokens = min(self.burst, found.tokens + gained)
+        found.at = now
+        if found.tokens < 1:
+            found.held_back += 1
+            return False
+        found.tokens -= 1
+        return True
+
+    def take_held_back(self, now: float) -> dict[str, int]:
+        """Return the lines held back since the last report, at most once a second."""
+        if now - self.reported_at < REPORT_INTERVAL_S:
+            return {}
+        self.reported_at = now
+        counts = {}
+        for event, allowance in self.allowances.items():
+            if allowance.held_back:
+                counts[event] = allowance.held_back
+                allowance.held_back = 0
+        return counts
+
+
+@dataclass(slots=True)
+class QueuedStream:
+    """A stream whose writes only fill a bounded queue, emptied by a thread."""
+
+    stream: TextIO
+    lines: queue.Queue[str | None] = field(
+        default_factory=lambda: queue.Queue(QUEUE_LINES)
+    )
+    dropped: int = 0
+    thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Start the thread; it never keeps the process from ending."""
+        self.thread = threading.Thread(target=self.run, name="logs", daemon=True)
+        self.thread.start()
+
+    def write(self, text: str) -> int:
+        """Queue a line, or count it where the queue is full."""
+        try:
+            self.lines.put_nowait(text)
+        except queue.Full:
+            self.dropped += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: the thread flushes what it has written."""
+
+    def run(self) -> None:
+        """Write queued lines until told to end."""
+        while (batch := self.next_batch()) is not None:
+            dropped, self.dropped = self.dropped, 0
+            if dropped:
+                batch.append(f"event=log_lines_dropped count={dropped}\n")
+            try:
+                self.stream.write("".join(batch))
+                self.stream.flush()
+            except (OSError, ValueError):
+                # The reader is gone; there is nobody to tell.
+                self.dropped += len(batch)
+
+    def next_batch(self) -> list[str] | None:
+        """Return the lines that wait, at least one; None at the end."""
+        first = self.lines.get()
+        if first is None:
+            return None
+        batch = [first]
+        while len(batch) < BATCH_LINES and not self.lines.empty():
+            line = self.lines.get()
+            if line is None:
+                self.lines.put(None)
+                break
+            batch.append(line)
+        return batch
+
+    def close(self) -> None:
+        """Write what still waits, for a moment at most."""
+        try:
+            self.lines.put_nowait(None)
+        except queue.Full:
+            return
+        if self.thread is not None:
+            self.thread.join(CLOSE_TIMEOUT_S)
+
+
+@contextmanager
+def bounded_logs(
+    stream: TextIO,
+    state: LogState,
+    clock: Callable[[], float] = time.monotonic,
+) -> Iterator[QueuedStream]:
+    """Log to `stream` through a bounded queue while the context is open."""
+    queued = QueuedStream(stream)
+    queued.start()
+    limit = LineLimit()
+
+    def allows(event: str) -> bool:
+        now = clock()
+        for held_back, count in limit.take_held_back(now).items():
+            log_event("log_lines_held_back", held_back=held_back, count=count)
+        return limit.allows(event, now)
+
+    configure_logs(queued)  # type: ignore[arg-type]
+    state.allows = allows
+    try:
+        yield queued
+    finally:
+        state.allows = None
+        configure_logs(None)
+        queued.close()
--- a/src/turmericusher/logs.py
+++ b/src/turmericusher/logs.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -34,9 +34,13 @@
 
 @dataclass(slots=True)
 class LogState:
-    """The writer that receives events, or None while logs are off."""
+    """The writer that receives events, or None while logs are off.
+
+    `allows` says whether one more line of an event may be written; None allows all.
+    """
 
     writer: LineWriter | None = None
+    allows: Callable[[str], bool] | None = None
 
 
 STATE = LogState()
@@ -46,6 +50,8 @@
     """Log one event with its fields; cheap while no stream is configured."""
     if STATE.writer is None:
         return
+    if STATE.allows is not None and not STATE.allows(event):
+        return
     # The fields travel as one value because eliot keeps some names for itself.
     eliot.log_message(event, fields=fields)
 
--- a/src/turmericusher/platform/__main__.py
+++ b/src/turmericusher/platform/__main__.py
@@ -7,7 +7,8 @@
 import uvloop
 
 from turmericusher.errors import SettingsError
-from turmericusher.logs import configure_logs, log_event
+from turmericusher.log_queue import bounded_logs
+from turmericusher.logs import STATE, log_event
 from turmericusher.platform.node import serve_node
 from turmericusher.platform.settings import settings_path
 
@@ -16,12 +17,12 @@
 
 def main() -> int:
     """Serve until told to stop; return the exit status."""
-    configure_logs(sys.stdout)
-    try:
-        uvloop.run(serve_node(settings_path()))
-    except SettingsError as error:
-        log_event("settings_refused", message=error.message)
-        return EXIT_USAGE
+    with bounded_logs(sys.stdout, STATE):
+        try:
+            uvloop.run(serve_node(settings_path()))
+        except SettingsError as error:
+            log_event("settings_refused", message=error.message)
+            return EXIT_USAGE
     return 0
 
 
--- /dev/null
+++ b/tests/cover/test_log_queue.py
@@ -0,0 +1,103 @@
+"""Logging never waits for its reader, and its volume is bounded."""
+
+import io
+import threading
+import time
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from turmericusher.log_queue import (
+    BURST_LINES,
+    QUEUE_LINES,
+    LineLimit,
+    QueuedStream,
+    bounded_logs,
+)
+from turmericusher.logs import STATE, log_event
+
+LONGEST_WAIT_S = 1.0
+
+
+class StuckStream(io.StringIO):
+    """A stream whose reader reads nothing until `read_on` is set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.read_on = threading.Event()
+
+    def write(self, text: str, /) -> int:
+        self.read_on.wait()
+        return super().write(text)
+
+
+class GoneStream(io.StringIO):
+    """A stream whose reader has gone."""
+
+    def write(self, text: str, /) -> int:
+        raise BrokenPipeError(32, "Broken pipe")
+
+
+class QueuedStreamTest(TestCase):
+    def test_a_reader_that_has_stopped_costs_lines_and_no_time(self):
+        stream = StuckStream()
+        queued = QueuedStream(stream)
+        queued.start()
+        started_at = time.monotonic()
+        for number in range(3 * QUEUE_LINES):
+            queued.write(f"line {number}\n")
+        self.assertTrue(time.monotonic() - started_at < LONGEST_WAIT_S)
+        self.assertTrue(queued.lines.qsize() <= QUEUE_LINES)
+        self.assertTrue(queued.dropped >= QUEUE_LINES)
+        stream.read_on.set()
+        queued.thread.join(0.5)
+        self.assertIn("event=log_lines_dropped count=", stream.getvalue())
+
+    def test_a_reader_that_has_gone_does_no_harm(self):
+        queued = QueuedStream(GoneStream())
+        queued.start()
+        queued.write("one\n")
+        queued.close()
+        self.assertFalse(queued.thread.is_alive())
+
+    def test_everything_is_written_at_the_end(self):
+        stream = io.StringIO()
+        with bounded_logs(stream, STATE):
+            for number in range(100):
+                log_event("counted", number=number)
+        self.assertEqual(100, len(stream.getvalue().splitlines()))
+        log_event("counted", number=-1)
+        self.assertNotIn("number=-1", stream.getvalue())
+
+
+class LineLimitTest(TestCase):
+    @parameterized.expand(
+        [
+            ("a burst", 0.0, 2 * BURST_LINES, BURST_LINES),
+            ("a steady flow below the limit", 0.01, 1_000, 1_000),
+            ("a steady flow above the limit", 0.001, 10_000, 400 + 2_000),
+        ]
+    )
+    def test_the_lines_of_one_event_are_bounded(self, _, gap_s, lines, expected):
+        limit = LineLimit()
+        written = sum(limit.allows("e", index * gap_s) for index in range(int(lines)))
+        self.assertAlmostEqual(expected, written, delta=2)
+        self.assertTrue(limit.allows("another", lines * gap_s))
+
+    def test_lines_held_back_are_reported_once(self):
+        limit = LineLimit()
+        for _ in range(int(BURST_LINES) + 7):
+            limit.allows("e", 10.0)
+        self.assertEqual({"e": 7}, limit.take_held_back(10.0))
+        self.assertEqual({}, limit.take_held_back(20.0))
+
+    def test_held_back_lines_are_logged_with_their_count(self):
+        stream, now = io.StringIO(), [10.0]
+        with bounded_logs(stream, STATE, clock=lambda: now[0]):
+            for _ in range(int(BURST_LINES) + 5):
+                log_event("e")
+            now[0] += 2
+            log_event("f")
+        self.assertIn(
+            "event=log_lines_held_back held_back=e count=5", stream.getvalue()
+        )
