--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -494,10 +494,11 @@
         waiting = started_relay(RESUMABLE, shared, target_latency_s=4.0)
         waiting.start(0.0)
         beside, _ = begun_stream(shared)
-        now = 0.0
-        while now < 4.0 * STARTING_SHARE + 0.5:
-            now = waiting.wake_at()
-            beside.handle(event(1, 4 + int(100 * now), at=now), now)
+        for step in range(1, 36):
+            now = step / 10
+            beside.handle(event(1, 3 + step, at=now), now)
+            if now < waiting.wake_at():
+                continue
             for action in waiting.tick(now):
                 self.assertIsInstance(action, ProbeUpstream)
                 waiting.handle(UpstreamProbed(1, now, report(running=2)), now)
