Refuse at once the streams that would come late, so that the others come in time

Ruled out: more candidates (all engines were busy), shorter patience (prompts would be read again).

Change: a stream goes to the best candidate only if the prompts before it leave it in time; otherwise it is refused with the time to come back. Reading time is learned.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -226,6 +226,9 @@
         self, attempt: RelayAttempt, event: EventsArrived, now: float
     ) -> list[RelayAction]:
         """Hand an event to the caller if it is the next one."""
+        if not attempt.has_event and attempt.prompts_before is not None:
+            first_s = event.at - attempt.started_at
+            self.shared.reading.learn(first_s, attempt.prompts_before)
         attempt.heard_at = max(attempt.heard_at, event.at)
         attempt.events += 1
         self.shared.patience.heard(attempt.upstream.name, event.at)
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -2,7 +2,9 @@
 
 Load: streams with long prompts, on engines whose memory holds few of them. A few
 candidates are asked for their load, because what an instance knows by itself is seconds
-old. A request that nobody can take is refused at once, with the time to come back.
+old. With more prompts than the engines can read, all would come late; a stream that
+would miss its target is refused at once, with the time to come back, so that those
+taken come in time.
 """
 
 from __future__ import annotations
@@ -23,7 +25,7 @@
     RelayAttempt,
     RelayState,
 )
-from turmericusher.decisions.room import can_take, rank_by_room
+from turmericusher.decisions.room import can_take, prompts_before, rank_by_room
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.errors import ErrorCode
 
@@ -37,6 +39,13 @@
 """Upstreams asked for their load before a stream is placed: the best of a few random
 choices is nearly the best of all (Mitzenmacher, 2001), and one is left as standby."""
 
+TARGET_SHARE = 0.7
+"""Part of the target latency that the wait at an engine may take. A caller that comes
+back has used the rest, and reports do not show what others place meanwhile."""
+
+LEAST_RETRY_S = 0.3
+"""No caller is asked to come back sooner: about a third of what a prompt takes."""
+
 RETRY_JITTER = 0.3
 """Part by which a Retry-After varies, so that the refused do not return together."""
 
@@ -82,12 +91,52 @@
             for name in ranked
             if name in selector.upstreams and can_take(selector.upstreams[name])
         ]
-        upstream = usable[0] if usable else self.next_upstream(now)
-        if upstream is None:
-            return self.wait_or_refuse(now)
+        if not usable:
+            upstream = self.next_upstream(now)
+            if upstream is None:
+                return self.wait_or_refuse(now)
+            return [self.start_on(upstream, now)]
+        upstream = usable[0]
+        before = prompts_before(reports[upstream.name], placements, upstream.name, now)
+        if self.would_come_late(before, now):
+            return self.refuse_late(before, now)
         avoided = self.recently_lost(now) | {upstream.failure_domain}
         others = [other for other in usable[1:] if other.failure_domain not in avoided]
-        return [self.start_on(upstream, now, standby=others[0] if others else None)]
+        start = self.start_on(upstream, now, standby=others[0] if others else None)
+        self.attempts[start.attempt].prompts_before = before
+        return [start]
+
+    def would_come_late(self, before: int, now: float) -> bool:
+        """Whether a new stream would miss its target even at the best candidate.
+
+        What has run, or goes on where another attempt ended, is never refused for it.
+        """
+        if self.may_have_run or not before:
+            return False
+        wait_s = self.shared.reading.first_event_s(before)
+        return wait_s > self.time_to_target(now)
+
+    def time_to_target(self, now: float) -> float:
+        """Return the seconds left in which the first event would come in time."""
+        waited_s = now - self.request.arrived_at
+        return TARGET_SHARE * self.routed.route.target_latency_s - waited_s
+
+    def refuse_late(self, before: int, now: float) -> list[RelayAction]:
+        """Refuse a stream that would come late, and make the others late as well.
+
+        The caller comes back when one more prompt has been read, but with time left in
+        which to be served.
+        """
+        self.shared.totals.late_refusals += 1
+        reading_s, left_s = self.shared.reading.mean_s, self.time_to_target(now)
+        late_s = self.shared.reading.first_event_s(before) - left_s
+        useful_s = max(LEAST_RETRY_S, left_s - 2 * reading_s)
+        return self.fail(
+            ErrorCode.OVERLOADED,
+            f"service={self.routed.service.name!r} has {before} prompts of "
+            f"{reading_s:.2f} s to read before this one",
+            self.jittered(min(max(late_s, LEAST_RETRY_S), useful_s)),
+        )
 
     def true_reports(
         self, reports: Mapping[str, UpstreamReport]
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -15,7 +15,7 @@
     RelayedRequest,
 )
 from turmericusher.decisions.retries import RetryBudget
-from turmericusher.decisions.room import RecentPlacements
+from turmericusher.decisions.room import ReadingTime, RecentPlacements
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.selection import PickRequest, Selector
 from turmericusher.errors import ErrorCode, Verdict
@@ -87,6 +87,7 @@
     hedges: int = 0
     probes: int = 0
     load_questions: int = 0
+    late_refusals: int = 0
 
 
 @dataclass(slots=True)
@@ -101,6 +102,7 @@
     random: random.Random
     patience: Patience = field(default_factory=Patience)
     placements: RecentPlacements = field(default_factory=RecentPlacements)
+    reading: ReadingTime = field(default_factory=ReadingTime)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     budget_ratio: float = 0.2
     budget_reserve: float = 10.0
@@ -128,7 +130,8 @@
     """One sending of the request; times are monotonic seconds.
 
     `is_held_up`: its upstream has told that it is at work on the request, or that
-    requests wait there.
+    requests wait there. `prompts_before` counts those that the upstream had to read
+    first, None where that is not known.
     """
 
     number: int
@@ -141,6 +144,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     probed_at: float | None = None
     is_held_up: bool = False
+    prompts_before: int | None = None
 
     @property
     def has_event(self) -> bool:
--- a/src/turmericusher/decisions/room.py
+++ b/src/turmericusher/decisions/room.py
@@ -41,6 +41,39 @@
         return sum(now - at < REPORT_AGE_S for at in self.times.get(name, ()))
 
 
+FIRST_READING_S = 1.0
+"""Time to read one prompt while none has been measured: the users' long prompts."""
+
+READING_SMOOTHING = 1 / 8
+
+
+@dataclass(slots=True)
+class ReadingTime:
+    """How long an engine takes to read one prompt: a smoothed mean in seconds.
+
+    Engines read prompts one after another, so a first event comes after the prompts
+    before it and its own.
+    """
+
+    mean_s: float = FIRST_READING_S
+
+    def learn(self, first_event_s: float, before: int) -> None:
+        """Take in the wait for a first event behind so many prompts."""
+        sample_s = first_event_s / (before + 1)
+        self.mean_s += READING_SMOOTHING * (sample_s - self.mean_s)
+
+    def first_event_s(self, before: int) -> float:
+        """Return the likely wait for a first event behind so many prompts."""
+        return (before + 1) * self.mean_s
+
+
+def prompts_before(
+    report: UpstreamReport, placements: RecentPlacements, name: str, now: float
+) -> int:
+    """Return how many prompts an upstream reads before one that comes now."""
+    return report.waiting + report.reading() + placements.count(name, now)
+
+
 def rank_by_room(
     reports: Mapping[str, UpstreamReport],
     placements: RecentPlacements,
@@ -56,9 +89,9 @@
 
     def order(name: str) -> tuple[bool, int, int]:
         report = reports[name]
-        recent = placements.count(name, now)
-        needed = report.memory_used + size * (1 + recent)
+        needed = report.memory_used + size * (1 + placements.count(name, now))
         is_full = needed > NEARLY_FULL * report.memory_total
-        return is_full, report.waiting + report.reading() + recent, report.running
+        before = prompts_before(report, placements, name, now)
+        return is_full, before, report.running
 
     return sorted(reports, key=order)
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -88,9 +88,11 @@
     shared: RelayShared,
     resume_after: int | None = None,
     deadline: float = 10.0,
+    arrived_at: float = 0.0,
+    reports_load: bool = False,
     **changes: object,
 ) -> Relay:
-    """Return the decisions for one request that arrived at time 0."""
+    """Return the decisions for one request that has arrived."""
     request = RelayedRequest(
         request_id="q1",
         host=HOST,
@@ -100,11 +102,11 @@
         headers=(),
         body=b"",
         key=None,
-        arrived_at=0.0,
+        arrived_at=arrived_at,
         deadline=deadline,
         resume_after=resume_after,
     )
-    service = ServiceTraits(SERVICE, 8, keeps_copies=kind.is_stream)
+    service = ServiceTraits(SERVICE, 8, kind.is_stream, reports_load)
     routed = RoutedRequest(make_route(kind, **changes), service, "team", 1)
     return make_relay(request, routed, shared)
 
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -1,7 +1,5 @@
 """What becomes of a relayed request whose attempts fail, by the kind of request."""
 
-from dataclasses import replace
-
 from parameterized import parameterized
 from testtools import TestCase
 
@@ -385,9 +383,9 @@
 
 def asking_relay(shared=None):
     """Return a stream that has asked for loads, and its question."""
-    relay = started_relay(RESUMABLE, shared or make_shared())
-    traits = replace(relay.routed.service, reports_load=True)
-    relay.routed = replace(relay.routed, service=traits)
+    relay = started_relay(
+        RESUMABLE, shared or make_shared(), reports_load=True, target_latency_s=30.0
+    )
     (asked,) = relay.start(0.0)
     assert isinstance(asked, AskLoads)
     return relay, asked
