Pause between watches after changes, so that changes together cost one call

Ruled out: narrower watches (nearly all changes are of engines, which every instance needs).

Change: a watch pauses for a quarter of the time for a change to be in force.

--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -40,9 +40,12 @@
 """Seconds for which callers keep an answer: a stopped instance is out of use after
 them, and each caller asks again that often."""
 
-WATCH_SHARE = 0.6
-"""Part of the time for a change to be in force that one wait for changes may take; the
-rest is for reading everything again where a change was missed."""
+WATCH_SHARE = 0.55
+"""Part of the time for a change to be in force that one wait for changes may take."""
+
+WATCH_PAUSE_SHARE = 0.25
+"""Part of that time between two waits after changes; what is left of it is for reading
+everything again where a change was missed."""
 
 
 async def serve_node(path: Path) -> None:
@@ -79,7 +82,9 @@
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(
             open_platform_store(
-                settings.store_address, WATCH_SHARE * settings.configuration_limit_s
+                settings.store_address,
+                WATCH_SHARE * settings.configuration_limit_s,
+                WATCH_PAUSE_SHARE * settings.configuration_limit_s,
             )
         )
         selector = Selector(settings.random_for("selection"), own=settings.name)
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -69,11 +70,14 @@
 
     A watch that waits may miss changes while the store drops its history, and is told
     only when it asks again. `watch_wait_s` therefore bounds how late a change is seen.
+    After changes a watch pauses for `watch_pause_s`, so that those which come together
+    cost one call: each change would otherwise wake every instance of the fleet.
     """
 
     session: aiohttp.ClientSession
     address: str
     watch_wait_s: float = LONGEST_WATCH_S
+    watch_pause_s: float = 0.0
     calls: dict[str, int] = field(default_factory=dict)
 
     async def get(self, key: str) -> StoredValue | None:
@@ -156,6 +160,8 @@
             for event in events:
                 yield event
             after = max(after, revision)
+            if events:
+                await asyncio.sleep(self.watch_pause_s)
 
     async def read(
         self, call: str, query: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
@@ -216,9 +222,9 @@
 
 @asynccontextmanager
 async def open_platform_store(
-    address: str, watch_wait_s: float = LONGEST_WATCH_S
+    address: str, watch_wait_s: float = LONGEST_WATCH_S, watch_pause_s: float = 0.0
 ) -> AsyncIterator[PlatformStore]:
     """Open the store at `ip:port`; its connections close with the context."""
     connector = aiohttp.TCPConnector(socket_factory=probing_socket)
     async with aiohttp.ClientSession(connector=connector) as session:
-        yield PlatformStore(session, address, watch_wait_s)
+        yield PlatformStore(session, address, watch_wait_s, watch_pause_s)
