--- a/src/turmericusher/decisions/room.py
+++ b/src/turmericusher/decisions/room.py
@@ -44,12 +44,15 @@
 FIRST_READING_S = 1.0
 """Time to read one prompt while none has been measured: the users' long prompts."""
 
-READING_SMOOTHING = 1 / 8
+FASTER_SMOOTHING = 1 / 4
+SLOWER_SMOOTHING = 1 / 16
+"""A sample above the estimate often holds waits behind prompts that others placed
+meanwhile, so it counts for less."""
 
 
 @dataclass(slots=True)
 class ReadingTime:
-    """How long an engine takes to read one prompt: a smoothed mean in seconds.
+    """How long an engine takes to read one prompt, smoothed, in seconds.
 
     Engines read prompts one after another, so a first event comes after the prompts
     before it and its own.
@@ -60,7 +63,9 @@
     def learn(self, first_event_s: float, before: int) -> None:
         """Take in the wait for a first event behind so many prompts."""
         sample_s = first_event_s / (before + 1)
-        self.mean_s += READING_SMOOTHING * (sample_s - self.mean_s)
+        is_faster = sample_s < self.mean_s
+        weight = FASTER_SMOOTHING if is_faster else SLOWER_SMOOTHING
+        self.mean_s += weight * (sample_s - self.mean_s)
 
     def first_event_s(self, before: int) -> float:
         """Return the likely wait for a first event behind so many prompts."""
