--- /dev/null
+++ b/tests/processes/test_platform_process.py
@@ -0,0 +1,143 @@
+"""The platform's program as a real process: start, stop, reload and bad settings."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import aiohttp
+from testtools import TestCase
+
+from tests.common.asynchronous import run_async
+from tests.common.relay_parts import (
+    HOST,
+    KEY,
+    PATHS,
+    configuration,
+    own_host,
+    upstream_entry,
+)
+from tests.common.waiting import wait_until
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.platform.names import (
+    CONFIGURATION_KEY,
+    INSTANCE_PREFIX,
+    READINESS_PATH,
+    SETTINGS_VARIABLE,
+    UPSTREAM_PREFIX,
+)
+from turmericusher.standins.platform_store import running_platform_store
+from turmericusher.standins.platform_upstream import event, running_upstream
+
+ROOT = Path(__file__).parents[2]
+EVENTS = 20
+WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
+GRACE_S = 4
+START_LIMIT_S = 20.0
+
+
+@asynccontextmanager
+async def running_program(settings_text, path):
+    """Run the program; it is ended by its id if it is still there."""
+    path.write_text(settings_text)
+    environment = os.environ | {
+        SETTINGS_VARIABLE: str(path),
+        "PYTHONPATH": str(ROOT / "src"),
+    }
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "turmericusher.platform",
+        env=environment,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+def settings_text(host, store_address):
+    lines = {
+        "node_name": "entry-1",
+        "ip_address": host,
+        "zone": "quai-nord",
+        "listen_addresses.frontend": f"{host}:20001",
+        "listen_addresses.readiness": f"{host}:20002",
+        "listen_addresses.directory": f"{host}:20003",
+        "bounds.grace_s": GRACE_S,
+        "platform.address": store_address,
+    }
+    return "".join(f"{name}={value}\n" for name, value in lines.items())
+
+
+async def is_ready(session, host):
+    try:
+        async with session.get(f"http://{host}:20002{READINESS_PATH}") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
+async def read_stream(session, host):
+    headers = {
+        "Host": HOST,
+        "Authorization": f"Bearer {KEY}",
+        "X-Request-Id": "q1",
+        "X-Deadline-Milliseconds": "20000",
+    }
+    url = f"http://{host}:20001{PATHS[RequestKind.RESUMABLE_STREAM]}"
+    async with session.post(url, headers=headers) as response:
+        return await response.read()
+
+
+class PlatformProcessTest(TestCase):
+    @run_async
+    async def test_a_stop_lets_a_stream_end_and_leaves_no_record(self):
+        host = own_host()
+        with tempfile.TemporaryDirectory() as folder:
+            async with (
+                running_platform_store() as store,
+                running_upstream("u0") as upstream,
+                aiohttp.ClientSession() as session,
+                running_program(
+                    settings_text(host, store.address), Path(folder) / "settings.conf"
+                ) as process,
+            ):
+                upstream.events, upstream.event_gap_s = EVENTS, 0.05
+                store.store.write(CONFIGURATION_KEY, configuration())
+                key = f"{UPSTREAM_PREFIX}u0"
+                store.store.write(key, upstream_entry(upstream, 0))
+                async with asyncio.timeout(START_LIMIT_S):
+                    while not await is_ready(session, host):
+                        await asyncio.sleep(0.05)
+                record = f"{INSTANCE_PREFIX}entry-1"
+                await wait_until(lambda: record in store.store.values)
+                reading = asyncio.create_task(read_stream(session, host))
+                await wait_until(lambda: bool(upstream.runs))
+                process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(WHOLE_STREAM, await reading)
+                await wait_until(lambda: record not in store.store.values)
+                self.assertFalse(await is_ready(session, host))
+                async with asyncio.timeout(GRACE_S):
+                    output = (await process.stdout.read()).decode()
+                    self.assertEqual(0, await process.wait())
+        for told in ("event=reloaded", "event=stopping", "event=stopped"):
+            self.assertIn(told, output)
+        self.assertNotIn("drain_cut_short", output)
+
+    @run_async
+    async def test_bad_settings_end_it_with_one_line(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.conf"
+            async with running_program("node_name=entry-1\n", path) as process:
+                output = (await process.stdout.read()).decode()
+                self.assertEqual(2, await process.wait())
+        self.assertIn("event=settings_refused", output)
+        self.assertIn("settings.", output)
