Let streams outlive more dead engines than they may make attempts

Ruled out: a larger budget (streams in progress are not bound by it).

Change: a stream lost with its engine is no attempt; a stream has to be 0.8 s old to be missed in a report; patience in a running stream is a share of the pause that the route allows. Fields that nothing used are gone.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -46,6 +46,9 @@
 KNOWN_AFTER_S = 0.8
 """Time after which an attempt shows in its upstream's reports, with a margin."""
 
+ENDED_CAUSES = frozenset({AttemptCause.LOST, AttemptCause.SILENT})
+"""Ends of a stream after which its upstream no longer works on it."""
+
 MAX_REFUSALS = 3
 """Upstreams that may turn a request away before its caller is told to come back."""
 
@@ -182,6 +185,7 @@
         if event.verdict is not Verdict.NOT_RUN:
             self.may_have_run = True
             self.standby = attempt.standby
+            self.sends -= self.has_ended(event)
         else:
             self.sends -= 1
             self.refusals += event.cause is AttemptCause.OVERLOADED
@@ -196,6 +200,14 @@
         if event.cause in (AttemptCause.LOST, AttemptCause.SILENT):
             self.lost_domains[attempt.upstream.failure_domain] = event.at
 
+    def has_ended(self, event: AttemptFailed) -> bool:
+        """Whether the upstream is taken to have ended with the attempt.
+
+        Such an attempt does not count towards the most that a request may make. A
+        stream breaks with its engine; the answer to a call may be lost by itself.
+        """
+        return self.kind.is_stream and event.cause in ENDED_CAUSES
+
     def may_send_again(self, event: AttemptFailed) -> bool:
         """Whether attempts and budget allow one more send.
 
@@ -226,9 +238,11 @@
         self, attempt: RelayAttempt, event: EventsArrived, now: float
     ) -> list[RelayAction]:
         """Hand an event to the caller if it is the next one."""
-        if not attempt.has_event and attempt.prompts_before is not None:
-            first_s = event.at - attempt.started_at
-            self.shared.reading.learn(first_s, attempt.prompts_before)
+        if attempt.first_event_at is None:
+            attempt.first_event_at = event.at
+            if attempt.prompts_before is not None:
+                first_s = event.at - attempt.started_at
+                self.shared.reading.learn(first_s, attempt.prompts_before)
         attempt.heard_at = max(attempt.heard_at, event.at)
         attempt.events += 1
         self.shared.patience.heard(attempt.upstream.name, event.at)
@@ -327,7 +341,8 @@
     if made is not None and made >= attempt.events + unseen and not attempt.from_copy:
         text = f"has made {made} events, {attempt.events} came"
         return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
-    if made is None and attempt.has_event and not report.waiting:
+    should_show = now - (attempt.first_event_at or now) >= KNOWN_AFTER_S
+    if made is None and should_show and not report.waiting:
         text = "does not run the request any more"
         return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
     is_busy = report.waiting > 0 or report.reading() > 0
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -20,12 +20,16 @@
 from turmericusher.decisions.selection import PickRequest, Selector
 from turmericusher.errors import ErrorCode, Verdict
 
-RUNNING_PROBE_AFTER_S = 0.2
-"""Silence of a running stream after which its upstream is probed: several usual gaps
-between events, and a third of the pause that callers accept."""
+RUNNING_PROBE_SHARE = 0.3
+"""Part of the pause that callers accept after which the upstream of a silent stream is
+asked: the answer and a resume from a copy fit into the rest."""
 
-RUNNING_LIMIT_S = 1.0
-"""Silence of a running stream on a reachable upstream that is waited out."""
+RUNNING_LIMIT_SHARE = 0.8
+"""Part of that pause for which a silent stream is waited for on an upstream that still
+answers."""
+
+SHORTEST_LIMIT_S = 0.3
+"""No stream is given up sooner, however short the pause: a probe must fit before."""
 
 STARTING_PROBE_AFTER_S = 0.6
 """Wait for a first event after which the upstream is probed, and between probes: about
@@ -145,6 +149,7 @@
     probed_at: float | None = None
     is_held_up: bool = False
     prompts_before: int | None = None
+    first_event_at: float | None = None
 
     @property
     def has_event(self) -> bool:
@@ -206,14 +211,16 @@
         """Return when the upstream of a silent attempt is probed next."""
         probed_at = attempt.probed_at or 0.0
         if attempt.has_event:
-            return max(self.silent_since(attempt), probed_at) + RUNNING_PROBE_AFTER_S
+            wait_s = RUNNING_PROBE_SHARE * self.routed.route.longest_gap_s
+            return max(self.silent_since(attempt), probed_at) + wait_s
         # Events of others show that the upstream lives, not that it knows this request.
         return max(attempt.heard_at, probed_at) + STARTING_PROBE_AFTER_S
 
     def given_up_at(self, attempt: RelayAttempt) -> float:
         """Return when an attempt is given up though its upstream is reachable."""
         if attempt.has_event or attempt.from_copy:
-            return attempt.heard_at + RUNNING_LIMIT_S
+            limit_s = RUNNING_LIMIT_SHARE * self.routed.route.longest_gap_s
+            return attempt.heard_at + max(limit_s, SHORTEST_LIMIT_S)
         if attempt.is_held_up:
             return attempt.heard_at + HELD_UP_LIMIT_S
         share_s = STARTING_SHARE * self.routed.route.target_latency_s
--- a/src/turmericusher/decisions/routing.py
+++ b/src/turmericusher/decisions/routing.py
@@ -63,7 +63,6 @@
     timeout_s: float
     target_latency_s: float
     longest_gap_s: float = 1.0
-    urgency: int = 0
     max_attempts: int = 1
     needs_team: bool = True
 
@@ -84,11 +83,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
-    """What callers may send, and how long a connection may be idle, in seconds."""
+    """What callers may send."""
 
-    max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
-    idle_timeout_s: float = 15.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -76,7 +76,6 @@
     timeout_ms: Number
     target_latency_ms: Number = 1_000
     target_gap_ms: Number = 1_000
-    priority: StrictInt = 0
     service: StrictStr | None = None
     traffic_split: tuple[SplitModel, ...] = ()
     max_attempts: StrictInt = 1
@@ -101,9 +100,7 @@
 class LimitsModel(WireModel):
     """What callers may send."""
 
-    max_header_bytes: StrictInt = 16_384
     max_body_bytes: StrictInt = 4_194_304
-    idle_timeout_ms: Number = 15_000
 
 
 class TeamModel(WireModel):
@@ -192,11 +189,7 @@
         routes=[decode_route(route) for route in model.routes],
         services=[decode_service(service) for service in model.services],
         team_of_key=team_of_key(model),
-        limits=RequestLimits(
-            max_header_bytes=model.limits.max_header_bytes,
-            max_body_bytes=model.limits.max_body_bytes,
-            idle_timeout_s=model.limits.idle_timeout_ms / MILLISECONDS_PER_S,
-        ),
+        limits=RequestLimits(model.limits.max_body_bytes),
     )
 
 
@@ -225,7 +218,6 @@
         timeout_s=model.timeout_ms / MILLISECONDS_PER_S,
         target_latency_s=model.target_latency_ms / MILLISECONDS_PER_S,
         longest_gap_s=model.target_gap_ms / MILLISECONDS_PER_S,
-        urgency=model.priority,
         max_attempts=max(1, model.max_attempts),
         needs_team=not model.public_access,
     )
