--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,155 @@
+"""Relayed streams: in time under load, processor time of a decision, cost of the logs.
+
+The goodput is played on a model with the shipped decisions, with and without the
+refusal of streams that would come late. Processor times are of this machine.
+"""
+
+from __future__ import annotations
+
+import io
+import random
+import threading
+import time
+
+from benchmarks.harness import parse_arguments, print_result
+from benchmarks.load_costs import upstream
+from benchmarks.relay_model import DURATION_S, ENGINES, READ_S, TARGET_S, play
+from tests.common.relay_parts import SERVICE, started_relay
+from turmericusher.decisions.relay_messages import (
+    AskLoads,
+    EventsArrived,
+    LoadsReported,
+    StreamFinished,
+    StreamOpened,
+    UpstreamReport,
+)
+from turmericusher.decisions.relay_state import RelayShared
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.decisions.selection import Selector
+from turmericusher.log_queue import bounded_logs
+from turmericusher.logs import STATE, log_event
+
+LOADS = (0.5, 0.75, 1.0, 1.5, 2.0, 3.0)
+FLEETS = ((7, 12), (86, 89), (420, 3200))
+"""Entry instances and engines: the users' two sizes of today, and the letter's."""
+
+STREAMS = 200
+EVENTS = 140
+LINES = 20_000
+MICROSECONDS = 1e6
+NEVER_REFUSES_S = 1e9
+
+
+def goodput(seed: int) -> list[dict[str, object]]:
+    """Return what callers get at each load, with the refusal and without."""
+    capacity = ENGINES * DURATION_S / READ_S
+    rows = []
+    for load in LOADS:
+        for policy, target_s in (("refuse", TARGET_S), ("take all", NEVER_REFUSES_S)):
+            played = play(load, target_s, seed)
+            rows.append(
+                {
+                    "load": load,
+                    "policy": policy,
+                    "in_time": played.in_time,
+                    "late": played.late,
+                    "refused": played.refused,
+                    "in_time_of_capacity": round(played.in_time / capacity, 2),
+                }
+            )
+    return rows
+
+
+def shared_for(instances: int, engines: int, seed: int) -> RelayShared:
+    """Return the shared state of one instance of such a fleet."""
+    selector = Selector(random.Random(seed), "e0")
+    listed = [upstream(index, 1) for index in range(engines)]
+    selector.update_instances(f"e{index}" for index in range(instances))
+    selector.update(
+        type(each)(each.name, SERVICE, each.kind, each.address, each.failure_domain)
+        for each in listed
+    )
+    return RelayShared(selector, random.Random(seed))
+
+
+def stream_us(shared: RelayShared) -> float:
+    """Return the processor time of all decisions of one stream, in microseconds."""
+    begin = time.process_time()
+    for _ in range(STREAMS):
+        relay = started_relay(
+            RequestKind.RESUMABLE_STREAM,
+            shared,
+            reports_load=True,
+            target_latency_s=TARGET_S,
+        )
+        (asked,) = relay.start(0.0)
+        assert isinstance(asked, AskLoads)
+        reports = {
+            each.name: UpstreamReport("", 1, 0, 0, 88_000, {})
+            for each in asked.candidates
+        }
+        relay.handle(LoadsReported(0.0, reports), 0.0)
+        relay.handle(StreamOpened(1, 1.0, ()), 1.0)
+        for number in range(1, EVENTS + 1):
+            at = 1.0 + number / 100
+            relay.handle(EventsArrived(1, at, b"", number, number), at)
+            relay.wake_at()
+        relay.handle(StreamFinished(1, 3.0), 3.0)
+        shared.placements.times.clear()
+    return (time.process_time() - begin) / STREAMS * MICROSECONDS
+
+
+class StuckStream(io.StringIO):
+    """A stream whose reader reads nothing until `read_on` is set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.read_on = threading.Event()
+
+    def write(self, text: str, /) -> int:
+        """Wait for the reader."""
+        self.read_on.wait()
+        return super().write(text)
+
+
+def logging_us(stream: io.StringIO) -> dict[str, object]:
+    """Return what a line costs its writer, and how many were kept from the log."""
+    with bounded_logs(stream, STATE, clock=lambda: 0.0) as queued:
+        begin = time.perf_counter()
+        for number in range(LINES):
+            log_event(f"e{number % 100}", id="038d11cb9d6f63f9", took_s=0.125)
+        line_us = (time.perf_counter() - begin) / LINES * MICROSECONDS
+        waiting = queued.lines.qsize()
+        dropped = queued.dropped
+        if isinstance(stream, StuckStream):
+            stream.read_on.set()
+    return {"line_us": round(line_us, 1), "waiting": waiting, "dropped": dropped}
+
+
+def main() -> None:
+    """Measure and print."""
+    arguments = parse_arguments(__doc__ or "")
+    costs = [
+        {
+            "instances": instances,
+            "engines": engines,
+            "stream_us": round(
+                stream_us(shared_for(instances, engines, arguments.seed)), 1
+            ),
+        }
+        for instances, engines in FLEETS
+    ]
+    result: dict[str, object] = {
+        "goodput": goodput(arguments.seed),
+        "decisions": costs,
+        "events_a_stream": EVENTS,
+        "logs": {
+            "reader that keeps up": logging_us(io.StringIO()),
+            "reader that has stopped": logging_us(StuckStream()),
+        },
+    }
+    print_result("relay", arguments, result)
+
+
+if __name__ == "__main__":
+    main()
