Make a stream's copy anew when its holder is gone, and free it at the end

Ruled out: two standby copies from the start (twice the memory for every stream).

Change: while a stream runs without a holder of its copy, its engine is asked for a new one, which is brought up to date each 2.5 s and freed when the stream ends.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from turmericusher.decisions.relay_copies import RelayCopies
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
     AttemptCause,
@@ -23,6 +24,7 @@
     EndStream,
     EventsArrived,
     LoadsReported,
+    MemoryCopied,
     ProbeUpstream,
     RelayAction,
     RelayedRequest,
@@ -31,7 +33,6 @@
     StreamOpened,
     UpstreamProbed,
 )
-from turmericusher.decisions.relay_placing import RelayPlacing
 from turmericusher.decisions.relay_state import (
     LOSS_CAUSES,
     OWN_PAUSE_S,
@@ -54,7 +55,7 @@
 
 
 @dataclass(slots=True)
-class Relay(RelayPlacing):
+class Relay(RelayCopies):
     """What follows from each event; `start`, `handle` and `tick` return actions."""
 
     def start(self, now: float) -> list[RelayAction]:
@@ -107,7 +108,7 @@
     def close(self) -> list[RelayAction]:
         """End it because the caller is done or gone."""
         self.is_over = True
-        return self.cancel_all()
+        return [*self.release_copies(), *self.cancel_all()]
 
     # Time.
 
@@ -184,13 +185,13 @@
         self.last_message = f"{name}: {event.cause.value} {event.message}"
         if event.verdict is not Verdict.NOT_RUN:
             self.may_have_run = True
-            self.standby = attempt.standby
+            self.copy = attempt.copy
             self.sends -= self.has_ended(event)
         else:
             self.sends -= 1
             self.refusals += event.cause is AttemptCause.OVERLOADED
         if event.cause is AttemptCause.NO_COPY:
-            self.standby = None
+            self.copy = None
             return
         self.excluded.add(name)
         if event.cause is AttemptCause.MISDIRECTED:
@@ -255,14 +256,16 @@
         self.has_delivered = True
         self.may_have_run = True
         self.position = event.last_id
-        return [DeliverEvents(event.payload, headers)]
+        return [DeliverEvents(event.payload, headers), *self.renew_copy(attempt, now)]
 
-    def finish(self, attempt: RelayAttempt) -> None:
-        """Note an attempt that ended well."""
+    def finish(self, attempt: RelayAttempt) -> list[RelayAction]:
+        """Note an attempt that ended well, and end the others."""
         self.is_over = True
+        actions = self.release_copies()
         del self.attempts[attempt.number]
         self.shared.selector.finished(attempt.upstream.name)
         self.shared.selector.succeeded(attempt.upstream.name)
+        return [*actions, *self.cancel_all()]
 
 
 @singledispatch
@@ -278,8 +281,7 @@
     event: AnswerArrived, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
     """Pass a whole answer on; the other attempts are of no use any more."""
-    relay.finish(attempt)
-    return [*relay.cancel_all(), DeliverAnswer(event.answer)]
+    return [*relay.finish(attempt), DeliverAnswer(event.answer)]
 
 
 @take.register
@@ -308,8 +310,7 @@
     if not relay.has_delivered:
         text = "the stream ended without an event"
         return relay.abandon(attempt, AttemptCause.MALFORMED, text, now)
-    relay.finish(attempt)
-    return [*relay.cancel_all(), EndStream()]
+    return [*relay.finish(attempt), EndStream()]
 
 
 @take.register
@@ -320,6 +321,18 @@
     return relay.lose(attempt, event, now)
 
 
+@take.register
+def take_copy(
+    event: MemoryCopied, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Note a copy that was made on request."""
+    attempt.is_copying = False
+    if event.copy is not None:
+        attempt.copy, attempt.copied_at = event.copy, event.at
+        relay.shared.totals.copies_renewed += 1
+    return []
+
+
 @take.register
 def take_probe(
     event: UpstreamProbed, relay: Relay, attempt: RelayAttempt, now: float
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -158,22 +158,64 @@
     reports: Mapping[str, UpstreamReport]
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryCopy:
+    """A copy of an attempt's memory that `holder` has.
+
+    `handle` names it at `source_address`, the address of the upstream that made it.
+    """
+
+    holder: UpstreamInstance
+    source_address: str
+    handle: str
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryCopied:
+    """A copy was asked for while an attempt runs; None where none was made."""
+
+    attempt: int
+    at: float
+    copy: MemoryCopy | None
+
+
+@dataclass(frozen=True, slots=True)
+class CopyMemory:
+    """Let the upstream of an attempt copy its memory to `target`, and run on."""
+
+    attempt: int
+    source: UpstreamInstance
+    target: UpstreamInstance
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseCopy:
+    """Free the memory of a copy that will not be used."""
+
+    copy: MemoryCopy
+
+
 @dataclass(frozen=True, slots=True)
 class StartRelay:
     """Send the request to `upstream`.
 
     `resume_after` is the id of the last event delivered, or None at the beginning.
-    With `from_copy` the attempt goes on from the copy that `upstream` holds. `standby`
-    is the upstream that is to hold a copy of this attempt's memory.
+    With `copy` the attempt goes on from the copy that `upstream` holds. `standby` is
+    the upstream that is to hold a copy of this attempt's memory.
     """
 
     attempt: int
     upstream: UpstreamInstance
     deadline: float
     resume_after: int | None = None
-    from_copy: bool = False
+    copy: MemoryCopy | None = None
     standby: UpstreamInstance | None = None
 
+    @property
+    def from_copy(self) -> bool:
+        """Whether the attempt goes on from a copy."""
+        return self.copy is not None
+
 
 @dataclass(frozen=True, slots=True)
 class AskLoads:
@@ -225,6 +267,15 @@
     | AttemptFailed
     | UpstreamProbed
     | LoadsReported
+    | MemoryCopied
 )
 RelayOutput = DeliverAnswer | DeliverEvents | EndStream | BreakStream | Fail
-RelayAction = StartRelay | CancelAttempt | ProbeUpstream | AskLoads | RelayOutput
+RelayAction = (
+    StartRelay
+    | CancelAttempt
+    | ProbeUpstream
+    | AskLoads
+    | CopyMemory
+    | ReleaseCopy
+    | RelayOutput
+)
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -16,6 +16,7 @@
 from turmericusher.decisions.relay_messages import (
     AskLoads,
     LoadsReported,
+    MemoryCopy,
     RelayAction,
     StartRelay,
     UpstreamReport,
@@ -56,10 +57,10 @@
 
     def start_next(self, now: float) -> list[RelayAction]:
         """Send the request to the best upstream there is."""
-        standby = self.live_standby()
-        if standby is not None:
+        copy = self.usable_copy()
+        if copy is not None:
             self.shared.totals.copies_used += 1
-            return [self.start_on(standby, now, from_copy=True)]
+            return [self.start_on(copy.holder, now, copy=copy)]
         if self.kind.is_stream and self.routed.service.reports_load:
             return self.ask_loads(now)
         upstream = self.next_upstream(now)
@@ -162,7 +163,7 @@
         self,
         upstream: UpstreamInstance,
         now: float,
-        from_copy: bool = False,
+        copy: MemoryCopy | None = None,
         standby: UpstreamInstance | None = None,
     ) -> StartRelay:
         """Start an attempt, with a standby for its memory where that is of use."""
@@ -170,7 +171,12 @@
         self.sends += 1
         standby = standby or self.choose_standby(upstream, now)
         attempt = RelayAttempt(
-            self.numbers, upstream, now, now, standby, from_copy=from_copy
+            self.numbers,
+            upstream,
+            now,
+            now,
+            copy=self.standing_copy(standby),
+            from_copy=copy is not None,
         )
         self.attempts[attempt.number] = attempt
         self.shared.selector.started(upstream.name)
@@ -184,10 +190,16 @@
             upstream=upstream,
             deadline=self.deadline(),
             resume_after=self.position,
-            from_copy=from_copy,
+            copy=copy,
             standby=standby,
         )
 
+    def standing_copy(self, standby: UpstreamInstance | None) -> MemoryCopy | None:
+        """Return the copy that a standby is kept up to date with, under our own id."""
+        if standby is None:
+            return None
+        return MemoryCopy(standby, standby.address, self.request.request_id)
+
     def choose_standby(
         self, upstream: UpstreamInstance, now: float
     ) -> UpstreamInstance | None:
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -11,6 +11,7 @@
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
     BreakStream,
+    MemoryCopy,
     RelayAction,
     RelayedRequest,
 )
@@ -88,6 +89,7 @@
     repeats: int = 0
     resumes: int = 0
     copies_used: int = 0
+    copies_renewed: int = 0
     hedges: int = 0
     probes: int = 0
     load_questions: int = 0
@@ -135,14 +137,15 @@
 
     `is_held_up`: its upstream has told that it is at work on the request, or that
     requests wait there. `prompts_before` counts those that the upstream had to read
-    first, None where that is not known.
+    first, None where that is not known. `copy` is kept up by the upstream itself,
+    unless `copied_at` tells when it was made on request.
     """
 
     number: int
     upstream: UpstreamInstance
     started_at: float
     heard_at: float
-    standby: UpstreamInstance | None
+    copy: MemoryCopy | None
     events: int = 0
     from_copy: bool = False
     headers: tuple[tuple[str, str], ...] = ()
@@ -150,6 +153,9 @@
     is_held_up: bool = False
     prompts_before: int | None = None
     first_event_at: float | None = None
+    is_copying: bool = False
+    copy_asked_at: float | None = None
+    copied_at: float | None = None
 
     @property
     def has_event(self) -> bool:
@@ -164,7 +170,7 @@
     `position` is the id of the last event that the caller holds. `lost_domains` gives
     the time at which a failure domain last lost an attempt. `sends` counts the attempts
     that an upstream may have run, those in flight included, and `refusals` those that
-    one had no room for. `standby` holds a copy of the last attempt that may have run.
+    one had no room for. `copy` is of the last attempt that may have run.
     `is_asking`: candidates were asked for their load, and no attempt runs yet.
     """
 
@@ -175,7 +181,7 @@
     attempts: dict[int, RelayAttempt] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
     lost_domains: dict[str, float] = field(default_factory=dict)
-    standby: UpstreamInstance | None = None
+    copy: MemoryCopy | None = None
     numbers: int = 0
     sends: int = 0
     refusals: int = 0
@@ -251,17 +257,22 @@
             avoided_domains=frozenset(domains),
         )
 
-    def live_standby(self) -> UpstreamInstance | None:
-        """Return the upstream that holds a copy, if it is still the one that got it."""
-        standby = self.standby
-        if standby is None or standby.name in self.excluded:
+    def holds_copy(self, copy: MemoryCopy) -> bool:
+        """Whether the holder of a copy is still the one that got it."""
+        holder, selector = copy.holder, self.shared.selector
+        now = selector.upstreams.get(holder.name)
+        if now is None or now.incarnation != holder.incarnation:
+            return False
+        if holder.name in selector.replaced:
+            return False
+        return now.lifecycle is Lifecycle.LIVE
+
+    def usable_copy(self) -> MemoryCopy | None:
+        """Return the copy that an attempt can go on from, or None."""
+        copy = self.copy
+        if copy is None or copy.holder.name in self.excluded:
             return None
-        now = self.shared.selector.upstreams.get(standby.name)
-        if now is None or now.incarnation != standby.incarnation:
-            return None
-        if standby.name in self.shared.selector.replaced:
-            return None
-        return now if now.lifecycle is Lifecycle.LIVE else None
+        return copy if self.holds_copy(copy) else None
 
     def verdict(self) -> Verdict:
         """Return whether any attempt may have run."""
--- a/src/turmericusher/decisions/routing.py
+++ b/src/turmericusher/decisions/routing.py
@@ -79,6 +79,7 @@
     slots: int | None = None
     keeps_copies: bool = False
     reports_load: bool = False
+    moves_copies: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -19,7 +19,7 @@
 # The address of the upstream that is to hold the standby copy.
 STANDBY_ADDRESS = "x-cache-backup"
 
-# "address/id" of a copy to go on from; the id is the request's own for standby copies.
+# "address/handle" of a copy to go on from: where and by what name it was made.
 COPY_SOURCE = "kv-from"
 
 SYSTEM_HEADERS = frozenset(
@@ -62,4 +62,10 @@
 # The call by which an engine tells its load.
 REPORT_PATH = "/v1/report"
 
+# The call by which an engine copies the memory of a request that it runs.
+COPY_PATH = "/v1/kv-move"
+
+# The call that frees a copy, with its handle behind it.
+RELEASE_PATH = "/v1/kv-handle"
+
 SETTINGS_VARIABLE = "TURMERICUSHER_NODE_FILE"
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -84,10 +84,14 @@
 
 
 class EngineModel(WireModel):
-    """What model engines of a service can do; `backups`: hold standby copies."""
+    """What model engines of a service can do; `backups`: hold standby copies.
+
+    `moves`: copy the memory of a request that runs, though the name says more.
+    """
 
     slots: StrictInt | None = None
     backups: StrictBool = False
+    moves: StrictBool = False
 
 
 class ServiceModel(WireModel):
@@ -152,6 +156,12 @@
     runs: tuple[tuple[StrictStr, Number, StrictInt, Number], ...] = ()
 
 
+class CopyModel(WireModel):
+    """An engine's answer to a request for a copy."""
+
+    handle: StrictStr
+
+
 class InstanceModel(WireModel):
     """An entry instance, as it registers itself."""
 
@@ -237,7 +247,11 @@
     if model.engine is None:
         return ServiceTraits(model.name)
     return ServiceTraits(
-        model.name, model.engine.slots, model.engine.backups, reports_load=True
+        model.name,
+        model.engine.slots,
+        model.engine.backups,
+        reports_load=True,
+        moves_copies=model.engine.moves,
     )
 
 
@@ -293,6 +307,27 @@
     )
 
 
+def encode_copy_call(request_id: str, target_address: str) -> bytes:
+    """Return the request for a copy of what a request has in memory."""
+    return orjson.dumps({"identifier": request_id, "target": target_address})
+
+
+def decode_copy_call(value: bytes) -> tuple[str, str]:
+    """Return the request's id and the target's address of a request for a copy."""
+    body = orjson.loads(value)
+    return body["identifier"], body["target"]
+
+
+def decode_copy_handle(value: bytes) -> str:
+    """Return the name of a copy; raise `ValueError` where it is unreadable."""
+    return CopyModel.model_validate_json(value).handle
+
+
+def encode_copy_handle(handle: str) -> bytes:
+    """Return an engine's answer to a request for a copy."""
+    return orjson.dumps({"handle": handle, "created": 0})
+
+
 def decode_instance(name: str, value: bytes) -> EntryInstance | None:
     """Return an entry instance, or None where its record is unreadable."""
     try:
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -23,6 +23,7 @@
     AttemptFailed,
     EventsArrived,
     Headers,
+    MemoryCopy,
     RelayAnswer,
     RelayedRequest,
     RelayEvent,
@@ -37,9 +38,11 @@
 from turmericusher.logs import log_event
 from turmericusher.platform.codec import parse_load
 from turmericusher.platform.names import (
+    COPY_PATH,
     COPY_SOURCE,
     LAST_EVENT_ID,
     NOT_RUN_MARK,
+    RELEASE_PATH,
     REPORT_PATH,
     REQUEST_ID,
     SIGNATURE,
@@ -48,7 +51,11 @@
     TEAM,
     WAIT_MS,
 )
-from turmericusher.platform.records import decode_report
+from turmericusher.platform.records import (
+    decode_copy_handle,
+    decode_report,
+    encode_copy_call,
+)
 from turmericusher.platform.settings import MILLISECONDS_PER_S
 from turmericusher.ports.relay import EventSink
 from turmericusher.ports.services import MAX_ANSWER_BYTES, READ_CHUNK_BYTES
@@ -61,6 +68,9 @@
 REPORT_TIMEOUT_S = 0.15
 """Part of the pause that callers accept in a stream; a report decides within it."""
 
+COPY_TIMEOUT_S = 2.0
+"""A copy of a long prompt takes milliseconds, behind other copies a little longer."""
+
 MISDIRECTED = 421
 SUCCESS = range(200, 300)
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
@@ -137,6 +147,33 @@
             log_event("report_missing", upstream=upstream.name, error=repr(error))
             return None
 
+    async def copy_memory(
+        self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
+    ) -> MemoryCopy | None:
+        """Let `source` copy the memory of a request that it runs to `target`."""
+        timeout = aiohttp.ClientTimeout(total=COPY_TIMEOUT_S)
+        url = f"http://{source.address}{COPY_PATH}"
+        body = encode_copy_call(request_id, target.address)
+        try:
+            async with self.session.post(url, data=body, timeout=timeout) as response:
+                data = await response.read()
+                if response.status not in SUCCESS:
+                    return None
+            return MemoryCopy(target, source.address, decode_copy_handle(data))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            log_event("copy_missing", upstream=source.name, error=repr(error))
+            return None
+
+    async def release_copy(self, copy: MemoryCopy) -> None:
+        """Free the memory of a copy; one that is gone already is left alone."""
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+        url = f"http://{copy.source_address}{RELEASE_PATH}/{copy.handle}"
+        try:
+            async with self.session.delete(url, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            log_event("release_failed", holder=copy.holder.name, error=repr(error))
+
 
 @dataclass(slots=True)
 class AttemptExchange:
@@ -273,8 +310,8 @@
     ]
     if routed.team:
         headers.append((TEAM, routed.team))
-    if start.from_copy:
-        source = f"{start.upstream.address}/{request.request_id}"
+    if start.copy is not None:
+        source = f"{start.copy.source_address}/{start.copy.handle}"
         headers.append((COPY_SOURCE, source))
     if start.resume_after is not None:
         headers.append((LAST_EVENT_ID, str(start.resume_after)))
--- a/src/turmericusher/ports/relay.py
+++ b/src/turmericusher/ports/relay.py
@@ -11,6 +11,7 @@
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.relay_messages import (
+    MemoryCopy,
     RelayedRequest,
     RelayEvent,
     StartRelay,
@@ -40,3 +41,16 @@
     async def report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
         """Ask an upstream for its load; None where no answer came in time."""
         ...
+
+    async def copy_memory(
+        self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
+    ) -> MemoryCopy | None:
+        """Let `source` copy the memory of a request that it runs to `target`.
+
+        Returns None where no copy was made.
+        """
+        ...
+
+    async def release_copy(self, copy: MemoryCopy) -> None:
+        """Free the memory of a copy; one that is gone already is left alone."""
+        ...
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -16,17 +16,23 @@
 
 from turmericusher.decisions.relay_messages import UpstreamReport
 from turmericusher.platform.names import (
+    COPY_PATH,
     COPY_SOURCE,
     LAST_EVENT_ID,
     LOAD,
     NOT_RUN_MARK,
+    RELEASE_PATH,
     REPORT_PATH,
     REQUEST_ID,
     SIGNATURE,
     STANDBY_ADDRESS,
     TARGET_UPSTREAM,
 )
-from turmericusher.platform.records import encode_report
+from turmericusher.platform.records import (
+    decode_copy_call,
+    encode_copy_handle,
+    encode_report,
+)
 
 LOOPBACK = "127.0.0.1"
 IDLE = UpstreamReport("1700000000000", 0, 0, 0, 100_000, {})
@@ -77,8 +83,8 @@
     `faults` are those of the coming calls, in order; none is left when they are used
     up. A stream has `events` events, `event_gap_s` apart; `die_after` is the event
     behind which the connection is reset, and `stop_after` that behind which nothing
-    more comes. `copies` holds the requests of which this upstream has a copy, and is
-    shared with those that make them through `peers`. `report` is what it says of its
+    more comes. `copies` holds the handles of the copies that this upstream has; others
+    make them through `peers`. `report` is what it says of its
     load.
     """
 
@@ -96,6 +102,7 @@
     calls: list[ReceivedCall] = field(default_factory=list)
     runs: list[str] = field(default_factory=list)
     closed_early: int = 0
+    released: list[str] = field(default_factory=list)
     report: UpstreamReport = IDLE
     server: asyncio.Server | None = None
 
@@ -114,6 +121,11 @@
                 body = encode_report(self.report)
                 length = {"Content-Length": str(len(body))}
                 writer.write(head(200, length) + body)
+            elif call is not None and call.target.startswith(RELEASE_PATH):
+                self.released.append(call.target.rpartition("/")[2])
+                writer.write(head(200, {"Content-Length": "0"}))
+            elif call is not None and call.target == COPY_PATH:
+                self.copy_on_request(call, writer)
             elif call is not None:
                 self.calls.append(call)
                 await self.answer(call, reader, writer)
@@ -122,6 +134,18 @@
         finally:
             writer.close()
 
+    def copy_on_request(self, call: ReceivedCall, writer: asyncio.StreamWriter) -> None:
+        """Copy the memory of a request that runs here to another upstream."""
+        request_id, address = decode_copy_call(call.body)
+        peer = self.peers.get(address)
+        if peer is None or request_id not in self.runs:
+            writer.write(head(503, {"Content-Length": "0"}))
+            return
+        handle = f"copy-of-{request_id}"
+        peer.copies.add(handle)
+        body = encode_copy_handle(handle)
+        writer.write(head(200, {"Content-Length": str(len(body))}) + body)
+
     async def answer(
         self,
         call: ReceivedCall,
@@ -134,7 +158,8 @@
             writer.write(head(421, {}))
             return
         request_id = call.headers[REQUEST_ID]
-        if COPY_SOURCE in call.headers and request_id not in self.copies:
+        _, _, handle = call.headers.get(COPY_SOURCE, "").rpartition("/")
+        if handle and handle not in self.copies:
             fault = UpstreamFault.SHED
         if fault is UpstreamFault.SHED:
             writer.write(head(503, {NOT_RUN_MARK: "1"}))
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -21,14 +21,18 @@
     AttemptCause,
     AttemptFailed,
     BreakStream,
+    CopyMemory,
     DeliverAnswer,
     EndStream,
     LoadsReported,
+    MemoryCopied,
+    MemoryCopy,
     ProbeUpstream,
     RelayAction,
     RelayedRequest,
     RelayEvent,
     RelayOutput,
+    ReleaseCopy,
     StartRelay,
     UpstreamProbed,
     UpstreamReport,
@@ -62,6 +66,13 @@
     questions: dict[str, asyncio.Task[UpstreamReport | None]] = field(
         default_factory=dict
     )
+    releases: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def release(self, copy: MemoryCopy) -> None:
+        """Free a copy; the request that it was for may have ended."""
+        releasing = asyncio.create_task(self.port.release_copy(copy))
+        self.releases.add(releasing)
+        releasing.add_done_callback(self.releases.discard)
 
     async def report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
         """Return what an upstream says of itself; None where it does not answer."""
@@ -129,6 +140,10 @@
                 self.help(self.run_probe(action))
             case AskLoads():
                 self.help(self.ask_loads(action))
+            case CopyMemory():
+                self.help(self.copy_memory(action))
+            case ReleaseCopy(copy):
+                self.context.release(copy)
             case _:
                 return action
         return None
@@ -175,6 +190,22 @@
         now = asyncio.get_running_loop().time()
         await self.inbox.put(LoadsReported(now, reports))
 
+    async def copy_memory(self, action: CopyMemory) -> None:
+        """Have a copy made and report it."""
+        request_id = self.relay.request.request_id
+        copy = await self.context.port.copy_memory(
+            action.source, request_id, action.target
+        )
+        log_event(
+            "copy_renewed",
+            id=request_id,
+            upstream=action.source.name,
+            holder=action.target.name,
+            is_made=copy is not None,
+        )
+        now = asyncio.get_running_loop().time()
+        await self.inbox.put(MemoryCopied(action.attempt, now, copy))
+
     def help(self, work: Coroutine[Any, Any, None]) -> None:
         """Let a task work beside the owner."""
         helper = asyncio.create_task(work)
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -106,7 +106,7 @@
         deadline=deadline,
         resume_after=resume_after,
     )
-    service = ServiceTraits(SERVICE, 8, kind.is_stream, reports_load)
+    service = ServiceTraits(SERVICE, 8, kind.is_stream, reports_load, reports_load)
     routed = RoutedRequest(make_route(kind, **changes), service, "team", 1)
     return make_relay(request, routed, shared)
 
@@ -130,7 +130,9 @@
     fields = {
         "version": version,
         "routes": routes,
-        "services": [{"name": SERVICE, "engine": {"slots": 8, "backups": True}}],
+        "services": [
+            {"name": SERVICE, "engine": {"slots": 8, "backups": True, "moves": True}}
+        ],
         "tenants": [{"name": "team-1", "access_keys": [KEY]}],
     }
     return orjson.dumps(fields | changes)
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -1,5 +1,7 @@
 """What becomes of a relayed request whose attempts fail, by the kind of request."""
 
+from dataclasses import replace
+
 from parameterized import parameterized
 from testtools import TestCase
 
@@ -13,19 +15,24 @@
 from turmericusher.decisions.fleet import Lifecycle
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
 from turmericusher.decisions.relay import KNOWN_AFTER_S
+from turmericusher.decisions.relay_copies import COPY_RENEWAL_S
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
     AskLoads,
     AttemptCause,
     AttemptFailed,
     BreakStream,
+    CopyMemory,
     DeliverAnswer,
     DeliverEvents,
     EndStream,
     EventsArrived,
     LoadsReported,
+    MemoryCopied,
+    MemoryCopy,
     ProbeUpstream,
     RelayAnswer,
+    ReleaseCopy,
     StartRelay,
     StreamFinished,
     StreamOpened,
@@ -79,6 +86,18 @@
     return relay, start
 
 
+def stream_without_standby():
+    """Return a stream whose standby has ended, its start and the copy it asks for."""
+    shared = make_shared()
+    relay, start = begun_stream(shared)
+    traits = replace(relay.routed.service, moves_copies=True)
+    relay.routed = replace(relay.routed, service=traits)
+    others = shared.selector.upstreams.values()
+    shared.selector.update([each for each in others if each != start.standby])
+    (asked,) = only(relay.handle(event(1, 4), 0.2), CopyMemory)
+    return relay, start, asked
+
+
 class RepeatTest(TestCase):
     @parameterized.expand(
         [
@@ -285,6 +304,53 @@
         (resumed,) = relay.handle(lost, 0.2)
         self.assertFalse(resumed.from_copy)
 
+    def test_a_copy_whose_holder_is_gone_is_made_anew_elsewhere(self):
+        # Load: domains crash in turn, the standby's before the stream's own.
+        relay, start, asked = stream_without_standby()
+        holder = asked.target
+        self.assertEqual(start.upstream, asked.source)
+        self.assertNotEqual(start.upstream.failure_domain, holder.failure_domain)
+        self.assertEqual([DeliverEvents(b"5;")], relay.handle(event(1, 5), 0.3))
+        copy = MemoryCopy(holder, asked.source.address, "h7")
+        self.assertEqual([], relay.handle(MemoryCopied(1, 0.4, copy), 0.4))
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, at=0.5)
+        (resumed,) = relay.handle(lost, 0.5)
+        self.assertEqual((holder, copy), (resumed.upstream, resumed.copy))
+        self.assertEqual(5, resumed.resume_after)
+
+    def test_a_copy_made_on_request_is_brought_up_to_date(self):
+        relay, _start, asked = stream_without_standby()
+        copy = MemoryCopy(asked.target, asked.source.address, "h7")
+        relay.handle(MemoryCopied(1, 0.4, copy), 0.4)
+        self.assertEqual([DeliverEvents(b"5;")], relay.handle(event(1, 5), 1.0))
+        at = 0.4 + COPY_RENEWAL_S
+        again = only(relay.handle(event(1, 6), at), CopyMemory)
+        self.assertEqual([asked], again)
+
+    @parameterized.expand([("ends", True), ("is left by its caller", False)])
+    def test_a_copy_made_on_request_is_freed_when_the_stream(self, _, ends):
+        relay, _start, asked = stream_without_standby()
+        copy = MemoryCopy(asked.target, asked.source.address, "h7")
+        relay.handle(MemoryCopied(1, 0.4, copy), 0.4)
+        finished = StreamFinished(1, 0.5)
+        actions = relay.handle(finished, 0.5) if ends else relay.close()
+        self.assertEqual([ReleaseCopy(copy)], only(actions, ReleaseCopy))
+
+    def test_a_copy_that_was_not_made_is_asked_for_again_after_a_pause(self):
+        relay, _start, _asked = stream_without_standby()
+        relay.handle(MemoryCopied(1, 0.4, None), 0.4)
+        self.assertEqual([], only(relay.handle(event(1, 5), 0.5), CopyMemory))
+        self.assertEqual(1, len(only(relay.handle(event(1, 6), 1.5), CopyMemory)))
+
+    def test_a_copy_that_is_kept_up_is_not_asked_for(self):
+        relay, _ = begun_stream(make_shared())
+        relay.routed = replace(
+            relay.routed, service=replace(relay.routed.service, moves_copies=True)
+        )
+        for number in range(4, 40):
+            actions = relay.handle(event(1, number), number / 10)
+            self.assertEqual([], only(actions, CopyMemory))
+
     def test_events_that_were_delivered_already_are_dropped(self):
         relay, _ = begun_stream(make_shared())
         relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN), 0.2)
--- a/tests/cover/test_relay_machine.py
+++ b/tests/cover/test_relay_machine.py
@@ -19,11 +19,14 @@
     AttemptCause,
     AttemptFailed,
     BreakStream,
+    CopyMemory,
     DeliverAnswer,
     DeliverEvents,
     EndStream,
     EventsArrived,
     LoadsReported,
+    MemoryCopied,
+    MemoryCopy,
     ProbeUpstream,
     RelayAnswer,
     StartRelay,
@@ -93,7 +96,7 @@
                     self.asked = action
                 case DeliverEvents(payload):
                     self.received.append(int(payload))
-                case ProbeUpstream():
+                case ProbeUpstream() | CopyMemory():
                     assert action.attempt in self.running
                 case _ if isinstance(action, LAST):
                     self.last = action
@@ -211,6 +214,18 @@
         failed = AttemptFailed(attempt, self.now, cause, verdict)
         self.carry_out(self.relay.handle(failed, self.now))
 
+    @streams
+    @rule(data=st.data(), index=st.integers(0, UPSTREAMS - 1), is_made=st.booleans())
+    def a_copy_is_made(self, data, index, is_made):
+        attempt = self.attempt(data)
+        source = self.running[attempt].upstream
+        holder = self.shared.selector.upstreams[f"u{index}"]
+        if holder.name == source.name or not self.relay.attempts[attempt].is_copying:
+            return
+        copy = MemoryCopy(holder, source.address, "h") if is_made else None
+        copied = MemoryCopied(attempt, self.now, copy)
+        self.carry_out(self.relay.handle(copied, self.now))
+
     @has_attempt
     @rule(
         data=st.data(),
--- a/tests/cover/test_relay_node.py
+++ b/tests/cover/test_relay_node.py
@@ -186,6 +186,29 @@
                 copies = [call for each in world.upstreams for call in each.calls]
                 self.assertEqual(1, sum("kv-from" in call.headers for call in copies))
 
+    @run_async
+    async def test_a_stream_outlives_its_standby_and_then_its_engine(self):
+        async with relay_world() as world:
+            for upstream in world.upstreams:
+                upstream.events, upstream.event_gap_s = 40, 0.02
+            calling = asyncio.create_task(world.call(RESUMABLE))
+            await wait_until(lambda: runs(world) == 1)
+            (first,) = [each for each in world.upstreams if each.runs]
+            address = first.calls[0].headers["x-cache-backup"]
+            (standby,) = [each for each in world.upstreams if each.address == address]
+            world.unlist_upstream(int(standby.name[1:]))
+            (other,) = [
+                each for each in world.upstreams if each not in (first, standby)
+            ]
+            await wait_until(lambda: bool(other.copies))
+            self.assertEqual([], first.released)
+            first.die_after = 30
+            answer = await calling
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(40, answer.body.count(b"id: "))
+            (resumed,) = other.calls
+            self.assertEqual(f"{first.address}/copy-of-q1", resumed.headers["kv-from"])
+
     @run_async
     async def test_a_stream_that_cannot_resume_does_not_look_whole(self):
         async with relay_world() as world:
