--- a/src/turmericusher/log_queue.py
+++ b/src/turmericusher/log_queue.py
@@ -12,9 +12,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import TextIO
 
-from turmericusher.logs import LogState, configure_logs, log_event
+from turmericusher.logs import LogState, TextSink, configure_logs, log_event
 
 QUEUE_LINES = 2_048
 """Lines that wait for a slow reader: at most a few megabytes."""
@@ -81,7 +80,7 @@
 class QueuedStream:
     """A stream whose writes only fill a bounded queue, emptied by a thread."""
 
-    stream: TextIO
+    stream: TextSink
     lines: queue.Queue[str | None] = field(
         default_factory=lambda: queue.Queue(QUEUE_LINES)
     )
@@ -93,7 +92,7 @@
         self.thread = threading.Thread(target=self.run, name="logs", daemon=True)
         self.thread.start()
 
-    def write(self, text: str) -> int:
+    def write(self, text: str, /) -> int:
         """Queue a line, or count it where the queue is full."""
         try:
             self.lines.put_nowait(text)
@@ -143,7 +142,7 @@
 
 @contextmanager
 def bounded_logs(
-    stream: TextIO,
+    stream: TextSink,
     state: LogState,
     clock: Callable[[], float] = time.monotonic,
 ) -> Iterator[QueuedStream]:
@@ -158,7 +157,7 @@
             log_event("log_lines_held_back", held_back=held_back, count=count)
         return limit.allows(event, now)
 
-    configure_logs(queued)  # type: ignore[arg-type]
+    configure_logs(queued)
     state.allows = allows
     try:
         yield queued
--- a/src/turmericusher/logs.py
+++ b/src/turmericusher/logs.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from functools import singledispatch
-from typing import TextIO
+from typing import Protocol
 
 import eliot
 
@@ -20,11 +20,23 @@
 QUOTED_CHARACTERS = frozenset(" \"'=\\")
 
 
+class TextSink(Protocol):
+    """Takes lines of text, as a text stream does."""
+
+    def write(self, text: str, /) -> int:
+        """Take some text."""
+        ...
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+        ...
+
+
 @dataclass(slots=True)
 class LineWriter:
     """An eliot destination that writes each message as one line to `stream`."""
 
-    stream: TextIO
+    stream: TextSink
 
     def __call__(self, message: dict[str, object]) -> None:
         """Write one message; eliot keeps a failing stream from failing the caller."""
@@ -56,7 +68,7 @@
     eliot.log_message(event, fields=fields)
 
 
-def configure_logs(stream: TextIO | None) -> None:
+def configure_logs(stream: TextSink | None) -> None:
     """Send every later event to `stream`; None switches logs off."""
     if STATE.writer is not None:
         eliot.remove_destination(STATE.writer)
@@ -67,7 +79,7 @@
 
 
 @contextmanager
-def logging_to(stream: TextIO) -> Iterator[None]:
+def logging_to(stream: TextSink) -> Iterator[None]:
     """Log to `stream` inside the context, and to the former stream after it."""
     former = STATE.writer
     configure_logs(stream)
--- a/src/turmericusher/platform/settings.py
+++ b/src/turmericusher/platform/settings.py
@@ -13,7 +13,7 @@
 from turmericusher.errors import SettingsError
 from turmericusher.platform.names import SETTINGS_VARIABLE
 from turmericusher.profiles import describe_validation_error
-from turmericusher.settings import Address, Name
+from turmericusher.settings import Address, Name, read_settings_file
 
 MILLISECONDS_PER_S = 1_000.0
 METRICS_PORT = 9464
@@ -100,13 +100,7 @@
 
 def load_node_settings(path: Path) -> NodeSettings:
     """Read a settings file; raise `SettingsError` naming the setting and its value."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(
-            f"cannot read settings file {str(path)!r}: {error}"
-        ) from error
-    return parse_node_settings(text)
+    return parse_node_settings(read_settings_file(path))
 
 
 def parse_node_settings(text: str) -> NodeSettings:
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -58,8 +58,8 @@
 )
 from turmericusher.platform.settings import MILLISECONDS_PER_S
 from turmericusher.ports.relay import EventSink
-from turmericusher.ports.services import MAX_ANSWER_BYTES, READ_CHUNK_BYTES
-from turmericusher.single_send import SendProgress, single_send_trace
+from turmericusher.ports.services import MAX_ANSWER_BYTES, single_send_session
+from turmericusher.single_send import SendProgress
 
 CONNECT_TIMEOUT_S = 0.3
 """Connections between failure domains take a few milliseconds, and one that is not
@@ -348,13 +348,5 @@
     on_load: LoadListener,
 ) -> AsyncIterator[PlatformUpstreams]:
     """Open the port; its session closes with the context."""
-    connector = aiohttp.TCPConnector(force_close=True, limit=0)
-    async with aiohttp.ClientSession(
-        connector=connector,
-        trace_configs=[single_send_trace()],
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-        read_bufsize=READ_CHUNK_BYTES,
-    ) as session:
+    async with single_send_session() as session:
         yield PlatformUpstreams(session, on_load)
--- a/src/turmericusher/ports/services.py
+++ b/src/turmericusher/ports/services.py
@@ -160,6 +160,16 @@
 @asynccontextmanager
 async def http_service_port() -> AsyncIterator[HttpServicePort]:
     """Open the port; its session closes with the context."""
+    async with single_send_session() as session:
+        yield HttpServicePort(session)
+
+
+@asynccontextmanager
+async def single_send_session() -> AsyncIterator[aiohttp.ClientSession]:
+    """Open a session whose requests leave at most once, on connections of their own.
+
+    It adds no headers and decodes no bodies, so that what it carries stays as it was.
+    """
     connector = aiohttp.TCPConnector(force_close=True, limit=0)
     async with aiohttp.ClientSession(
         connector=connector,
@@ -168,4 +178,4 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
     ) as session:
-        yield HttpServicePort(session)
+        yield session
--- a/src/turmericusher/settings.py
+++ b/src/turmericusher/settings.py
@@ -202,13 +202,17 @@
 
 def load_settings(path: Path) -> Settings:
     """Read a settings file; raise `SettingsError` naming the setting and its value."""
+    return parse_settings(read_settings_file(path))
+
+
+def read_settings_file(path: Path) -> str:
+    """Return the text of a settings file; raise `SettingsError` naming the file."""
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(
             f"cannot read settings file {str(path)!r}: {error}"
         ) from error
-    return parse_settings(text)
 
 
 def parse_settings(text: str) -> Settings:
