Bounded logs and metrics as text for the product's own interface; no wait for acks

Cause: (1) the product's own role wrote its log unbounded to standard error and had metrics by statsd only. (2) benchmarks.logs showed 45 ms for a call that does nothing: listeners made without naming the protocol keep Nagle's algorithm under asyncio, and an answer's body waited 40 ms for the acknowledgement of its head. uvloop sets the option itself, so the programs were not touched, but the library is.

Ruled out: the stand-ins (1.7 ms under uvloop with the same ones), hedging (its time is 180 ms).

Change: serve logs through the bounded queue to standard output; metrics.text_address; listeners name TCP. The new test fails without it.

--- /dev/null
+++ b/benchmarks/logs.py
@@ -0,0 +1,82 @@
+"""What logging costs callers: latency with no log, a reader that keeps up, and none.
+
+One instance of the platform's role on stand-ins in this process, at three times the
+calls that one of the users' machines gets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import os
+import time
+import tracemalloc
+from contextlib import ExitStack
+
+from benchmarks.harness import parse_arguments, print_result, summary_ms
+from benchmarks.relay import LINES, StuckStream, logging_us
+from tests.common.relay_parts import relay_world
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.log_queue import QueuedStream, bounded_logs
+from turmericusher.logs import STATE
+
+CALLS_PER_S = 27.0
+"""Three times the 9 calls a second of one of seven machines."""
+
+DURATION_S = 8.0
+MEGABYTE = 1e6
+
+
+async def call_steadily(stream: io.StringIO | None) -> dict[str, object]:
+    """Make calls at a steady rate and return what their callers saw."""
+    took: list[float] = []
+    statuses: dict[int, int] = {}
+    queued: QueuedStream | None = None
+    begin_cpu = time.process_time()
+    tracemalloc.start()
+    with ExitStack() as stack:
+        async with relay_world() as world:
+            if stream is not None:
+                queued = stack.enter_context(bounded_logs(stream, STATE))
+
+            async def call() -> None:
+                begin = time.perf_counter()
+                answer = await world.call(RequestKind.IDEMPOTENT)
+                took.append(time.perf_counter() - begin)
+                statuses[answer.status] = statuses.get(answer.status, 0) + 1
+
+            async with asyncio.TaskGroup() as calls:
+                for _ in range(int(CALLS_PER_S * DURATION_S)):
+                    calls.create_task(call())
+                    await asyncio.sleep(1 / CALLS_PER_S)
+        held = queued.lines.qsize() if queued is not None else 0
+        if isinstance(stream, StuckStream):
+            stream.read_on.set()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        "latency": summary_ms(took),
+        "statuses": statuses,
+        "processor_s": round(time.process_time() - begin_cpu, 2),
+        "peak_mb": round(peak / MEGABYTE, 1),
+        "lines_waiting": held,
+    }
+
+
+def main() -> None:
+    """Measure and print."""
+    arguments = parse_arguments(__doc__ or "")
+    result: dict[str, object] = {
+        "calls_per_s": CALLS_PER_S,
+        "no log": asyncio.run(call_steadily(None)),
+        "reader that keeps up": asyncio.run(call_steadily(io.StringIO())),
+        "reader that has stopped": asyncio.run(call_steadily(StuckStream())),
+        "lines_in_a_loop": LINES,
+        "loop, reader that has stopped": logging_us(StuckStream()),
+        "processors": os.cpu_count(),
+    }
+    print_result("logs", arguments, result)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/turmericusher/api/metrics.py
+++ b/src/turmericusher/api/metrics.py
@@ -16,20 +16,24 @@
 
 
 def metrics_app(
-    metrics: Metrics, refresh: Callable[[], None], state: Callable[[], object]
+    metrics: Metrics,
+    refresh: Callable[[], None] | None = None,
+    state: Callable[[], object] | None = None,
 ) -> Starlette:
     """Return the application that serves metrics and the dump of this process's state.
 
-    `refresh` brings the gauges up to date.
+    `refresh` brings the gauges up to date. Without `state` none is served.
     """
 
     async def serve_metrics(request: Request) -> Response:
-        refresh()
+        if refresh is not None:
+            refresh()
         return PlainTextResponse(exposition(metrics))
 
     async def serve_state(request: Request) -> Response:
-        return JSONResponse(state())
+        return JSONResponse(state() if state is not None else None)
 
-    return Starlette(
-        routes=[Route(METRICS_PATH, serve_metrics), Route(STATE_PATH, serve_state)]
-    )
+    routes = [Route(METRICS_PATH, serve_metrics)]
+    if state is not None:
+        routes.append(Route(STATE_PATH, serve_state))
+    return Starlette(routes=routes)
--- a/src/turmericusher/cli/commands.py
+++ b/src/turmericusher/cli/commands.py
@@ -88,8 +88,8 @@
 def run_serve(command: Serve) -> int:
     """Run an entry instance."""
     settings = load_settings(command.path)
-    configure_logs(sys.stderr)
-    uvloop.run(serve_until_stopped(settings))
+    with bounded_logs(sys.stdout, STATE):
+        uvloop.run(serve_until_stopped(settings))
     return EXIT_OK
 
 
--- a/src/turmericusher/serving.py
+++ b/src/turmericusher/serving.py
@@ -5,9 +5,10 @@
 import asyncio
 import signal
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 from turmericusher.api.app import make_app
+from turmericusher.api.metrics import metrics_app
 from turmericusher.logs import log_event
 from turmericusher.settings import Settings
 from turmericusher.tasks.instance import EntryRuntime, running_entry
@@ -29,7 +30,15 @@
 async def serving_entry(settings: Settings) -> AsyncIterator[EntryRuntime]:
     """Serve callers and operators while the context is open."""
     async with running_entry(settings) as runtime:
-        async with serving_app(make_app(runtime), settings.caller_address) as address:
+        async with AsyncExitStack() as stack:
+            if settings.metrics_address is not None:
+                app = metrics_app(runtime.metrics)
+                await stack.enter_async_context(
+                    serving_app(app, settings.metrics_address)
+                )
+            address = await stack.enter_async_context(
+                serving_app(make_app(runtime), settings.caller_address)
+            )
             log_event("serving", name=settings.name, address=address)
             yield runtime
         log_event("stopped", name=settings.name)
--- a/src/turmericusher/settings.py
+++ b/src/turmericusher/settings.py
@@ -95,6 +95,7 @@
     """The `metrics` section."""
 
     statsd_address: Address | None = None
+    text_address: Address | None = None
     prefix: str = "turmericusher"
 
 
@@ -156,6 +157,7 @@
     `max_body_bytes`: the largest request body accepted.
     `operator_token`: the bearer token of operators' routes.
     `statsd_address`, `metrics_prefix`: where metrics go; None sends none.
+    `metrics_address`: where metrics are served as text; None serves none.
     `drain_limit_s`: seconds after which a stopping instance hands generations over.
     `entrypoint_ttl_s`: seconds for which a caller may keep an answer of entry points.
     `stale_after_s`: seconds without news of the configuration after which new work is
@@ -182,6 +184,7 @@
     operator_token: str
     statsd_address: str | None
     metrics_prefix: str
+    metrics_address: str | None
     drain_limit_s: float
     entrypoint_ttl_s: float
     stale_after_s: float
@@ -250,6 +253,7 @@
         operator_token=model.operators.token,
         statsd_address=model.metrics.statsd_address,
         metrics_prefix=model.metrics.prefix,
+        metrics_address=model.metrics.text_address,
         drain_limit_s=model.stop.drain_limit_s,
         entrypoint_ttl_s=model.entrypoint_ttl_s,
         stale_after_s=model.stale_after_s,
--- a/src/turmericusher/web_server.py
+++ b/src/turmericusher/web_server.py
@@ -101,7 +101,8 @@
     host, _, port = address.rpartition(":")
     bare_host = host.strip("[]")
     family = socket.AF_INET6 if ":" in bare_host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    # asyncio switches off Nagle's algorithm only where the protocol is named.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((bare_host, int(port)))
     listener.listen(LISTEN_BACKLOG)
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -85,15 +85,18 @@
 
 @contextmanager
 def started_process(
-    name: str, arguments: list[str], folder: Path
+    name: str, arguments: list[str], folder: Path, logs_to_stdout: bool = False
 ) -> Iterator[RunningProcess]:
-    """Run `python -m turmericusher ARGUMENTS` and end it at the end."""
+    """Run `python -m turmericusher ARGUMENTS` and end it at the end.
+
+    With `logs_to_stdout` its standard output goes to its log file as well.
+    """
     environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
     log_path = folder / f"{name}.log"
     with log_path.open("w") as log:
         popen = subprocess.Popen(
             [sys.executable, "-m", "turmericusher", *arguments],
-            stdout=subprocess.PIPE,
+            stdout=log if logs_to_stdout else subprocess.PIPE,
             stderr=log,
             text=True,
             env=environment,
@@ -132,7 +135,7 @@
     settings = entry_settings(number, deployment, options)
     path = folder / f"{name}.yaml"
     path.write_text(yaml.safe_dump(settings))
-    with started_process(name, ["serve", str(path)], folder) as process:
+    with started_process(name, ["serve", str(path)], folder, True) as process:
         process.address = settings["instance"]["caller_address"]
         yield process
 
--- a/tests/cover/test_metrics.py
+++ b/tests/cover/test_metrics.py
@@ -3,17 +3,67 @@
 import math
 import socket
 
+import aiohttp
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from turmericusher.metrics import MAX_NAMES, Metrics, close_metrics, open_metrics
+from tests.common.asynchronous import run_async
+from tests.common.relay_parts import own_host
+from turmericusher.api.metrics import METRICS_PATH, STATE_PATH, metrics_app
+from turmericusher.metrics import (
+    MAX_NAMES,
+    Metrics,
+    close_metrics,
+    exposition,
+    open_metrics,
+)
+from turmericusher.web_server import serving_app
 
+LINE = (
+    r"^(# TYPE \w+ (counter|gauge|histogram)"
+    r"|\w+\{name=\"[A-Za-z0-9_.-]*\"(,le=\"[^\"]+\")?\} [-+0-9.einfa]+)$"
+)
 RECEIVE_LIMIT_S = 5.0
 names = st.text(max_size=30)
 figures = st.integers(min_value=-(10**9), max_value=10**9) | st.floats()
 
 
+class ExpositionTest(TestCase):
+    def test_histograms_count_upwards_and_end_with_all(self) -> None:
+        metrics = Metrics()
+        for seconds in (0.01, 0.03, 0.03, 99.0):
+            metrics.timing("wait", seconds)
+        lines = exposition(metrics).splitlines()
+        buckets = [int(line.split()[-1]) for line in lines if "_bucket" in line]
+        self.assertEqual([1, 3], buckets[:2])
+        self.assertEqual(sorted(buckets), buckets)
+        self.assertEqual(4, buckets[-1])
+        self.assertIn('turmericusher_seconds_count{name="wait"} 4', lines)
+
+    @given(st.dictionaries(names, figures), st.dictionaries(names, figures))
+    def test_every_line_is_a_sample_or_a_type(self, counts, gauges) -> None:
+        metrics = Metrics()
+        for name, value in counts.items():
+            metrics.count(name, value)
+        for name, value in gauges.items():
+            metrics.gauge(name, value)
+        for line in exposition(metrics).splitlines():
+            self.assertRegex(line, LINE)
+
+    @run_async
+    async def test_an_entry_instance_serves_them_where_its_settings_say(self) -> None:
+        address = f"{own_host()}:20004"
+        async with (
+            serving_app(metrics_app(Metrics(counts={"a": 2})), address),
+            aiohttp.ClientSession() as session,
+        ):
+            async with session.get(f"http://{address}{METRICS_PATH}") as response:
+                self.assertIn('events_total{name="a"} 2', await response.text())
+            async with session.get(f"http://{address}{STATE_PATH}") as response:
+                self.assertEqual(404, response.status)
+
+
 class MetricsTest(TestCase):
     def receive(self, metrics_use) -> list[str]:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
