Learn the reading time of prompts for each service

Cause: found in reading the change: one estimate served all services of an instance, so a service with short prompts and targets would have been judged by one with long prompts, and nearly all its streams refused. The new test fails with one shared estimate.

Change: one estimate a service.

--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -108,7 +108,7 @@
     random: random.Random
     patience: Patience = field(default_factory=Patience)
     placements: RecentPlacements = field(default_factory=RecentPlacements)
-    reading: ReadingTime = field(default_factory=ReadingTime)
+    readings: dict[str, ReadingTime] = field(default_factory=dict)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     budget_ratio: float = 0.2
     budget_reserve: float = 10.0
@@ -123,6 +123,10 @@
             self.budgets[service] = budget
         return budget
 
+    def reading_of(self, service: str) -> ReadingTime:
+        """Return how long the engines of a service take to read one prompt."""
+        return self.readings.setdefault(service, ReadingTime())
+
     def set_budgets(self, ratio: float, reserve: float) -> None:
         """Change what every budget allows, as when the fleet grows or shrinks."""
         self.budget_ratio, self.budget_reserve = ratio, reserve
--- a/tests/cover/test_relay_load.py
+++ b/tests/cover/test_relay_load.py
@@ -4,8 +4,12 @@
 from testtools import TestCase
 
 from benchmarks.relay_model import DURATION_S, ENGINES, READ_S, TARGET_S, play
-from tests.common.relay_parts import make_shared, started_relay
-from turmericusher.decisions.relay_messages import LoadsReported, UpstreamReport
+from tests.common.relay_parts import SERVICE, make_shared, started_relay
+from turmericusher.decisions.relay_messages import (
+    LoadsReported,
+    StartRelay,
+    UpstreamReport,
+)
 from turmericusher.decisions.routing import RequestKind
 
 
@@ -26,6 +30,22 @@
         played = play(1.5, target_s=1e9)
         self.assertTrue(played.in_time <= 0.2 * played.late, played)
 
+    def test_a_service_with_short_prompts_is_not_judged_by_one_with_long_ones(self):
+        shared = make_shared(1)
+        for _ in range(50):
+            shared.reading_of("long").learn(2.0, 0)
+            shared.reading_of(SERVICE).learn(0.02, 0)
+        relay = started_relay(
+            RequestKind.RESUMABLE_STREAM,
+            shared,
+            reports_load=True,
+            target_latency_s=0.5,
+        )
+        relay.start(0.0)
+        reports = {"u0": UpstreamReport("1", 2, 1, 0, 88_000, {})}
+        (action,) = relay.handle(LoadsReported(0.0, reports), 0.0)
+        self.assertIsInstance(action, StartRelay)
+
     def test_the_time_to_come_back_leaves_time_to_be_served(self):
         shared = make_shared(1)
         relay = started_relay(
