Call what the project had, and drop state that could be derived

Found in reading the whole change: the relay read bodies and mapped codes to statuses by code of its own beside api/reading and api/errors; three records were validated by the same lines; an event carried its id twice; the end of an attempt stood in three places; bounded logs took the one log state as an argument.

Ruled out: one discount of a process's own pause for generations and relays, which set different clocks; one import list for the store and its stand-in.

Assertions are unchanged.

--- a/src/turmericusher/api/errors.py
+++ b/src/turmericusher/api/errors.py
@@ -19,6 +19,8 @@
     ErrorCode.UNKNOWN_PROFILE: 404,
     ErrorCode.UNKNOWN_MODEL: 404,
     ErrorCode.UNKNOWN_SERVICE: 404,
+    ErrorCode.UNKNOWN_ROUTE: 404,
+    ErrorCode.NO_CONFIGURATION: 503,
     ErrorCode.INVALID_KEY: 400,
     ErrorCode.KEY_EXPIRED: 409,
     ErrorCode.KEY_REUSED: 422,
--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -7,13 +7,17 @@
 
 import asyncio
 import random
+import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Protocol
 
+from starlette.requests import ClientDisconnect, Request
 from starlette.types import Receive, Scope, Send
 
+from turmericusher.api.errors import STATUS_OF_CODE
+from turmericusher.api.reading import read_body
 from turmericusher.decisions.generation_messages import Fail
 from turmericusher.decisions.relay_messages import (
     BreakStream,
@@ -31,13 +35,15 @@
 from turmericusher.metrics import Metrics
 from turmericusher.tasks.relay import RelayContext, open_relay
 
-STATUS_OF_CODE = {
-    ErrorCode.UNKNOWN_ROUTE: 404,
-    ErrorCode.UNAUTHORIZED: 401,
-    ErrorCode.REQUEST_TOO_LARGE: 413,
-    ErrorCode.INVALID_REQUEST: 400,
-}
-"""Statuses of refusals that a repeat would get again."""
+FINAL_CODES = frozenset(
+    {
+        ErrorCode.UNKNOWN_ROUTE,
+        ErrorCode.UNAUTHORIZED,
+        ErrorCode.REQUEST_TOO_LARGE,
+        ErrorCode.INVALID_REQUEST,
+    }
+)
+"""Refusals that a repeat would get again."""
 
 ELSEWHERE_RETRY_S = 0.0
 """Other instances take a request that a stopping one refuses, so there is no wait."""
@@ -65,14 +71,6 @@
         ...
 
 
-class BodyTooLargeError(Exception):
-    """The caller sent more than the configuration allows."""
-
-
-class CallerGoneError(Exception):
-    """The caller closed its connection before the request was read."""
-
-
 @dataclass(slots=True)
 class RelayFrontend:
     """Serves callers as an ASGI application.
@@ -132,18 +130,15 @@
     async def run(self) -> None:
         """Read, route, relay and answer."""
         try:
-            body = await read_body(self.receive, self.body_limit())
+            incoming = Request(self.scope, self.receive)
+            body = await read_body(incoming, self.body_limit())
             request = self.frontend.codec.decode(self.scope, body, self.arrived_at)
             self.request_id = request.request_id
             routed = self.frontend.tables.current().admit(
                 request.host, request.path, request.key, self.frontend.random
             )
             self.check_accepts(routed)
-        except CallerGoneError:
-            return
-        except BodyTooLargeError:
-            code = ErrorCode.REQUEST_TOO_LARGE
-            await self.refuse(Fail(code, Verdict.NOT_RUN, "the body is too large"))
+        except ClientDisconnect:
             return
         except RequestRefusedError as error:
             await self.refuse(
@@ -168,7 +163,7 @@
     def body_limit(self) -> int:
         """Return the largest body that is read, in bytes."""
         table = self.frontend.tables.table
-        return table.limits.max_body_bytes if table is not None else 0
+        return table.limits.max_body_bytes if table is not None else sys.maxsize
 
     async def relay(self, request: RelayedRequest, routed: RoutedRequest) -> None:
         """Pass the request on and answer with what comes."""
@@ -285,7 +280,7 @@
     503 promises that the request has not run, so that whatever may have run gets
     another one.
     """
-    if failure.code in STATUS_OF_CODE:
+    if failure.code in FINAL_CODES:
         return STATUS_OF_CODE[failure.code]
     if failure.verdict is Verdict.NOT_RUN:
         return STATUS_NOT_RUN
@@ -294,23 +289,6 @@
     return STATUS_UPSTREAM_FAILED
 
 
-async def read_body(receive: Receive, limit: int) -> bytes:
-    """Read a whole body; raise where it is too large or the caller has gone."""
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        message: Any = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerGoneError
-        part = message.get("body", b"")
-        size += len(part)
-        if limit and size > limit:
-            raise BodyTooLargeError
-        parts.append(part)
-        if not message.get("more_body", False):
-            return b"".join(parts)
-
-
 @asynccontextmanager
 async def cancelled_by_disconnect(receive: Receive) -> AsyncIterator[None]:
     """Cancel the body as soon as the caller closes its connection.
--- a/src/turmericusher/cli/commands.py
+++ b/src/turmericusher/cli/commands.py
@@ -24,7 +24,7 @@
 from turmericusher.cli.queries import Address, Json
 from turmericusher.errors import ErrorCode, UpstreamError, Verdict
 from turmericusher.log_queue import bounded_logs
-from turmericusher.logs import STATE, configure_logs
+from turmericusher.logs import configure_logs
 from turmericusher.serving import serve_until_stopped
 from turmericusher.settings import load_settings
 
@@ -88,7 +88,7 @@
 def run_serve(command: Serve) -> int:
     """Run an entry instance."""
     settings = load_settings(command.path)
-    with bounded_logs(sys.stdout, STATE):
+    with bounded_logs(sys.stdout):
         uvloop.run(serve_until_stopped(settings))
     return EXIT_OK
 
@@ -99,7 +99,7 @@
     from turmericusher.platform.node import serve_node
     from turmericusher.platform.settings import settings_path
 
-    with bounded_logs(sys.stdout, STATE):
+    with bounded_logs(sys.stdout):
         uvloop.run(serve_node(command.path or settings_path()))
     return EXIT_OK
 
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -22,7 +22,7 @@
     DeliverAnswer,
     DeliverEvents,
     EndStream,
-    EventsArrived,
+    EventArrived,
     LoadsReported,
     MemoryCopied,
     ProbeUpstream,
@@ -159,8 +159,7 @@
         self, attempt: RelayAttempt, event: AttemptFailed, now: float
     ) -> list[RelayAction]:
         """Note the end of an attempt and go on as its kind allows."""
-        del self.attempts[attempt.number]
-        self.shared.selector.finished(attempt.upstream.name)
+        self.forget(attempt.number)
         return self.go_on(attempt, event, now)
 
     def go_on(
@@ -236,7 +235,7 @@
     # What attempts bring.
 
     def deliver_event(
-        self, attempt: RelayAttempt, event: EventsArrived, now: float
+        self, attempt: RelayAttempt, event: EventArrived, now: float
     ) -> list[RelayAction]:
         """Hand an event to the caller if it is the next one."""
         if attempt.first_event_at is None:
@@ -248,23 +247,22 @@
         attempt.heard_at = max(attempt.heard_at, event.at)
         attempt.events += 1
         self.shared.patience.heard(attempt.upstream.name, event.at)
-        if self.position is not None and event.last_id <= self.position:
+        if self.position is not None and event.event_id <= self.position:
             return []
-        if self.position is not None and event.first_id != self.position + 1:
-            reason = f"event {event.first_id} came after event {self.position}"
+        if self.position is not None and event.event_id != self.position + 1:
+            reason = f"event {event.event_id} came after event {self.position}"
             return self.abandon(attempt, AttemptCause.MALFORMED, reason, now)
         headers = None if self.has_delivered else attempt.headers
         self.has_delivered = True
         self.may_have_run = True
-        self.position = event.last_id
+        self.position = event.event_id
         return [DeliverEvents(event.payload, headers), *self.renew_copy(attempt, now)]
 
     def finish(self, attempt: RelayAttempt) -> list[RelayAction]:
         """Note an attempt that ended well, and end the others."""
         self.is_over = True
         actions = self.release_copies()
-        del self.attempts[attempt.number]
-        self.shared.selector.finished(attempt.upstream.name)
+        self.forget(attempt.number)
         self.shared.selector.succeeded(attempt.upstream.name)
         return [*actions, *self.cancel_all()]
 
@@ -297,7 +295,7 @@
 
 @take.register
 def take_event(
-    event: EventsArrived, relay: Relay, attempt: RelayAttempt, now: float
+    event: EventArrived, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
     """Deliver an event."""
     return relay.deliver_event(attempt, event, now)
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -87,14 +87,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EventsArrived:
-    """Whole events of a stream; `first_id` and `last_id` are their ids."""
+class EventArrived:
+    """An attempt brought one whole event of its stream."""
 
     attempt: int
     at: float
     payload: bytes
-    first_id: int
-    last_id: int
+    event_id: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,7 +261,7 @@
 RelayEvent = (
     AnswerArrived
     | StreamOpened
-    | EventsArrived
+    | EventArrived
     | StreamFinished
     | AttemptFailed
     | UpstreamProbed
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -90,7 +90,7 @@
         usable = [
             selector.upstreams[name]
             for name in ranked
-            if name in selector.upstreams and can_take(selector.upstreams[name])
+            if can_take(selector.upstreams[name])
         ]
         if not usable:
             upstream = self.next_upstream(now)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -293,9 +293,13 @@
 
     def cancel(self, number: int) -> list[RelayAction]:
         """Cancel one attempt."""
+        self.forget(number)
+        return [CancelAttempt(number)]
+
+    def forget(self, number: int) -> None:
+        """Take out an attempt that has ended, and free its place."""
         attempt = self.attempts.pop(number)
         self.shared.selector.finished(attempt.upstream.name)
-        return [CancelAttempt(number)]
 
     def fail(
         self, code: ErrorCode, message: str, retry_after_s: float | None = None
--- a/src/turmericusher/log_queue.py
+++ b/src/turmericusher/log_queue.py
@@ -13,7 +13,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from turmericusher.logs import LogState, TextSink, configure_logs, log_event
+from turmericusher.logs import STATE, TextSink, configure_logs, log_event
 
 QUEUE_LINES = 2_048
 """Lines that wait for a slow reader: at most a few megabytes."""
@@ -142,9 +142,7 @@
 
 @contextmanager
 def bounded_logs(
-    stream: TextSink,
-    state: LogState,
-    clock: Callable[[], float] = time.monotonic,
+    stream: TextSink, clock: Callable[[], float] = time.monotonic
 ) -> Iterator[QueuedStream]:
     """Log to `stream` through a bounded queue while the context is open."""
     queued = QueuedStream(stream)
@@ -158,10 +156,10 @@
         return limit.allows(event, now)
 
     configure_logs(queued)
-    state.allows = allows
+    STATE.allows = allows
     try:
         yield queued
     finally:
-        state.allows = None
+        STATE.allows = None
         configure_logs(None)
         queued.close()
--- a/src/turmericusher/platform/__main__.py
+++ b/src/turmericusher/platform/__main__.py
@@ -8,7 +8,7 @@
 
 from turmericusher.errors import SettingsError
 from turmericusher.log_queue import bounded_logs
-from turmericusher.logs import STATE, log_event
+from turmericusher.logs import log_event
 from turmericusher.platform.node import serve_node
 from turmericusher.platform.settings import settings_path
 
@@ -17,7 +17,7 @@
 
 def main() -> int:
     """Serve until told to stop; return the exit status."""
-    with bounded_logs(sys.stdout, STATE):
+    with bounded_logs(sys.stdout):
         try:
             uvloop.run(serve_node(settings_path()))
         except SettingsError as error:
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, TypeVar
 
 import orjson
 from pydantic import (
@@ -51,6 +51,7 @@
 
 StrictAddress = Annotated[StrictStr, AfterValidator(check_address)]
 Number = StrictInt | StrictFloat
+Model = TypeVar("Model", bound=BaseModel)
 
 
 class WireModel(BaseModel):
@@ -186,13 +187,22 @@
     return None
 
 
-def decode_configuration(value: bytes) -> RoutingTable | None:
-    """Return the routing table of a configuration, or None where it is unreadable."""
+def validated(
+    model: type[Model], value: bytes, event: str, **fields: object
+) -> Model | None:
+    """Return a record as its model, or log why it cannot be read and return None."""
     try:
-        model = ConfigurationModel.model_validate_json(value)
+        return model.model_validate_json(value)
     except ValidationError as error:
-        reason = describe_validation_error("configuration", error)
-        log_event("configuration_unreadable", reason=reason)
+        reason = describe_validation_error("record", error)
+        log_event(event, **fields, reason=reason)
+        return None
+
+
+def decode_configuration(value: bytes) -> RoutingTable | None:
+    """Return the routing table of a configuration, or None where it is unreadable."""
+    model = validated(ConfigurationModel, value, "configuration_unreadable")
+    if model is None:
         return None
     return make_routing_table(
         version=model.version,
@@ -257,11 +267,8 @@
 
 def decode_upstream(name: str, value: bytes) -> UpstreamInstance | None:
     """Return an upstream, or None where the entry names none that can be used."""
-    try:
-        model = UpstreamModel.model_validate_json(value)
-    except ValidationError as error:
-        reason = describe_validation_error("entry", error)
-        log_event("upstream_entry_dropped", upstream=name, reason=reason)
+    model = validated(UpstreamModel, value, "upstream_entry_dropped", upstream=name)
+    if model is None:
         return None
     return UpstreamInstance(
         name=name,
@@ -330,11 +337,8 @@
 
 def decode_instance(name: str, value: bytes) -> EntryInstance | None:
     """Return an entry instance, or None where its record is unreadable."""
-    try:
-        model = InstanceModel.model_validate_json(value)
-    except ValidationError as error:
-        reason = describe_validation_error("instance", error)
-        log_event("instance_entry_dropped", instance=name, reason=reason)
+    model = validated(InstanceModel, value, "instance_entry_dropped", instance=name)
+    if model is None:
         return None
     return EntryInstance(
         name=name,
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -21,7 +21,7 @@
     AnswerArrived,
     AttemptCause,
     AttemptFailed,
-    EventsArrived,
+    EventArrived,
     Headers,
     MemoryCopy,
     RelayAnswer,
@@ -246,9 +246,7 @@
         await self.sink(StreamOpened(number, clock(), self.headers))
         async for block in read_events(self.response):
             await self.sink(
-                EventsArrived(
-                    number, clock(), block.payload, block.event_id, block.event_id
-                )
+                EventArrived(number, clock(), block.payload, block.event_id)
             )
         await self.sink(StreamFinished(number, clock()))
 
