A fault soak: real instances, links that fail, signals, and checks from outside

Change: benchmarks/soak plays a plan drawn from a seed. Instances run as processes and get SIGKILL, SIGSTOP, SIGTERM and SIGHUP; each link (to the store, to callers, to an upstream) goes over a loopback proxy that delays, resets, holds one direction back or both; the store is down, slow, silent, deaf, loses replies, history or lapsed entries; upstreams die, move, leave, refuse and fail, and come back with clocks an hour off. Twelve checks read what callers and upstreams saw, while it runs. Each has a case in the tests that it must find, cases that it must pass over, and a named mutation of the source.

Also: the store's stand-in waited on an event that nobody held, so that its silent calls were collected as garbage ("Task was destroyed"); it sleeps now.

--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real instances as processes, faults from outside, checks."""
--- /dev/null
+++ b/benchmarks/soak/callers.py
@@ -0,0 +1,228 @@
+"""Callers that keep their connections, leave early, and check what they get."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import re
+from dataclasses import dataclass, field
+
+import aiohttp
+import orjson
+
+from benchmarks.soak.history import Probe, SentRequest
+from benchmarks.soak.upstream import EVENTS, body_of, content_of
+from benchmarks.soak.world import InstanceProcess, World, version_path
+from tests.common.relay_parts import HOST, KEY, PATHS
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.platform.names import (
+    ENTRYPOINTS_PATH,
+    LAST_EVENT_ID,
+    REQUEST_ID,
+    WAIT_MS,
+)
+
+CALL_WAIT_S = 2.0
+STREAM_WAIT_S = 4.0
+"""The route's timeout: the relay waits no longer, whatever a caller says."""
+
+ANSWER_SLACK_S = 0.5
+"""How late a final answer may be, by the users' rules."""
+
+GIVE_UP_S = 3.0
+"""Time after the deadline at which a caller closes a connection without an answer."""
+
+LEAVE_SHARE = 0.12
+RESUME_SHARE = 0.15
+MEAN_PAUSE_S = 0.15
+KINDS = (
+    RequestKind.IDEMPOTENT,
+    RequestKind.NON_IDEMPOTENT,
+    RequestKind.RESUMABLE_STREAM,
+    RequestKind.STREAM,
+)
+WEIGHTS = (0.35, 0.3, 0.25, 0.1)
+RESOLVE_PAUSE_S = 0.5
+PROBE_PAUSE_S = 0.3
+EVENT = re.compile(rb"id: (\d+)\ndata: ([0-9a-f]+)\n\n")
+
+
+@dataclass(slots=True)
+class Callers:
+    """All callers; `known` are the instances that the system named last."""
+
+    world: World
+    rng: random.Random
+    known: list[InstanceProcess] = field(default_factory=list)
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    async def follow_entrypoints(self) -> None:
+        """Ask an instance again and again which instances to use."""
+        while True:
+            asked = self.rng.choice(self.world.instances)
+            url = f"http://{asked.host}:20003{ENTRYPOINTS_PATH}"
+            try:
+                async with self.world.session.get(url) as response:
+                    if response.status == 200:
+                        self.learn(orjson.loads(await response.read()))
+            except (aiohttp.ClientError, TimeoutError):
+                pass
+            await asyncio.sleep(RESOLVE_PAUSE_S)
+
+    def learn(self, answer: dict[str, list[str]]) -> None:
+        """Take over the addresses of an answer."""
+        hosts = {address.partition(":")[0] for address in answer["addresses"]}
+        found = [one for one in self.world.instances if one.host in hosts]
+        self.known = found or self.known
+
+    async def call_forever(self) -> None:
+        """Send one request after another over kept connections."""
+        connector = aiohttp.TCPConnector(keepalive_timeout=60.0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            while True:
+                await asyncio.sleep(self.rng.expovariate(1 / MEAN_PAUSE_S))
+                kind = self.rng.choices(KINDS, WEIGHTS)[0]
+                number = next(self.numbers)
+                path = f"{PATHS[kind]}subject-{number}"
+                request = await self.send(session, kind, path)
+                if (
+                    kind is RequestKind.RESUMABLE_STREAM
+                    and 0 < request.last_event < EVENTS
+                    and self.rng.random() < RESUME_SHARE
+                ):
+                    await self.send(session, kind, path, request.last_event)
+
+    async def send(
+        self,
+        session: aiohttp.ClientSession,
+        kind: RequestKind,
+        path: str,
+        resume_after: int = 0,
+    ) -> SentRequest:
+        """Send one request and note what came of it."""
+        instance = self.rng.choice(self.known or self.world.instances)
+        wait_s = STREAM_WAIT_S if kind.is_stream else CALL_WAIT_S
+        sent_at = self.world.now()
+        request_id = f"q{next(self.numbers)}"
+        request = SentRequest(
+            request_id, kind, instance.name, path, sent_at, sent_at + wait_s
+        )
+        request.last_event = resume_after
+        self.world.history.requests[request_id] = request
+        leaves_after_s = None
+        if self.rng.random() < LEAVE_SHARE:
+            leaves_after_s = self.rng.uniform(0.0, 1.0)
+        try:
+            async with asyncio.timeout(leaves_after_s):
+                async with asyncio.timeout(wait_s + GIVE_UP_S):
+                    await self.exchange(session, instance, request)
+        except TimeoutError:
+            if leaves_after_s is not None:
+                request.left_at = self.world.now()
+        except aiohttp.ClientError:
+            pass
+        request.ended_at = self.world.now()
+        return request
+
+    async def exchange(
+        self,
+        session: aiohttp.ClientSession,
+        instance: InstanceProcess,
+        request: SentRequest,
+    ) -> None:
+        """Send a request over the instance's link and read its answer."""
+        headers = caller_headers(request.request_id, request.deadline - request.sent_at)
+        if request.last_event:
+            headers[LAST_EVENT_ID] = str(request.last_event)
+        url = f"http://{instance.callers_link.address}{request.path}"
+        body = body_of(request.request_id)
+        async with session.post(url, headers=headers, data=body) as response:
+            request.status = response.status
+            answered = response.headers.get(REQUEST_ID, request.request_id)
+            if answered != request.request_id:
+                request.error = f"the answer is that of {answered!r}"
+            if response.status == 200 and request.kind.is_stream:
+                await self.read_events(response, request)
+            else:
+                data = await response.read()
+                request.is_whole = True
+                expected = content_of(request.path).encode()
+                if response.status == 200 and data != expected:
+                    request.error = f"body={data!r}"
+
+    async def read_events(
+        self, response: aiohttp.ClientResponse, request: SentRequest
+    ) -> None:
+        """Read a stream and check each event as it comes."""
+        left, heard_at = b"", self.world.now()
+        async for data in response.content.iter_any():
+            now = self.world.now()
+            request.longest_gap_s = max(request.longest_gap_s, now - heard_at)
+            left, heard_at = left + data, now
+            while (found := EVENT.match(left)) is not None:
+                left = left[found.end() :]
+                number = int(found[1])
+                expected = content_of(request.path, number).encode()
+                if number != request.last_event + 1 or found[2] != expected:
+                    request.error = f"event {number} after {request.last_event}"
+                request.last_event = number
+        request.is_whole = True
+        if left or request.last_event != EVENTS:
+            request.error = f"ended whole after event {request.last_event}, {left!r}"
+
+    async def probe_versions(self) -> None:
+        """Ask instances for the routes of versions, the newest one mostly."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await asyncio.sleep(PROBE_PAUSE_S)
+                instance = self.rng.choice(self.world.instances)
+                newest = self.world.version
+                version = self.rng.randint(max(1, newest - 2), newest)
+                await self.probe(session, instance, version)
+
+    async def probe(
+        self, session: aiohttp.ClientSession, instance: InstanceProcess, version: int
+    ) -> None:
+        """Ask one instance for a version's route."""
+        life, sent_at = instance.life, self.world.now()
+        request_id = f"q{next(self.numbers)}"
+        path = f"{version_path(version)}x"
+        request = SentRequest(
+            request_id,
+            RequestKind.IDEMPOTENT,
+            instance.name,
+            path,
+            sent_at,
+            sent_at + CALL_WAIT_S,
+        )
+        self.world.history.requests[request_id] = request
+        try:
+            async with asyncio.timeout(CALL_WAIT_S + GIVE_UP_S):
+                await self.exchange(session, instance, request)
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+        request.ended_at = self.world.now()
+        if request.status in (200, 404) and instance.life == life:
+            is_known = request.status == 200
+            probe = Probe(instance.name, life, version, sent_at, is_known)
+            self.world.history.probes.append(probe)
+
+
+def caller_headers(request_id: str, wait_s: float) -> dict[str, str]:
+    """Return the headers of a request."""
+    return {
+        "Host": HOST,
+        "Authorization": f"Bearer {KEY}",
+        REQUEST_ID: request_id,
+        WAIT_MS: str(round(wait_s * 1000)),
+    }
+
+
+def start_callers(world: World) -> None:
+    """Start all callers; they end with the world."""
+    callers = Callers(world, random.Random(f"soak-callers/{world.plan.seed}"))
+    jobs = [callers.follow_entrypoints(), callers.probe_versions()]
+    jobs += [callers.call_forever() for _ in range(world.plan.callers)]
+    for job in jobs:
+        world.tasks.add(asyncio.create_task(job))
--- /dev/null
+++ b/benchmarks/soak/mutations.py
@@ -0,0 +1,131 @@
+"""Broken promises to put into the code, each of which a check must find."""
+
+from __future__ import annotations
+
+import shutil
+from dataclasses import dataclass
+from pathlib import Path
+
+SOURCE = Path(__file__).parents[2] / "src"
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A change of one place in the source, and the check that must find it."""
+
+    name: str
+    check: str
+    file: str
+    old: str
+    new: str
+
+
+MUTATIONS = (
+    Mutation(
+        "broken-streams-look-whole",
+        "right_answers",
+        "api/relay.py",
+        'return f"broken_off: {reason}"',
+        'await self.write(b"", more=False)\n                return "broken_off"',
+    ),
+    Mutation(
+        "another-team-name-is-passed-on",
+        "passed_on_unchanged",
+        "platform/upstreams.py",
+        "headers.append((TEAM, routed.team))",
+        'headers.append((TEAM, "another"))',
+    ),
+    Mutation(
+        "everything-is-repeated",
+        "at_most_once",
+        "decisions/relay.py",
+        "if has_run and not self.kind.may_repeat:",
+        "if has_run and False:",
+    ),
+    Mutation(
+        "every-failure-is-told-as-not-run",
+        "true_refusals",
+        "api/relay.py",
+        "if failure.verdict is Verdict.NOT_RUN:",
+        "if failure.verdict is not None:",
+    ),
+    Mutation(
+        "the-first-configuration-stays",
+        "newest_configuration",
+        "decisions/routing.py",
+        "if self.table is not None and table.version <= self.table.version:",
+        "if self.table is not None:",
+    ),
+    Mutation(
+        "leaving-upstreams-are-used",
+        "nothing_to_leaving",
+        "platform/records.py",
+        'Lifecycle.LIVE if model.state == "ready" else Lifecycle.LEAVING',
+        "Lifecycle.LIVE",
+    ),
+    Mutation(
+        "a-stop-waits-for-no-request",
+        "planned_stops_cut_nothing",
+        "relay_serving.py",
+        "await frontend.idle.wait()",
+        "pass",
+    ),
+    Mutation(
+        "deadlines-are-passed-over",
+        "answered_in_time",
+        "decisions/relay_state.py",
+        "return min(self.request.deadline, by_route)",
+        "return self.request.arrived_at + 60.0",
+    ),
+    Mutation(
+        "repeats-cost-nothing",
+        "bounded_repeats",
+        "decisions/retries.py",
+        "if self.balance < 1:",
+        "if self.balance < -1e9:",
+    ),
+    Mutation(
+        "work-goes-on-without-its-caller",
+        "work_ends_with_callers",
+        "api/relay.py",
+        "        has_gone = True\n        body.cancel()",
+        "        has_gone = True",
+    ),
+    Mutation(
+        "a-reload-stops-the-instance-from-taking-requests",
+        "served_after_recovery",
+        "platform/node.py",
+        "instance.frontend.stop.limit_s = settings.stop_limit_s",
+        "instance.frontend.stop.ask(0.0)",
+    ),
+    Mutation(
+        "a-reload-ends-the-process",
+        "no_unexpected_exit",
+        "platform/node.py",
+        "instance.retries = settings.retries",
+        "raise SystemExit(3)",
+    ),
+)
+
+
+def apply(mutation: Mutation, source: Path) -> None:
+    """Change a copy of the source; raise where the place is not there just once."""
+    path = source / "turmericusher" / mutation.file
+    text = path.read_text()
+    count = text.count(mutation.old)
+    if count != 1:
+        raise ValueError(
+            f"mutation={mutation.name!r}: its old text is {count} times in "
+            f"{mutation.file}; bring it up to date"
+        )
+    path.write_text(text.replace(mutation.old, mutation.new))
+
+
+def mutated_source(name: str, folder: Path) -> Path:
+    """Return a copy of the source with a mutation in it."""
+    mutation = next(one for one in MUTATIONS if one.name == name)
+    source = folder / "src"
+    ignored = shutil.ignore_patterns("__pycache__")
+    shutil.copytree(SOURCE, source, ignore=ignored)
+    apply(mutation, source)
+    return source
--- /dev/null
+++ b/benchmarks/soak/proxy.py
@@ -0,0 +1,123 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+
+from turmericusher.standins.platform_upstream import reset
+
+CHUNK_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class Direction:
+    """One direction of a link; while it is not `open` bytes wait, as in a cut network.
+
+    `delay_s` is added to each chunk.
+    """
+
+    open: asyncio.Event = field(default_factory=asyncio.Event)
+    delay_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Begin open."""
+        self.open.set()
+
+
+@dataclass(slots=True)
+class Proxy:
+    """A link from `address` to `target`; both are `ip:port`."""
+
+    target: str
+    address: str = ""
+    refuses: bool = False
+    up: Direction = field(default_factory=Direction)
+    down: Direction = field(default_factory=Direction)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    def silence(self, *directions: Direction) -> None:
+        """Let no more bytes through in some directions."""
+        for direction in directions:
+            direction.open.clear()
+
+    def restore(self) -> None:
+        """Let everything through again, with what has waited."""
+        for direction in (self.up, self.down):
+            direction.open.set()
+            direction.delay_s = 0.0
+
+    def reset_all(self) -> None:
+        """Reset every connection."""
+        for writer in list(self.writers):
+            reset_quietly(writer)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Join one connection to a new one to the target."""
+        if self.refuses:
+            reset_quietly(writer)
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            reset_quietly(writer)
+            return
+        ends = {writer, far_writer}
+        self.writers |= ends
+        pumps = [
+            asyncio.create_task(pump(reader, far_writer, self.up)),
+            asyncio.create_task(pump(far_reader, writer, self.down)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+            for task, other in zip(pumps, (far_writer, writer), strict=True):
+                if task.done() and not task.cancelled() and task.exception():
+                    reset_quietly(other)
+        finally:
+            for task in pumps:
+                task.cancel()
+            await asyncio.gather(*pumps, return_exceptions=True)
+            for end in ends:
+                end.close()
+            self.writers -= ends
+
+
+async def pump(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: Direction
+) -> None:
+    """Carry bytes one way until their sender ends; raise where it resets."""
+    while True:
+        data = await reader.read(CHUNK_BYTES)
+        await direction.open.wait()
+        if direction.delay_s:
+            await asyncio.sleep(direction.delay_s)
+        if not data:
+            return
+        writer.write(data)
+        await writer.drain()
+
+
+def reset_quietly(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection that may have ended already."""
+    with suppress(OSError):
+        reset(writer)
+    writer.transport.abort()
+
+
+@asynccontextmanager
+async def running_proxy(target: str, host: str = "127.0.0.1") -> AsyncIterator[Proxy]:
+    """Run a link on a port that the system chooses."""
+    proxy = Proxy(target)
+    server = await asyncio.start_server(proxy.serve, host, 0)
+    proxy.address = f"{host}:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield proxy
+    finally:
+        server.close()
+        proxy.restore()
+        proxy.reset_all()
--- /dev/null
+++ b/benchmarks/soak/schedule.py
@@ -0,0 +1,168 @@
+"""The faults of one run, drawn from its seed; the same seed draws the same."""
+
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass
+
+LONGEST_PAUSE_S = 5.0
+MEAN_GAP_S = 0.8
+"""Mean time between two faults; they last longer than that and so overlap."""
+
+FIRST_AT_S = 1.0
+
+
+class SignalFault(enum.StrEnum):
+    """What is done to the process of an instance."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    STOP = "stop"
+    RELOAD = "reload"
+
+
+class LinkFault(enum.StrEnum):
+    """What is done to a link; a cut holds the bytes of one direction back."""
+
+    DELAY = "delay"
+    RESET = "reset"
+    CUT_UP = "cut_up"
+    CUT_DOWN = "cut_down"
+    SILENCE = "silence"
+
+
+class StoreFault(enum.StrEnum):
+    """What the store does; `LAPSE`: away until the upstreams' entries have lapsed."""
+
+    DOWN = "down"
+    SLOW = "slow"
+    SILENT = "silent"
+    DEAF = "deaf"
+    LOST_REPLIES = "lost_replies"
+    LOST_HISTORY = "lost_history"
+    LAPSE = "lapse"
+
+
+class UpstreamAct(enum.StrEnum):
+    """What happens to an upstream.
+
+    `DIE`: gone, and back as a new life whose clock may be behind. `MOVE`: the same, and
+    another upstream comes up at its address. `LEAVE`: marked, then gone, then back.
+    `SHED`: refuses. `FAIL`: answers with failures while its entry stays.
+    """
+
+    DIE = "die"
+    MOVE = "move"
+    LEAVE = "leave"
+    SHED = "shed"
+    FAIL = "fail"
+
+
+class LinkKind(enum.StrEnum):
+    """Which links a fault may hit."""
+
+    STORE = "store"
+    CALLERS = "callers"
+    UPSTREAM = "upstream"
+
+
+@dataclass(frozen=True, slots=True)
+class OnInstance:
+    """A signal to an instance."""
+
+    index: int
+    how: SignalFault
+
+
+@dataclass(frozen=True, slots=True)
+class OnLink:
+    """A fault of one link, which one being told by `link` and the part's `index`."""
+
+    link: LinkKind
+    index: int
+    how: LinkFault
+
+
+@dataclass(frozen=True, slots=True)
+class OnStore:
+    """A fault of the store."""
+
+    how: StoreFault
+
+
+@dataclass(frozen=True, slots=True)
+class OnUpstream:
+    """An upstream's fault; `clock_step_s` moves its clock at a restart."""
+
+    index: int
+    how: UpstreamAct
+    clock_step_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeConfiguration:
+    """The operator writes another version."""
+
+
+Fault = OnInstance | OnLink | OnStore | OnUpstream | ChangeConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """A fault at a time after the start of traffic, and how long it lasts."""
+
+    at_s: float
+    for_s: float
+    fault: Fault
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One run: its size and its faults in the order of time."""
+
+    seed: int
+    instances: int
+    upstreams: int
+    callers: int
+    duration_s: float
+    steps: tuple[Step, ...]
+
+
+def make_plan(seed: int, duration_s: float, size: float = 1.0) -> Plan:
+    """Draw a run; `size` scales the numbers of processes and callers."""
+    rng = random.Random(f"soak/{seed}")
+    instances = max(2, round(size * rng.randint(2, 5)))
+    upstreams = max(3, round(size * rng.randint(3, 9)))
+    callers = max(4, round(size * rng.randint(8, 20)))
+    # Each seed has its own mixture, so that some runs have many faults of a kind.
+    weights = [rng.uniform(0.1, 1.0) for _ in range(5)]
+    steps = []
+    at_s = FIRST_AT_S
+    while at_s < duration_s:
+        for_s = rng.uniform(0.05, LONGEST_PAUSE_S) * rng.random()
+        fault = draw_fault(rng, weights, instances, upstreams)
+        steps.append(Step(at_s, min(for_s, duration_s - at_s), fault))
+        at_s += rng.expovariate(1 / MEAN_GAP_S) * rng.choice((0.1, 1.0, 2.0))
+    return Plan(seed, instances, upstreams, callers, duration_s, tuple(steps))
+
+
+def draw_fault(
+    rng: random.Random, weights: list[float], instances: int, upstreams: int
+) -> Fault:
+    """Draw one fault."""
+    match rng.choices(range(5), weights)[0]:
+        case 0:
+            return OnInstance(rng.randrange(instances), rng.choice(list(SignalFault)))
+        case 1:
+            link = rng.choice(list(LinkKind))
+            count = upstreams if link is LinkKind.UPSTREAM else instances
+            return OnLink(link, rng.randrange(count), rng.choice(list(LinkFault)))
+        case 2:
+            return OnStore(rng.choice(list(StoreFault)))
+        case 3:
+            how = rng.choice(list(UpstreamAct))
+            step_s = rng.choice((0.0, -3600.0, 3600.0))
+            return OnUpstream(rng.randrange(upstreams), how, step_s)
+        case _:
+            return ChangeConfiguration()
--- /dev/null
+++ b/benchmarks/soak/world.py
@@ -0,0 +1,318 @@
+"""The parts of a run: store, upstreams and links in here, instances as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import orjson
+
+from benchmarks.soak.history import (
+    Disturbance,
+    History,
+    StoredChange,
+    UnexpectedExit,
+)
+from benchmarks.soak.proxy import Proxy, running_proxy
+from benchmarks.soak.schedule import Plan
+from benchmarks.soak.upstream import SoakUpstream
+from tests.common.relay_parts import DOMAINS, configuration, own_host
+from turmericusher.platform.names import (
+    CONFIGURATION_KEY,
+    READINESS_PATH,
+    SETTINGS_VARIABLE,
+    UPSTREAM_PREFIX,
+)
+from turmericusher.standins.platform_store import (
+    PlatformStoreStandin,
+    running_platform_store,
+)
+from turmericusher.standins.platform_upstream import running_standin
+
+GRACE_S = 4.0
+EXIT_SLACK_S = 1.0
+"""Beyond the grace: the platform kills at its end, and a busy machine is late."""
+
+APPLY_S = 3.0
+DRAIN_S = 3.0
+"""The users' bounds for a change and for a leaving upstream."""
+
+RETRY_RATIO = 0.2
+RETRY_SLACK = 30.0
+"""Smaller than the users', so that the few requests of a run can exceed it."""
+
+START_LIMIT_S = 40.0
+TEAM_NAME = "team-1"
+FIRST_BORN = 1_700_000_000_000
+"""Unix milliseconds at which the upstreams' first lives began."""
+
+POLL_S = 0.05
+ROOT = Path(__file__).parents[2]
+
+
+@dataclass(slots=True)
+class InstanceProcess:
+    """An instance, its links, and the process that runs it now; `life` counts them.
+
+    `is_expected_to_end` is set while a signal of ours is to end the process.
+    """
+
+    name: str
+    host: str
+    store_link: Proxy
+    callers_link: Proxy
+    settings_path: Path
+    log_path: Path
+    source: Path
+    life: int = 0
+    process: asyncio.subprocess.Process | None = None
+    is_expected_to_end: bool = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process is there."""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process; its output goes to the log."""
+        self.life += 1
+        self.is_expected_to_end = False
+        environment = os.environ | {
+            SETTINGS_VARIABLE: str(self.settings_path),
+            "PYTHONPATH": str(self.source),
+        }
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "turmericusher.platform",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it is there."""
+        if self.is_running:
+            assert self.process is not None
+            self.process.send_signal(number)
+
+    async def end(self) -> None:
+        """End the process at once, by its id."""
+        self.is_expected_to_end = True
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+
+@dataclass(slots=True)
+class UpstreamPart:
+    """An upstream with its link, and the entry that the store holds for it."""
+
+    index: int
+    standin: SoakUpstream
+    link: Proxy
+    life: int = 1
+    born: int = FIRST_BORN
+    state: str = "ready"
+    is_there: bool = True
+    sequence: int = 0
+
+    @property
+    def key(self) -> str:
+        """The key of the entry."""
+        return f"{UPSTREAM_PREFIX}{self.standin.name}"
+
+    def entry(self) -> bytes:
+        """Return the entry as the upstream writes it."""
+        self.sequence += 1
+        return orjson.dumps(
+            {
+                "service": "s",
+                "address": self.link.address,
+                "zone": DOMAINS[self.index % len(DOMAINS)],
+                "version": "v1",
+                "slots": 64,
+                "state": self.state,
+                "sequence": self.sequence,
+                "born": self.born,
+            }
+        )
+
+
+@dataclass(slots=True)
+class World:
+    """Everything that runs, and the history that it leaves."""
+
+    plan: Plan
+    rng: random.Random
+    store: PlatformStoreStandin
+    upstreams: list[UpstreamPart]
+    instances: list[InstanceProcess]
+    history: History
+    session: aiohttp.ClientSession
+    version: int = 0
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def now(self) -> float:
+        """Return the time of the run's clock."""
+        return asyncio.get_running_loop().time()
+
+    def disturb(self, subject: str, how: str) -> Disturbance:
+        """Note that a fault begins."""
+        disturbance = Disturbance(subject, how, self.now())
+        self.history.disturbances.append(disturbance)
+        return disturbance
+
+    def write_entry(self, part: UpstreamPart) -> None:
+        """Write an upstream's entry, or take it out where it is gone."""
+        store = self.store.store
+        if part.is_there:
+            store.write(part.key, part.entry())
+        elif part.key in store.values:
+            store.write(part.key, None)
+
+    def write_configuration(self) -> None:
+        """Write the next version; it knows a route for itself and for all before."""
+        self.version += 1
+        table = orjson.loads(configuration(self.version))
+        plain = table["routes"][0]
+        for version in range(1, self.version + 1):
+            route = {"name": f"version-{version}", "prefix": version_path(version)}
+            table["routes"].append(plain | route)
+        self.store.store.write(CONFIGURATION_KEY, orjson.dumps(table))
+        change = StoredChange("configuration", self.version, self.now())
+        self.history.changes.append(change)
+
+    async def is_ready(self, instance: InstanceProcess) -> bool:
+        """Ask an instance whether it takes requests."""
+        url = f"http://{instance.host}:20002{READINESS_PATH}"
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def wait_ready(self, instance: InstanceProcess) -> None:
+        """Wait until an instance takes requests or has ended."""
+        while True:
+            if not instance.is_running or await self.is_ready(instance):
+                return
+            await asyncio.sleep(POLL_S)
+
+    async def watch_exits(self) -> None:
+        """Note every process that ends without having been told to."""
+        seen: set[tuple[str, int]] = set()
+        while True:
+            for one in self.instances:
+                key = (one.name, one.life)
+                ended = one.process is not None and not one.is_running
+                if ended and not one.is_expected_to_end and key not in seen:
+                    seen.add(key)
+                    self.note_exit(one, "ended by itself")
+            await asyncio.sleep(POLL_S)
+
+    def note_exit(self, instance: InstanceProcess, text: str) -> None:
+        """Note an exit that should not have been."""
+        status = instance.process.returncode if instance.process else None
+        message = f"{text}, status={status}"
+        exits = self.history.exits
+        exits.append(UnexpectedExit(instance.name, self.now(), message))
+
+
+def version_path(version: int) -> str:
+    """Return the path that configurations from that version on know."""
+    return f"/version/{version}/"
+
+
+def settings_text(
+    name: str, index: int, host: str, caller_address: str, store: str
+) -> str:
+    """Return an instance's settings; `caller_address` is what callers are told."""
+    lines = {
+        "node_name": name,
+        "ip_address": host,
+        "zone": DOMAINS[index % len(DOMAINS)],
+        "listen_addresses.frontend": caller_address,
+        "listen_addresses.readiness": f"{host}:20002",
+        "listen_addresses.directory": f"{host}:20003",
+        "bounds.grace_s": GRACE_S,
+        "bounds.configuration_apply_ms": APPLY_S * 1000,
+        "bounds.retry_budget_ratio": RETRY_RATIO,
+        "bounds.budget_slack": RETRY_SLACK,
+        "platform.address": store,
+    }
+    return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
+async def make_upstream(
+    stack: AsyncExitStack, index: int, history: History
+) -> UpstreamPart:
+    """Start one upstream behind a link."""
+    standin = SoakUpstream(f"u{index}", history=history, team=TEAM_NAME)
+    standin.restart(FIRST_BORN)
+    await stack.enter_async_context(running_standin(standin))
+    link = await stack.enter_async_context(running_proxy(standin.address))
+    return UpstreamPart(index, standin, link)
+
+
+async def make_instance(
+    stack: AsyncExitStack, index: int, store: str, folder: Path, source: Path
+) -> InstanceProcess:
+    """Start one instance behind its links."""
+    name, host = f"entry-{index}", own_host()
+    store_link = await stack.enter_async_context(running_proxy(store))
+    address = f"{host}:20001"
+    callers_link = await stack.enter_async_context(running_proxy(address))
+    path = folder / f"{name}.conf"
+    path.write_text(settings_text(name, index, host, address, store_link.address))
+    instance = InstanceProcess(
+        name, host, store_link, callers_link, path, folder / f"{name}.log", source
+    )
+    stack.push_async_callback(instance.end)
+    await instance.start()
+    return instance
+
+
+@asynccontextmanager
+async def running_world(
+    plan: Plan, folder: Path, source: Path = ROOT / "src"
+) -> AsyncIterator[World]:
+    """Start everything, wait until it serves, and end all of it."""
+    history = History()
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(running_platform_store())
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(timeout=timeout)
+        )
+        upstreams = [
+            await make_upstream(stack, index, history)
+            for index in range(plan.upstreams)
+        ]
+        peers = {part.link.address: part.standin for part in upstreams}
+        rng = random.Random(f"soak-world/{plan.seed}")
+        world = World(plan, rng, store, upstreams, [], history, session)
+        for part in upstreams:
+            part.standin.peers = dict(peers)
+            world.write_entry(part)
+        world.write_configuration()
+        for index in range(plan.instances):
+            instance = await make_instance(stack, index, store.address, folder, source)
+            world.instances.append(instance)
+        async with asyncio.timeout(START_LIMIT_S):
+            await asyncio.gather(*map(world.wait_ready, world.instances))
+        try:
+            yield world
+        finally:
+            for task in world.tasks:
+                task.cancel()
+            await asyncio.gather(*world.tasks, return_exceptions=True)
--- a/src/turmericusher/standins/platform_store.py
+++ b/src/turmericusher/standins/platform_store.py
@@ -40,6 +40,8 @@
 
 LOOPBACK = "127.0.0.1"
 REFUSED_STATUS = 503
+SILENT_S = 3_600.0
+"""Longer than any test runs; a wait on nothing would be collected as garbage."""
 
 
 @dataclass(slots=True)
@@ -71,7 +73,7 @@
         name, _, argument = request.match_info["call"].partition("/")
         self.calls.append(name)
         if self.faults.silent:
-            await asyncio.Event().wait()
+            await asyncio.sleep(SILENT_S)
         try:
             return await self.take(name, argument, request)
         except StoreUnavailableError:
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -308,11 +308,18 @@
 ) -> AsyncIterator[UpstreamStandin]:
     """Run an upstream on a port that the system chooses."""
     standin = UpstreamStandin(name, **state)  # type: ignore[arg-type]
+    async with running_standin(standin):
+        yield standin
+
+
+@asynccontextmanager
+async def running_standin(standin: UpstreamStandin) -> AsyncIterator[None]:
+    """Serve for an upstream that was made before."""
     server = await asyncio.start_server(standin.serve, LOOPBACK, 0)
     standin.server = server
     port = server.sockets[0].getsockname()[1]
     standin.address = f"{LOOPBACK}:{port}"
     try:
-        yield standin
+        yield
     finally:
         server.close()
--- /dev/null
+++ b/tests/cover/test_soak.py
@@ -0,0 +1,238 @@
+"""The soak's own parts: its checks can fail, its seeds repeat, its links do harm."""
+
+import asyncio
+import itertools
+import math
+import tempfile
+from pathlib import Path
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from benchmarks.soak.checks import CHECKS, GONE_LEAST, RECOVERY_S, check_all
+from benchmarks.soak.history import (
+    STABLE_S,
+    Arrival,
+    Disturbance,
+    History,
+    Probe,
+    SentRequest,
+    StoredChange,
+    UnexpectedExit,
+)
+from benchmarks.soak.mutations import MUTATIONS, mutated_source
+from benchmarks.soak.proxy import running_proxy
+from benchmarks.soak.schedule import make_plan
+from benchmarks.soak.world import APPLY_S, DRAIN_S, RETRY_SLACK
+from tests.common.asynchronous import run_async
+from turmericusher.decisions.routing import RequestKind
+
+ENTRY, UPSTREAM = "entry-0", "u0"
+
+
+def request(kind=RequestKind.IDEMPOTENT, sent_at=100.0, **changes):
+    fields = {
+        "request_id": "q1",
+        "kind": kind,
+        "instance": ENTRY,
+        "path": "/x",
+        "sent_at": sent_at,
+        "deadline": sent_at + 2.0,
+        "ended_at": sent_at + 1.0,
+        "status": 200,
+        "is_whole": True,
+    }
+    return SentRequest(**(fields | changes))
+
+
+def arrival(at=100.1, **changes):
+    fields = {"request_id": "q1", "upstream": UPSTREAM, "at": at, "has_run": True}
+    return Arrival(**(fields | changes))
+
+
+def history(*requests, **changes):
+    return History({one.request_id: one for one in requests}, **changes)
+
+
+def repeated(count):
+    return [arrival(100.0 + number / 1000) for number in range(count + 1)]
+
+
+def left_requests(count, ended_after_s):
+    requests, arrivals = [], []
+    for number in range(count):
+        name = f"q{number}"
+        requests.append(request(request_id=name, is_whole=False, left_at=101.0))
+        arrivals.append(arrival(request_id=name, ended_at=101.0 + ended_after_s))
+    return history(*requests, arrivals=arrivals)
+
+
+ONCE = RequestKind.NON_IDEMPOTENT
+ACCEPTED = [
+    StoredChange("configuration", 1, 0.0),
+    StoredChange("configuration", 2, 50.0),
+]
+LATE = 50.0 + APPLY_S + 0.1
+STOP = Disturbance(ENTRY, "stop", 100.5, 104.0)
+CUT = request(is_whole=False, status=None)
+LEFT = StoredChange(UPSTREAM, 1, 100.0 - DRAIN_S)
+LEAVING = Disturbance(UPSTREAM, "leave", 100.0 - DRAIN_S, math.inf)
+
+BROKEN = {
+    "right_answers": history(request(error="event 3 after 1")),
+    "passed_on_unchanged": history(arrivals=[arrival(error="team='another'")]),
+    "at_most_once": history(request(ONCE), arrivals=[arrival(), arrival()]),
+    "true_refusals": history(request(ONCE, status=503), arrivals=[arrival()]),
+    "newest_configuration": history(
+        changes=ACCEPTED, probes=[Probe(ENTRY, 1, 2, LATE, False)]
+    ),
+    "nothing_to_leaving": history(
+        request(), arrivals=[arrival()], leavings=[LEFT], disturbances=[LEAVING]
+    ),
+    "planned_stops_cut_nothing": history(
+        CUT, arrivals=[arrival()], disturbances=[STOP]
+    ),
+    "answered_in_time": history(request(ended_at=102.6)),
+    "bounded_repeats": history(request(), arrivals=repeated(int(RETRY_SLACK) + 2)),
+    "work_ends_with_callers": left_requests(GONE_LEAST + 1, 0.6),
+    "served_after_recovery": history(
+        request(status=503), faults_end_at=100.0 - RECOVERY_S
+    ),
+    "no_unexpected_exit": history(exits=[UnexpectedExit(ENTRY, 1.0, "status=1")]),
+}
+
+REVERTED = history(
+    changes=ACCEPTED,
+    probes=[Probe(ENTRY, 1, 2, 51.0, True), Probe(ENTRY, 1, 2, 51.1, False)],
+)
+
+ALLOWED = {
+    "whole answers": history(request(), arrivals=[arrival()]),
+    "a repeat of what may repeat": history(request(), arrivals=[arrival(), arrival()]),
+    "a refusal of what did not run": history(
+        request(ONCE, status=503), arrivals=[arrival(has_run=False)]
+    ),
+    "a failure of what ran": history(request(ONCE, status=502), arrivals=[arrival()]),
+    "a change within its bound": history(
+        changes=ACCEPTED, probes=[Probe(ENTRY, 1, 2, LATE - 0.2, False)]
+    ),
+    "a change while the store was away": history(
+        changes=ACCEPTED,
+        probes=[Probe(ENTRY, 1, 2, LATE, False)],
+        disturbances=[Disturbance("store", "down", 49.0, 51.0)],
+    ),
+    "an older version in another life": history(
+        changes=ACCEPTED,
+        probes=[Probe(ENTRY, 1, 2, 51.0, True), Probe(ENTRY, 2, 2, 51.1, False)],
+    ),
+    "an upstream that is back": history(
+        request(),
+        arrivals=[arrival()],
+        leavings=[LEFT],
+        disturbances=[Disturbance(UPSTREAM, "leave", LEFT.at, 100.0)],
+    ),
+    "a stop beside another fault": history(
+        CUT,
+        arrivals=[arrival()],
+        disturbances=[STOP, Disturbance(ENTRY, "pause", 100.6, 100.7)],
+    ),
+    "a request that a stopping instance did not pass on": history(
+        CUT, disturbances=[STOP]
+    ),
+    "a late answer of a paused instance": history(
+        request(ended_at=102.6),
+        disturbances=[Disturbance(ENTRY, "pause", 100.0, 102.5)],
+    ),
+    "repeats within the budget": history(
+        request(), arrivals=repeated(int(RETRY_SLACK))
+    ),
+    "work that ended with its caller": left_requests(GONE_LEAST + 1, 0.4),
+    "a refusal before the recovery": history(request(status=503), faults_end_at=99.0),
+}
+
+
+class CheckTest(TestCase):
+    def test_every_check_has_a_case_and_a_mutation(self):
+        names = {check.__name__ for check in CHECKS}
+        self.assertEqual(names, set(BROKEN))
+        self.assertEqual(names, {mutation.check for mutation in MUTATIONS})
+
+    @parameterized.expand(BROKEN.items())
+    def test_a_broken_promise_is_found_by(self, name, seen):
+        self.assertEqual({name}, {finding.check for finding in check_all(seen)})
+
+    def test_a_version_that_goes_back_is_found(self):
+        found = [finding.check for finding in check_all(REVERTED)]
+        self.assertEqual(["newest_configuration"], found)
+
+    @parameterized.expand(ALLOWED.items())
+    def test_nothing_is_found_in(self, _, seen):
+        self.assertEqual([], check_all(seen))
+
+    @parameterized.expand(
+        [
+            ("before", 9.9, False),
+            ("during", 10.5, True),
+            ("just after", 11.0 + STABLE_S, True),
+            ("after", 11.1 + STABLE_S, False),
+        ]
+    )
+    def test_a_part_is_disturbed_until_some_time_after_a_fault(self, _, at, expected):
+        seen = history(disturbances=[Disturbance(ENTRY, "pause", 10.0, 11.0)])
+        self.assertEqual(expected, seen.disturbed(ENTRY, at, at))
+
+
+class MutationTest(TestCase):
+    @parameterized.expand([(mutation.name, mutation) for mutation in MUTATIONS])
+    def test_a_mutation_applies(self, _, mutation):
+        with tempfile.TemporaryDirectory() as folder:
+            source = mutated_source(mutation.name, Path(folder))
+            path = source / "turmericusher" / mutation.file
+            compile(path.read_text(), str(path), "exec")
+
+
+class PlanTest(TestCase):
+    def test_a_seed_draws_the_same_faults_again(self):
+        self.assertEqual(make_plan(7, 20.0), make_plan(7, 20.0))
+        self.assertNotEqual(make_plan(7, 20.0).steps, make_plan(8, 20.0).steps)
+
+    def test_faults_overlap_and_end_with_the_run(self):
+        steps = [step for seed in range(20) for step in make_plan(seed, 20.0).steps]
+        self.assertTrue(all(step.at_s + step.for_s <= 20.0 for step in steps))
+        pairs = itertools.pairwise(steps)
+        overlaps = sum(a.at_s <= b.at_s < a.at_s + a.for_s for a, b in pairs)
+        self.assertGreater(overlaps, len(steps) // 4)
+
+
+async def echo(reader, writer):
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+class ProxyTest(TestCase):
+    async def connected(self, stack_proxy):
+        host, _, port = stack_proxy.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    @run_async
+    async def test_a_link_holds_back_resets_and_refuses(self):
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        target = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with running_proxy(target) as proxy:
+            reader, writer = await self.connected(proxy)
+            for directions in ((proxy.up,), (proxy.down,), (proxy.up, proxy.down)):
+                proxy.silence(*directions)
+                writer.write(b"x")
+                with self.assertRaises(TimeoutError):
+                    await asyncio.wait_for(reader.read(1), 0.05)
+                proxy.restore()
+                self.assertEqual(b"x", await asyncio.wait_for(reader.read(1), 2.0))
+            proxy.reset_all()
+            with self.assertRaises(ConnectionResetError):
+                await asyncio.wait_for(reader.read(1), 2.0)
+            proxy.refuses = True
+            reader, writer = await self.connected(proxy)
+            with self.assertRaises(ConnectionResetError):
+                await asyncio.wait_for(reader.read(1), 2.0)
+        server.close()
