Guess the reading time of prompts by the route's target while none is measured

Cause: an instance that has measured no prompt yet took 1 s for one, the users' long prompts. Ruled out: engines that really were full; they had 64 places and three requests each.

Change: the first guess is 0.22 of the route's target, 1 s at most, which is 1 s for the users' routes as before. A guess is not kept until a prompt was measured, so that routes of one service with other targets do not share it.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -242,8 +242,7 @@
             attempt.first_event_at = event.at
             if attempt.prompts_before is not None:
                 first_s = event.at - attempt.started_at
-                reading = self.shared.reading_of(self.routed.service.name)
-                reading.learn(first_s, attempt.prompts_before)
+                self.learn_reading(first_s, attempt.prompts_before)
         attempt.heard_at = max(attempt.heard_at, event.at)
         attempt.events += 1
         self.shared.patience.heard(attempt.upstream.name, event.at)
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -114,8 +114,7 @@
         """
         if self.may_have_run or not before:
             return False
-        reading = self.shared.reading_of(self.routed.service.name)
-        wait_s = reading.first_event_s(before)
+        wait_s = self.reading().first_event_s(before)
         return wait_s > self.time_to_target(now)
 
     def time_to_target(self, now: float) -> float:
@@ -130,7 +129,7 @@
         which to be served.
         """
         self.shared.totals.late_refusals += 1
-        reading = self.shared.reading_of(self.routed.service.name)
+        reading = self.reading()
         reading_s, left_s = reading.mean_s, self.time_to_target(now)
         late_s = reading.first_event_s(before) - left_s
         useful_s = max(LEAST_RETRY_S, left_s - 2 * reading_s)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -16,7 +16,7 @@
     RelayedRequest,
 )
 from turmericusher.decisions.retries import RetryBudget
-from turmericusher.decisions.room import ReadingTime, RecentPlacements
+from turmericusher.decisions.room import ReadingTime, RecentPlacements, guessed_reading
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.selection import PickRequest, Selector
 from turmericusher.errors import ErrorCode, Verdict
@@ -123,9 +123,20 @@
             self.budgets[service] = budget
         return budget
 
-    def reading_of(self, service: str) -> ReadingTime:
-        """Return how long the engines of a service take to read one prompt."""
-        return self.readings.setdefault(service, ReadingTime())
+    def reading_of(self, service: str, target_latency_s: float) -> ReadingTime:
+        """Return how long the engines of a service take to read one prompt.
+
+        Routes may differ in their targets, so a guess is made anew for each request.
+        """
+        return self.readings.get(service) or guessed_reading(target_latency_s)
+
+    def learn_reading(
+        self, service: str, target_latency_s: float, first_event_s: float, before: int
+    ) -> None:
+        """Take in the wait for a first event behind so many prompts."""
+        reading = self.reading_of(service, target_latency_s)
+        reading.learn(first_event_s, before)
+        self.readings[service] = reading
 
     def set_budgets(self, ratio: float, reserve: float) -> None:
         """Change what every budget allows, as when the fleet grows or shrinks."""
@@ -282,8 +293,20 @@
         """Return whether any attempt may have run."""
         return Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
 
+    def reading(self) -> ReadingTime:
+        """Return how long the engines of the request's service read one prompt."""
+        routed = self.routed
+        target_s = routed.route.target_latency_s
+        return self.shared.reading_of(routed.service.name, target_s)
+
     # Commands.
 
+    def learn_reading(self, first_event_s: float, before: int) -> None:
+        """Note how long a first event took behind so many prompts."""
+        routed = self.routed
+        target_s = routed.route.target_latency_s
+        self.shared.learn_reading(routed.service.name, target_s, first_event_s, before)
+
     def cancel_all(self) -> list[RelayAction]:
         """Cancel every attempt that still runs."""
         actions: list[RelayAction] = []
--- a/src/turmericusher/decisions/room.py
+++ b/src/turmericusher/decisions/room.py
@@ -44,6 +44,10 @@
 FIRST_READING_S = 1.0
 """Time to read one prompt while none has been measured: the users' long prompts."""
 
+FIRST_READING_SHARE = 0.22
+"""The same as a part of the target latency, which is 4.5 s for those prompts: a route
+with a short target has short prompts."""
+
 FASTER_SMOOTHING = 1 / 4
 SLOWER_SMOOTHING = 1 / 16
 """A sample above the estimate often holds waits behind prompts that others placed
@@ -58,7 +62,7 @@
     before it and its own.
     """
 
-    mean_s: float = FIRST_READING_S
+    mean_s: float
 
     def learn(self, first_event_s: float, before: int) -> None:
         """Take in the wait for a first event behind so many prompts."""
@@ -72,6 +76,11 @@
         return (before + 1) * self.mean_s
 
 
+def guessed_reading(target_latency_s: float) -> ReadingTime:
+    """Return what to go by while no prompt has been measured."""
+    return ReadingTime(min(FIRST_READING_S, FIRST_READING_SHARE * target_latency_s))
+
+
 def prompts_before(
     report: UpstreamReport, placements: RecentPlacements, name: str, now: float
 ) -> int:
--- a/src/turmericusher/standins/platform_store.py
+++ b/src/turmericusher/standins/platform_store.py
@@ -69,7 +69,10 @@
     address: str = ""
 
     async def answer(self, request: web.Request) -> web.StreamResponse:
-        """Answer any call, with the faults that are switched on."""
+        """Answer any call, with the faults that are switched on.
+
+        Nothing of an answer is sent where the connection was aborted before.
+        """
         name, _, argument = request.match_info["call"].partition("/")
         self.calls.append(name)
         if self.faults.silent:
@@ -81,7 +84,7 @@
         except StoreOutcomeUnknownError:
             if request.transport is not None:
                 request.transport.abort()
-            raise
+            return web.Response(status=REFUSED_STATUS)
 
     async def take(
         self, name: str, argument: str, request: web.Request
