Urgency on the platform's role: told by team or route, passed on, waited for apart

Cause: routes and teams say how urgent their requests are, and the platform's role took all alike: engines heard no priority, so that nothing overtook in their queues, and a less urgent stream was judged by the same reading time.

Change: the routing table holds the urgency of routes and of those teams that have their own, which goes first. Engines get it with each attempt. The time that a stream waits for each prompt before it is learned for each urgency: urgent ones overtake, the others wait longer and are refused sooner under load. Figures out of the range are taken as its ends.

Also the soak: faults that end the same upstream no longer overlap, and what is seen at an upstream is noted under its place.

--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -134,7 +134,7 @@
     """Harm a link for a time."""
     if fault.link is LinkKind.UPSTREAM:
         part = world.upstreams[fault.index]
-        link, subject = part.link, part.standin.name
+        link, subject = part.link, part.standin.part
     else:
         instance = world.instances[fault.index]
         subject = instance.name
@@ -200,9 +200,10 @@
 async def harm_upstream(fault: OnUpstream, world: World, step: Step) -> None:
     """Let an upstream end, leave or fail, and be well again."""
     part = world.upstreams[fault.index]
-    if not part.is_there:
+    is_end = fault.how not in (UpstreamAct.SHED, UpstreamAct.FAIL)
+    if is_end and part.is_ending:
         return
-    disturbance = world.disturb(part.standin.name, fault.how.value)
+    disturbance = world.disturb(part.standin.part, fault.how.value)
     match fault.how:
         case UpstreamAct.SHED:
             part.standin.sheds = True
@@ -213,9 +214,11 @@
             await asyncio.sleep(step.for_s)
             part.standin.fails = False
         case _:
+            part.is_ending = True
             if fault.how is UpstreamAct.LEAVE:
                 await leave(world, part)
             await end_and_return(fault, world, part, step.for_s)
+            part.is_ending = False
     disturbance.ends = world.now()
 
 
@@ -223,7 +226,7 @@
     """Mark an upstream as leaving, and let it end its work."""
     part.state = "draining"
     world.write_entry(part)
-    mark = StoredChange(part.standin.name, part.life, world.now())
+    mark = StoredChange(part.standin.part, part.life, world.now())
     world.history.leavings.append(mark)
     await asyncio.sleep(LEAVING_S)
 
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -48,10 +48,14 @@
 
 @dataclass(slots=True)
 class SoakUpstream(UpstreamStandin):
-    """Answers by content; `sheds` and `fails` are switched on from outside."""
+    """Answers by content; `sheds` and `fails` are switched on from outside.
+
+    `part` is its place in the world, which it keeps when another name comes up there.
+    """
 
     history: History = field(default_factory=History)
     team: str = ""
+    part: str = ""
     sheds: bool = False
     fails: bool = False
 
@@ -75,7 +79,7 @@
         """Note the arrival and answer it until the sender is gone."""
         loop = asyncio.get_running_loop()
         request_id = call.headers.get(REQUEST_ID, "")
-        arrival = Arrival(request_id, self.name, loop.time())
+        arrival = Arrival(request_id, self.part, loop.time())
         self.history.arrivals.append(arrival)
         if call.headers.get(TARGET_UPSTREAM, self.name) != self.name:
             writer.write(head(421, {}))
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -124,6 +124,7 @@
     born: int = FIRST_BORN
     state: str = "ready"
     is_there: bool = True
+    is_ending: bool = False
     sequence: int = 0
 
     @property
@@ -257,7 +258,8 @@
     stack: AsyncExitStack, index: int, history: History
 ) -> UpstreamPart:
     """Start one upstream behind a link."""
-    standin = SoakUpstream(f"u{index}", history=history, team=TEAM_NAME)
+    name = f"u{index}"
+    standin = SoakUpstream(name, history=history, team=TEAM_NAME, part=name)
     standin.restart(FIRST_BORN)
     await stack.enter_async_context(running_standin(standin))
     link = await stack.enter_async_context(running_proxy(standin.address))
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -100,15 +100,17 @@
 class RelayShared:
     """What all relayed requests of an instance decide with.
 
-    `budgets` holds the retries that each service still allows; `budget_ratio` and
-    `budget_reserve` make the budget of a service seen for the first time.
+    `readings` holds the time to read one prompt, by service and urgency: engines take
+    the urgent ones first, so the others wait longer. `budgets` holds the retries that
+    each service still allows; `budget_ratio` and `budget_reserve` make the budget of a
+    service seen for the first time.
     """
 
     selector: Selector
     random: random.Random
     patience: Patience = field(default_factory=Patience)
     placements: RecentPlacements = field(default_factory=RecentPlacements)
-    readings: dict[str, ReadingTime] = field(default_factory=dict)
+    readings: dict[tuple[str, int], ReadingTime] = field(default_factory=dict)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     budget_ratio: float = 0.2
     budget_reserve: float = 10.0
@@ -123,21 +125,6 @@
             self.budgets[service] = budget
         return budget
 
-    def reading_of(self, service: str, target_latency_s: float) -> ReadingTime:
-        """Return how long the engines of a service take to read one prompt.
-
-        Routes may differ in their targets, so a guess is made anew for each request.
-        """
-        return self.readings.get(service) or guessed_reading(target_latency_s)
-
-    def learn_reading(
-        self, service: str, target_latency_s: float, first_event_s: float, before: int
-    ) -> None:
-        """Take in the wait for a first event behind so many prompts."""
-        reading = self.reading_of(service, target_latency_s)
-        reading.learn(first_event_s, before)
-        self.readings[service] = reading
-
     def set_budgets(self, ratio: float, reserve: float) -> None:
         """Change what every budget allows, as when the fleet grows or shrinks."""
         self.budget_ratio, self.budget_reserve = ratio, reserve
@@ -294,18 +281,24 @@
         return Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
 
     def reading(self) -> ReadingTime:
-        """Return how long the engines of the request's service read one prompt."""
-        routed = self.routed
-        target_s = routed.route.target_latency_s
-        return self.shared.reading_of(routed.service.name, target_s)
+        """Return how long a request of this urgency waits for each prompt before it.
+
+        Routes differ in their targets, so a guess is made anew for each request.
+        """
+        known = self.shared.readings.get(self.reading_key())
+        return known or guessed_reading(self.routed.route.target_latency_s)
+
+    def reading_key(self) -> tuple[str, int]:
+        """Return what requests share their reading time: service and urgency."""
+        return self.routed.service.name, self.routed.urgency
 
     # Commands.
 
     def learn_reading(self, first_event_s: float, before: int) -> None:
         """Note how long a first event took behind so many prompts."""
-        routed = self.routed
-        target_s = routed.route.target_latency_s
-        self.shared.learn_reading(routed.service.name, target_s, first_event_s, before)
+        reading = self.reading()
+        reading.learn(first_event_s, before)
+        self.shared.readings[self.reading_key()] = reading
 
     def cancel_all(self) -> list[RelayAction]:
         """Cancel every attempt that still runs."""
--- a/src/turmericusher/decisions/routing.py
+++ b/src/turmericusher/decisions/routing.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from turmericusher.errors import ErrorCode, RequestRefusedError
+from turmericusher.profiles import NORMAL_URGENCY
 
 NO_CONFIGURATION_RETRY_S = 0.5
 """Seconds after which an instance that has just started has usually read its
@@ -52,7 +53,8 @@
     `timeout_s` bounds the whole answer. `target_latency_s` is when an answer, or the
     first event of a stream, should have come. `longest_gap_s` is the pause between two
     events that callers accept. `max_attempts` bounds the upstreams that one request is
-    sent to. `needs_team` is False where callers need no key.
+    sent to. `needs_team` is False where callers need no key. `urgency` is that of a
+    profile: 0 is the most urgent.
     """
 
     name: str
@@ -65,6 +67,7 @@
     longest_gap_s: float = 1.0
     max_attempts: int = 1
     needs_team: bool = True
+    urgency: int = NORMAL_URGENCY
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,12 +94,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
-    """Where a request goes; `team` is empty on a route that needs none."""
+    """Where a request goes; `team` is empty on a route that needs none.
+
+    `urgency` is the team's own, or else the route's.
+    """
 
     route: Route
     service: ServiceTraits
     team: str
     version: int
+    urgency: int = NORMAL_URGENCY
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +111,8 @@
     """One version of the configuration.
 
     `by_host` holds each host's routes, the longest prefix first. `team_of_key` is None
-    where the deployment has no teams.
+    where the deployment has no teams. `team_urgency` holds those teams whose urgency
+    goes before that of the routes.
     """
 
     version: int
@@ -112,6 +120,7 @@
     services: Mapping[str, ServiceTraits]
     team_of_key: Mapping[str, str] | None = None
     limits: RequestLimits = field(default_factory=RequestLimits)
+    team_urgency: Mapping[str, int] = field(default_factory=dict)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, or None."""
@@ -133,7 +142,8 @@
         team = self.team_for(route, key)
         service = choose_service(route.services, rng)
         traits = self.services.get(service) or ServiceTraits(service)
-        return RoutedRequest(route, traits, team, self.version)
+        urgency = self.team_urgency.get(team, route.urgency)
+        return RoutedRequest(route, traits, team, self.version, urgency)
 
     def team_for(self, route: Route, key: str | None) -> str:
         """Return the team that holds a key; raise where one is needed and missing."""
@@ -187,6 +197,7 @@
     services: Iterable[ServiceTraits],
     team_of_key: Mapping[str, str] | None = None,
     limits: RequestLimits | None = None,
+    team_urgency: Mapping[str, int] | None = None,
 ) -> RoutingTable:
     """Return a table with each host's routes in the order of matching."""
     by_host: dict[str, list[Route]] = {}
@@ -202,4 +213,5 @@
         services={service.name: service for service in services},
         team_of_key=team_of_key,
         limits=limits or RequestLimits(),
+        team_urgency=team_urgency or {},
     )
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -16,6 +16,9 @@
 TARGET_UPSTREAM = "x-target-instance"
 TEAM = "x-tenant-name"
 
+# 0 is the most urgent; engines take 5 where it is absent.
+URGENCY = "x-request-priority"
+
 # The address of the upstream that is to hold the standby copy.
 STANDBY_ADDRESS = "x-cache-backup"
 
@@ -34,7 +37,7 @@
         "kv-fetch",
         "x-cache-hold",
         "x-pin-milliseconds",
-        "x-request-priority",
+        URGENCY,
         "x-expected-version",
     }
 )
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -40,7 +40,12 @@
     UPSTREAM_PREFIX,
 )
 from turmericusher.platform.settings import MILLISECONDS_PER_S
-from turmericusher.profiles import describe_validation_error
+from turmericusher.profiles import (
+    LEAST_URGENT,
+    MOST_URGENT,
+    NORMAL_URGENCY,
+    describe_validation_error,
+)
 from turmericusher.settings import check_address
 from turmericusher.tasks.relay_fleet import (
     ConfigurationRecord,
@@ -82,6 +87,7 @@
     max_attempts: StrictInt = 1
     public_access: StrictBool = False
     stream_resumption: StrictBool = False
+    priority: StrictInt = NORMAL_URGENCY
 
 
 class EngineModel(WireModel):
@@ -109,10 +115,11 @@
 
 
 class TeamModel(WireModel):
-    """One team and its keys."""
+    """One team and its keys; `priority` goes before that of a route."""
 
     name: StrictStr
     access_keys: tuple[StrictStr, ...] = ()
+    priority: StrictInt | None = None
 
 
 class ConfigurationModel(WireModel):
@@ -210,6 +217,7 @@
         services=[decode_service(service) for service in model.services],
         team_of_key=team_of_key(model),
         limits=RequestLimits(model.limits.max_body_bytes),
+        team_urgency=team_urgency(model),
     )
 
 
@@ -220,6 +228,20 @@
     return {key: team.name for team in model.tenants for key in team.access_keys}
 
 
+def team_urgency(model: ConfigurationModel) -> dict[str, int]:
+    """Return the urgency of each team that has one of its own."""
+    return {
+        team.name: urgency_of(team.priority)
+        for team in model.tenants or ()
+        if team.priority is not None
+    }
+
+
+def urgency_of(priority: int) -> int:
+    """Return a priority as an urgency; the wire sets no bounds."""
+    return min(max(priority, MOST_URGENT), LEAST_URGENT)
+
+
 def decode_route(model: RouteModel) -> Route:
     """Return a route."""
     if model.service is not None:
@@ -240,6 +262,7 @@
         longest_gap_s=model.target_gap_ms / MILLISECONDS_PER_S,
         max_attempts=max(1, model.max_attempts),
         needs_team=not model.public_access,
+        urgency=urgency_of(model.priority),
     )
 
 
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -49,6 +49,7 @@
     STANDBY_ADDRESS,
     TARGET_UPSTREAM,
     TEAM,
+    URGENCY,
     WAIT_MS,
 )
 from turmericusher.platform.records import (
@@ -308,6 +309,8 @@
     ]
     if routed.team:
         headers.append((TEAM, routed.team))
+    if routed.service.reports_load:
+        headers.append((URGENCY, str(routed.urgency)))
     if start.copy is not None:
         source = f"{start.copy.source_address}/{start.copy.handle}"
         headers.append((COPY_SOURCE, source))
--- a/src/turmericusher/profiles.py
+++ b/src/turmericusher/profiles.py
@@ -26,6 +26,12 @@
     WHEN_DEAD = "when_dead"
 
 
+MOST_URGENT = 0
+NORMAL_URGENCY = 5
+LEAST_URGENT = 9
+"""The range of urgencies, which is that of engines' priorities."""
+
+
 @dataclass(frozen=True, slots=True)
 class Profile:
     """What a class of requests needs.
@@ -44,7 +50,7 @@
     name: str
     idempotent: bool = True
     max_wait_s: float = 30.0
-    urgency: int = 5
+    urgency: int = NORMAL_URGENCY
     second_attempt: SecondAttempt = SecondAttempt.WHEN_DEAD
     stall_floor_s: float = 0.25
     stall_cap_s: float = 1.5
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -29,6 +29,7 @@
 from turmericusher.platform.names import CONFIGURATION_KEY, UPSTREAM_PREFIX
 from turmericusher.platform.node import running_node
 from turmericusher.platform.settings import NodeSettings
+from turmericusher.profiles import NORMAL_URGENCY
 from turmericusher.relay_serving import RelayInstance
 from turmericusher.standins.platform_store import (
     PlatformStoreStandin,
@@ -90,6 +91,7 @@
     deadline: float = 10.0,
     arrived_at: float = 0.0,
     reports_load: bool = False,
+    urgency: int = NORMAL_URGENCY,
     **changes: object,
 ) -> Relay:
     """Return the decisions for one request that has arrived."""
@@ -107,7 +109,7 @@
         resume_after=resume_after,
     )
     service = ServiceTraits(SERVICE, 8, kind.is_stream, reports_load, reports_load)
-    routed = RoutedRequest(make_route(kind, **changes), service, "team", 1)
+    routed = RoutedRequest(make_route(kind, **changes), service, "team", 1, urgency)
     return make_relay(request, routed, shared)
 
 
--- a/tests/cover/test_relay_load.py
+++ b/tests/cover/test_relay_load.py
@@ -10,7 +10,9 @@
     StartRelay,
     UpstreamReport,
 )
+from turmericusher.decisions.room import ReadingTime
 from turmericusher.decisions.routing import RequestKind
+from turmericusher.profiles import NORMAL_URGENCY
 
 
 class OverloadTest(TestCase):
@@ -32,9 +34,8 @@
 
     def test_a_service_with_short_prompts_is_not_judged_by_one_with_long_ones(self):
         shared = make_shared(1)
-        for _ in range(50):
-            shared.learn_reading("long", 0.5, 2.0, 0)
-            shared.learn_reading(SERVICE, 0.5, 0.02, 0)
+        shared.readings["long", NORMAL_URGENCY] = ReadingTime(2.0)
+        shared.readings[SERVICE, NORMAL_URGENCY] = ReadingTime(0.02)
         relay = started_relay(
             RequestKind.RESUMABLE_STREAM,
             shared,
--- /dev/null
+++ b/tests/cover/test_relay_urgency.py
@@ -0,0 +1,93 @@
+"""How urgent a request is: who says so, who hears of it, and what it changes."""
+
+import random
+
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.relay_parts import (
+    HOST,
+    KEY,
+    SERVICE,
+    configuration,
+    make_shared,
+    started_relay,
+)
+from turmericusher.decisions.generation_messages import Fail
+from turmericusher.decisions.relay_messages import (
+    LoadsReported,
+    StartRelay,
+    UpstreamReport,
+)
+from turmericusher.decisions.room import ReadingTime
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.platform.names import URGENCY
+from turmericusher.platform.records import decode_configuration
+from turmericusher.platform.upstreams import attempt_headers
+from turmericusher.profiles import NORMAL_URGENCY
+
+PATH = "/resumable/x"
+TARGET_S = 4.5
+
+
+def admitted(route_priority, team_priority):
+    plain = {"name": "r", "host": HOST, "prefix": "/resumable/", "kind": "streaming",
+             "timeout_ms": 4_000, "service": SERVICE}  # fmt: skip
+    team = {"name": "team-1", "access_keys": [KEY]}
+    if route_priority is not None:
+        plain["priority"] = route_priority
+    if team_priority is not None:
+        team["priority"] = team_priority
+    table = decode_configuration(configuration(routes=[plain], tenants=[team]))
+    return table.admit(HOST, PATH, KEY, random.Random(1))
+
+
+def relay_of(urgency, shared):
+    return started_relay(
+        RequestKind.RESUMABLE_STREAM,
+        shared,
+        reports_load=True,
+        urgency=urgency,
+        target_latency_s=TARGET_S,
+    )
+
+
+class UrgencyTest(TestCase):
+    @parameterized.expand(
+        [
+            ("nobody", None, None, NORMAL_URGENCY),
+            ("the route", 2, None, 2),
+            ("the team before the route", 2, 7, 7),
+            ("a team at the top", 2, 0, 0),
+            ("a figure out of range", 12, None, 9),
+            ("a figure below the range", -1, None, 0),
+        ]
+    )
+    def test_the_urgency_is_told_by(self, _, route, team, expected):
+        self.assertEqual(expected, admitted(route, team).urgency)
+
+    @parameterized.expand([("an engine", True, ["2"]), ("a plain service", False, [])])
+    def test_the_urgency_is_passed_on_to(self, _, reports_load, expected):
+        relay = started_relay(
+            RequestKind.RESUMABLE_STREAM,
+            make_shared(),
+            reports_load=reports_load,
+            urgency=2,
+        )
+        start = relay.start_on(relay.next_upstream(0.0), 0.0)
+        headers = attempt_headers(start, relay.request, relay.routed, 0.0)
+        self.assertEqual(
+            expected, [value for name, value in headers if name == URGENCY]
+        )
+
+    @parameterized.expand([("the urgent one", 1, StartRelay), ("the other", 5, Fail)])
+    def test_each_urgency_has_its_own_wait(self, _, urgency, expected):
+        # Load: urgent streams overtake the others, whose wait is therefore longer.
+        shared = make_shared(1)
+        shared.readings[SERVICE, 1] = ReadingTime(0.5)
+        shared.readings[SERVICE, 5] = ReadingTime(1.5)
+        relay = relay_of(urgency, shared)
+        relay.start(0.0)
+        reports = {"u0": UpstreamReport("1", 1, 2, 0, 88_000, {})}
+        (action,) = relay.handle(LoadsReported(0.0, reports), 0.0)
+        self.assertIsInstance(action, expected)
