--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -122,10 +122,13 @@
 
 async def restart(world: World, instance: InstanceProcess, after_s: float) -> None:
     """Start a process again and wait until it serves."""
-    await asyncio.sleep(after_s)
-    if instance.is_running:
+    if instance.is_restarting:
         return
-    await instance.start()
+    instance.is_restarting = True
+    await asyncio.sleep(after_s)
+    if not instance.is_running:
+        await instance.start()
+    instance.is_restarting = False
     await world.wait_ready(instance)
 
 
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -75,6 +75,7 @@
     life: int = 0
     process: asyncio.subprocess.Process | None = None
     is_expected_to_end: bool = False
+    is_restarting: bool = False
 
     @property
     def is_running(self) -> bool:
@@ -83,14 +84,12 @@
 
     async def start(self) -> None:
         """Start the process; its output goes to the log."""
-        self.life += 1
-        self.is_expected_to_end = False
         environment = os.environ | {
             SETTINGS_VARIABLE: str(self.settings_path),
             "PYTHONPATH": str(self.source),
         }
         with self.log_path.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            started = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "turmericusher.platform",
@@ -98,6 +97,9 @@
                 stdout=log,
                 stderr=log,
             )
+        # At once, so that nobody sees the old process as one that nobody ended.
+        self.process, self.is_expected_to_end = started, False
+        self.life += 1
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is there."""
