Ask the holders of copies whether they still have them

Load: failure domains of engines that crash in turn, every 6 s or so.

The store's list shows a crash 3.6 s late and more, and a copy is missed only when the stream's own engine is lost too.

Ruled out: late notice of the stream's own engine (403 of 416 went on from a copy where there was one), copies that found no room (17).

Change: while a stream runs, the holder of its copy is asked each 1.5 s for its report, once for all streams of the instance that have copies there and at most 20 times a second in all. One that does not answer, or answers as another life, counts as lost until the list shows another life; a copy is made in another domain at once, and no standby is chosen there.

The tests failed before; one found that the lost holder was asked for the new copy.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -23,6 +23,7 @@
     DeliverEvents,
     EndStream,
     EventArrived,
+    HolderChecked,
     LoadsReported,
     MemoryCopied,
     ProbeUpstream,
@@ -255,7 +256,11 @@
         self.has_delivered = True
         self.may_have_run = True
         self.position = event.event_id
-        return [DeliverEvents(event.payload, headers), *self.renew_copy(attempt, now)]
+        return [
+            DeliverEvents(event.payload, headers),
+            *self.check_holder(attempt, now),
+            *self.renew_copy(attempt, now),
+        ]
 
     def finish(self, attempt: RelayAttempt, now: float) -> list[RelayAction]:
         """Note an attempt that ended well, and end the others."""
@@ -329,10 +334,20 @@
     attempt.is_copying = False
     if event.copy is not None:
         attempt.copy, attempt.copied_at = event.copy, event.at
+        relay.shared.holders.note_seen(event.copy.holder, now)
         relay.shared.totals.copies_renewed += 1
     return []
 
 
+@take.register
+def take_holder(
+    event: HolderChecked, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Have another copy made at once where the holder of the last one is lost."""
+    relay.note_holder(event)
+    return relay.renew_copy(attempt, now)
+
+
 @take.register
 def take_probe(
     event: UpstreamProbed, relay: Relay, attempt: RelayAttempt, now: float
--- a/src/turmericusher/decisions/relay_copies.py
+++ b/src/turmericusher/decisions/relay_copies.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 
 from turmericusher.decisions.relay_messages import (
+    CheckHolder,
     CopyMemory,
+    HolderChecked,
     RelayAction,
     ReleaseCopy,
 )
@@ -36,7 +38,7 @@
             return []
         if not self.routed.service.moves_copies:
             return []
-        is_held = attempt.copy is not None and self.holds_copy(attempt.copy)
+        is_held = attempt.copy is not None and self.is_there(attempt.copy.holder)
         if is_held and now - (attempt.copied_at or now) < COPY_RENEWAL_S:
             return []
         if now - (attempt.copy_asked_at or -COPY_RETRY_S) < COPY_RETRY_S:
@@ -48,6 +50,29 @@
         attempt.is_copying, attempt.copy_asked_at = True, now
         return [CopyMemory(attempt.number, attempt.upstream, target)]
 
+    def check_holder(self, attempt: RelayAttempt, now: float) -> list[RelayAction]:
+        """Ask the holder of an attempt's copy whether it is still there, if it is time.
+
+        One that started again, or whose address another upstream has, is listed as
+        before for some seconds.
+        """
+        copy, holders = attempt.copy, self.shared.holders
+        if copy is None or not self.routed.service.moves_copies:
+            return []
+        if not self.is_there(copy.holder) or not holders.is_due(copy.holder, now):
+            return []
+        holders.note_asked(copy.holder, now)
+        return [CheckHolder(attempt.number, copy.holder)]
+
+    def note_holder(self, event: HolderChecked) -> None:
+        """Take in whether a holder is still the one that got its copies."""
+        report, holder = event.report, event.holder
+        self.shared.holders.note_answer(holder, report is not None)
+        if report is not None and report.incarnation != holder.incarnation:
+            self.shared.selector.note_replaced(holder)
+        if not self.is_there(holder):
+            self.lost_domains[holder.failure_domain] = event.at
+
     def release_copies(self) -> list[RelayAction]:
         """Free the copies made on request; standing ones end with their attempt."""
         return [
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -194,6 +194,24 @@
     copy: MemoryCopy
 
 
+@dataclass(frozen=True, slots=True)
+class CheckHolder:
+    """Ask the holder of a copy whether it is still the one that got it."""
+
+    attempt: int
+    holder: UpstreamInstance
+
+
+@dataclass(frozen=True, slots=True)
+class HolderChecked:
+    """The holder of a copy was asked; `report` is None where it did not answer."""
+
+    attempt: int
+    at: float
+    holder: UpstreamInstance
+    report: UpstreamReport | None
+
+
 @dataclass(frozen=True, slots=True)
 class StartRelay:
     """Send the request to `upstream`.
@@ -267,6 +285,7 @@
     | UpstreamProbed
     | LoadsReported
     | MemoryCopied
+    | HolderChecked
 )
 RelayOutput = DeliverAnswer | DeliverEvents | EndStream | BreakStream | Fail
 RelayAction = (
@@ -275,6 +294,7 @@
     | ProbeUpstream
     | AskLoads
     | CopyMemory
+    | CheckHolder
     | ReleaseCopy
     | RelayOutput
 )
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -216,6 +216,8 @@
         self.numbers += 1
         self.sends += 1
         standby = standby or self.choose_standby(upstream, now)
+        if standby is not None:
+            self.shared.holders.note_seen(standby, now)
         attempt = RelayAttempt(
             self.numbers,
             upstream,
@@ -254,7 +256,7 @@
             return None
         if not self.routed.service.keeps_copies:
             return None
-        excluded = self.excluded | {upstream.name}
+        excluded = self.excluded | {upstream.name} | self.shared.holders.lost.keys()
         domains = self.recently_lost(now) | {upstream.failure_domain}
         wanted = self.pick_request(excluded, domains)
         found = self.shared.selector.pick(wanted)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -7,6 +7,7 @@
 
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.holders import HolderChecks
 from turmericusher.decisions.patience import Patience
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
@@ -122,6 +123,7 @@
     budget_reserve: float = 10.0
     totals: RelayTotals = field(default_factory=RelayTotals)
     durations: DurationEstimate = field(default_factory=DurationEstimate)
+    holders: HolderChecks = field(default_factory=HolderChecks)
     sizes: dict[str, TypicalSize] = field(default_factory=dict)
 
     def budget_of(self, service: str) -> RetryBudget:
@@ -271,22 +273,22 @@
             avoided_domains=frozenset(domains),
         )
 
-    def holds_copy(self, copy: MemoryCopy) -> bool:
+    def is_there(self, holder: UpstreamInstance) -> bool:
         """Whether the holder of a copy is still the one that got it."""
-        holder, selector = copy.holder, self.shared.selector
-        now = selector.upstreams.get(holder.name)
-        if now is None or now.incarnation != holder.incarnation:
+        selector = self.shared.selector
+        listed = selector.upstreams.get(holder.name)
+        if listed is None or listed.incarnation != holder.incarnation:
             return False
-        if holder.name in selector.replaced:
+        if holder.name in selector.replaced or self.shared.holders.is_lost(holder):
             return False
-        return now.lifecycle is Lifecycle.LIVE
+        return listed.lifecycle is Lifecycle.LIVE
 
     def usable_copy(self) -> MemoryCopy | None:
         """Return the copy that an attempt can go on from, or None."""
         copy = self.copy
         if copy is None or copy.holder.name in self.excluded:
             return None
-        return copy if self.holds_copy(copy) else None
+        return copy if self.is_there(copy.holder) else None
 
     def verdict(self) -> Verdict:
         """Return whether any attempt may have run."""
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -21,9 +21,11 @@
     AttemptCause,
     AttemptFailed,
     BreakStream,
+    CheckHolder,
     CopyMemory,
     DeliverAnswer,
     EndStream,
+    HolderChecked,
     LoadsReported,
     MemoryCopied,
     MemoryCopy,
@@ -142,6 +144,8 @@
                 self.help(self.ask_loads(action))
             case CopyMemory():
                 self.help(self.copy_memory(action))
+            case CheckHolder():
+                self.help(self.check_holder(action))
             case ReleaseCopy(copy):
                 self.context.release(copy)
             case _:
@@ -206,6 +210,12 @@
         now = asyncio.get_running_loop().time()
         await self.inbox.put(MemoryCopied(action.attempt, now, copy))
 
+    async def check_holder(self, action: CheckHolder) -> None:
+        """Ask the holder of a copy and report the answer."""
+        report = await self.context.report(action.holder)
+        now = asyncio.get_running_loop().time()
+        await self.inbox.put(HolderChecked(action.attempt, now, action.holder, report))
+
     def help(self, work: Coroutine[Any, Any, None]) -> None:
         """Let a task work beside the owner."""
         helper = asyncio.create_task(work)
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -130,6 +130,7 @@
         selector = self.shared.selector
         selector.advance(now)
         selector.update(self.upstreams.entries.values())
+        self.shared.holders.keep(self.upstreams.entries)
         selector.update_instances(self.instances.entries)
         if self.on_instances is not None:
             self.on_instances(max(1, len(self.instances.entries)))
--- a/tests/cover/test_relay_machine.py
+++ b/tests/cover/test_relay_machine.py
@@ -19,6 +19,7 @@
     AttemptCause,
     AttemptFailed,
     BreakStream,
+    CheckHolder,
     CopyMemory,
     DeliverAnswer,
     DeliverEvents,
@@ -96,7 +97,7 @@
                     self.asked = action
                 case DeliverEvents(payload):
                     self.received.append(int(payload))
-                case ProbeUpstream() | CopyMemory():
+                case ProbeUpstream() | CopyMemory() | CheckHolder():
                     assert action.attempt in self.running
                 case _ if isinstance(action, LAST):
                     self.last = action
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -1,5 +1,6 @@
 """A relayed stream is whole, whatever becomes of the upstreams that make it."""
 
+from collections import Counter
 from dataclasses import replace
 
 from parameterized import parameterized
@@ -14,6 +15,7 @@
     event,
     failed,
     only,
+    report,
     stream_without_standby,
 )
 from tests.common.relay_parts import (
@@ -24,13 +26,20 @@
 )
 from turmericusher.decisions.fleet import Lifecycle
 from turmericusher.decisions.generation_messages import CancelAttempt
+from turmericusher.decisions.holders import (
+    CHECK_INTERVAL_S,
+    CHECKS_PER_S,
+    HolderChecks,
+)
 from turmericusher.decisions.relay_copies import COPY_RENEWAL_S
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
     BreakStream,
+    CheckHolder,
     CopyMemory,
     DeliverEvents,
     EndStream,
+    HolderChecked,
     MemoryCopied,
     MemoryCopy,
     ReleaseCopy,
@@ -118,6 +127,49 @@
         self.assertEqual((holder, copy), (resumed.upstream, resumed.copy))
         self.assertEqual(5, resumed.resume_after)
 
+    @parameterized.expand(
+        [
+            ("does not answer", None, True),
+            ("has started again", report(incarnation="2"), True),
+            ("is still there", report(), False),
+        ]
+    )
+    def test_a_copy_is_made_elsewhere_at_once_when_its_holder(self, _, told, is_lost):
+        # Load: domains crash in turn, and the list shows it only seconds later.
+        relay, start = begun_stream(make_shared())
+        traits = replace(relay.routed.service, moves_copies=True)
+        relay.routed = replace(relay.routed, service=traits)
+        early = relay.handle(event(1, 4), CHECK_INTERVAL_S - 0.1)
+        self.assertEqual([], only(early, CheckHolder))
+        (check,) = only(relay.handle(event(1, 5), CHECK_INTERVAL_S), CheckHolder)
+        self.assertEqual(start.standby, check.holder)
+        actions = relay.handle(HolderChecked(1, 1.6, check.holder, told), 1.6)
+        asked = only(actions, CopyMemory)
+        self.assertEqual(is_lost, bool(asked))
+        for one in asked:
+            domains = {one.target.failure_domain, start.standby.failure_domain}
+            self.assertEqual(set(DOMAINS) - {start.upstream.failure_domain}, domains)
+
+    def test_a_lost_holder_is_forgotten_once_another_life_is_listed(self):
+        checks, holder = HolderChecks(), make_upstream(1)
+        checks.note_answer(holder, has_answered=False)
+        checks.keep({"u1": holder})
+        self.assertTrue(checks.is_lost(holder))
+        checks.keep({"u1": make_upstream(1, incarnation="2")})
+        self.assertEqual({}, checks.lost)
+
+    def test_one_holder_of_many_streams_is_asked_once(self):
+        # Load: more streams than an instance may ask holders for in a second.
+        checks, asked = HolderChecks(), []
+        holders = [make_upstream(index) for index in range(60)]
+        for tick in range(300):
+            for holder in (*holders, *holders):
+                if checks.is_due(holder, tick / 100):
+                    checks.note_asked(holder, tick / 100)
+                    asked.append(holder.name)
+        self.assertTrue(3 * CHECKS_PER_S - 3 <= len(asked) <= 3 * CHECKS_PER_S + 1)
+        self.assertTrue(max(Counter(asked).values()) <= 2)
+
     def test_a_copy_made_on_request_is_brought_up_to_date(self):
         relay, _start, asked = stream_without_standby()
         copy = MemoryCopy(asked.target, asked.source.address, "h7")
