--- a/benchmarks/all.py
+++ b/benchmarks/all.py
@@ -38,6 +38,8 @@
     "load",
     "peers",
     "load_costs",
+    "relay",
+    "policies",
 )
 TOTAL_LIMIT_S = 295.0
 EACH_LIMIT_S = 60.0
@@ -50,6 +52,8 @@
     LineSource("load", "Goodput", "runs", "policy", "offered_load", "goodput.before"),
     LineSource("load", "Goodput while a domain is lost", "runs", "policy",
                "offered_load", "goodput.lost"),
+    LineSource("policies", "Streams in time, of what can be read", "runs", "policy",
+               "load", "in_time_of_capacity"),
 )  # fmt: skip
 
 
--- a/benchmarks/relay_model.py
+++ b/benchmarks/relay_model.py
@@ -29,7 +29,7 @@
 
 
 @dataclass
-class EngineModel:
+class ReadingEngine:
     """Reads prompts one after another; `ends` are the times at which it is done."""
 
     ends: list[float] = field(default_factory=list)
@@ -60,7 +60,7 @@
 def play(load: float, target_s: float, seed: int = 3) -> Played:
     """Play arrivals at `load` times what the engines can read."""
     rng = random.Random(seed)
-    engines = {f"u{index}": EngineModel() for index in range(ENGINES)}
+    engines = {f"u{index}": ReadingEngine() for index in range(ENGINES)}
     shares = [make_shared(ENGINES) for _ in range(INSTANCES)]
     arrivals, now = [], 0.0
     while now < DURATION_S:
