--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -212,9 +212,19 @@
 
     async def check_holder(self, action: CheckHolder) -> None:
         """Ask the holder of a copy and report the answer."""
-        report = await self.context.report(action.holder)
+        holder = action.holder
+        report = await self.context.report(holder)
+        if report is None or report.incarnation != holder.incarnation:
+            log_event(
+                "holder_lost",
+                id=self.relay.request.request_id,
+                holder=holder.name,
+                domain=holder.failure_domain,
+                listed_life=holder.incarnation,
+                found_life=report.incarnation if report is not None else None,
+            )
         now = asyncio.get_running_loop().time()
-        await self.inbox.put(HolderChecked(action.attempt, now, action.holder, report))
+        await self.inbox.put(HolderChecked(action.attempt, now, holder, report))
 
     def help(self, work: Coroutine[Any, Any, None]) -> None:
         """Let a task work beside the owner."""
--- a/tests/cover/test_relay_node.py
+++ b/tests/cover/test_relay_node.py
@@ -1,6 +1,7 @@
 """An instance on stand-ins of the platform: what callers get, whatever upstreams do."""
 
 import asyncio
+from dataclasses import replace
 
 from parameterized import parameterized
 from testtools import TestCase
@@ -185,8 +186,9 @@
                 copies = [call for each in world.upstreams for call in each.calls]
                 self.assertEqual(1, sum("kv-from" in call.headers for call in copies))
 
+    @parameterized.expand([("is unlisted", True), ("is another life", False)])
     @run_async
-    async def test_a_stream_outlives_its_standby_and_then_its_engine(self):
+    async def test_a_stream_outlives_its_engine_after_its_standby(self, _, unlisted):
         async with relay_world() as world:
             for upstream in world.upstreams:
                 upstream.events, upstream.event_gap_s = 40, 0.06
@@ -195,13 +197,15 @@
             (first,) = [each for each in world.upstreams if each.runs]
             address = first.calls[0].headers["x-cache-backup"]
             (standby,) = [each for each in world.upstreams if each.address == address]
-            world.unlist_upstream(int(standby.name[1:]))
+            if unlisted:
+                world.unlist_upstream(int(standby.name[1:]))
+            standby.report = replace(standby.report, incarnation="2")
             (other,) = [
                 each for each in world.upstreams if each not in (first, standby)
             ]
             await wait_until(lambda: bool(other.copies))
             self.assertEqual([], first.released)
-            first.die_after = 30
+            first.die_after = 36
             answer = await calling
             self.assertTrue(answer.is_whole)
             self.assertEqual(40, answer.body.count(b"id: "))
