Soak: end what was started also when told to stop

Cause: a soak that was ended by SIGTERM left its instances running (seen once, ended by their ids); SIGINT is ignored in the background of a shell.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import tempfile
 from collections.abc import Sequence
@@ -53,7 +54,11 @@
         print(outcome.describe(), flush=True)
         return outcome
 
-    return await asyncio.gather(*map(play_one, plans))
+    # What was started is ended also when the soak itself is told to stop.
+    playing = asyncio.gather(*map(play_one, plans))
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+    return await playing
 
 
 def main() -> int:
@@ -61,7 +66,11 @@
     options = parse(sys.argv[1:])
     with tempfile.TemporaryDirectory() as temporary:
         folder = options.folder or Path(temporary)
-        outcomes = asyncio.run(play_all(options, folder))
+        try:
+            outcomes = asyncio.run(play_all(options, folder))
+        except asyncio.CancelledError:
+            print("told to stop; nothing is left running")
+            return 1
     failed = [outcome.plan.seed for outcome in outcomes if outcome.findings]
     print(f"{len(outcomes)} seeds played, {len(failed)} with findings: {failed}")
     return 1 if failed else 0
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -1,5 +1,7 @@
 """A short run of the soak: a fixed seed, and those that have ever found a fault."""
 
+import asyncio
+import sys
 import tempfile
 from pathlib import Path
 
@@ -8,8 +10,9 @@
 
 from benchmarks.soak.run import play_seed
 from benchmarks.soak.schedule import make_plan
-from benchmarks.soak.world import ROOT
+from benchmarks.soak.world import ROOT, START_LIMIT_S
 from tests.common.asynchronous import run_async
+from tests.common.waiting import wait_until
 
 SHORT_S = 6.0
 
@@ -26,3 +29,29 @@
             outcome = await play_seed(plan, Path(folder), ROOT / "src")
         self.assertEqual([], outcome.findings, outcome.describe())
         self.assertTrue(any(one.is_served for one in outcome.history.requests.values()))
+
+
+class SoakProcessTest(TestCase):
+    @run_async
+    async def test_a_soak_that_is_told_to_stop_leaves_no_process(self):
+        with tempfile.TemporaryDirectory() as folder:
+            soak = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "benchmarks.soak", "--folder", folder, cwd=ROOT
+            )
+            await wait_until(lambda: len(children_of(soak.pid)) >= 2, START_LIMIT_S)
+            started = children_of(soak.pid)
+            soak.terminate()
+            async with asyncio.timeout(START_LIMIT_S):
+                self.assertEqual(1, await soak.wait())
+        self.assertEqual([], [pid for pid in started if is_running(pid)])
+
+
+def is_running(pid: int) -> bool:
+    """Whether there is a process with an id."""
+    return Path(f"/proc/{pid}").exists()
+
+
+def children_of(parent: int) -> list[int]:
+    """Return the processes that a process has started."""
+    found = Path(f"/proc/{parent}/task/{parent}/children").read_text()
+    return [int(pid) for pid in found.split()]
