A holder that missed one question counts as lost for ten seconds, not for ever

Cause (found in reading the diff): a lost holder is not asked again, and the list goes on to show the same life of one that only answered late once. An instance would have avoided it as standby until it started again, and in weeks have had no standby left.

Change: such a life counts as lost for 10 s, twice what the list takes to show a crash. The test failed before.

--- a/src/turmericusher/decisions/holders.py
+++ b/src/turmericusher/decisions/holders.py
@@ -21,6 +21,19 @@
 holders of their own would otherwise ask 320 times."""
 
 
+LOST_FOR_S = 10.0
+"""Time for which a holder that did not answer counts as lost: twice what the list takes
+to show a crash, after which it was only late once."""
+
+
+@dataclass(frozen=True, slots=True)
+class LostLife:
+    """A life of a holder that did not answer at a time."""
+
+    incarnation: str
+    at: float
+
+
 @dataclass(slots=True)
 class HolderChecks:
     """When holders were last seen or asked, and which lives of them are lost.
@@ -29,7 +42,7 @@
     """
 
     asked_at: dict[str, float] = field(default_factory=dict)
-    lost: dict[str, str] = field(default_factory=dict)
+    lost: dict[str, LostLife] = field(default_factory=dict)
     next_at: float = 0.0
 
     def is_due(self, holder: UpstreamInstance, now: float) -> bool:
@@ -43,29 +56,35 @@
         self.next_at = max(now, self.next_at) + 1 / CHECKS_PER_S
 
     def note_seen(self, holder: UpstreamInstance, now: float) -> None:
-        """Note that a holder is or was there; what is due again is forgotten."""
+        """Note that a holder is or was there; what is too old is forgotten."""
         self.asked_at = {
             name: at
             for name, at in self.asked_at.items()
             if now - at < CHECK_INTERVAL_S
         }
         self.asked_at[holder.name] = now
+        self.lost = {
+            name: life for name, life in self.lost.items() if now - life.at < LOST_FOR_S
+        }
 
-    def note_answer(self, holder: UpstreamInstance, has_answered: bool) -> None:
+    def note_answer(
+        self, holder: UpstreamInstance, now: float, has_answered: bool
+    ) -> None:
         """Note whether this life of a holder answered."""
         if has_answered:
             self.lost.pop(holder.name, None)
         else:
-            self.lost[holder.name] = holder.incarnation
+            self.lost[holder.name] = LostLife(holder.incarnation, now)
 
     def keep(self, listed: Mapping[str, UpstreamInstance]) -> None:
         """Forget the lost lives that the list shows no more."""
         self.lost = {
-            name: incarnation
-            for name, incarnation in self.lost.items()
-            if name in listed and listed[name].incarnation == incarnation
+            name: life
+            for name, life in self.lost.items()
+            if name in listed and listed[name].incarnation == life.incarnation
         }
 
     def is_lost(self, holder: UpstreamInstance) -> bool:
         """Whether this life of a holder did not answer when it was last asked."""
-        return self.lost.get(holder.name) == holder.incarnation
+        life = self.lost.get(holder.name)
+        return life is not None and life.incarnation == holder.incarnation
--- a/src/turmericusher/decisions/relay_copies.py
+++ b/src/turmericusher/decisions/relay_copies.py
@@ -67,7 +67,7 @@
     def note_holder(self, event: HolderChecked) -> None:
         """Take in whether a holder is still the one that got its copies."""
         report, holder = event.report, event.holder
-        self.shared.holders.note_answer(holder, report is not None)
+        self.shared.holders.note_answer(holder, event.at, report is not None)
         if report is not None and report.incarnation != holder.incarnation:
             self.shared.selector.note_replaced(holder)
         if not self.is_there(holder):
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -110,7 +110,9 @@
     `readings` holds the time to read one prompt, by service and urgency: engines take
     the urgent ones first, so the others wait longer. `budgets` holds the retries that
     each service still allows; `budget_ratio` and `budget_reserve` make the budget of a
-    service seen for the first time.
+    service seen for the first time. `durations` tells how long streams last behind
+    their first event, `sizes` the typical request of each service, and `holders` which
+    copies of streams are lost.
     """
 
     selector: Selector
--- a/src/turmericusher/decisions/room.py
+++ b/src/turmericusher/decisions/room.py
@@ -80,6 +80,7 @@
 
 
 SIZE_SMOOTHING = 1 / 16
+"""Sizes differ between requests, not with time: slow enough to average some of them."""
 
 
 @dataclass(slots=True)
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -29,6 +29,7 @@
 from turmericusher.decisions.holders import (
     CHECK_INTERVAL_S,
     CHECKS_PER_S,
+    LOST_FOR_S,
     HolderChecks,
 )
 from turmericusher.decisions.relay_copies import COPY_RENEWAL_S
@@ -152,12 +153,22 @@
 
     def test_a_lost_holder_is_forgotten_once_another_life_is_listed(self):
         checks, holder = HolderChecks(), make_upstream(1)
-        checks.note_answer(holder, has_answered=False)
+        checks.note_answer(holder, 0.0, has_answered=False)
         checks.keep({"u1": holder})
         self.assertTrue(checks.is_lost(holder))
         checks.keep({"u1": make_upstream(1, incarnation="2")})
         self.assertEqual({}, checks.lost)
 
+    def test_a_holder_that_missed_one_question_is_not_avoided_for_ever(self):
+        # Load: a live holder whose answer was late once, and that the list goes on
+        # to show.
+        checks, holder = HolderChecks(), make_upstream(1)
+        checks.note_answer(holder, 0.0, has_answered=False)
+        checks.note_seen(make_upstream(2), LOST_FOR_S - 0.1)
+        self.assertTrue(checks.is_lost(holder))
+        checks.note_seen(make_upstream(2), LOST_FOR_S)
+        self.assertFalse(checks.is_lost(holder))
+
     def test_one_holder_of_many_streams_is_asked_once(self):
         # Load: more streams than an instance may ask holders for in a second.
         checks, asked = HolderChecks(), []
