--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -23,6 +23,7 @@
     UpstreamAct,
 )
 from benchmarks.soak.world import (
+    DRAIN_S,
     EXIT_SLACK_S,
     GRACE_S,
     InstanceProcess,
@@ -33,8 +34,9 @@
 DELAY_S = 0.15
 SLOW_STORE_S = 0.3
 LOST_REPLIES = 5
-LEAVING_S = 2.0
-"""How long a leaving upstream stays listed."""
+LEAVING_S = DRAIN_S + 2.5
+"""How long a leaving upstream goes on to serve: longer than the time after which
+nothing may reach it, or the check of that could not fail."""
 
 LAPSE_DOWN_S = 1.5
 RETURN_S = 1.8
