--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -26,8 +26,8 @@
 
     `instance` is where it went. `ended_at` is None while it is open, `status` None
     where no answer began. `error` says what was wrong with the content. `left_at` is
-    when the caller closed the connection by itself, if it did. `comes_back` is set where
-    the caller was refused and sends it again when it was told to.
+    when the caller closed the connection by itself, if it did. `comes_back` is set
+    where the caller was refused and sends it again when it was told to.
     """
 
     request_id: str
