--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -24,7 +24,7 @@
 from benchmarks.soak.proxy import Proxy, running_proxy
 from benchmarks.soak.schedule import Plan
 from benchmarks.soak.upstream import SoakUpstream
-from tests.common.relay_parts import DOMAINS, configuration, own_host
+from tests.common.relay_parts import DOMAINS, configuration, own_host, settings_text
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
     READINESS_PATH,
@@ -236,26 +236,6 @@
     return f"/version/{version}/"
 
 
-def settings_text(
-    name: str, index: int, host: str, caller_address: str, store: str
-) -> str:
-    """Return an instance's settings; `caller_address` is what callers are told."""
-    lines = {
-        "node_name": name,
-        "ip_address": host,
-        "zone": DOMAINS[index % len(DOMAINS)],
-        "listen_addresses.frontend": caller_address,
-        "listen_addresses.readiness": f"{host}:20002",
-        "listen_addresses.directory": f"{host}:20003",
-        "bounds.grace_s": GRACE_S,
-        "bounds.configuration_apply_ms": APPLY_S * 1000,
-        "bounds.retry_budget_ratio": RETRY_RATIO,
-        "bounds.budget_slack": RETRY_SLACK,
-        "platform.address": store,
-    }
-    return "".join(f"{key}={value}\n" for key, value in lines.items())
-
-
 async def make_upstream(
     stack: AsyncExitStack, index: int, history: History
 ) -> UpstreamPart:
@@ -277,7 +257,17 @@
     address = f"{host}:20001"
     callers_link = await stack.enter_async_context(running_proxy(address))
     path = folder / f"{name}.conf"
-    path.write_text(settings_text(name, index, host, address, store_link.address))
+    text = settings_text(
+        host,
+        store_link.address,
+        name,
+        DOMAINS[index % len(DOMAINS)],
+        grace_s=GRACE_S,
+        configuration_apply_ms=APPLY_S * 1000,
+        retry_budget_ratio=RETRY_RATIO,
+        budget_slack=RETRY_SLACK,
+    )
+    path.write_text(text)
     instance = InstanceProcess(
         name, host, store_link, callers_link, path, folder / f"{name}.log", source
     )
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -228,6 +228,27 @@
     return f"127.{1 + os.getpid() % 250}.{number // 250}.{1 + number % 250}"
 
 
+def settings_text(
+    host: str,
+    store_address: str,
+    name: str = "entry-1",
+    domain: str = DOMAINS[0],
+    **bounds: float,
+) -> str:
+    """Return a settings file as the platform writes it, for the program itself."""
+    lines = {
+        "node_name": name,
+        "ip_address": host,
+        "zone": domain,
+        "listen_addresses.frontend": f"{host}:20001",
+        "listen_addresses.readiness": f"{host}:20002",
+        "listen_addresses.directory": f"{host}:20003",
+        "platform.address": store_address,
+    }
+    lines |= {f"bounds.{bound}": str(value) for bound, value in bounds.items()}
+    return "".join(f"{key}={value}\n" for key, value in lines.items())
+
+
 def node_settings(store_address: str) -> NodeSettings:
     host = own_host()
     return NodeSettings(
--- a/tests/processes/test_platform_process.py
+++ b/tests/processes/test_platform_process.py
@@ -18,6 +18,7 @@
     PATHS,
     configuration,
     own_host,
+    settings_text,
     upstream_entry,
 )
 from tests.common.waiting import wait_until
@@ -40,9 +41,9 @@
 
 
 @asynccontextmanager
-async def running_program(settings_text, path):
+async def running_program(settings, path):
     """Run the program; it is ended by its id if it is still there."""
-    path.write_text(settings_text)
+    path.write_text(settings)
     environment = os.environ | {
         SETTINGS_VARIABLE: str(path),
         "PYTHONPATH": str(ROOT / "src"),
@@ -62,20 +63,6 @@
             await process.wait()
 
 
-def settings_text(host, store_address):
-    lines = {
-        "node_name": "entry-1",
-        "ip_address": host,
-        "zone": "quai-nord",
-        "listen_addresses.frontend": f"{host}:20001",
-        "listen_addresses.readiness": f"{host}:20002",
-        "listen_addresses.directory": f"{host}:20003",
-        "bounds.grace_s": GRACE_S,
-        "platform.address": store_address,
-    }
-    return "".join(f"{name}={value}\n" for name, value in lines.items())
-
-
 async def is_ready(session, host):
     try:
         async with session.get(f"http://{host}:20002{READINESS_PATH}") as response:
@@ -106,7 +93,8 @@
                 running_upstream("u0") as upstream,
                 aiohttp.ClientSession() as session,
                 running_program(
-                    settings_text(host, store.address), Path(folder) / "settings.conf"
+                    settings_text(host, store.address, grace_s=GRACE_S),
+                    Path(folder) / "settings.conf",
                 ) as process,
             ):
                 upstream.events, upstream.event_gap_s = EVENTS, 0.05
