--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -40,11 +40,12 @@
 """Seconds for which callers keep an answer: a stopped instance is out of use after
 them, and each caller asks again that often."""
 
-WATCH_SHARE = 0.8
+WATCH_SHARE = 0.55
 """Part of the time for a change to be in force that one wait for changes may take; the
-rest is for reading everything again where a change was missed."""
+rest is for reading everything again where a change was missed, which takes a second
+for a large configuration on a link of 5 Mbit/s."""
 
-WATCH_PAUSE_SHARE = 0.4
+WATCH_PAUSE_SHARE = 0.25
 """Part of that time between two waits after changes. The next wait ends at once where
 something changed in the pause, so that the two do not add up."""
 
