--- a/src/turmericusher/standins/platform_store.py
+++ b/src/turmericusher/standins/platform_store.py
@@ -50,13 +50,15 @@
 
     `silent` reads calls and answers none. `history_from` is the oldest revision that a
     watch may start after. `deaf_watches` hear nothing until they end. `page_size` is
-    the number of items in a page.
+    the number of items in a page. `changes_take_s` is how long an answer with changes
+    is on its way, as over a slow link.
     """
 
     silent: bool = False
     history_from: int = 0
     deaf_watches: bool = False
     page_size: int = 500
+    changes_take_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -141,6 +143,8 @@
             if loop.time() >= until or (events and not self.faults.deaf_watches):
                 heard = [] if self.faults.deaf_watches else events
                 revision = after if self.faults.deaf_watches else self.store.revision
+                if heard:
+                    await asyncio.sleep(self.faults.changes_take_s)
                 return reply(encode_changes(heard, revision))
             self.store.check_is_up()
             self.store.expire_leases()
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -249,7 +249,9 @@
     return "".join(f"{key}={value}\n" for key, value in lines.items())
 
 
-def node_settings(store_address: str) -> NodeSettings:
+def node_settings(
+    store_address: str, configuration_limit_s: float = 2.0
+) -> NodeSettings:
     host = own_host()
     return NodeSettings(
         name="entry-1",
@@ -262,13 +264,18 @@
         stop_limit_s=3.0,
         retries=RetryBounds(0.8, 150.0),
         entrypoint_ttl_limit_s=5.0,
-        configuration_limit_s=2.0,
+        configuration_limit_s=configuration_limit_s,
     )
 
 
 @asynccontextmanager
-async def relay_world(upstreams: int = 3) -> AsyncIterator[RelayWorld]:
-    """Run an instance that knows its configuration and its upstreams."""
+async def relay_world(
+    upstreams: int = 3, configuration_limit_s: float = 2.0
+) -> AsyncIterator[RelayWorld]:
+    """Run an instance that knows its configuration and its upstreams.
+
+    The limit is the users' bound for a change on their smaller sites.
+    """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_platform_store())
         found = [
@@ -281,7 +288,7 @@
             standin.peers = peers
             key = f"{UPSTREAM_PREFIX}{standin.name}"
             store.store.write(key, upstream_entry(standin, index))
-        settings = node_settings(store.address)
+        settings = node_settings(store.address, configuration_limit_s)
         node = await stack.enter_async_context(running_node(settings))
         session = await stack.enter_async_context(aiohttp.ClientSession())
         async with asyncio.timeout(5):
--- a/tests/cover/test_relay_node.py
+++ b/tests/cover/test_relay_node.py
@@ -10,6 +10,7 @@
 from tests.common.relay_parts import KEY, configuration, relay_world
 from tests.common.waiting import wait_until
 from turmericusher.api.metrics import METRICS_PATH, STATE_PATH
+from turmericusher.decisions.fleet import Lifecycle
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
@@ -51,6 +52,10 @@
     return sum(len(upstream.runs) for upstream in world.upstreams)
 
 
+DRAIN_S = 3.0
+"""The users' time on their grown sites after which a leaving upstream gets nothing, and
+within which a change is in force."""
+
 STABLE_S = 3.0
 """Calm after which the users' bounds hold again, where a change has 2 s."""
 
@@ -301,6 +306,20 @@
             limit_s = world.settings.configuration_limit_s
             await wait_until(lambda: world.node.tables.current().version == 7, limit_s)
 
+    @run_async
+    async def test_a_mark_is_seen_in_time_behind_a_large_configuration(self):
+        # Load: two versions with 1,400 routes over a link of 5 Mbit/s.
+        async with relay_world(2, configuration_limit_s=DRAIN_S) as world:
+            world.store.store.write(CONFIGURATION_KEY, configuration(2))
+            await wait_until(lambda: world.node.tables.current().version == 2)
+            world.store.faults.changes_take_s = 1.95
+            world.store.store.write(CONFIGURATION_KEY, configuration(3))
+            world.list_upstream(0, "draining")
+            marked = world.node.fleet.upstreams.entries
+            await wait_until(
+                lambda: marked["u0"].lifecycle is Lifecycle.LEAVING, DRAIN_S
+            )
+
     @run_async
     async def test_a_watch_that_was_never_answered_delays_no_change_for_long(self):
         async with relay_world(1) as world:
