End a generation whose engine falls silent behind its last token

A second attempt was started with no token left to make: max_tokens=0, which engines refuse or misread. Only the start of the next attempt after a loss looked at what was left.

Change: where a silent attempt would be replaced or doubled and every token is there, the generation ends as it does after a loss.

--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -227,10 +227,14 @@
         for attempt in self.attempts.values():
             self.judge_silence(attempt, now)
         live = list(self.attempts.values())
-        if all(attempt.is_overdue for attempt in live):
-            return self.replace_overdue(live, now)
+        is_overdue = all(attempt.is_overdue for attempt in live)
         is_early = self.request.profile.second_attempt is SecondAttempt.EARLY
-        if is_early and len(live) < LIVE_ATTEMPTS and live[0].is_suspected:
+        is_suspected = len(live) < LIVE_ATTEMPTS and live[0].is_suspected
+        if self.remaining_tokens() == 0 and (is_overdue or (is_early and is_suspected)):
+            return [*self.cancel_all(now), *self.finish_at_length()]
+        if is_overdue:
+            return self.replace_overdue(live, now)
+        if is_early and is_suspected:
             return self.start_second(now)
         return []
 
--- a/tests/cover/test_generation.py
+++ b/tests/cover/test_generation.py
@@ -10,7 +10,11 @@
 from tests.common.engines import PROMPT, make_engines, make_request
 from turmericusher.decisions.extra_work import ExtraWorkBudget, ResumeGate
 from turmericusher.decisions.generation import OWN_PAUSE_S, Generation, make_generation
-from turmericusher.decisions.generation_messages import PieceArrived, StartAttempt
+from turmericusher.decisions.generation_messages import (
+    CancelAttempt,
+    PieceArrived,
+    StartAttempt,
+)
 from turmericusher.decisions.generation_state import SharedState
 from turmericusher.decisions.patience import Patience
 from turmericusher.decisions.selection import Selector
@@ -34,9 +38,9 @@
     )
 
 
-def streaming(shared: SharedState) -> Generation:
+def streaming(shared: SharedState, **changes: object) -> Generation:
     """Return a generation whose first attempt has just brought a token."""
-    generation = make_generation(make_request(PROFILE), shared, START)
+    generation = make_generation(make_request(PROFILE, **changes), shared, START)
     generation.start(START)
     piece = PieceArrived(1, START, (1,), "b", prompt_token_ids=PROMPT)
     generation.handle(piece, START)
@@ -69,6 +73,19 @@
         self.assertFalse(generation.is_over)
         self.assertTrue(generation.wake_at() > now)
 
+    @parameterized.expand([("on_suspicion", 0.01), ("when_overdue", None)])
+    def test_a_silent_engine_that_brought_every_token_is_not_replaced(
+        self, name: str, usual_gap_s: float | None
+    ) -> None:
+        shared = make_shared()
+        if usual_gap_s is not None:
+            shared.patience.pooled.between.usual_s = usual_gap_s
+        generation = streaming(shared, max_tokens=1)
+        (cancelled, end) = generation.tick(generation.wake_at())
+        self.assertIsInstance(cancelled, CancelAttempt)
+        self.assertEqual("length", end.piece.finish_reason)
+        self.assertTrue(generation.is_over)
+
     @parameterized.expand([("no_credit", 8, 0.0), ("a_closed_gate", 0, 64.0)])
     def test_a_second_attempt_on_suspicion_waits_for(
         self, name: str, limit: int, credit: float
