One piece of code for tasks that run beside a context and end with it

No behaviour changes, but that an instance withdraws its record also when the wait for its tasks is itself cancelled. The sweeper of claims stays as it is: it passes on a failure.

--- a/src/turmericusher/tasks/admission.py
+++ b/src/turmericusher/tasks/admission.py
@@ -20,6 +20,7 @@
 from turmericusher.decisions.fair_queue import Ticket
 from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
 from turmericusher.logs import log_event
+from turmericusher.tasks.background import background
 
 TICK_S = 0.1
 CAPACITY_INTERVAL_S = 0.5
@@ -190,16 +191,12 @@
     }
     limits = {name: ConcurrencyLimit() for name in decisions}
     admission = Admission(decisions, limits, view, clock)
-    tasks = [
-        asyncio.create_task(admission.run(), name="admission"),
-        asyncio.create_task(send_capacity_messages(admission), name="capacity"),
-    ]
-    try:
+    work = {
+        "admission": admission.run(),
+        "capacity": send_capacity_messages(admission),
+    }
+    async with background(work):
         yield admission
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @asynccontextmanager
--- a/src/turmericusher/tasks/instance_list.py
+++ b/src/turmericusher/tasks/instance_list.py
@@ -12,6 +12,7 @@
 from turmericusher.errors import UpstreamError
 from turmericusher.logs import log_event
 from turmericusher.ports.instances import fetch_instances
+from turmericusher.tasks.background import background
 
 POLL_INTERVAL_S = 1.0
 REQUEST_TIMEOUT_S = 2.0
@@ -43,11 +44,6 @@
     """Follow the list while the context is open."""
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
-        following = asyncio.create_task(
-            follow_instance_list(session, url, on_change), name="instance-list"
-        )
-        try:
+        following = follow_instance_list(session, url, on_change)
+        async with background({"instance-list": following}):
             yield
-        finally:
-            following.cancel()
-            await asyncio.gather(following, return_exceptions=True)
--- a/src/turmericusher/tasks/load_control.py
+++ b/src/turmericusher/tasks/load_control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import (
     AbstractAsyncContextManager,
@@ -19,6 +18,7 @@
 from turmericusher.profiles import Profile
 from turmericusher.settings import Service, Settings
 from turmericusher.tasks.admission import Admission, admitted, running_admission
+from turmericusher.tasks.background import background
 from turmericusher.tasks.calls import CallAdmission, ServiceCall
 from turmericusher.tasks.load_reports import (
     LeavingListener,
@@ -44,17 +44,11 @@
 
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        polling = asyncio.create_task(
-            poll_load(selector, session, seed, on_leaving=on_leaving),
-            name="load-reports",
-        )
-        try:
+        polling = poll_load(selector, session, seed, on_leaving=on_leaving)
+        async with background({"load-reports": polling}):
             yield await stack.enter_async_context(
                 running_admission(services, view, seed)
             )
-        finally:
-            polling.cancel()
-            await asyncio.gather(polling, return_exceptions=True)
 
 
 def capacity_view(service: Service, selector: Selector) -> CapacityView:
--- a/src/turmericusher/tasks/membership.py
+++ b/src/turmericusher/tasks/membership.py
@@ -30,6 +30,7 @@
 )
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
+from turmericusher.tasks.background import background
 from turmericusher.tasks.profile_watch import ProfileTable, Registration
 
 MAX_RECORDS = 64
@@ -340,14 +341,12 @@
 @asynccontextmanager
 async def running_membership(fleet: Fleet, store: KeyValueStore) -> AsyncIterator[None]:
     """Keep the membership and this instance's registration while entered."""
-    tasks = [
-        asyncio.create_task(advance_membership(fleet), name="membership"),
-        asyncio.create_task(keep_registered(fleet, store), name="registration"),
-    ]
+    work = {
+        "membership": advance_membership(fleet),
+        "registration": keep_registered(fleet, store),
+    }
     try:
-        yield
+        async with background(work):
+            yield
     finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         await end_registration(fleet, store)
--- a/src/turmericusher/tasks/order_control.py
+++ b/src/turmericusher/tasks/order_control.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
@@ -16,6 +15,7 @@
 from turmericusher.ports.orders import HttpOrderPort
 from turmericusher.ports.weights import HttpWeightStore
 from turmericusher.settings import Service, Settings
+from turmericusher.tasks.background import background
 from turmericusher.tasks.orders import (
     OrderCalls,
     carry_out_orders,
@@ -35,7 +35,7 @@
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         weights = HttpWeightStore(session, settings.weight_store_url)
-        tasks = []
+        work = {}
         for service in settings.services:
             holder = OrderHolder(
                 service.name,
@@ -44,18 +44,11 @@
             )
             keys = order_keys(settings.store_prefix, service.name)
             calls = OrderCalls(holder, keys, store, HttpOrderPort(session), weights)
-            tasks.append(
-                asyncio.create_task(
-                    follow_service(calls, service, settings.name, selector),
-                    name=f"orders-{service.name}",
-                )
+            work[f"orders-{service.name}"] = follow_service(
+                calls, service, settings.name, selector
             )
-        try:
+        async with background(work):
             yield
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
 
 
 async def follow_service(
--- a/src/turmericusher/tasks/peers.py
+++ b/src/turmericusher/tasks/peers.py
@@ -16,6 +16,7 @@
 from turmericusher.errors import TurmericusherError
 from turmericusher.peers.exchange_grpc import ExchangeStub
 from turmericusher.peers.messages import answer_from_wire, question_to_wire
+from turmericusher.tasks.background import end_tasks
 from turmericusher.tasks.membership import Fleet
 
 PULL_INTERVAL_S = 0.5
@@ -122,10 +123,7 @@
 
     async def stop(self, loop_task: asyncio.Task[None]) -> None:
         """End the loop and what it started, and close every connection."""
-        tasks = [loop_task, *self.running]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks([loop_task, *self.running])
         for address in list(self.channels):
             self.drop_channel(address)
 
--- a/src/turmericusher/tasks/profile_watch.py
+++ b/src/turmericusher/tasks/profile_watch.py
@@ -23,6 +23,7 @@
 )
 from turmericusher.ports.keyvalue import KeyValueStore, StoredValue, WatchEvent
 from turmericusher.profiles import Profile
+from turmericusher.tasks.background import background
 from turmericusher.tasks.profile_records import UnreadableRecordError, decode_record
 
 FLEET_DIRECTORY = "fleet/"
@@ -249,13 +250,9 @@
     table = ProfileTable(
         f"{prefix}{FLEET_DIRECTORY}", stale_after_s, rollout, clock=clock
     )
-    tasks = [
-        asyncio.create_task(follow_store(store, table, rng), name="profile-watch"),
-        asyncio.create_task(confirm_records(store, table, rng), name="profile-confirm"),
-    ]
-    try:
+    work = {
+        "profile-watch": follow_store(store, table, rng),
+        "profile-confirm": confirm_records(store, table, rng),
+    }
+    async with background(work):
         yield table
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/turmericusher/tasks/registration.py
+++ b/src/turmericusher/tasks/registration.py
@@ -10,6 +10,7 @@
 from turmericusher.errors import StoreError
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
+from turmericusher.tasks.background import background
 
 LEASE_S = 4
 """Time after which callers are no longer sent to an instance that died: several
@@ -84,10 +85,8 @@
 @asynccontextmanager
 async def registered(registration: Registration) -> AsyncIterator[None]:
     """Keep the record while the context is open, and take it out at its end."""
-    task = asyncio.create_task(registration.run(), name="registration")
     try:
-        yield
+        async with background({"registration": registration.run()}):
+            yield
     finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
         await registration.withdraw()
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -44,6 +44,7 @@
 from turmericusher.errors import Verdict
 from turmericusher.logs import log_event
 from turmericusher.ports.relay import RelayPort
+from turmericusher.tasks.background import end_tasks
 
 INBOX_SIZE = 64
 """Events that an attempt may be ahead of a caller that reads slowly."""
@@ -236,11 +237,7 @@
         """End what still runs and wait until its connections are closed."""
         for action in self.relay.close():
             self.carry_out(action)
-        running = [*self.attempts.values(), *self.helpers]
-        for task in running:
-            task.cancel()
-        if running:
-            await asyncio.gather(*running, return_exceptions=True)
+        await end_tasks([*self.attempts.values(), *self.helpers])
 
 
 @asynccontextmanager
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -18,6 +18,7 @@
 from turmericusher.decisions.routing import NewestTable, RoutingTable
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import StoredValue, WatchEvent
+from turmericusher.tasks.background import background
 
 EXPIRY_CHECK_S = 0.1
 
@@ -167,9 +168,5 @@
 @asynccontextmanager
 async def expiring_entries(fleet: RelayFleet) -> AsyncIterator[None]:
     """Drop late entries while the context is open."""
-    task = asyncio.create_task(fleet.run(), name="entry-expiry")
-    try:
+    async with background({"entry-expiry": fleet.run()}):
         yield
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
--- a/src/turmericusher/tasks/store_follower.py
+++ b/src/turmericusher/tasks/store_follower.py
@@ -17,6 +17,7 @@
 from turmericusher.errors import StoreError, StoreHistoryLostError
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import KeyValueStore, StoredValue, WatchEvent
+from turmericusher.tasks.background import background
 
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
@@ -110,9 +111,5 @@
 @asynccontextmanager
 async def following_store(follower: StoreFollower) -> AsyncIterator[None]:
     """Follow the store while the context is open."""
-    task = asyncio.create_task(follower.run(), name="store-follower")
-    try:
+    async with background({"store-follower": follower.run()}):
         yield
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
