--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -357,8 +357,7 @@
     was_heard = relay.silent_since(attempt) > (attempt.probed_at or 0.0)
     if was_heard and (report is None or attempt.has_event):
         return []
-    if report is not None and report.incarnation != attempt.upstream.incarnation:
-        relay.shared.selector.note_replaced(attempt.upstream)
+    if report is not None and not relay.confirm_life(report, attempt.upstream):
         text = "has started again"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
     if report is None:
--- a/src/turmericusher/decisions/relay_copies.py
+++ b/src/turmericusher/decisions/relay_copies.py
@@ -68,8 +68,8 @@
         """Take in whether a holder is still the one that got its copies."""
         report, holder = event.report, event.holder
         self.shared.holders.note_answer(holder, event.at, report is not None)
-        if report is not None and report.incarnation != holder.incarnation:
-            self.shared.selector.note_replaced(holder)
+        if report is not None:
+            self.confirm_life(report, holder)
         if not self.is_there(holder):
             self.lost_domains[holder.failure_domain] = event.at
 
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -192,12 +192,8 @@
         selector, true = self.shared.selector, {}
         for name, report in reports.items():
             upstream = selector.upstreams.get(name)
-            if upstream is None:
-                continue
-            if report.incarnation == upstream.incarnation:
+            if upstream is not None and self.confirm_life(report, upstream):
                 true[name] = report
-            else:
-                selector.note_replaced(upstream)
         return true
 
     def next_upstream(self, now: float) -> UpstreamInstance | None:
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -15,6 +15,7 @@
     MemoryCopy,
     RelayAction,
     RelayedRequest,
+    UpstreamReport,
 )
 from turmericusher.decisions.relay_stop import DurationEstimate
 from turmericusher.decisions.retries import RetryBudget
@@ -310,6 +311,16 @@
 
     # Commands.
 
+    def confirm_life(self, report: UpstreamReport, upstream: UpstreamInstance) -> bool:
+        """Return whether a report is of that life of an upstream; note where it is not.
+
+        Another life at the address ends this one, whatever the list says.
+        """
+        if report.incarnation == upstream.incarnation:
+            return True
+        self.shared.selector.note_replaced(upstream)
+        return False
+
     def learn_reading(self, first_event_s: float, before: int, now: float) -> None:
         """Note how long a first event took behind so many prompts."""
         reading = self.reading()
