Soak, stand-ins and tests of the relay: one copy of what they share, dead code out

- The soak's upstream refuses and takes calls by the stand-in's own code, and writes its entry by the function of the tests.
- Its callers note a request in one place.
A caller that gave up after its deadline was noted as one that left if it was drawn to leave later; it is not now, so the checks judge it.
- Versions and leaving marks no longer share a type that fits neither.
- benchmarks.policies kept two figures that nothing read.

--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -16,6 +16,7 @@
 )
 from benchmarks.harness import parse_arguments, percentile, print_result
 from tests.common.relay_parts import make_shared, started_relay
+from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.generation_messages import Fail
 from turmericusher.decisions.relay import Relay
 from turmericusher.decisions.relay_messages import (
@@ -40,7 +41,6 @@
 URGENT_SHARE = 0.3
 SMALL_TEAM_SHARE = 0.04
 LONGEST_SHARE = 0.1
-FIXED_RETRY_S = 0.5
 LEARN_S = 0.1
 """How often what the engines made reaches the instances."""
 
@@ -137,24 +137,23 @@
     (asked,) = relay.start(now)
     reports = {}
     for upstream in asked.candidates:
-        engine = world.engines[int(upstream.name.removeprefix("u"))]
+        engine = world.engines[index_of(upstream)]
         engine.work_until(now)
         reports[upstream.name] = engine.report()
     (action,) = relay.handle(LoadsReported(now, reports), now)
     if isinstance(action, StartRelay):
-        index = int(action.upstream.name.removeprefix("u"))
-        standby = action.standby
-        world.place(
-            index,
-            stream,
-            relay,
-            int(standby.name.removeprefix("u")) if standby is not None else None,
-        )
+        standby = None if action.standby is None else index_of(action.standby)
+        world.place(index_of(action.upstream), stream, relay, standby)
         return None
     assert isinstance(action, Fail)
     return action.retry_after_s
 
 
+def index_of(upstream: UpstreamInstance) -> int:
+    """Return the place of the engine that an upstream stands for."""
+    return int(upstream.name.removeprefix("u"))
+
+
 def shipped_without_refusal(
     world: PolicyWorld, instance: int, stream: ModelStream, now: float
 ) -> float | None:
@@ -195,7 +194,6 @@
 
     arrivals: list[Arrival]
     refused: list[Arrival]
-    refused_after_s: list[float]
 
     def in_time(self, wanted: Callable[[Arrival], bool] = lambda _: True) -> float:
         """Return the share of some arrivals whose first event came in time."""
@@ -243,7 +241,7 @@
         [make_shared(ENGINES) for _ in range(INSTANCES)],
         [rng.randrange(ENGINES) for _ in range(INSTANCES)],
     )
-    result = Result(list(arrivals), [], [])
+    result = Result(list(arrivals), [])
     pending, told_at = list(arrivals), 0.0
     while pending:
         pending.sort(key=lambda one: one.at)
@@ -257,7 +255,6 @@
         retry_s = policy(world, instance, arrival.stream, arrival.at)
         if retry_s is None:
             continue
-        result.refused_after_s.append(arrival.at - arrival.stream.first_at)
         if arrival.returns:
             arrival.returns -= 1
             arrival.at += retry_s
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -108,34 +108,58 @@
     ) -> SentRequest:
         """Send one request and note what came of it."""
         instance = self.rng.choice(self.known or self.world.instances)
-        wait_s = STREAM_WAIT_S if kind.is_stream else CALL_WAIT_S
-        sent_at = self.world.now()
-        request_id = f"q{next(self.numbers)}"
-        request = SentRequest(
-            request_id, kind, instance.name, path, sent_at, sent_at + wait_s
-        )
-        request.last_event = resume_after
-        self.world.history.requests[request_id] = request
+        request = self.new_request(kind, instance, path, resume_after)
         leaves_after_s = None
         if self.rng.random() < LEAVE_SHARE:
             leaves_after_s = self.rng.uniform(0.0, 1.0)
         try:
             async with asyncio.timeout(leaves_after_s):
-                async with asyncio.timeout(wait_s + GIVE_UP_S):
-                    await self.exchange(session, instance, request)
+                await self.exchange(session, instance, request)
         except TimeoutError:
-            if leaves_after_s is not None:
-                request.left_at = self.world.now()
-        except aiohttp.ClientError:
-            pass
+            request.left_at = self.world.now()
         request.ended_at = self.world.now()
         return request
 
+    def new_request(
+        self,
+        kind: RequestKind,
+        instance: InstanceProcess,
+        path: str,
+        resume_after: int = 0,
+    ) -> SentRequest:
+        """Note a request that is sent now."""
+        wait_s = STREAM_WAIT_S if kind.is_stream else CALL_WAIT_S
+        now = self.world.now()
+        request = SentRequest(
+            request_id=f"q{next(self.numbers)}",
+            kind=kind,
+            instance=instance.name,
+            path=path,
+            sent_at=now,
+            deadline=now + wait_s,
+            last_event=resume_after,
+        )
+        self.world.history.requests[request.request_id] = request
+        return request
+
     async def exchange(
         self,
         session: aiohttp.ClientSession,
         instance: InstanceProcess,
         request: SentRequest,
+    ) -> None:
+        """Get an answer, or none by the time at which the caller gives up."""
+        try:
+            async with asyncio.timeout(request.deadline - request.sent_at + GIVE_UP_S):
+                await self.get_answer(session, instance, request)
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+
+    async def get_answer(
+        self,
+        session: aiohttp.ClientSession,
+        instance: InstanceProcess,
+        request: SentRequest,
     ) -> None:
         """Send a request over the instance's link and read its answer."""
         headers = caller_headers(request.request_id, request.deadline - request.sent_at)
@@ -180,7 +204,7 @@
             request.error = f"ended whole after event {request.last_event}, {left!r}"
 
     async def probe_versions(self) -> None:
-        """Ask instances for the routes of versions, the newest one mostly."""
+        """Ask instances for the routes of one of the three newest versions."""
         async with aiohttp.ClientSession() as session:
             while True:
                 await asyncio.sleep(PROBE_PAUSE_S)
@@ -193,27 +217,14 @@
         self, session: aiohttp.ClientSession, instance: InstanceProcess, version: int
     ) -> None:
         """Ask one instance for a version's route."""
-        life, sent_at = instance.life, self.world.now()
-        request_id = f"q{next(self.numbers)}"
+        life = instance.life
         path = f"{version_path(version)}x"
-        request = SentRequest(
-            request_id,
-            RequestKind.IDEMPOTENT,
-            instance.name,
-            path,
-            sent_at,
-            sent_at + CALL_WAIT_S,
-        )
-        self.world.history.requests[request_id] = request
-        try:
-            async with asyncio.timeout(CALL_WAIT_S + GIVE_UP_S):
-                await self.exchange(session, instance, request)
-        except (aiohttp.ClientError, TimeoutError):
-            pass
+        request = self.new_request(RequestKind.IDEMPOTENT, instance, path)
+        await self.exchange(session, instance, request)
         request.ended_at = self.world.now()
         if request.status in (200, 404) and instance.life == life:
             is_known = request.status == 200
-            probe = Probe(instance.name, life, version, sent_at, is_known)
+            probe = Probe(instance.name, life, version, request.sent_at, is_known)
             self.world.history.probes.append(probe)
 
 
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -15,9 +15,10 @@
     STABLE_S,
     Arrival,
     History,
+    LeavingMark,
     SentRequest,
 )
-from benchmarks.soak.schedule import SignalFault
+from benchmarks.soak.schedule import SignalFault, UpstreamAct
 from benchmarks.soak.world import APPLY_S, DRAIN_S, RETRY_RATIO, RETRY_SLACK
 from turmericusher.decisions.routing import RequestKind
 
@@ -78,7 +79,6 @@
 def newest_configuration(history: History) -> Iterator[str]:
     """Yield the versions that were not in force in time, or no more."""
     known: dict[tuple[str, int], int] = {}
-    accepted = {change.version: change.at for change in history.changes}
     for probe in sorted(history.probes, key=lambda probe: probe.sent_at):
         place = (probe.instance, probe.life)
         if probe.is_known:
@@ -86,7 +86,7 @@
             continue
         if probe.version <= known.get(place, 0):
             yield f"{probe} though version {known[place]} was in force there"
-        late_s = probe.sent_at - accepted[probe.version] - APPLY_S
+        late_s = probe.sent_at - history.accepted[probe.version] - APPLY_S
         if late_s > 0 and is_in_touch(history, probe.instance, probe.sent_at):
             yield f"{probe} is {late_s:.2f} s beyond the bound"
 
@@ -97,19 +97,18 @@
         for arrival in history.arrivals:
             request = history.requests.get(arrival.request_id)
             is_late = mark.at + DRAIN_S < arrival.at < mark.at + DRAIN_S + STABLE_S
-            if request is None or arrival.upstream != mark.subject or not is_late:
+            if request is None or arrival.upstream != mark.upstream or not is_late:
                 continue
-            if not returned(history, mark.subject, mark.at, arrival.at) and is_in_touch(
-                history, request.instance, arrival.at
-            ):
-                yield f"{describe(request)} reached {mark.subject} after its mark"
+            is_in_force = not returned(history, mark, arrival.at)
+            if is_in_force and is_in_touch(history, request.instance, arrival.at):
+                yield f"{describe(request)} reached {mark.upstream} after its mark"
 
 
-def returned(history: History, upstream: str, marked_at: float, at: float) -> bool:
-    """Whether the leaving that began at a time was over at another."""
+def returned(history: History, mark: LeavingMark, at: float) -> bool:
+    """Whether the upstream that was marked had left and was back at a time."""
     return any(
-        one.how == "leave" and one.begins <= marked_at and one.ends <= at
-        for one in history.disturbances_of(upstream)
+        one.how == UpstreamAct.LEAVE and one.begins <= mark.at and one.ends <= at
+        for one in history.disturbances_of(mark.upstream)
     )
 
 
@@ -135,10 +134,13 @@
 def answered_in_time(history: History) -> Iterator[str]:
     """Yield the requests that had no final answer by their deadline."""
     for request in history.requests.values():
-        if request.ended_at is None or request.left_at is not None:
+        ended_at = request.ended_at
+        if ended_at is None or request.left_at is not None:
             continue
-        late_s = request.ended_at - request.deadline
-        if late_s > ANSWER_SLACK_S and not was_disturbed(history, request, []):
+        late_s = ended_at - request.deadline
+        if late_s > ANSWER_SLACK_S and not history.disturbed(
+            request.instance, request.sent_at, ended_at
+        ):
             yield f"{describe(request)} ended {late_s:.2f} s after its deadline"
 
 
@@ -190,9 +192,8 @@
     """
     from_s = history.faults_end_at + RECOVERY_S
     for request in history.requests.values():
-        if request.sent_at < from_s or request.left_at is not None:
-            continue
-        if request.comes_back:
+        is_judged = request.left_at is None and not request.comes_back
+        if request.sent_at < from_s or not is_judged:
             continue
         if request.ended_at is not None and not request.is_served:
             yield f"{describe(request)} was not served after the recovery"
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -79,11 +79,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoredChange:
-    """A version of the configuration, or an upstream's leaving, once stored."""
+class LeavingMark:
+    """An upstream's leaving, as the store took it."""
 
-    subject: str
-    version: int
+    upstream: str
     at: float
 
 
@@ -109,13 +108,16 @@
 
 @dataclass(slots=True)
 class History:
-    """Everything that was seen in one run."""
+    """Everything that was seen in one run.
+
+    `accepted` gives the time at which the store took each version of the configuration.
+    """
 
     requests: dict[str, SentRequest] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
-    changes: list[StoredChange] = field(default_factory=list)
-    leavings: list[StoredChange] = field(default_factory=list)
+    accepted: dict[int, float] = field(default_factory=dict)
+    leavings: list[LeavingMark] = field(default_factory=list)
     exits: list[UnexpectedExit] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
     faults_end_at: float = math.inf
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -6,7 +6,7 @@
 import signal
 from functools import singledispatch
 
-from benchmarks.soak.history import StoredChange
+from benchmarks.soak.history import LeavingMark
 from benchmarks.soak.proxy import Proxy
 from benchmarks.soak.schedule import (
     ChangeConfiguration,
@@ -231,7 +231,7 @@
     """Mark an upstream as leaving, and let it end its work."""
     part.state = "draining"
     world.write_entry(part)
-    mark = StoredChange(part.standin.part, part.life, world.now())
+    mark = LeavingMark(part.standin.part, world.now())
     world.history.leavings.append(mark)
     await asyncio.sleep(LEAVING_S)
 
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from turmericusher.standins.platform_upstream import reset
+from turmericusher.tasks.background import end_tasks
 
 CHUNK_BYTES = 65_536
 
@@ -79,9 +80,7 @@
                 if task.done() and not task.cancelled() and task.exception():
                     reset_quietly(other)
         finally:
-            for task in pumps:
-                task.cancel()
-            await asyncio.gather(*pumps, return_exceptions=True)
+            await end_tasks(pumps)
             for end in ends:
                 end.close()
             self.writers -= ends
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -82,7 +82,7 @@
     record = {
         "findings": [dataclasses.asdict(one) for one in findings],
         "disturbances": [dataclasses.asdict(one) for one in history.disturbances],
-        "changes": [dataclasses.asdict(one) for one in history.changes],
+        "accepted": history.accepted,
         "requests": [dataclasses.asdict(one) for one in history.requests.values()],
         "arrivals": [dataclasses.asdict(one) for one in history.arrivals],
         "statuses": Counter(str(one.status) for one in history.requests.values()),
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -9,13 +9,9 @@
 from benchmarks.soak.history import Arrival, History
 from turmericusher.decisions.relay_messages import UpstreamReport
 from turmericusher.platform.names import (
-    COPY_SOURCE,
     LAST_EVENT_ID,
-    NOT_RUN_MARK,
     REQUEST_ID,
     SIGNATURE,
-    STANDBY_ADDRESS,
-    TARGET_UPSTREAM,
     TEAM,
 )
 from turmericusher.standins.platform_upstream import (
@@ -24,6 +20,7 @@
     chunk,
     head,
 )
+from turmericusher.tasks.background import end_tasks
 
 EVENTS = 24
 EVENT_GAP_S = 0.05
@@ -81,18 +78,9 @@
         request_id = call.headers.get(REQUEST_ID, "")
         arrival = Arrival(request_id, self.part, loop.time())
         self.history.arrivals.append(arrival)
-        if call.headers.get(TARGET_UPSTREAM, self.name) != self.name:
-            writer.write(head(421, {}))
-            return
-        _, _, handle = call.headers.get(COPY_SOURCE, "").rpartition("/")
-        if self.sheds or (handle and handle not in self.copies):
-            writer.write(head(503, {NOT_RUN_MARK: "1"}))
+        if not self.takes(call, writer, self.sheds):
             return
         arrival.has_run = True
-        self.runs.append(request_id)
-        peer = self.peers.get(call.headers.get(STANDBY_ADDRESS, ""))
-        if peer is not None:
-            peer.copies.add(request_id)
         arrival.error = self.what_was_changed(call, request_id)
         self.report = replace(self.report, running=self.report.running + 1)
         gone = asyncio.create_task(reader.read())
@@ -103,9 +91,7 @@
             arrival.ended_at = loop.time()
             self.made.pop(request_id, None)
             self.report = replace(self.report, running=self.report.running - 1)
-            for task in (gone, work):
-                task.cancel()
-            await asyncio.gather(gone, work, return_exceptions=True)
+            await end_tasks((gone, work))
 
     def what_was_changed(self, call: ReceivedCall, request_id: str) -> str:
         """Say how a request differs from what its caller sent, empty where not."""
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -18,13 +18,18 @@
 from benchmarks.soak.history import (
     Disturbance,
     History,
-    StoredChange,
     UnexpectedExit,
 )
 from benchmarks.soak.proxy import Proxy, running_proxy
 from benchmarks.soak.schedule import Plan
 from benchmarks.soak.upstream import SoakUpstream
-from tests.common.relay_parts import DOMAINS, configuration, own_host, settings_text
+from tests.common.relay_parts import (
+    DOMAINS,
+    configuration,
+    own_host,
+    settings_text,
+    upstream_entry,
+)
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
     READINESS_PATH,
@@ -36,6 +41,7 @@
     running_platform_store,
 )
 from turmericusher.standins.platform_upstream import running_standin
+from turmericusher.tasks.background import end_tasks
 
 GRACE_S = 4.0
 EXIT_SLACK_S = 1.0
@@ -54,6 +60,9 @@
 FIRST_BORN = 1_700_000_000_000
 """Unix milliseconds at which the upstreams' first lives began."""
 
+SLOTS = 64
+"""More than the callers' streams, so that only faults make an upstream refuse."""
+
 POLL_S = 0.05
 ROOT = Path(__file__).parents[2]
 
@@ -137,17 +146,13 @@
     def entry(self) -> bytes:
         """Return the entry as the upstream writes it."""
         self.sequence += 1
-        return orjson.dumps(
-            {
-                "service": "s",
-                "address": self.link.address,
-                "zone": DOMAINS[self.index % len(DOMAINS)],
-                "version": "v1",
-                "slots": 64,
-                "state": self.state,
-                "sequence": self.sequence,
-                "born": self.born,
-            }
+        return upstream_entry(
+            self.link.address,
+            self.index,
+            self.state,
+            slots=SLOTS,
+            sequence=self.sequence,
+            born=self.born,
         )
 
 
@@ -192,8 +197,7 @@
             route = {"name": f"version-{version}", "prefix": version_path(version)}
             table["routes"].append(plain | route)
         self.store.store.write(CONFIGURATION_KEY, orjson.dumps(table))
-        change = StoredChange("configuration", self.version, self.now())
-        self.history.changes.append(change)
+        self.history.accepted[self.version] = self.now()
 
     async def is_ready(self, instance: InstanceProcess) -> bool:
         """Ask an instance whether it takes requests."""
@@ -307,6 +311,4 @@
         try:
             yield world
         finally:
-            for task in world.tasks:
-                task.cancel()
-            await asyncio.gather(*world.tasks, return_exceptions=True)
+            await end_tasks(world.tasks)
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -146,6 +146,24 @@
         body = encode_copy_handle(handle)
         writer.write(head(200, {"Content-Length": str(len(body))}) + body)
 
+    def takes(
+        self, call: ReceivedCall, writer: asyncio.StreamWriter, sheds: bool
+    ) -> bool:
+        """Refuse a call that does not run here, or note that it runs."""
+        if call.headers.get(TARGET_UPSTREAM, self.name) != self.name:
+            writer.write(head(421, {}))
+            return False
+        _, _, handle = call.headers.get(COPY_SOURCE, "").rpartition("/")
+        if sheds or (handle and handle not in self.copies):
+            writer.write(head(503, {NOT_RUN_MARK: "1"}))
+            return False
+        request_id = call.headers.get(REQUEST_ID, "")
+        self.runs.append(request_id)
+        peer = self.peers.get(call.headers.get(STANDBY_ADDRESS, ""))
+        if peer is not None:
+            peer.copies.add(request_id)
+        return True
+
     async def answer(
         self,
         call: ReceivedCall,
@@ -154,20 +172,9 @@
     ) -> None:
         """Answer a call, or fail in the way that is switched on."""
         fault = self.faults.pop(0) if self.faults else UpstreamFault.NONE
-        if call.headers.get(TARGET_UPSTREAM, self.name) != self.name:
-            writer.write(head(421, {}))
+        if not self.takes(call, writer, fault is UpstreamFault.SHED):
             return
         request_id = call.headers[REQUEST_ID]
-        _, _, handle = call.headers.get(COPY_SOURCE, "").rpartition("/")
-        if handle and handle not in self.copies:
-            fault = UpstreamFault.SHED
-        if fault is UpstreamFault.SHED:
-            writer.write(head(503, {NOT_RUN_MARK: "1"}))
-            return
-        self.runs.append(request_id)
-        peer = self.peers.get(call.headers.get(STANDBY_ADDRESS, ""))
-        if peer is not None:
-            peer.copies.add(request_id)
         if self.events and fault is UpstreamFault.NONE:
             await self.stream(call, reader, writer)
             return
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -142,20 +142,21 @@
     return orjson.dumps(fields | changes)
 
 
-def upstream_entry(standin: UpstreamStandin, index: int, state: str = "ready") -> bytes:
+def upstream_entry(
+    address: str, index: int, state: str = "ready", **changes: object
+) -> bytes:
     """Return an upstream's entry, as it writes it itself."""
-    return orjson.dumps(
-        {
-            "service": SERVICE,
-            "address": standin.address,
-            "zone": DOMAINS[index % len(DOMAINS)],
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "sequence": 1,
-            "born": 1_700_000_000_000,
-        }
-    )
+    fields = {
+        "service": SERVICE,
+        "address": address,
+        "zone": DOMAINS[index % len(DOMAINS)],
+        "version": "v1",
+        "slots": 8,
+        "state": state,
+        "sequence": 1,
+        "born": 1_700_000_000_000,
+    }
+    return orjson.dumps(fields | changes)
 
 
 @dataclass(slots=True)
@@ -176,7 +177,7 @@
         """Write an upstream's entry."""
         standin = self.upstreams[index]
         key = f"{UPSTREAM_PREFIX}{standin.name}"
-        self.store.store.write(key, upstream_entry(standin, index, state))
+        self.store.store.write(key, upstream_entry(standin.address, index, state))
 
     def unlist_upstream(self, index: int) -> None:
         """Take out an upstream's entry."""
@@ -204,6 +205,11 @@
             return Answer(response.status, lower_case(response), body, True)
 
 
+def runs(world: RelayWorld) -> int:
+    """Return how often requests ran, at all upstreams together."""
+    return sum(len(upstream.runs) for upstream in world.upstreams)
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """What a caller got."""
@@ -287,7 +293,7 @@
         for index, standin in enumerate(found):
             standin.peers = peers
             key = f"{UPSTREAM_PREFIX}{standin.name}"
-            store.store.write(key, upstream_entry(standin, index))
+            store.store.write(key, upstream_entry(standin.address, index))
         settings = node_settings(store.address, configuration_limit_s)
         node = await stack.enter_async_context(running_node(settings))
         session = await stack.enter_async_context(aiohttp.ClientSession())
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -15,9 +15,9 @@
     Arrival,
     Disturbance,
     History,
+    LeavingMark,
     Probe,
     SentRequest,
-    StoredChange,
     UnexpectedExit,
 )
 from benchmarks.soak.mutations import MUTATIONS, mutated_source
@@ -68,14 +68,11 @@
 
 
 ONCE = RequestKind.NON_IDEMPOTENT
-ACCEPTED = [
-    StoredChange("configuration", 1, 0.0),
-    StoredChange("configuration", 2, 50.0),
-]
+ACCEPTED = {1: 0.0, 2: 50.0}
 LATE = 50.0 + APPLY_S + 0.1
 STOP = Disturbance(ENTRY, "stop", 100.5, 104.0)
 CUT = request(is_whole=False, status=None)
-LEFT = StoredChange(UPSTREAM, 1, 100.0 - DRAIN_S)
+LEFT = LeavingMark(UPSTREAM, 100.0 - DRAIN_S)
 LEAVING = Disturbance(UPSTREAM, "leave", 100.0 - DRAIN_S, math.inf)
 
 BROKEN = {
@@ -84,7 +81,7 @@
     "at_most_once": history(request(ONCE), arrivals=[arrival(), arrival()]),
     "true_refusals": history(request(ONCE, status=503), arrivals=[arrival()]),
     "newest_configuration": history(
-        changes=ACCEPTED, probes=[Probe(ENTRY, 1, 2, LATE, False)]
+        accepted=ACCEPTED, probes=[Probe(ENTRY, 1, 2, LATE, False)]
     ),
     "nothing_to_leaving": history(
         request(), arrivals=[arrival()], leavings=[LEFT], disturbances=[LEAVING]
@@ -102,7 +99,7 @@
 }
 
 REVERTED = history(
-    changes=ACCEPTED,
+    accepted=ACCEPTED,
     probes=[Probe(ENTRY, 1, 2, 51.0, True), Probe(ENTRY, 1, 2, 51.1, False)],
 )
 
@@ -114,15 +111,15 @@
     ),
     "a failure of what ran": history(request(ONCE, status=502), arrivals=[arrival()]),
     "a change within its bound": history(
-        changes=ACCEPTED, probes=[Probe(ENTRY, 1, 2, LATE - 0.2, False)]
+        accepted=ACCEPTED, probes=[Probe(ENTRY, 1, 2, LATE - 0.2, False)]
     ),
     "a change while the store was away": history(
-        changes=ACCEPTED,
+        accepted=ACCEPTED,
         probes=[Probe(ENTRY, 1, 2, LATE, False)],
         disturbances=[Disturbance("store", "down", 49.0, 51.0)],
     ),
     "an older version in another life": history(
-        changes=ACCEPTED,
+        accepted=ACCEPTED,
         probes=[Probe(ENTRY, 1, 2, 51.0, True), Probe(ENTRY, 2, 2, 51.1, False)],
     ),
     "an upstream that is back": history(
--- a/tests/processes/test_platform_process.py
+++ b/tests/processes/test_platform_process.py
@@ -100,7 +100,7 @@
                 upstream.events, upstream.event_gap_s = EVENTS, 0.05
                 store.store.write(CONFIGURATION_KEY, configuration())
                 key = f"{UPSTREAM_PREFIX}u0"
-                store.store.write(key, upstream_entry(upstream, 0))
+                store.store.write(key, upstream_entry(upstream.address, 0))
                 async with asyncio.timeout(START_LIMIT_S):
                     while not await is_ready(session, host):
                         await asyncio.sleep(0.05)
