One stuck stream for test and benchmark; its test waits until the reader is stuck

Cause: the class stood twice. Ruled out: lost counts; the line that tells them is checked behind it.

Change: the stream tells when a writer waits, and the lines are written from then on.

--- a/benchmarks/logs.py
+++ b/benchmarks/logs.py
@@ -14,8 +14,9 @@
 from contextlib import ExitStack
 
 from benchmarks.harness import parse_arguments, print_result, summary_ms
-from benchmarks.relay import LINES, StuckStream, logging_us
+from benchmarks.relay import LINES, logging_us
 from tests.common.relay_parts import relay_world
+from tests.common.streams import StuckStream
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.log_queue import QueuedStream, bounded_logs
 
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -8,13 +8,13 @@
 
 import io
 import random
-import threading
 import time
 
 from benchmarks.harness import parse_arguments, print_result
 from benchmarks.load_costs import upstream
 from benchmarks.relay_model import DURATION_S, ENGINES, READ_S, TARGET_S, play
 from tests.common.relay_parts import SERVICE, started_relay
+from tests.common.streams import StuckStream
 from turmericusher.decisions.relay_messages import (
     AskLoads,
     EventArrived,
@@ -99,19 +99,6 @@
     return (time.process_time() - begin) / STREAMS * MICROSECONDS
 
 
-class StuckStream(io.StringIO):
-    """A stream whose reader reads nothing until `read_on` is set."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.read_on = threading.Event()
-
-    def write(self, text: str, /) -> int:
-        """Wait for the reader."""
-        self.read_on.wait()
-        return super().write(text)
-
-
 def logging_us(stream: io.StringIO) -> dict[str, object]:
     """Return what a line costs its writer, and how many were kept from the log."""
     with bounded_logs(stream, clock=lambda: 0.0) as queued:
--- a/tests/cover/test_log_queue.py
+++ b/tests/cover/test_log_queue.py
@@ -1,12 +1,12 @@
 """Logging never waits for its reader, and its volume is bounded."""
 
 import io
-import threading
 import time
 
 from parameterized import parameterized
 from testtools import TestCase
 
+from tests.common.streams import StuckStream
 from turmericusher.log_queue import (
     BURST_LINES,
     QUEUE_LINES,
@@ -19,18 +19,6 @@
 LONGEST_WAIT_S = 1.0
 
 
-class StuckStream(io.StringIO):
-    """A stream whose reader reads nothing until `read_on` is set."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.read_on = threading.Event()
-
-    def write(self, text: str, /) -> int:
-        self.read_on.wait()
-        return super().write(text)
-
-
 class GoneStream(io.StringIO):
     """A stream whose reader has gone."""
 
@@ -43,6 +31,8 @@
         stream = StuckStream()
         queued = QueuedStream(stream)
         queued.start()
+        queued.write("the line that the reader does not take\n")
+        self.assertTrue(stream.is_held_up.wait(LONGEST_WAIT_S))
         started_at = time.monotonic()
         for number in range(3 * QUEUE_LINES):
             queued.write(f"line {number}\n")
