--- a/tests/common/waiting.py
+++ b/tests/common/waiting.py
@@ -7,9 +7,10 @@
 
 
 async def wait_until(is_reached: Callable[[], bool], limit_s: float = 20.0) -> None:
-    """Return once the condition holds; fail after `limit_s` seconds of polling."""
-    for _ in range(int(limit_s / POLL_S)):
-        if is_reached():
-            return
+    """Return once the condition holds; fail after `limit_s` seconds."""
+    clock = asyncio.get_running_loop().time
+    ends_at = clock() + limit_s
+    while not is_reached():
+        if clock() >= ends_at:
+            raise AssertionError(f"not reached within {limit_s} s: {is_reached}")
         await asyncio.sleep(POLL_S)
-    raise AssertionError(f"not reached within {limit_s} s: {is_reached}")
