Metrics: why relayed requests are repeated, and what the retry budget paid

Counters by cause, of unpaid and of denied repeats, and the balance by service, tell them apart. No decision changes; the relay's tests pass.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -51,6 +51,9 @@
 UPSTREAM_ENDED_CAUSES = frozenset({AttemptCause.LOST, AttemptCause.SILENT})
 """Causes for which the upstream itself is assumed to have stopped with the stream."""
 
+STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
+"""Causes that are inferred from missing events while the connection is still open."""
+
 MAX_REFUSALS = 3
 """Refusals by upstreams after which the caller is told to retry later."""
 
@@ -184,8 +187,15 @@
             return self.fail_on_timeout()
         if not self.can_send_again(event):
             return self.fail_or_forward(event)
+        self.count_repeat(event)
         return self.start_next(now)
 
+    def count_repeat(self, event: AttemptFailed) -> None:
+        """Count why the next attempt is made."""
+        totals = self.shared.totals
+        totals.stalled_repeats += event.cause in STALL_CAUSES
+        totals.refused_repeats += event.verdict is Verdict.NOT_RUN
+
     def record_failure(self, attempt: RelayAttempt, event: AttemptFailed) -> None:
         """Record what a failed attempt implies for the request and its upstream."""
         name = attempt.upstream.name
@@ -229,7 +239,11 @@
             return False
         if self.refusals >= MAX_REFUSALS and not self.has_delivered:
             return False
-        return self.spend_retry() or self.has_delivered
+        if self.spend_retry():
+            return True
+        self.shared.totals.unpaid_repeats += self.has_delivered
+        self.shared.totals.denied_repeats += not self.has_delivered
+        return self.has_delivered
 
     def fail_or_forward(self, event: AttemptFailed) -> list[RelayAction]:
         """Forward the upstream's own failure if there is one, or else fail."""
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -94,10 +94,20 @@
 
 @dataclass(slots=True)
 class RelayTotals:
-    """Counters over all relayed requests of an instance."""
+    """Counters over all relayed requests of an instance.
+
+    `repeats` counts attempts after the first of their request: `stalled_repeats` after
+    an upstream that sent nothing, `refused_repeats` after one that did not run the
+    request, and the rest after one that failed. `unpaid_repeats` took nothing from the
+    retry budget, and `denied_repeats` were not made for lack of budget.
+    """
 
     attempts: int = 0
     repeats: int = 0
+    stalled_repeats: int = 0
+    refused_repeats: int = 0
+    unpaid_repeats: int = 0
+    denied_repeats: int = 0
     resumes: int = 0
     copies_used: int = 0
     copies_renewed: int = 0
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -70,6 +70,8 @@
         self.metrics.gauge("configuration", table.version if table else 0)
         self.metrics.gauge("upstreams", len(self.fleet.upstreams.entries))
         self.metrics.gauge("instances", len(self.fleet.instances.entries))
+        for service, budget in self.shared.budgets.items():
+            self.metrics.gauge(f"retry_balance.{service}", budget.balance)
         for name in type(totals).__slots__:
             self.metrics.gauge(f"relay.{name}", getattr(totals, name))
 
