Retry budget: count the last window, and keep restarts within it

Callers of requests that fail were refused a retry long after the burst that had used the reserve, as the balance grew with new requests only (0.12 a second on each of 86 instances, while the limit allows the whole slack again in each window). And a process that starts again had a full reserve, so that instances that restart together could spend the slack twice in one window.

Cause: the limit is on each window of 10 s, the budget was a balance without a time. It now counts requests and retries of the last window, which the settings name, and for its first window a new process has 0.4 of its reserve.

Why it works: in every window each instance spends at most its share of the slack plus its share for the requests it counted, and the shares add up to 0.7 of the limit.

--- a/benchmarks/load_simulation.py
+++ b/benchmarks/load_simulation.py
@@ -140,7 +140,7 @@
             job = entry.jobs[action.number]
             if isinstance(action, Admit):
                 job.holds_slot = True
-                entry.retries.earn()
+                entry.retries.record_request(now)
                 self.outcomes.accepted += 1
                 self.send(entry, job, frozenset(), False)
             else:
@@ -221,7 +221,8 @@
                 lambda: self.retry(entry, job, avoided_domains, is_resume),
             )
             return
-        if self.has_admission and not is_resume and not entry.retries.spend():
+        may_repeat = is_resume or not self.has_admission
+        if not may_repeat and not entry.retries.spend(self.scheduler.now):
             self.outcomes.repeats_refused += 1
             self.finish(entry, job)
             return
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -81,8 +81,8 @@
         "repeats-cost-nothing",
         "bounded_repeats",
         "decisions/retries.py",
-        "if self.balance < 1:",
-        "if self.balance < -1e9:",
+        "return self.allowance(now) >= 1",
+        "return True",
     ),
     Mutation(
         "work-goes-on-without-its-caller",
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -68,7 +68,7 @@
     def start(self, now: float) -> list[RelayAction]:
         """Start the first attempt, or refuse the request if no time is left for one."""
         self.position = self.request.resume_after
-        self.shared.budget_for(self.routed.service.name).earn()
+        self.shared.budget_for(self.routed.service.name).record_request(now)
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail(ErrorCode.WAIT_EXCEEDED, "no time was left on arrival")
         return self.start_next(now)
@@ -185,7 +185,7 @@
             return self.fail_or_forward(event)
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail_on_timeout()
-        if not self.can_send_again(event):
+        if not self.can_send_again(event, now):
             return self.fail_or_forward(event)
         self.count_repeat(event)
         return self.start_next(now)
@@ -226,7 +226,7 @@
         """
         return self.kind.is_stream and event.cause in UPSTREAM_ENDED_CAUSES
 
-    def can_send_again(self, event: AttemptFailed) -> bool:
+    def can_send_again(self, event: AttemptFailed, now: float) -> bool:
         """Whether `max_attempts` and the retry budget allow one more attempt.
 
         An attempt that could not connect reached no upstream and costs nothing. A
@@ -239,7 +239,7 @@
             return False
         if self.refusals >= MAX_REFUSALS and not self.has_delivered:
             return False
-        if self.spend_retry():
+        if self.spend_retry(now):
             return True
         self.shared.totals.unpaid_repeats += self.has_delivered
         self.shared.totals.denied_repeats += not self.has_delivered
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -330,11 +330,11 @@
             self.excluded | busy, self.recently_lost_domains(now)
         )
         upstream = self.shared.selector.pick(wanted)
-        if upstream is None or not self.spend_retry():
+        if upstream is None or not self.spend_retry(now):
             return []
         self.shared.totals.hedges += 1
         return [self.start_on(upstream, now)]
 
-    def spend_retry(self) -> bool:
+    def spend_retry(self, now: float) -> bool:
         """Take one retry from the service's budget; return whether there was one."""
-        return self.shared.budget_for(self.routed.service.name).spend()
+        return self.shared.budget_for(self.routed.service.name).spend(now)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -123,8 +123,8 @@
 
     `prefill_times` has the prefill time of one prompt by service and urgency: engines
     take urgent prompts first, so the others wait longer. `budgets` has the retry budget
-    of each service; `budget_ratio` and `budget_reserve` are for the budgets of new
-    services. `stream_duration` estimates how long streams last after their first event,
+    of each service; `budget_template` is copied for those of new services.
+    `stream_duration` estimates how long streams last after their first event,
     `typical_sizes` the request size of each service. `holders` tracks which holders of
     copies are lost.
     """
@@ -135,8 +135,7 @@
     placements: RecentPlacements = field(default_factory=RecentPlacements)
     prefill_times: dict[tuple[str, int], PrefillTime] = field(default_factory=dict)
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
-    budget_ratio: float = 0.2
-    budget_reserve: float = 10.0
+    budget_template: RetryBudget = field(default_factory=RetryBudget)
     totals: RelayTotals = field(default_factory=RelayTotals)
     stream_duration: DurationEstimate = field(default_factory=DurationEstimate)
     holders: HolderChecks = field(default_factory=HolderChecks)
@@ -146,8 +145,8 @@
         """Return the retry budget of a service, which may be new."""
         budget = self.budgets.get(service)
         if budget is None:
-            reserve = self.budget_reserve
-            budget = RetryBudget(self.budget_ratio, reserve, reserve)
+            own = self.budget_template
+            budget = RetryBudget(own.ratio, own.reserve, own.window_s, own.started_at)
             self.budgets[service] = budget
         return budget
 
@@ -157,10 +156,8 @@
 
     def set_budgets(self, ratio: float, reserve: float) -> None:
         """Set ratio and reserve of all budgets, as when the fleet grows or shrinks."""
-        self.budget_ratio, self.budget_reserve = ratio, reserve
-        for budget in self.budgets.values():
+        for budget in (self.budget_template, *self.budgets.values()):
             budget.ratio, budget.reserve = ratio, reserve
-            budget.balance = min(budget.balance, reserve)
 
 
 @dataclass(slots=True)
--- a/src/turmericusher/decisions/retries.py
+++ b/src/turmericusher/decisions/retries.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.sliding_count import SlidingCount
 
 BUDGET_SHARE = 0.7
 """Share of the limit on all instances' retries that their budgets add up to; the rest
@@ -12,12 +15,21 @@
 """Minimum reserve of one instance: a retry takes a balance of 1."""
 
 
+RESTART_SHARE = 0.4
+"""Share of the reserve that a process has before it has run for a window: with what its
+predecessor may have spent in the same window, this stays within the limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class RetryBounds:
-    """Limit on the retries of all instances: a share of the requests plus a slack."""
+    """Limit on the retries of all instances: a share of the requests plus a slack.
+
+    It holds in every `window_s` seconds.
+    """
 
     ratio: float
     slack: float
+    window_s: float = 10.0
 
     def instance_ratio(self) -> float:
         """Return the retries that an instance may make for each of its requests."""
@@ -30,24 +42,47 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Allows retries as a share of the calls, with a small reserve.
+    """Allows retries as a share of the requests, with a small reserve.
 
-    Each first attempt earns `ratio` of a retry, up to `reserve`. While every call
-    fails, the load on the upstreams therefore stays below `1 + ratio` times the calls,
-    and a rare failure can always be retried.
+    In every `window_s` seconds the retries are at most `reserve` plus `ratio` for each
+    request. While every request fails, the load on the upstreams therefore stays below
+    `1 + ratio` times the requests, and a rare failure can always be retried.
+
+    A process that started at `started_at` does not know what the one before it has
+    spent, so it has only a part of the reserve for its first window. Times are in
+    monotonic seconds.
     """
 
     ratio: float = 0.2
     reserve: float = 10.0
-    balance: float = 10.0
+    window_s: float = 10.0
+    started_at: float = -math.inf
+    requests: SlidingCount = field(init=False)
+    retries: SlidingCount = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Start to count requests and retries over the window."""
+        self.requests = SlidingCount(self.window_s)
+        self.retries = SlidingCount(self.window_s)
+
+    def record_request(self, now: float) -> None:
+        """Count a first attempt, which allows `ratio` of a retry."""
+        self.requests.record(now)
+
+    def allowance(self, now: float) -> float:
+        """Return how many more retries are allowed now; a retry takes 1."""
+        is_new = now - self.started_at < self.window_s
+        reserve = self.reserve * (RESTART_SHARE if is_new else 1.0)
+        earned = self.ratio * self.requests.count(now)
+        return reserve + earned - self.retries.count(now)
 
-    def earn(self) -> None:
-        """Add the share of a retry that a first attempt earns."""
-        self.balance = min(self.reserve, self.balance + self.ratio)
+    def has_retry(self, now: float) -> bool:
+        """Whether the budget allows one more retry."""
+        return self.allowance(now) >= 1
 
-    def spend(self) -> bool:
+    def spend(self, now: float) -> bool:
         """Take one retry from the budget; return whether there was one."""
-        if self.balance < 1:
+        if not self.has_retry(now):
             return False
-        self.balance -= 1
+        self.retries.record(now)
         return True
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -16,6 +16,7 @@
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.relay_stop import RelayStop
+from turmericusher.decisions.retries import RetryBudget
 from turmericusher.decisions.routing import NewestTable
 from turmericusher.decisions.selection import Selector
 from turmericusher.errors import SettingsError
@@ -101,7 +102,14 @@
             )
         )
         selector = Selector(settings.random_for("selection"), own=settings.name)
-        shared = RelayShared(selector, settings.random_for("relay"))
+        shared = RelayShared(
+            selector,
+            settings.random_for("relay"),
+            budget_template=RetryBudget(
+                window_s=settings.retries.window_s,
+                started_at=asyncio.get_running_loop().time(),
+            ),
+        )
         port = await stack.enter_async_context(
             open_platform_upstreams(selector.merge_report)
         )
--- a/src/turmericusher/platform/settings.py
+++ b/src/turmericusher/platform/settings.py
@@ -40,6 +40,7 @@
     grace_s: float = Field(default=8.0, gt=0)
     retry_budget_ratio: float = Field(default=0.8, ge=0)
     budget_slack: float = Field(default=150.0, ge=0)
+    budget_window_s: float = Field(default=10.0, gt=0)
     ttl_max_s: float = Field(default=5.0, gt=0)
     configuration_apply_ms: float = Field(default=2000.0, gt=0)
 
@@ -118,7 +119,11 @@
         metrics_address=f"{model.ip_address}:{METRICS_PORT}",
         store_address=model.platform.address,
         stop_limit_s=model.bounds.grace_s,
-        retries=RetryBounds(model.bounds.retry_budget_ratio, model.bounds.budget_slack),
+        retries=RetryBounds(
+            model.bounds.retry_budget_ratio,
+            model.bounds.budget_slack,
+            model.bounds.budget_window_s,
+        ),
         entrypoint_ttl_limit_s=model.bounds.ttl_max_s,
         configuration_limit_s=model.bounds.configuration_apply_ms / MILLISECONDS_PER_S,
     )
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -71,7 +71,8 @@
         self.metrics.gauge("upstreams", len(self.fleet.upstreams.entries))
         self.metrics.gauge("instances", len(self.fleet.instances.entries))
         for service, budget in self.shared.budgets.items():
-            self.metrics.gauge(f"retry_balance.{service}", budget.balance)
+            allowance = budget.allowance(self.frontend.clock())
+            self.metrics.gauge(f"retry_balance.{service}", allowance)
         for name in type(totals).__slots__:
             self.metrics.gauge(f"relay.{name}", getattr(totals, name))
 
--- a/src/turmericusher/tasks/calls.py
+++ b/src/turmericusher/tasks/calls.py
@@ -194,7 +194,8 @@
         The attempts are limited by the profile's `max_attempts`, by the deadline and,
         for those that follow an attempt that may have run, by the retry budget.
         """
-        self.retry_budget.earn()
+        clock = asyncio.get_running_loop().time
+        self.retry_budget.record_request(clock())
         retry_state = RetryState(deadline)
         verdict = Verdict.NOT_RUN
         failure: UpstreamError | None = None
@@ -212,7 +213,7 @@
                 raise failure
             if failure.verdict is Verdict.MAY_HAVE_RUN:
                 verdict = Verdict.MAY_HAVE_RUN
-                if not self.retry_budget.spend():
+                if not self.retry_budget.spend(clock()):
                     break
         raise no_answer_error(call, failure, verdict)
 
--- a/tests/cover/test_calls.py
+++ b/tests/cover/test_calls.py
@@ -15,6 +15,7 @@
     new_key,
     upstream_at,
 )
+from turmericusher.decisions.retries import RetryBudget
 from turmericusher.errors import ErrorCode, TurmericusherError, Verdict
 from turmericusher.ports.services import open_service_port
 from turmericusher.standins.service import (
@@ -167,7 +168,7 @@
         self, _name: str, method: str
     ) -> None:
         self.set_fault(ServiceFault.DIE_AFTER)
-        self.calls.retry_budget.balance = 0
+        self.calls.retry_budget = RetryBudget(ratio=0.0, reserve=0.0)
         error = await error_of(self.calls, lookup_call(method))
         self.assertEqual((MAY_HAVE_RUN, 1), (error.verdict, self.runs["-"]))
 
