Streams in progress keep within the retry budget, and stay with engines that pause

Callers saw little; the engines of draft-llm got more repeats than the limit on all instances allows. Cause: a stream that had delivered an event was sent again without budget (`spend_retry() or has_delivered`), and its failed sends left the count that max_attempts bounds. Class: a retry path exempt from the limit that is to bound all of them. A short silence of sound engines sets it off, as every stream of the engine takes it for a loss.

Change: every resume takes a retry. A stream without one waits for it and is not ended, and leaves half of the reserve to streams in progress if it has not begun itself; from the third failure without an event on it pauses 0.1 s to 1 s. A stalled stream stays with its engine while no retry is left, since a pausing engine goes on; an engine that was left for its silence counts towards max_attempts until it is known to have ended.

A relay test now ticks through the pause before it looks for the resume; its bounds are the same. The relay's state machine draws a budget and checks that it pays for repeats.

--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -81,7 +81,7 @@
         "repeats-cost-nothing",
         "bounded_repeats",
         "decisions/retries.py",
-        "return self.allowance(now) >= 1",
+        "return self.allowance(now) - kept >= 1",
         "return True",
     ),
     Mutation(
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -6,7 +6,9 @@
 on the upstream that holds a copy of its KV cache.
 
 Load: each attempt after the first is taken from the service's retry budget, so that a
-service that fails or is full gets at most a fixed share of extra requests.
+service that fails or is full gets at most a fixed share of extra requests. A stream in
+progress waits for the budget. A stalled stream stays with its upstream meanwhile, since
+a sound engine may send nothing for a second and then go on.
 """
 
 from __future__ import annotations
@@ -38,6 +40,7 @@
     MAX_MISSING_EVENTS,
     MIN_ATTEMPT_TIME_S,
     PROCESS_PAUSE_S,
+    RETRY_POLL_INTERVAL_S,
     UPSTREAM_FAILURE_CAUSES,
     RelayAttempt,
     RelayShared,
@@ -48,12 +51,19 @@
 REPORT_VISIBLE_AFTER_S = 0.8
 """Seconds after which an attempt appears in its upstream's reports, with a margin."""
 
-UPSTREAM_ENDED_CAUSES = frozenset({AttemptCause.LOST, AttemptCause.SILENT})
-"""Causes for which the upstream itself is assumed to have stopped with the stream."""
-
 STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
 """Causes that are inferred from missing events while the connection is still open."""
 
+IMMEDIATE_RESUMES = 2
+"""Resumes of a stream without a pause: its standby first, then any other upstream."""
+
+RESUME_PAUSE_S = 0.1
+"""Pause in seconds before the next resume; it doubles with each further failure."""
+
+MAX_RESUME_PAUSE_S = 1.0
+"""Longest pause in seconds between two resumes, so that output goes on within 2 s after
+the upstreams are back."""
+
 MAX_REFUSALS = 3
 """Refusals by upstreams after which the caller is told to retry later."""
 
@@ -92,7 +102,9 @@
             return self.discount_process_pause(now)
         if self.retry_at is not None and now >= self.retry_at:
             self.retry_at = None
-            return self.start_next(now)
+            return (
+                self.resume_if_paid(now) if self.awaits_budget else self.start_next(now)
+            )
         hedge_at = self.hedge_due_at()
         if hedge_at is not None and now >= hedge_at:
             return self.hedge(now)
@@ -108,8 +120,7 @@
             times.append(hedge_at)
         if self.kind is RequestKind.RESUMABLE_STREAM:
             for attempt in self.attempts.values():
-                times.append(self.probe_due_at(attempt))
-                times.append(self.abandon_at(attempt))
+                times.append(self.stall_check_at(attempt))
         return min(times)
 
     def close(self) -> list[RelayAction]:
@@ -138,12 +149,19 @@
         return []
 
     def handle_stalls(self, now: float) -> list[RelayAction]:
-        """Probe the upstreams of stalled attempts; abandon those past their limit."""
+        """Probe the upstreams of stalled attempts; abandon those past their limit.
+
+        Nothing is done about an attempt that could not be replaced.
+        """
         if not self.kind.may_repeat:
             return []
         actions: list[RelayAction] = []
         for attempt in list(self.attempts.values()):
-            if now >= self.abandon_at(attempt):
+            if now < self.stall_check_at(attempt):
+                continue
+            if not self.may_replace(attempt, now):
+                self.keep(attempt, now)
+            elif now >= self.abandon_at(attempt):
                 idle_s = now - attempt.last_active_at
                 text = f"stalled for {idle_s:.2f} s"
                 actions.extend(self.abandon(attempt, AttemptCause.SILENT, text, now))
@@ -153,6 +171,19 @@
                 actions.append(ProbeUpstream(attempt.number, attempt.upstream))
         return actions
 
+    def may_replace(self, attempt: RelayAttempt, now: float) -> bool:
+        """Whether a stalled attempt may be abandoned for another one.
+
+        An attempt whose upstream has ended is abandoned in any case.
+        """
+        if not self.shared.selector.is_current(attempt.upstream):
+            return True
+        return self.is_below_limits() and self.has_retry(now)
+
+    def keep(self, attempt: RelayAttempt, now: float) -> None:
+        """Keep a stalled attempt until the next check of the retry budget."""
+        attempt.kept_until = now + RETRY_POLL_INTERVAL_S
+
     def abandon(
         self, attempt: RelayAttempt, cause: AttemptCause, message: str, now: float
     ) -> list[RelayAction]:
@@ -185,11 +216,46 @@
             return self.fail_or_forward(event)
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail_on_timeout()
-        if not self.can_send_again(event, now):
+        # An attempt that could not connect reached no upstream and costs nothing.
+        if event.cause is AttemptCause.UNREACHABLE:
+            return self.start_next(now)
+        if not self.is_below_limits():
+            return self.fail_or_forward(event)
+        if self.has_delivered:
+            self.count_repeat(event)
+            return self.resume(event, now)
+        if not self.spend_retry(now):
+            self.shared.totals.denied_repeats += 1
             return self.fail_or_forward(event)
         self.count_repeat(event)
         return self.start_next(now)
 
+    def resume(self, event: AttemptFailed, now: float) -> list[RelayAction]:
+        """Resume a stream in progress, after a pause if it has failed repeatedly.
+
+        Without the pause, one stream would use up the budget within milliseconds.
+        """
+        pause_s = resume_pause_s(self.failures_in_a_row)
+        self.failures_in_a_row += event.cause is not AttemptCause.NO_COPY
+        self.awaits_budget = True
+        if pause_s == 0.0:
+            return self.resume_if_paid(now)
+        self.retry_at = now + self.jittered(pause_s)
+        return []
+
+    def resume_if_paid(self, now: float) -> list[RelayAction]:
+        """Start the next attempt, or wait until the retry budget allows it.
+
+        A stream in progress is not ended for lack of budget, because its caller would
+        request all of it again.
+        """
+        if not self.spend_retry(now):
+            self.shared.totals.postponed_repeats += 1
+            self.retry_at = now + RETRY_POLL_INTERVAL_S
+            return []
+        self.awaits_budget = False
+        return self.start_next(now)
+
     def count_repeat(self, event: AttemptFailed) -> None:
         """Count why the next attempt is made."""
         totals = self.shared.totals
@@ -204,6 +270,8 @@
             self.may_have_run = True
             self.copy = attempt.copy
             self.sends -= self.has_upstream_ended(event)
+            if event.cause is AttemptCause.SILENT:
+                self.stalled_upstreams.append(attempt.upstream)
         else:
             self.sends -= 1
             self.refusals += event.cause is AttemptCause.OVERLOADED
@@ -224,26 +292,13 @@
         Such an attempt does not count towards the request's `max_attempts`. A stream
         breaks with its engine, whereas the answer to a call may be lost on its own.
         """
-        return self.kind.is_stream and event.cause in UPSTREAM_ENDED_CAUSES
+        return self.kind.is_stream and event.cause is AttemptCause.LOST
 
-    def can_send_again(self, event: AttemptFailed, now: float) -> bool:
-        """Whether `max_attempts` and the retry budget allow one more attempt.
-
-        An attempt that could not connect reached no upstream and costs nothing. A
-        stream in progress is never ended for lack of budget, because its caller would
-        request all of it again.
-        """
-        if event.cause is AttemptCause.UNREACHABLE:
-            return True
-        if self.sends >= self.routed.route.max_attempts:
-            return False
-        if self.refusals >= MAX_REFUSALS and not self.has_delivered:
+    def is_below_limits(self) -> bool:
+        """Whether `max_attempts` and the limit on refusals allow one more attempt."""
+        if self.counted_sends() >= self.routed.route.max_attempts:
             return False
-        if self.spend_retry(now):
-            return True
-        self.shared.totals.unpaid_repeats += self.has_delivered
-        self.shared.totals.denied_repeats += not self.has_delivered
-        return self.has_delivered
+        return self.has_delivered or self.refusals < MAX_REFUSALS
 
     def fail_or_forward(self, event: AttemptFailed) -> list[RelayAction]:
         """Forward the upstream's own failure if there is one, or else fail."""
@@ -280,6 +335,7 @@
         headers = None if self.has_delivered else attempt.headers
         self.has_delivered = True
         self.may_have_run = True
+        self.failures_in_a_row = 0
         self.position = event.event_id
         return [
             DeliverEvents(event.payload, headers),
@@ -392,6 +448,9 @@
         text = "has restarted"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
     if report is None:
+        if not relay.may_replace(attempt, now):
+            relay.keep(attempt, now)
+            return []
         text = "does not answer"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
     event_count = report.events_made.get(relay.request.request_id)
@@ -419,6 +478,14 @@
     return []
 
 
+def resume_pause_s(failures: int) -> float:
+    """Return the pause before a resume after so many failures without an event."""
+    if failures < IMMEDIATE_RESUMES:
+        return 0.0
+    doublings = min(failures - IMMEDIATE_RESUMES, 8)
+    return min(MAX_RESUME_PAUSE_S, RESUME_PAUSE_S * 2.0**doublings)
+
+
 def make_relay(
     request: RelayedRequest, routed: RoutedRequest, shared: RelayShared
 ) -> Relay:
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -66,6 +66,9 @@
 MIN_RETRY_S = 0.3
 """Minimum Retry-After in seconds: about a third of the prefill time of a prompt."""
 
+NEW_STREAM_KEPT_SHARE = 0.5
+"""Share of the reserve of retries that only streams in progress may use."""
+
 RETRY_JITTER = 0.3
 """Share by which a Retry-After varies, so that refused callers return spread out."""
 
@@ -335,6 +338,21 @@
         self.shared.totals.hedges += 1
         return [self.start_on(upstream, now)]
 
+    def has_retry(self, now: float) -> bool:
+        """Whether the service's budget allows this request one more attempt."""
+        budget = self.shared.budget_for(self.routed.service.name)
+        return budget.has_retry(now, self.kept_share())
+
     def spend_retry(self, now: float) -> bool:
         """Take one retry from the service's budget; return whether there was one."""
-        return self.shared.budget_for(self.routed.service.name).spend(now)
+        budget = self.shared.budget_for(self.routed.service.name)
+        return budget.spend(now, self.kept_share())
+
+    def kept_share(self) -> float:
+        """Return the share of the reserve that this request leaves to other streams.
+
+        A stream in progress may use all of it: its caller would otherwise receive
+        nothing for a while, or request all of it again.
+        """
+        is_new_stream = self.kind.is_stream and not self.has_delivered
+        return NEW_STREAM_KEPT_SHARE if is_new_stream else 0.0
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -73,6 +73,9 @@
 UPSTREAM_POLL_INTERVAL_S = 0.1
 """Seconds between attempts to find an upstream while a stream has none to resume on."""
 
+RETRY_POLL_INTERVAL_S = 0.1
+"""Seconds between two checks of the retry budget by a stream that waits for it."""
+
 MIN_ATTEMPT_TIME_S = 0.01
 """Minimum seconds before a request's deadline for an attempt to be started."""
 
@@ -98,16 +101,17 @@
 
     `repeats` counts attempts after the first of their request: `stalled_repeats` after
     an upstream that sent nothing, `refused_repeats` after one that did not run the
-    request, and the rest after one that failed. `unpaid_repeats` took nothing from the
-    retry budget, and `denied_repeats` were not made for lack of budget.
+    request, and the rest after one that failed. `denied_repeats` were not made for lack
+    of retry budget, and `postponed_repeats` counts how often a stream in progress
+    found none and waited.
     """
 
     attempts: int = 0
     repeats: int = 0
     stalled_repeats: int = 0
     refused_repeats: int = 0
-    unpaid_repeats: int = 0
     denied_repeats: int = 0
+    postponed_repeats: int = 0
     resumes: int = 0
     copies_used: int = 0
     copies_renewed: int = 0
@@ -168,6 +172,7 @@
     requests waiting. `prompts_ahead` counts the prompts that the upstream had to
     prefill first, None where that is not known. `copy` is kept up to date by the
     upstream itself, unless `copied_at` has the time at which it was made on request.
+    A stall is not acted on before `kept_until`.
     """
 
     number: int
@@ -185,6 +190,7 @@
     is_copy_pending: bool = False
     copy_requested_at: float | None = None
     copied_at: float | None = None
+    kept_until: float = 0.0
 
     @property
     def has_event(self) -> bool:
@@ -199,9 +205,11 @@
     `position` is the id of the last event that the caller holds. `lost_domains` has the
     time at which each failure domain last lost an attempt. `sends` counts the attempts
     that an upstream may have run, those in flight included, and `refusals` those that
-    one had no free capacity for. `copy` is that of the last attempt that may have run.
+    one had no free capacity for. `stalled_upstreams` are those that were left because
+    they sent nothing. `failures_in_a_row` counts the resumes since the last event.
+    `copy` is that of the last attempt that may have run.
     `is_querying_loads`: candidates were queried for their load, and no attempt runs
-    yet.
+    yet. `awaits_budget`: the next attempt starts once the retry budget allows it.
     """
 
     request: RelayedRequest
@@ -215,10 +223,13 @@
     last_number: int = 0
     sends: int = 0
     refusals: int = 0
+    stalled_upstreams: list[UpstreamInstance] = field(default_factory=list)
+    failures_in_a_row: int = 0
     has_delivered: bool = False
     may_have_run: bool = False
     was_hedged: bool = False
     is_querying_loads: bool = False
+    awaits_budget: bool = False
     retry_at: float | None = None
     last_message: str = ""
     is_over: bool = False
@@ -260,6 +271,20 @@
         share_s = STARTING_LIMIT_SHARE * self.routed.route.target_latency_s
         return attempt.last_active_at + max(MIN_STARTING_LIMIT_S, share_s)
 
+    def stall_check_at(self, attempt: RelayAttempt) -> float:
+        """Return when an attempt is to be probed or abandoned if it stays inactive."""
+        due_at = min(self.probe_due_at(attempt), self.abandon_at(attempt))
+        return max(due_at, attempt.kept_until)
+
+    def counted_sends(self) -> int:
+        """Return the sends that count towards the request's `max_attempts`.
+
+        An upstream that sends nothing may still run the request. It no longer counts
+        once it is known to have ended.
+        """
+        is_current = self.shared.selector.is_current
+        return self.sends - sum(not is_current(u) for u in self.stalled_upstreams)
+
     def hedge_due_at(self) -> float | None:
         """Return when an idempotent call is sent to a second upstream, or None."""
         if self.kind is not RequestKind.IDEMPOTENT or self.was_hedged:
@@ -290,12 +315,9 @@
     def is_holder_current(self, holder: UpstreamInstance) -> bool:
         """Whether the holder of a copy is live and still the same incarnation."""
         selector = self.shared.selector
-        listed = selector.upstreams.get(holder.name)
-        if listed is None or listed.incarnation != holder.incarnation:
-            return False
-        if holder.name in selector.replaced or self.shared.holders.is_lost(holder):
+        if not selector.is_current(holder) or self.shared.holders.is_lost(holder):
             return False
-        return listed.lifecycle is Lifecycle.LIVE
+        return selector.upstreams[holder.name].lifecycle is Lifecycle.LIVE
 
     def usable_copy(self) -> MemoryCopy | None:
         """Return the copy that an attempt can resume from, or None."""
--- a/src/turmericusher/decisions/retries.py
+++ b/src/turmericusher/decisions/retries.py
@@ -69,20 +69,24 @@
         """Count a first attempt, which allows `ratio` of a retry."""
         self.requests.record(now)
 
+    def current_reserve(self, now: float) -> float:
+        """Return the reserve, of which a new process has only a part."""
+        is_new = now - self.started_at < self.window_s
+        return self.reserve * (RESTART_SHARE if is_new else 1.0)
+
     def allowance(self, now: float) -> float:
         """Return how many more retries are allowed now; a retry takes 1."""
-        is_new = now - self.started_at < self.window_s
-        reserve = self.reserve * (RESTART_SHARE if is_new else 1.0)
         earned = self.ratio * self.requests.count(now)
-        return reserve + earned - self.retries.count(now)
+        return self.current_reserve(now) + earned - self.retries.count(now)
 
-    def has_retry(self, now: float) -> bool:
-        """Whether the budget allows one more retry."""
-        return self.allowance(now) >= 1
+    def has_retry(self, now: float, kept_share: float = 0.0) -> bool:
+        """Whether the budget allows one more retry and keeps a share of the reserve."""
+        kept = kept_share * self.current_reserve(now)
+        return self.allowance(now) - kept >= 1
 
-    def spend(self, now: float) -> bool:
+    def spend(self, now: float, kept_share: float = 0.0) -> bool:
         """Take one retry from the budget; return whether there was one."""
-        if not self.has_retry(now):
+        if not self.has_retry(now, kept_share):
             return False
         self.retries.record(now)
         return True
--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -237,6 +237,13 @@
         if known is not None and known.incarnation == upstream.incarnation:
             self.replaced[upstream.name] = upstream.incarnation
 
+    def is_current(self, upstream: UpstreamInstance) -> bool:
+        """Whether an upstream is still listed and no later incarnation was seen."""
+        listed = self.upstreams.get(upstream.name)
+        if listed is None or listed.incarnation != upstream.incarnation:
+            return False
+        return upstream.name not in self.replaced
+
     def merge_report(self, name: str, report: LoadReport) -> None:
         """Store an upstream's load report; ignore those of unknown upstreams."""
         if name in self.upstreams:
--- a/tests/cover/test_relay_machine.py
+++ b/tests/cover/test_relay_machine.py
@@ -62,10 +62,15 @@
         kind=st.sampled_from(list(RequestKind)),
         reports_load=st.booleans(),
         resume_after=st.sampled_from([None, None, 2]),
+        retries=st.sampled_from([0.0, 1.0, 10.0]),
     )
-    def begin(self, kind, reports_load, resume_after):
+    def begin(self, kind, reports_load, resume_after, retries):
         self.now = 0.0
         self.shared = make_relay_shared(UPSTREAMS)
+        self.shared.set_budgets(0.0, retries)
+        self.retries = retries
+        self.starts = 0
+        self.unreachable = 0
         self.incarnations = dict.fromkeys(range(UPSTREAMS), 1)
         self.lifecycles = dict.fromkeys(range(UPSTREAMS), Lifecycle.LIVE)
         if not kind.is_stream:
@@ -108,6 +113,7 @@
                     self.check_outcome(action)
 
     def start_attempt(self, action):
+        self.starts += 1
         known = self.shared.selector.upstreams[action.upstream.name]
         assert known.lifecycle is Lifecycle.LIVE
         assert action.upstream.name not in self.shared.selector.replaced
@@ -218,6 +224,7 @@
         else:
             self.ran(attempt)
         del self.running[attempt]
+        self.unreachable += cause is AttemptCause.UNREACHABLE
         failed = AttemptFailed(attempt, self.now, cause, verdict)
         self.execute(self.relay.handle(failed, self.now))
 
@@ -294,6 +301,11 @@
             assert self.run_count <= 1
             assert len(self.running) <= 1
 
+    @invariant()
+    def repeats_that_reach_an_upstream_are_paid_by_the_budget(self):
+        if hasattr(self, "relay"):
+            assert self.starts - self.unreachable <= 1 + self.retries
+
     @invariant()
     def running_attempts_match_the_in_flight_counts(self):
         if not hasattr(self, "relay"):
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -273,6 +273,8 @@
         actions = []
         for attempt in range(1, 6):
             actions = relay.handle(failed(attempt, cause, MAY_HAVE_RUN), attempt)
+            if not actions:
+                actions = relay.tick(relay.wake_at())
             if not filter_by_type(actions, StartRelay):
                 break
         self.assertEqual(is_resumed, bool(filter_by_type(actions, StartRelay)))
