Logs and metrics: the limits that upstreams name, and the sends to them

The adapter reads the limit of each answer, a line `send_limit` says when an instance learned or lost one, and counters give the sends and repeats to limited upstreams. A malformed limit is logged and counts as none.

--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -253,6 +253,9 @@
         self.shared.placements.record_placement(upstream.name, now)
         totals = self.shared.totals
         totals.attempts += 1
+        if upstream.name in self.shared.send_limits.limits:
+            totals.limited_sends += 1
+            totals.limited_repeats += self.last_number > 1
         totals.repeats += self.last_number > 1
         totals.resumes += self.last_number > 1 and self.has_delivered
         return StartRelay(
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -27,6 +27,7 @@
 from turmericusher.decisions.retries import RetryBudget
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.selection import PickRequest, Selector
+from turmericusher.decisions.send_limits import SendLimits
 from turmericusher.errors import ErrorCode, Verdict
 
 RUNNING_PROBE_SHARE = 0.3
@@ -103,7 +104,8 @@
     an upstream that sent nothing, `refused_repeats` after one that did not run the
     request, and the rest after one that failed. `denied_repeats` were not made for lack
     of retry budget, and `postponed_repeats` counts how often a stream in progress
-    found none and waited.
+    found none and waited. `limited_sends` are the attempts, and `limited_repeats` of
+    them those after the first of their request, to an upstream that names a limit.
     """
 
     attempts: int = 0
@@ -119,6 +121,8 @@
     probes: int = 0
     load_questions: int = 0
     late_refusals: int = 0
+    limited_sends: int = 0
+    limited_repeats: int = 0
 
 
 @dataclass(slots=True)
@@ -130,7 +134,7 @@
     of each service; `budget_template` is copied for those of new services.
     `stream_duration` estimates how long streams last after their first event,
     `typical_sizes` the request size of each service. `holders` tracks which holders of
-    copies are lost.
+    copies are lost, and `send_limits` the limits that upstreams name.
     """
 
     selector: Selector
@@ -144,6 +148,7 @@
     stream_duration: DurationEstimate = field(default_factory=DurationEstimate)
     holders: HolderChecks = field(default_factory=HolderChecks)
     typical_sizes: dict[str, TypicalSize] = field(default_factory=dict)
+    send_limits: SendLimits = field(default_factory=SendLimits)
 
     def budget_for(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, which may be new."""
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -14,6 +14,7 @@
     LOAD,
     REMAINING_MS,
     REQUEST_ID,
+    SEND_LIMIT,
     SYSTEM_HEADERS,
     TOKEN_COUNTS,
     UPSTREAM_ONLY_HEADERS,
@@ -152,3 +153,17 @@
             if len(parts) >= 2 and all(part.strip().isdigit() for part in parts):
                 return float(parts[0]), float(parts[1])
     return None
+
+
+def parse_send_limit(headers: Headers) -> float | None:
+    """Return the requests per second that an upstream takes from all instances.
+
+    Returns None if it names no limit; raises `ValueError` for a malformed one.
+    """
+    value = next((value for name, value in headers if name.lower() == SEND_LIMIT), None)
+    if value is None:
+        return None
+    per_s = float(value)
+    if not 0 <= per_s < math.inf:
+        raise ValueError(f"header {SEND_LIMIT}={value!r} is not a rate")
+    return per_s
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -51,6 +51,9 @@
 # "RUNNING,WAITING,SLOTS": requests that run, requests that wait, and slots.
 LOAD = "x-server-load"
 
+# Requests per second that the upstream takes from all instances together.
+SEND_LIMIT = "server-limit"
+
 UPSTREAM_ONLY_HEADERS = frozenset({LOAD, NOT_RUN_MARK, "x-instance-id"})
 """Response headers that are meant for this system and never reach callers."""
 
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -7,13 +7,14 @@
 import signal
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 from starlette.types import ASGIApp
 
 from turmericusher.api.metrics import metrics_app
 from turmericusher.api.relay import RelayFrontend
-from turmericusher.decisions.fleet import EntryInstance
+from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.relay_stop import RelayStop
 from turmericusher.decisions.retries import RetryBudget
@@ -111,7 +112,9 @@
             ),
         )
         port = await stack.enter_async_context(
-            open_platform_upstreams(selector.merge_report)
+            open_platform_upstreams(
+                selector.merge_report, partial(record_send_limit, shared)
+            )
         )
         instance = assemble_instance(settings, RelayContext(port, shared), store)
         instance.set_budgets(1)
@@ -128,6 +131,14 @@
         yield instance
 
 
+def record_send_limit(
+    shared: RelayShared, upstream: UpstreamInstance, per_s: float | None
+) -> None:
+    """Record the limit that an upstream's answer names, and log it when it changes."""
+    if shared.send_limits.record_answer(upstream, per_s):
+        log_event("send_limit", upstream=upstream.name, limit_per_s=per_s)
+
+
 def assemble_instance(
     settings: NodeSettings, context: RelayContext, store: KeyValueStore
 ) -> RelayInstance:
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -36,7 +36,7 @@
 from turmericusher.decisions.upstream_load import LoadReport
 from turmericusher.errors import Verdict
 from turmericusher.logs import log_event
-from turmericusher.platform.codec import parse_load
+from turmericusher.platform.codec import parse_load, parse_send_limit
 from turmericusher.platform.names import (
     COPY_PATH,
     COPY_SOURCE,
@@ -84,6 +84,7 @@
 EVENT_ID = re.compile(rb"^id:[ ]*([0-9]+)[ ]*\r?$", re.MULTILINE)
 
 LoadListener = Callable[[str, LoadReport], None]
+LimitListener = Callable[[UpstreamInstance, float | None], None]
 
 
 class MalformedStreamError(Exception):
@@ -100,10 +101,16 @@
 
 @dataclass(slots=True)
 class PlatformUpstreams:
-    """A `RelayPort` over aiohttp; `on_load` receives the loads in response headers."""
+    """A `RelayPort` over aiohttp.
+
+    `on_load` receives the loads in response headers. `on_limit` receives, for each
+    response to a request, the requests per second that its upstream takes, or None
+    without a limit. A report may name a limit too, but does not lift one.
+    """
 
     session: aiohttp.ClientSession
     on_load: LoadListener
+    on_limit: LimitListener
 
     async def send(
         self,
@@ -132,6 +139,8 @@
                 load = parse_load(exchange.headers)
                 if load is not None:
                     self.on_load(start.upstream.name, LoadReport(*load))
+                limit_per_s = self.read_limit(start.upstream, exchange.headers)
+                self.on_limit(start.upstream, limit_per_s)
                 await exchange.emit_events(routed.route.kind.is_stream)
         except MalformedStreamError as error:
             cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
@@ -139,6 +148,14 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             await sink(failure_from_error(start, progress, error))
 
+    def read_limit(self, upstream: UpstreamInstance, headers: Headers) -> float | None:
+        """Return the limit that a response names; a malformed one counts as none."""
+        try:
+            return parse_send_limit(headers)
+        except ValueError as error:
+            log_event("limit_malformed", upstream=upstream.name, error=str(error))
+            return None
+
     async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
         """Query an upstream's load; return None if no valid report comes in time."""
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
@@ -146,6 +163,9 @@
         try:
             async with self.session.get(url, timeout=timeout) as response:
                 data = await response.read()
+            limit_per_s = self.read_limit(upstream, tuple(response.headers.items()))
+            if limit_per_s is not None:
+                self.on_limit(upstream, limit_per_s)
             return decode_report(data)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             log_event("report_missing", upstream=upstream.name, error=repr(error))
@@ -360,8 +380,8 @@
 
 @asynccontextmanager
 async def open_platform_upstreams(
-    on_load: LoadListener,
+    on_load: LoadListener, on_limit: LimitListener
 ) -> AsyncIterator[PlatformUpstreams]:
     """Yield the port, and close its session on exit."""
     async with open_single_send_session() as session:
-        yield PlatformUpstreams(session, on_load)
+        yield PlatformUpstreams(session, on_load, on_limit)
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -70,6 +70,7 @@
         self.metrics.gauge("configuration", table.version if table else 0)
         self.metrics.gauge("upstreams", len(self.fleet.upstreams.entries))
         self.metrics.gauge("instances", len(self.fleet.instances.entries))
+        self.metrics.gauge("limited_upstreams", len(self.shared.send_limits.limits))
         for service, budget in self.shared.budgets.items():
             allowance = budget.allowance(self.frontend.clock())
             self.metrics.gauge(f"retry_balance.{service}", allowance)
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -133,6 +133,7 @@
         selector.advance_clock(now)
         selector.update(self.upstreams.entries.values())
         self.shared.holders.retain_listed(self.upstreams.entries)
+        self.shared.send_limits.retain_listed(self.upstreams.entries)
         selector.update_instances(self.instances.entries)
         if self.on_instance_count is not None:
             self.on_instance_count(max(1, len(self.instances.entries)))
