Retry budget: stalls do not count as failures that space retries

Cause: a stall counted like a failure that comes at once, though it takes a part of a second and thereby spaces its retries itself. Only failures that come at once count now.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -54,10 +54,16 @@
 STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
 """Causes that are inferred from missing events while the connection is still open."""
 
-OTHER_UPSTREAM_CAUSES = frozenset(
-    {AttemptCause.NO_COPY, AttemptCause.MISDIRECTED, AttemptCause.UNREACHABLE}
+FAST_FAILURE_CAUSES = frozenset(
+    {
+        AttemptCause.OVERLOADED,
+        AttemptCause.LOST,
+        AttemptCause.MALFORMED,
+        AttemptCause.FAILED,
+    }
 )
-"""Causes that tell nothing about whether the service's other upstreams work."""
+"""Causes with which a service that is down ends attempts at once. A stall spaces the
+retries by itself."""
 
 IMMEDIATE_RETRIES = 2
 """Retries of a stream without a pause: on its standby first, then on any upstream."""
@@ -272,7 +278,7 @@
     def record_failure(self, attempt: RelayAttempt, event: AttemptFailed) -> None:
         """Record what a failed attempt implies for the request and its upstream."""
         name = attempt.upstream.name
-        if event.cause not in OTHER_UPSTREAM_CAUSES:
+        if event.cause in FAST_FAILURE_CAUSES:
             self.shared.budget_for(self.routed.service.name).record_failure()
         self.last_message = f"{name}: {event.cause.value} {event.message}"
         if event.verdict is not Verdict.NOT_RUN:
