--- a/benchmarks/limit_model.py
+++ b/benchmarks/limit_model.py
@@ -182,7 +182,7 @@
         self.counts.served += 1
 
     def worst_excess(self, span: LimitSpan) -> float:
-        """Return the most that a window of an upstream exceeds what the limit allows."""
+        """Return by how much the worst window exceeds what the limit allows."""
         allowed = LIMIT_FACTOR * span.per_s * WINDOW_S + LIMIT_SLACK
         worst = -allowed
         for name in span.upstreams:
