Named limits: instances together send an upstream no more than it takes

Class: an upstream's stated need that no decision reads.

Change: decisions/send_limits.py splits a limit between the live instances that the store lists, spaced evenly, the first turn at a random point. If there are many, only 2 L + 3 of them share a limit of L a second (by rendezvous hashing), as otherwise each could send one at the same moment; the others send nothing, and the sharers' records in the store tell them when the limit is gone. A resume from a copy waits up to 1 s for the holder's turn.

Why it works: in 4 s each of at most 2 L + 3 sharers sends its part and one, 6 L + 3.

--- a/benchmarks/limit_model.py
+++ b/benchmarks/limit_model.py
@@ -9,6 +9,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from bisect import bisect_left
 from collections.abc import Callable
@@ -37,6 +38,9 @@
 LIMIT_SLACK = 5.0
 """In each window an upstream may get its limit times the factor, plus the slack."""
 
+RECORD_DELAY_S = 1.0
+"""Seconds after which all instances have seen a change of another one's record."""
+
 WORK_S = 0.045
 CALL_DEADLINE_S = 2.5
 TARGET_S = 0.2
@@ -57,7 +61,8 @@
     """Calls per second to a service, and how they are spread over its instances.
 
     `busy_share` of the calls go to the first instance, the rest evenly to all.
-    `starts_at` is when the last instance begins to receive calls.
+    `starts_at` is when the last instance begins to receive calls. From `burst_at` on
+    there are `burst_factor` times as many.
     """
 
     instances: int
@@ -65,6 +70,8 @@
     calls_per_s: float
     busy_share: float = 0.0
     starts_at: float = 0.0
+    burst_at: float = math.inf
+    burst_factor: float = 1.0
 
 
 @dataclass(slots=True)
@@ -112,6 +119,16 @@
                 return span.per_s
         return None
 
+    def exchange_claims(self, now: float) -> None:
+        """Let every instance see in the store which limits the others share."""
+        claims = {
+            f"e{number}": shared.send_limits.claims()
+            for number, shared in enumerate(self.shared_states)
+        }
+        for number, shared in enumerate(self.shared_states):
+            shared.send_limits.update_instances(f"e{number}", claims)
+            shared.send_limits.drop_lifted(now)
+
     def choose_instance(self, now: float) -> int:
         """Return the instance that a call goes to."""
         if self.random.random() < self.traffic.busy_share:
@@ -177,7 +194,7 @@
         limit = self.limit_of(name, now)
         if limit is not None:
             self.told_at.setdefault((index, name), now)
-        self.shared_states[index].send_limits.record_answer(start.upstream, limit)
+        self.shared_states[index].send_limits.record_answer(start.upstream, limit, now)
         relay.handle(answer, now)
         self.counts.served += 1
 
@@ -212,15 +229,21 @@
         shared = make_relay_shared(traffic.upstreams)
         shared.selector.own = names[number]
         shared.selector.update_instances(names)
+        shared.send_limits.update_instances(
+            names[number], dict.fromkeys(names, frozenset())
+        )
         shared.selector.random.seed(seed * 2000 + number)
         shared.random.seed(seed * 1000 + number)
         shared_states.append(shared)
     simulation = LimitSimulation(traffic, spans, shared_states, random.Random(seed))
+    for number in range(round(until / RECORD_DELAY_S)):
+        simulation.at(number * RECORD_DELAY_S, simulation.exchange_claims)
     now = 0.0
     while now < until:
         simulation.at(
             now, lambda at: simulation.begin_call(at, at + CALL_DEADLINE_S, True)
         )
-        now += simulation.random.expovariate(traffic.calls_per_s)
+        factor = traffic.burst_factor if now >= traffic.burst_at else 1.0
+        now += simulation.random.expovariate(factor * traffic.calls_per_s)
     simulation.run()
     return simulation
--- a/src/turmericusher/decisions/fleet.py
+++ b/src/turmericusher/decisions/fleet.py
@@ -43,7 +43,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryInstance:
-    """One entry instance of this system, as its peers know it."""
+    """One entry instance of this system, as its peers know it.
+
+    `limited_upstreams` are those of which it shares a limit.
+    """
 
     name: str
     failure_domain: str
@@ -51,3 +54,4 @@
     peer_address: str
     incarnation: str = ""
     lifecycle: Lifecycle = Lifecycle.LIVE
+    limited_upstreams: frozenset[str] = frozenset()
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -33,6 +33,7 @@
     RelayState,
 )
 from turmericusher.decisions.routing import RequestKind
+from turmericusher.decisions.selection import PickRequest
 from turmericusher.errors import ErrorCode
 
 NO_UPSTREAM_RETRY_S = 0.5
@@ -43,6 +44,14 @@
 """Retry-After in seconds when upstreams refused the request: a full service has usually
 completed several of its calls by then."""
 
+MAX_LIMITED_RETRY_S = 1.0
+"""Longest Retry-After in seconds while upstreams name limits: another instance may have
+its turn sooner."""
+
+COPY_WAIT_S = 1.0
+"""Longest wait in seconds for a holder that names a limit: about what a prefill takes,
+which the copy saves."""
+
 CANDIDATE_COUNT = 5
 """Upstreams that are queried for their load before a stream is placed: the best of a
 few random choices is nearly the best of all (Mitzenmacher, 2001), and one is left as
@@ -80,10 +89,17 @@
     def start_next(self, now: float) -> list[RelayAction]:
         """Start the next attempt, query candidates for their load, wait or refuse.
 
-        A usable copy of the stream's KV cache decides the upstream.
+        A usable copy of the stream's KV cache decides the upstream, if that one takes
+        the request soon.
         """
         copy = self.usable_copy()
+        wait_s = 0.0
         if copy is not None:
+            wait_s = self.shared.send_limits.wait_s(copy.holder.name, now)
+        if 0.0 < wait_s <= COPY_WAIT_S:
+            self.retry_at = now + wait_s
+            return []
+        if copy is not None and wait_s == 0.0:
             self.shared.totals.copies_used += 1
             return [self.start_on(copy.holder, now, copy=copy)]
         if self.kind.is_stream and self.routed.service.reports_load:
@@ -95,7 +111,7 @@
 
     def query_loads(self, now: float) -> list[RelayAction]:
         """Query some candidates for their load; their reports place the attempt."""
-        wanted = self.pick_request(self.excluded, self.recently_lost_domains(now))
+        wanted = self.pick_request(self.excluded, self.recently_lost_domains(now), now)
         candidates = self.shared.selector.sample(wanted, CANDIDATE_COUNT)
         if not candidates:
             return self.wait_or_refuse(now)
@@ -121,10 +137,11 @@
             name: self.expected_wait_at(name, report, size, now)
             for name, report in reports.items()
         }
+        blocked = self.shared.send_limits.blocked(now)
         usable = [
             selector.upstreams[name]
             for name in rank_by_wait(reports, waits)
-            if is_live(selector.upstreams[name])
+            if is_live(selector.upstreams[name]) and name not in blocked
         ]
         if not usable:
             upstream = self.pick_upstream(now)
@@ -220,7 +237,7 @@
 
     def pick_upstream(self, now: float) -> UpstreamInstance | None:
         """Return an upstream that has not failed this request, or None."""
-        wanted = self.pick_request(self.excluded, self.recently_lost_domains(now))
+        wanted = self.pick_request(self.excluded, self.recently_lost_domains(now), now)
         return self.shared.selector.pick(wanted)
 
     def start_on(
@@ -250,6 +267,7 @@
         )
         self.attempts[attempt.number] = attempt
         self.shared.selector.attempt_started(upstream.name)
+        self.shared.send_limits.record_send(upstream.name, now)
         self.shared.placements.record_placement(upstream.name, now)
         totals = self.shared.totals
         totals.attempts += 1
@@ -283,12 +301,12 @@
             return None
         excluded = self.excluded | {upstream.name} | self.shared.holders.lost.keys()
         domains = self.recently_lost_domains(now) | {upstream.failure_domain}
-        wanted = self.pick_request(excluded, domains)
+        wanted = self.pick_request(excluded, domains, now)
         found = self.shared.selector.pick(wanted)
         if found is None or found.failure_domain != upstream.failure_domain:
             return found
         # Every other domain was lost lately; one of them is still better than this one.
-        wanted = self.pick_request(excluded, {upstream.failure_domain})
+        wanted = self.pick_request(excluded, {upstream.failure_domain}, now)
         return self.shared.selector.pick(wanted)
 
     def wait_or_refuse(self, now: float) -> list[RelayAction]:
@@ -304,6 +322,9 @@
         if self.has_delivered:
             self.retry_at = now + UPSTREAM_POLL_INTERVAL_S
             return []
+        limited = self.limited_upstreams(now)
+        if limited:
+            return self.refuse_limited(limited, now)
         if self.excluded:
             return self.refuse_overloaded()
         return self.fail(
@@ -312,6 +333,30 @@
             self.jittered(NO_UPSTREAM_RETRY_S),
         )
 
+    def limited_upstreams(self, now: float) -> list[str]:
+        """Return the upstreams that would be used, but take no request now."""
+        wanted = PickRequest(
+            self.routed.service.name, excluded=frozenset(self.excluded)
+        )
+        blocked = self.shared.send_limits.blocked(now)
+        candidates = self.shared.selector.candidates(wanted)
+        return [each.name for each in candidates if each.name in blocked]
+
+    def refuse_limited(self, names: list[str], now: float) -> list[RelayAction]:
+        """Refuse a request at once while all upstreams take no more than they get.
+
+        Waiting here would only move the excess to later requests. The caller may return
+        to any instance, so it is not told to wait for this one's turn if that is long.
+        """
+        self.shared.totals.limit_refusals += 1
+        soonest_s = min(self.shared.send_limits.wait_s(name, now) for name in names)
+        return self.fail(
+            ErrorCode.UPSTREAM_FAILED if self.may_have_run else ErrorCode.OVERLOADED,
+            f"service={self.routed.service.name!r}: {len(names)} upstreams name limits "
+            f"that allow the next request in {soonest_s:.2f} s",
+            self.jittered(min(max(soonest_s, FULL_RETRY_S), MAX_LIMITED_RETRY_S)),
+        )
+
     def refuse_overloaded(self) -> list[RelayAction]:
         """Refuse a request that no upstream took, or fail it if it may have run."""
         return self.fail(
@@ -333,7 +378,7 @@
         self.was_hedged = True
         busy = {attempt.upstream.name for attempt in self.attempts.values()}
         wanted = self.pick_request(
-            self.excluded | busy, self.recently_lost_domains(now)
+            self.excluded | busy, self.recently_lost_domains(now), now
         )
         upstream = self.shared.selector.pick(wanted)
         if upstream is None or not self.spend_retry(now):
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -106,7 +106,8 @@
     request, and the rest after one that failed. `denied_repeats` were not made for lack
     of retry budget, and `postponed_repeats` counts how often a stream in progress
     found none and waited. `limited_sends` are the attempts, and `limited_repeats` of
-    them those after the first of their request, to an upstream that names a limit.
+    them those after the first of their request, to an upstream that names a limit;
+    `limit_refusals` are the requests refused because all upstreams named limits.
     """
 
     attempts: int = 0
@@ -124,6 +125,7 @@
     late_refusals: int = 0
     limited_sends: int = 0
     limited_repeats: int = 0
+    limit_refusals: int = 0
 
 
 @dataclass(slots=True)
@@ -149,7 +151,11 @@
     stream_duration: DurationEstimate = field(default_factory=DurationEstimate)
     holders: HolderChecks = field(default_factory=HolderChecks)
     typical_sizes: dict[str, TypicalSize] = field(default_factory=dict)
-    send_limits: SendLimits = field(default_factory=SendLimits)
+    send_limits: SendLimits = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Start without any limit."""
+        self.send_limits = SendLimits(self.random)
 
     def budget_for(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, which may be new."""
@@ -310,12 +316,15 @@
         }
 
     def pick_request(
-        self, excluded: set[str], avoided_domains: set[str]
+        self, excluded: set[str], avoided_domains: set[str], now: float
     ) -> PickRequest:
-        """Return the selector's request for the upstream of the next attempt."""
+        """Return the selector's request for the upstream of the next attempt.
+
+        Upstreams that take no request now, by a limit that they name, are excluded.
+        """
         return PickRequest(
             service=self.routed.service.name,
-            excluded=frozenset(excluded),
+            excluded=frozenset(excluded) | self.shared.send_limits.blocked(now),
             avoided_domains=frozenset(avoided_domains),
         )
 
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -7,6 +7,7 @@
 import signal
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
@@ -135,7 +136,8 @@
     shared: RelayShared, upstream: UpstreamInstance, per_s: float | None
 ) -> None:
     """Record the limit that an upstream's answer names, and log it when it changes."""
-    if shared.send_limits.record_answer(upstream, per_s):
+    now = asyncio.get_running_loop().time()
+    if shared.send_limits.record_answer(upstream, per_s, now):
         log_event("send_limit", upstream=upstream.name, limit_per_s=per_s)
 
 
@@ -167,6 +169,9 @@
         metrics,
     )
     fleet.on_instance_count = instance.set_budgets
+    fleet.on_claims = lambda claims: registration.update(
+        encode_instance(replace(own, limited_upstreams=claims))
+    )
     return instance
 
 
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -195,6 +195,7 @@
     address: StrictAddress
     failure_domain: StrictStr
     incarnation: StrictStr
+    limited_upstreams: frozenset[StrictStr] = frozenset()
 
 
 def decode_record(key: str, value: bytes | None) -> Record | None:
@@ -401,6 +402,7 @@
         caller_address=model.address,
         peer_address=model.address,
         incarnation=model.incarnation,
+        limited_upstreams=model.limited_upstreams,
     )
 
 
@@ -411,5 +413,6 @@
             "address": instance.caller_address,
             "failure_domain": instance.failure_domain,
             "incarnation": instance.incarnation,
+            "limited_upstreams": sorted(instance.limited_upstreams),
         }
     )
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -24,6 +24,7 @@
     RELEASE_PATH,
     REPORT_PATH,
     REQUEST_ID,
+    SEND_LIMIT,
     SIGNATURE,
     STANDBY_ADDRESS,
     TARGET_UPSTREAM,
@@ -97,7 +98,8 @@
     upstreams on which copies can be made. `runs` lists the ids of the requests that
     ran, and `released` the handles that callers released. `caller_disconnects` counts
     the calls whose caller closed the connection before the answer was complete.
-    `report` is the load report that it returns.
+    `report` is the load report that it returns, and `send_limit` the text of the limit
+    that it names in its answers, if any.
     """
 
     name: str
@@ -116,6 +118,7 @@
     caller_disconnects: int = 0
     released: list[str] = field(default_factory=list)
     report: UpstreamReport = IDLE_REPORT
+    send_limit: str | None = None
     server: asyncio.Server | None = None
 
     def stop_listening(self) -> None:
@@ -208,6 +211,8 @@
     ) -> None:
         """Send a full answer, altered as the fault says."""
         headers = {REQUEST_ID: request_id, SIGNATURE: f"by-{self.name}", LOAD: "1,0,8"}
+        if self.send_limit is not None:
+            headers[SEND_LIMIT] = self.send_limit
         length = {"Content-Length": str(len(self.body))}
         match fault:
             case UpstreamFault.FAIL:
@@ -261,6 +266,8 @@
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
+        if self.send_limit is not None:
+            headers[SEND_LIMIT] = self.send_limit
         writer.write(encode_head(200, headers))
         first_number = int(call.headers.get(LAST_EVENT_ID, "0")) + 1
         await asyncio.sleep(self.first_event_s)
--- a/src/turmericusher/tasks/registration.py
+++ b/src/turmericusher/tasks/registration.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from turmericusher.errors import StoreError
 from turmericusher.logs import log_event
@@ -19,6 +19,10 @@
 RENEWAL_INTERVAL_S = 1.2
 """Seconds between two renewals of the lease."""
 
+UPDATE_INTERVAL_S = 1.0
+"""Minimum seconds between two writes of a changed record: each one wakes every instance
+that watches the store."""
+
 RETRY_DELAY_S = 0.3
 """Seconds until the next try after the store failed."""
 
@@ -27,7 +31,8 @@
 class Registration:
     """Keeps `value` at `key`; `lease` is 0 while the record is not registered.
 
-    Once `is_leaving` is set, the record is not written again.
+    `written` is the value that the store has, at `revision`. Once `is_leaving` is set,
+    the record is not written again.
     """
 
     store: KeyValueStore
@@ -35,6 +40,15 @@
     value: bytes
     lease: int = 0
     is_leaving: bool = False
+    written: bytes = b""
+    revision: int = ABSENT
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def update(self, value: bytes) -> None:
+        """Set the record's new value, which is written soon."""
+        if value != self.value:
+            self.value = value
+            self.changed.set()
 
     async def run(self) -> None:
         """Write the record and renew its lease until cancelled."""
@@ -46,11 +60,25 @@
                     log_event("registration_lapsed", key=self.key)
                     self.lease = 0
                     continue
+                elif self.written != self.value:
+                    await self.write(self.lease)
+                    await asyncio.sleep(UPDATE_INTERVAL_S)
                 delay_s = RENEWAL_INTERVAL_S
             except StoreError as error:
                 log_event("registration_failed", key=self.key, message=error.message)
                 delay_s = RETRY_DELAY_S
-            await asyncio.sleep(delay_s)
+            await self.sleep_until_changed(delay_s)
+
+    async def sleep_until_changed(self, delay_s: float) -> None:
+        """Sleep for a time, or until the record has a new value."""
+        self.changed.clear()
+        if self.lease and self.written != self.value:
+            return
+        try:
+            async with asyncio.timeout(delay_s):
+                await self.changed.wait()
+        except TimeoutError:
+            return
 
     async def register(self) -> None:
         """Write the record under a new lease, replacing that of an earlier incarnation.
@@ -58,19 +86,26 @@
         If `leave` was called meanwhile, the new record is withdrawn at once.
         """
         lease = await self.store.grant_lease(LEASE_TTL_S)
-        expected = ABSENT
+        self.revision = ABSENT
+        await self.write(lease)
+        self.lease = lease
+        if self.is_leaving:
+            await self.withdraw()
+            return
+        log_event("registered", key=self.key, lease=lease)
+
+    async def write(self, lease: int) -> None:
+        """Write the record's value under a lease, whatever the store has."""
         while True:
+            value = self.value
             swap = await self.store.compare_and_swap(
-                self.key, expected, self.value, lease
+                self.key, self.revision, value, lease
             )
             if swap.succeeded:
-                self.lease = lease
-                if self.is_leaving:
-                    await self.withdraw()
-                    return
-                log_event("registered", key=self.key, lease=lease)
+                self.written, self.revision = value, swap.revision
                 return
-            expected = swap.current.revision if swap.current is not None else ABSENT
+            current = swap.current
+            self.revision = current.revision if current is not None else ABSENT
 
     async def leave(self) -> None:
         """Remove the record and never write it again."""
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -67,15 +67,18 @@
 class RelayFleet:
     """The fleet as described by the store; implements `StoreListener`.
 
-    `on_instance_count` is called with the number of entry instances after each change.
+    `on_instance_count` is called with the number of entry instances after each change,
+    and `on_claims` with the upstreams whose limits this instance shares.
     """
 
     shared: RelayShared
     tables: NewestTable
     decode: RecordDecoder
     on_instance_count: Callable[[int], None] | None = None
+    on_claims: Callable[[frozenset[str]], None] | None = None
     upstreams: Listing[UpstreamInstance] = field(default_factory=Listing)
     instances: Listing[EntryInstance] = field(default_factory=Listing)
+    claims: frozenset[str] = frozenset()
 
     def store_read(self, values: tuple[StoredValue, ...], now: float) -> None:
         """Replace all entries by the values of a complete read of the store."""
@@ -135,6 +138,13 @@
         self.shared.holders.retain_listed(self.upstreams.entries)
         self.shared.send_limits.retain_listed(self.upstreams.entries)
         selector.update_instances(self.instances.entries)
+        self.shared.send_limits.update_instances(
+            selector.own,
+            {
+                name: instance.limited_upstreams
+                for name, instance in self.instances.entries.items()
+            },
+        )
         if self.on_instance_count is not None:
             self.on_instance_count(max(1, len(self.instances.entries)))
 
@@ -144,11 +154,22 @@
             log_event("entries_expired", upstreams=len(self.upstreams.entries))
             self.update_decisions(now)
 
+    def share_limits(self, now: float) -> None:
+        """Drop limits that are gone, and report a change of those shared here."""
+        limits = self.shared.send_limits
+        limits.drop_lifted(now)
+        claims = limits.claims()
+        if claims != self.claims and self.on_claims is not None:
+            self.on_claims(claims)
+        self.claims = claims
+
     async def run(self) -> None:
-        """Drop expired entries periodically until cancelled."""
+        """Drop expired entries and limits periodically until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
-            self.drop_expired(asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            self.drop_expired(now)
+            self.share_limits(now)
 
     def entrypoints(self) -> list[EntryInstance]:
         """Return the live entry instances, which callers may use."""
