Selection: a healthy upstream goes before one that has failed but is not ejected

Cause: at most half of the candidates are ejected, and the failed ones above that share counted as healthy. The class: a bound on one consequence of a failure hid the failure itself. Candidates now rank healthy, failed, ejected; the bound on ejections is as before and decides which of the failed are tried first when none is healthy.

--- a/src/turmericusher/decisions/ejection.py
+++ b/src/turmericusher/decisions/ejection.py
@@ -41,17 +41,24 @@
         """End the ejection of an upstream that has answered."""
         self.ejections.pop(name, None)
 
+    def recently_failed(self, names: Iterable[str], now: float) -> list[str]:
+        """Return those of the names whose last failure is not long enough ago.
+
+        They are ejected, except for the share of a service that never is.
+        """
+        return [
+            name
+            for name in names
+            if name in self.ejections and self.ejections[name].until > now
+        ]
+
     def ejected(self, names: Iterable[str], now: float) -> frozenset[str]:
         """Return which of the names are ejected, at most the allowed share of them.
 
         If more have failed, those with the latest failures are chosen.
         """
         known = list(names)
-        current = [
-            name
-            for name in known
-            if name in self.ejections and self.ejections[name].until > now
-        ]
+        current = self.recently_failed(known, now)
         current.sort(key=lambda name: (-self.ejections[name].failed_at, name))
         return frozenset(current[: int(len(known) * MAX_EJECTED_SHARE)])
 
--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -163,13 +163,20 @@
     def keep_preferred(
         self, candidates: list[UpstreamInstance], request: PickRequest
     ) -> list[UpstreamInstance]:
-        """Return the candidates of the best class: not ejected, not in avoided domains.
+        """Return the candidates of the best class: healthy, not in avoided domains.
 
-        An upstream in an avoided domain is preferred to one that is ejected itself.
+        An upstream in an avoided domain is preferred to one that has failed itself, and
+        one that has failed to one that is ejected.
         """
-        ejected = self.ejections.ejected((u.name for u in candidates), self.now)
+        names = [u.name for u in candidates]
+        failed = self.ejections.recently_failed(names, self.now)
+        ejected = self.ejections.ejected(names, self.now)
         ranked = [
-            (u.name in ejected, u.failure_domain in request.avoided_domains)
+            (
+                u.name in ejected,
+                u.name in failed,
+                u.failure_domain in request.avoided_domains,
+            )
             for u in candidates
         ]
         best = min(ranked, default=None)
