Generations: no stop string spans the output of a lost attempt and the next

Cause: text counted as safe by what follows it, although that was held and an attempt's held output is generated anew, perhaps differently. Output is now released only up to a point whose text does not itself end in the beginning of a stop string.

Why it works: what is delivered never ends within a stop string, so one that is found lies whole within the output of one attempt.

--- a/src/turmericusher/decisions/attempts.py
+++ b/src/turmericusher/decisions/attempts.py
@@ -92,7 +92,7 @@
         return release_segments(attempt, len(attempt.held), "stop", stop_index)
     if finish_reason is not None:
         return release_segments(attempt, len(attempt.held), finish_reason)
-    count = count_complete_segments(attempt.held, safe_text_length(text, stops))
+    count = count_complete_segments(attempt.held, text, stops)
     return release_segments(attempt, count) if count else None
 
 
@@ -113,16 +113,22 @@
     return Release(tokens, text[:text_length], finish_reason)
 
 
-def count_complete_segments(held: Sequence[Segment], safe_chars: int) -> int:
+def count_complete_segments(
+    held: Sequence[Segment], text: str, stops: Sequence[str]
+) -> int:
     """Return how many leading segments end in complete text before any stop string.
 
-    `safe_chars` is the number of characters that cannot belong to a stop string.
-    Tokens without text, such as special tokens, are held only until there are more of
-    them than one character can take.
+    `text` is that of all segments. What stays held may be lost with the attempt, and
+    the next one may continue otherwise, so the text in front of it must not end in the
+    beginning of a stop string either. Tokens without text, such as special tokens, are
+    held only until there are more of them than one character can take.
     """
     complete_count = 0
+    safe_chars = safe_text_length(text, stops)
     for count, length in enumerate(cumulative_text_lengths(held), start=1):
-        if length <= safe_chars and held[count - 1].text:
+        if length > safe_chars or not held[count - 1].text:
+            continue
+        if safe_text_length(text[:length], stops) == length:
             complete_count = count
     textless_tokens = sum(len(segment.token_ids) for segment in held[complete_count:])
     if textless_tokens > MAX_TEXTLESS_TOKENS and not any(
