Soak: upstreams that pause for a second, and upstreams that name a limit

Neither counts as a disturbance, as the upstream is sound, so all other checks hold through them. The new check `named_limits` counts what an upstream gets from told, undisturbed instances; it has a violation, two allowed cases and a mutation.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -39,6 +39,14 @@
 BUDGET_WINDOW_S = 10.0
 """Length of the windows in which repeats are counted against the limit."""
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5.0
+"""In each window an upstream may get its limit times the factor, plus the slack."""
+
+LIMIT_TOLD_AFTER_S = 0.5
+"""Seconds after an answer with a limit from which on its instance must know it."""
+
 RECOVERY_S = 15.0
 """Required recovery time, from the end of the last fault until every request is served
 again. It includes the undisturbed time that the recovery needs."""
@@ -206,6 +214,39 @@
             return
 
 
+def named_limits(history: History) -> Iterator[str]:
+    """Yield the windows in which an upstream got more than the limit it named.
+
+    Counted are requests from instances that were undisturbed since it named the limit
+    and had such an answer before.
+    """
+    for span in history.limits:
+        arrivals = [
+            (arrival, history.requests[arrival.request_id].instance)
+            for arrival in history.arrivals
+            if arrival.upstream == span.upstream
+            and span.begins <= arrival.at < span.ends
+            and arrival.request_id in history.requests
+        ]
+        told_at: dict[str, float] = {}
+        for arrival, instance in arrivals:
+            if arrival.has_run and arrival.ended_at is not None:
+                at = min(arrival.ended_at, told_at.get(instance, arrival.ended_at))
+                told_at[instance] = at
+        told = sorted(
+            arrival.at
+            for arrival, instance in arrivals
+            if arrival.at >= told_at.get(instance, span.ends) + LIMIT_TOLD_AFTER_S
+            and not history.was_disturbed(instance, span.begins, arrival.at)
+        )
+        allowed = LIMIT_FACTOR * span.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        for begins in told:
+            count = sum(begins <= at < begins + LIMIT_WINDOW_S for at in told)
+            if begins >= span.begins + STABILIZATION_S and count > allowed:
+                yield f"{span.upstream}: {count} in a window, allowed {allowed:.0f}"
+                break
+
+
 def work_ends_with_callers(history: History) -> Iterator[str]:
     """Yield one message if too many requests ran on after callers disconnected."""
     late, counted = [], 0
@@ -259,6 +300,7 @@
     planned_stops_cut_nothing,
     answered_in_time,
     bounded_repeats,
+    named_limits,
     work_ends_with_callers,
     served_after_recovery,
     no_unexpected_exit,
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -87,6 +87,16 @@
     at: float
 
 
+@dataclass(slots=True)
+class LimitSpan:
+    """A time in which an upstream names a limit, in requests per second."""
+
+    upstream: str
+    begins: float
+    per_s: float
+    ends: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class UnexpectedExit:
     """A process that exited unasked, or late or with an error after SIGTERM."""
@@ -119,6 +129,7 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     accepted: dict[int, float] = field(default_factory=dict)
     leavings: list[LeavingMark] = field(default_factory=list)
+    limits: list[LimitSpan] = field(default_factory=list)
     exits: list[UnexpectedExit] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
     faults_end_at: float = math.inf
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -14,9 +14,10 @@
     Deployment,
     InstanceProcess,
 )
-from benchmarks.soak.history import LeavingMark
+from benchmarks.soak.history import LeavingMark, LimitSpan
 from benchmarks.soak.proxy import Proxy
 from benchmarks.soak.schedule import (
+    SLOWDOWN_KINDS,
     ChangeConfiguration,
     Fault,
     InstanceFault,
@@ -47,6 +48,9 @@
 """Upstreams write lapsed entries again within two seconds of the store's recovery;
 the delay stays a little below that."""
 
+NAMED_LIMIT_PER_S = 2.0
+"""Limit that an upstream names: a part of what it gets otherwise."""
+
 MS_PER_SECOND = 1000
 
 
@@ -235,9 +239,13 @@
 ) -> None:
     """Let an upstream die, move, leave, shed or fail, then restore it.
 
-    A fault that takes the upstream down is skipped while another one does so.
+    A fault that takes the upstream down is skipped while another one does so. A pause
+    or a limit is no disturbance: the upstream is sound.
     """
     upstream = deployment.upstreams[fault.index]
+    if fault.kind in SLOWDOWN_KINDS:
+        await slow_down(fault.kind, deployment, upstream, step.duration_s)
+        return
     is_shutdown = fault.kind not in (UpstreamFaultKind.SHED, UpstreamFaultKind.FAIL)
     if is_shutdown and upstream.is_shutting_down:
         return
@@ -262,6 +270,26 @@
     disturbance.ends = deployment.now()
 
 
+async def slow_down(
+    kind: UpstreamFaultKind,
+    deployment: Deployment,
+    upstream: DeployedUpstream,
+    duration_s: float,
+) -> None:
+    """Let an upstream pause or name a limit, unless it does so already."""
+    standin = upstream.standin
+    if kind is UpstreamFaultKind.PAUSE:
+        standin.is_unpaused.clear()
+        await asyncio.sleep(duration_s)
+        standin.is_unpaused.set()
+    elif standin.send_limit is None:
+        span = LimitSpan(standin.stable_name, deployment.now(), NAMED_LIMIT_PER_S)
+        deployment.history.limits.append(span)
+        standin.send_limit = str(NAMED_LIMIT_PER_S)
+        await asyncio.sleep(duration_s)
+        standin.send_limit, span.ends = None, deployment.now()
+
+
 async def drain_upstream(deployment: Deployment, upstream: DeployedUpstream) -> None:
     """Mark an upstream as leaving and keep it serving for a while."""
     upstream.state = "draining"
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -84,6 +84,13 @@
         "return self.allowance(now) - kept >= 1",
         "return True",
     ),
+    Mutation(
+        "a-named-limit-is-not-kept",
+        "named_limits",
+        "decisions/send_limits.py",
+        "if limit.ready_at > now",
+        "if limit.ready_at > 1e12",
+    ),
     Mutation(
         "work-goes-on-without-its-caller",
         "work_ends_with_callers",
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -62,7 +62,8 @@
     `DIE` ends it and starts a new incarnation, whose clock may have jumped. `MOVE` does
     the same, but a different upstream starts at its address. `LEAVE` marks it as
     leaving, ends it and starts it again. `SHED` refuses requests. `FAIL` answers with
-    errors while its entry stays in the store.
+    errors while its entry stays in the store. `PAUSE` sends nothing for about a second
+    and then goes on. `LIMIT` names a limit in its answers.
     """
 
     DIE = "die"
@@ -70,6 +71,17 @@
     LEAVE = "leave"
     SHED = "shed"
     FAIL = "fail"
+    PAUSE = "pause"
+    LIMIT = "limit"
+
+
+SLOWDOWN_KINDS = (UpstreamFaultKind.PAUSE, UpstreamFaultKind.LIMIT)
+"""Kinds after which an upstream is sound; they are drawn apart from all others."""
+
+MEAN_SLOWDOWN_INTERVAL_S = 3.0
+PAUSE_LIMITS_S = (0.5, 1.5)
+LIMIT_DURATION_S = 9.0
+"""Seconds for which a limit is named: some more than must pass until it is judged."""
 
 
 class LinkKind(enum.StrEnum):
@@ -159,9 +171,31 @@
         fault = draw_fault(rng, weights, instances, upstreams)
         steps.append(Step(at_s, min(fault_duration_s, duration_s - at_s), fault))
         at_s += rng.expovariate(1 / mean_interval_s)
+    steps += draw_slowdowns(seed, duration_s, upstreams)
+    steps.sort(key=lambda step: step.at_s)
     return Plan(seed, instances, upstreams, callers, duration_s, tuple(steps))
 
 
+def draw_slowdowns(seed: int, duration_s: float, upstreams: int) -> list[Step]:
+    """Draw pauses and limits; some cover all upstreams at once.
+
+    They have a generator of their own, so that the other faults of a seed that found
+    something stay as they were.
+    """
+    rng = random.Random(f"soak/{seed}/slowdowns")
+    steps, at_s = [], FIRST_FAULT_AT_S
+    while at_s < duration_s:
+        kind, length_s = rng.choice(SLOWDOWN_KINDS), LIMIT_DURATION_S
+        if kind is UpstreamFaultKind.PAUSE or at_s + length_s > duration_s:
+            kind = UpstreamFaultKind.PAUSE
+            length_s = min(rng.uniform(*PAUSE_LIMITS_S), duration_s - at_s)
+        first = rng.randrange(upstreams)
+        indexes = range(upstreams) if rng.random() < 0.3 else (first,)
+        steps += [Step(at_s, length_s, UpstreamFault(i, kind)) for i in indexes]
+        at_s += rng.expovariate(1 / MEAN_SLOWDOWN_INTERVAL_S)
+    return steps
+
+
 def draw_fault(
     rng: random.Random, weights: list[float], instances: int, upstreams: int
 ) -> Fault:
@@ -180,7 +214,9 @@
         case 2:
             return StoreFault(rng.choice(list(StoreFaultKind)))
         case 3:
-            kind = rng.choice(list(UpstreamFaultKind))
+            kind = rng.choice(
+                [kind for kind in UpstreamFaultKind if kind not in SLOWDOWN_KINDS]
+            )
             clock_step_s = rng.choice((0.0, -3600.0, 3600.0))
             return UpstreamFault(rng.randrange(upstreams), kind, clock_step_s)
         case _:
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -11,6 +11,7 @@
 from turmericusher.platform.names import (
     LAST_EVENT_ID,
     REQUEST_ID,
+    SEND_LIMIT,
     SIGNATURE,
     TEAM,
 )
@@ -43,9 +44,18 @@
     return UpstreamReport(str(born), 0, 0, 0, 100_000, {})
 
 
+def set_event() -> asyncio.Event:
+    """Return an event that is set."""
+    new_event = asyncio.Event()
+    new_event.set()
+    return new_event
+
+
 @dataclass(slots=True)
 class SoakUpstream(UpstreamStandin):
-    """An upstream that can be set to shed (`is_shedding`) or to fail (`is_failing`).
+    """An upstream that can be set to shed, to fail or to pause.
+
+    It sends nothing while `is_unpaused` is clear.
 
     `stable_name` names its place in the deployment, which stays the same when an
     upstream with another name starts there.
@@ -56,6 +66,7 @@
     stable_name: str = ""
     is_shedding: bool = False
     is_failing: bool = False
+    is_unpaused: asyncio.Event = field(default_factory=set_event)
 
     @property
     def events_made(self) -> dict[str, int]:
@@ -68,6 +79,14 @@
         self.copies.clear()
         self.report = idle_report(born)
 
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve the call of a connection, which waits while the upstream pauses."""
+        await self.is_unpaused.wait()
+        # `super()` fails in a class that `dataclass(slots=True)` made anew.
+        await super(SoakUpstream, self).serve(reader, writer)
+
     async def answer(
         self,
         call: ReceivedCall,
@@ -118,6 +137,8 @@
             SIGNATURE: f"by-{self.name}",
             "Content-Type": "text/plain",
         }
+        if self.send_limit is not None:
+            headers[SEND_LIMIT] = self.send_limit
         if self.is_failing:
             writer.write(encode_head(500, headers | {"Content-Length": "0"}))
         elif call.target.startswith(STREAM_PATHS):
@@ -125,6 +146,7 @@
             writer.write(encode_head(200, headers | {"Transfer-Encoding": "chunked"}))
             for number in range(first_number, EVENT_COUNT + 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
+                await self.is_unpaused.wait()
                 data = f"id: {number}\ndata: {answer_content(call.target, number)}\n\n"
                 writer.write(encode_chunk(data.encode()))
                 self.events_made[call.headers[REQUEST_ID]] = number
@@ -132,6 +154,7 @@
             writer.write(b"0\r\n\r\n")
         else:
             await asyncio.sleep(CALL_DURATION_S)
+            await self.is_unpaused.wait()
             body = answer_content(call.target).encode()
             length = {"Content-Length": str(len(body))}
             writer.write(encode_head(200, headers | length) + body)
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -17,6 +17,7 @@
     Disturbance,
     History,
     LeavingMark,
+    LimitSpan,
     Probe,
     SentRequest,
     UnexpectedExit,
@@ -67,6 +68,23 @@
     return make_history(*requests, arrivals=arrivals)
 
 
+def limited_requests(count, disturbances=()):
+    """Return requests to an upstream that has named a limit of 2 a second for 10 s."""
+    requests, arrivals = [], []
+    for number in range(count):
+        name, at = f"q{number}", 100.0 + number / 100
+        if number == 0:
+            at = 92.0
+        requests.append(make_request(request_id=name, sent_at=at))
+        arrivals.append(make_arrival(at, request_id=name, ended_at=at + 0.05))
+    return make_history(
+        *requests,
+        arrivals=arrivals,
+        disturbances=list(disturbances),
+        limits=[LimitSpan(UPSTREAM, 90.0, 2.0)],
+    )
+
+
 NON_IDEMPOTENT = RequestKind.NON_IDEMPOTENT
 ACCEPTED = {1: 0.0, 2: 50.0}
 LATE_PROBE_AT = 50.0 + APPLY_LIMIT_S + 0.1
@@ -102,6 +120,7 @@
     "bounded_repeats": make_history(
         make_request(), arrivals=repeated_arrivals(int(RETRY_SLACK) + 2)
     ),
+    "named_limits": limited_requests(19),
     "work_ends_with_callers": abandoned_requests(LATE_CANCEL_ALLOWANCE + 1, 0.6),
     "served_after_recovery": make_history(
         make_request(status=503), faults_end_at=100.0 - RECOVERY_S
@@ -115,6 +134,10 @@
 )
 
 ALLOWED = {
+    "as many requests as a named limit allows": limited_requests(18),
+    "requests beyond a named limit from a restarted instance": limited_requests(
+        40, [Disturbance(ENTRY, "kill", 95.0, 99.0)]
+    ),
     "complete answers": make_history(make_request(), arrivals=[make_arrival()]),
     "a repeat of a repeatable call": make_history(
         make_request(), arrivals=[make_arrival(), make_arrival()]
