Test of shared limits: wait for the sharer's next turn, not for a fixed time

Traced: it slept 3.0 s until a sharer could see that its limit was gone, but a sharer's turns are 3.2 s apart (8 sharers of 2.5 a second); with a sleep of 0.5 s it fails the same way each time. It now calls until the limit is gone, for at most 20 s as before.

--- a/tests/cover/test_send_limits.py
+++ b/tests/cover/test_send_limits.py
@@ -309,7 +309,9 @@
             )
             for upstream in simulation.upstreams:
                 upstream.send_limit = None
-            await asyncio.sleep(3.0)
-            for _ in range(40):
-                await simulation.call(NON_IDEMPOTENT)
+            # A sharer sees that the limit is gone when its next turn comes.
+            async with asyncio.timeout(20.0):
+                while limits.claims():
+                    await simulation.call(NON_IDEMPOTENT)
+                    await asyncio.sleep(0.1)
             await wait_until(lambda: not instances.entries[own].limited_upstreams)
