Streams: a stall is not followed by a pause before the retry

Cause: a stall has already taken a part of a second, so a pause after it only adds delay. Pauses now follow failures that come at once.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -233,8 +233,10 @@
             return self.start_next(now)
         if not self.is_below_limits():
             return self.fail_or_forward(event)
-        pause_s = retry_pause_s(self.failures_in_a_row) if self.kind.is_stream else 0.0
-        self.failures_in_a_row += event.cause is not AttemptCause.NO_COPY
+        pause_s = 0.0
+        if self.kind.is_stream and event.cause in FAST_FAILURE_CAUSES:
+            pause_s = retry_pause_s(self.failures_in_a_row)
+            self.failures_in_a_row += 1
         if pause_s == 0.0:
             return self.retry_if_paid(event, now)
         self.unpaid_failure = event
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -218,8 +218,8 @@
     time at which each failure domain last lost an attempt. `sends` counts the attempts
     that an upstream may have run, those in flight included, and `refusals` those that
     one had no free capacity for. `stalled_upstreams` are those that were left because
-    they sent nothing. `failures_in_a_row` counts the failures since the last event.
-    `copy` is that of the last attempt that may have run.
+    they sent nothing. `failures_in_a_row` counts the failures that came at once since
+    the last event. `copy` is that of the last attempt that may have run.
     `is_querying_loads`: candidates were queried for their load, and no attempt runs
     yet. `unpaid_failure` is that for which a retry is due at `retry_at` if the budget
     allows it.
