--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -172,7 +172,7 @@
             if now < self.stall_check_at(attempt):
                 continue
             if not self.may_replace(attempt, now):
-                self.keep(attempt, now)
+                self.keep_attempt(attempt, now)
             elif now >= self.abandon_at(attempt):
                 idle_s = now - attempt.last_active_at
                 text = f"stalled for {idle_s:.2f} s"
@@ -192,7 +192,7 @@
             return True
         return self.is_below_limits() and self.has_retry(now)
 
-    def keep(self, attempt: RelayAttempt, now: float) -> None:
+    def keep_attempt(self, attempt: RelayAttempt, now: float) -> None:
         """Keep a stalled attempt until the next check of the retry budget."""
         attempt.kept_until = now + RETRY_POLL_INTERVAL_S
 
@@ -468,7 +468,7 @@
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
     if report is None:
         if not relay.may_replace(attempt, now):
-            relay.keep(attempt, now)
+            relay.keep_attempt(attempt, now)
             return []
         text = "does not answer"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -161,8 +161,13 @@
         """Return the retry budget of a service, which may be new."""
         budget = self.budgets.get(service)
         if budget is None:
-            own = self.budget_template
-            budget = RetryBudget(own.ratio, own.reserve, own.window_s, own.started_at)
+            template = self.budget_template
+            budget = RetryBudget(
+                template.ratio,
+                template.reserve,
+                template.window_s,
+                template.started_at,
+            )
             self.budgets[service] = budget
         return budget
 
--- a/src/turmericusher/decisions/retries.py
+++ b/src/turmericusher/decisions/retries.py
@@ -12,8 +12,7 @@
 allows for their different views of the fleet."""
 
 MIN_RESERVE = 1.0
-"""Minimum reserve of one instance: a retry takes a balance of 1."""
-
+"""Minimum reserve of one instance: a retry takes 1 of it."""
 
 OUTAGE_FAILURES = 4
 """Failures in a row, of all requests to a service, from which on it may be down."""
