Named limits: an instance that takes over from gone sharers gets its turns

Found by reading: an instance that did not share a limit had its next turn stored as never, so when the sharers left the list and it became one, it sent nothing, told the others that the limit was in force, and nobody would have seen its end. The same for a limit of 0, which all kept for ever. A turn is now computed from the last send and the share that holds at that moment, and is at most 30 s away for a sharer. The test of a limit of 0 now allows a rare send, without which its end could not be seen.

--- a/src/turmericusher/decisions/send_limits.py
+++ b/src/turmericusher/decisions/send_limits.py
@@ -32,21 +32,23 @@
 UNCLAIMED_EXPIRY_S = 10.0
 """Seconds after which a limit is dropped that no sharer has told of."""
 
-NEVER_S = 1e6
-"""Seconds between the sends to an upstream that takes none of this instance."""
+MAX_INTERVAL_S = 30.0
+"""Longest seconds between two sends of a sharer, however low the limit: without any
+send it would not see when the limit is gone."""
 
 
 @dataclass(slots=True)
 class NamedLimit:
     """The limit that one incarnation of an upstream names, in requests per second.
 
-    This instance may send to it from `ready_at` on and learned it at `learned_at`, in
-    monotonic seconds. `is_claimed`: a sharer has told of it.
+    This instance's interval until its next send counts from `counts_from`. It learned
+    the limit at `learned_at`; both are monotonic seconds. `is_claimed`: a sharer has
+    told of it.
     """
 
     incarnation: str
     per_s: float
-    ready_at: float
+    counts_from: float
     learned_at: float
     is_claimed: bool = False
 
@@ -114,17 +116,16 @@
         if per_s is None:
             self.limits.pop(upstream.name, None)
             return known is not None
-        interval_s = self.interval_s(upstream.name, per_s)
         if known is not None and known.incarnation == upstream.incarnation:
             is_new = known.per_s != per_s
             known.per_s = per_s
-            known.ready_at = min(known.ready_at, now + interval_s)
             return is_new
-        ready_at = now + interval_s
-        if interval_s < NEVER_S:
-            ready_at = now + self.random.uniform(0.0, interval_s)
+        interval_s = self.interval_s(upstream.name, per_s)
+        passed_s = 0.0
+        if interval_s < math.inf:
+            passed_s = self.random.uniform(0.0, interval_s)
         self.limits[upstream.name] = NamedLimit(
-            upstream.incarnation, per_s, ready_at, now
+            upstream.incarnation, per_s, now - passed_s, now
         )
         return True
 
@@ -132,16 +133,15 @@
         """Record that a request is sent to an upstream."""
         limit = self.limits.get(name)
         if limit is not None:
-            limit.ready_at = now + self.interval_s(name, limit.per_s)
+            limit.counts_from = now
 
     def interval_s(self, name: str, per_s: float) -> float:
         """Return the seconds between two sends of this instance to an upstream."""
-        if per_s <= 0.0:
-            return NEVER_S
         count, sharers = max(1, len(self.instances)), self.sharers(per_s)
-        if count <= sharers:
-            return count / per_s
-        return sharers / per_s if self.is_sharer(name, sharers) else NEVER_S
+        if count > sharers and not self.is_sharer(name, sharers):
+            return math.inf
+        longest = MAX_INTERVAL_S * per_s
+        return min(count, sharers) / per_s if longest > sharers else MAX_INTERVAL_S
 
     def sharers(self, per_s: float) -> int:
         """Return how many instances share a limit, if there are that many."""
@@ -159,13 +159,14 @@
     def wait_s(self, name: str, now: float) -> float:
         """Return the seconds until a request may be sent to an upstream."""
         limit = self.limits.get(name)
-        return 0.0 if limit is None else max(0.0, limit.ready_at - now)
+        if limit is None:
+            return 0.0
+        ready_at = limit.counts_from + self.interval_s(name, limit.per_s)
+        return max(0.0, ready_at - now)
 
     def blocked(self, now: float) -> frozenset[str]:
         """Return the upstreams that take no request of this instance now."""
-        return frozenset(
-            name for name, limit in self.limits.items() if limit.ready_at > now
-        )
+        return frozenset(name for name in self.limits if self.wait_s(name, now) > 0.0)
 
     def retain_listed(self, listed: Mapping[str, UpstreamInstance]) -> None:
         """Drop the limits of incarnations that the list no longer shows."""
