Named limits: a refusal that names no limit does not end it

Cause: refusals of the stand-in carry no limit, and an answer without one counted as the end of the limit; the first refusal freed every instance that got one. A 421 even speaks for another upstream at the address. A refusal may still name a limit.

--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -105,7 +105,7 @@
 
     `on_load` receives the loads in response headers. `on_limit` receives, for each
     response to a request, the requests per second that its upstream takes, or None
-    without a limit. A report may name a limit too, but does not lift one.
+    without a limit. A report or a refusal may name a limit too, but does not lift one.
     """
 
     session: aiohttp.ClientSession
@@ -140,7 +140,8 @@
                 if load is not None:
                     self.on_load(start.upstream.name, LoadReport(*load))
                 limit_per_s = self.read_limit(start.upstream, exchange.headers)
-                self.on_limit(start.upstream, limit_per_s)
+                if limit_per_s is not None or not exchange.is_refusal:
+                    self.on_limit(start.upstream, limit_per_s)
                 await exchange.emit_events(routed.route.kind.is_stream)
         except MalformedStreamError as error:
             cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
@@ -216,6 +217,13 @@
         """Return the response's headers."""
         return tuple(self.response.headers.items())
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the response says that the request did not run here."""
+        return self.response.status == MISDIRECTED or (
+            NOT_RUN_MARK in self.response.headers
+        )
+
     async def emit_events(self, is_stream: bool) -> None:
         """Read the response and pass its events to the sink."""
         early = self.failure_from_headers()
--- a/tests/cover/test_send_limits.py
+++ b/tests/cover/test_send_limits.py
@@ -33,6 +33,7 @@
 from turmericusher.errors import ErrorCode
 from turmericusher.platform.names import INSTANCE_PREFIX
 from turmericusher.platform.records import encode_instance
+from turmericusher.standins.platform_upstream import UpstreamFault
 
 NAMED_AT_S = 5.0
 LIFTED_AT_S = 25.0
@@ -283,6 +284,18 @@
             answers = [await simulation.call(NON_IDEMPOTENT) for _ in range(5)]
             self.assertEqual({200}, {answer.status for answer in answers})
 
+    @run_async
+    async def test_a_refusal_that_names_no_limit_does_not_end_the_limit(self):
+        async with running_relay_simulation(upstreams=1) as simulation:
+            (upstream,) = simulation.upstreams
+            upstream.send_limit = "2"
+            await simulation.call(NON_IDEMPOTENT)
+            upstream.faults = [UpstreamFault.SHED]
+            await asyncio.sleep(0.6)
+            for _ in range(5):
+                await simulation.call(NON_IDEMPOTENT)
+            self.assertEqual(2, len(upstream.calls))
+
     @run_async
     async def test_a_limit_is_gone_with_the_first_answer_that_does_not_name_it(self):
         async with running_relay_simulation(upstreams=1) as simulation:
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -16,7 +16,9 @@
 
 SHORT_S = 6.0
 
-REGRESSIONS: tuple[tuple[str, int, float], ...] = ()
+REGRESSIONS: tuple[tuple[str, int, float], ...] = (
+    ("a refusal without the limit ended a named limit", 7050, 20.0),
+)
 """The cause in a few words, the seed, and the seconds of faults that showed it."""
 
 
