Models of the incidents: use the scheduler that the benchmarks have

A reading of the diff found the queue of the two new models written again beside benchmarks.load_model.EventScheduler.

--- a/benchmarks/limit_model.py
+++ b/benchmarks/limit_model.py
@@ -7,14 +7,13 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import math
 import random
 from bisect import bisect_left
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from benchmarks.load_model import EventScheduler
 from tests.common.relay_fixtures import make_relay_shared, make_test_relay
 from turmericusher.decisions.generation_messages import Fail
 from turmericusher.decisions.relay import Relay
@@ -93,10 +92,7 @@
     spans: tuple[LimitSpan, ...]
     shared_states: list[RelayShared]
     random: random.Random
-    queue: list[tuple[float, int, Callable[[float], None]]] = field(
-        default_factory=list
-    )
-    order: itertools.count[int] = field(default_factory=itertools.count)
+    scheduler: EventScheduler = field(default_factory=EventScheduler)
     told_at: dict[tuple[int, str], float] = field(default_factory=dict)
     told_sends: dict[str, list[float]] = field(default_factory=dict)
     sends: dict[str, list[float]] = field(default_factory=dict)
@@ -104,13 +100,8 @@
 
     def at(self, when: float, call: Callable[[float], None]) -> None:
         """Run `call` with the time when the virtual clock reaches it."""
-        heapq.heappush(self.queue, (when, next(self.order), call))
-
-    def run(self) -> None:
-        """Run everything."""
-        while self.queue:
-            when, _, call = heapq.heappop(self.queue)
-            call(when)
+        scheduler = self.scheduler
+        scheduler.call_after(when - scheduler.now, lambda: call(scheduler.now))
 
     def limit_of(self, upstream: str, now: float) -> float | None:
         """Return the limit that an upstream names now."""
@@ -245,5 +236,5 @@
         )
         factor = traffic.burst_factor if now >= traffic.burst_at else 1.0
         now += simulation.random.expovariate(factor * traffic.calls_per_s)
-    simulation.run()
+    simulation.scheduler.run(until + CALL_DEADLINE_S)
     return simulation
--- a/benchmarks/stream_faults.py
+++ b/benchmarks/stream_faults.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import enum
-import heapq
-import itertools
 import random
 from bisect import bisect_left
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
+from benchmarks.load_model import EventScheduler
 from tests.common.relay_fixtures import (
     DOMAINS,
     make_relay_shared,
@@ -134,21 +133,13 @@
     faults: tuple[FaultSpan, ...]
     shared_states: list[RelayShared]
     random: random.Random
-    queue: list[tuple[float, int, Callable[[float], None]]] = field(
-        default_factory=list
-    )
-    order: itertools.count[int] = field(default_factory=itertools.count)
+    scheduler: EventScheduler = field(default_factory=EventScheduler)
     records: list[StreamRecord] = field(default_factory=list)
 
     def at(self, when: float, call: Callable[[float], None]) -> None:
         """Run `call` with the time when the virtual clock reaches it."""
-        heapq.heappush(self.queue, (when, next(self.order), call))
-
-    def run(self, until: float) -> None:
-        """Run everything that is due before `until`."""
-        while self.queue and self.queue[0][0] < until:
-            when, _, call = heapq.heappop(self.queue)
-            call(when)
+        scheduler = self.scheduler
+        scheduler.call_after(when - scheduler.now, lambda: call(scheduler.now))
 
     def fault_of(self, upstream: UpstreamInstance, now: float) -> FaultSpan | None:
         """Return the fault that an engine has now."""
--- a/tests/cover/test_relay_budget.py
+++ b/tests/cover/test_relay_budget.py
@@ -69,7 +69,7 @@
 def simulate(deployment, faults):
     """Run a simulation to its end and return the records of its streams."""
     simulation = make_simulation(deployment, faults, LAST_ARRIVAL_S)
-    simulation.run(END_S)
+    simulation.scheduler.run(END_S)
     return simulation.records
 
 
