Registration: write the fields of the stored record, not all of the instance

Cause: the registration was encoded from whatever fields the instance has, and decoded by a model. It is encoded by the same model now: the five fields as before. The tests of peers and membership pass.

--- a/src/turmericusher/tasks/membership.py
+++ b/src/turmericusher/tasks/membership.py
@@ -13,7 +13,6 @@
 from contextlib import asynccontextmanager
 from dataclasses import asdict, dataclass, field
 
-import orjson
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from turmericusher.decisions.entrypoints import EntryPoint, choose_entrypoints
@@ -361,12 +360,11 @@
     """
     own = fleet.membership.own
     key = fleet.table.entry_key(own.name)
-    fields = asdict(own)
-    del fields["lifecycle"]
+    model = RegistrationModel.model_validate(asdict(own))
     lease = await store.grant_lease(REGISTRATION_TTL_S)
     current = await store.get(key)
     expected = current.revision if current is not None else ABSENT
-    value = orjson.dumps(fields)
+    value = model.model_dump_json().encode()
     result = await store.compare_and_swap(key, expected, value, lease)
     if not result.succeeded:
         raise ConflictError(
