Test of shared limits: wait for the instance's own record before reading it

Seen: `LimitedNodeTest::test_an_instance_tells_in_its_record_which_limits_it_shares` failed with `KeyError: 'entry-1'`, 10 of 36 with twelve runs of it at a time.

Cause: `SendLimits.instances` always contains the instance itself, so its count reaches 21 before the watch has brought the instance's own record. The wait that follows reads `entries[own]`, which need not be there yet.

Change: the test also waits for its own record. Nothing that it checks is different: the claims must still appear in that record and leave it again.

Looked for the same elsewhere: no other test reads its own record without a wait.

--- a/tests/cover/test_send_limits.py
+++ b/tests/cover/test_send_limits.py
@@ -315,11 +315,13 @@
                 key = f"{INSTANCE_PREFIX}{other.name}"
                 simulation.store.store.write(key, encode_instance(other))
             limits = simulation.node.shared.send_limits
+            instances = simulation.node.fleet.instances
+            own = simulation.node.own.name
+            # An instance counts itself before the store has brought its own record.
             await wait_until(lambda: len(limits.instances) == 21)
+            await wait_until(lambda: own in instances.entries)
             for upstream in simulation.upstreams:
                 upstream.send_limit = "2.5"
-            instances = simulation.node.fleet.instances
-            own = simulation.node.own.name
             for _ in range(40):
                 await simulation.call(NON_IDEMPOTENT)
             await wait_until(lambda: bool(limits.claims()))
