Logs: the shared parts of the prompt, and the events, of a failed attempt

The logs had the request, the engine and the position, but no part of a prompt, and the position of a resumed stream does not say how far its attempt was.

`X-Prompt-Prefix` is decoded at the border into `RelayedRequest.shared_parts`: all parts but the last, which belongs to the request or its session. `attempt_failed` has them and the attempt's own events. No decision reads them yet.

--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -20,7 +20,8 @@
     `target` is the raw path with its query. `arrived_at` and `deadline` are monotonic
     seconds; the caller is gone after the deadline. `resume_after` is the id of the last
     event that the caller already holds, or None. `size` is the memory that the request
-    needs on an upstream, in tokens; 0 where it is not known.
+    needs on an upstream, in tokens; 0 where it is not known. `shared_parts` are the ids
+    of the parts of its prompt, in order, that other requests may have too.
     """
 
     request_id: str
@@ -35,6 +36,7 @@
     deadline: float
     resume_after: int | None = None
     size: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 class AttemptCause(enum.StrEnum):
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -12,6 +12,7 @@
 from turmericusher.platform.names import (
     LAST_EVENT_ID,
     LOAD,
+    PROMPT_PARTS,
     REMAINING_MS,
     REQUEST_ID,
     SEND_LIMIT,
@@ -57,6 +58,7 @@
             + (math.inf if remaining_ms is None else remaining_ms / MILLISECONDS_PER_S),
             resume_after=None if resume_after is None else int(resume_after),
             size=parse_token_count(first_values.get(TOKEN_COUNTS)),
+            shared_parts=parse_shared_parts(first_values.get(PROMPT_PARTS)),
         )
 
     def encode_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -145,6 +147,17 @@
     return int(parts[0]) + int(parts[1])
 
 
+def parse_shared_parts(value: str | None) -> tuple[str, ...]:
+    """Return the ids of the prompt's parts in order, without the request's own part.
+
+    Returns no parts if the header is missing or malformed.
+    """
+    parts = [part.strip().partition(":") for part in (value or "").split(",")]
+    if not all(part_id and tokens.isdigit() for part_id, _, tokens in parts):
+        return ()
+    return tuple(part_id.lower() for part_id, _, _ in parts[:-1])
+
+
 def parse_load(headers: Headers) -> tuple[float, float] | None:
     """Return the running and waiting requests that an upstream reports, else None."""
     for name, value in headers:
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -12,6 +12,10 @@
 # "INPUT,MAX_OUTPUT": tokens of the prompt, and the most tokens to generate.
 TOKEN_COUNTS = "x-token-counts"
 
+# "ID:TOKENS,ID:TOKENS,...": the parts of the prompt in order, ids in hexadecimal. The
+# last part belongs to the request or to its session; requests share the others.
+PROMPT_PARTS = "x-prompt-prefix"
+
 # Set by this system on requests to upstreams.
 TARGET_UPSTREAM = "x-target-instance"
 TEAM = "x-tenant-name"
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -300,5 +300,7 @@
         verdict=event.verdict.value,
         after_s=event.at - attempt.started_at,
         position=relay.position,
+        events=attempt.events,
+        parts=",".join(relay.request.shared_parts) or None,
         message=event.message,
     )
