--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -21,6 +21,7 @@
     LAST_EVENT_ID,
     LOAD,
     NOT_RUN_MARK,
+    PROMPT_PARTS,
     RELEASE_PATH,
     REPORT_PATH,
     REQUEST_ID,
@@ -99,7 +100,9 @@
     ran, and `released` the handles that callers released. `caller_disconnects` counts
     the calls whose caller closed the connection before the answer was complete.
     `report` is the load report that it returns, and `send_limit` the text of the limit
-    that it names in its answers, if any.
+    that it names in its answers, if any. A call with one of `crashing_parts` in its
+    prompt crashes it when it would begin to write the answer. `crashed` is set then,
+    and `connections` holds what is open until that.
     """
 
     name: str
@@ -119,6 +122,9 @@
     released: list[str] = field(default_factory=list)
     report: UpstreamReport = IDLE_REPORT
     send_limit: str | None = None
+    crashing_parts: frozenset[str] = frozenset()
+    crashed: asyncio.Event = field(default_factory=asyncio.Event)
+    connections: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
 
     def stop_listening(self) -> None:
@@ -126,10 +132,24 @@
         if self.server is not None:
             self.server.close()
 
+    def crash(self) -> None:
+        """Reset all connections and accept no more, as an engine that ends does."""
+        self.stop_listening()
+        for writer in self.connections:
+            reset(writer)
+        self.connections.clear()
+        self.crashed.set()
+
+    def crashes_on(self, call: ReceivedCall) -> bool:
+        """Whether a call has a part in its prompt that crashes this upstream."""
+        parts = call.headers.get(PROMPT_PARTS, "").split(",")
+        return any(part.partition(":")[0] in self.crashing_parts for part in parts)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve the single call of a connection and close it."""
+        self.connections.add(writer)
         try:
             call = await read_call(reader)
             if call is not None and call.target == REPORT_PATH:
@@ -147,6 +167,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             self.caller_disconnects += 1
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     def handle_copy_request(
@@ -197,6 +218,10 @@
         if not self.try_start_run(call, writer, fault is UpstreamFault.SHED):
             return
         request_id = call.headers[REQUEST_ID]
+        if self.crashes_on(call):
+            await asyncio.sleep(self.first_event_s)
+            self.crash()
+            return
         if self.events and fault is UpstreamFault.NONE:
             await self.stream(call, reader, writer)
             return
--- /dev/null
+++ b/tests/common/crash_fixtures.py
@@ -0,0 +1,126 @@
+"""Several running instances before upstreams that some requests crash."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+import aiohttp
+
+from tests.common.relay_fixtures import (
+    Answer,
+    RelaySimulation,
+    configuration,
+    encode_upstream_entry,
+    make_node_settings,
+)
+from turmericusher.decisions.routing import RequestKind
+from turmericusher.platform.names import (
+    CONFIGURATION_KEY,
+    PROMPT_PARTS,
+    UPSTREAM_PREFIX,
+)
+from turmericusher.platform.node import running_node
+from turmericusher.standins.platform_store import running_platform_store
+from turmericusher.standins.platform_upstream import (
+    ReceivedCall,
+    UpstreamStandin,
+    running_standin,
+)
+from turmericusher.tasks.background import background_tasks
+
+RESTART_S = 0.6
+"""Seconds from the crash of an upstream until one with another name starts."""
+
+LISTED_AFTER_CRASH_S = 0.4
+"""Seconds for which the list still shows an upstream that has crashed."""
+
+
+@dataclass(slots=True)
+class CrashSimulation:
+    """Instances that share a store, and upstreams that start again after a crash.
+
+    `ended` holds the upstreams that crashed, and `crash_times` when, in seconds.
+    """
+
+    instances: list[RelaySimulation]
+    running: dict[int, UpstreamStandin] = field(default_factory=dict)
+    ended: list[UpstreamStandin] = field(default_factory=list)
+    crash_times: list[float] = field(default_factory=list)
+    request_count: int = 0
+
+    def received(self, part: str) -> list[ReceivedCall]:
+        """Return the calls with a part in their prompts that reached an upstream."""
+        upstreams = [*self.running.values(), *self.ended]
+        return [
+            call
+            for upstream in upstreams
+            for call in upstream.calls
+            if part in call.headers.get(PROMPT_PARTS, "")
+        ]
+
+    async def call(self, instance: int, *parts: str, **headers: str) -> Answer:
+        """Send a resumable stream with these shared parts to one instance."""
+        self.request_count += 1
+        own = f"{self.request_count:08x}"
+        prompt = ",".join(f"{part}:100" for part in (*parts, own))
+        simulation = self.instances[instance]
+        simulation.count = self.request_count
+        try:
+            return await simulation.call(
+                RequestKind.RESUMABLE_STREAM, X_Prompt_Prefix=prompt, **headers
+            )
+        except aiohttp.ClientError:
+            return Answer(0, {}, b"", False)
+
+    async def keep_upstream(self, index: int, fields: dict[str, object]) -> None:
+        """Run an upstream, and another one in its place after each crash."""
+        store = self.instances[0].store.store
+        for life in range(1_000):
+            standin = UpstreamStandin(f"u{index}-{life}", **fields)  # type: ignore[arg-type]
+            born = 1_700_000_000_000 + 1_000 * index + life
+            standin.report = replace(standin.report, incarnation=str(born))
+            async with running_standin(standin):
+                self.running[index] = standin
+                key = f"{UPSTREAM_PREFIX}{standin.name}"
+                entry = encode_upstream_entry(standin.address, index, born=born)
+                store.write(key, entry)
+                await standin.crashed.wait()
+                self.crash_times.append(time.monotonic())
+                self.ended.append(self.running.pop(index))
+            await asyncio.sleep(LISTED_AFTER_CRASH_S)
+            store.write(key, None)
+            await asyncio.sleep(RESTART_S - LISTED_AFTER_CRASH_S)
+
+
+@asynccontextmanager
+async def running_crash_simulation(
+    instances: int = 3, upstreams: int = 6, **fields: object
+) -> AsyncIterator[CrashSimulation]:
+    """Run instances and upstreams; `fields` are those of the stand-ins."""
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(running_platform_store())
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        store.store.write(CONFIGURATION_KEY, configuration())
+        simulation = CrashSimulation([])
+        for number in range(instances):
+            settings = replace(
+                make_node_settings(store.address), name=f"entry-{number}"
+            )
+            node = await stack.enter_async_context(running_node(settings))
+            simulation.instances.append(
+                RelaySimulation(store, [], settings, node, session)
+            )
+        keepers = {
+            f"upstream-{index}": simulation.keep_upstream(index, fields)
+            for index in range(upstreams)
+        }
+        await stack.enter_async_context(background_tasks(keepers))
+        async with asyncio.timeout(5):
+            for each in simulation.instances:
+                while len(each.node.fleet.upstreams.entries) < upstreams:
+                    await asyncio.sleep(0.01)
+        yield simulation
