--- /dev/null
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -0,0 +1,432 @@
+"""Which requests crash upstreams, and when they may still be sent.
+
+Load: requests with one part in their prompts that crashes each upstream that begins to
+write an answer on it. They come at any instance and no two are alike, whereas their
+other parts are those of sound requests. An upstream that dies takes sound requests
+with it, and upstreams also die for other reasons, many at once.
+
+Each death accuses the traits of the requests that the upstream had begun last. A trait
+is cleared by any request with it that runs well. It is blocked after a few deaths, of
+which one came after another was known: deaths at the same time may have one cause. If
+other traits explain its deaths better, those are blocked instead.
+
+Blocked traits are tried again from time to time, by one instance of all, and less often
+after each trial that ends in a death, so that a sound trait comes free.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from turmericusher.decisions.crash_records import (
+    Chain,
+    CrashRecord,
+    SoundRecord,
+    Suspect,
+    TrialRecord,
+    death_name,
+)
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.subsets import rendezvous_weight
+
+BLOCKING_DEATHS = 3
+"""Deaths after which a trait is blocked."""
+
+BLOCKING_RANK = 2
+"""Least rank that one of these deaths must have."""
+
+CLEAN_RUN_S = 1.0
+"""Seconds after an attempt's first event from which on it shows that its request is
+sound: an upstream that is crashed by one ends some 0.1 s after it begins to write."""
+
+PROOF_VALID_S = 10.0
+"""Seconds for which a trait is not accused after a request with it ran well: a few
+times the pause between two streams at one instance."""
+
+RECORD_TTL_S = 600
+"""Seconds after which a death is forgotten."""
+
+MAX_DEATHS = 500
+MAX_CHAINS = 64
+"""Bounds of the ledger: deaths, and suspected requests of one death."""
+
+TRIAL_AFTER_S = 1.5
+"""Seconds after the last death until a blocked trait is tried first. After the crash of
+a whole service, whose traits nobody has seen run well, this ends the refusals."""
+
+TRIAL_BACKOFF = 15.0
+"""Factor by which each death that came of a trial makes that time longer."""
+
+PUBLISH_STAGGER_S = 0.3
+"""Seconds by which each instance tells of a sound trait later than the one before it in
+the trait's order, so that not all of them write what one has written."""
+
+
+@dataclass(slots=True)
+class Death:
+    """A death that an instance knows of since `learned_at`, in monotonic seconds."""
+
+    record: CrashRecord
+    learned_at: float
+
+
+@dataclass(slots=True)
+class Loss:
+    """An upstream that may have died, with what it would accuse."""
+
+    upstream: UpstreamInstance
+    chains: set[Chain] = field(default_factory=set)
+    is_being_checked: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """A trial that an instance knows of since `learned_at`, in monotonic seconds."""
+
+    number: int
+    learned_at: float
+
+
+@dataclass(slots=True)
+class CrashLedger:
+    """The deaths of upstreams and the traits that they accuse.
+
+    `own` is the name of this instance and `instances` are those of all live ones.
+    `losses` are deaths that were not confirmed yet. `accused` maps a trait to what each
+    death that it was not cleared of tells of it. `cleared` has the deaths that each
+    trait was cleared of, and when. `sound_at` is when a request with a trait last ran
+    well, `trials` the last trial of a trait. `unpublished_deaths` and
+    `unpublished_sound` are not in the store yet; the latter with the time from which on
+    they are due.
+    Times are monotonic seconds.
+    """
+
+    own: str = ""
+    instances: frozenset[str] = frozenset()
+    deaths: dict[str, Death] = field(default_factory=dict)
+    losses: dict[str, Loss] = field(default_factory=dict)
+    accused: dict[str, dict[str, Suspect]] = field(default_factory=dict)
+    cleared: dict[str, dict[str, float]] = field(default_factory=dict)
+    sound_at: dict[str, float] = field(default_factory=dict)
+    trials: dict[str, Trial] = field(default_factory=dict)
+    unpublished_deaths: set[str] = field(default_factory=set)
+    unpublished_sound: dict[str, float] = field(default_factory=dict)
+
+    def update_instances(self, own: str, names: Iterable[str]) -> None:
+        """Set this instance's name and those of all live ones."""
+        self.own, self.instances = own, frozenset(names) | {own}
+
+    # Queries
+
+    def known_suspects(self, traits: Sequence[str]) -> dict[str, Suspect]:
+        """Return what is known of each trait that is accused or may soon be."""
+        found = {
+            trait: max(self.accused[trait].values(), key=severity)
+            for trait in traits
+            if trait in self.accused
+        }
+        for loss in self.losses.values():
+            for suspect in (each for chain in loss.chains for each in chain):
+                if suspect.trait in traits:
+                    known = found.get(suspect.trait, suspect)
+                    found[suspect.trait] = max(known, suspect, key=severity)
+        return found
+
+    def is_blocked(self, trait: str) -> bool:
+        """Whether a trait has caused too many deaths, for all that is known."""
+        suspects = self.accused.get(trait, {})
+        if len(suspects) < BLOCKING_DEATHS:
+            return False
+        if max(each.rank for each in suspects.values()) < BLOCKING_RANK:
+            return False
+        return not any(
+            self.explains(other, trait) for other in self.accused if other != trait
+        )
+
+    def explains(self, other: str, trait: str) -> bool:
+        """Whether another trait explains all deaths that accuse a trait.
+
+        Of two traits of the same requests, that is the less shared one if both have the
+        same deaths. Of two that no request has together, it is the one with more.
+        """
+        deaths, other_deaths = self.accused[trait].keys(), self.accused[other].keys()
+        if not deaths <= other_deaths:
+            return False
+        order = [
+            (position(chain, trait), position(chain, other))
+            for death in deaths
+            for chain in self.deaths[death].record.chains
+        ]
+        together = [(a, b) for a, b in order if a is not None and b is not None]
+        if together:
+            return any(a < b for a, b in together)
+        return len(other_deaths) > len(deaths)
+
+    def blocked_trait(self, traits: Iterable[str]) -> str | None:
+        """Return the first trait for which a request must not be sent, or None."""
+        if not self.accused:
+            return None
+        return next((trait for trait in traits if self.is_blocked(trait)), None)
+
+    def is_trial_due(self, traits: Iterable[str], now: float) -> bool:
+        """Whether a request with these traits may try those that are blocked."""
+        return all(
+            now >= self.next_trial_at(trait)
+            for trait in traits
+            if self.is_blocked(trait)
+        )
+
+    def next_trial_at(self, trait: str) -> float:
+        """Return when a blocked trait may be tried again by some instance."""
+        trial = self.trials.get(trait)
+        tried_at = trial.learned_at if trial is not None else -math.inf
+        last_at = max(self.last_death_at(trait), tried_at)
+        return last_at + self.trial_interval_s(trait)
+
+    def next_trial(self, trait: str) -> TrialRecord:
+        """Return the record to write for the next trial of a trait."""
+        trial = self.trials.get(trait)
+        return TrialRecord(trait, trial.number + 1 if trial is not None else 1)
+
+    def trial_interval_s(self, trait: str) -> float:
+        """Return the seconds between two trials of a blocked trait."""
+        trials = max(each.trials for each in self.accused[trait].values())
+        return min(TRIAL_AFTER_S * TRIAL_BACKOFF**trials, RECORD_TTL_S)
+
+    def last_death_at(self, trait: str) -> float:
+        """Return when this instance learned of the last death that accuses a trait."""
+        return max(self.deaths[death].learned_at for death in self.accused[trait])
+
+    def retry_after_s(self, trait: str, now: float) -> float:
+        """Return the seconds until a blocked trait may be tried, at least the first."""
+        return max(TRIAL_AFTER_S, self.next_trial_at(trait) - now)
+
+    def order_of(self, trait: str) -> int:
+        """Return this instance's place in the order of instances for a trait."""
+        own_weight = rendezvous_weight(trait, self.own)
+        return sum(
+            rendezvous_weight(trait, other) > own_weight for other in self.instances
+        )
+
+    def was_sound_lately(self, trait: str, now: float) -> bool:
+        """Whether a request with a trait ran well a short time ago."""
+        sound_at = self.sound_at.get(trait)
+        return sound_at is not None and now - sound_at < PROOF_VALID_S
+
+    def unchecked_losses(self) -> list[UpstreamInstance]:
+        """Return the upstreams that may have died and are not being checked yet."""
+        return [
+            loss.upstream for loss in self.losses.values() if not loss.is_being_checked
+        ]
+
+    def unpublished(self, now: float) -> list[CrashRecord | SoundRecord]:
+        """Return the records that are due to be written to the store."""
+        found: list[CrashRecord | SoundRecord] = [
+            self.deaths[death].record for death in sorted(self.unpublished_deaths)
+        ]
+        for trait, due_at in self.unpublished_sound.items():
+            if now >= due_at:
+                found.append(SoundRecord(trait, frozenset(self.cleared[trait])))
+        return found
+
+    # Commands
+
+    def record_loss(
+        self,
+        upstream: UpstreamInstance,
+        traits: Sequence[str],
+        known: Mapping[str, Suspect],
+        now: float,
+        is_trial: bool = False,
+    ) -> bool:
+        """Record that an upstream broke off a request that it had just begun.
+
+        `known` is what was known of its traits when it was sent. Returns whether any
+        trait is suspected; then it remains to be checked whether the upstream has died.
+        """
+        chain = tuple(
+            next_suspect(trait, known.get(trait), is_trial)
+            for trait in traits
+            if not self.was_sound_lately(trait, now)
+        )
+        if not chain:
+            return False
+        name = death_name(upstream.name, upstream.incarnation)
+        death = self.deaths.get(name)
+        if death is not None:
+            record = CrashRecord(
+                upstream.name, upstream.incarnation, death.record.chains | {chain}
+            )
+            if self.merge_crash(record, now):
+                self.unpublished_deaths.add(name)
+            return True
+        self.losses.setdefault(name, Loss(upstream)).chains.add(chain)
+        return True
+
+    def begin_check(self, upstream: UpstreamInstance) -> None:
+        """Record that an upstream is being checked."""
+        name = death_name(upstream.name, upstream.incarnation)
+        self.losses[name].is_being_checked = True
+
+    def record_check(
+        self, upstream: UpstreamInstance, has_ended: bool, now: float
+    ) -> CrashRecord | None:
+        """Record whether an upstream has ended; return the death if it is a new one."""
+        loss = self.losses.pop(death_name(upstream.name, upstream.incarnation), None)
+        if loss is None or not has_ended:
+            return None
+        chains = [self.without_sound(chain, now) for chain in loss.chains]
+        record = CrashRecord(
+            upstream.name,
+            upstream.incarnation,
+            frozenset(each for each in chains if each),
+        )
+        if not record.chains or not self.merge_crash(record, now):
+            return None
+        self.unpublished_deaths.add(record.death)
+        return record
+
+    def without_sound(self, chain: Chain, now: float) -> Chain:
+        """Return a chain without the traits that were sound a short time ago."""
+        return tuple(
+            suspect
+            for suspect in chain
+            if not self.was_sound_lately(suspect.trait, now)
+        )
+
+    def record_clean_run(self, traits: Iterable[str], now: float) -> None:
+        """Record that a request with these traits ran well."""
+        self.sound_at = {
+            trait: at for trait, at in self.sound_at.items() if now - at < PROOF_VALID_S
+        }
+        for trait in traits:
+            self.sound_at[trait] = now
+            if trait in self.accused:
+                self.clear(trait, frozenset(self.accused[trait]), now)
+                self.unpublished_sound[trait] = (
+                    now + self.order_of(trait) * PUBLISH_STAGGER_S
+                )
+
+    def clear(self, trait: str, deaths: frozenset[str], now: float) -> None:
+        """Clear a trait of some deaths, those not known yet included."""
+        self.cleared.setdefault(trait, {}).update(dict.fromkeys(deaths, now))
+        self.withdraw(trait, deaths)
+
+    def withdraw(self, trait: str, deaths: frozenset[str]) -> None:
+        """Accuse a trait no longer of some deaths."""
+        suspects = self.accused.get(trait, {})
+        for death in deaths & suspects.keys():
+            del suspects[death]
+        if not suspects:
+            self.accused.pop(trait, None)
+
+    def merge_trial(self, record: TrialRecord, now: float) -> bool:
+        """Record a trial by this instance or another one; return whether it is new."""
+        known = self.trials.get(record.trait)
+        if known is not None and known.number >= record.number:
+            return False
+        self.trials[record.trait] = Trial(record.number, now)
+        return True
+
+    def merge_crash(self, record: CrashRecord, now: float) -> bool:
+        """Add a death, or what another instance knows of it; return whether it is new.
+
+        A death that is known already keeps its time, so a late record is not a new
+        death. A trait that was sound here a short time ago is cleared of it.
+        """
+        self.forget_expired(now)
+        death = self.deaths.get(record.death)
+        known = death.record.chains if death is not None else frozenset()
+        chains = known | record.chains
+        if chains == known or (death is not None and len(known) >= MAX_CHAINS):
+            return False
+        merged = CrashRecord(record.upstream, record.incarnation, chains)
+        if death is None:
+            self.deaths[record.death] = Death(merged, now)
+        else:
+            death.record = merged
+        for suspect in (each for chain in record.chains for each in chain):
+            self.accuse(suspect, record.death)
+            if self.was_sound_lately(suspect.trait, now):
+                self.clear(suspect.trait, frozenset({record.death}), now)
+                self.unpublished_sound.setdefault(
+                    suspect.trait,
+                    now + self.order_of(suspect.trait) * PUBLISH_STAGGER_S,
+                )
+        return True
+
+    def accuse(self, suspect: Suspect, death: str) -> None:
+        """Accuse a trait of a death, unless it was cleared of it."""
+        if death in self.cleared.get(suspect.trait, ()):
+            return
+        suspects = self.accused.setdefault(suspect.trait, {})
+        suspects[death] = max(suspect, suspects.get(death, suspect), key=severity)
+
+    def merge_sound(self, record: SoundRecord, now: float) -> bool:
+        """Clear a trait as another instance did; return whether that is new."""
+        known = self.cleared.get(record.trait, {}).keys()
+        is_new = not record.deaths <= known
+        self.clear(record.trait, record.deaths, now)
+        if is_new:
+            self.sound_at[record.trait] = now
+        if record.deaths >= self.cleared[record.trait].keys():
+            self.unpublished_sound.pop(record.trait, None)
+        return is_new
+
+    def mark_published(self, record: CrashRecord | SoundRecord) -> None:
+        """Record that the store has a record as it is now."""
+        if isinstance(record, SoundRecord):
+            if record.deaths >= self.cleared.get(record.trait, {}).keys():
+                self.unpublished_sound.pop(record.trait, None)
+            return
+        death = self.deaths.get(record.death)
+        if death is None or death.record.chains <= record.chains:
+            self.unpublished_deaths.discard(record.death)
+
+    def forget_expired(self, now: float) -> None:
+        """Forget old deaths, the oldest above `MAX_DEATHS`, and what was cleared."""
+        surplus = len(self.deaths) - MAX_DEATHS + 1
+        for number, (name, death) in enumerate(list(self.deaths.items())):
+            if number < surplus or now - death.learned_at >= RECORD_TTL_S:
+                self.forget_death(name)
+        self.trials = {
+            trait: trial
+            for trait, trial in self.trials.items()
+            if now - trial.learned_at < RECORD_TTL_S
+        }
+        for trait, deaths in list(self.cleared.items()):
+            recent = {d: at for d, at in deaths.items() if now - at < RECORD_TTL_S}
+            if recent:
+                self.cleared[trait] = recent
+            else:
+                del self.cleared[trait]
+                self.unpublished_sound.pop(trait, None)
+
+    def forget_death(self, name: str) -> None:
+        """Forget one death."""
+        death = self.deaths.pop(name)
+        self.unpublished_deaths.discard(name)
+        for suspect in (each for chain in death.record.chains for each in chain):
+            self.withdraw(suspect.trait, frozenset({name}))
+
+
+def next_suspect(trait: str, known: Suspect | None, is_trial: bool) -> Suspect:
+    """Return a trait as suspected of a further death."""
+    if known is None:
+        return Suspect(trait, 1)
+    return Suspect(trait, known.rank + 1, known.trials + is_trial)
+
+
+def severity(suspect: Suspect) -> tuple[int, int]:
+    """Return the sort key by which the more serious of two suspicions is found."""
+    return suspect.trials, suspect.rank
+
+
+def position(chain: Chain, trait: str) -> int | None:
+    """Return the place of a trait in a request's chain, or None if it is not there."""
+    for number, suspect in enumerate(chain):
+        if suspect.trait == trait:
+            return number
+    return None
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass
 from functools import singledispatch
 
+from turmericusher.decisions.crash_ledger import CLEAN_RUN_S
+from turmericusher.decisions.crash_records import request_traits
 from turmericusher.decisions.relay_copies import RelayCopies
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
@@ -34,6 +36,8 @@
     RelayEvent,
     StreamFinished,
     StreamOpened,
+    TraitBlocked,
+    TrialClaimed,
     UpstreamProbed,
 )
 from turmericusher.decisions.relay_state import (
@@ -51,6 +55,10 @@
 REPORT_VISIBLE_AFTER_S = 0.8
 """Seconds after which an attempt appears in its upstream's reports, with a margin."""
 
+CRASH_CAUSES = frozenset({AttemptCause.LOST, AttemptCause.MALFORMED})
+"""Causes that may mean that the upstream has crashed. A stall rather means that it
+pauses."""
+
 STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
 """Causes that are inferred from missing events while the connection is still open."""
 
@@ -99,6 +107,10 @@
         """Return the actions for an event; drop it if its attempt is not live."""
         if isinstance(event, LoadsReported):
             return self.handle_loads(event, now)
+        if isinstance(event, TraitBlocked):
+            return self.end_if_blocked(now)
+        if isinstance(event, TrialClaimed):
+            return self.handle_trial(event, now)
         attempt = self.attempts.get(event.attempt)
         if self.is_over or attempt is None:
             return []
@@ -280,7 +292,9 @@
     def record_failure(self, attempt: RelayAttempt, event: AttemptFailed) -> None:
         """Record what a failed attempt implies for the request and its upstream."""
         name = attempt.upstream.name
-        if event.cause in FAST_FAILURE_CAUSES:
+        self.record_possible_crash(attempt, event)
+        # What a suspected request does to upstreams says nothing of the service.
+        if event.cause in FAST_FAILURE_CAUSES and not attempt.known_suspects:
             self.shared.budget_for(self.routed.service.name).record_failure()
         self.last_message = f"{name}: {event.cause.value} {event.message}"
         if event.verdict is not Verdict.NOT_RUN:
@@ -303,6 +317,22 @@
         if event.cause in (AttemptCause.LOST, AttemptCause.SILENT):
             self.lost_domains[attempt.upstream.failure_domain] = event.at
 
+    def record_possible_crash(
+        self, attempt: RelayAttempt, event: AttemptFailed
+    ) -> None:
+        """Suspect the request of crashing its upstream if that had just begun it."""
+        if event.cause not in CRASH_CAUSES or event.at >= self.deadline():
+            return
+        begun_at = attempt.first_event_at
+        if begun_at is None or event.at - begun_at < CLEAN_RUN_S:
+            self.shared.crashes.record_loss(
+                attempt.upstream,
+                self.traits,
+                attempt.known_suspects,
+                event.at,
+                attempt.is_trial,
+            )
+
     def has_upstream_ended(self, event: AttemptFailed) -> bool:
         """Whether the upstream itself is assumed to have stopped with the attempt.
 
@@ -343,6 +373,8 @@
                 self.record_prefill(wait_s, attempt.prompts_ahead, now)
         attempt.last_active_at = max(attempt.last_active_at, event.at)
         attempt.events += 1
+        if event.at - attempt.first_event_at >= CLEAN_RUN_S:
+            self.record_clean_run(attempt, now)
         self.shared.budget_for(self.routed.service.name).record_success()
         self.shared.stall_detector.record_activity(attempt.upstream.name, event.at)
         if self.position is not None and event.event_id <= self.position:
@@ -361,11 +393,37 @@
             *self.renew_copy(attempt, now),
         ]
 
+    def record_clean_run(self, attempt: RelayAttempt, now: float) -> None:
+        """Record, once for each attempt, that the request is sound."""
+        if not attempt.is_proven:
+            attempt.is_proven = True
+            self.shared.crashes.record_clean_run(self.traits, now)
+
+    def end_is_due(self) -> bool:
+        """Whether the request runs and is now known to crash upstreams.
+
+        An attempt that has an event is left alone: it has not crashed its upstream, or
+        is about to. A trial is left alone too.
+        """
+        if self.is_over or not self.attempts or self.blocked_trait() is None:
+            return False
+        return not any(
+            each.has_event or each.is_trial for each in self.attempts.values()
+        )
+
+    def end_if_blocked(self, now: float) -> list[RelayAction]:
+        """End the request if it is now known to crash upstreams."""
+        trait = self.blocked_trait()
+        if trait is None or not self.end_is_due():
+            return []
+        return self.refuse_crashing(trait, now)
+
     def finish(self, attempt: RelayAttempt, now: float) -> list[RelayAction]:
         """End the request after an attempt that completed, and cancel the others."""
         self.is_over = True
         if self.kind.is_stream and attempt.first_event_at is not None:
             self.shared.stream_duration.record_duration(now - attempt.first_event_at)
+        self.record_clean_run(attempt, now)
         actions = self.release_copies()
         self.remove_attempt(attempt.number)
         self.shared.selector.succeeded(attempt.upstream.name)
@@ -509,4 +567,4 @@
     request: RelayedRequest, routed: RoutedRequest, shared: RelayShared
 ) -> Relay:
     """Return the state machine of one relayed request."""
-    return Relay(request, routed, shared)
+    return Relay(request, routed, shared, request_traits(request))
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -20,8 +20,8 @@
     `target` is the raw path with its query. `arrived_at` and `deadline` are monotonic
     seconds; the caller is gone after the deadline. `resume_after` is the id of the last
     event that the caller already holds, or None. `size` is the memory that the request
-    needs on an upstream, in tokens; 0 where it is not known. `shared_parts` are the ids
-    of the parts of its prompt, in order, that other requests may have too.
+    needs on an upstream, in tokens; 0 where it is not known. `prompt_parts` are the ids
+    of the parts of its prompt, in order, of which the last is its own.
     """
 
     request_id: str
@@ -36,7 +36,12 @@
     deadline: float
     resume_after: int | None = None
     size: int = 0
-    shared_parts: tuple[str, ...] = ()
+    prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts of the prompt that other requests may have too."""
+        return self.prompt_parts[:-1]
 
 
 class AttemptCause(enum.StrEnum):
@@ -159,6 +164,18 @@
     reports: Mapping[str, UpstreamReport]
 
 
+@dataclass(frozen=True, slots=True)
+class TraitBlocked:
+    """A trait became known to crash upstreams; the request may have it."""
+
+
+@dataclass(frozen=True, slots=True)
+class TrialClaimed:
+    """Whether this request may try a blocked trait, which one request at a time may."""
+
+    is_granted: bool
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryCopy:
     """A copy of an attempt's KV cache that `holder` has.
@@ -237,6 +254,13 @@
         return self.copy is not None
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimTrial:
+    """Ask for the right to try a blocked trait with this request."""
+
+    trait: str
+
+
 @dataclass(frozen=True, slots=True)
 class QueryLoads:
     """Query candidates for their load before an attempt is placed."""
@@ -287,6 +311,8 @@
     | AttemptFailed
     | UpstreamProbed
     | LoadsReported
+    | TraitBlocked
+    | TrialClaimed
     | MemoryCopied
     | HolderChecked
 )
@@ -296,6 +322,7 @@
     | CancelAttempt
     | ProbeUpstream
     | QueryLoads
+    | ClaimTrial
     | CopyMemory
     | CheckHolder
     | ReleaseCopy
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -20,11 +20,13 @@
     rank_by_wait,
 )
 from turmericusher.decisions.relay_messages import (
+    ClaimTrial,
     LoadsReported,
     MemoryCopy,
     QueryLoads,
     RelayAction,
     StartRelay,
+    TrialClaimed,
     UpstreamReport,
 )
 from turmericusher.decisions.relay_state import (
@@ -92,6 +94,9 @@
         A usable copy of the stream's KV cache decides the upstream, if that one takes
         the request soon.
         """
+        trait = self.blocked_trait()
+        if trait is not None:
+            return self.claim_trial(trait, now)
         copy = self.usable_copy()
         wait_s = 0.0
         if copy is not None:
@@ -101,13 +106,13 @@
             return []
         if copy is not None and wait_s == 0.0:
             self.shared.totals.copies_used += 1
-            return [self.start_on(copy.holder, now, copy=copy)]
+            return self.start_on(copy.holder, now, copy=copy)
         if self.kind.is_stream and self.routed.service.reports_load:
             return self.query_loads(now)
         upstream = self.pick_upstream(now)
         if upstream is None:
             return self.wait_or_refuse(now)
-        return [self.start_on(upstream, now)]
+        return self.start_on(upstream, now)
 
     def query_loads(self, now: float) -> list[RelayAction]:
         """Query some candidates for their load; their reports place the attempt."""
@@ -147,7 +152,7 @@
             upstream = self.pick_upstream(now)
             if upstream is None:
                 return self.wait_or_refuse(now)
-            return [self.start_on(upstream, now)]
+            return self.start_on(upstream, now)
         upstream = usable[0]
         # Decided by the wait of a request of typical size, so that long prompts are not
         # refused sooner than others.
@@ -159,9 +164,10 @@
         standbys = [
             other for other in usable[1:] if other.failure_domain not in avoided
         ]
-        start = self.start_on(upstream, now, standby=standbys[0] if standbys else None)
-        self.attempts[start.attempt].prompts_ahead = wait.prompts_ahead
-        return [start]
+        standby = standbys[0] if standbys else None
+        return self.start_on(
+            upstream, now, standby=standby, prompts_ahead=wait.prompts_ahead
+        )
 
     def expected_wait_at(
         self, name: str, report: UpstreamReport, size: float, now: float
@@ -246,12 +252,21 @@
         now: float,
         copy: MemoryCopy | None = None,
         standby: UpstreamInstance | None = None,
-    ) -> StartRelay:
+        prompts_ahead: int | None = None,
+    ) -> list[RelayAction]:
         """Start an attempt on an upstream, with a standby if the stream can use one.
 
+        Every attempt starts here, whatever its reason. None does for a request that is
+        known to crash upstreams: it is refused or ended.
+
         With `copy` the attempt resumes from that copy. `RelayAttempt.copy` is another
         one: the copy that the upstream will keep on the standby.
         """
+        trait = self.blocked_trait()
+        if trait is not None:
+            return self.refuse_crashing(trait, now)
+        # A trial is for one attempt.
+        is_trial, self.has_trial = self.has_trial, False
         self.last_number += 1
         self.sends += 1
         standby = standby or self.choose_standby(upstream, now)
@@ -264,6 +279,9 @@
             now,
             copy=self.standby_copy(standby),
             from_copy=copy is not None,
+            prompts_ahead=prompts_ahead,
+            known_suspects=self.shared.crashes.known_suspects(self.traits),
+            is_trial=is_trial,
         )
         self.attempts[attempt.number] = attempt
         self.shared.selector.attempt_started(upstream.name)
@@ -276,13 +294,51 @@
             totals.limited_repeats += self.last_number > 1
         totals.repeats += self.last_number > 1
         totals.resumes += self.last_number > 1 and self.has_delivered
-        return StartRelay(
-            attempt=attempt.number,
-            upstream=upstream,
-            deadline=self.deadline(),
-            resume_after=self.position,
-            copy=copy,
-            standby=standby,
+        totals.crash_trials += is_trial
+        return [
+            StartRelay(
+                attempt=attempt.number,
+                upstream=upstream,
+                deadline=self.deadline(),
+                resume_after=self.position,
+                copy=copy,
+                standby=standby,
+            )
+        ]
+
+    def blocked_trait(self) -> str | None:
+        """Return a trait for which the request must not be sent now, or None."""
+        if self.has_trial:
+            return None
+        return self.shared.crashes.blocked_trait(self.traits)
+
+    def claim_trial(self, trait: str, now: float) -> list[RelayAction]:
+        """Ask for a trial of a blocked trait if one is due; else refuse the request."""
+        if not self.shared.crashes.is_trial_due(self.traits, now):
+            return self.refuse_crashing(trait, now)
+        self.is_claiming_trial = True
+        return [ClaimTrial(trait)]
+
+    def handle_trial(self, event: TrialClaimed, now: float) -> list[RelayAction]:
+        """Send the request as a trial if it may be one; else refuse it."""
+        if self.is_over or not self.is_claiming_trial:
+            return []
+        self.is_claiming_trial = False
+        self.has_trial = event.is_granted
+        trait = self.blocked_trait()
+        if trait is not None:
+            return self.refuse_crashing(trait, now)
+        return self.start_next(now)
+
+    def refuse_crashing(self, trait: str, now: float) -> list[RelayAction]:
+        """Refuse a request that would crash an upstream, or end it if it has run."""
+        self.shared.totals.crash_refusals += 1
+        self.may_have_run = self.may_have_run or bool(self.attempts)
+        return self.fail(
+            ErrorCode.REQUEST_KILLS_UPSTREAMS,
+            f"{len(self.shared.crashes.accused[trait])} upstreams crashed under "
+            f"requests with trait={trait!r}",
+            self.jittered(self.shared.crashes.retry_after_s(trait, now)),
         )
 
     def standby_copy(self, standby: UpstreamInstance | None) -> MemoryCopy | None:
@@ -384,7 +440,7 @@
         if upstream is None or not self.spend_retry(now):
             return []
         self.shared.totals.hedges += 1
-        return [self.start_on(upstream, now)]
+        return self.start_on(upstream, now)
 
     def has_retry(self, now: float) -> bool:
         """Whether the service's budget allows this request one more attempt."""
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -5,6 +5,8 @@
 import random
 from dataclasses import dataclass, field
 
+from turmericusher.decisions.crash_ledger import CrashLedger
+from turmericusher.decisions.crash_records import Suspect
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
 from turmericusher.decisions.free_capacity import (
     PrefillTime,
@@ -108,6 +110,8 @@
     found none and waited. `limited_sends` are the attempts, and `limited_repeats` of
     them those after the first of their request, to an upstream that names a limit;
     `limit_refusals` are the requests refused because all upstreams named limits.
+    `crash_refusals` are those refused or ended because one of their traits crashes
+    upstreams, and `crash_trials` the attempts that tried such a trait again.
     """
 
     attempts: int = 0
@@ -126,6 +130,8 @@
     limited_sends: int = 0
     limited_repeats: int = 0
     limit_refusals: int = 0
+    crash_refusals: int = 0
+    crash_trials: int = 0
 
 
 @dataclass(slots=True)
@@ -137,7 +143,8 @@
     of each service; `budget_template` is copied for those of new services.
     `stream_duration` estimates how long streams last after their first event,
     `typical_sizes` the request size of each service. `holders` tracks which holders of
-    copies are lost, and `send_limits` the limits that upstreams name.
+    copies are lost, `send_limits` the limits that upstreams name, and `crashes` which
+    requests crash upstreams.
     """
 
     selector: Selector
@@ -151,6 +158,7 @@
     stream_duration: DurationEstimate = field(default_factory=DurationEstimate)
     holders: HolderChecks = field(default_factory=HolderChecks)
     typical_sizes: dict[str, TypicalSize] = field(default_factory=dict)
+    crashes: CrashLedger = field(default_factory=CrashLedger)
     send_limits: SendLimits = field(init=False)
 
     def __post_init__(self) -> None:
@@ -189,7 +197,9 @@
     requests waiting. `prompts_ahead` counts the prompts that the upstream had to
     prefill first, None where that is not known. `copy` is kept up to date by the
     upstream itself, unless `copied_at` has the time at which it was made on request.
-    A stall is not acted on before `kept_until`.
+    A stall is not acted on before `kept_until`. `known_suspects` are those of the
+    request's traits that were accused when it was sent; `is_trial`: one was blocked.
+    `is_proven`: the attempt has run for long enough to show that the request is sound.
     """
 
     number: int
@@ -208,6 +218,9 @@
     copy_requested_at: float | None = None
     copied_at: float | None = None
     kept_until: float = 0.0
+    known_suspects: dict[str, Suspect] = field(default_factory=dict)
+    is_trial: bool = False
+    is_proven: bool = False
 
     @property
     def has_event(self) -> bool:
@@ -225,14 +238,17 @@
     one had no free capacity for. `stalled_upstreams` are those that were left because
     they sent nothing. `failures_in_a_row` counts the failures that came at once since
     the last event. `copy` is that of the last attempt that may have run.
+    `traits` are what the request shares with others that may crash upstreams.
     `is_querying_loads`: candidates were queried for their load, and no attempt runs
-    yet. `unpaid_failure` is that for which a retry is due at `retry_at` if the budget
-    allows it.
+    yet. `is_claiming_trial`: a trial of a blocked trait was asked for, and `has_trial`:
+    the next attempt is one. `unpaid_failure` is that for which a retry is due at
+    `retry_at` if the budget allows it.
     """
 
     request: RelayedRequest
     routed: RoutedRequest
     shared: RelayShared
+    traits: tuple[str, ...] = ()
     position: int | None = None
     attempts: dict[int, RelayAttempt] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
@@ -247,6 +263,8 @@
     may_have_run: bool = False
     was_hedged: bool = False
     is_querying_loads: bool = False
+    is_claiming_trial: bool = False
+    has_trial: bool = False
     unpaid_failure: AttemptFailed | None = None
     retry_at: float | None = None
     last_message: str = ""
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from dataclasses import dataclass
 
 from starlette.types import Scope
@@ -24,6 +25,7 @@
 from turmericusher.ports.services import HOP_BY_HOP_HEADERS
 
 BEARER_PREFIX = "bearer "
+PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +60,7 @@
             + (math.inf if remaining_ms is None else remaining_ms / MILLISECONDS_PER_S),
             resume_after=None if resume_after is None else int(resume_after),
             size=parse_token_count(first_values.get(TOKEN_COUNTS)),
-            shared_parts=parse_shared_parts(first_values.get(PROMPT_PARTS)),
+            prompt_parts=parse_prompt_parts(first_values.get(PROMPT_PARTS)),
         )
 
     def encode_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -147,15 +149,12 @@
     return int(parts[0]) + int(parts[1])
 
 
-def parse_shared_parts(value: str | None) -> tuple[str, ...]:
-    """Return the ids of the prompt's parts in order, without the request's own part.
-
-    Returns no parts if the header is missing or malformed.
-    """
+def parse_prompt_parts(value: str | None) -> tuple[str, ...]:
+    """Return the ids of the prompt's parts in order; none if malformed or missing."""
     parts = [part.strip().partition(":") for part in (value or "").split(",")]
-    if not all(part_id and tokens.isdigit() for part_id, _, tokens in parts):
+    if not all(PART_ID.fullmatch(part) and n.isdigit() for part, _, n in parts):
         return ()
-    return tuple(part_id.lower() for part_id, _, _ in parts[:-1])
+    return tuple(part.lower() for part, _, _ in parts)
 
 
 def parse_load(headers: Headers) -> tuple[float, float] | None:
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -65,6 +65,9 @@
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
 INSTANCE_PREFIX = "turmericusher/instances/"
+CRASH_PREFIX = "turmericusher/crashes/"
+SOUND_PREFIX = "turmericusher/sound/"
+TRIAL_PREFIX = "turmericusher/trials/"
 
 # Paths that this system serves.
 READINESS_PATH = "/v1/readiness"
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -27,12 +27,17 @@
 from turmericusher.platform.calls import entrypoints_app, readiness_app
 from turmericusher.platform.codec import PlatformCodec
 from turmericusher.platform.names import INSTANCE_PREFIX
-from turmericusher.platform.records import decode_record, encode_instance
+from turmericusher.platform.records import (
+    CrashRecordCodec,
+    decode_record,
+    encode_instance,
+)
 from turmericusher.platform.settings import NodeSettings, load_node_settings
 from turmericusher.platform.store import open_platform_store
 from turmericusher.platform.upstreams import open_platform_upstreams
 from turmericusher.ports.keyvalue import KeyValueStore
 from turmericusher.relay_serving import RelayInstance, drain
+from turmericusher.tasks.crash_reports import CrashReports, reporting_crashes
 from turmericusher.tasks.registration import Registration, registered
 from turmericusher.tasks.relay import RelayContext
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
@@ -117,13 +122,17 @@
                 selector.merge_report, partial(record_send_limit, shared)
             )
         )
-        instance = assemble_instance(settings, RelayContext(port, shared), store)
+        reports = CrashReports(shared.crashes, port, store, CrashRecordCodec())
+        context = RelayContext(port, shared, reports)
+        reports.on_change = context.apply_blocks
+        instance = assemble_instance(settings, context, store)
         instance.set_budgets(1)
         follower = StoreFollower(
             store, "", instance.fleet, settings.random_for("store-follower")
         )
         await stack.enter_async_context(following_store(follower))
         await stack.enter_async_context(expiring_entries(instance.fleet))
+        await stack.enter_async_context(reporting_crashes(reports))
         for app, address in applications(settings, instance):
             server = running_server(app, address, stop_grace_s=0)
             instance.servers.append(await stack.enter_async_context(server))
@@ -169,6 +178,7 @@
         metrics,
     )
     fleet.on_instance_count = instance.set_budgets
+    fleet.on_crash = context.apply_blocks
     fleet.on_claims = lambda claims: registration.update(
         encode_instance(replace(own, limited_upstreams=claims))
     )
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -17,6 +17,13 @@
     ValidationError,
 )
 
+from turmericusher.decisions.crash_records import (
+    CrashRecord,
+    LedgerRecord,
+    SoundRecord,
+    Suspect,
+    TrialRecord,
+)
 from turmericusher.decisions.fleet import (
     EntryInstance,
     Lifecycle,
@@ -36,7 +43,10 @@
 from turmericusher.logs import log_event
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
+    CRASH_PREFIX,
     INSTANCE_PREFIX,
+    SOUND_PREFIX,
+    TRIAL_PREFIX,
     UPSTREAM_PREFIX,
 )
 from turmericusher.platform.settings import MILLISECONDS_PER_S
@@ -198,6 +208,31 @@
     limited_upstreams: frozenset[StrictStr] = frozenset()
 
 
+class CrashModel(WireModel):
+    """The death of an upstream.
+
+    `chains` has the traits of each suspected request, with their ranks and trials.
+    """
+
+    upstream: StrictStr
+    incarnation: StrictStr
+    chains: tuple[tuple[tuple[StrictStr, StrictInt, StrictInt], ...], ...]
+
+
+class SoundModel(WireModel):
+    """A trait of a request that ran well, and the deaths that it did not cause."""
+
+    trait: StrictStr
+    deaths: frozenset[StrictStr]
+
+
+class TrialModel(WireModel):
+    """The last trial of a blocked trait; `number` counts them."""
+
+    trait: StrictStr
+    number: StrictInt
+
+
 def decode_record(key: str, value: bytes | None) -> Record | None:
     """Return the record stored under a key; None if the key is not of a known kind.
 
@@ -214,6 +249,8 @@
         name = key.removeprefix(INSTANCE_PREFIX)
         instance = decode_instance(name, value) if value is not None else None
         return InstanceRecord(name, instance)
+    if value is not None:
+        return CrashRecordCodec().decode(key, value)
     return None
 
 
@@ -416,3 +453,43 @@
             "limited_upstreams": sorted(instance.limited_upstreams),
         }
     )
+
+
+class CrashRecordCodec:
+    """Translates records of crashes to and from the store's keys and values."""
+
+    def encode(self, record: LedgerRecord) -> tuple[str, bytes]:
+        """Return the key and the value of a record."""
+        if isinstance(record, SoundRecord):
+            sound = {"trait": record.trait, "deaths": sorted(record.deaths)}
+            return f"{SOUND_PREFIX}{record.trait}", orjson.dumps(sound)
+        if isinstance(record, TrialRecord):
+            trial = {"trait": record.trait, "number": record.number}
+            return f"{TRIAL_PREFIX}{record.trait}", orjson.dumps(trial)
+        chains = [
+            [(s.trait, s.rank, s.trials) for s in chain] for chain in record.chains
+        ]
+        crash = {
+            "upstream": record.upstream,
+            "incarnation": record.incarnation,
+            "chains": sorted(chains),
+        }
+        return f"{CRASH_PREFIX}{record.death}", orjson.dumps(crash)
+
+    def decode(self, key: str, value: bytes) -> LedgerRecord | None:
+        """Return the record of a key; None if it is of another kind, or invalid."""
+        if key.startswith(SOUND_PREFIX):
+            sound = parse_or_log(SoundModel, value, "crash_record_dropped", key=key)
+            return SoundRecord(sound.trait, sound.deaths) if sound else None
+        if key.startswith(TRIAL_PREFIX):
+            trial = parse_or_log(TrialModel, value, "crash_record_dropped", key=key)
+            return TrialRecord(trial.trait, trial.number) if trial else None
+        if not key.startswith(CRASH_PREFIX):
+            return None
+        model = parse_or_log(CrashModel, value, "crash_record_dropped", key=key)
+        if model is None:
+            return None
+        chains = frozenset(
+            tuple(Suspect(*suspect) for suspect in chain) for chain in model.chains
+        )
+        return CrashRecord(model.upstream, model.incarnation, chains)
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -172,6 +172,25 @@
             log_event("report_missing", upstream=upstream.name, error=repr(error))
             return None
 
+    async def has_ended(self, upstream: UpstreamInstance) -> bool:
+        """Whether an upstream refuses connections or another incarnation answers.
+
+        An upstream that makes no reports answers with an error, and runs.
+        """
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+        url = f"http://{upstream.address}{REPORT_PATH}"
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                data = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return isinstance(error.os_error, ConnectionRefusedError)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+        try:
+            return decode_report(data).incarnation != upstream.incarnation
+        except ValueError:
+            return False
+
     async def copy_memory(
         self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
     ) -> MemoryCopy | None:
--- a/src/turmericusher/ports/relay.py
+++ b/src/turmericusher/ports/relay.py
@@ -43,6 +43,13 @@
         """Query an upstream's load; return None if no valid report comes in time."""
         ...
 
+    async def has_ended(self, upstream: UpstreamInstance) -> bool:
+        """Whether this incarnation of an upstream has certainly ended.
+
+        One that does not answer in time may only be slow.
+        """
+        ...
+
     async def copy_memory(
         self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
     ) -> MemoryCopy | None:
--- /dev/null
+++ b/src/turmericusher/tasks/crash_reports.py
@@ -0,0 +1,186 @@
+"""Finds out whether upstreams have crashed, and shares that through the store."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from turmericusher.decisions.crash_ledger import RECORD_TTL_S, CrashLedger
+from turmericusher.decisions.crash_records import (
+    CrashRecord,
+    LedgerRecord,
+    SoundRecord,
+    TrialRecord,
+)
+from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.errors import StoreError
+from turmericusher.logs import log_event
+from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
+from turmericusher.ports.relay import RelayPort
+from turmericusher.tasks.background import background_tasks
+
+PUBLISH_INTERVAL_S = 0.1
+"""Seconds between two looks at what is to be written to the store."""
+
+RETRY_DELAY_S = 0.5
+"""Seconds until the next write after the store failed."""
+
+CLAIM_TIMEOUT_S = 0.2
+"""Seconds for which a request waits for the right to be a trial, which takes some
+milliseconds."""
+
+LEASE_USE_S = RECORD_TTL_S / 2
+"""Seconds for which records are written under one lease. They expire with it, at the
+latest when the instances have forgotten them too."""
+
+
+class CrashCodec(Protocol):
+    """Translates records of crashes to and from the store's keys and values."""
+
+    def encode(self, record: LedgerRecord) -> tuple[str, bytes]:
+        """Return the key and the value of a record."""
+        ...
+
+    def decode(self, key: str, value: bytes) -> LedgerRecord | None:
+        """Return the record of a key, or None if the value is invalid."""
+        ...
+
+
+@dataclass(slots=True)
+class CrashReports:
+    """The task that checks upstreams and writes what the ledger has for the store.
+
+    `on_change` is called after each change of the ledger that a check made. `lease` is
+    that of the records, granted at `granted_at`; 0 if there is none.
+    """
+
+    ledger: CrashLedger
+    port: RelayPort
+    store: KeyValueStore
+    codec: CrashCodec
+    on_change: Callable[[], None] = lambda: None
+    checks: set[asyncio.Task[None]] = field(default_factory=set)
+    lease: int = 0
+    granted_at: float = -math.inf
+
+    def check_losses(self) -> None:
+        """Start to check the upstreams that may have died."""
+        for upstream in self.ledger.unchecked_losses():
+            self.ledger.begin_check(upstream)
+            task = asyncio.create_task(self.check(upstream))
+            self.checks.add(task)
+            task.add_done_callback(self.checks.discard)
+
+    async def check(self, upstream: UpstreamInstance) -> None:
+        """Find out whether an upstream has ended, and record the result."""
+        has_ended = await self.port.has_ended(upstream)
+        now = asyncio.get_running_loop().time()
+        record = self.ledger.record_check(upstream, has_ended, now)
+        if record is not None:
+            log_crash(record)
+            self.on_change()
+
+    async def run(self) -> None:
+        """Write new records to the store until cancelled."""
+        while True:
+            await asyncio.sleep(PUBLISH_INTERVAL_S)
+            now = asyncio.get_running_loop().time()
+            try:
+                for record in self.ledger.unpublished(now):
+                    await self.write(record, now)
+            except StoreError as error:
+                log_event("crash_record_delayed", message=error.message)
+                self.lease = 0
+                await asyncio.sleep(RETRY_DELAY_S)
+
+    async def write(self, record: CrashRecord | SoundRecord, now: float) -> None:
+        """Write a record, merged with what other instances have written."""
+        await self.ensure_lease(now)
+        revision = ABSENT
+        while True:
+            key, value = self.codec.encode(record)
+            swap = await self.store.compare_and_swap(key, revision, value, self.lease)
+            if swap.succeeded:
+                self.ledger.mark_published(record)
+                return
+            if swap.current is None:
+                revision = ABSENT
+                continue
+            revision = swap.current.revision
+            known = self.codec.decode(key, swap.current.value)
+            merged = merge_records(record, known)
+            if merged == known:
+                self.ledger.mark_published(merged)
+                return
+            record = merged
+
+    async def ensure_lease(self, now: float) -> None:
+        """Have a lease for records that does not expire soon."""
+        if not self.lease or now - self.granted_at >= LEASE_USE_S:
+            self.lease = await self.store.grant_lease(RECORD_TTL_S)
+            self.granted_at = now
+
+    async def claim_trial(self, trait: str) -> bool:
+        """Write that this instance tries a blocked trait; False if another one does.
+
+        Without the store no trait is tried.
+        """
+        record = self.ledger.next_trial(trait)
+        try:
+            async with asyncio.timeout(CLAIM_TIMEOUT_S):
+                return await self.write_trial(record)
+        except (StoreError, TimeoutError) as error:
+            log_event("trial_not_claimed", trait=trait, error=repr(error))
+            return False
+
+    async def write_trial(self, record: TrialRecord) -> bool:
+        """Write a trial unless the store has one that this instance did not know."""
+        now = asyncio.get_running_loop().time()
+        await self.ensure_lease(now)
+        key, value = self.codec.encode(record)
+        swap = await self.store.compare_and_swap(key, ABSENT, value, self.lease)
+        if not swap.succeeded and swap.current is not None:
+            known = self.codec.decode(key, swap.current.value)
+            if isinstance(known, TrialRecord) and known.number >= record.number:
+                self.ledger.merge_trial(known, now)
+                return False
+            revision = swap.current.revision
+            swap = await self.store.compare_and_swap(key, revision, value, self.lease)
+        if swap.succeeded:
+            self.ledger.merge_trial(record, now)
+        return swap.succeeded
+
+
+def merge_records(
+    record: CrashRecord | SoundRecord, known: LedgerRecord | None
+) -> CrashRecord | SoundRecord:
+    """Return a record with what another instance has written for the same key."""
+    match record, known:
+        case CrashRecord(), CrashRecord():
+            chains = record.chains | known.chains
+            return CrashRecord(record.upstream, record.incarnation, chains)
+        case SoundRecord(), SoundRecord():
+            return SoundRecord(record.trait, record.deaths | known.deaths)
+    return record
+
+
+def log_crash(record: CrashRecord) -> None:
+    """Log a death with the traits that it accuses."""
+    traits = {suspect.trait for chain in record.chains for suspect in chain}
+    log_event(
+        "upstream_crashed",
+        upstream=record.upstream,
+        incarnation=record.incarnation,
+        suspects=",".join(sorted(traits)),
+    )
+
+
+@asynccontextmanager
+async def reporting_crashes(reports: CrashReports) -> AsyncIterator[None]:
+    """Write new records while the context is open."""
+    async with background_tasks({"crash-reports": reports.run()}):
+        yield
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -22,6 +22,7 @@
     AttemptFailed,
     BreakStream,
     CheckHolder,
+    ClaimTrial,
     CopyMemory,
     DeliverAnswer,
     EndStream,
@@ -37,6 +38,8 @@
     RelayOutput,
     ReleaseCopy,
     StartRelay,
+    TraitBlocked,
+    TrialClaimed,
     UpstreamProbed,
     UpstreamReport,
 )
@@ -46,6 +49,7 @@
 from turmericusher.logs import log_event
 from turmericusher.ports.relay import RelayPort
 from turmericusher.tasks.background import cancel_tasks
+from turmericusher.tasks.crash_reports import CrashReports
 
 INBOX_SIZE = 64
 """Events that an attempt's task may queue ahead of a caller that reads slowly."""
@@ -64,11 +68,14 @@
 
     `pending_reports` holds the running query of each upstream by its address, so that
     concurrent callers wait for one query. `release_tasks` holds the tasks that release
-    copies, which may outlive the request that made the copy.
+    copies, which may outlive the request that made the copy. `owners` are those of the
+    requests in progress.
     """
 
     port: RelayPort
     shared: RelayShared
+    crash_reports: CrashReports
+    owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[UpstreamReport | None]] = field(
         default_factory=dict
     )
@@ -80,6 +87,12 @@
         self.release_tasks.add(task)
         task.add_done_callback(self.release_tasks.discard)
 
+    def apply_blocks(self) -> None:
+        """Tell the requests in progress that the traits that are blocked may differ."""
+        for owner in self.owners:
+            if owner.relay.end_is_due():
+                owner.notify(TraitBlocked())
+
     async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
         """Return an upstream's report, or None if it does not answer.
 
@@ -96,7 +109,7 @@
         return await asyncio.shield(running)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RelayOwner:
     """The state of one relayed request's owner and of the tasks that it started."""
 
@@ -126,6 +139,12 @@
             else:
                 log_attempt_failure(self.relay, event)
                 actions = self.relay.handle(event, now)
+                self.context.crash_reports.check_losses()
+
+    def notify(self, event: RelayEvent) -> None:
+        """Put an event in the inbox; a full one has the events of a sound stream."""
+        if not self.inbox.full():
+            self.inbox.put_nowait(event)
 
     async def next_event(self) -> RelayEvent | None:
         """Return the next event, or None when a timeout is due."""
@@ -148,6 +167,8 @@
                 self.attempts.pop(attempt).cancel()
             case ProbeUpstream():
                 self.start_helper(self.probe_upstream(action))
+            case ClaimTrial(trait):
+                self.start_helper(self.claim_trial(trait))
             case QueryLoads():
                 self.start_helper(self.query_loads(action))
             case CopyMemory():
@@ -186,6 +207,17 @@
         now = asyncio.get_running_loop().time()
         await self.inbox.put(UpstreamProbed(action.attempt, now, report))
 
+    async def claim_trial(self, trait: str) -> None:
+        """Ask for a trial of a blocked trait and pass the outcome to the inbox."""
+        is_granted = await self.context.crash_reports.claim_trial(trait)
+        log_event(
+            "trial_claimed",
+            id=self.relay.request.request_id,
+            trait=trait,
+            is_granted=is_granted,
+        )
+        await self.inbox.put(TrialClaimed(is_granted))
+
     async def query_loads(self, action: QueryLoads) -> None:
         """Query candidates for their load and pass on the reports that came in time."""
         queries = {
@@ -259,9 +291,11 @@
     owner = RelayOwner(context, make_relay(request, routed, context.shared))
     # The selector measures the age of reports and failures against this time.
     context.shared.selector.advance_clock(asyncio.get_running_loop().time())
+    context.owners.add(owner)
     try:
         yield owner.outputs()
     finally:
+        context.owners.discard(owner)
         await owner.close()
 
 
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -12,6 +12,12 @@
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
+from turmericusher.decisions.crash_records import (
+    CrashRecord,
+    LedgerRecord,
+    SoundRecord,
+    TrialRecord,
+)
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle, UpstreamInstance
 from turmericusher.decisions.listing import Listing
 from turmericusher.decisions.relay_state import RelayShared
@@ -49,7 +55,7 @@
     instance: EntryInstance | None
 
 
-Record = ConfigurationRecord | UpstreamRecord | InstanceRecord
+Record = ConfigurationRecord | UpstreamRecord | InstanceRecord | LedgerRecord
 
 
 class RecordDecoder(Protocol):
@@ -68,7 +74,8 @@
     """The fleet as described by the store; implements `StoreListener`.
 
     `on_instance_count` is called with the number of entry instances after each change,
-    and `on_claims` with the upstreams whose limits this instance shares.
+    and `on_claims` with the upstreams whose limits this instance shares. `on_crash` is
+    called when another instance told of a crash.
     """
 
     shared: RelayShared
@@ -76,6 +83,7 @@
     decode: RecordDecoder
     on_instance_count: Callable[[int], None] | None = None
     on_claims: Callable[[frozenset[str]], None] | None = None
+    on_crash: Callable[[], None] = lambda: None
     upstreams: Listing[UpstreamInstance] = field(default_factory=Listing)
     instances: Listing[EntryInstance] = field(default_factory=Listing)
     claims: frozenset[str] = frozenset()
@@ -92,6 +100,8 @@
                     upstreams[name] = upstream
                 case InstanceRecord(name, instance) if instance is not None:
                     instances[name] = instance
+                case CrashRecord() | SoundRecord() | TrialRecord() as record:
+                    self.merge_crash_record(record, now)
         self.upstreams.replace_all(upstreams, now)
         self.instances.replace_all(instances, now)
         self.update_decisions(now)
@@ -114,6 +124,21 @@
             case InstanceRecord(name, instance):
                 put_or_remove(self.instances, name, instance, now)
                 self.update_decisions(now)
+            case CrashRecord() | SoundRecord() | TrialRecord() as record:
+                self.merge_crash_record(record, now)
+
+    def merge_crash_record(self, record: LedgerRecord, now: float) -> None:
+        """Pass on what an instance told of a crash."""
+        ledger = self.shared.crashes
+        match record:
+            case CrashRecord():
+                if ledger.merge_crash(record, now):
+                    self.on_crash()
+            case SoundRecord():
+                if ledger.merge_sound(record, now):
+                    log_event("trait_cleared", trait=record.trait)
+            case TrialRecord():
+                ledger.merge_trial(record, now)
 
     def store_lost(self, now: float) -> None:
         """Start an outage: all entries are kept until the store can be read again."""
@@ -138,6 +163,7 @@
         self.shared.holders.retain_listed(self.upstreams.entries)
         self.shared.send_limits.retain_listed(self.upstreams.entries)
         selector.update_instances(self.instances.entries)
+        self.shared.crashes.update_instances(selector.own, self.instances.entries)
         self.shared.send_limits.update_instances(
             selector.own,
             {
--- a/tests/common/crash_fixtures.py
+++ b/tests/common/crash_fixtures.py
@@ -24,6 +24,7 @@
     UPSTREAM_PREFIX,
 )
 from turmericusher.platform.node import running_node
+from turmericusher.relay_serving import RelayInstance
 from turmericusher.standins.platform_store import running_platform_store
 from turmericusher.standins.platform_upstream import (
     ReceivedCall,
@@ -96,6 +97,17 @@
             await asyncio.sleep(RESTART_S - LISTED_AFTER_CRASH_S)
 
 
+@asynccontextmanager
+async def running_another_instance(
+    simulation: CrashSimulation,
+) -> AsyncIterator[RelayInstance]:
+    """Run one more instance on the store of a simulation."""
+    address = simulation.instances[0].store.address
+    settings = replace(make_node_settings(address), name="entry-new")
+    async with running_node(settings) as instance:
+        yield instance
+
+
 @asynccontextmanager
 async def running_crash_simulation(
     instances: int = 3, upstreams: int = 6, **fields: object
--- /dev/null
+++ b/tests/cover/test_crash_ledger.py
@@ -0,0 +1,295 @@
+"""Test which requests the ledger of crashes finds to crash upstreams."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.relay_fixtures import make_upstream
+from turmericusher.decisions.crash_ledger import (
+    PROOF_VALID_S,
+    RECORD_TTL_S,
+    TRIAL_AFTER_S,
+    TRIAL_BACKOFF,
+    CrashLedger,
+)
+from turmericusher.decisions.crash_records import (
+    CrashRecord,
+    SoundRecord,
+    Suspect,
+    TrialRecord,
+)
+from turmericusher.platform.records import CrashRecordCodec
+
+FIRST, BAD, SOUND = "part-f", "part-b", "part-s"
+
+
+def chain(*traits, rank=1):
+    """Return the chain of a request whose traits have all the same rank."""
+    return tuple(Suspect(trait, rank) for trait in traits)
+
+
+def crash(number, *chains):
+    """Return the record of the death of the upstream with this number."""
+    return CrashRecord(f"u{number}", "1", frozenset(chains))
+
+
+def make_ledger(*records, now=0.0):
+    """Return the ledger of an instance that has seen these records."""
+    ledger = CrashLedger()
+    ledger.update_instances("e0", ["e0", "e1", "e2"])
+    for record in records:
+        ledger.merge_crash(record, now)
+    return ledger
+
+
+def lose(ledger, number, traits, now, has_ended=True, known=None):
+    """Lose a request of an upstream and check whether that has ended."""
+    upstream = make_upstream(number)
+    known = ledger.known_suspects(traits) if known is None else known
+    ledger.record_loss(upstream, traits, known, now)
+    for each in ledger.unchecked_losses():
+        ledger.begin_check(each)
+        ledger.record_check(each, has_ended, now)
+
+
+ONE_REQUEST = [crash(n, chain(FIRST, BAD, "q1", rank=n + 1)) for n in range(3)]
+TWO_REQUESTS = [
+    crash(0, chain(FIRST, BAD, "q1")),
+    crash(1, chain(FIRST, BAD, "q1", rank=2)),
+    crash(2, chain(FIRST, BAD, "q2", rank=2)),
+]
+
+
+class BlockTest(TestCase):
+    @parameterized.expand(
+        [
+            ("the request that came again", ONE_REQUEST, ["q1"]),
+            ("the part that two requests have", TWO_REQUESTS, [BAD]),
+            ("no trait of two deaths", TWO_REQUESTS[:2], []),
+            (
+                "no trait of deaths at the same time",
+                [crash(n, chain(FIRST, BAD, f"q{n}")) for n in range(5)],
+                [],
+            ),
+            (
+                "the part, and not a sound request that died with it",
+                [
+                    *[
+                        crash(n, chain(FIRST, BAD, f"q{n}", rank=2), chain(FIRST, "q9"))
+                        for n in range(3)
+                    ],
+                    crash(3, chain(FIRST, BAD, "q3", rank=3)),
+                ],
+                [BAD],
+            ),
+            (
+                "the first part if many others are with it",
+                [crash(n, chain(BAD, f"part-{n}", f"q{n}", rank=2)) for n in range(4)],
+                [BAD],
+            ),
+        ]
+    )
+    def test_the_blocked_trait_is(self, _, records, expected):
+        ledger = make_ledger(*records)
+        blocked = [trait for trait in ledger.accused if ledger.is_blocked(trait)]
+        self.assertEqual(expected, blocked)
+
+    def test_a_late_record_does_not_accuse_twice_for_one_death(self):
+        ledger = make_ledger(*TWO_REQUESTS[:2])
+        ledger.merge_crash(crash(1, chain(FIRST, BAD, "q1", rank=2)), 9.0)
+        ledger.merge_crash(crash(1, chain(FIRST, BAD, "q7", rank=1)), 9.0)
+        self.assertEqual(2, len(ledger.accused[BAD]))
+        self.assertFalse(ledger.is_blocked(BAD))
+
+    def test_an_upstream_that_still_runs_accuses_nobody(self):
+        ledger = make_ledger()
+        for number in range(6):
+            lose(ledger, number, (FIRST, BAD, "q1"), 1.0, has_ended=False)
+        self.assertEqual({}, ledger.accused)
+        self.assertEqual([], ledger.unpublished(9.0))
+
+    def test_several_requests_lost_with_one_upstream_are_one_death(self):
+        ledger = make_ledger()
+        upstream = make_upstream(0)
+        for number in range(4):
+            ledger.record_loss(upstream, (BAD, f"q{number}"), {}, 1.0)
+        ledger.record_check(upstream, True, 1.0)
+        ledger.record_loss(upstream, (BAD, "q9"), {}, 1.0)
+        self.assertEqual(["u0~1"], list(ledger.accused[BAD]))
+        (record,) = ledger.unpublished(1.0)
+        self.assertEqual(5, len(record.chains))
+
+    def test_a_request_that_knew_of_a_death_has_a_higher_rank(self):
+        ledger = make_ledger()
+        for number in range(3):
+            lose(ledger, number, (BAD, "q1"), float(number))
+        ranks = [suspect.rank for suspect in ledger.accused[BAD].values()]
+        self.assertEqual([1, 2, 3], ranks)
+
+    def test_a_death_that_is_not_confirmed_yet_counts_for_the_rank(self):
+        ledger = make_ledger()
+        ledger.record_loss(make_upstream(0), (BAD, "q1"), {}, 1.0)
+        self.assertEqual(1, ledger.known_suspects((BAD,))[BAD].rank)
+        self.assertEqual({}, ledger.accused)
+
+
+class SoundTest(TestCase):
+    def test_a_request_that_runs_well_clears_its_traits_at_all_instances(self):
+        ledger, other = make_ledger(*TWO_REQUESTS), make_ledger(*TWO_REQUESTS)
+        ledger.record_clean_run((FIRST, SOUND), 1.0)
+        self.assertEqual({BAD, "q1", "q2"}, set(ledger.accused))
+        (record,) = ledger.unpublished(9.0)
+        self.assertEqual(
+            SoundRecord(FIRST, frozenset({"u0~1", "u1~1", "u2~1"})), record
+        )
+        other.merge_sound(record, 2.0)
+        self.assertEqual({BAD, "q1", "q2"}, set(other.accused))
+
+    def test_a_trait_that_ran_well_a_short_time_ago_is_not_accused(self):
+        ledger = make_ledger()
+        ledger.record_clean_run((FIRST,), 1.0)
+        lose(ledger, 0, (FIRST, BAD), 1.0 + PROOF_VALID_S - 0.1)
+        self.assertEqual({BAD}, set(ledger.accused))
+        lose(ledger, 1, (FIRST, BAD), 1.0 + PROOF_VALID_S)
+        self.assertEqual({FIRST, BAD}, set(ledger.accused))
+
+    def test_an_accusation_by_another_instance_is_answered_with_what_ran_well_here(
+        self,
+    ):
+        ledger = make_ledger()
+        ledger.record_clean_run((FIRST,), 1.0)
+        ledger.merge_crash(crash(0, chain(FIRST, BAD)), 2.0)
+        self.assertEqual({BAD}, set(ledger.accused))
+        self.assertEqual(
+            [SoundRecord(FIRST, frozenset({"u0~1"}))], ledger.unpublished(9.0)
+        )
+
+    def test_an_answer_that_another_instance_gave_is_not_written_again(self):
+        ledger = make_ledger()
+        ledger.record_clean_run((FIRST,), 1.0)
+        ledger.merge_crash(crash(0, chain(FIRST, BAD)), 2.0)
+        ledger.merge_sound(SoundRecord(FIRST, frozenset({"u0~1"})), 2.1)
+        self.assertEqual([], ledger.unpublished(9.0))
+
+    def test_a_cleared_trait_is_not_accused_by_a_late_record_of_the_same_death(self):
+        ledger = make_ledger()
+        ledger.merge_sound(SoundRecord(BAD, frozenset({"u0~1"})), 1.0)
+        ledger.merge_crash(crash(0, chain(FIRST, BAD)), 1.0 + PROOF_VALID_S)
+        self.assertEqual({FIRST}, set(ledger.accused))
+
+    def test_deaths_are_forgotten_after_some_minutes(self):
+        ledger = make_ledger(*TWO_REQUESTS)
+        ledger.forget_expired(RECORD_TTL_S - 1.0)
+        self.assertTrue(ledger.is_blocked(BAD))
+        ledger.forget_expired(float(RECORD_TTL_S))
+        self.assertEqual(({}, {}), (ledger.accused, ledger.deaths))
+
+
+class TrialTest(TestCase):
+    def test_a_blocked_trait_is_tried_less_often_after_each_death_of_a_trial(self):
+        ledger = make_ledger(*TWO_REQUESTS)
+        interval_s, now = TRIAL_AFTER_S, 0.0
+        for number in range(3, 5):
+            self.assertFalse(ledger.is_trial_due((FIRST, BAD), now + interval_s - 0.1))
+            now += interval_s
+            self.assertTrue(ledger.is_trial_due((FIRST, BAD), now))
+            known = ledger.known_suspects((BAD,))
+            ledger.merge_trial(ledger.next_trial(BAD), now)
+            self.assertFalse(ledger.is_trial_due((BAD,), now))
+            now += 1.0
+            ledger.record_loss(make_upstream(number), (BAD,), known, now, True)
+            ledger.record_check(make_upstream(number), True, now)
+            interval_s *= TRIAL_BACKOFF
+
+    def test_a_trial_by_another_instance_delays_the_next_one(self):
+        ledger = make_ledger(*TWO_REQUESTS)
+        ledger.merge_trial(TrialRecord(BAD, 1), 5.0)
+        self.assertFalse(ledger.is_trial_due((BAD,), 5.0 + TRIAL_AFTER_S - 0.1))
+        self.assertEqual(TrialRecord(BAD, 2), ledger.next_trial(BAD))
+
+    @parameterized.expand(
+        [
+            ("a crash", crash(1, chain(FIRST, BAD, rank=3))),
+            ("a sound trait", SoundRecord(BAD, frozenset({"u0~1"}))),
+            ("a trial", TrialRecord(BAD, 4)),
+        ]
+    )
+    def test_a_record_is_read_as_it_was_written(self, _, record):
+        codec = CrashRecordCodec()
+        self.assertEqual(record, codec.decode(*codec.encode(record)))
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Instances that see each other's records in any order, and real causes of deaths.
+
+    `BAD` crashes each upstream; no other trait does.
+    """
+
+    @initialize()
+    def begin(self):
+        self.now = 0.0
+        self.ledgers = [make_ledger(), make_ledger()]
+        self.records = []
+        self.deaths = 0
+
+    @rule(own=st.integers(0, 1), number=st.integers(0, 40), sound=st.integers(0, 5))
+    def an_upstream_crashes(self, own, number, sound):
+        ledger = self.ledgers[own]
+        self.deaths += 1
+        upstream = make_upstream(self.deaths)
+        for traits in ((FIRST, BAD, f"q{number}"), (FIRST, f"sound{sound}")):
+            known = ledger.known_suspects(traits)
+            ledger.record_loss(upstream, traits, known, self.now)
+        ledger.record_check(upstream, True, self.now)
+
+    @rule(own=st.integers(0, 1))
+    def records_are_published(self, own):
+        for record in self.ledgers[own].unpublished(self.now + 9.0):
+            self.records.append(record)
+            self.ledgers[own].mark_published(record)
+
+    @rule(own=st.integers(0, 1), data=st.data())
+    def a_record_is_seen(self, own, data):
+        if not self.records:
+            return
+        record = data.draw(st.sampled_from(self.records))
+        if isinstance(record, SoundRecord):
+            self.ledgers[own].merge_sound(record, self.now)
+        else:
+            self.ledgers[own].merge_crash(record, self.now)
+
+    @rule(own=st.integers(0, 1), sound=st.integers(0, 5))
+    def a_sound_request_runs_well(self, own, sound):
+        traits = (FIRST, f"sound{sound}")
+        self.ledgers[own].record_clean_run(traits, self.now)
+        assert self.ledgers[own].blocked_trait(traits) is None
+
+    @rule(seconds=st.sampled_from([0.1, 5.0, 20.0, 400.0]))
+    def time_passes(self, seconds):
+        self.now += seconds
+        for ledger in self.ledgers:
+            ledger.forget_expired(self.now)
+
+    @invariant()
+    def a_trait_is_accused_of_known_deaths_only(self):
+        for ledger in getattr(self, "ledgers", ()):
+            for suspects in ledger.accused.values():
+                assert suspects
+                assert suspects.keys() <= ledger.deaths.keys()
+
+    @invariant()
+    def the_bad_part_is_never_cleared(self):
+        for ledger in getattr(self, "ledgers", ()):
+            assert BAD not in ledger.cleared
+            assert BAD not in ledger.sound_at
+
+    @invariant()
+    def a_first_part_is_not_blocked_instead_of_the_bad_part(self):
+        for ledger in getattr(self, "ledgers", ()):
+            assert not ledger.is_blocked(FIRST)
+
+
+TestLedger = LedgerMachine.TestCase
+TestLedger.settings = settings(max_examples=100, stateful_step_count=30)
--- a/tests/cover/test_relay_urgency.py
+++ b/tests/cover/test_relay_urgency.py
@@ -80,7 +80,7 @@
             reports_load=reports_load,
             urgency=2,
         )
-        start = relay.start_on(relay.pick_upstream(0.0), 0.0)
+        (start,) = relay.start_on(relay.pick_upstream(0.0), 0.0)
         headers = attempt_headers(start, relay.request, relay.routed, 0.0)
         self.assertEqual(
             expected, [value for name, value in headers if name == URGENCY]
