Retry budget: an instance counts itself while the list lacks its own record

Cause: `RelayFleet.update_decisions` divided the retries of all instances by the number of listed ones. Before an instance's own record is listed (after a start, or once its lease has lapsed) it takes one share too much: of two instances it spends all retries, 105 in place of 52.5.

Change: the count is that of the selector, which always contains the instance itself; a reload of the settings uses it too.

Evidence: test_an_instance_without_its_own_record_counts_itself_for_the_budget failed before (52.5 != 105.0) and passes. Elsewhere the own record is not taken for present: limits, subsets and the crash ledger add the own name.

--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -93,7 +93,7 @@
         return
     instance.retries = settings.retries
     instance.frontend.stop.limit_s = settings.stop_limit_s
-    instance.set_budgets(max(1, len(instance.fleet.instances.entries)))
+    instance.set_budgets(max(1, len(instance.shared.selector.instances)))
     log_event("reloaded", path=str(path))
 
 
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -73,9 +73,9 @@
 class RelayFleet:
     """The fleet as described by the store; implements `StoreListener`.
 
-    `on_instance_count` is called with the number of entry instances after each change,
-    and `on_claims` with the upstreams whose limits this instance shares. `on_crash` is
-    called when another instance told of a crash.
+    `on_instance_count` is called with the number of entry instances, this one included,
+    after each change, and `on_claims` with the upstreams whose limits this instance
+    shares. `on_crash` is called when another instance told of a crash.
     """
 
     shared: RelayShared
@@ -172,7 +172,8 @@
             },
         )
         if self.on_instance_count is not None:
-            self.on_instance_count(max(1, len(self.instances.entries)))
+            # The list may lack this instance's own record.
+            self.on_instance_count(len(selector.instances))
 
     def drop_expired(self, now: float) -> None:
         """Drop the entries whose grace time after an outage has passed."""
--- a/tests/cover/test_relay_instance.py
+++ b/tests/cover/test_relay_instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from parameterized import parameterized
 from testtools import TestCase
@@ -23,6 +24,7 @@
     INSTANCE_PREFIX,
     READINESS_PATH,
 )
+from turmericusher.platform.records import encode_instance
 from turmericusher.platform.store_messages import WATCH
 from turmericusher.relay_serving import drain
 from turmericusher.standins.platform_upstream import event
@@ -219,6 +221,21 @@
             self.assertEqual(503, answer.status)
             self.assertIn("retry-after", answer.headers)
 
+    @run_async
+    async def test_an_instance_without_its_own_record_counts_itself_for_the_budget(
+        self,
+    ):
+        async with running_relay_simulation(1) as simulation:
+            node, store = simulation.node, simulation.store.store
+            entries = node.fleet.instances.entries
+            await wait_until(lambda: node.own.name in entries)
+            other = replace(node.own, name="another")
+            store.write(f"{INSTANCE_PREFIX}another", encode_instance(other))
+            store.write(f"{INSTANCE_PREFIX}{node.own.name}", None)
+            await wait_until(lambda: list(entries) == ["another"])
+            reserve = node.shared.budget_template.reserve
+            self.assertEqual(node.retries.reserve(2), reserve)
+
     @run_async
     async def test_a_record_whose_lease_has_expired_is_written_again(self):
         async with running_relay_simulation(1) as simulation:
