--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -282,6 +282,7 @@
             configuration=routed.version,
             kind=kind,
             resume_after=request.resume_after,
+            resumes=request.resumes,
             took_s=took_s,
             first_event_s=first_event_s,
             longest_gap_s=self.longest_gap_s,
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -21,7 +21,9 @@
     seconds; the caller is gone after the deadline. `resume_after` is the id of the last
     event that the caller already holds, or None. `size` is the memory that the request
     needs on an upstream, in tokens; 0 where it is not known. `prompt_parts` are the ids
-    of the parts of its prompt, in order, of which the last is its own.
+    of the parts of its prompt, in order, of which the last is its own. `resumes` is the
+    id of the caller's request that brought the first event of the stream that this one
+    takes up.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     resume_after: int | None = None
     size: int = 0
     prompt_parts: tuple[str, ...] = ()
+    resumes: str | None = None
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -16,6 +16,7 @@
     PROMPT_PARTS,
     REMAINING_MS,
     REQUEST_ID,
+    RESUMES,
     SEND_LIMIT,
     SYSTEM_HEADERS,
     TOKEN_COUNTS,
@@ -60,6 +61,7 @@
             + (math.inf if remaining_ms is None else remaining_ms / MILLISECONDS_PER_S),
             resume_after=None if resume_after is None else int(resume_after),
             size=parse_token_count(first_values.get(TOKEN_COUNTS)),
+            resumes=first_values.get(RESUMES) or None,
             prompt_parts=parse_prompt_parts(first_values.get(PROMPT_PARTS)),
         )
 
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -16,6 +16,10 @@
 # last part belongs to the request or to its session; requests share the others.
 PROMPT_PARTS = "x-prompt-prefix"
 
+# The id of the caller's attempt that brought the first event of the stream that this
+# request takes up again.
+RESUMES = "resumes"
+
 # Set by this system on requests to upstreams.
 TARGET_UPSTREAM = "x-target-instance"
 TEAM = "x-tenant-name"
