Streams go on only at the version of upstreams that began them

Callers saw: streams that held events of two software versions of an engine, within one answer or over their own requests.

Cause: no decision of the relay read the version of an upstream: picks, copies and standbys did not ask for it, and nothing read `Resumes`. Class: a property of what has begun was kept neither within the request nor for the caller's next one.

Change: a stream keeps the version that brought its first event. Picks, load queries, copies and standbys are of that version, and the place where attempts start sends nothing to another. While a service has several versions, an instance tells two others (those that rank first for the stream's id) of each stream that it begins; whoever gets the stream next asks them. If nobody knows and there are two versions, the stream is refused as not run.

Why it works: the version is fixed by the first event; before it, any upstream may serve; after it, each path of sends asks for it, and a request that cannot know it is not sent.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -27,6 +27,7 @@
     DeliverEvents,
     EndStream,
     EventArrived,
+    FindVersion,
     HolderChecked,
     LoadsReported,
     MemoryCopied,
@@ -39,6 +40,7 @@
     TraitBlocked,
     TrialClaimed,
     UpstreamProbed,
+    VersionFound,
 )
 from turmericusher.decisions.relay_state import (
     MAX_MISSING_EVENTS,
@@ -50,6 +52,7 @@
     RelayShared,
 )
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
+from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import ErrorCode, Verdict
 
 REPORT_VISIBLE_AFTER_S = 0.8
@@ -101,8 +104,22 @@
         self.shared.budget_for(self.routed.service.name).record_request(now)
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail(ErrorCode.WAIT_EXCEEDED, "no time was left on arrival")
+        if self.kind is RequestKind.RESUMABLE_STREAM and self.position is not None:
+            return self.find_version(now)
         return self.start_next(now)
 
+    def find_version(self, now: float) -> list[RelayAction]:
+        """Find the version of a stream that its caller takes up again.
+
+        Without the id of the stream, only what is listed here can be known.
+        """
+        self.is_finding_version = True
+        service = self.routed.service.name
+        if self.request.resumes is not None:
+            return [FindVersion(self.request.resumes, service)]
+        found = FoundVersion(None, self.shared.versions.versions_seen(service, now))
+        return self.handle_version(VersionFound(found), now)
+
     def handle(self, event: RelayEvent, now: float) -> list[RelayAction]:
         """Return the actions for an event; drop it if its attempt is not live."""
         if isinstance(event, LoadsReported):
@@ -111,6 +128,8 @@
             return self.end_if_blocked(now)
         if isinstance(event, TrialClaimed):
             return self.handle_trial(event, now)
+        if isinstance(event, VersionFound):
+            return self.handle_version(event, now)
         attempt = self.attempts.get(event.attempt)
         if self.is_over or attempt is None:
             return []
@@ -150,6 +169,7 @@
     def close(self) -> list[RelayAction]:
         """End the request because the caller is done or gone."""
         self.is_over = True
+        self.shared.versions.record_end(self.request.stream_id)
         return [*self.release_copies(), *self.cancel_all()]
 
     # Time
@@ -383,6 +403,8 @@
             reason = f"event {event.event_id} came after event {self.position}"
             return self.abandon(attempt, AttemptCause.MALFORMED, reason, now)
         headers = None if self.has_delivered else attempt.headers
+        if not self.has_delivered:
+            self.record_version(attempt, now)
         self.has_delivered = True
         self.may_have_run = True
         self.failures_in_a_row = 0
@@ -418,6 +440,14 @@
             return []
         return self.refuse_crashing(trait, now)
 
+    def record_version(self, attempt: RelayAttempt, now: float) -> None:
+        """Have the stream go on at the version that began it, here and elsewhere."""
+        self.version = attempt.upstream.version
+        if self.kind is RequestKind.RESUMABLE_STREAM:
+            self.shared.versions.record_begin(
+                self.request.stream_id, self.routed.service.name, self.version, now
+            )
+
     def finish(self, attempt: RelayAttempt, now: float) -> list[RelayAction]:
         """End the request after an attempt that completed, and cancel the others."""
         self.is_over = True
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -8,6 +8,7 @@
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import Verdict
 
 Headers = tuple[tuple[str, str], ...]
@@ -41,6 +42,11 @@
     prompt_parts: tuple[str, ...] = ()
     resumes: str | None = None
 
+    @property
+    def stream_id(self) -> str:
+        """The id of the request that brought, or may bring, the first event."""
+        return self.resumes or self.request_id
+
     @property
     def shared_parts(self) -> tuple[str, ...]:
         """The ids of the parts of the prompt that other requests may have too."""
@@ -179,6 +185,13 @@
     is_granted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class VersionFound:
+    """What instances know of the version at which the stream began."""
+
+    found: FoundVersion
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryCopy:
     """A copy of an attempt's KV cache that `holder` has.
@@ -264,6 +277,14 @@
     trait: str
 
 
+@dataclass(frozen=True, slots=True)
+class FindVersion:
+    """Find out at which version of its service a stream began."""
+
+    stream: str
+    service: str
+
+
 @dataclass(frozen=True, slots=True)
 class QueryLoads:
     """Query candidates for their load before an attempt is placed."""
@@ -316,6 +337,7 @@
     | LoadsReported
     | TraitBlocked
     | TrialClaimed
+    | VersionFound
     | MemoryCopied
     | HolderChecked
 )
@@ -326,6 +348,7 @@
     | ProbeUpstream
     | QueryLoads
     | ClaimTrial
+    | FindVersion
     | CopyMemory
     | CheckHolder
     | ReleaseCopy
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.free_capacity import (
@@ -28,6 +28,7 @@
     StartRelay,
     TrialClaimed,
     UpstreamReport,
+    VersionFound,
 )
 from turmericusher.decisions.relay_state import (
     UPSTREAM_POLL_INTERVAL_S,
@@ -162,7 +163,9 @@
             return self.refuse_late(wait, now)
         avoided = self.recently_lost_domains(now) | {upstream.failure_domain}
         standbys = [
-            other for other in usable[1:] if other.failure_domain not in avoided
+            other
+            for other in usable[1:]
+            if other.failure_domain not in avoided and other.version == upstream.version
         ]
         standby = standbys[0] if standbys else None
         return self.start_on(
@@ -257,7 +260,8 @@
         """Start an attempt on an upstream, with a standby if the stream can use one.
 
         Every attempt starts here, whatever its reason. None does for a request that is
-        known to crash upstreams: it is refused or ended.
+        known to crash upstreams, which is refused or ended, and none at another version
+        than the one that began the stream.
 
         With `copy` the attempt resumes from that copy. `RelayAttempt.copy` is another
         one: the copy that the upstream will keep on the standby.
@@ -265,6 +269,8 @@
         trait = self.blocked_trait()
         if trait is not None:
             return self.refuse_crashing(trait, now)
+        if self.version and upstream.version != self.version:
+            return self.wait_or_refuse(now)
         # A trial is for one attempt.
         is_trial, self.has_trial = self.has_trial, False
         self.last_number += 1
@@ -319,6 +325,24 @@
         self.is_claiming_trial = True
         return [ClaimTrial(trait)]
 
+    def handle_version(self, event: VersionFound, now: float) -> list[RelayAction]:
+        """Go on with a stream of which the version is known, or refuse it."""
+        if self.is_over or not self.is_finding_version:
+            return []
+        self.is_finding_version = False
+        if not event.found.may_go_on:
+            self.shared.totals.version_refusals += 1
+            return self.fail(
+                ErrorCode.ANSWER_INTERRUPTED,
+                f"no instance knows which version of "
+                f"service={self.routed.service.name!r} began "
+                f"stream={self.request.stream_id!r}: it has "
+                f"{len(event.found.versions_seen)} versions",
+                self.jittered(NO_UPSTREAM_RETRY_S),
+            )
+        self.version = event.found.version or ""
+        return self.start_next(now)
+
     def handle_trial(self, event: TrialClaimed, now: float) -> list[RelayAction]:
         """Send the request as a trial if it may be one; else refuse it."""
         if self.is_over or not self.is_claiming_trial:
@@ -350,20 +374,25 @@
     def choose_standby(
         self, upstream: UpstreamInstance, now: float
     ) -> UpstreamInstance | None:
-        """Return an upstream in another failure domain to hold a copy, or None."""
+        """Return an upstream in another failure domain to hold a copy, or None.
+
+        It has the same version, since the stream cannot go on at another one.
+        """
         if self.kind is not RequestKind.RESUMABLE_STREAM:
             return None
         if not self.routed.service.keeps_copies:
             return None
         excluded = self.excluded | {upstream.name} | self.shared.holders.lost.keys()
         domains = self.recently_lost_domains(now) | {upstream.failure_domain}
-        wanted = self.pick_request(excluded, domains, now)
+        wanted = replace(
+            self.pick_request(excluded, domains, now), version=upstream.version
+        )
         found = self.shared.selector.pick(wanted)
         if found is None or found.failure_domain != upstream.failure_domain:
             return found
         # Every other domain was lost lately; one of them is still better than this one.
-        wanted = self.pick_request(excluded, {upstream.failure_domain}, now)
-        return self.shared.selector.pick(wanted)
+        avoided = frozenset({upstream.failure_domain})
+        return self.shared.selector.pick(replace(wanted, avoided_domains=avoided))
 
     def wait_or_refuse(self, now: float) -> list[RelayAction]:
         """Wait for an upstream if the request must go on, or else refuse it.
@@ -392,7 +421,9 @@
     def limited_upstreams(self, now: float) -> list[str]:
         """Return the upstreams that would be used, but take no request now."""
         wanted = PickRequest(
-            self.routed.service.name, excluded=frozenset(self.excluded)
+            self.routed.service.name,
+            version=self.version,
+            excluded=frozenset(self.excluded),
         )
         blocked = self.shared.send_limits.blocked(now)
         candidates = self.shared.selector.candidates(wanted)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -31,6 +31,7 @@
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.selection import PickRequest, Selector
 from turmericusher.decisions.send_limits import SendLimits
+from turmericusher.decisions.stream_versions import StreamVersions
 from turmericusher.errors import ErrorCode, Verdict
 
 RUNNING_PROBE_SHARE = 0.3
@@ -112,6 +113,7 @@
     `limit_refusals` are the requests refused because all upstreams named limits.
     `crash_refusals` are those refused or ended because one of their traits crashes
     upstreams, and `crash_trials` the attempts that tried such a trait again.
+    `version_refusals` are the streams that no instance knew the version of.
     """
 
     attempts: int = 0
@@ -132,6 +134,7 @@
     limit_refusals: int = 0
     crash_refusals: int = 0
     crash_trials: int = 0
+    version_refusals: int = 0
 
 
 @dataclass(slots=True)
@@ -143,8 +146,8 @@
     of each service; `budget_template` is copied for those of new services.
     `stream_duration` estimates how long streams last after their first event,
     `typical_sizes` the request size of each service. `holders` tracks which holders of
-    copies are lost, `send_limits` the limits that upstreams name, and `crashes` which
-    requests crash upstreams.
+    copies are lost, `send_limits` the limits that upstreams name, `crashes` which
+    requests crash upstreams, and `versions` at which version each stream began.
     """
 
     selector: Selector
@@ -159,6 +162,7 @@
     holders: HolderChecks = field(default_factory=HolderChecks)
     typical_sizes: dict[str, TypicalSize] = field(default_factory=dict)
     crashes: CrashLedger = field(default_factory=CrashLedger)
+    versions: StreamVersions = field(default_factory=StreamVersions)
     send_limits: SendLimits = field(init=False)
 
     def __post_init__(self) -> None:
@@ -238,6 +242,8 @@
     one had no free capacity for. `stalled_upstreams` are those that were left because
     they sent nothing. `failures_in_a_row` counts the failures that came at once since
     the last event. `copy` is that of the last attempt that may have run.
+    `version` is that of the upstreams at which the stream goes on, empty until it has
+    begun or if there is only one; `is_finding_version`: other instances were asked.
     `traits` are what the request shares with others that may crash upstreams.
     `is_querying_loads`: candidates were queried for their load, and no attempt runs
     yet. `is_claiming_trial`: a trial of a blocked trait was asked for, and `has_trial`:
@@ -249,6 +255,8 @@
     routed: RoutedRequest
     shared: RelayShared
     traits: tuple[str, ...] = ()
+    version: str = ""
+    is_finding_version: bool = False
     position: int | None = None
     attempts: dict[int, RelayAttempt] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
@@ -347,6 +355,7 @@
         """
         return PickRequest(
             service=self.routed.service.name,
+            version=self.version,
             excluded=frozenset(excluded) | self.shared.send_limits.blocked(now),
             avoided_domains=frozenset(avoided_domains),
         )
@@ -363,6 +372,8 @@
         copy = self.copy
         if copy is None or copy.holder.name in self.excluded:
             return None
+        if self.version and copy.holder.version != self.version:
+            return None
         return copy if self.is_holder_current(copy.holder) else None
 
     def verdict(self) -> Verdict:
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -24,6 +24,7 @@
 from turmericusher.errors import SettingsError
 from turmericusher.logs import log_event
 from turmericusher.metrics import Metrics
+from turmericusher.peers.streams_service import serving_streams
 from turmericusher.platform.calls import entrypoints_app, readiness_app
 from turmericusher.platform.codec import PlatformCodec
 from turmericusher.platform.names import INSTANCE_PREFIX
@@ -42,6 +43,10 @@
 from turmericusher.tasks.relay import RelayContext
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
 from turmericusher.tasks.store_follower import StoreFollower, following_store
+from turmericusher.tasks.stream_versions import (
+    StreamVersionExchange,
+    exchanging_versions,
+)
 from turmericusher.web_server import running_server
 
 ENTRYPOINT_TTL_S = 1.0
@@ -123,7 +128,8 @@
             )
         )
         reports = CrashReports(shared.crashes, port, store, CrashRecordCodec())
-        context = RelayContext(port, shared, reports)
+        exchange = StreamVersionExchange(shared.versions)
+        context = RelayContext(port, shared, reports, exchange)
         reports.on_change = context.apply_blocks
         instance = assemble_instance(settings, context, store)
         instance.set_budgets(1)
@@ -133,6 +139,10 @@
         await stack.enter_async_context(following_store(follower))
         await stack.enter_async_context(expiring_entries(instance.fleet))
         await stack.enter_async_context(reporting_crashes(reports))
+        await stack.enter_async_context(exchanging_versions(exchange))
+        if settings.peer_address is not None:
+            serving = serving_streams(shared.versions, settings.peer_address)
+            await stack.enter_async_context(serving)
         for app, address in applications(settings, instance):
             server = running_server(app, address, stop_grace_s=0)
             instance.servers.append(await stack.enter_async_context(server))
@@ -179,6 +189,8 @@
     )
     fleet.on_instance_count = instance.set_budgets
     fleet.on_crash = context.apply_blocks
+    fleet.on_versions = context.versions.notify
+    context.versions.instances = fleet.instances.entries
     fleet.on_claims = lambda claims: registration.update(
         encode_instance(replace(own, limited_upstreams=claims))
     )
@@ -191,7 +203,7 @@
         name=settings.name,
         failure_domain=settings.failure_domain,
         caller_address=settings.caller_address,
-        peer_address=settings.caller_address,
+        peer_address=settings.peer_address or settings.caller_address,
     )
 
 
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -200,9 +200,13 @@
 
 
 class InstanceModel(WireModel):
-    """The record under which an entry instance registers itself."""
+    """The record under which an entry instance registers itself.
+
+    Without a `peer_address` it serves no other instances.
+    """
 
     address: StrictAddress
+    peer_address: StrictAddress | None = None
     failure_domain: StrictStr
     incarnation: StrictStr
     limited_upstreams: frozenset[StrictStr] = frozenset()
@@ -437,7 +441,7 @@
         name=name,
         failure_domain=model.failure_domain,
         caller_address=model.address,
-        peer_address=model.address,
+        peer_address=model.peer_address or model.address,
         incarnation=model.incarnation,
         limited_upstreams=model.limited_upstreams,
     )
@@ -448,6 +452,7 @@
     return orjson.dumps(
         {
             "address": instance.caller_address,
+            "peer_address": instance.peer_address,
             "failure_domain": instance.failure_domain,
             "incarnation": instance.incarnation,
             "limited_upstreams": sorted(instance.limited_upstreams),
--- a/src/turmericusher/platform/settings.py
+++ b/src/turmericusher/platform/settings.py
@@ -56,6 +56,7 @@
 
     node_name: Name
     ip_address: str
+    internal_port_range: str = ""
     zone: Name
     listen_addresses: ListenModel
     bounds: BoundsModel = BoundsModel()
@@ -69,6 +70,7 @@
     `retries` bounds the retries of all instances together. `stop_limit_s` is the time
     from the signal to stop until the platform kills the process. An accepted
     configuration change must be in force within `configuration_limit_s`.
+    `peer_address` serves other instances; None if no port is free for that.
     """
 
     name: str
@@ -82,6 +84,7 @@
     retries: RetryBounds
     entrypoint_ttl_limit_s: float
     configuration_limit_s: float
+    peer_address: str | None = None
 
     def random_for(self, purpose: str) -> random.Random:
         """Return a random number generator seeded by instance name and purpose."""
@@ -126,9 +129,16 @@
         ),
         entrypoint_ttl_limit_s=model.bounds.ttl_max_s,
         configuration_limit_s=model.bounds.configuration_apply_ms / MILLISECONDS_PER_S,
+        peer_address=peer_address(model),
     )
 
 
+def peer_address(model: NodeModel) -> str | None:
+    """Return the address at the first internal port, or None if there is none."""
+    first_port = model.internal_port_range.partition(",")[0].strip()
+    return f"{model.ip_address}:{first_port}" if first_port.isdigit() else None
+
+
 def parse_lines(text: str) -> dict[str, object]:
     """Parse lines of `a.b=value` into nested dictionaries; values stay strings."""
     tables: dict[str, object] = {}
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -26,6 +26,7 @@
     CopyMemory,
     DeliverAnswer,
     EndStream,
+    FindVersion,
     HolderChecked,
     LoadsReported,
     MemoryCopied,
@@ -42,6 +43,7 @@
     TrialClaimed,
     UpstreamProbed,
     UpstreamReport,
+    VersionFound,
 )
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.routing import RoutedRequest
@@ -50,6 +52,7 @@
 from turmericusher.ports.relay import RelayPort
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.crash_reports import CrashReports
+from turmericusher.tasks.stream_versions import StreamVersionExchange
 
 INBOX_SIZE = 64
 """Events that an attempt's task may queue ahead of a caller that reads slowly."""
@@ -75,6 +78,7 @@
     port: RelayPort
     shared: RelayShared
     crash_reports: CrashReports
+    versions: StreamVersionExchange
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[UpstreamReport | None]] = field(
         default_factory=dict
@@ -140,6 +144,7 @@
                 log_attempt_failure(self.relay, event)
                 actions = self.relay.handle(event, now)
                 self.context.crash_reports.check_losses()
+                self.context.versions.notify()
 
     def notify(self, event: RelayEvent) -> None:
         """Put an event in the inbox; a full one has the events of a sound stream."""
@@ -169,6 +174,8 @@
                 self.start_helper(self.probe_upstream(action))
             case ClaimTrial(trait):
                 self.start_helper(self.claim_trial(trait))
+            case FindVersion():
+                self.start_helper(self.find_version(action))
             case QueryLoads():
                 self.start_helper(self.query_loads(action))
             case CopyMemory():
@@ -218,6 +225,18 @@
         )
         await self.inbox.put(TrialClaimed(is_granted))
 
+    async def find_version(self, action: FindVersion) -> None:
+        """Find the version of a stream and pass it to the inbox."""
+        found = await self.context.versions.find(action.stream, action.service)
+        log_event(
+            "stream_taken_up",
+            id=self.relay.request.request_id,
+            stream=action.stream,
+            version=found.version,
+            versions_seen=",".join(sorted(found.versions_seen)),
+        )
+        await self.inbox.put(VersionFound(found))
+
     async def query_loads(self, action: QueryLoads) -> None:
         """Query candidates for their load and pass on the reports that came in time."""
         queries = {
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -75,7 +75,8 @@
 
     `on_instance_count` is called with the number of entry instances, this one included,
     after each change, and `on_claims` with the upstreams whose limits this instance
-    shares. `on_crash` is called when another instance told of a crash.
+    shares. `on_crash` is called when another instance told of a crash, and
+    `on_versions` when others may have to be told of this instance's streams.
     """
 
     shared: RelayShared
@@ -84,6 +85,7 @@
     on_instance_count: Callable[[int], None] | None = None
     on_claims: Callable[[frozenset[str]], None] | None = None
     on_crash: Callable[[], None] = lambda: None
+    on_versions: Callable[[], None] = lambda: None
     upstreams: Listing[UpstreamInstance] = field(default_factory=Listing)
     instances: Listing[EntryInstance] = field(default_factory=Listing)
     claims: frozenset[str] = frozenset()
@@ -164,6 +166,10 @@
         self.shared.send_limits.retain_listed(self.upstreams.entries)
         selector.update_instances(self.instances.entries)
         self.shared.crashes.update_instances(selector.own, self.instances.entries)
+        versions = self.shared.versions
+        versions.update_instances(selector.own, self.instances.entries)
+        versions.update_upstreams(self.upstreams.entries.values(), now)
+        self.on_versions()
         self.shared.send_limits.update_instances(
             selector.own,
             {
--- a/tests/cover/test_stream_versions.py
+++ b/tests/cover/test_stream_versions.py
@@ -2,10 +2,49 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+from parameterized import parameterized
 from testtools import TestCase
 
 from tests.common.asynchronous import run_async
+from tests.common.relay_events import (
+    MAY_HAVE_RUN,
+    NOT_RUN,
+    RESUMABLE,
+    event,
+    failed,
+    filter_by_type,
+    make_upstream_report,
+)
+from tests.common.relay_fixtures import (
+    SERVICE,
+    make_relay_shared,
+    make_test_relay,
+    make_upstream,
+)
 from tests.common.version_fixtures import running_version_simulation
+from tests.common.waiting import wait_until
+from turmericusher.decisions.fleet import Lifecycle
+from turmericusher.decisions.generation_messages import Fail
+from turmericusher.decisions.relay_messages import (
+    AttemptCause,
+    FindVersion,
+    LoadsReported,
+    QueryLoads,
+    StartRelay,
+    UpstreamProbed,
+    VersionFound,
+)
+from turmericusher.decisions.stream_versions import (
+    ASKED_COUNT,
+    HOLDER_COUNT,
+    KEPT_S,
+    FoundVersion,
+    StreamVersion,
+    StreamVersions,
+    merge_found,
+)
 
 TWO_VERSIONS = ("v1", "v2", "v1", "v2", "v1", "v2")
 STREAMS = 12
@@ -62,3 +101,285 @@
                 )
                 self.assertEqual(list(range(4, EVENTS + 1)), events)
                 self.assertEqual(1, len(simulation.versions_of([first, second])))
+
+
+def make_mixed_shared(*versions):
+    """Return the state of an instance with one upstream of each version."""
+    shared = make_relay_shared(0)
+    upstreams = [
+        replace(make_upstream(index), version=version)
+        for index, version in enumerate(versions)
+    ]
+    shared.selector.update(upstreams)
+    shared.versions.update_upstreams(upstreams, 0.0)
+    return shared
+
+
+def make_running_stream(shared, events=1, **options):
+    """Return a stream that has delivered some events, and its first attempt."""
+    relay = make_test_relay(RESUMABLE, shared, **options)
+    (start,) = relay.start(0.0)
+    for number in range(1, events + 1):
+        relay.handle(event(1, number), 0.1)
+    return relay, start
+
+
+def lose(relay, number, at=0.2, cause=AttemptCause.LOST):
+    """Return the attempt that follows the loss of one, or None."""
+    actions = relay.handle(failed(number, cause, MAY_HAVE_RUN, at), at)
+    starts = filter_by_type(actions, StartRelay)
+    return starts[0] if starts else None
+
+
+class SendPathTest(TestCase):
+    @parameterized.expand([(seed,) for seed in range(8)])
+    def test_a_resume_and_its_standby_stay_at_the_version_of_the_stream(self, seed):
+        shared = make_mixed_shared("v1", "v2", "v1", "v2", "v1", "v2")
+        shared.selector.random.seed(seed)
+        relay, start = make_running_stream(shared)
+        version = start.upstream.version
+        self.assertEqual(version, start.standby.version)
+        from_copy = lose(relay, 1)
+        self.assertTrue(from_copy.from_copy)
+        self.assertEqual(version, from_copy.upstream.version)
+        again = lose(relay, 2)
+        self.assertEqual(version, again.upstream.version)
+
+    def test_a_stream_without_an_upstream_of_its_version_waits_for_one(self):
+        shared = make_mixed_shared("v1", "v2", "v2")
+        upstreams = list(shared.selector.upstreams.values())
+        shared.selector.update(upstreams[:1])
+        relay, _ = make_running_stream(shared)
+        shared.selector.update(upstreams[1:])
+        self.assertIsNone(lose(relay, 1))
+        self.assertEqual([], relay.tick(relay.wake_at()))
+        shared.selector.update(upstreams)
+        (start,) = relay.tick(relay.wake_at())
+        self.assertEqual("v1", start.upstream.version)
+
+    def test_a_standby_has_the_version_of_the_upstream_or_there_is_none(self):
+        shared = make_mixed_shared("v1", "v2", "v2", "v2")
+        first = shared.selector.upstreams["u0"]
+        relay = make_test_relay(RESUMABLE, shared)
+        self.assertIsNone(relay.choose_standby(first, 0.0))
+        other = relay.choose_standby(shared.selector.upstreams["u1"], 0.0)
+        self.assertEqual("v2", other.version)
+
+    def test_an_attempt_placed_by_load_has_a_standby_of_its_version(self):
+        shared = make_mixed_shared("v1", "v2", "v1", "v2", "v1")
+        relay = make_test_relay(
+            RESUMABLE, shared, reports_load=True, target_latency_s=1e3
+        )
+        (query,) = relay.start(0.0)
+        reports = {each.name: make_upstream_report() for each in query.candidates}
+        (start,) = relay.handle(LoadsReported(0.1, reports), 0.1)
+        self.assertEqual(start.upstream.version, start.standby.version)
+
+    def test_a_stream_that_has_begun_queries_only_upstreams_of_its_version(self):
+        shared = make_mixed_shared("v1", "v2", "v1", "v2", "v1")
+        relay = make_test_relay(
+            RESUMABLE, shared, reports_load=True, target_latency_s=1e3
+        )
+        (query,) = relay.start(0.0)
+        reports = {each.name: make_upstream_report() for each in query.candidates}
+        (start,) = relay.handle(LoadsReported(0.1, reports), 0.1)
+        relay.handle(event(1, 1), 0.1)
+        shared.selector.mark_replaced(start.standby)
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN)
+        (query,) = filter_by_type(relay.handle(lost, 0.2), QueryLoads)
+        versions = {each.version for each in query.candidates}
+        self.assertEqual({start.upstream.version}, versions)
+
+    def test_a_stream_that_no_longer_hears_of_its_upstream_stays_at_its_version(self):
+        shared = make_mixed_shared("v1", "v2", "v1", "v2")
+        relay, start = make_running_stream(shared)
+        now = relay.wake_at()
+        relay.tick(now)
+        actions = relay.handle(UpstreamProbed(1, now, None), now)
+        (resumed,) = filter_by_type(actions, StartRelay)
+        self.assertEqual(start.upstream.version, resumed.upstream.version)
+
+    def test_an_attempt_before_any_event_may_follow_at_another_version(self):
+        shared = make_mixed_shared("v1", "v2")
+        relay, start = make_running_stream(shared, events=0)
+        other = lose(relay, 1)
+        self.assertNotEqual(start.upstream.version, other.upstream.version)
+
+
+class TakenUpTest(TestCase):
+    def take_up(self, shared, found, resumes="q0"):
+        """Return the actions for a stream that its caller takes up again."""
+        relay = make_test_relay(RESUMABLE, shared, resume_after=3)
+        relay.request = replace(relay.request, resumes=resumes)
+        actions = relay.start(0.0)
+        if resumes is not None:
+            self.assertEqual([FindVersion(resumes, SERVICE)], actions)
+            actions = relay.handle(VersionFound(found), 0.1)
+        return actions
+
+    @parameterized.expand([("v1", "u0"), ("v2", "u1")])
+    def test_it_goes_on_at_the_version_that_is_found(self, version, upstream):
+        shared = make_mixed_shared("v1", "v2")
+        found = FoundVersion(version, frozenset({"v1", "v2"}))
+        (start,) = self.take_up(shared, found)
+        self.assertEqual(upstream, start.upstream.name)
+
+    @parameterized.expand([("with its id", "q0"), ("without it", None)])
+    def test_it_is_refused_if_no_one_knows_which_of_two_versions_began_it(
+        self, _, resumes
+    ):
+        shared = make_mixed_shared("v1", "v2")
+        found = FoundVersion(None, frozenset({"v1", "v2"}))
+        (refusal,) = self.take_up(shared, found, resumes)
+        self.assertIsInstance(refusal, Fail)
+        self.assertEqual(NOT_RUN, refusal.verdict)
+        self.assertGreater(refusal.retry_after_s, 0.0)
+
+    @parameterized.expand([("with its id", "q0"), ("without it", None)])
+    def test_it_goes_on_if_there_is_only_one_version(self, _, resumes):
+        shared = make_mixed_shared("v1", "v1")
+        found = FoundVersion(None, frozenset({"v1"}))
+        (start,) = self.take_up(shared, found, resumes)
+        self.assertEqual(3, start.resume_after)
+
+    def test_it_is_refused_while_no_upstream_of_its_version_is_live(self):
+        shared = make_mixed_shared("v2", "v2")
+        (refusal,) = self.take_up(shared, FoundVersion("v1", frozenset({"v2"})))
+        self.assertEqual(NOT_RUN, refusal.verdict)
+
+
+def make_versions(instances=8, own="e0"):
+    """Return what an instance knows of versions, with a service of two of them."""
+    versions = StreamVersions()
+    versions.update_instances(own, [f"e{number}" for number in range(instances)])
+    return versions
+
+
+def list_versions(versions, *names, now=0.0):
+    """Let an instance list upstreams of these versions."""
+    upstreams = [
+        replace(make_upstream(index), version=name) for index, name in enumerate(names)
+    ]
+    versions.update_upstreams(upstreams, now)
+
+
+class StreamVersionsTest(TestCase):
+    def test_nobody_is_told_while_there_is_one_version(self):
+        versions = make_versions()
+        list_versions(versions, "v1", "v1")
+        versions.record_begin("q1", SERVICE, "v1", 1.0)
+        self.assertEqual({}, versions.take_unsent())
+
+    def test_some_instances_are_told_of_a_stream_while_there_are_two(self):
+        versions = make_versions()
+        list_versions(versions, "v1", "v2")
+        versions.record_begin("q1", SERVICE, "v1", 1.0)
+        unsent = versions.take_unsent()
+        self.assertEqual(HOLDER_COUNT, len(unsent))
+        self.assertNotIn("e0", unsent)
+        self.assertEqual([[StreamVersion("q1", "v1")]] * 2, list(unsent.values()))
+
+    def test_streams_that_run_are_told_of_when_a_second_version_comes(self):
+        versions = make_versions()
+        list_versions(versions, "v1")
+        versions.record_begin("q1", SERVICE, "v1", 1.0)
+        versions.record_begin("q2", SERVICE, "v1", 1.0)
+        versions.record_end("q2")
+        list_versions(versions, "v1", "v2", now=2.0)
+        told = {
+            r.stream for records in versions.take_unsent().values() for r in records
+        }
+        self.assertEqual({"q1"}, told)
+
+    @parameterized.expand([(count,) for count in (3, 8, 86, 420)])
+    def test_any_instance_asks_those_that_were_told(self, count):
+        for number in range(50):
+            stream = f"q{number}"
+            owner = make_versions(count, own=f"e{number % count}")
+            holders = set(owner.ranked(stream, HOLDER_COUNT))
+            for other in range(0, count, max(1, count // 10)):
+                asker = make_versions(count, own=f"e{other}")
+                asked = {*asker.ranked(stream, ASKED_COUNT), asker.own}
+                self.assertEqual(set(), holders - asked)
+
+    def test_an_instance_that_takes_a_stream_up_keeps_the_version_that_began_it(self):
+        versions = make_versions()
+        versions.record_known(StreamVersion("q1", "v1"), 1.0)
+        versions.record_known(StreamVersion("q1", "v2"), 2.0)
+        self.assertEqual("v1", versions.find("q1", SERVICE, 3.0).version)
+
+    def test_what_is_known_expires_and_does_not_grow(self):
+        versions = make_versions()
+        for number in range(1_000):
+            record = StreamVersion(f"q{number}", "v1")
+            versions.record_known(record, float(number))
+        self.assertEqual(KEPT_S, len(versions.known))
+
+    def test_a_version_counts_as_seen_for_a_while_after_its_last_upstream(self):
+        versions = make_versions()
+        list_versions(versions, "v1", "v2")
+        list_versions(versions, "v2", now=1.0)
+        seen = versions.versions_seen(SERVICE, KEPT_S - 0.1)
+        self.assertEqual(frozenset({"v1", "v2"}), seen)
+        self.assertEqual(
+            frozenset({"v2"}), versions.versions_seen(SERVICE, KEPT_S + 0.5)
+        )
+
+    @parameterized.expand(
+        [
+            ("one knows it", [FoundVersion(None), FoundVersion("v1")], "v1", True),
+            (
+                "nobody knows it, and one saw a second version",
+                [
+                    FoundVersion(None, frozenset({"v1"})),
+                    FoundVersion(None, frozenset({"v2"})),
+                ],
+                None,
+                False,
+            ),
+            (
+                "nobody knows it, and all saw one version",
+                [FoundVersion(None, frozenset({"v1"}))] * 2,
+                None,
+                True,
+            ),
+        ]
+    )
+    def test_the_answers_of_instances_are_put_together_if(
+        self, _, answers, version, may_go_on
+    ):
+        found = merge_found(answers)
+        self.assertEqual((version, may_go_on), (found.version, found.may_go_on))
+
+
+class ExchangeTest(TestCase):
+    @run_async
+    async def test_an_instance_that_does_not_answer_is_passed_over(self):
+        async with running_version_simulation(("v1", "v2")) as simulation:
+            node = simulation.instances["entry-0"]
+            exchange = node.frontend.context.versions
+            silent = node.fleet.instances.entries["entry-1"]
+            node.fleet.instances.entries["entry-1"] = replace(
+                silent, peer_address="127.0.0.1:9"
+            )
+            found = await exchange.find("unknown", SERVICE)
+            self.assertEqual(FoundVersion(None, frozenset({"v1", "v2"})), found)
+            self.assertFalse(found.may_go_on)
+
+    @run_async
+    async def test_a_stream_goes_on_while_the_upstreams_of_its_version_leave(self):
+        async with running_version_simulation(
+            ("v1", "v1", "v1", "v2"), instances=2, events=6, event_gap_s=0.05
+        ) as simulation:
+            ids = ["q1", "q1-again"]
+            await simulation.stream("entry-0", ids[0], 2)
+            for index in range(2):
+                simulation.write_upstream_entry(index, "draining")
+            upstreams = simulation.instances["entry-1"].fleet.upstreams.entries
+            await wait_until(lambda: upstreams["u1"].lifecycle is Lifecycle.LEAVING)
+            began_at = simulation.versions_of(ids)
+            status, _ = await simulation.stream(
+                "entry-1", ids[1], 6, Last_Event_Id="2", Resumes=ids[0]
+            )
+            self.assertEqual(200, status)
+            self.assertEqual(began_at, simulation.versions_of(ids))
