Crash ledger: a stream proves its parts only by running, and a block breaks off no call

Found in reading the change, seen by no caller: - A stream without a length that is cut off between two events looks like a whole one. Its end counted as a run that went well, so a crash could clear the part that caused it.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -422,12 +422,15 @@
             self.shared.crashes.record_clean_run(self.traits, now)
 
     def end_is_due(self) -> bool:
-        """Whether the request runs and is now known to crash upstreams.
+        """Whether a stream runs and is now known to crash upstreams.
 
         An attempt that has an event is left alone: it has not crashed its upstream, or
-        is about to. A trial is left alone too.
+        is about to. A trial is left alone too, and so is a call, which may have done
+        its work by now.
         """
-        if self.is_over or not self.attempts or self.blocked_trait() is None:
+        if self.is_over or not self.attempts or not self.kind.is_stream:
+            return False
+        if self.blocked_trait() is None:
             return False
         return not any(
             each.has_event or each.is_trial for each in self.attempts.values()
@@ -453,7 +456,9 @@
         self.is_over = True
         if self.kind.is_stream and attempt.first_event_at is not None:
             self.shared.stream_duration.record_duration(now - attempt.first_event_at)
-        self.record_clean_run(attempt, now)
+        # Without a length, a stream cut off between two events looks like a whole one.
+        if not self.kind.is_stream:
+            self.record_clean_run(attempt, now)
         actions = self.release_copies()
         self.remove_attempt(attempt.number)
         self.shared.selector.succeeded(attempt.upstream.name)
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -463,6 +463,8 @@
     def hedge(self, now: float) -> list[RelayAction]:
         """Send a late idempotent call to a second upstream; the first answer wins."""
         self.was_hedged = True
+        if self.blocked_trait() is not None:
+            return []
         busy = {attempt.upstream.name for attempt in self.attempts.values()}
         wanted = self.pick_request(
             self.excluded | busy, self.recently_lost_domains(now), now
