Crash ledger: name suspicions in the usual words, and record losses as a command

Read as a newcomer: "accused" was a picture taken from elsewhere, and `Suspect` was the name of one suspicion. They are `Suspicion`, `suspicions` and `suspected_traits` now; nothing had been released under the old names. `record_loss` returned whether it had changed anything, which no caller used.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -5,10 +5,10 @@
 other parts are those of sound requests. An upstream that dies takes sound requests
 with it, and upstreams also die for other reasons, many at once.
 
-Each death accuses the traits of the requests that the upstream had begun last. A trait
-is cleared by any request with it that runs well. It is blocked after a few deaths, of
-which one came after another was known: deaths at the same time may have one cause. If
-other traits explain its deaths better, those are blocked instead.
+Each death puts the traits of the requests that the upstream had begun last under
+suspicion. A trait is cleared by any request with it that runs well. It is blocked after
+a few deaths, of which one came after another was known: deaths at the same time may
+have one cause. If other traits explain its deaths better, those are blocked instead.
 
 Blocked traits are tried again from time to time, by one instance of all, and less often
 after each trial that ends in a death, so that a sound trait comes free.
@@ -24,7 +24,7 @@
     Chain,
     CrashRecord,
     SoundRecord,
-    Suspect,
+    Suspicion,
     TrialRecord,
     death_name,
 )
@@ -42,7 +42,7 @@
 sound: an upstream that is crashed by one ends some 0.1 s after it begins to write."""
 
 PROOF_VALID_S = 10.0
-"""Seconds for which a trait is not accused after a request with it ran well: a few
+"""Seconds for which a trait is not suspected after a request with it ran well: a few
 times the pause between two streams at one instance."""
 
 RECORD_TTL_S = 600
@@ -74,7 +74,7 @@
 
 @dataclass(slots=True)
 class Loss:
-    """An upstream that may have died, with what it would accuse."""
+    """An upstream that may have died, with the requests suspected of it."""
 
     upstream: UpstreamInstance
     chains: set[Chain] = field(default_factory=set)
@@ -91,23 +91,22 @@
 
 @dataclass(slots=True)
 class CrashLedger:
-    """The deaths of upstreams and the traits that they accuse.
+    """The deaths of upstreams and the traits that are suspected of them.
 
     `own` is the name of this instance and `instances` are those of all live ones.
-    `losses` are deaths that were not confirmed yet. `accused` maps a trait to what each
-    death that it was not cleared of tells of it. `cleared` has the deaths that each
-    trait was cleared of, and when. `sound_at` is when a request with a trait last ran
-    well, `trials` the last trial of a trait. `unpublished_deaths` and
+    `losses` are deaths that were not confirmed yet. `suspicions` maps a trait to what
+    each death that it was not cleared of tells of it. `cleared` has the deaths that
+    each trait was cleared of, and when. `sound_at` is when a request with a trait last
+    ran well, `trials` the last trial of a trait. `unpublished_deaths` and
     `unpublished_sound` are not in the store yet; the latter with the time from which on
-    they are due.
-    Times are monotonic seconds.
+    they are due. Times are monotonic seconds.
     """
 
     own: str = ""
     instances: frozenset[str] = frozenset()
     deaths: dict[str, Death] = field(default_factory=dict)
     losses: dict[str, Loss] = field(default_factory=dict)
-    accused: dict[str, dict[str, Suspect]] = field(default_factory=dict)
+    suspicions: dict[str, dict[str, Suspicion]] = field(default_factory=dict)
     cleared: dict[str, dict[str, float]] = field(default_factory=dict)
     sound_at: dict[str, float] = field(default_factory=dict)
     trials: dict[str, Trial] = field(default_factory=dict)
@@ -120,38 +119,41 @@
 
     # Queries
 
-    def known_suspects(self, traits: Sequence[str]) -> dict[str, Suspect]:
-        """Return what is known of each trait that is accused or may soon be."""
+    def known_suspicions(self, traits: Sequence[str]) -> dict[str, Suspicion]:
+        """Return what is known of each trait that is suspected or may soon be."""
         found = {
-            trait: max(self.accused[trait].values(), key=severity)
+            trait: max(self.suspicions[trait].values(), key=severity)
             for trait in traits
-            if trait in self.accused
+            if trait in self.suspicions
         }
         for loss in self.losses.values():
-            for suspect in (each for chain in loss.chains for each in chain):
-                if suspect.trait in traits:
-                    known = found.get(suspect.trait, suspect)
-                    found[suspect.trait] = max(known, suspect, key=severity)
+            for suspicion in (each for chain in loss.chains for each in chain):
+                if suspicion.trait in traits:
+                    known = found.get(suspicion.trait, suspicion)
+                    found[suspicion.trait] = max(known, suspicion, key=severity)
         return found
 
     def is_blocked(self, trait: str) -> bool:
         """Whether a trait has caused too many deaths, for all that is known."""
-        suspects = self.accused.get(trait, {})
-        if len(suspects) < BLOCKING_DEATHS:
+        suspicions = self.suspicions.get(trait, {})
+        if len(suspicions) < BLOCKING_DEATHS:
             return False
-        if max(each.rank for each in suspects.values()) < BLOCKING_RANK:
+        if max(each.rank for each in suspicions.values()) < BLOCKING_RANK:
             return False
         return not any(
-            self.explains(other, trait) for other in self.accused if other != trait
+            self.explains(other, trait) for other in self.suspicions if other != trait
         )
 
     def explains(self, other: str, trait: str) -> bool:
-        """Whether another trait explains all deaths that accuse a trait.
+        """Whether another trait explains all deaths that a trait is suspected of.
 
         Of two traits of the same requests, that is the less shared one if both have the
         same deaths. Of two that no request has together, it is the one with more.
         """
-        deaths, other_deaths = self.accused[trait].keys(), self.accused[other].keys()
+        deaths, other_deaths = (
+            self.suspicions[trait].keys(),
+            self.suspicions[other].keys(),
+        )
         if not deaths <= other_deaths:
             return False
         order = [
@@ -166,7 +168,7 @@
 
     def blocked_trait(self, traits: Iterable[str]) -> str | None:
         """Return the first trait for which a request must not be sent, or None."""
-        if not self.accused:
+        if not self.suspicions:
             return None
         return next((trait for trait in traits if self.is_blocked(trait)), None)
 
@@ -192,12 +194,12 @@
 
     def trial_interval_s(self, trait: str) -> float:
         """Return the seconds between two trials of a blocked trait."""
-        trials = max(each.trials for each in self.accused[trait].values())
+        trials = max(each.trials for each in self.suspicions[trait].values())
         return min(TRIAL_AFTER_S * TRIAL_BACKOFF**trials, RECORD_TTL_S)
 
     def last_death_at(self, trait: str) -> float:
-        """Return when this instance learned of the last death that accuses a trait."""
-        return max(self.deaths[death].learned_at for death in self.accused[trait])
+        """Return when this instance learned of a suspected trait's last death."""
+        return max(self.deaths[death].learned_at for death in self.suspicions[trait])
 
     def retry_after_s(self, trait: str, now: float) -> float:
         """Return the seconds until a blocked trait may be tried, at least the first."""
@@ -237,33 +239,30 @@
         self,
         upstream: UpstreamInstance,
         traits: Sequence[str],
-        known: Mapping[str, Suspect],
+        known: Mapping[str, Suspicion],
         now: float,
         is_trial: bool = False,
-    ) -> bool:
+    ) -> None:
         """Record that an upstream broke off a request that it had just begun.
 
-        `known` is what was known of its traits when it was sent. Returns whether any
-        trait is suspected; then it remains to be checked whether the upstream has died.
+        `known` is what was known of its traits when it was sent. If any of them is
+        suspected, it remains to be checked whether the upstream has died.
         """
         chain = tuple(
-            next_suspect(trait, known.get(trait), is_trial)
+            next_suspicion(trait, known.get(trait), is_trial)
             for trait in traits
             if not self.was_sound_lately(trait, now)
         )
         if not chain:
-            return False
+            return
         name = death_name(upstream.name, upstream.incarnation)
-        death = self.deaths.get(name)
-        if death is not None:
-            record = CrashRecord(
-                upstream.name, upstream.incarnation, death.record.chains | {chain}
-            )
-            if self.merge_crash(record, now):
-                self.unpublished_deaths.add(name)
-            return True
-        self.losses.setdefault(name, Loss(upstream)).chains.add(chain)
-        return True
+        if name not in self.deaths:
+            self.losses.setdefault(name, Loss(upstream)).chains.add(chain)
+            return
+        chains = self.deaths[name].record.chains | {chain}
+        record = CrashRecord(upstream.name, upstream.incarnation, chains)
+        if self.merge_crash(record, now):
+            self.unpublished_deaths.add(name)
 
     def begin_check(self, upstream: UpstreamInstance) -> None:
         """Record that an upstream is being checked."""
@@ -291,9 +290,9 @@
     def without_sound(self, chain: Chain, now: float) -> Chain:
         """Return a chain without the traits that were sound a short time ago."""
         return tuple(
-            suspect
-            for suspect in chain
-            if not self.was_sound_lately(suspect.trait, now)
+            suspicion
+            for suspicion in chain
+            if not self.was_sound_lately(suspicion.trait, now)
         )
 
     def record_clean_run(self, traits: Iterable[str], now: float) -> None:
@@ -303,8 +302,8 @@
         }
         for trait in traits:
             self.sound_at[trait] = now
-            if trait in self.accused:
-                self.clear(trait, frozenset(self.accused[trait]), now)
+            if trait in self.suspicions:
+                self.clear(trait, frozenset(self.suspicions[trait]), now)
                 self.unpublished_sound[trait] = (
                     now + self.order_of(trait) * PUBLISH_STAGGER_S
                 )
@@ -315,12 +314,12 @@
         self.withdraw(trait, deaths)
 
     def withdraw(self, trait: str, deaths: frozenset[str]) -> None:
-        """Accuse a trait no longer of some deaths."""
-        suspects = self.accused.get(trait, {})
-        for death in deaths & suspects.keys():
-            del suspects[death]
-        if not suspects:
-            self.accused.pop(trait, None)
+        """Suspect a trait no longer of some deaths."""
+        suspicions = self.suspicions.get(trait, {})
+        for death in deaths & suspicions.keys():
+            del suspicions[death]
+        if not suspicions:
+            self.suspicions.pop(trait, None)
 
     def merge_trial(self, record: TrialRecord, now: float) -> bool:
         """Record a trial by this instance or another one; return whether it is new."""
@@ -347,22 +346,24 @@
             self.deaths[record.death] = Death(merged, now)
         else:
             death.record = merged
-        for suspect in (each for chain in record.chains for each in chain):
-            self.accuse(suspect, record.death)
-            if self.was_sound_lately(suspect.trait, now):
-                self.clear(suspect.trait, frozenset({record.death}), now)
+        for suspicion in (each for chain in record.chains for each in chain):
+            self.add_suspicion(suspicion, record.death)
+            if self.was_sound_lately(suspicion.trait, now):
+                self.clear(suspicion.trait, frozenset({record.death}), now)
                 self.unpublished_sound.setdefault(
-                    suspect.trait,
-                    now + self.order_of(suspect.trait) * PUBLISH_STAGGER_S,
+                    suspicion.trait,
+                    now + self.order_of(suspicion.trait) * PUBLISH_STAGGER_S,
                 )
         return True
 
-    def accuse(self, suspect: Suspect, death: str) -> None:
-        """Accuse a trait of a death, unless it was cleared of it."""
-        if death in self.cleared.get(suspect.trait, ()):
+    def add_suspicion(self, suspicion: Suspicion, death: str) -> None:
+        """Suspect a trait of a death, unless it was cleared of it."""
+        if death in self.cleared.get(suspicion.trait, ()):
             return
-        suspects = self.accused.setdefault(suspect.trait, {})
-        suspects[death] = max(suspect, suspects.get(death, suspect), key=severity)
+        suspicions = self.suspicions.setdefault(suspicion.trait, {})
+        suspicions[death] = max(
+            suspicion, suspicions.get(death, suspicion), key=severity
+        )
 
     def merge_sound(self, record: SoundRecord, now: float) -> bool:
         """Clear a trait as another instance did; return whether that is new."""
@@ -408,25 +409,25 @@
         """Forget one death."""
         death = self.deaths.pop(name)
         self.unpublished_deaths.discard(name)
-        for suspect in (each for chain in death.record.chains for each in chain):
-            self.withdraw(suspect.trait, frozenset({name}))
+        for suspicion in (each for chain in death.record.chains for each in chain):
+            self.withdraw(suspicion.trait, frozenset({name}))
 
 
-def next_suspect(trait: str, known: Suspect | None, is_trial: bool) -> Suspect:
+def next_suspicion(trait: str, known: Suspicion | None, is_trial: bool) -> Suspicion:
     """Return a trait as suspected of a further death."""
     if known is None:
-        return Suspect(trait, 1)
-    return Suspect(trait, known.rank + 1, known.trials + is_trial)
+        return Suspicion(trait, 1)
+    return Suspicion(trait, known.rank + 1, known.trials + is_trial)
 
 
-def severity(suspect: Suspect) -> tuple[int, int]:
+def severity(suspicion: Suspicion) -> tuple[int, int]:
     """Return the sort key by which the more serious of two suspicions is found."""
-    return suspect.trials, suspect.rank
+    return suspicion.trials, suspicion.rank
 
 
 def position(chain: Chain, trait: str) -> int | None:
     """Return the place of a trait in a request's chain, or None if it is not there."""
-    for number, suspect in enumerate(chain):
-        if suspect.trait == trait:
+    for number, suspicion in enumerate(chain):
+        if suspicion.trait == trait:
             return number
     return None
--- a/src/turmericusher/decisions/crash_records.py
+++ b/src/turmericusher/decisions/crash_records.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Suspect:
+class Suspicion:
     """A trait of a request in flight at a death that may be the cause of it.
 
     `rank` is one more than the highest rank of the trait that the instance knew when it
@@ -26,7 +26,7 @@
     trials: int = 0
 
 
-Chain = tuple[Suspect, ...]
+Chain = tuple[Suspicion, ...]
 """The suspected traits of one request, from the most to the least shared one."""
 
 
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -314,7 +314,7 @@
         name = attempt.upstream.name
         self.record_possible_crash(attempt, event)
         # What a suspected request does to upstreams says nothing of the service.
-        if event.cause in FAST_FAILURE_CAUSES and not attempt.known_suspects:
+        if event.cause in FAST_FAILURE_CAUSES and not attempt.known_suspicions:
             self.shared.budget_for(self.routed.service.name).record_failure()
         self.last_message = f"{name}: {event.cause.value} {event.message}"
         if event.verdict is not Verdict.NOT_RUN:
@@ -340,7 +340,7 @@
     def record_possible_crash(
         self, attempt: RelayAttempt, event: AttemptFailed
     ) -> None:
-        """Suspect the request of crashing its upstream if that had just begun it."""
+        """Suspicion the request of crashing its upstream if that had just begun it."""
         if event.cause not in CRASH_CAUSES or event.at >= self.deadline():
             return
         begun_at = attempt.first_event_at
@@ -348,7 +348,7 @@
             self.shared.crashes.record_loss(
                 attempt.upstream,
                 self.traits,
-                attempt.known_suspects,
+                attempt.known_suspicions,
                 event.at,
                 attempt.is_trial,
             )
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -286,7 +286,7 @@
             copy=self.standby_copy(standby),
             from_copy=copy is not None,
             prompts_ahead=prompts_ahead,
-            known_suspects=self.shared.crashes.known_suspects(self.traits),
+            known_suspicions=self.shared.crashes.known_suspicions(self.traits),
             is_trial=is_trial,
         )
         self.attempts[attempt.number] = attempt
@@ -360,7 +360,7 @@
         self.may_have_run = self.may_have_run or bool(self.attempts)
         return self.fail(
             ErrorCode.REQUEST_KILLS_UPSTREAMS,
-            f"{len(self.shared.crashes.accused[trait])} upstreams crashed under "
+            f"{len(self.shared.crashes.suspicions[trait])} upstreams crashed under "
             f"requests with trait={trait!r}",
             self.jittered(self.shared.crashes.retry_after_s(trait, now)),
         )
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.crash_ledger import CrashLedger
-from turmericusher.decisions.crash_records import Suspect
+from turmericusher.decisions.crash_records import Suspicion
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
 from turmericusher.decisions.free_capacity import (
     PrefillTime,
@@ -201,8 +201,8 @@
     requests waiting. `prompts_ahead` counts the prompts that the upstream had to
     prefill first, None where that is not known. `copy` is kept up to date by the
     upstream itself, unless `copied_at` has the time at which it was made on request.
-    A stall is not acted on before `kept_until`. `known_suspects` are those of the
-    request's traits that were accused when it was sent; `is_trial`: one was blocked.
+    A stall is not acted on before `kept_until`. `known_suspicions` are those of the
+    request's traits when it was sent; `is_trial`: one was blocked.
     `is_proven`: the attempt has run for long enough to show that the request is sound.
     """
 
@@ -222,7 +222,7 @@
     copy_requested_at: float | None = None
     copied_at: float | None = None
     kept_until: float = 0.0
-    known_suspects: dict[str, Suspect] = field(default_factory=dict)
+    known_suspicions: dict[str, Suspicion] = field(default_factory=dict)
     is_trial: bool = False
     is_proven: bool = False
 
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -21,7 +21,7 @@
     CrashRecord,
     LedgerRecord,
     SoundRecord,
-    Suspect,
+    Suspicion,
     TrialRecord,
 )
 from turmericusher.decisions.fleet import (
@@ -495,6 +495,7 @@
         if model is None:
             return None
         chains = frozenset(
-            tuple(Suspect(*suspect) for suspect in chain) for chain in model.chains
+            tuple(Suspicion(*suspicion) for suspicion in chain)
+            for chain in model.chains
         )
         return CrashRecord(model.upstream, model.incarnation, chains)
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -71,7 +71,7 @@
         self.metrics.gauge("upstreams", len(self.fleet.upstreams.entries))
         self.metrics.gauge("instances", len(self.fleet.instances.entries))
         self.metrics.gauge("limited_upstreams", len(self.shared.send_limits.limits))
-        self.metrics.gauge("accused_traits", len(self.shared.crashes.accused))
+        self.metrics.gauge("suspected_traits", len(self.shared.crashes.suspicions))
         for service, budget in self.shared.budgets.items():
             allowance = budget.allowance(self.frontend.clock())
             self.metrics.gauge(f"retry_balance.{service}", allowance)
--- a/src/turmericusher/tasks/crash_reports.py
+++ b/src/turmericusher/tasks/crash_reports.py
@@ -169,8 +169,8 @@
 
 
 def log_crash(record: CrashRecord) -> None:
-    """Log a death with the traits that it accuses."""
-    traits = {suspect.trait for chain in record.chains for suspect in chain}
+    """Log a death with the traits that are suspected of it."""
+    traits = {suspicion.trait for chain in record.chains for suspicion in chain}
     log_event(
         "upstream_crashed",
         upstream=record.upstream,
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -17,7 +17,7 @@
 from turmericusher.decisions.crash_records import (
     CrashRecord,
     SoundRecord,
-    Suspect,
+    Suspicion,
     TrialRecord,
 )
 from turmericusher.platform.records import CrashRecordCodec
@@ -27,7 +27,7 @@
 
 def chain(*traits, rank=1):
     """Return the chain of a request whose traits have all the same rank."""
-    return tuple(Suspect(trait, rank) for trait in traits)
+    return tuple(Suspicion(trait, rank) for trait in traits)
 
 
 def crash(number, *chains):
@@ -47,7 +47,7 @@
 def lose(ledger, number, traits, now, has_ended=True, known=None):
     """Lose a request of an upstream and check whether that has ended."""
     upstream = make_upstream(number)
-    known = ledger.known_suspects(traits) if known is None else known
+    known = ledger.known_suspicions(traits) if known is None else known
     ledger.record_loss(upstream, traits, known, now)
     for each in ledger.unchecked_losses():
         ledger.begin_check(each)
@@ -93,21 +93,21 @@
     )
     def test_the_blocked_trait_is(self, _, records, expected):
         ledger = make_ledger(*records)
-        blocked = [trait for trait in ledger.accused if ledger.is_blocked(trait)]
+        blocked = [trait for trait in ledger.suspicions if ledger.is_blocked(trait)]
         self.assertEqual(expected, blocked)
 
-    def test_a_late_record_does_not_accuse_twice_for_one_death(self):
+    def test_a_late_record_does_not_count_twice_for_one_death(self):
         ledger = make_ledger(*TWO_REQUESTS[:2])
         ledger.merge_crash(crash(1, chain(FIRST, BAD, "q1", rank=2)), 9.0)
         ledger.merge_crash(crash(1, chain(FIRST, BAD, "q7", rank=1)), 9.0)
-        self.assertEqual(2, len(ledger.accused[BAD]))
+        self.assertEqual(2, len(ledger.suspicions[BAD]))
         self.assertFalse(ledger.is_blocked(BAD))
 
-    def test_an_upstream_that_still_runs_accuses_nobody(self):
+    def test_an_upstream_that_still_runs_puts_nobody_under_suspicion(self):
         ledger = make_ledger()
         for number in range(6):
             lose(ledger, number, (FIRST, BAD, "q1"), 1.0, has_ended=False)
-        self.assertEqual({}, ledger.accused)
+        self.assertEqual({}, ledger.suspicions)
         self.assertEqual([], ledger.unpublished(9.0))
 
     def test_several_requests_lost_with_one_upstream_are_one_death(self):
@@ -117,7 +117,7 @@
             ledger.record_loss(upstream, (BAD, f"q{number}"), {}, 1.0)
         ledger.record_check(upstream, True, 1.0)
         ledger.record_loss(upstream, (BAD, "q9"), {}, 1.0)
-        self.assertEqual(["u0~1"], list(ledger.accused[BAD]))
+        self.assertEqual(["u0~1"], list(ledger.suspicions[BAD]))
         (record,) = ledger.unpublished(1.0)
         self.assertEqual(5, len(record.chains))
 
@@ -125,43 +125,43 @@
         ledger = make_ledger()
         for number in range(3):
             lose(ledger, number, (BAD, "q1"), float(number))
-        ranks = [suspect.rank for suspect in ledger.accused[BAD].values()]
+        ranks = [suspicion.rank for suspicion in ledger.suspicions[BAD].values()]
         self.assertEqual([1, 2, 3], ranks)
 
     def test_a_death_that_is_not_confirmed_yet_counts_for_the_rank(self):
         ledger = make_ledger()
         ledger.record_loss(make_upstream(0), (BAD, "q1"), {}, 1.0)
-        self.assertEqual(1, ledger.known_suspects((BAD,))[BAD].rank)
-        self.assertEqual({}, ledger.accused)
+        self.assertEqual(1, ledger.known_suspicions((BAD,))[BAD].rank)
+        self.assertEqual({}, ledger.suspicions)
 
 
 class SoundTest(TestCase):
     def test_a_request_that_runs_well_clears_its_traits_at_all_instances(self):
         ledger, other = make_ledger(*TWO_REQUESTS), make_ledger(*TWO_REQUESTS)
         ledger.record_clean_run((FIRST, SOUND), 1.0)
-        self.assertEqual({BAD, "q1", "q2"}, set(ledger.accused))
+        self.assertEqual({BAD, "q1", "q2"}, set(ledger.suspicions))
         (record,) = ledger.unpublished(9.0)
         self.assertEqual(
             SoundRecord(FIRST, frozenset({"u0~1", "u1~1", "u2~1"})), record
         )
         other.merge_sound(record, 2.0)
-        self.assertEqual({BAD, "q1", "q2"}, set(other.accused))
+        self.assertEqual({BAD, "q1", "q2"}, set(other.suspicions))
 
-    def test_a_trait_that_ran_well_a_short_time_ago_is_not_accused(self):
+    def test_a_trait_that_ran_well_a_short_time_ago_is_not_suspected(self):
         ledger = make_ledger()
         ledger.record_clean_run((FIRST,), 1.0)
         lose(ledger, 0, (FIRST, BAD), 1.0 + PROOF_VALID_S - 0.1)
-        self.assertEqual({BAD}, set(ledger.accused))
+        self.assertEqual({BAD}, set(ledger.suspicions))
         lose(ledger, 1, (FIRST, BAD), 1.0 + PROOF_VALID_S)
-        self.assertEqual({FIRST, BAD}, set(ledger.accused))
+        self.assertEqual({FIRST, BAD}, set(ledger.suspicions))
 
-    def test_an_accusation_by_another_instance_is_answered_with_what_ran_well_here(
+    def test_a_suspicion_of_another_instance_is_answered_with_what_ran_well_here(
         self,
     ):
         ledger = make_ledger()
         ledger.record_clean_run((FIRST,), 1.0)
         ledger.merge_crash(crash(0, chain(FIRST, BAD)), 2.0)
-        self.assertEqual({BAD}, set(ledger.accused))
+        self.assertEqual({BAD}, set(ledger.suspicions))
         self.assertEqual(
             [SoundRecord(FIRST, frozenset({"u0~1"}))], ledger.unpublished(9.0)
         )
@@ -173,18 +173,18 @@
         ledger.merge_sound(SoundRecord(FIRST, frozenset({"u0~1"})), 2.1)
         self.assertEqual([], ledger.unpublished(9.0))
 
-    def test_a_cleared_trait_is_not_accused_by_a_late_record_of_the_same_death(self):
+    def test_a_cleared_trait_is_not_suspected_by_a_late_record_of_the_same_death(self):
         ledger = make_ledger()
         ledger.merge_sound(SoundRecord(BAD, frozenset({"u0~1"})), 1.0)
         ledger.merge_crash(crash(0, chain(FIRST, BAD)), 1.0 + PROOF_VALID_S)
-        self.assertEqual({FIRST}, set(ledger.accused))
+        self.assertEqual({FIRST}, set(ledger.suspicions))
 
     def test_deaths_are_forgotten_after_some_minutes(self):
         ledger = make_ledger(*TWO_REQUESTS)
         ledger.forget_expired(RECORD_TTL_S - 1.0)
         self.assertTrue(ledger.is_blocked(BAD))
         ledger.forget_expired(float(RECORD_TTL_S))
-        self.assertEqual(({}, {}), (ledger.accused, ledger.deaths))
+        self.assertEqual(({}, {}), (ledger.suspicions, ledger.deaths))
 
 
 class TrialTest(TestCase):
@@ -195,7 +195,7 @@
             self.assertFalse(ledger.is_trial_due((FIRST, BAD), now + interval_s - 0.1))
             now += interval_s
             self.assertTrue(ledger.is_trial_due((FIRST, BAD), now))
-            known = ledger.known_suspects((BAD,))
+            known = ledger.known_suspicions((BAD,))
             ledger.merge_trial(ledger.next_trial(BAD), now)
             self.assertFalse(ledger.is_trial_due((BAD,), now))
             now += 1.0
@@ -240,7 +240,7 @@
         self.deaths += 1
         upstream = make_upstream(self.deaths)
         for traits in ((FIRST, BAD, f"q{number}"), (FIRST, f"sound{sound}")):
-            known = ledger.known_suspects(traits)
+            known = ledger.known_suspicions(traits)
             ledger.record_loss(upstream, traits, known, self.now)
         ledger.record_check(upstream, True, self.now)
 
@@ -273,11 +273,11 @@
             ledger.forget_expired(self.now)
 
     @invariant()
-    def a_trait_is_accused_of_known_deaths_only(self):
+    def a_trait_is_suspected_of_known_deaths_only(self):
         for ledger in getattr(self, "ledgers", ()):
-            for suspects in ledger.accused.values():
-                assert suspects
-                assert suspects.keys() <= ledger.deaths.keys()
+            for suspicions in ledger.suspicions.values():
+                assert suspicions
+                assert suspicions.keys() <= ledger.deaths.keys()
 
     @invariant()
     def the_bad_part_is_never_cleared(self):
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -39,7 +39,7 @@
 from turmericusher.decisions.crash_ledger import TRIAL_AFTER_S
 from turmericusher.decisions.crash_records import (
     CrashRecord,
-    Suspect,
+    Suspicion,
     TrialRecord,
     request_traits,
 )
@@ -122,8 +122,8 @@
     """Return the state of an instance at which the part `BAD` is blocked."""
     shared = make_relay_shared()
     for number in range(3):
-        suspects = (Suspect(f"part-{BAD}", 2), Suspect(f"request-{number}", 1))
-        record = CrashRecord(f"x{number}", "1", frozenset({suspects}))
+        suspicions = (Suspicion(f"part-{BAD}", 2), Suspicion(f"request-{number}", 1))
+        record = CrashRecord(f"x{number}", "1", frozenset({suspicions}))
         shared.crashes.merge_crash(record, -TRIAL_AFTER_S if is_due else 0.0)
     return shared
 
