Soak: upstreams of several versions, and requests that crash upstreams

Two checks, each with a history that it finds, histories that it passes over, and a mutation.

An upstream that is down now refuses connections, as one that has ended does; the proxy accepted them and reset them. Its test asks for the refusal in place of the reset, and also that connections work again after it: as strict, and what the program needs to tell an end from a reset.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -47,6 +47,11 @@
 LIMIT_TOLD_AFTER_S = 0.5
 """Seconds after an answer with a limit from which on its instance must know it."""
 
+CRASHES_TO_LEARN = 5
+MAX_LATE_CRASHING_SENDS = 3
+"""Crashes under one part after which the instances must know it, and the requests with
+it that may still reach upstreams then."""
+
 RECOVERY_S = 15.0
 """Required recovery time, from the end of the last fault until every request is served
 again. It includes the undisturbed time that the recovery needs."""
@@ -247,6 +252,38 @@
                 break
 
 
+def streams_keep_their_version(history: History) -> Iterator[str]:
+    """Yield the streams whose events came from upstreams of several versions.
+
+    A stream may go over several requests of its caller.
+    """
+    for request in history.requests.values():
+        first = history.requests.get(request.resumes)
+        versions = request.versions | (first.versions if first else set())
+        if len(versions) > 1:
+            yield f"{describe(request)} has events of {sorted(versions)}"
+
+
+def crashing_requests_stop(history: History) -> Iterator[str]:
+    """Yield one message if too many crashing requests were sent after five crashes.
+
+    Requests of instances that were disturbed lately do not count, nor those sent while
+    the store was.
+    """
+    if len(history.crashes) < CRASHES_TO_LEARN:
+        return
+    from_s = history.crashes[CRASHES_TO_LEARN - 1] + STABILIZATION_S
+    late = []
+    for arrival in history.arrivals:
+        request = history.requests.get(arrival.request_id)
+        if request is None or not request.is_crashing or arrival.at < from_s:
+            continue
+        if is_undisturbed(history, request.instance, arrival.at):
+            late.append(f"{request.request_id} at {arrival.at:.2f}")
+    if len(late) > MAX_LATE_CRASHING_SENDS:
+        yield f"{len(late)} came later than {from_s:.2f}: {late}"
+
+
 def work_ends_with_callers(history: History) -> Iterator[str]:
     """Yield one message if too many requests ran on after callers disconnected."""
     late, counted = [], 0
@@ -301,6 +338,8 @@
     answered_in_time,
     bounded_repeats,
     named_limits,
+    streams_keep_their_version,
+    crashing_requests_stop,
     work_ends_with_callers,
     served_after_recovery,
     no_unexpected_exit,
--- a/benchmarks/soak/deployment.py
+++ b/benchmarks/soak/deployment.py
@@ -165,6 +165,7 @@
             slots=UPSTREAM_SLOTS,
             sequence=self.sequence,
             born=self.born,
+            version=self.standin.version,
         )
 
 
@@ -253,11 +254,13 @@
 
 
 async def start_upstream(
-    stack: AsyncExitStack, index: int, history: History
+    stack: AsyncExitStack, index: int, history: History, version: str
 ) -> DeployedUpstream:
     """Start one upstream behind a link."""
     name = f"u{index}"
-    standin = SoakUpstream(name, history=history, team=TEAM_NAME, stable_name=name)
+    standin = SoakUpstream(
+        name, history=history, team=TEAM_NAME, stable_name=name, version=version
+    )
     standin.restart(FIRST_START_MS)
     await stack.enter_async_context(running_standin(standin))
     link = await stack.enter_async_context(running_proxy(standin.address))
@@ -283,7 +286,7 @@
         retry_budget_ratio=RETRY_RATIO,
         budget_slack=RETRY_SLACK,
     )
-    path.write_text(text)
+    path.write_text(f"{text}internal_port_range=20005,20005\n")
     instance = InstanceProcess(
         name, host, store_link, callers_link, path, folder / f"{name}.log", source
     )
@@ -305,7 +308,7 @@
             aiohttp.ClientSession(timeout=timeout)
         )
         upstreams = [
-            await start_upstream(stack, index, history)
+            await start_upstream(stack, index, history, plan.version_of(index))
             for index in range(plan.upstreams)
         ]
         # With these an upstream can copy a stream to the one at a given address.
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -28,7 +28,9 @@
     open, `status` is None if no answer began, and `error` describes wrong content.
     `left_at` is when the caller disconnected early, None if it did not. `comes_back` is
     set if the caller was refused and sends the request again after `Retry-After`.
-    `last_event` is the last event of a stream that arrived.
+    `last_event` is the last event of a stream that arrived, and `versions` are those of
+    the upstreams of its events. `resumes` is the request whose stream this one goes on
+    with. `is_crashing`: it has the part that crashes upstreams.
     """
 
     request_id: str
@@ -46,6 +48,9 @@
     retry_after_s: float | None = None
     comes_back: bool = False
     longest_gap_s: float = 0.0
+    versions: set[str] = field(default_factory=set)
+    resumes: str = ""
+    is_crashing: bool = False
 
     @property
     def is_served(self) -> bool:
@@ -121,7 +126,8 @@
 class History:
     """Everything that was recorded in one run.
 
-    `accepted` maps each configuration version to the time the store accepted it.
+    `accepted` maps each configuration version to the time the store accepted it, and
+    `crashes` has the times at which requests with the crashing part ended an upstream.
     """
 
     requests: dict[str, SentRequest] = field(default_factory=dict)
@@ -132,6 +138,7 @@
     limits: list[LimitSpan] = field(default_factory=list)
     exits: list[UnexpectedExit] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
+    crashes: list[float] = field(default_factory=list)
     faults_end_at: float = math.inf
 
     def runs(self) -> Counter[str]:
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -48,6 +48,9 @@
 """Upstreams write lapsed entries again within two seconds of the store's recovery;
 the delay stays a little below that."""
 
+CRASH_DOWNTIME_S = 1.0
+"""Seconds until an upstream that a request has crashed is back."""
+
 NAMED_LIMIT_PER_S = 2.0
 """Limit that an upstream names: a part of what it gets otherwise."""
 
@@ -60,6 +63,8 @@
     Steps that overlap run concurrently.
     """
     started_at = deployment.now()
+    for upstream in deployment.upstreams:
+        crash_on_requests(deployment, upstream)
     running = []
     for step in deployment.plan.steps:
         await asyncio.sleep(max(0.0, started_at + step.at_s - deployment.now()))
@@ -270,6 +275,20 @@
     disturbance.ends = deployment.now()
 
 
+def crash_on_requests(deployment: Deployment, upstream: DeployedUpstream) -> None:
+    """Have an upstream die whenever it begins to answer a request that crashes it."""
+
+    def crash() -> None:
+        fault = UpstreamFault(upstream.index, UpstreamFaultKind.DIE)
+        if upstream.is_shutting_down:
+            return
+        deployment.history.crashes.append(deployment.now())
+        step = Step(0.0, CRASH_DOWNTIME_S, fault)
+        deployment.tasks.add(asyncio.create_task(inject(fault, deployment, step)))
+
+    upstream.standin.on_crash = crash
+
+
 async def slow_down(
     kind: UpstreamFaultKind,
     deployment: Deployment,
@@ -309,16 +328,17 @@
 
     Its entry is deleted from the store only at the end of the downtime.
     """
-    upstream.link.is_refusing = True
-    upstream.link.reset_connections()
+    upstream.link.refuse()
     upstream.is_up = False
     await asyncio.sleep(downtime_s)
     deployment.write_entry(upstream)
     upstream.incarnation += 1
     if fault.kind is UpstreamFaultKind.MOVE:
         upstream.standin.name = f"u{upstream.index}-{upstream.incarnation}"
+        upstream.standin.version = deployment.plan.version_of(upstream.incarnation)
     # `born` identifies the incarnation, so it must change without a clock step too.
     upstream.born += MS_PER_SECOND * int(fault.clock_step_s) + upstream.incarnation
     upstream.standin.restart(upstream.born)
-    upstream.state, upstream.is_up, upstream.link.is_refusing = "ready", True, False
+    await upstream.link.listen()
+    upstream.state, upstream.is_up = "ready", True
     deployment.write_entry(upstream)
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -91,6 +91,20 @@
         "if self.wait_s(name, now) > 0.0",
         "if self.wait_s(name, now) > 1e12",
     ),
+    Mutation(
+        "a-stream-goes-on-at-any-version",
+        "streams_keep_their_version",
+        "decisions/relay.py",
+        "self.version = attempt.upstream.version",
+        "pass",
+    ),
+    Mutation(
+        "crashes-are-not-remembered",
+        "crashing_requests_stop",
+        "decisions/crash_ledger.py",
+        "if len(suspects) < BLOCKING_DEATHS:",
+        "if suspects is not None:",
+    ),
     Mutation(
         "work-goes-on-without-its-caller",
         "work_ends_with_callers",
