Soak: the mutation of the crash ledger names what the ledger has now

The rename of suspicions left `crashes-are-not-remembered` without its line; the test that applies each mutation shows it.

--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -102,8 +102,8 @@
         "crashes-are-not-remembered",
         "crashing_requests_stop",
         "decisions/crash_ledger.py",
-        "if len(suspects) < BLOCKING_DEATHS:",
-        "if suspects is not None:",
+        "if len(suspicions) < BLOCKING_DEATHS:",
+        "if suspicions is not None:",
     ),
     Mutation(
         "work-goes-on-without-its-caller",
