--- a/tests/common/known_red.py
+++ b/tests/common/known_red.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, field, fields
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 FILE_NAME = "KNOWN-RED.txt"
+WORKER_KEY = "known_red_missing"
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,9 +28,14 @@
 
 @dataclass(slots=True)
 class KnownRedPlugin:
-    """A pytest plugin that expects the listed tests to fail and reports them apart."""
+    """A pytest plugin that expects the listed tests to fail and reports them apart.
+
+    `missing` are the complaints about entries without a test that workers of
+    pytest-xdist passed on, since an exception would only end the worker.
+    """
 
     entries: tuple[KnownRed, ...]
+    missing: set[str] = field(default_factory=set)
 
     @pytest.hookimpl(tryfirst=True)
     def pytest_collection_modifyitems(
@@ -45,15 +52,30 @@
             if item is not None:
                 item.add_marker(pytest.mark.xfail(strict=True, reason=reason(entry)))
             elif is_selected(config, entry.test):
-                raise pytest.UsageError(
+                message = (
                     f"{FILE_NAME}: test={entry.test!r} does not exist; "
                     "remove or correct the entry"
                 )
+                if not hasattr(config, "workeroutput"):
+                    raise pytest.UsageError(message)
+                config.workeroutput.setdefault(WORKER_KEY, []).append(message)
+
+    @pytest.hookimpl(optionalhook=True)
+    def pytest_testnodedown(self, node: Any) -> None:
+        """Collect the complaints of a worker that has ended."""
+        self.missing.update(getattr(node, "workeroutput", {}).get(WORKER_KEY, ()))
+
+    def pytest_sessionfinish(self, session: pytest.Session) -> None:
+        """Fail the run if a worker found an entry without a test."""
+        if self.missing:
+            session.exitstatus = pytest.ExitCode.USAGE_ERROR
 
     def pytest_terminal_summary(
         self, terminalreporter: pytest.TerminalReporter
     ) -> None:
-        """Print the listed tests that failed in this run."""
+        """Print the listed tests that failed, and the entries without a test."""
+        for message in sorted(self.missing):
+            terminalreporter.line(message, red=True)
         failed = {report.nodeid for report in terminalreporter.stats.get("xfailed", ())}
         failed_entries = [entry for entry in self.entries if entry.test in failed]
         if not failed_entries:
--- a/tests/common/relay_fixtures.py
+++ b/tests/common/relay_fixtures.py
@@ -6,6 +6,7 @@
 import itertools
 import os
 import random
+import socket
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
@@ -42,6 +43,8 @@
 ACCESS_KEY = "key-of-a-team"
 HOST = "a.example"
 HOST_NUMBERS = itertools.count()
+RESERVATION_PORT = 20000
+RESERVATIONS: list[socket.socket] = []
 PATHS = {
     RequestKind.IDEMPOTENT: "/idempotent/",
     RequestKind.NON_IDEMPOTENT: "/once/",
@@ -240,10 +243,22 @@
 def unused_loopback_host() -> str:
     """Return a loopback address that no other instance and no other process uses.
 
-    On 127.0.0.1, a port that was free a moment ago may be taken by any connection.
+    On 127.0.0.1, a port that was free a moment ago may be taken by any connection. The
+    host stays reserved until this process ends: processes of several test runs may try
+    the same ones.
     """
-    number = next(HOST_NUMBERS)
-    return f"127.{1 + os.getpid() % 250}.{number // 250}.{1 + number % 250}"
+    while True:
+        number = next(HOST_NUMBERS)
+        second = 1 + os.getpid() % 250
+        host = f"127.{second}.{number // 250}.{1 + number % 250}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((host, RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        RESERVATIONS.append(reservation)
+        return host
 
 
 def settings_text(
--- a/tests/cover/test_known_red.py
+++ b/tests/cover/test_known_red.py
@@ -30,6 +30,7 @@
         if "set_up" in self.id():
             raise RuntimeError("no")
 """
+WORKERS = ("--numprocesses=2", "--dist=worksteal")
 GOOD, BAD, SET_UP = "test_good", "test_bad", "test_broken_set_up"
 
 
@@ -87,6 +88,13 @@
             ("test_of_another_file", entry("t").replace("_samples", "_else"),
              ("test_samples.py", "-k", "good"), 0, "1 passed"),
             ("missing_field", entry(BAD).replace("issue: 9", ""), (), 4, "must have"),
+            ("listed_fail_in_workers", entry(BAD) + "\n" + entry(SET_UP), WORKERS, 0,
+             "known red: test_samples.py::Samples::test_bad (one is not two; issue 9)"),
+            ("unlisted_failure_in_a_worker", entry(BAD), WORKERS, 1, "1 failed"),
+            ("listed_test_passes_in_a_worker", entry(GOOD), WORKERS, 1,
+             "XPASS(strict)"),
+            ("missing_test_in_workers", entry("test_gone"), WORKERS, 4,
+             "does not exist"),
             ("empty_field", entry(BAD).replace("issue: 9", "issue:"), (), 4,
              "must have"),
         ]
