Logs: which upstream a request used, and when an upstream's answer says that it leaves

Nothing in the logs told which upstream the only attempt of a request went to, or that an answer said that its upstream leaves, so the hypotheses of the incident could not be told apart. `request_ended` now has the number of attempts and the last upstream, and `upstream_leaving` is written for the first answer of an incarnation that says so, with what the list says then. The adapter reads the mark in all responses: to requests, reports, checks for an end, copies and their release; the last needs the upstream that made a copy, not its address alone. No decision uses the mark yet. The stand-ins send it in all their answers while `is_leaving` is set.

--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -21,7 +21,6 @@
     ReceivedCall,
     UpstreamStandin,
     encode_chunk,
-    encode_head,
 )
 from turmericusher.tasks.background import cancel_tasks
 
@@ -149,14 +148,16 @@
         if self.send_limit is not None:
             headers[SEND_LIMIT] = self.send_limit
         if self.is_failing:
-            writer.write(encode_head(500, headers | {"Content-Length": "0"}))
+            writer.write(self.encode_head(500, headers | {"Content-Length": "0"}))
         elif CRASHING_PART in call.headers.get(PROMPT_PARTS, ""):
             await asyncio.sleep(EVENT_INTERVAL_S)
             self.on_crash()
             await asyncio.sleep(ENDLESS_S)
         elif call.target.startswith(STREAM_PATHS):
             first_number = int(call.headers.get(LAST_EVENT_ID, "0")) + 1
-            writer.write(encode_head(200, headers | {"Transfer-Encoding": "chunked"}))
+            writer.write(
+                self.encode_head(200, headers | {"Transfer-Encoding": "chunked"})
+            )
             for number in range(first_number, EVENT_COUNT + 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 await self.is_unpaused.wait()
@@ -171,5 +172,5 @@
             await self.is_unpaused.wait()
             body = answer_content(call.target).encode()
             length = {"Content-Length": str(len(body))}
-            writer.write(encode_head(200, headers | length) + body)
+            writer.write(self.encode_head(200, headers | length) + body)
         await writer.drain()
--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -19,6 +19,7 @@
 from turmericusher.api.body_parsing import read_body
 from turmericusher.api.errors import STATUS_BY_CODE
 from turmericusher.decisions.generation_messages import Fail
+from turmericusher.decisions.relay import Relay
 from turmericusher.decisions.relay_messages import (
     BreakStream,
     DeliverAnswer,
@@ -179,12 +180,12 @@
         """Send the request upstream and its outputs to the caller; log the outcome."""
         context = self.frontend.context
         outcome = "caller_gone"
-        try:
-            async with open_relay(context, request, routed) as outputs:
-                async for output in outputs:
+        async with open_relay(context, request, routed) as owner:
+            try:
+                async for output in owner.outputs():
                     outcome = await self.send_output(output)
-        finally:
-            self.log_outcome(request, routed, outcome)
+            finally:
+                self.log_outcome(owner.relay, outcome)
 
     async def send_output(self, output: RelayOutput) -> str:
         """Send one output to the caller and return the request's outcome so far."""
@@ -258,10 +259,9 @@
             {"type": "http.response.body", "body": payload, "more_body": more}
         )
 
-    def log_outcome(
-        self, request: RelayedRequest, routed: RoutedRequest, outcome: str
-    ) -> None:
+    def log_outcome(self, relay: Relay, outcome: str) -> None:
         """Log how a request ended and record its metrics."""
+        request, routed = relay.request, relay.routed
         took_s = self.frontend.clock() - self.arrived_at
         kind = routed.route.kind.value
         outcome_name = outcome.partition(":")[0]
@@ -281,6 +281,8 @@
             team=routed.team,
             configuration=routed.version,
             kind=kind,
+            attempts=relay.last_number,
+            upstream=relay.last_upstream or None,
             resume_after=request.resume_after,
             resumes=request.resumes,
             took_s=took_s,
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -196,12 +196,11 @@
 class MemoryCopy:
     """A copy of an attempt's KV cache that `holder` has.
 
-    `handle` identifies it at `source_address`, the address of the upstream that made
-    it.
+    `handle` identifies it at `source`, the upstream that made it.
     """
 
     holder: UpstreamInstance
-    source_address: str
+    source: UpstreamInstance
     handle: str
 
 
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -274,6 +274,7 @@
         # A trial is for one attempt.
         is_trial, self.has_trial = self.has_trial, False
         self.last_number += 1
+        self.last_upstream = upstream.name
         self.sends += 1
         standby = standby or self.choose_standby(upstream, now)
         if standby is not None:
@@ -369,7 +370,7 @@
         """Return the copy that the upstream keeps on a standby under the request id."""
         if standby is None:
             return None
-        return MemoryCopy(standby, standby.address, self.request.request_id)
+        return MemoryCopy(standby, standby, self.request.request_id)
 
     def choose_standby(
         self, upstream: UpstreamInstance, now: float
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -32,6 +32,7 @@
 from turmericusher.decisions.selection import PickRequest, Selector
 from turmericusher.decisions.send_limits import SendLimits
 from turmericusher.decisions.stream_versions import StreamVersions
+from turmericusher.decisions.upstream_marks import LeavingMarks, leaving_mark
 from turmericusher.errors import ErrorCode, Verdict
 
 RUNNING_PROBE_SHARE = 0.3
@@ -148,6 +149,7 @@
     `typical_sizes` the request size of each service. `holders` tracks which holders of
     copies are lost, `send_limits` the limits that upstreams name, `crashes` which
     requests crash upstreams, and `versions` at which version each stream began.
+    `leaving` has the upstreams that said themselves that they leave.
     """
 
     selector: Selector
@@ -164,10 +166,16 @@
     crashes: CrashLedger = field(default_factory=CrashLedger)
     versions: StreamVersions = field(default_factory=StreamVersions)
     send_limits: SendLimits = field(init=False)
+    leaving: LeavingMarks = field(init=False)
 
     def __post_init__(self) -> None:
-        """Start without any limit."""
+        """Start without any limit or mark."""
         self.send_limits = SendLimits(self.random)
+        self.leaving = LeavingMarks(self.random)
+
+    def record_leaving(self, upstream: UpstreamInstance, now: float) -> bool:
+        """Record that an upstream said that it leaves; return whether that is new."""
+        return self.leaving.add((leaving_mark(upstream),), now)
 
     def budget_for(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, which may be new."""
@@ -244,6 +252,7 @@
     the last event. `copy` is that of the last attempt that may have run.
     `version` is that of the upstreams at which the stream goes on, empty until it has
     begun or if there is only one; `is_finding_version`: other instances were asked.
+    `last_upstream` is the name of that of the last attempt, empty before any.
     `traits` are what the request shares with others that may crash upstreams.
     `is_querying_loads`: candidates were queried for their load, and no attempt runs
     yet. `is_claiming_trial`: a trial of a blocked trait was asked for, and `has_trial`:
@@ -263,6 +272,7 @@
     lost_domains: dict[str, float] = field(default_factory=dict)
     copy: MemoryCopy | None = None
     last_number: int = 0
+    last_upstream: str = ""
     sends: int = 0
     refusals: int = 0
     stalled_upstreams: list[UpstreamInstance] = field(default_factory=list)
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -12,6 +12,7 @@
 from turmericusher.errors import ErrorCode, RequestRefusedError
 from turmericusher.platform.names import (
     LAST_EVENT_ID,
+    LEAVING,
     LOAD,
     PROMPT_PARTS,
     REMAINING_MS,
@@ -169,6 +170,13 @@
     return None
 
 
+def parse_leaving(headers: Headers) -> bool:
+    """Whether a response says that its upstream is leaving."""
+    return any(
+        name.lower() == LEAVING and value.strip() == "1" for name, value in headers
+    )
+
+
 def parse_send_limit(headers: Headers) -> float | None:
     """Return the requests per second that an upstream takes from all instances.
 
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -62,6 +62,9 @@
 # Requests per second that the upstream takes from all instances together.
 SEND_LIMIT = "server-limit"
 
+# "1" in all responses of an upstream that is leaving.
+LEAVING = "server-leaving"
+
 UPSTREAM_ONLY_HEADERS = frozenset({LOAD, NOT_RUN_MARK, "x-instance-id"})
 """Response headers that are meant for this system and never reach callers."""
 
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -124,7 +124,9 @@
         )
         port = await stack.enter_async_context(
             open_platform_upstreams(
-                selector.merge_report, partial(record_send_limit, shared)
+                selector.merge_report,
+                partial(record_send_limit, shared),
+                partial(record_leaving, shared),
             )
         )
         reports = CrashReports(shared.crashes, port, store, CrashRecordCodec())
@@ -160,6 +162,23 @@
         log_event("send_limit", upstream=upstream.name, limit_per_s=per_s)
 
 
+def record_leaving(shared: RelayShared, upstream: UpstreamInstance) -> None:
+    """Record that an upstream answered that it is leaving, and log it the first time.
+
+    `listed` is what the store's list says of its incarnation.
+    """
+    now = asyncio.get_running_loop().time()
+    listed = shared.selector.upstreams.get(upstream.name)
+    is_listed = listed is not None and listed.incarnation == upstream.incarnation
+    if shared.record_leaving(upstream, now):
+        log_event(
+            "upstream_leaving",
+            upstream=upstream.name,
+            incarnation=upstream.incarnation,
+            listed=listed.lifecycle.value if listed and is_listed else None,
+        )
+
+
 def assemble_instance(
     settings: NodeSettings, context: RelayContext, store: KeyValueStore
 ) -> RelayInstance:
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -11,7 +11,7 @@
 import re
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import aiohttp
 from yarl import URL
@@ -36,7 +36,7 @@
 from turmericusher.decisions.upstream_load import LoadReport
 from turmericusher.errors import Verdict
 from turmericusher.logs import log_event
-from turmericusher.platform.codec import parse_load, parse_send_limit
+from turmericusher.platform.codec import parse_leaving, parse_load, parse_send_limit
 from turmericusher.platform.names import (
     COPY_PATH,
     COPY_SOURCE,
@@ -85,6 +85,7 @@
 
 LoadListener = Callable[[str, LoadReport], None]
 LimitListener = Callable[[UpstreamInstance, float | None], None]
+LeavingListener = Callable[[UpstreamInstance], None]
 
 
 class MalformedStreamError(Exception):
@@ -106,11 +107,13 @@
     `on_load` receives the loads in response headers. `on_limit` receives, for each
     response to a request, the requests per second that its upstream takes, or None
     without a limit. A report or a refusal may name a limit too, but does not lift one.
+    `on_leaving` receives, for each response that says so, the upstream that is leaving.
     """
 
     session: aiohttp.ClientSession
     on_load: LoadListener
     on_limit: LimitListener
+    on_leaving: LeavingListener
 
     async def send(
         self,
@@ -135,6 +138,7 @@
                 ),
                 trace_request_ctx=progress,
             ) as response:
+                self.note_leaving(start.upstream, response)
                 exchange = AttemptExchange(start, request, response, sink)
                 load = parse_load(exchange.headers)
                 if load is not None:
@@ -149,6 +153,19 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             await sink(failure_from_error(start, progress, error))
 
+    def note_leaving(
+        self, upstream: UpstreamInstance, response: aiohttp.ClientResponse
+    ) -> bool:
+        """Pass on that an upstream is leaving if its response says so.
+
+        If another incarnation or another upstream has answered at the address, this one
+        has ended.
+        """
+        is_leaving = parse_leaving(tuple(response.headers.items()))
+        if is_leaving:
+            self.on_leaving(upstream)
+        return is_leaving
+
     def read_limit(self, upstream: UpstreamInstance, headers: Headers) -> float | None:
         """Return the limit that a response names; a malformed one counts as none."""
         try:
@@ -163,11 +180,16 @@
         url = f"http://{upstream.address}{REPORT_PATH}"
         try:
             async with self.session.get(url, timeout=timeout) as response:
+                is_leaving = self.note_leaving(upstream, response)
                 data = await response.read()
             limit_per_s = self.read_limit(upstream, tuple(response.headers.items()))
             if limit_per_s is not None:
                 self.on_limit(upstream, limit_per_s)
-            return decode_report(data)
+            report = decode_report(data)
+            if is_leaving:
+                # The report names the incarnation, which the list may not show yet.
+                self.on_leaving(replace(upstream, incarnation=report.incarnation))
+            return report
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             log_event("report_missing", upstream=upstream.name, error=repr(error))
             return None
@@ -181,6 +203,7 @@
         url = f"http://{upstream.address}{REPORT_PATH}"
         try:
             async with self.session.get(url, timeout=timeout) as response:
+                self.note_leaving(upstream, response)
                 data = await response.read()
         except aiohttp.ClientConnectorError as error:
             return isinstance(error.os_error, ConnectionRefusedError)
@@ -203,10 +226,11 @@
         body = encode_copy_request(request_id, target.address)
         try:
             async with self.session.post(url, data=body, timeout=timeout) as response:
+                self.note_leaving(source, response)
                 data = await response.read()
                 if response.status not in SUCCESS:
                     return None
-            return MemoryCopy(target, source.address, decode_copy_handle(data))
+            return MemoryCopy(target, source, decode_copy_handle(data))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             log_event("copy_missing", upstream=source.name, error=repr(error))
             return None
@@ -214,9 +238,10 @@
     async def release_copy(self, copy: MemoryCopy) -> None:
         """Free the memory of a copy; a copy that is already gone is not an error."""
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
-        url = f"http://{copy.source_address}{RELEASE_PATH}/{copy.handle}"
+        url = f"http://{copy.source.address}{RELEASE_PATH}/{copy.handle}"
         try:
             async with self.session.delete(url, timeout=timeout) as response:
+                self.note_leaving(copy.source, response)
                 await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             log_event("release_failed", holder=copy.holder.name, error=repr(error))
@@ -369,7 +394,7 @@
     if routed.service.reports_load:
         headers.append((URGENCY, str(routed.urgency)))
     if start.copy is not None:
-        source = f"{start.copy.source_address}/{start.copy.handle}"
+        source = f"{start.copy.source.address}/{start.copy.handle}"
         headers.append((COPY_SOURCE, source))
     if start.resume_after is not None:
         headers.append((LAST_EVENT_ID, str(start.resume_after)))
@@ -407,8 +432,8 @@
 
 @asynccontextmanager
 async def open_platform_upstreams(
-    on_load: LoadListener, on_limit: LimitListener
+    on_load: LoadListener, on_limit: LimitListener, on_leaving: LeavingListener
 ) -> AsyncIterator[PlatformUpstreams]:
     """Yield the port, and close its session on exit."""
     async with open_single_send_session() as session:
-        yield PlatformUpstreams(session, on_load, on_limit)
+        yield PlatformUpstreams(session, on_load, on_limit, on_leaving)
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -19,6 +19,7 @@
     COPY_PATH,
     COPY_SOURCE,
     LAST_EVENT_ID,
+    LEAVING,
     LOAD,
     NOT_RUN_MARK,
     PROMPT_PARTS,
@@ -100,7 +101,8 @@
     ran, and `released` the handles that callers released. `caller_disconnects` counts
     the calls whose caller closed the connection before the answer was complete.
     `report` is the load report that it returns, and `send_limit` the text of the limit
-    that it names in its answers, if any. A call with one of `crashing_parts` in its
+    that it names in its answers, if any. While `is_leaving`, all its answers say so. A
+    call with one of `crashing_parts` in its
     prompt crashes it when it would begin to write the answer. `crashed` is set then,
     and `connections` holds what is open until that.
     """
@@ -122,11 +124,17 @@
     released: list[str] = field(default_factory=list)
     report: UpstreamReport = IDLE_REPORT
     send_limit: str | None = None
+    is_leaving: bool = False
     crashing_parts: frozenset[str] = frozenset()
     crashed: asyncio.Event = field(default_factory=asyncio.Event)
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
 
+    def encode_head(self, status: int, headers: dict[str, str]) -> bytes:
+        """Return the head of an answer, marked if this upstream is leaving."""
+        mark = {LEAVING: "1"} if self.is_leaving else {}
+        return encode_head(status, headers | mark)
+
     def stop_listening(self) -> None:
         """Accept no more connections; open ones continue."""
         if self.server is not None:
@@ -155,10 +163,10 @@
             if call is not None and call.target == REPORT_PATH:
                 body = encode_report(self.report)
                 length = {"Content-Length": str(len(body))}
-                writer.write(encode_head(200, length) + body)
+                writer.write(self.encode_head(200, length) + body)
             elif call is not None and call.target.startswith(RELEASE_PATH):
                 self.released.append(call.target.rpartition("/")[2])
-                writer.write(encode_head(200, {"Content-Length": "0"}))
+                writer.write(self.encode_head(200, {"Content-Length": "0"}))
             elif call is not None and call.target == COPY_PATH:
                 self.handle_copy_request(call, writer)
             elif call is not None:
@@ -177,12 +185,12 @@
         request_id, address = decode_copy_request(call.body)
         peer = self.peers.get(address)
         if peer is None or request_id not in self.runs:
-            writer.write(encode_head(503, {"Content-Length": "0"}))
+            writer.write(self.encode_head(503, {"Content-Length": "0"}))
             return
         handle = f"copy-of-{request_id}"
         peer.copies.add(handle)
         body = encode_copy_handle(handle)
-        writer.write(encode_head(200, {"Content-Length": str(len(body))}) + body)
+        writer.write(self.encode_head(200, {"Content-Length": str(len(body))}) + body)
 
     def try_start_run(
         self, call: ReceivedCall, writer: asyncio.StreamWriter, should_shed: bool
@@ -194,11 +202,11 @@
         a standby address also stores its copy there.
         """
         if call.headers.get(TARGET_UPSTREAM, self.name) != self.name:
-            writer.write(encode_head(421, {}))
+            writer.write(self.encode_head(421, {}))
             return False
         _, _, handle = call.headers.get(COPY_SOURCE, "").rpartition("/")
         if should_shed or (handle and handle not in self.copies):
-            writer.write(encode_head(503, {NOT_RUN_MARK: "1"}))
+            writer.write(self.encode_head(503, {NOT_RUN_MARK: "1"}))
             return False
         request_id = call.headers.get(REQUEST_ID, "")
         self.runs.append(request_id)
@@ -241,15 +249,15 @@
         length = {"Content-Length": str(len(self.body))}
         match fault:
             case UpstreamFault.FAIL:
-                writer.write(encode_head(500, headers | length) + self.body)
+                writer.write(self.encode_head(500, headers | length) + self.body)
             case UpstreamFault.FALSE_PROMISE:
-                writer.write(encode_head(503, headers | length) + self.body)
+                writer.write(self.encode_head(503, headers | length) + self.body)
             case UpstreamFault.RESET:
                 reset(writer)
             case UpstreamFault.CUT:
-                writer.write(encode_head(200, headers | length) + self.body[:-2])
+                writer.write(self.encode_head(200, headers | length) + self.body[:-2])
             case UpstreamFault.UNFRAMED | UpstreamFault.UNFRAMED_RESET:
-                writer.write(encode_head(200, headers) + self.body[:-2])
+                writer.write(self.encode_head(200, headers) + self.body[:-2])
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 if fault is UpstreamFault.UNFRAMED_RESET:
@@ -257,24 +265,24 @@
                 else:
                     writer.write(self.body[-2:])
             case UpstreamFault.EXTRA:
-                full_answer = encode_head(200, headers | length) + self.body
+                full_answer = self.encode_head(200, headers | length) + self.body
                 writer.write(full_answer + full_answer)
             case UpstreamFault.OTHER_ID:
                 other_headers = headers | length | {REQUEST_ID: "another"}
-                writer.write(encode_head(200, other_headers) + self.body)
+                writer.write(self.encode_head(200, other_headers) + self.body)
             case UpstreamFault.UNSIGNED:
                 del headers[SIGNATURE]
-                writer.write(encode_head(200, headers | length) + self.body)
+                writer.write(self.encode_head(200, headers | length) + self.body)
             case UpstreamFault.ENCODED:
                 encoded = headers | length | {"Content-Encoding": "gzip"}
-                writer.write(encode_head(200, encoded) + self.body)
+                writer.write(self.encode_head(200, encoded) + self.body)
             case UpstreamFault.GARBAGE:
                 writer.write(b"\x00\xffnothing of the protocol\r\n\r\n")
             case UpstreamFault.HANG:
                 await reader.read()
                 self.caller_disconnects += 1
             case _:
-                writer.write(encode_head(200, headers | length) + self.body)
+                writer.write(self.encode_head(200, headers | length) + self.body)
         if not writer.is_closing():
             await writer.drain()
 
@@ -293,7 +301,7 @@
         }
         if self.send_limit is not None:
             headers[SEND_LIMIT] = self.send_limit
-        writer.write(encode_head(200, headers))
+        writer.write(self.encode_head(200, headers))
         first_number = int(call.headers.get(LAST_EVENT_ID, "0")) + 1
         await asyncio.sleep(self.first_event_s)
         for number in range(first_number, self.events + 1):
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -305,14 +305,14 @@
 @asynccontextmanager
 async def open_relay(
     context: RelayContext, request: RelayedRequest, routed: RoutedRequest
-) -> AsyncIterator[AsyncIterator[RelayOutput]]:
-    """Yield a request's outputs; leaving the context ends all work for it."""
+) -> AsyncIterator[RelayOwner]:
+    """Yield a request's owner; leaving the context ends all work for it."""
     owner = RelayOwner(context, make_relay(request, routed, context.shared))
     # The selector measures the age of reports and failures against this time.
     context.shared.selector.advance_clock(asyncio.get_running_loop().time())
     context.owners.add(owner)
     try:
-        yield owner.outputs()
+        yield owner
     finally:
         context.owners.discard(owner)
         await owner.close()
--- a/tests/cover/test_relay_machine.py
+++ b/tests/cover/test_relay_machine.py
@@ -241,7 +241,7 @@
             or not self.relay.attempts[attempt].is_copy_pending
         ):
             return
-        copy = MemoryCopy(holder, source.address, "h") if is_made else None
+        copy = MemoryCopy(holder, source, "h") if is_made else None
         copied = MemoryCopied(attempt, self.now, copy)
         self.execute(self.relay.handle(copied, self.now))
 
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -121,7 +121,7 @@
         self.assertEqual(start.upstream, request.source)
         self.assertNotEqual(start.upstream.failure_domain, holder.failure_domain)
         self.assertEqual([DeliverEvents(b"5;")], relay.handle(event(1, 5), 0.3))
-        copy = MemoryCopy(holder, request.source.address, "h7")
+        copy = MemoryCopy(holder, request.source, "h7")
         self.assertEqual([], relay.handle(MemoryCopied(1, 0.4, copy), 0.4))
         lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, at=0.5)
         (resumed,) = relay.handle(lost, 0.5)
@@ -190,7 +190,7 @@
 
     def test_a_copy_made_on_request_is_renewed(self):
         relay, _start, request = make_stream_without_standby()
-        copy = MemoryCopy(request.target, request.source.address, "h7")
+        copy = MemoryCopy(request.target, request.source, "h7")
         relay.handle(MemoryCopied(1, 0.4, copy), 0.4)
         self.assertEqual([DeliverEvents(b"5;")], relay.handle(event(1, 5), 1.0))
         at = 0.4 + COPY_RENEWAL_S
@@ -200,7 +200,7 @@
     @parameterized.expand([("ends", True), ("loses its caller", False)])
     def test_a_copy_made_on_request_is_released_when_the_stream(self, _, has_ended):
         relay, _start, request = make_stream_without_standby()
-        copy = MemoryCopy(request.target, request.source.address, "h7")
+        copy = MemoryCopy(request.target, request.source, "h7")
         relay.handle(MemoryCopied(1, 0.4, copy), 0.4)
         finished = StreamFinished(1, 0.5)
         actions = relay.handle(finished, 0.5) if has_ended else relay.close()
