--- a/tests/common/crash_fixtures.py
+++ b/tests/common/crash_fixtures.py
@@ -16,7 +16,11 @@
     configuration,
     encode_upstream_entry,
     make_node_settings,
+    make_relay_shared,
 )
+from turmericusher.decisions.crash_ledger import TRIAL_AFTER_S
+from turmericusher.decisions.crash_records import CrashRecord, Suspicion
+from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
@@ -33,6 +37,9 @@
 )
 from turmericusher.tasks.background import background_tasks
 
+BAD_PART = "badbadba"
+"""The part of a prompt that crashes upstreams."""
+
 RESTART_S = 0.6
 """Seconds from the crash of an upstream until one with another name starts."""
 
@@ -40,6 +47,22 @@
 """Seconds for which the list still shows an upstream that has crashed."""
 
 
+def make_blocked_shared(is_due: bool = False) -> RelayShared:
+    """Return the state of an instance at which `BAD_PART` is blocked.
+
+    `is_due`: it may be tried again.
+    """
+    shared = make_relay_shared()
+    for number in range(3):
+        suspicions = (
+            Suspicion(f"part-{BAD_PART}", 2),
+            Suspicion(f"request-{number}", 1),
+        )
+        record = CrashRecord(f"x{number}", "1", frozenset({suspicions}))
+        shared.crashes.merge_crash(record, -TRIAL_AFTER_S if is_due else 0.0)
+    return shared
+
+
 @dataclass(slots=True)
 class CrashSimulation:
     """Instances that share a store, and upstreams that start again after a crash.
--- a/tests/common/relay_fixtures.py
+++ b/tests/common/relay_fixtures.py
@@ -42,6 +42,9 @@
 SERVICE = "s"
 ACCESS_KEY = "key-of-a-team"
 HOST = "a.example"
+UPSTREAM_BORN = 1_700_000_000_000
+"""When upstreams started, in Unix milliseconds."""
+
 HOST_NUMBERS = itertools.count()
 RESERVATION_PORT = 20000
 RESERVATIONS: list[socket.socket] = []
@@ -162,7 +165,7 @@
         "slots": 8,
         "state": state,
         "sequence": 1,
-        "born": 1_700_000_000_000,
+        "born": UPSTREAM_BORN,
     }
     return orjson.dumps(fields | changes)
 
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -14,6 +14,8 @@
 
 from tests.common.asynchronous import run_async
 from tests.common.crash_fixtures import (
+    BAD_PART,
+    make_blocked_shared,
     running_another_instance,
     running_crash_simulation,
 )
@@ -36,10 +38,7 @@
 )
 from tests.common.waiting import wait_until
 from turmericusher.decisions import relay_placing
-from turmericusher.decisions.crash_ledger import TRIAL_AFTER_S
 from turmericusher.decisions.crash_records import (
-    CrashRecord,
-    Suspicion,
     TrialRecord,
     request_traits,
 )
@@ -58,7 +57,7 @@
 from turmericusher.errors import ErrorCode
 from turmericusher.platform.codec import parse_prompt_parts
 
-FIRST, BAD, SOUND = "f0f0f0f0", "badbadba", "50545054"
+FIRST, BAD, SOUND = "f0f0f0f0", BAD_PART, "50545054"
 SETTLE_S = 3.0
 """Seconds after the fifth crash from which on the part must be known."""
 
@@ -118,16 +117,6 @@
             self.assertGreater(served, len(sound_calls) / 2)
 
 
-def make_blocked_shared(*upstreams, is_due=False):
-    """Return the state of an instance at which the part `BAD` is blocked."""
-    shared = make_relay_shared()
-    for number in range(3):
-        suspicions = (Suspicion(f"part-{BAD}", 2), Suspicion(f"request-{number}", 1))
-        record = CrashRecord(f"x{number}", "1", frozenset({suspicions}))
-        shared.crashes.merge_crash(record, -TRIAL_AFTER_S if is_due else 0.0)
-    return shared
-
-
 def make_bad_relay(shared, kind=RESUMABLE, **options):
     """Return the relay of a request with the part `BAD`."""
     relay = make_test_relay(kind, shared, **options)
