An upstream whose answer says that it leaves gets no more requests

Cause: an upstream left by its entry in the store alone. What its own answers said was passed over, so an instance went on sending until the list said the same, which is late while the store is away, slow or behind; an outdated read of the list brought an upstream back. Class: a fact that the answer itself carries was believed only when it came by the list.

Change: the mark of any answer is recorded for the incarnation that was asked, and for the one that a report names, with the marks that the product's own fleet already has (LeavingMarks). It takes effect at once: the selector gets its list anew. The list goes through the same marks, so one that shows an older state does not bring an incarnation back, and another incarnation under the name is used at once. Since each attempt is placed from the selector's list at the moment it starts, every path is bound: new requests, repeats, hedges, resumes, standbys, copies, trials, streams that wait or were paused.

--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.crash_ledger import CrashLedger
@@ -149,7 +150,7 @@
     `typical_sizes` the request size of each service. `holders` tracks which holders of
     copies are lost, `send_limits` the limits that upstreams name, `crashes` which
     requests crash upstreams, and `versions` at which version each stream began.
-    `leaving` has the upstreams that said themselves that they leave.
+    `leaving` has the upstreams that leave, by their own answers or by the list.
     """
 
     selector: Selector
@@ -174,8 +175,21 @@
         self.leaving = LeavingMarks(self.random)
 
     def record_leaving(self, upstream: UpstreamInstance, now: float) -> bool:
-        """Record that an upstream said that it leaves; return whether that is new."""
-        return self.leaving.add((leaving_mark(upstream),), now)
+        """Use an upstream no more that said that it leaves; return whether it is new.
+
+        The list may show the same seconds later, or not at all.
+        """
+        if not self.leaving.add((leaving_mark(upstream),), now):
+            return False
+        self.update_upstreams(self.selector.upstreams.values(), now)
+        return True
+
+    def update_upstreams(
+        self, upstreams: Iterable[UpstreamInstance], now: float
+    ) -> None:
+        """Replace the upstreams that are listed; those that leave stay marked."""
+        self.selector.advance_clock(now)
+        self.selector.update(self.leaving.apply(upstreams, now))
 
     def budget_for(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, which may be new."""
--- a/src/turmericusher/decisions/upstream_marks.py
+++ b/src/turmericusher/decisions/upstream_marks.py
@@ -68,12 +68,18 @@
         self.add(
             (leaving_mark(u) for u in listed if u.lifecycle is Lifecycle.LEAVING), now
         )
+        # Most upstreams have no mark, and a list comes with each of their heartbeats.
+        marked_names = {mark.upstream for mark in self.marks}
         for upstream in listed:
-            mark = leaving_mark(upstream)
-            if mark in self.marks:
-                self.marks[mark] = now
+            if upstream.name in marked_names:
+                mark = leaving_mark(upstream)
+                if mark in self.marks:
+                    self.marks[mark] = now
         self.prune(now)
-        return tuple(self.apply_to(upstream) for upstream in listed)
+        return tuple(
+            self.apply_to(upstream) if upstream.name in marked_names else upstream
+            for upstream in listed
+        )
 
     def apply_to(self, upstream: UpstreamInstance) -> UpstreamInstance:
         """Return the upstream, with the lifecycle `LEAVING` if it is marked."""
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -160,8 +160,7 @@
     def update_decisions(self, now: float) -> None:
         """Pass the current upstreams and entry instances to the decision logic."""
         selector = self.shared.selector
-        selector.advance_clock(now)
-        selector.update(self.upstreams.entries.values())
+        self.shared.update_upstreams(self.upstreams.entries.values(), now)
         self.shared.holders.retain_listed(self.upstreams.entries)
         self.shared.send_limits.retain_listed(self.upstreams.entries)
         selector.update_instances(self.instances.entries)
--- a/tests/cover/test_relay_machine.py
+++ b/tests/cover/test_relay_machine.py
@@ -74,6 +74,7 @@
         self.starts = 0
         self.unreachable = 0
         self.incarnations = dict.fromkeys(range(UPSTREAMS), 1)
+        self.left = set()
         self.lifecycles = dict.fromkeys(range(UPSTREAMS), Lifecycle.LIVE)
         if not kind.is_stream:
             resume_after = None
@@ -118,6 +119,7 @@
         self.starts += 1
         known = self.shared.selector.upstreams[action.upstream.name]
         assert known.lifecycle is Lifecycle.LIVE
+        assert (known.name, known.incarnation) not in self.left
         assert action.upstream.name not in self.shared.selector.replaced
         if action.standby is not None:
             assert action.standby.name != action.upstream.name
@@ -278,12 +280,30 @@
         else:
             self.lifecycles[index] = Lifecycle.LIVE
             self.incarnations[index] += 1
-        self.shared.selector.update(
+        self.list_upstreams()
+
+    def list_upstreams(self):
+        upstreams = [
             make_upstream(
                 number, self.lifecycles[number], str(self.incarnations[number])
             )
             for number in range(UPSTREAMS)
-        )
+        ]
+        self.shared.update_upstreams(upstreams, self.now)
+
+    @is_open
+    @rule(index=st.integers(0, UPSTREAMS - 1))
+    def an_upstream_answers_that_it_leaves(self, index):
+        upstream = self.shared.selector.upstreams[f"u{index}"]
+        self.left.add((upstream.name, upstream.incarnation))
+        self.shared.record_leaving(upstream, self.now)
+
+    @is_open
+    @rule(index=st.integers(0, UPSTREAMS - 1))
+    def an_outdated_list_follows_a_newer_one(self, index):
+        self.incarnations[index] = max(1, self.incarnations[index] - 1)
+        self.lifecycles[index] = Lifecycle.LIVE
+        self.list_upstreams()
 
     @precondition(lambda self: self.last is not None)
     @rule(seconds=st.sampled_from([0.1, 40.0]))
