Soak: upstreams say in all their answers that they leave, some not in the store

No upstream of the soak sent the mark. The check `leaving_answers` finds a request that a caller sent later than 2 s after its instance passed on such an answer and that reached that incarnation; only a restart or a pause of the instance excuses it.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -47,6 +47,15 @@
 LIMIT_TOLD_AFTER_S = 0.5
 """Seconds after an answer with a limit from which on its instance must know it."""
 
+DRAIN_S = 2.0
+"""Seconds after an answer that an upstream leaves within which requests may still be
+sent to it: the required `drain_ms`."""
+
+FORGETTING_FAULTS = frozenset(
+    {InstanceFaultKind.KILL, InstanceFaultKind.PAUSE, InstanceFaultKind.STOP}
+)
+"""Faults after which an instance need not know what upstreams have told it."""
+
 CRASHES_TO_LEARN = 5
 MAX_LATE_CRASHING_SENDS = 3
 """Crashes under one part after which the instances must know it, and the requests with
@@ -143,6 +152,41 @@
                 yield f"{describe(request)} reached {mark.upstream} after its mark"
 
 
+def leaving_answers(history: History) -> Iterator[str]:
+    """Yield the requests that reached an upstream after its answer that it leaves.
+
+    The instance had passed on such an answer to a caller, and another caller sent the
+    request later than `DRAIN_S`. A restart or a pause of the instance excuses it,
+    whether it was in touch with the store does not matter.
+    """
+    told_at: dict[tuple[str, str, str], float] = {}
+    arrivals = [
+        (arrival, history.requests[arrival.request_id])
+        for arrival in history.arrivals
+        if arrival.request_id in history.requests
+    ]
+    for arrival, request in arrivals:
+        if arrival.is_leaving and request.is_whole and request.ended_at is not None:
+            key = (request.instance, arrival.upstream, arrival.incarnation)
+            told_at[key] = min(request.ended_at, told_at.get(key, request.ended_at))
+    for arrival, request in arrivals:
+        key = (request.instance, arrival.upstream, arrival.incarnation)
+        begins = told_at.get(key)
+        if begins is None or request.sent_at <= begins + DRAIN_S:
+            continue
+        is_excused = any(
+            one.how in FORGETTING_FAULTS
+            and one.begins <= arrival.at
+            and one.ends >= begins
+            for one in history.disturbances_on(request.instance)
+        )
+        if not is_excused:
+            yield (
+                f"{describe(request)} reached {arrival.upstream} "
+                f"{request.sent_at - begins:.2f} s after its answer"
+            )
+
+
 def has_returned(history: History, mark: LeavingMark, at: float) -> bool:
     """Return whether a marked upstream had left and come back by a given time."""
     return any(
@@ -337,6 +381,7 @@
     true_refusals,
     newest_configuration,
     nothing_to_leaving,
+    leaving_answers,
     planned_stops_cut_nothing,
     answered_in_time,
     bounded_repeats,
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -60,7 +60,10 @@
 
 @dataclass(slots=True)
 class Arrival:
-    """One request as an upstream received it; `has_run` is set once work began."""
+    """One request as an upstream received it; `has_run` is set once work began.
+
+    `is_leaving`: the upstream was leaving, and said so in its answer.
+    """
 
     request_id: str
     upstream: str
@@ -68,6 +71,8 @@
     has_run: bool = False
     ended_at: float | None = None
     error: str = ""
+    incarnation: str = ""
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 from functools import singledispatch
 
@@ -42,6 +43,9 @@
 """How long a leaving upstream keeps serving. It must exceed the time after which no
 request may reach it, or the check of that limit could never fail."""
 
+UNLISTED_LEAVE_SHARE = 0.3
+"""Share of the upstreams that leave without telling the store."""
+
 LAPSE_OUTAGE_S = 1.5
 """Time for which the store is down before the upstreams' entries lapse."""
 MAX_RETURN_DELAY_S = 1.8
@@ -310,11 +314,20 @@
 
 
 async def drain_upstream(deployment: Deployment, upstream: DeployedUpstream) -> None:
-    """Mark an upstream as leaving and keep it serving for a while."""
-    upstream.state = "draining"
-    deployment.write_entry(upstream)
-    mark = LeavingMark(upstream.standin.stable_name, deployment.now())
-    deployment.history.leavings.append(mark)
+    """Let an upstream say that it leaves, and keep it serving for a while.
+
+    All its answers say so. Some upstreams do not write it to the store.
+    """
+    upstream.standin.is_leaving = True
+    # A generator of its own, so that the other draws of a seed stay as they were.
+    rng = random.Random(
+        f"soak/{deployment.plan.seed}/leave/{upstream.key}/{upstream.incarnation}"
+    )
+    if rng.random() >= UNLISTED_LEAVE_SHARE:
+        upstream.state = "draining"
+        deployment.write_entry(upstream)
+        mark = LeavingMark(upstream.standin.stable_name, deployment.now())
+        deployment.history.leavings.append(mark)
     await asyncio.sleep(LEAVE_DURATION_S)
 
 
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -63,6 +63,13 @@
         'Lifecycle.LIVE if model.state == "ready" else Lifecycle.LEAVING',
         "Lifecycle.LIVE",
     ),
+    Mutation(
+        "answers-that-say-leaving-are-passed-over",
+        "leaving_answers",
+        "decisions/relay_state.py",
+        "if not self.leaving.add((leaving_mark(upstream),), now):",
+        "if upstream is not None:",
+    ),
     Mutation(
         "a-stop-waits-for-no-request",
         "planned_stops_cut_nothing",
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -85,6 +85,7 @@
     def restart(self, born: int) -> None:
         """Start a new incarnation that holds no copies and runs nothing."""
         self.copies.clear()
+        self.is_leaving = False
         self.report = idle_report(born)
 
     async def serve(
@@ -104,7 +105,13 @@
         """Record the arrival and answer it until done or the sender disconnects."""
         loop = asyncio.get_running_loop()
         request_id = call.headers.get(REQUEST_ID, "")
-        arrival = Arrival(request_id, self.stable_name, loop.time())
+        arrival = Arrival(
+            request_id,
+            self.stable_name,
+            loop.time(),
+            incarnation=self.report.incarnation,
+            is_leaving=self.is_leaving,
+        )
         self.history.arrivals.append(arrival)
         if not self.try_start_run(call, writer, self.is_shedding):
             return
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -9,7 +9,13 @@
 from parameterized import parameterized
 from testtools import TestCase
 
-from benchmarks.soak.checks import CHECKS, LATE_CANCEL_ALLOWANCE, RECOVERY_S, run_checks
+from benchmarks.soak.checks import (
+    CHECKS,
+    DRAIN_S,
+    LATE_CANCEL_ALLOWANCE,
+    RECOVERY_S,
+    run_checks,
+)
 from benchmarks.soak.deployment import APPLY_LIMIT_S, DRAIN_LIMIT_S, RETRY_SLACK
 from benchmarks.soak.history import (
     STABILIZATION_S,
@@ -104,6 +110,19 @@
     )
 
 
+def requests_after_leaving(after_s, disturbances=(), incarnation="1"):
+    """Return a request some seconds after an answer that its upstream leaves."""
+    sent_at = 101.0 + after_s
+    told = make_arrival(is_leaving=True, incarnation="1")
+    later = make_arrival(sent_at, request_id="q2", incarnation=incarnation)
+    return make_history(
+        make_request(),
+        make_request(request_id="q2", sent_at=sent_at),
+        arrivals=[told, later],
+        disturbances=list(disturbances),
+    )
+
+
 NON_IDEMPOTENT = RequestKind.NON_IDEMPOTENT
 ACCEPTED = {1: 0.0, 2: 50.0}
 LATE_PROBE_AT = 50.0 + APPLY_LIMIT_S + 0.1
@@ -132,6 +151,7 @@
         leavings=[LEAVING_MARK],
         disturbances=[LEAVING],
     ),
+    "leaving_answers": requests_after_leaving(DRAIN_S + 0.1),
     "planned_stops_cut_nothing": make_history(
         CUT_REQUEST, arrivals=[make_arrival()], disturbances=[STOP]
     ),
@@ -198,6 +218,15 @@
         leavings=[LEAVING_MARK],
         disturbances=[Disturbance(UPSTREAM, "leave", LEAVING_MARK.at, 100.0)],
     ),
+    "a request soon after an answer of an upstream that leaves": (
+        requests_after_leaving(DRAIN_S - 0.1)
+    ),
+    "a request to the next incarnation of one that left": requests_after_leaving(
+        DRAIN_S + 0.1, incarnation="2"
+    ),
+    "a request to an upstream that leaves, of a restarted instance": (
+        requests_after_leaving(DRAIN_S + 0.1, [Disturbance(ENTRY, "kill", 101.5, 102)])
+    ),
     "a stop beside another fault": make_history(
         CUT_REQUEST,
         arrivals=[make_arrival()],
