Logs: when a service becomes unreachable for an instance, and when it is back

The log of a cut instance had its attempts only: not since when it could have known that it reaches no upstream of a service, nor when that ended. Change: connections that fail or succeed are recorded by service (decisions/reachability.py). No decision on requests uses it yet.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -312,6 +312,7 @@
     def record_failure(self, attempt: RelayAttempt, event: AttemptFailed) -> None:
         """Record what a failed attempt implies for the request and its upstream."""
         name = attempt.upstream.name
+        self.record_connection(attempt, event.cause)
         self.record_possible_crash(attempt, event)
         # What a suspected request does to upstreams says nothing of the service.
         if event.cause in FAST_FAILURE_CAUSES and not attempt.known_suspicions:
@@ -337,6 +338,20 @@
         if event.cause in (AttemptCause.LOST, AttemptCause.SILENT):
             self.lost_domains[attempt.upstream.failure_domain] = event.at
 
+    def record_connection(
+        self, attempt: RelayAttempt, cause: AttemptCause | None = None
+    ) -> None:
+        """Record whether the upstream of an attempt accepted its connection.
+
+        `cause` is that of its failure, if it failed. A stall tells nothing of new
+        connections.
+        """
+        reach = self.shared.reach
+        if cause is AttemptCause.UNREACHABLE:
+            reach.record_failure(attempt.upstream, attempt.started_at)
+        elif cause not in STALL_CAUSES:
+            reach.record_success(attempt.upstream.service, attempt.started_at)
+
     def record_possible_crash(
         self, attempt: RelayAttempt, event: AttemptFailed
     ) -> None:
@@ -478,6 +493,7 @@
     event: AnswerArrived, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
     """Deliver a complete answer and cancel the other attempts."""
+    relay.record_connection(attempt)
     relay.shared.budget_for(relay.routed.service.name).record_success()
     return [*relay.finish(attempt, now), DeliverAnswer(event.answer)]
 
@@ -487,6 +503,7 @@
     event: StreamOpened, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
     """Keep the headers, which are delivered with the first event."""
+    relay.record_connection(attempt)
     attempt.headers = event.headers
     attempt.last_active_at = max(attempt.last_active_at, event.at)
     return []
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -18,6 +18,7 @@
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
 from turmericusher.decisions.holders import HolderChecks
 from turmericusher.decisions.patience import StallDetector
+from turmericusher.decisions.reachability import Reachability
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
     AttemptFailed,
@@ -150,7 +151,8 @@
     `typical_sizes` the request size of each service. `holders` tracks which holders of
     copies are lost, `send_limits` the limits that upstreams name, `crashes` which
     requests crash upstreams, and `versions` at which version each stream began.
-    `leaving` has the upstreams that leave, by their own answers or by the list.
+    `leaving` has the upstreams that leave, by their own answers or by the list, and
+    `reach` the services whose upstreams accept no connections of this instance.
     """
 
     selector: Selector
@@ -168,11 +170,13 @@
     versions: StreamVersions = field(default_factory=StreamVersions)
     send_limits: SendLimits = field(init=False)
     leaving: LeavingMarks = field(init=False)
+    reach: Reachability = field(init=False)
 
     def __post_init__(self) -> None:
-        """Start without any limit or mark."""
+        """Start without any limit, mark or failed connection."""
         self.send_limits = SendLimits(self.random)
         self.leaving = LeavingMarks(self.random)
+        self.reach = Reachability(self.selector)
 
     def record_leaving(self, upstream: UpstreamInstance, now: float) -> bool:
         """Use an upstream no more that said that it leaves; return whether it is new.
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -39,6 +39,7 @@
 from turmericusher.ports.keyvalue import KeyValueStore
 from turmericusher.relay_serving import RelayInstance, drain
 from turmericusher.tasks.crash_reports import CrashReports, reporting_crashes
+from turmericusher.tasks.reach_checks import ReachChecks, checking_reach
 from turmericusher.tasks.registration import Registration, registered
 from turmericusher.tasks.relay import RelayContext
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
@@ -131,7 +132,8 @@
         )
         reports = CrashReports(shared.crashes, port, store, CrashRecordCodec())
         exchange = StreamVersionExchange(shared.versions)
-        context = RelayContext(port, shared, reports, exchange)
+        checks = ReachChecks(shared.reach, port)
+        context = RelayContext(port, shared, reports, exchange, checks)
         reports.on_change = context.apply_blocks
         instance = assemble_instance(settings, context, store)
         instance.set_budgets(1)
@@ -142,6 +144,7 @@
         await stack.enter_async_context(expiring_entries(instance.fleet))
         await stack.enter_async_context(reporting_crashes(reports))
         await stack.enter_async_context(exchanging_versions(exchange))
+        await stack.enter_async_context(checking_reach(checks))
         if settings.peer_address is not None:
             serving = serving_streams(shared.versions, settings.peer_address)
             await stack.enter_async_context(serving)
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -214,6 +214,17 @@
         except ValueError:
             return False
 
+    async def can_connect(self, upstream: UpstreamInstance) -> bool:
+        """Whether an upstream accepts a connection in time; nothing is sent on it."""
+        host, _, port = upstream.address.rpartition(":")
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+        except (TimeoutError, OSError):
+            return False
+        writer.close()
+        return True
+
     async def copy_memory(
         self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
     ) -> MemoryCopy | None:
--- a/src/turmericusher/ports/relay.py
+++ b/src/turmericusher/ports/relay.py
@@ -50,6 +50,10 @@
         """
         ...
 
+    async def can_connect(self, upstream: UpstreamInstance) -> bool:
+        """Whether an upstream accepts a connection in time; nothing is sent on it."""
+        ...
+
     async def copy_memory(
         self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
     ) -> MemoryCopy | None:
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -52,6 +52,7 @@
 from turmericusher.ports.relay import RelayPort
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.crash_reports import CrashReports
+from turmericusher.tasks.reach_checks import ReachChecks
 from turmericusher.tasks.stream_versions import StreamVersionExchange
 
 INBOX_SIZE = 64
@@ -79,6 +80,7 @@
     shared: RelayShared
     crash_reports: CrashReports
     versions: StreamVersionExchange
+    reach_checks: ReachChecks
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[UpstreamReport | None]] = field(
         default_factory=dict
@@ -145,6 +147,7 @@
                 actions = self.relay.handle(event, now)
                 self.context.crash_reports.check_losses()
                 self.context.versions.notify()
+                self.context.reach_checks.notify()
 
     def notify(self, event: RelayEvent) -> None:
         """Put an event in the inbox; a full one has the events of a sound stream."""
