An instance that reaches no upstream forwards its requests, and callers are sent elsewhere

Cause: an instance knew no other way to an upstream than its own. It tried one upstream after the other, each for the 0.3 s of a connection, while other instances reached them, and nothing told callers or other instances. Class: what an instance can do was taken for granted as long as it lives and is registered.

A service counts as unreachable once connections to four of its upstreams, or all, have failed since any was accepted; a few connections tried after the first failure show that in under half a second. Its requests then go by another instance, which is met as by a caller and decides all that concerns upstreams: routing, budget, limits, versions, suspected parts, repeats. Attempts and deadline are counted once: a call whose answer is lost on the way is not sent again, the time left is passed on, `not run` is believed as from an upstream. A header says who forwards, by which configuration, and whether the request may have run: it is not forwarded twice, nor handled by an older configuration, nor refused as late if it may have run. A stream in progress is taken up by the other instance with `Resumes`, at its version. A stream that would be late at the few candidates that report is forwarded too. Without an instance that takes it a request is refused at once, as `no_upstream`, with a time to come back. One connection each 0.25 s finds the end.

Once another instance has served a request, so that the upstreams are not down for everybody, the record in the store names the service, and entry points list only the instances that lack the fewest.

Why it works: from the end of the detection on, a request at a cut instance meets the same upstreams as elsewhere; callers leave within the time for which they keep an answer.

--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from benchmarks.load_model import EventScheduler
 from benchmarks.stream_faults import (
@@ -41,6 +42,7 @@
 )
 from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.reachability import RECHECK_INTERVAL_S
 from turmericusher.decisions.relay import Relay
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
@@ -132,7 +134,8 @@
     """Engines, instances and streams on a virtual clock.
 
     `engines` maps the names of the engines that run to them, `listed` is the list that
-    all instances see. `ended_at` has when an engine ended.
+    all instances see. `ended_at` has when an engine ended. `checking` are the numbers
+    of the instances that try connections to engines.
     """
 
     traffic: CrashTraffic
@@ -146,6 +149,7 @@
     store: dict[str, CrashRecord | SoundRecord] = field(default_factory=dict)
     trials: dict[str, TrialRecord] = field(default_factory=dict)
     bad_crashes: list[float] = field(default_factory=list)
+    checking: set[int] = field(default_factory=set)
     store_writes: int = 0
     engine_count: int = 0
 
@@ -302,6 +306,26 @@
 
             self.at(now + CHECK_S, record)
 
+    def check_reach(self, number: int, now: float) -> None:
+        """Try connections to engines if attempts could not connect, until one can."""
+        reach = self.shared_states[number].reach
+
+        def record(engine: UpstreamInstance, began_at: float, at: float) -> None:
+            if engine.name in self.engines:
+                reach.record_success(engine.service, began_at)
+            else:
+                reach.record_failure(engine, began_at)
+
+        def check_again(at: float) -> None:
+            self.checking.discard(number)
+            self.check_reach(number, at)
+
+        for engine in reach.due_checks(now):
+            self.at(now + CHECK_S, partial(record, engine, now))
+        if reach.has_doubts() and number not in self.checking:
+            self.checking.add(number)
+            self.at(now + RECHECK_INTERVAL_S, check_again)
+
     def claim_trial(self, stream: CrashStream, trait: str, now: float) -> bool:
         """Write a trial to the store unless it has one that is not known here."""
         if not self.has_store(stream.instance, now):
@@ -411,6 +435,7 @@
         stream.relay.shared.selector.advance_clock(now)
         actions = stream.relay.handle(event, now)
         self.check_losses(stream.instance, now)
+        self.check_reach(stream.instance, now)
         self.carry_out(stream, actions, now)
 
     def arrive(self, stream: CrashStream, start: StartRelay, now: float) -> None:
--- a/src/turmericusher/api/headers.py
+++ b/src/turmericusher/api/headers.py
@@ -5,4 +5,9 @@
 ATTEMPT_HEADER = "Turmericusher-Attempt"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 REPLAYED_HEADER = "Idempotent-Replayed"
+FORWARDED_HEADER = "Turmericusher-Forwarded"
+"""Set by an instance that forwards a request to another one: its name, the version of
+the configuration by which it accepted the request, and 1 if the request may have run,
+else 0, with semicolons between them."""
+
 RESERVED_HEADER_PREFIX = "turmericusher-"
--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -30,7 +30,11 @@
     RelayOutput,
 )
 from turmericusher.decisions.relay_stop import RelayStop
-from turmericusher.decisions.routing import NewestTable, RoutedRequest
+from turmericusher.decisions.routing import (
+    NO_CONFIGURATION_RETRY_S,
+    NewestTable,
+    RoutedRequest,
+)
 from turmericusher.errors import ErrorCode, RequestRefusedError, Verdict
 from turmericusher.logs import log_event
 from turmericusher.metrics import Metrics
@@ -142,6 +146,7 @@
             body = await read_body(incoming, self.body_limit_bytes())
             request = self.frontend.codec.decode(self.scope, body, self.arrived_at)
             self.request_id = request.request_id
+            self.check_configuration(request)
             routed = self.frontend.tables.current().admit(
                 request.host, request.path, request.key, self.frontend.random
             )
@@ -157,6 +162,20 @@
         async with cancel_on_disconnect(self.receive):
             await self.relay(request, routed)
 
+    def check_configuration(self, request: RelayedRequest) -> None:
+        """Raise `RequestRefusedError` if the sender of a hop has a newer configuration.
+
+        The request would otherwise be handled by an older one than before.
+        """
+        version = self.frontend.tables.current().version
+        if request.hop is not None and request.hop.configuration > version:
+            raise RequestRefusedError(
+                ErrorCode.NO_CONFIGURATION,
+                f"this instance has configuration={version}, older than the "
+                f"{request.hop.configuration} of instance={request.hop.sender!r}",
+                retry_after_s=NO_CONFIGURATION_RETRY_S,
+            )
+
     def check_accepting(self, routed: RoutedRequest) -> None:
         """Raise `RequestRefusedError` if the request might not end before the stop."""
         kind = routed.route.kind
@@ -285,6 +304,7 @@
             upstream=relay.last_upstream or None,
             resume_after=request.resume_after,
             resumes=request.resumes,
+            forwarded_by=request.hop.sender if request.hop else None,
             took_s=took_s,
             first_event_s=first_event_s,
             longest_gap_s=self.longest_gap_s,
--- a/src/turmericusher/decisions/fleet.py
+++ b/src/turmericusher/decisions/fleet.py
@@ -45,7 +45,8 @@
 class EntryInstance:
     """One entry instance of this system, as its peers know it.
 
-    `limited_upstreams` are those of which it shares a limit.
+    `limited_upstreams` are those of which it shares a limit, `unreachable_services`
+    those that it does not reach and others do.
     """
 
     name: str
@@ -55,3 +56,4 @@
     incarnation: str = ""
     lifecycle: Lifecycle = Lifecycle.LIVE
     limited_upstreams: frozenset[str] = frozenset()
+    unreachable_services: frozenset[str] = frozenset()
--- a/src/turmericusher/decisions/reachability.py
+++ b/src/turmericusher/decisions/reachability.py
@@ -41,7 +41,9 @@
 
     `failed` maps upstreams to the start of their last failed connection; those that
     began before the last one that succeeded, at `reached_at`, are left out. `failures`
-    counts them. Times are monotonic seconds.
+    counts them, and the last checks were made at `checked_at`. `is_served_elsewhere`:
+    another instance has reached the service meanwhile, so that its upstreams are not
+    down for everybody. Times are monotonic seconds.
     """
 
     failed: dict[str, float] = field(default_factory=dict)
@@ -49,11 +51,12 @@
     reached_at: float = -math.inf
     checked_at: float = -math.inf
     is_unreachable: bool = False
+    is_served_elsewhere: bool = False
 
 
 @dataclass(slots=True)
 class Reachability:
-    """The services to which connections failed lately, by name."""
+    """What connections have shown, by the names of services."""
 
     selector: Selector
     services: dict[str, ServiceReach] = field(default_factory=dict)
@@ -71,24 +74,43 @@
             name for name, reach in self.services.items() if reach.is_unreachable
         )
 
+    def has_doubts(self) -> bool:
+        """Whether connections to any service failed and none succeeded since."""
+        return any(reach.failed for reach in self.services.values())
+
+    def services_cut_off(self) -> frozenset[str]:
+        """Return the services that others reach and this instance does not."""
+        return frozenset(
+            name
+            for name, reach in self.services.items()
+            if reach.is_unreachable and reach.is_served_elsewhere
+        )
+
     # Commands
 
+    def record_served_elsewhere(self, service: str) -> None:
+        """Record that another instance served a request of a service."""
+        reach = self.services.get(service)
+        if reach is not None and reach.is_unreachable:
+            reach.is_served_elsewhere = True
+
     def record_success(self, service: str, started_at: float) -> None:
         """Record a connection that an upstream of a service accepted.
 
         One that began before others failed does not tell what is the case now.
         """
-        reach = self.services.get(service)
-        if reach is None:
-            return
+        reach = self.services.setdefault(service, ServiceReach())
         reach.reached_at = max(reach.reached_at, started_at)
+        if not reach.failed:
+            return
         reach.failed = {
             name: failed_at
             for name, failed_at in reach.failed.items()
             if failed_at > started_at
         }
         if not reach.failed:
-            del self.services[service]
+            reach.failures = 0
+            reach.is_unreachable = reach.is_served_elsewhere = False
 
     def record_failure(self, upstream: UpstreamInstance, started_at: float) -> None:
         """Record a connection that failed, which began at `started_at`."""
@@ -113,13 +135,18 @@
         """Return the upstreams to which a connection should be tried now.
 
         Of a service that is unreachable, this is one at a time. Otherwise it is as many
-        as may show that it is.
+        as may show that it is. Nothing is known of a service without live upstreams.
         """
         due = []
-        for service, reach in self.services.items():
+        for service, reach in list(self.services.items()):
+            if not reach.failed:
+                continue
             interval_s = RECHECK_INTERVAL_S if reach.is_unreachable else CHECK_PAUSE_S
             live = self.selector.live.get(service, [])
-            if now - reach.checked_at < interval_s or not live:
+            if not live:
+                del self.services[service]
+                continue
+            if now - reach.checked_at < interval_s:
                 continue
             reach.checked_at = now
             rest = [name for name in live if name not in reach.failed]
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -18,6 +18,7 @@
 
 from turmericusher.decisions.crash_ledger import CLEAN_RUN_S
 from turmericusher.decisions.crash_records import request_traits
+from turmericusher.decisions.forwarding import Refusal
 from turmericusher.decisions.relay_copies import RelayCopies
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
@@ -220,7 +221,8 @@
 
         An attempt whose upstream has ended is abandoned in any case.
         """
-        if not self.shared.selector.is_current(attempt.upstream):
+        is_current = self.shared.selector.is_current(attempt.upstream)
+        if not is_current and not attempt.is_forward:
             return True
         return self.is_below_limits() and self.has_retry(now)
 
@@ -252,7 +254,10 @@
 
         Nothing is done while another attempt is live.
         """
-        self.record_failure(attempt, event)
+        if attempt.is_forward:
+            self.record_forward_failure(attempt, event, now)
+        else:
+            self.record_failure(attempt, event)
         if self.attempts:
             return []
         has_run = event.verdict is not Verdict.NOT_RUN
@@ -260,8 +265,13 @@
             return self.fail_or_forward(event)
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail_on_timeout()
+        if attempt.is_forward and not self.kind.is_stream and has_run:
+            # The other instance has repeated it as often as the route allows.
+            return self.fail_or_forward(event)
+        if event.refusal is not None and not self.may_go_elsewhere(event.refusal):
+            return self.pass_on_refusal(event.refusal)
         # An attempt that could not connect reached no upstream and costs nothing.
-        if event.cause is AttemptCause.UNREACHABLE:
+        if event.cause in (AttemptCause.UNREACHABLE, AttemptCause.REFUSED):
             return self.start_next(now)
         if not self.is_below_limits():
             return self.fail_or_forward(event)
@@ -338,6 +348,39 @@
         if event.cause in (AttemptCause.LOST, AttemptCause.SILENT):
             self.lost_domains[attempt.upstream.failure_domain] = event.at
 
+    def record_forward_failure(
+        self, attempt: RelayAttempt, event: AttemptFailed, now: float
+    ) -> None:
+        """Record what the failure of a forwarded attempt implies for the request.
+
+        It tells nothing of the upstreams.
+        """
+        name = attempt.upstream.name
+        self.last_message = f"instance {name}: {event.cause.value} {event.message}"
+        if event.verdict is not Verdict.NOT_RUN:
+            self.may_have_run = True
+            self.copy = None
+            self.sends -= self.has_upstream_ended(event)
+            return
+        self.sends -= 1
+        self.shared.totals.forward_refusals += 1
+        self.refused_by.add(name)
+        if event.refusal is None or self.may_go_elsewhere(event.refusal):
+            service = self.routed.service.name
+            self.shared.forwarding.record_refusal(name, service, now)
+
+    def may_go_elsewhere(self, refusal: Refusal) -> bool:
+        """Whether another instance is tried after one has refused the request.
+
+        A stream in progress must go on, whatever the reason.
+        """
+        return refusal.is_local or self.has_delivered
+
+    def pass_on_refusal(self, refusal: Refusal) -> list[RelayAction]:
+        """Refuse the request as another instance did, for a reason that holds here."""
+        code = ErrorCode.UPSTREAM_FAILED if self.may_have_run else refusal.code
+        return self.fail(code, refusal.message, refusal.retry_after_s)
+
     def record_connection(
         self, attempt: RelayAttempt, cause: AttemptCause | None = None
     ) -> None:
@@ -347,6 +390,9 @@
         connections.
         """
         reach = self.shared.reach
+        if attempt.is_forward:
+            reach.record_served_elsewhere(self.routed.service.name)
+            return
         if cause is AttemptCause.UNREACHABLE:
             reach.record_failure(attempt.upstream, attempt.started_at)
         elif cause not in STALL_CAUSES:
@@ -460,6 +506,9 @@
 
     def record_version(self, attempt: RelayAttempt, now: float) -> None:
         """Have the stream go on at the version that began it, here and elsewhere."""
+        if attempt.is_forward:
+            self.is_version_elsewhere = True
+            return
         self.version = attempt.upstream.version
         if self.kind is RequestKind.RESUMABLE_STREAM:
             self.shared.versions.record_begin(
@@ -493,7 +542,9 @@
     event: AnswerArrived, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
     """Deliver a complete answer and cancel the other attempts."""
-    relay.record_connection(attempt)
+    # An instance may itself give another answer to what was forwarded to it.
+    if event.answer.status < 300 or not attempt.is_forward:
+        relay.record_connection(attempt)
     relay.shared.budget_for(relay.routed.service.name).record_success()
     return [*relay.finish(attempt, now), DeliverAnswer(event.answer)]
 
--- a/src/turmericusher/decisions/relay_copies.py
+++ b/src/turmericusher/decisions/relay_copies.py
@@ -36,6 +36,8 @@
         """
         if self.kind is not RequestKind.RESUMABLE_STREAM or attempt.is_copy_pending:
             return []
+        if attempt.is_forward:
+            return []
         if not self.routed.service.moves_copies:
             return []
         has_current_copy = attempt.copy is not None and self.is_holder_current(
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.forwarding import Hop, Refusal
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
 from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import Verdict
@@ -24,7 +25,7 @@
     needs on an upstream, in tokens; 0 where it is not known. `prompt_parts` are the ids
     of the parts of its prompt, in order, of which the last is its own. `resumes` is the
     id of the caller's request that brought the first event of the stream that this one
-    takes up.
+    takes up. `hop` is set if another instance forwarded the request to this one.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     size: int = 0
     prompt_parts: tuple[str, ...] = ()
     resumes: str | None = None
+    hop: Hop | None = None
 
     @property
     def stream_id(self) -> str:
@@ -61,7 +63,8 @@
     missing. `UNREACHABLE`: no connection. `LOST`: the connection ended before the
     answer did. `MALFORMED`: the data received is no answer to this request. `SILENT`:
     abandoned after a stall. `UNANSWERED`: the upstream has run the request, but its
-    answer was lost. `FAILED`: the upstream itself reported a failure.
+    answer was lost. `FAILED`: the upstream itself reported a failure. `REFUSED`: the
+    instance to which the request was forwarded did not take it.
     """
 
     OVERLOADED = "overloaded"
@@ -73,6 +76,7 @@
     SILENT = "silent"
     UNANSWERED = "unanswered"
     FAILED = "failed"
+    REFUSED = "refused"
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +129,7 @@
     """An attempt ended without a complete answer.
 
     `answer` is the upstream's own error response, if it sent one that may be forwarded.
+    `refusal` is that of the instance to which the request was forwarded.
     """
 
     attempt: int
@@ -133,6 +138,7 @@
     verdict: Verdict
     message: str = ""
     answer: RelayAnswer | None = None
+    refusal: Refusal | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,7 +259,8 @@
 
     `resume_after` is the id of the last event delivered, or None at the beginning. With
     `copy` the attempt resumes from the copy that `upstream` holds. `standby` is the
-    upstream that is to hold a copy of this attempt's KV cache.
+    upstream that is to hold a copy of this attempt's KV cache. With `hop` the request
+    is forwarded: `upstream` stands for another instance, at its address for callers.
     """
 
     attempt: int
@@ -262,6 +269,7 @@
     resume_after: int | None = None
     copy: MemoryCopy | None = None
     standby: UpstreamInstance | None = None
+    hop: Hop | None = None
 
     @property
     def from_copy(self) -> bool:
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -12,7 +12,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
-from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
+from turmericusher.decisions.forwarding import (
+    MAX_REFUSALS_ELSEWHERE,
+    Hop,
+    forward_target,
+)
 from turmericusher.decisions.free_capacity import (
     ExpectedWait,
     expected_wait,
@@ -21,6 +26,7 @@
 )
 from turmericusher.decisions.relay_messages import (
     ClaimTrial,
+    FindVersion,
     LoadsReported,
     MemoryCopy,
     QueryLoads,
@@ -75,6 +81,10 @@
 """Seconds without urgent streams after which the others get the full `TARGET_SHARE`: a
 few times the duration of a stream."""
 
+MIN_REPORT_SHARE = 0.5
+"""Share of the candidates that must report, or else a stream is not refused for what
+the others report: this instance may not reach most upstreams."""
+
 MIN_RETRY_S = 0.3
 """Minimum Retry-After in seconds: about a third of the prefill time of a prompt."""
 
@@ -98,6 +108,10 @@
         trait = self.blocked_trait()
         if trait is not None:
             return self.claim_trial(trait, now)
+        if self.shared.reach.is_unreachable(self.routed.service.name):
+            return self.forward(now)
+        if self.is_version_elsewhere:
+            return self.find_own_version(now)
         copy = self.usable_copy()
         wait_s = 0.0
         if copy is not None:
@@ -121,7 +135,7 @@
         candidates = self.shared.selector.sample(wanted, CANDIDATE_COUNT)
         if not candidates:
             return self.wait_or_refuse(now)
-        self.is_querying_loads = True
+        self.is_querying_loads, self.queried = True, len(candidates)
         self.shared.totals.load_questions += len(candidates)
         return [QueryLoads(candidates)]
 
@@ -160,6 +174,8 @@
         report = reports[upstream.name]
         wait = self.expected_wait_at(upstream.name, report, typical.mean, now)
         if self.would_miss_target(wait, now):
+            if len(event.reports) <= MIN_REPORT_SHARE * self.queried:
+                return self.forward_or_refuse_late(wait, now)
             return self.refuse_late(wait, now)
         avoided = self.recently_lost_domains(now) | {upstream.failure_domain}
         standbys = [
@@ -190,7 +206,9 @@
         A request that may have run, itself or as the earlier one that it resumes, is
         never refused for this reason.
         """
-        has_run = self.may_have_run or self.request.resume_after is not None
+        hop = self.request.hop
+        has_run = self.may_have_run or (hop is not None and hop.may_have_run)
+        has_run = has_run or self.request.resume_after is not None
         if has_run or wait.is_zero:
             return False
         return wait.first_event_s > self.target_time_left_s(now)
@@ -233,6 +251,25 @@
             self.jittered(min(max(late_s, MIN_RETRY_S), useful_s)),
         )
 
+    def forward_or_refuse_late(
+        self, wait: ExpectedWait, now: float
+    ) -> list[RelayAction]:
+        """Forward a stream that would be late at the few candidates that are reached.
+
+        An instance that reaches more of them may find a better one.
+        """
+        instance = self.pick_instance(now)
+        if instance is not None:
+            return self.start_forward(instance, now)
+        if self.request.hop is None:
+            return self.refuse_late(wait, now)
+        return self.fail(
+            ErrorCode.NO_UPSTREAM,
+            f"service={self.routed.service.name!r} has {self.queried} candidates, of "
+            "which most do not answer this instance",
+            self.jittered(NO_UPSTREAM_RETRY_S),
+        )
+
     def current_reports(
         self, reports: Mapping[str, UpstreamReport]
     ) -> dict[str, UpstreamReport]:
@@ -259,28 +296,15 @@
     ) -> list[RelayAction]:
         """Start an attempt on an upstream, with a standby if the stream can use one.
 
-        Every attempt starts here, whatever its reason. None does for a request that is
-        known to crash upstreams, which is refused or ended, and none at another version
-        than the one that began the stream.
-
         With `copy` the attempt resumes from that copy. `RelayAttempt.copy` is another
-        one: the copy that the upstream will keep on the standby.
+        one: the copy that the upstream will keep on the standby. None starts at another
+        version than the one that began the stream.
         """
-        trait = self.blocked_trait()
-        if trait is not None:
-            return self.refuse_crashing(trait, now)
         if self.version and upstream.version != self.version:
             return self.wait_or_refuse(now)
-        # A trial is for one attempt.
-        is_trial, self.has_trial = self.has_trial, False
-        self.last_number += 1
-        self.last_upstream = upstream.name
-        self.sends += 1
         standby = standby or self.choose_standby(upstream, now)
-        if standby is not None:
-            self.shared.holders.record_seen(standby, now)
         attempt = RelayAttempt(
-            self.last_number,
+            self.last_number + 1,
             upstream,
             now,
             now,
@@ -288,20 +312,41 @@
             from_copy=copy is not None,
             prompts_ahead=prompts_ahead,
             known_suspicions=self.shared.crashes.known_suspicions(self.traits),
-            is_trial=is_trial,
         )
+        return self.begin_attempt(attempt, now, copy, standby)
+
+    def begin_attempt(
+        self,
+        attempt: RelayAttempt,
+        now: float,
+        copy: MemoryCopy | None = None,
+        standby: UpstreamInstance | None = None,
+        hop: Hop | None = None,
+    ) -> list[RelayAction]:
+        """Begin an attempt, at an upstream or, with `hop`, by another instance.
+
+        Every attempt begins here, whatever its reason. None does for a request that is
+        known to crash upstreams, which is refused or ended.
+        """
+        trait = self.blocked_trait()
+        if trait is not None:
+            return self.refuse_crashing(trait, now)
+        # A trial is for one attempt.
+        is_trial, self.has_trial = self.has_trial, False
+        upstream, totals = attempt.upstream, self.shared.totals
+        self.last_number = attempt.number
+        self.last_upstream = upstream.name
+        self.sends += 1
         self.attempts[attempt.number] = attempt
-        self.shared.selector.attempt_started(upstream.name)
-        self.shared.send_limits.record_send(upstream.name, now)
-        self.shared.placements.record_placement(upstream.name, now)
-        totals = self.shared.totals
         totals.attempts += 1
-        if upstream.name in self.shared.send_limits.limits:
-            totals.limited_sends += 1
-            totals.limited_repeats += self.last_number > 1
         totals.repeats += self.last_number > 1
         totals.resumes += self.last_number > 1 and self.has_delivered
-        totals.crash_trials += is_trial
+        if hop is not None:
+            totals.forwards += 1
+        else:
+            attempt.is_trial = is_trial
+            totals.crash_trials += is_trial
+            self.record_placement(upstream, standby, now)
         return [
             StartRelay(
                 attempt=attempt.number,
@@ -310,9 +355,74 @@
                 resume_after=self.position,
                 copy=copy,
                 standby=standby,
+                hop=hop,
             )
         ]
 
+    def record_placement(
+        self, upstream: UpstreamInstance, standby: UpstreamInstance | None, now: float
+    ) -> None:
+        """Record what an attempt means for its upstream and its standby."""
+        totals, limits = self.shared.totals, self.shared.send_limits
+        if standby is not None:
+            self.shared.holders.record_seen(standby, now)
+        self.shared.selector.attempt_started(upstream.name)
+        limits.record_send(upstream.name, now)
+        self.shared.placements.record_placement(upstream.name, now)
+        if upstream.name in limits.limits:
+            totals.limited_sends += 1
+            totals.limited_repeats += self.last_number > 1
+
+    def forward(self, now: float) -> list[RelayAction]:
+        """Forward the request to an instance that may reach its service.
+
+        One that was forwarded already is not forwarded again. Without such an instance
+        a request that must go on waits for its upstreams or for other instances, and
+        any other one is refused at once.
+        """
+        instance = self.pick_instance(now)
+        if instance is not None:
+            return self.start_forward(instance, now)
+        if self.has_delivered or (self.kind.may_repeat and self.may_have_run):
+            self.refused_by.clear()
+            self.retry_at = now + UPSTREAM_POLL_INTERVAL_S
+            return []
+        return self.fail(
+            ErrorCode.UPSTREAM_FAILED if self.may_have_run else ErrorCode.NO_UPSTREAM,
+            f"service={self.routed.service.name!r} has no upstream that accepts "
+            f"connections of this instance, and {len(self.refused_by)} other instances "
+            f"did not take the request: {self.last_message}",
+            self.jittered(NO_UPSTREAM_RETRY_S),
+        )
+
+    def pick_instance(self, now: float) -> EntryInstance | None:
+        """Return an instance to forward the request to, if it may be forwarded."""
+        is_refused = len(self.refused_by) >= MAX_REFUSALS_ELSEWHERE
+        if self.request.hop is not None or is_refused:
+            return None
+        service = self.routed.service.name
+        return self.shared.forwarding.pick(service, self.refused_by, now)
+
+    def start_forward(self, instance: EntryInstance, now: float) -> list[RelayAction]:
+        """Start an attempt that goes by another instance."""
+        target = forward_target(instance, self.routed.service.name, self.version)
+        attempt = RelayAttempt(
+            self.last_number + 1, target, now, now, copy=None, is_forward=True
+        )
+        is_resume = self.kind.is_stream and self.position is not None
+        hop = Hop(
+            self.shared.forwarding.own,
+            self.routed.version,
+            self.may_have_run,
+            self.request.stream_id if is_resume else None,
+        )
+        return self.begin_attempt(attempt, now, hop=hop)
+
+    def find_own_version(self, now: float) -> list[RelayAction]:
+        """Find the version of a stream that began by another instance."""
+        self.is_finding_version = True
+        return [FindVersion(self.request.stream_id, self.routed.service.name)]
+
     def blocked_trait(self) -> str | None:
         """Return a trait for which the request must not be sent now, or None."""
         if self.has_trial:
@@ -330,7 +440,7 @@
         """Go on with a stream of which the version is known, or refuse it."""
         if self.is_over or not self.is_finding_version:
             return []
-        self.is_finding_version = False
+        self.is_finding_version = self.is_version_elsewhere = False
         if not event.found.may_go_on:
             self.shared.totals.version_refusals += 1
             return self.fail(
@@ -447,11 +557,12 @@
 
     def refuse_overloaded(self) -> list[RelayAction]:
         """Refuse a request that no upstream took, or fail it if it may have run."""
+        # Without any refusal, no upstream accepted a connection.
+        code = ErrorCode.OVERLOADED if self.refusals else ErrorCode.NO_UPSTREAM
         return self.fail(
-            ErrorCode.OVERLOADED
-            if not self.may_have_run
-            else ErrorCode.UPSTREAM_FAILED,
-            f"service={self.routed.service.name!r} rejected {self.refusals} attempts: "
+            ErrorCode.UPSTREAM_FAILED if self.may_have_run else code,
+            f"service={self.routed.service.name!r} took none of "
+            f"{self.last_number} attempts and rejected {self.refusals}: "
             f"{self.last_message}",
             self.jittered(FULL_RETRY_S),
         )
@@ -466,6 +577,8 @@
         self.was_hedged = True
         if self.blocked_trait() is not None:
             return []
+        if self.shared.reach.is_unreachable(self.routed.service.name):
+            return []
         busy = {attempt.upstream.name for attempt in self.attempts.values()}
         wanted = self.pick_request(
             self.excluded | busy, self.recently_lost_domains(now), now
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -9,6 +10,7 @@
 from turmericusher.decisions.crash_ledger import CrashLedger
 from turmericusher.decisions.crash_records import Suspicion
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
+from turmericusher.decisions.forwarding import Forwarding
 from turmericusher.decisions.free_capacity import (
     PrefillTime,
     RecentPlacements,
@@ -71,6 +73,10 @@
 """Events that an upstream reports beyond those received, from which on they count as
 lost: a report is older than any event in transit, so fewer can still arrive."""
 
+FORWARD_STALL_S = 3.0
+"""Seconds without an event after which a stream that another instance forwards is
+abandoned: that one needs most of it to resume the stream elsewhere itself."""
+
 HEDGE_SHARE = 0.6
 """Share of the target latency after which an idempotent call is also sent to a second
 upstream; the rest is what that one needs to answer in time."""
@@ -117,6 +123,8 @@
     `crash_refusals` are those refused or ended because one of their traits crashes
     upstreams, and `crash_trials` the attempts that tried such a trait again.
     `version_refusals` are the streams that no instance knew the version of.
+    `forwards` are the attempts that went by another instance, and `forward_refusals`
+    those that it did not take.
     """
 
     attempts: int = 0
@@ -138,6 +146,8 @@
     crash_refusals: int = 0
     crash_trials: int = 0
     version_refusals: int = 0
+    forwards: int = 0
+    forward_refusals: int = 0
 
 
 @dataclass(slots=True)
@@ -152,7 +162,8 @@
     copies are lost, `send_limits` the limits that upstreams name, `crashes` which
     requests crash upstreams, and `versions` at which version each stream began.
     `leaving` has the upstreams that leave, by their own answers or by the list, and
-    `reach` the services whose upstreams accept no connections of this instance.
+    `reach` the services whose upstreams accept no connections of this instance,
+    for which `forwarding` has the other instances.
     """
 
     selector: Selector
@@ -171,12 +182,14 @@
     send_limits: SendLimits = field(init=False)
     leaving: LeavingMarks = field(init=False)
     reach: Reachability = field(init=False)
+    forwarding: Forwarding = field(init=False)
 
     def __post_init__(self) -> None:
         """Start without any limit, mark or failed connection."""
         self.send_limits = SendLimits(self.random)
         self.leaving = LeavingMarks(self.random)
         self.reach = Reachability(self.selector)
+        self.forwarding = Forwarding(self.random)
 
     def record_leaving(self, upstream: UpstreamInstance, now: float) -> bool:
         """Use an upstream no more that said that it leaves; return whether it is new.
@@ -230,6 +243,7 @@
     A stall is not acted on before `kept_until`. `known_suspicions` are those of the
     request's traits when it was sent; `is_trial`: one was blocked.
     `is_proven`: the attempt has run for long enough to show that the request is sound.
+    `is_forward`: it goes by another instance, for which `upstream` stands.
     """
 
     number: int
@@ -251,6 +265,7 @@
     known_suspicions: dict[str, Suspicion] = field(default_factory=dict)
     is_trial: bool = False
     is_proven: bool = False
+    is_forward: bool = False
 
     @property
     def has_event(self) -> bool:
@@ -270,12 +285,14 @@
     the last event. `copy` is that of the last attempt that may have run.
     `version` is that of the upstreams at which the stream goes on, empty until it has
     begun or if there is only one; `is_finding_version`: other instances were asked.
+    `is_version_elsewhere`: it began at an upstream of another instance, which knows its
+    version. `refused_by` are the instances that did not take the request.
     `last_upstream` is the name of that of the last attempt, empty before any.
     `traits` are what the request shares with others that may crash upstreams.
-    `is_querying_loads`: candidates were queried for their load, and no attempt runs
-    yet. `is_claiming_trial`: a trial of a blocked trait was asked for, and `has_trial`:
-    the next attempt is one. `unpaid_failure` is that for which a retry is due at
-    `retry_at` if the budget allows it.
+    `is_querying_loads`: `queried` candidates were queried for their load, and no
+    attempt runs yet. `is_claiming_trial`: a trial of a blocked trait was asked for, and
+    `has_trial`: the next attempt is one. `unpaid_failure` is that for which a retry is
+    due at `retry_at` if the budget allows it.
     """
 
     request: RelayedRequest
@@ -284,6 +301,8 @@
     traits: tuple[str, ...] = ()
     version: str = ""
     is_finding_version: bool = False
+    is_version_elsewhere: bool = False
+    refused_by: set[str] = field(default_factory=set)
     position: int | None = None
     attempts: dict[int, RelayAttempt] = field(default_factory=dict)
     excluded: set[str] = field(default_factory=set)
@@ -299,6 +318,7 @@
     may_have_run: bool = False
     was_hedged: bool = False
     is_querying_loads: bool = False
+    queried: int = 0
     is_claiming_trial: bool = False
     has_trial: bool = False
     unpaid_failure: AttemptFailed | None = None
@@ -324,7 +344,12 @@
         return max(attempt.last_active_at, any_stream_at)
 
     def probe_due_at(self, attempt: RelayAttempt) -> float:
-        """Return when the upstream of an attempt is to be probed next."""
+        """Return when the upstream of an attempt is to be probed next.
+
+        An instance to which the request was forwarded probes upstreams itself.
+        """
+        if attempt.is_forward:
+            return math.inf
         probed_at = attempt.probed_at or 0.0
         if attempt.has_event:
             wait_s = RUNNING_PROBE_SHARE * self.routed.route.longest_gap_s
@@ -335,6 +360,9 @@
 
     def abandon_at(self, attempt: RelayAttempt) -> float:
         """Return when an attempt is abandoned even if its upstream is reachable."""
+        if attempt.is_forward:
+            limit_s = FORWARD_STALL_S if attempt.has_event else math.inf
+            return attempt.last_active_at + limit_s
         if attempt.has_event or attempt.from_copy:
             limit_s = RUNNING_LIMIT_SHARE * self.routed.route.longest_gap_s
             return attempt.last_active_at + max(limit_s, MIN_RUNNING_LIMIT_S)
@@ -459,6 +487,8 @@
     def remove_attempt(self, number: int) -> None:
         """Remove an attempt, so that its upstream no longer counts it as in flight."""
         attempt = self.attempts.pop(number)
+        if attempt.is_forward:
+            return
         self.shared.selector.attempt_finished(attempt.upstream.name)
 
     def fail(
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -8,6 +8,8 @@
 
 from starlette.types import Scope
 
+from turmericusher.api.headers import FORWARDED_HEADER
+from turmericusher.decisions.forwarding import Hop
 from turmericusher.decisions.relay_messages import Headers, RelayedRequest
 from turmericusher.errors import ErrorCode, RequestRefusedError
 from turmericusher.platform.names import (
@@ -27,6 +29,8 @@
 from turmericusher.ports.services import HOP_BY_HOP_HEADERS
 
 BEARER_PREFIX = "bearer "
+REQUEST_ONLY_HEADERS = SYSTEM_HEADERS | {FORWARDED_HEADER.lower()}
+HOP = re.compile(r"([^;]+);([0-9]+);([01])")
 PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 
 
@@ -54,7 +58,7 @@
             method=scope["method"],
             path=raw_path,
             target=f"{raw_path}?{query}" if query else raw_path,
-            headers=forwarded_headers(headers, SYSTEM_HEADERS),
+            headers=forwarded_headers(headers, REQUEST_ONLY_HEADERS),
             body=body,
             key=bearer_key(first_values.get("authorization")),
             arrived_at=arrived_at,
@@ -64,6 +68,7 @@
             size=parse_token_count(first_values.get(TOKEN_COUNTS)),
             resumes=first_values.get(RESUMES) or None,
             prompt_parts=parse_prompt_parts(first_values.get(PROMPT_PARTS)),
+            hop=parse_hop(first_values.get(FORWARDED_HEADER.lower())),
         )
 
     def encode_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -118,6 +123,17 @@
     return value[len(BEARER_PREFIX) :].strip()
 
 
+def parse_hop(value: str | None) -> Hop | None:
+    """Return what another instance says of a request that it forwards, if it does.
+
+    A malformed value counts as none.
+    """
+    match = HOP.fullmatch(value or "")
+    if match is None:
+        return None
+    return Hop(match[1], int(match[2]), match[3] == "1")
+
+
 def parse_number(name: str, value: str | None) -> float | None:
     """Parse a header as a non-negative number; return None if the header is missing.
 
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -213,8 +213,10 @@
     fleet.on_crash = context.apply_blocks
     fleet.on_versions = context.versions.notify
     context.versions.instances = fleet.instances.entries
-    fleet.on_claims = lambda claims: registration.update(
-        encode_instance(replace(own, limited_upstreams=claims))
+    fleet.on_own_change = lambda claims, cut_off: registration.update(
+        encode_instance(
+            replace(own, limited_upstreams=claims, unreachable_services=cut_off)
+        )
     )
     return instance
 
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -210,6 +210,7 @@
     failure_domain: StrictStr
     incarnation: StrictStr
     limited_upstreams: frozenset[StrictStr] = frozenset()
+    unreachable_services: frozenset[StrictStr] = frozenset()
 
 
 class CrashModel(WireModel):
@@ -444,6 +445,7 @@
         peer_address=model.peer_address or model.address,
         incarnation=model.incarnation,
         limited_upstreams=model.limited_upstreams,
+        unreachable_services=model.unreachable_services,
     )
 
 
@@ -456,6 +458,7 @@
             "failure_domain": instance.failure_domain,
             "incarnation": instance.incarnation,
             "limited_upstreams": sorted(instance.limited_upstreams),
+            "unreachable_services": sorted(instance.unreachable_services),
         }
     )
 
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -16,7 +16,9 @@
 import aiohttp
 from yarl import URL
 
+from turmericusher.api.headers import FORWARDED_HEADER
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.forwarding import Hop, Refusal
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
     AttemptCause,
@@ -34,7 +36,7 @@
 )
 from turmericusher.decisions.routing import RoutedRequest
 from turmericusher.decisions.upstream_load import LoadReport
-from turmericusher.errors import Verdict
+from turmericusher.errors import ErrorCode, Verdict
 from turmericusher.logs import log_event
 from turmericusher.platform.codec import parse_leaving, parse_load, parse_send_limit
 from turmericusher.platform.names import (
@@ -46,6 +48,7 @@
     REMAINING_MS,
     REPORT_PATH,
     REQUEST_ID,
+    RESUMES,
     SIGNATURE,
     STANDBY_ADDRESS,
     TARGET_UPSTREAM,
@@ -80,6 +83,8 @@
 """Statuses that tell a caller that nothing ran; not passed on if the request may have
 run."""
 
+MAX_MESSAGE_CHARS = 200
+
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 EVENT_ID = re.compile(rb"^id:[ ]*([0-9]+)[ ]*\r?$", re.MULTILINE)
 
@@ -138,14 +143,9 @@
                 ),
                 trace_request_ctx=progress,
             ) as response:
-                self.note_leaving(start.upstream, response)
                 exchange = AttemptExchange(start, request, response, sink)
-                load = parse_load(exchange.headers)
-                if load is not None:
-                    self.on_load(start.upstream.name, LoadReport(*load))
-                limit_per_s = self.read_limit(start.upstream, exchange.headers)
-                if limit_per_s is not None or not exchange.is_refusal:
-                    self.on_limit(start.upstream, limit_per_s)
+                if start.hop is None:
+                    self.read_signals(exchange)
                 await exchange.emit_events(routed.route.kind.is_stream)
         except MalformedStreamError as error:
             cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
@@ -153,6 +153,17 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             await sink(failure_from_error(start, progress, error))
 
+    def read_signals(self, exchange: AttemptExchange) -> None:
+        """Pass on what an upstream says of itself in a response to an attempt."""
+        upstream, headers = exchange.start.upstream, exchange.headers
+        self.note_leaving(upstream, exchange.response)
+        load = parse_load(headers)
+        if load is not None:
+            self.on_load(upstream.name, LoadReport(*load))
+        limit_per_s = self.read_limit(upstream, headers)
+        if limit_per_s is not None or not exchange.is_refusal:
+            self.on_limit(upstream, limit_per_s)
+
     def note_leaving(
         self, upstream: UpstreamInstance, response: aiohttp.ClientResponse
     ) -> bool:
@@ -279,8 +290,39 @@
             NOT_RUN_MARK in self.response.headers
         )
 
+    @property
+    def is_instance_refusal(self) -> bool:
+        """Whether the instance that a request was forwarded to refuses it itself.
+
+        The failure of an upstream that it passes on is signed.
+        """
+        status, headers = self.response.status, self.response.headers
+        return status in NOT_RUN_STATUSES and SIGNATURE not in headers
+
+    async def instance_refusal(self) -> AttemptFailed:
+        """Return the failure for a refusal by another instance.
+
+        Its body has the error code and the message, with a colon between them.
+        """
+        text = (await read_body(self.response)).decode(errors="replace").strip()
+        code, _, message = text.partition(": ")
+        retry_after = self.response.headers.get("Retry-After")
+        known = code in ErrorCode.__members__.values()
+        refusal = Refusal(
+            ErrorCode(code) if known else ErrorCode.NO_UPSTREAM,
+            message[:MAX_MESSAGE_CHARS],
+            float(retry_after) if retry_after is not None else None,
+        )
+        failed = failure(
+            self.start, AttemptCause.REFUSED, Verdict.NOT_RUN, text[:MAX_MESSAGE_CHARS]
+        )
+        return replace(failed, refusal=refusal)
+
     async def emit_events(self, is_stream: bool) -> None:
         """Read the response and pass its events to the sink."""
+        if self.start.hop is not None and self.is_instance_refusal:
+            await self.sink(await self.instance_refusal())
+            return
         early = self.failure_from_headers()
         if early is not None:
             await self.sink(early)
@@ -394,6 +436,8 @@
 ) -> list[tuple[str, str]]:
     """Return the headers of an attempt: the caller's, then those of this system."""
     remaining_ms = max(1, int((start.deadline - now) * MILLISECONDS_PER_S))
+    if start.hop is not None:
+        return forwarding_headers(start, request, start.hop, remaining_ms)
     headers = [
         ("Host", request.host),
         *request.headers,
@@ -417,6 +461,32 @@
     return headers
 
 
+def forwarding_headers(
+    start: StartRelay, request: RelayedRequest, hop: Hop, remaining_ms: int
+) -> list[tuple[str, str]]:
+    """Return the headers of a request to another instance: as a caller sends them.
+
+    A stream in progress is taken up again, as its caller would do.
+    """
+    headers = [("Host", request.host)]
+    headers += [
+        (name, value)
+        for name, value in request.headers
+        if hop.resumes is None or name != RESUMES
+    ]
+    headers.append((REMAINING_MS, str(remaining_ms)))
+    if request.key is not None:
+        headers.append(("Authorization", f"Bearer {request.key}"))
+    if start.resume_after is not None:
+        headers.append((LAST_EVENT_ID, str(start.resume_after)))
+    if hop.resumes is not None:
+        headers.append((RESUMES, hop.resumes))
+    may_have_run = int(hop.may_have_run)
+    value = f"{hop.sender};{hop.configuration};{may_have_run}"
+    headers.append((FORWARDED_HEADER, value))
+    return headers
+
+
 def failure_from_error(
     start: StartRelay, progress: SendProgress, error: Exception
 ) -> AttemptFailed:
@@ -430,7 +500,7 @@
         cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
     else:
         cause, verdict = AttemptCause.LOST, Verdict.MAY_HAVE_RUN
-    return failure(start, cause, verdict, repr(error)[:200])
+    return failure(start, cause, verdict, repr(error)[:MAX_MESSAGE_CHARS])
 
 
 def failure(
--- a/src/turmericusher/tasks/reach_checks.py
+++ b/src/turmericusher/tasks/reach_checks.py
@@ -26,7 +26,7 @@
 
     def notify(self) -> None:
         """Have due checks made soon, if connections failed lately."""
-        if self.reach.services or self.logged:
+        if self.logged or self.reach.has_doubts():
             self.wake.set()
 
     async def run(self) -> None:
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -74,21 +74,23 @@
     """The fleet as described by the store; implements `StoreListener`.
 
     `on_instance_count` is called with the number of entry instances, this one included,
-    after each change, and `on_claims` with the upstreams whose limits this instance
-    shares. `on_crash` is called when another instance told of a crash, and
-    `on_versions` when others may have to be told of this instance's streams.
+    after each change, and `on_own_change` with what the others are to know of this one:
+    the upstreams whose limits it shares, and the services it is cut off from.
+    `on_crash` is called when another instance told of a crash, and `on_versions` when
+    others may have to be told of this instance's streams.
     """
 
     shared: RelayShared
     tables: NewestTable
     decode: RecordDecoder
     on_instance_count: Callable[[int], None] | None = None
-    on_claims: Callable[[frozenset[str]], None] | None = None
+    on_own_change: Callable[[frozenset[str], frozenset[str]], None] | None = None
     on_crash: Callable[[], None] = lambda: None
     on_versions: Callable[[], None] = lambda: None
     upstreams: Listing[UpstreamInstance] = field(default_factory=Listing)
     instances: Listing[EntryInstance] = field(default_factory=Listing)
     claims: frozenset[str] = frozenset()
+    cut_off: frozenset[str] = frozenset()
 
     def store_read(self, values: tuple[StoredValue, ...], now: float) -> None:
         """Replace all entries by the values of a complete read of the store."""
@@ -165,6 +167,8 @@
         self.shared.send_limits.retain_listed(self.upstreams.entries)
         selector.update_instances(self.instances.entries)
         self.shared.crashes.update_instances(selector.own, self.instances.entries)
+        forwarding = self.shared.forwarding
+        forwarding.update_instances(selector.own, self.instances.entries.values())
         versions = self.shared.versions
         versions.update_instances(selector.own, self.instances.entries)
         versions.update_upstreams(self.upstreams.entries.values(), now)
@@ -186,14 +190,15 @@
             log_event("entries_expired", upstreams=len(self.upstreams.entries))
             self.update_decisions(now)
 
-    def share_limits(self, now: float) -> None:
-        """Drop limits that are gone, and report a change of those shared here."""
+    def report_own_change(self, now: float) -> None:
+        """Drop limits that are gone; report a change of what others are to know."""
         limits = self.shared.send_limits
         limits.drop_lifted(now)
-        claims = limits.claims()
-        if claims != self.claims and self.on_claims is not None:
-            self.on_claims(claims)
-        self.claims = claims
+        claims, cut_off = limits.claims(), self.shared.reach.services_cut_off()
+        is_changed = (claims, cut_off) != (self.claims, self.cut_off)
+        if is_changed and self.on_own_change is not None:
+            self.on_own_change(claims, cut_off)
+        self.claims, self.cut_off = claims, cut_off
 
     async def run(self) -> None:
         """Drop expired entries and limits periodically until cancelled."""
@@ -201,15 +206,21 @@
             await asyncio.sleep(EXPIRY_CHECK_INTERVAL_S)
             now = asyncio.get_running_loop().time()
             self.drop_expired(now)
-            self.share_limits(now)
+            self.report_own_change(now)
 
     def entrypoints(self) -> list[EntryInstance]:
-        """Return the live entry instances, which callers may use."""
-        return [
+        """Return the live entry instances that callers should use.
+
+        Those that are cut off from more services than others are left out, as long as
+        they say so: they would have to forward their requests.
+        """
+        live = [
             instance
             for instance in self.instances.entries.values()
             if instance.lifecycle is Lifecycle.LIVE
         ]
+        fewest = min((len(each.unreachable_services) for each in live), default=0)
+        return [each for each in live if len(each.unreachable_services) == fewest]
 
 
 def put_or_remove(listing: Listing[T], name: str, entry: T | None, now: float) -> None:
