Relay: starts of attempts and forwarding in a module of their own

What begins an attempt, at an upstream or by another instance, moves to relay_starting.py; the choice of upstreams stays. `fail_or_forward` is called `fail_or_deliver`, since forwarding now means another instance.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -18,7 +18,6 @@
 
 from turmericusher.decisions.crash_ledger import CLEAN_RUN_S
 from turmericusher.decisions.crash_records import request_traits
-from turmericusher.decisions.forwarding import Refusal
 from turmericusher.decisions.relay_copies import RelayCopies
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
@@ -262,19 +261,19 @@
             return []
         has_run = event.verdict is not Verdict.NOT_RUN
         if has_run and not self.kind.may_repeat:
-            return self.fail_or_forward(event)
+            return self.fail_or_deliver(event)
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail_on_timeout()
         if attempt.is_forward and not self.kind.is_stream and has_run:
             # The other instance has repeated it as often as the route allows.
-            return self.fail_or_forward(event)
+            return self.fail_or_deliver(event)
         if event.refusal is not None and not self.may_go_elsewhere(event.refusal):
             return self.pass_on_refusal(event.refusal)
         # An attempt that could not connect reached no upstream and costs nothing.
         if event.cause in (AttemptCause.UNREACHABLE, AttemptCause.REFUSED):
             return self.start_next(now)
         if not self.is_below_limits():
-            return self.fail_or_forward(event)
+            return self.fail_or_deliver(event)
         pause_s = 0.0
         if self.kind.is_stream and event.cause in FAST_FAILURE_CAUSES:
             pause_s = retry_pause_s(self.failures_in_a_row)
@@ -296,7 +295,7 @@
             return self.start_next(now)
         if not self.may_wait_for_budget(now):
             self.shared.totals.denied_repeats += 1
-            return self.fail_or_forward(event)
+            return self.fail_or_deliver(event)
         self.shared.totals.postponed_repeats += 1
         self.unpaid_failure = event
         self.retry_at = now + RETRY_POLL_INTERVAL_S
@@ -348,39 +347,6 @@
         if event.cause in (AttemptCause.LOST, AttemptCause.SILENT):
             self.lost_domains[attempt.upstream.failure_domain] = event.at
 
-    def record_forward_failure(
-        self, attempt: RelayAttempt, event: AttemptFailed, now: float
-    ) -> None:
-        """Record what the failure of a forwarded attempt implies for the request.
-
-        It tells nothing of the upstreams.
-        """
-        name = attempt.upstream.name
-        self.last_message = f"instance {name}: {event.cause.value} {event.message}"
-        if event.verdict is not Verdict.NOT_RUN:
-            self.may_have_run = True
-            self.copy = None
-            self.sends -= self.has_upstream_ended(event)
-            return
-        self.sends -= 1
-        self.shared.totals.forward_refusals += 1
-        self.refused_by.add(name)
-        if event.refusal is None or self.may_go_elsewhere(event.refusal):
-            service = self.routed.service.name
-            self.shared.forwarding.record_refusal(name, service, now)
-
-    def may_go_elsewhere(self, refusal: Refusal) -> bool:
-        """Whether another instance is tried after one has refused the request.
-
-        A stream in progress must go on, whatever the reason.
-        """
-        return refusal.is_local or self.has_delivered
-
-    def pass_on_refusal(self, refusal: Refusal) -> list[RelayAction]:
-        """Refuse the request as another instance did, for a reason that holds here."""
-        code = ErrorCode.UPSTREAM_FAILED if self.may_have_run else refusal.code
-        return self.fail(code, refusal.message, refusal.retry_after_s)
-
     def record_connection(
         self, attempt: RelayAttempt, cause: AttemptCause | None = None
     ) -> None:
@@ -414,21 +380,13 @@
                 attempt.is_trial,
             )
 
-    def has_upstream_ended(self, event: AttemptFailed) -> bool:
-        """Whether the upstream itself is assumed to have stopped with the attempt.
-
-        Such an attempt does not count towards the request's `max_attempts`. A stream
-        breaks with its engine, whereas the answer to a call may be lost on its own.
-        """
-        return self.kind.is_stream and event.cause is AttemptCause.LOST
-
     def is_below_limits(self) -> bool:
         """Whether `max_attempts` and the limit on refusals allow one more attempt."""
         if self.counted_sends() >= self.routed.route.max_attempts:
             return False
         return self.has_delivered or self.refusals < MAX_REFUSALS
 
-    def fail_or_forward(self, event: AttemptFailed) -> list[RelayAction]:
+    def fail_or_deliver(self, event: AttemptFailed) -> list[RelayAction]:
         """Forward the upstream's own failure if there is one, or else fail."""
         if event.answer is not None and not self.has_delivered:
             self.is_over = True
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -12,12 +12,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
-from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
-from turmericusher.decisions.forwarding import (
-    MAX_REFUSALS_ELSEWHERE,
-    Hop,
-    forward_target,
-)
+from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.free_capacity import (
     ExpectedWait,
     expected_wait,
@@ -31,24 +26,16 @@
     MemoryCopy,
     QueryLoads,
     RelayAction,
-    StartRelay,
     TrialClaimed,
     UpstreamReport,
     VersionFound,
 )
-from turmericusher.decisions.relay_state import (
-    UPSTREAM_POLL_INTERVAL_S,
-    RelayAttempt,
-    RelayState,
-)
+from turmericusher.decisions.relay_starting import NO_UPSTREAM_RETRY_S, RelayStarting
+from turmericusher.decisions.relay_state import UPSTREAM_POLL_INTERVAL_S, RelayAttempt
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.decisions.selection import PickRequest
 from turmericusher.errors import ErrorCode
 
-NO_UPSTREAM_RETRY_S = 0.5
-"""Retry-After in seconds when no upstream is live: engines that crashed together are
-usually listed again by then."""
-
 FULL_RETRY_S = 0.15
 """Retry-After in seconds when upstreams refused the request: a full service has usually
 completed several of its calls by then."""
@@ -91,12 +78,9 @@
 NEW_STREAM_KEPT_SHARE = 0.5
 """Share of the reserve of retries that only streams in progress may use."""
 
-RETRY_JITTER = 0.3
-"""Share by which a Retry-After varies, so that refused callers return spread out."""
-
 
 @dataclass(slots=True)
-class RelayPlacing(RelayState):
+class RelayPlacing(RelayStarting):
     """Starts attempts, and refuses requests for which none can be started."""
 
     def start_next(self, now: float) -> list[RelayAction]:
@@ -315,120 +299,11 @@
         )
         return self.begin_attempt(attempt, now, copy, standby)
 
-    def begin_attempt(
-        self,
-        attempt: RelayAttempt,
-        now: float,
-        copy: MemoryCopy | None = None,
-        standby: UpstreamInstance | None = None,
-        hop: Hop | None = None,
-    ) -> list[RelayAction]:
-        """Begin an attempt, at an upstream or, with `hop`, by another instance.
-
-        Every attempt begins here, whatever its reason. None does for a request that is
-        known to crash upstreams, which is refused or ended.
-        """
-        trait = self.blocked_trait()
-        if trait is not None:
-            return self.refuse_crashing(trait, now)
-        # A trial is for one attempt.
-        is_trial, self.has_trial = self.has_trial, False
-        upstream, totals = attempt.upstream, self.shared.totals
-        self.last_number = attempt.number
-        self.last_upstream = upstream.name
-        self.sends += 1
-        self.attempts[attempt.number] = attempt
-        totals.attempts += 1
-        totals.repeats += self.last_number > 1
-        totals.resumes += self.last_number > 1 and self.has_delivered
-        if hop is not None:
-            totals.forwards += 1
-        else:
-            attempt.is_trial = is_trial
-            totals.crash_trials += is_trial
-            self.record_placement(upstream, standby, now)
-        return [
-            StartRelay(
-                attempt=attempt.number,
-                upstream=upstream,
-                deadline=self.deadline(),
-                resume_after=self.position,
-                copy=copy,
-                standby=standby,
-                hop=hop,
-            )
-        ]
-
-    def record_placement(
-        self, upstream: UpstreamInstance, standby: UpstreamInstance | None, now: float
-    ) -> None:
-        """Record what an attempt means for its upstream and its standby."""
-        totals, limits = self.shared.totals, self.shared.send_limits
-        if standby is not None:
-            self.shared.holders.record_seen(standby, now)
-        self.shared.selector.attempt_started(upstream.name)
-        limits.record_send(upstream.name, now)
-        self.shared.placements.record_placement(upstream.name, now)
-        if upstream.name in limits.limits:
-            totals.limited_sends += 1
-            totals.limited_repeats += self.last_number > 1
-
-    def forward(self, now: float) -> list[RelayAction]:
-        """Forward the request to an instance that may reach its service.
-
-        One that was forwarded already is not forwarded again. Without such an instance
-        a request that must go on waits for its upstreams or for other instances, and
-        any other one is refused at once.
-        """
-        instance = self.pick_instance(now)
-        if instance is not None:
-            return self.start_forward(instance, now)
-        if self.has_delivered or (self.kind.may_repeat and self.may_have_run):
-            self.refused_by.clear()
-            self.retry_at = now + UPSTREAM_POLL_INTERVAL_S
-            return []
-        return self.fail(
-            ErrorCode.UPSTREAM_FAILED if self.may_have_run else ErrorCode.NO_UPSTREAM,
-            f"service={self.routed.service.name!r} has no upstream that accepts "
-            f"connections of this instance, and {len(self.refused_by)} other instances "
-            f"did not take the request: {self.last_message}",
-            self.jittered(NO_UPSTREAM_RETRY_S),
-        )
-
-    def pick_instance(self, now: float) -> EntryInstance | None:
-        """Return an instance to forward the request to, if it may be forwarded."""
-        is_refused = len(self.refused_by) >= MAX_REFUSALS_ELSEWHERE
-        if self.request.hop is not None or is_refused:
-            return None
-        service = self.routed.service.name
-        return self.shared.forwarding.pick(service, self.refused_by, now)
-
-    def start_forward(self, instance: EntryInstance, now: float) -> list[RelayAction]:
-        """Start an attempt that goes by another instance."""
-        target = forward_target(instance, self.routed.service.name, self.version)
-        attempt = RelayAttempt(
-            self.last_number + 1, target, now, now, copy=None, is_forward=True
-        )
-        is_resume = self.kind.is_stream and self.position is not None
-        hop = Hop(
-            self.shared.forwarding.own,
-            self.routed.version,
-            self.may_have_run,
-            self.request.stream_id if is_resume else None,
-        )
-        return self.begin_attempt(attempt, now, hop=hop)
-
     def find_own_version(self, now: float) -> list[RelayAction]:
         """Find the version of a stream that began by another instance."""
         self.is_finding_version = True
         return [FindVersion(self.request.stream_id, self.routed.service.name)]
 
-    def blocked_trait(self) -> str | None:
-        """Return a trait for which the request must not be sent now, or None."""
-        if self.has_trial:
-            return None
-        return self.shared.crashes.blocked_trait(self.traits)
-
     def claim_trial(self, trait: str, now: float) -> list[RelayAction]:
         """Ask for a trial of a blocked trait if one is due; else refuse the request."""
         if not self.shared.crashes.is_trial_due(self.traits, now):
@@ -465,17 +340,6 @@
             return self.refuse_crashing(trait, now)
         return self.start_next(now)
 
-    def refuse_crashing(self, trait: str, now: float) -> list[RelayAction]:
-        """Refuse a request that would crash an upstream, or end it if it has run."""
-        self.shared.totals.crash_refusals += 1
-        self.may_have_run = self.may_have_run or bool(self.attempts)
-        return self.fail(
-            ErrorCode.REQUEST_KILLS_UPSTREAMS,
-            f"{len(self.shared.crashes.suspicions[trait])} upstreams crashed under "
-            f"requests with trait={trait!r}",
-            self.jittered(self.shared.crashes.retry_after_s(trait, now)),
-        )
-
     def standby_copy(self, standby: UpstreamInstance | None) -> MemoryCopy | None:
         """Return the copy that the upstream keeps on a standby under the request id."""
         if standby is None:
@@ -567,11 +431,6 @@
             self.jittered(FULL_RETRY_S),
         )
 
-    def jittered(self, seconds: float) -> float:
-        """Return a randomly varied time, so that refused callers return spread out."""
-        spread = self.shared.random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
-        return seconds * spread
-
     def hedge(self, now: float) -> list[RelayAction]:
         """Send a late idempotent call to a second upstream; the first answer wins."""
         self.was_hedged = True
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -385,6 +385,14 @@
         is_current = self.shared.selector.is_current
         return self.sends - sum(not is_current(u) for u in self.stalled_upstreams)
 
+    def has_upstream_ended(self, event: AttemptFailed) -> bool:
+        """Whether the upstream itself is assumed to have stopped with the attempt.
+
+        Such an attempt does not count towards the request's `max_attempts`. A stream
+        breaks with its engine, whereas the answer to a call may be lost on its own.
+        """
+        return self.kind.is_stream and event.cause is AttemptCause.LOST
+
     def hedge_due_at(self) -> float | None:
         """Return when an idempotent call is sent to a second upstream, or None."""
         if self.kind is not RequestKind.IDEMPOTENT or self.was_hedged:
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -210,7 +210,7 @@
             for line in path.read_text().splitlines()
             if re.search(r"(?<!class )\bStartRelay\($", line.rstrip())
         ]
-        self.assertEqual(["relay_placing.py"], starts)
+        self.assertEqual(["relay_starting.py"], starts)
 
     @parameterized.expand([("before an event", 0, True), ("after an event", 1, False)])
     def test_a_running_attempt_is_ended_when_its_part_becomes_blocked(
