Forwarding: count requests once for the retry budget, and learn nothing from a paused process

A forwarded request was counted for the budget at both instances, so that the one that had been cut off could repeat more than its share just after; it now counts where it is sent to upstreams. Connections that fail late, because this process was paused or starved, counted against the upstreams; a failure that took longer than any timeout is passed over. Both have a test that failed before.

--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -314,7 +314,7 @@
             if engine.name in self.engines:
                 reach.record_success(engine.service, began_at)
             else:
-                reach.record_failure(engine, began_at)
+                reach.record_failure(engine, began_at, at)
 
         def check_again(at: float) -> None:
             self.checking.discard(number)
--- a/src/turmericusher/decisions/reachability.py
+++ b/src/turmericusher/decisions/reachability.py
@@ -28,6 +28,10 @@
 FAILURE_EXPIRY_S = 5.0
 """Seconds after which a failed connection says nothing of the present."""
 
+MAX_FAILURE_S = 0.4
+"""Seconds within which connections fail: their timeouts are shorter. One that took
+longer tells of a delay of this process, not of its links."""
+
 CHECK_PAUSE_S = 1.0
 """Seconds between two rounds of checks of a service that may be unreachable."""
 
@@ -112,8 +116,12 @@
             reach.failures = 0
             reach.is_unreachable = reach.is_served_elsewhere = False
 
-    def record_failure(self, upstream: UpstreamInstance, started_at: float) -> None:
-        """Record a connection that failed, which began at `started_at`."""
+    def record_failure(
+        self, upstream: UpstreamInstance, started_at: float, failed_at: float
+    ) -> None:
+        """Record a connection that began at `started_at` and failed at `failed_at`."""
+        if failed_at - started_at > MAX_FAILURE_S:
+            return
         reach = self.services.setdefault(upstream.service, ServiceReach())
         if started_at <= reach.reached_at:
             return
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -101,7 +101,10 @@
     def start(self, now: float) -> list[RelayAction]:
         """Start the first attempt, or refuse the request if no time is left for one."""
         self.position = self.request.resume_after
-        self.shared.budget_for(self.routed.service.name).record_request(now)
+        service = self.routed.service.name
+        # A request that is forwarded counts at the instance that sends it to upstreams.
+        if not self.shared.reach.is_unreachable(service):
+            self.shared.budget_for(service).record_request(now)
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail(ErrorCode.WAIT_EXCEEDED, "no time was left on arrival")
         if self.kind is RequestKind.RESUMABLE_STREAM and self.position is not None:
@@ -321,7 +324,7 @@
     def record_failure(self, attempt: RelayAttempt, event: AttemptFailed) -> None:
         """Record what a failed attempt implies for the request and its upstream."""
         name = attempt.upstream.name
-        self.record_connection(attempt, event.cause)
+        self.record_connection(attempt, event)
         self.record_possible_crash(attempt, event)
         # What a suspected request does to upstreams says nothing of the service.
         if event.cause in FAST_FAILURE_CAUSES and not attempt.known_suspicions:
@@ -348,20 +351,19 @@
             self.lost_domains[attempt.upstream.failure_domain] = event.at
 
     def record_connection(
-        self, attempt: RelayAttempt, cause: AttemptCause | None = None
+        self, attempt: RelayAttempt, event: AttemptFailed | None = None
     ) -> None:
         """Record whether the upstream of an attempt accepted its connection.
 
-        `cause` is that of its failure, if it failed. A stall tells nothing of new
-        connections.
+        `event` is its failure, if it failed. A stall tells nothing of new connections.
         """
         reach = self.shared.reach
         if attempt.is_forward:
             reach.record_served_elsewhere(self.routed.service.name)
             return
-        if cause is AttemptCause.UNREACHABLE:
-            reach.record_failure(attempt.upstream, attempt.started_at)
-        elif cause not in STALL_CAUSES:
+        if event is not None and event.cause is AttemptCause.UNREACHABLE:
+            reach.record_failure(attempt.upstream, attempt.started_at, event.at)
+        elif event is None or event.cause not in STALL_CAUSES:
             reach.record_success(attempt.upstream.service, attempt.started_at)
 
     def record_possible_crash(
--- a/src/turmericusher/standins/platform_store.py
+++ b/src/turmericusher/standins/platform_store.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Any
 
 import orjson
 from aiohttp import web
@@ -35,7 +36,7 @@
     encode_page,
     encode_value,
 )
-from turmericusher.ports.keyvalue import Snapshot
+from turmericusher.ports.keyvalue import Snapshot, StoredValue
 from turmericusher.standins.store import MemoryStore
 
 LOOPBACK = "127.0.0.1"
@@ -66,10 +67,15 @@
 
 @dataclass(slots=True)
 class PlatformStoreStandin:
-    """The service's calls over one `MemoryStore`; `calls` lists the names received."""
+    """The service's calls over one `MemoryStore`; `calls` lists the names received.
+
+    `view` changes the values that are read, so that the callers of one address may see
+    others than those of another one with the same store.
+    """
 
     store: MemoryStore
     faults: ConnectionFaults = field(default_factory=ConnectionFaults)
+    view: Callable[[bytes], bytes] = lambda value: value
     calls: list[str] = field(default_factory=list)
     address: str = ""
 
@@ -100,7 +106,7 @@
                 found = await self.store.get(request.query[KEY])
                 if found is None:
                     return web.Response(status=NOT_FOUND)
-                return reply(encode_value(found))
+                return reply(encode_value(self.seen(found)))
             case _ if name == READ_RANGE:
                 return await self.handle_range(request)
             case _ if name == WATCH:
@@ -125,7 +131,7 @@
         """Return one page of the values under a prefix, after the key `after`."""
         snapshot = await self.store.get_prefix(request.query[PREFIX])
         after = request.query.get(AFTER, "")
-        remaining = [value for value in snapshot.values if value.key > after]
+        remaining = [self.seen(v) for v in snapshot.values if v.key > after]
         page = Snapshot(tuple(remaining[: self.faults.page_size]), snapshot.revision)
         return reply(encode_page(page, len(remaining) > self.faults.page_size))
 
@@ -140,6 +146,8 @@
         while True:
             events = [
                 event
+                if event.value is None
+                else replace(event, value=self.view(event.value))
                 for event in self.store.history
                 if event.revision > after and event.key.startswith(prefix)
             ]
@@ -155,6 +163,10 @@
             self.store.expire_leases()
             await asyncio.sleep(0.01)
 
+    def seen(self, value: StoredValue) -> StoredValue:
+        """Return a value as the callers of this address see it."""
+        return replace(value, value=self.view(value.value))
+
     async def handle_swap(self, request: web.Request) -> web.StreamResponse:
         """Compare and swap one key; a conflict returns its current value."""
         result = await self.store.compare_and_swap(*decode_swap(await request.json()))
@@ -173,10 +185,10 @@
 
 @asynccontextmanager
 async def running_platform_store(
-    store: MemoryStore | None = None,
+    store: MemoryStore | None = None, **fields: Any
 ) -> AsyncIterator[PlatformStoreStandin]:
     """Serve the stand-in on a free loopback port and yield it."""
-    standin = PlatformStoreStandin(store or MemoryStore())
+    standin = PlatformStoreStandin(store or MemoryStore(), **fields)
     app = web.Application()
     app.router.add_route("*", "/v1/{call:.*}", standin.handle_call)
     runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
--- a/src/turmericusher/tasks/reach_checks.py
+++ b/src/turmericusher/tasks/reach_checks.py
@@ -52,11 +52,12 @@
 
     async def check(self, upstream: UpstreamInstance) -> None:
         """Try a connection to an upstream and record whether it was accepted."""
-        started_at = asyncio.get_running_loop().time()
+        clock = asyncio.get_running_loop().time
+        started_at = clock()
         if await self.port.can_connect(upstream):
             self.reach.record_success(upstream.service, started_at)
         else:
-            self.reach.record_failure(upstream, started_at)
+            self.reach.record_failure(upstream, started_at, clock())
         self.notify()
 
     def log_changes(self) -> None:
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -49,6 +49,7 @@
     CHECK_PAUSE_S,
     ENOUGH_FAILURES,
     FAILURE_EXPIRY_S,
+    MAX_FAILURE_S,
     RECHECK_INTERVAL_S,
     Reachability,
     ServiceReach,
@@ -72,6 +73,8 @@
 from turmericusher.tasks.relay_fleet import RelayFleet
 
 KINDS = (IDEMPOTENT, NON_IDEMPOTENT, RESUMABLE, STREAM)
+CHECK_TIMEOUT_S = 0.15
+
 LATER_S = 1e6
 """A time after that of all connections."""
 
@@ -193,6 +196,17 @@
         failure = failed(1, AttemptCause.FAILED, MAY_HAVE_RUN, answer=FAILURE)
         self.assertEqual([DeliverAnswer(FAILURE)], relay.handle(failure, 0.2))
 
+    def test_a_forwarded_request_is_counted_at_the_instance_that_sends_it(self):
+        here, there = make_cut_shared(), make_relay_shared()
+        relay, start = start_forward(here)
+        other = make_test_relay(NON_IDEMPOTENT, there)
+        other.request = replace(relay.request, hop=start.hop)
+        other.start(0.1)
+        counts = [
+            each.budget_for(SERVICE).requests.count(0.2) for each in (here, there)
+        ]
+        self.assertEqual([0, 1], counts)
+
     def test_a_failure_on_the_way_tells_nothing_of_upstreams(self):
         shared = make_cut_shared()
         relay, start = start_forward(shared, RESUMABLE)
@@ -323,6 +337,11 @@
     return Reachability(selector), [make_upstream(index) for index in range(upstreams)]
 
 
+def fail(reach, upstream, began_at):
+    """Record a connection that failed by its timeout."""
+    reach.record_failure(upstream, began_at, began_at + CHECK_TIMEOUT_S)
+
+
 class ReachabilityTest(TestCase):
     @parameterized.expand(
         [
@@ -338,14 +357,14 @@
     ):
         reach, known = make_reach(upstreams)
         for number, upstream in enumerate(known[:failing]):
-            reach.record_failure(upstream, 1.0 + number / 10)
+            fail(reach, upstream, 1.0 + number / 10)
         self.assertEqual(is_unreachable, reach.is_unreachable(SERVICE))
 
     def test_one_failure_at_the_only_upstream_is_not_enough(self):
         reach, (only,) = make_reach(1)
-        reach.record_failure(only, 1.0)
+        fail(reach, only, 1.0)
         self.assertFalse(reach.is_unreachable(SERVICE))
-        reach.record_failure(only, 1.1)
+        fail(reach, only, 1.1)
         self.assertTrue(reach.is_unreachable(SERVICE))
 
     @parameterized.expand([("after", 2.0, False), ("before", 0.5, True)])
@@ -354,25 +373,31 @@
     ):
         reach, known = make_reach(3)
         for upstream in known:
-            reach.record_failure(upstream, 1.0)
+            fail(reach, upstream, 1.0)
         reach.record_success(SERVICE, began_at)
         self.assertEqual(is_unreachable, reach.is_unreachable(SERVICE))
 
+    def test_a_process_that_was_paused_learns_nothing_from_its_timeouts(self):
+        reach, known = make_reach(3)
+        for upstream in known:
+            reach.record_failure(upstream, 1.0, 1.1 + MAX_FAILURE_S)
+        self.assertFalse(reach.has_doubts())
+
     def test_failures_of_long_ago_do_not_count(self):
         reach, known = make_reach(3)
         for number, upstream in enumerate(known):
-            reach.record_failure(upstream, number * FAILURE_EXPIRY_S)
+            fail(reach, upstream, number * FAILURE_EXPIRY_S)
         self.assertFalse(reach.is_unreachable(SERVICE))
 
     def test_a_failure_of_one_service_says_nothing_of_another(self):
         reach, known = make_reach(3)
         for upstream in known:
-            reach.record_failure(replace(upstream, service="other"), 1.0)
+            fail(reach, replace(upstream, service="other"), 1.0)
         self.assertFalse(reach.is_unreachable(SERVICE))
 
     def test_a_doubtful_service_is_checked_at_a_few_upstreams_at_once(self):
         reach, known = make_reach(9)
-        reach.record_failure(known[0], 1.0)
+        fail(reach, known[0], 1.0)
         checked = reach.due_checks(1.3)
         self.assertEqual(ENOUGH_FAILURES - 1, len(checked))
         self.assertNotIn(known[0], checked)
@@ -383,32 +408,32 @@
         checks = 0
         for tick in range(1_000):
             now = tick / 100
-            reach.record_failure(known[0], now - 0.005)
+            fail(reach, known[0], now - 0.005)
             for upstream in reach.due_checks(now):
                 checks += 1
                 if upstream == known[1]:
                     reach.record_success(SERVICE, now)
                 else:
-                    reach.record_failure(upstream, now)
+                    fail(reach, upstream, now)
         self.assertLessEqual(checks, 2 * (10.0 / CHECK_PAUSE_S + 1))
 
     def test_an_unreachable_service_is_checked_at_one_upstream_at_a_time(self):
         reach, known = make_reach(9)
         for upstream in known[:ENOUGH_FAILURES]:
-            reach.record_failure(upstream, 1.0)
+            fail(reach, upstream, 1.0)
         checks = 0
         for tick in range(200):
             now = 1.3 + tick * 0.05
             for upstream in reach.due_checks(now):
                 checks += 1
-                reach.record_failure(upstream, now)
+                fail(reach, upstream, now)
         self.assertLessEqual(checks, 10.0 / RECHECK_INTERVAL_S + 1)
         self.assertTrue(reach.is_unreachable(SERVICE))
 
     def test_a_service_without_upstreams_is_not_kept_as_unreachable(self):
         reach, known = make_reach(3)
         for upstream in known:
-            reach.record_failure(upstream, 1.0)
+            fail(reach, upstream, 1.0)
         reach.selector.update([])
         self.assertEqual([], reach.due_checks(2.0))
         self.assertEqual(frozenset(), reach.unreachable_services())
