--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -72,6 +72,8 @@
         self.metrics.gauge("instances", len(self.fleet.instances.entries))
         self.metrics.gauge("limited_upstreams", len(self.shared.send_limits.limits))
         self.metrics.gauge("suspected_traits", len(self.shared.crashes.suspicions))
+        unreachable = self.shared.reach.unreachable_services()
+        self.metrics.gauge("unreachable_services", len(unreachable))
         for service, budget in self.shared.budgets.items():
             allowance = budget.allowance(self.frontend.clock())
             self.metrics.gauge(f"retry_balance.{service}", allowance)
@@ -99,6 +101,7 @@
                 for name, upstream in selector.upstreams.items()
             },
             "instances": sorted(self.fleet.instances.entries),
+            "unreachable_services": sorted(self.shared.reach.unreachable_services()),
             "metrics": self.metrics.snapshot(),
         }
 
