Soak: instances that are cut off from all upstreams, and who sent what

For that each instance has links of its own to the upstreams, by a view of its own of the store; faults of an upstream's links hold for all of them.

New check `cut_instances_serve`, the users' rule.

--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -62,7 +62,8 @@
 class Arrival:
     """One request as an upstream received it; `has_run` is set once work began.
 
-    `is_leaving`: the upstream was leaving, and said so in its answer.
+    `is_leaving`: the upstream was leaving, and said so in its answer. `sender` is the
+    instance that sent it, which may not be the one that its caller sent it to.
     """
 
     request_id: str
@@ -73,6 +74,16 @@
     error: str = ""
     incarnation: str = ""
     is_leaving: bool = False
+    sender: str = ""
+
+
+@dataclass(slots=True)
+class Cut:
+    """A time in which some instances are cut off from all upstreams."""
+
+    instances: frozenset[str]
+    begins: float
+    ends: float = math.inf
 
 
 @dataclass(slots=True)
@@ -144,6 +155,7 @@
     exits: list[UnexpectedExit] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
+    cuts: list[Cut] = field(default_factory=list)
     faults_end_at: float = math.inf
 
     def runs(self) -> Counter[str]:
@@ -171,6 +183,15 @@
             if one.how != excluded
         )
 
+    def was_cut(self, instance: str, begins: float, ends: float) -> bool:
+        """Return whether an instance was cut off in an interval or just before it."""
+        return any(
+            instance in cut.instances
+            and cut.begins <= ends
+            and cut.ends + STABILIZATION_S >= begins
+            for cut in self.cuts
+        )
+
     def disturbances_on(self, subject: str) -> Iterator[Disturbance]:
         """Yield the disturbances of one subject."""
         return (one for one in self.disturbances if one.subject == subject)
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -14,12 +14,14 @@
     DeployedUpstream,
     Deployment,
     InstanceProcess,
+    UpstreamLinks,
 )
-from benchmarks.soak.history import LeavingMark, LimitSpan
+from benchmarks.soak.history import Cut, LeavingMark, LimitSpan
 from benchmarks.soak.proxy import Proxy
 from benchmarks.soak.schedule import (
     SLOWDOWN_KINDS,
     ChangeConfiguration,
+    CutFault,
     Fault,
     InstanceFault,
     InstanceFaultKind,
@@ -172,7 +174,8 @@
     """Apply a fault to a link for the step's duration."""
     if fault.link is LinkKind.UPSTREAM:
         upstream = deployment.upstreams[fault.index]
-        link, subject = upstream.link, upstream.standin.stable_name
+        subject = upstream.standin.stable_name
+        link: Proxy | UpstreamLinks = upstream.links
     else:
         instance = deployment.instances[fault.index]
         subject = instance.name
@@ -187,7 +190,7 @@
     disturbance.ends = deployment.now()
 
 
-def apply_link_fault(link: Proxy, kind: LinkFaultKind) -> None:
+def apply_link_fault(link: Proxy | UpstreamLinks, kind: LinkFaultKind) -> None:
     """Start a fault on a link; all but a reset last until the link is restored."""
     match kind:
         case LinkFaultKind.DELAY:
@@ -202,6 +205,26 @@
             link.block(link.up, link.down)
 
 
+@inject.register
+async def cut_instances(fault: CutFault, deployment: Deployment, step: Step) -> None:
+    """Cut instances off from all upstreams for the step's duration."""
+    names = frozenset(deployment.instances[index].name for index in fault.indexes)
+    links = [
+        link
+        for upstream in deployment.upstreams
+        for name, link in upstream.links.links.items()
+        if name in names
+    ]
+    cut = Cut(names, deployment.now())
+    deployment.history.cuts.append(cut)
+    for link in links:
+        link.cut(fault.kind)
+    await asyncio.sleep(step.duration_s)
+    for link in links:
+        await link.end_cut()
+    cut.ends = deployment.now()
+
+
 @inject.register
 async def inject_store_fault(
     fault: StoreFault, deployment: Deployment, step: Step
@@ -341,7 +364,7 @@
 
     Its entry is deleted from the store only at the end of the downtime.
     """
-    upstream.link.refuse()
+    upstream.links.refuse()
     upstream.is_up = False
     await asyncio.sleep(downtime_s)
     deployment.write_entry(upstream)
@@ -352,6 +375,6 @@
     # `born` identifies the incarnation, so it must change without a clock step too.
     upstream.born += MS_PER_SECOND * int(fault.clock_step_s) + upstream.incarnation
     upstream.standin.restart(upstream.born)
-    await upstream.link.listen()
+    await upstream.links.listen()
     upstream.state, upstream.is_up = "ready", True
     deployment.write_entry(upstream)
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -119,6 +119,13 @@
         "        has_gone = True\n        body.cancel()",
         "        has_gone = True",
     ),
+    Mutation(
+        "nothing-is-forwarded",
+        "cut_instances_serve",
+        "decisions/relay_starting.py",
+        "if self.request.hop is not None or is_refused:",
+        "if is_refused is not None:",
+    ),
     Mutation(
         "a-reload-stops-the-instance-from-taking-requests",
         "served_after_recovery",
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -6,6 +6,8 @@
 import random
 from dataclasses import dataclass
 
+from benchmarks.soak.proxy import CutKind
+
 MAX_FAULT_DURATION_S = 5.0
 MEAN_INTERVALS_S = (0.2, 0.5, 1.5)
 """Mean times between two faults, of which each run draws one. Short ones make many
@@ -87,6 +89,12 @@
 """Seconds for which a limit is named: some more than must pass until it is judged."""
 
 
+CUT_SHARE = 0.5
+CUT_DURATION_S = 9.0
+"""Share of the seeds with a cut, and its seconds: some more than must pass until it is
+judged."""
+
+
 class LinkKind(enum.StrEnum):
     """The links that a fault can hit, named by the part at their far end."""
 
@@ -128,12 +136,27 @@
     clock_step_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class CutFault:
+    """Instances with these indexes are cut off from all upstreams."""
+
+    indexes: tuple[int, ...]
+    kind: CutKind
+
+
 @dataclass(frozen=True, slots=True)
 class ChangeConfiguration:
     """The operator writes the next configuration version."""
 
 
-Fault = InstanceFault | LinkFault | StoreFault | UpstreamFault | ChangeConfiguration
+Fault = (
+    InstanceFault
+    | LinkFault
+    | StoreFault
+    | UpstreamFault
+    | CutFault
+    | ChangeConfiguration
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +208,7 @@
         steps.append(Step(at_s, min(fault_duration_s, duration_s - at_s), fault))
         at_s += rng.expovariate(1 / mean_interval_s)
     steps += draw_slowdowns(seed, duration_s, upstreams)
+    steps += draw_cuts(seed, duration_s, instances)
     steps.sort(key=lambda step: step.at_s)
     # A generator of its own, so that the other draws of a seed stay as they were.
     rng = random.Random(f"soak/{seed}/kinds")
@@ -222,6 +246,21 @@
     return steps
 
 
+def draw_cuts(seed: int, duration_s: float, instances: int) -> list[Step]:
+    """Draw cuts of one instance, of all but one or of all, for some of the seeds.
+
+    They have a generator of their own, like slowdowns.
+    """
+    rng = random.Random(f"soak/{seed}/cuts")
+    latest_s = duration_s - CUT_DURATION_S
+    if latest_s < FIRST_FAULT_AT_S or rng.random() >= CUT_SHARE:
+        return []
+    count = rng.choice((1, instances - 1, instances))
+    indexes = tuple(sorted(rng.sample(range(instances), count)))
+    fault = CutFault(indexes, rng.choice(list(CutKind)))
+    return [Step(rng.uniform(FIRST_FAULT_AT_S, latest_s), CUT_DURATION_S, fault)]
+
+
 def draw_fault(
     rng: random.Random, weights: list[float], instances: int, upstreams: int
 ) -> Fault:
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -61,7 +61,8 @@
     """An upstream that can be set to shed, to fail or to pause.
 
     It sends nothing while `is_unpaused` is clear. Its events name its `version`. It
-    calls `on_crash` when it begins to answer a request that crashes it.
+    calls `on_crash` when it begins to answer a request that crashes it. `find_sender`
+    returns the instance whose link has a port.
 
     `stable_name` names its place in the deployment, which stays the same when an
     upstream with another name starts there.
@@ -75,6 +76,7 @@
     is_shedding: bool = False
     is_failing: bool = False
     is_unpaused: asyncio.Event = field(default_factory=set_event)
+    find_sender: Callable[[int], str] = lambda port: ""
 
     @property
     def events_made(self) -> dict[str, int]:
@@ -111,6 +113,7 @@
             loop.time(),
             incarnation=self.report.incarnation,
             is_leaving=self.is_leaving,
+            sender=self.find_sender(writer.get_extra_info("peername")[1]),
         )
         self.history.arrivals.append(arrival)
         if not self.try_start_run(call, writer, self.is_shedding):
