Forwarding: a caller cannot pretend that its request was forwarded

Found in reading, before the landing. The header of a hop was believed from anybody: a caller that set it was never refused for being late.

--- a/src/turmericusher/api/headers.py
+++ b/src/turmericusher/api/headers.py
@@ -7,7 +7,7 @@
 REPLAYED_HEADER = "Idempotent-Replayed"
 FORWARDED_HEADER = "Turmericusher-Forwarded"
 """Set by an instance that forwards a request to another one: its name, the version of
-the configuration by which it accepted the request, and 1 if the request may have run,
-else 0, with semicolons between them."""
+the configuration by which it accepted the request, 1 if the request may have run, else
+0, and the incarnation of the other instance, with semicolons between them."""
 
 RESERVED_HEADER_PREFIX = "turmericusher-"
--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -10,7 +10,7 @@
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from starlette.requests import ClientDisconnect, Request
@@ -145,6 +145,7 @@
             incoming = Request(self.scope, self.receive)
             body = await read_body(incoming, self.body_limit_bytes())
             request = self.frontend.codec.decode(self.scope, body, self.arrived_at)
+            request = self.without_false_hop(request)
             self.request_id = request.request_id
             self.check_configuration(request)
             routed = self.frontend.tables.current().admit(
@@ -162,6 +163,13 @@
         async with cancel_on_disconnect(self.receive):
             await self.relay(request, routed)
 
+    def without_false_hop(self, request: RelayedRequest) -> RelayedRequest:
+        """Return the request, without a hop if no other instance has sent it here."""
+        own = self.frontend.context.shared.forwarding.incarnation
+        if request.hop is None or (own and request.hop.receiver == own):
+            return request
+        return replace(request, hop=None)
+
     def check_configuration(self, request: RelayedRequest) -> None:
         """Raise `RequestRefusedError` if the sender of a hop has a newer configuration.
 
--- a/src/turmericusher/decisions/forwarding.py
+++ b/src/turmericusher/decisions/forwarding.py
@@ -54,14 +54,16 @@
     """What the next instance is told about a request that is forwarded to it.
 
     `sender` is the name of the instance that forwards it, and `configuration` the
-    version by which it was accepted there. `resumes` is the id of the request that
-    brought the stream's first event, if this one goes on with a stream. A request that
-    `may_have_run` is not refused for being late.
+    version by which it was accepted there. A request that `may_have_run` is not refused
+    for being late. `receiver` is the incarnation of the next instance, which only
+    instances know, so that callers cannot pretend a hop. `resumes` is the id of the
+    request that brought the stream's first event, if this one goes on with a stream.
     """
 
     sender: str
     configuration: int
     may_have_run: bool = False
+    receiver: str = ""
     resumes: str | None = None
 
 
@@ -69,12 +71,14 @@
 class Forwarding:
     """The other instances, and which of them could not take a request lately.
 
-    `refused_until` maps an instance's name and a service to the monotonic time in
-    seconds until which it gets no requests for that service.
+    `own` and `incarnation` are this instance's name and incarnation. `refused_until`
+    maps an instance's name and a service to the monotonic time in seconds until which
+    it gets no requests for that service.
     """
 
     random: random.Random
     own: str = ""
+    incarnation: str = ""
     instances: tuple[EntryInstance, ...] = ()
     refused_until: dict[tuple[str, str], float] = field(default_factory=dict)
 
--- a/src/turmericusher/decisions/relay_starting.py
+++ b/src/turmericusher/decisions/relay_starting.py
@@ -163,6 +163,7 @@
             self.shared.forwarding.own,
             self.routed.version,
             self.may_have_run,
+            instance.incarnation,
             self.request.stream_id if is_resume else None,
         )
         return self.begin_attempt(attempt, now, hop=hop)
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -30,7 +30,7 @@
 
 BEARER_PREFIX = "bearer "
 REQUEST_ONLY_HEADERS = SYSTEM_HEADERS | {FORWARDED_HEADER.lower()}
-HOP = re.compile(r"([^;]+);([0-9]+);([01])")
+HOP = re.compile(r"([^;]+);([0-9]+);([01]);([^;]+)")
 PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 
 
@@ -131,7 +131,7 @@
     match = HOP.fullmatch(value or "")
     if match is None:
         return None
-    return Hop(match[1], int(match[2]), match[3] == "1")
+    return Hop(match[1], int(match[2]), match[3] == "1", match[4])
 
 
 def parse_number(name: str, value: str | None) -> float | None:
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import secrets
 import signal
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -196,6 +197,7 @@
         RelayStop(settings.stop_limit_s),
     )
     own = own_instance(settings)
+    context.shared.forwarding.incarnation = own.incarnation
     key = f"{INSTANCE_PREFIX}{settings.name}"
     registration = Registration(store, key, encode_instance(own))
     fleet = RelayFleet(context.shared, tables, decode_record)
@@ -228,6 +230,8 @@
         failure_domain=settings.failure_domain,
         caller_address=settings.caller_address,
         peer_address=settings.peer_address or settings.caller_address,
+        # A secret of the instances: not drawn from the seed, which is no secret.
+        incarnation=secrets.token_hex(8),
     )
 
 
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -482,7 +482,7 @@
     if hop.resumes is not None:
         headers.append((RESUMES, hop.resumes))
     may_have_run = int(hop.may_have_run)
-    value = f"{hop.sender};{hop.configuration};{may_have_run}"
+    value = f"{hop.sender};{hop.configuration};{may_have_run};{hop.receiver}"
     headers.append((FORWARDED_HEADER, value))
     return headers
 
