--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -203,6 +203,13 @@
             ledger.record_check(make_upstream(number), True, now)
             interval_s *= TRIAL_BACKOFF
 
+    def test_a_restarted_instance_waits_no_longer_for_a_trial_than_the_others(self):
+        after_trial = CrashRecord("u3", "1", frozenset({(Suspicion(BAD, 3, 1),)}))
+        records = [*TWO_REQUESTS, after_trial]
+        due_at = make_ledger(*records).next_trial_at(BAD)
+        restarted = make_ledger(*records, now=due_at - 1.0)
+        self.assertLessEqual(restarted.next_trial_at(BAD), due_at)
+
     def test_a_trial_by_another_instance_delays_the_next_one(self):
         ledger = make_ledger(*TWO_REQUESTS)
         ledger.merge_trial(TrialRecord(BAD, 1), 5.0)
