Forwarding: only instances with the same configuration take a forwarded request

Found in reading, before the landing. An instance with a newer configuration handled a forwarded request by that one, and the sender its next request by its own older one, which callers of one instance must not see. The window is the half second until a change is in force everywhere, or longer for a sender that has lost the store. Now an instance with another version, older or newer, refuses, and another is tried. The test with the newer version failed before.

--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -171,15 +171,16 @@
         return replace(request, hop=None)
 
     def check_configuration(self, request: RelayedRequest) -> None:
-        """Raise `RequestRefusedError` if the sender of a hop has a newer configuration.
+        """Raise `RequestRefusedError` if the sender of a hop has another configuration.
 
-        The request would otherwise be handled by an older one than before.
+        The sender would otherwise handle its requests by a newer and an older one in
+        turn, of which the newer one must stay in force.
         """
         version = self.frontend.tables.current().version
-        if request.hop is not None and request.hop.configuration > version:
+        if request.hop is not None and request.hop.configuration != version:
             raise RequestRefusedError(
                 ErrorCode.NO_CONFIGURATION,
-                f"this instance has configuration={version}, older than the "
+                f"this instance has configuration={version} and not the "
                 f"{request.hop.configuration} of instance={request.hop.sender!r}",
                 retry_after_s=NO_CONFIGURATION_RETRY_S,
             )
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -629,12 +629,16 @@
             ]
             self.assertEqual([200] * 4, [answer.status for answer in answers])
 
+    @parameterized.expand([("older", -1), ("newer", 1)])
     @run_async
-    async def test_an_instance_whose_configuration_is_older_is_passed_over(self):
+    async def test_an_instance_is_passed_over_whose_configuration_is(
+        self, _, difference
+    ):
         async with running_version_simulation(("v1",) * 3) as simulation:
             await self.cut_off(simulation)
             tables = simulation.instances["entry-1"].tables
-            tables.table = replace(tables.table, version=0)
+            version = tables.table.version + difference
+            tables.table = replace(tables.table, version=version)
             answers = [
                 await call(simulation, "entry-0", NON_IDEMPOTENT, f"q{number}")
                 for number in range(6)
