Test of configurations over a hop: count the attempts of the other instance

The test now checks that it makes no attempt; with the old comparison the case `newer` fails, run so.

--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -636,13 +636,15 @@
     ):
         async with running_version_simulation(("v1",) * 3) as simulation:
             await self.cut_off(simulation)
-            tables = simulation.instances["entry-1"].tables
+            other = simulation.instances["entry-1"]
+            tables, begun_with = other.tables, other.shared.totals.attempts
             version = tables.table.version + difference
             tables.table = replace(tables.table, version=version)
             answers = [
                 await call(simulation, "entry-0", NON_IDEMPOTENT, f"q{number}")
                 for number in range(6)
             ]
+            self.assertEqual(begun_with, other.shared.totals.attempts)
             self.assertEqual([200] * 6, [answer.status for answer in answers])
 
     @run_async
