Logs: what a check found of an upstream that may have crashed

The logs told of confirmed ends only, so that an end that nobody asked about and one that the check did not confirm looked alike. One line for each check, which there is at most once for each end. No change of decisions.

--- a/src/turmericusher/tasks/crash_reports.py
+++ b/src/turmericusher/tasks/crash_reports.py
@@ -78,6 +78,12 @@
     async def check(self, upstream: UpstreamInstance) -> None:
         """Find out whether an upstream has ended, and record the result."""
         has_ended = await self.port.has_ended(upstream)
+        log_event(
+            "crash_checked",
+            upstream=upstream.name,
+            incarnation=upstream.incarnation,
+            has_ended=has_ended,
+        )
         now = asyncio.get_running_loop().time()
         record = self.ledger.record_check(upstream, has_ended, now)
         if record is not None:
