--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -10,8 +10,8 @@
 import enum
 import socket
 import struct
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import ExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.relay_messages import UpstreamReport
@@ -38,6 +38,9 @@
 )
 
 LOOPBACK = "127.0.0.1"
+PENDING_CONNECTIONS = 4
+"""Connections that certainly fill the queue of a listener with a backlog of 0."""
+
 # Nothing runs or waits, and none of the memory for 100,000 tokens is used.
 IDLE_REPORT = UpstreamReport("1700000000000", 0, 0, 0, 100_000, {})
 # `SO_LINGER` on with a timeout of 0: closing the socket sends RST.
@@ -78,6 +81,19 @@
     HANG = "hang"
 
 
+class CrashSign(enum.StrEnum):
+    """What others see of an upstream that has crashed.
+
+    - `RESET`: its connections are reset, and new ones are refused.
+    - `SILENCE`: open connections say nothing more, and new ones are not answered.
+    - `RESET_ONCE`: its connections are reset, and new ones are not answered.
+    """
+
+    RESET = "reset"
+    SILENCE = "silence"
+    RESET_ONCE = "reset_once"
+
+
 @dataclass(frozen=True, slots=True)
 class ReceivedCall:
     """One call as received; header names are in lower case."""
@@ -102,9 +118,10 @@
     the calls whose caller closed the connection before the answer was complete.
     `report` is the load report that it returns, and `send_limit` the text of the limit
     that it names in its answers, if any. While `is_leaving`, all its answers say so. A
-    call with one of `crashing_parts` in its
-    prompt crashes it when it would begin to write the answer. `crashed` is set then,
-    and `connections` holds what is open until that.
+    call with one of `crashing_parts` in its prompt, or for one of `crashing_targets`,
+    crashes it after `first_event_s`, when it would begin to write the answer. Others
+    see `crash_sign` then, `crashed` is set, and `connections` holds what is open until
+    that. A plain service does not make reports (`makes_reports`).
     """
 
     name: str
@@ -126,6 +143,9 @@
     send_limit: str | None = None
     is_leaving: bool = False
     crashing_parts: frozenset[str] = frozenset()
+    crashing_targets: frozenset[str] = frozenset()
+    crash_sign: CrashSign = CrashSign.RESET
+    makes_reports: bool = True
     crashed: asyncio.Event = field(default_factory=asyncio.Event)
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
@@ -135,23 +155,31 @@
         mark = {LEAVING: "1"} if self.is_leaving else {}
         return encode_head(status, headers | mark)
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether this upstream has crashed and its connections say nothing more."""
+        return self.crashed.is_set() and self.crash_sign is CrashSign.SILENCE
+
     def stop_listening(self) -> None:
         """Accept no more connections; open ones continue."""
         if self.server is not None:
             self.server.close()
 
     def crash(self) -> None:
-        """Reset all connections and accept no more, as an engine that ends does."""
+        """End as `crash_sign` says; the call that is being served ends with it."""
         self.stop_listening()
-        for writer in self.connections:
-            reset(writer)
-        self.connections.clear()
+        if self.crash_sign is not CrashSign.SILENCE:
+            for writer in self.connections:
+                reset(writer)
+            self.connections.clear()
         self.crashed.set()
 
     def crashes_on(self, call: ReceivedCall) -> bool:
-        """Whether a call has a part in its prompt that crashes this upstream."""
+        """Whether a call crashes this upstream."""
         parts = call.headers.get(PROMPT_PARTS, "").split(",")
-        return any(part.partition(":")[0] in self.crashing_parts for part in parts)
+        return call.target in self.crashing_targets or any(
+            part.partition(":")[0] in self.crashing_parts for part in parts
+        )
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -160,7 +188,12 @@
         self.connections.add(writer)
         try:
             call = await read_call(reader)
-            if call is not None and call.target == REPORT_PATH:
+            if call is not None and self.is_silent:
+                await reader.read()
+            elif call is not None and call.target == REPORT_PATH:
+                if not self.makes_reports:
+                    writer.write(self.encode_head(500, {"Content-Length": "0"}))
+                    return
                 body = encode_report(self.report)
                 length = {"Content-Length": str(len(body))}
                 writer.write(self.encode_head(200, length) + body)
@@ -229,6 +262,8 @@
         if self.crashes_on(call):
             await asyncio.sleep(self.first_event_s)
             self.crash()
+            if self.is_silent:
+                await reader.read()
             return
         if self.events and fault is UpstreamFault.NONE:
             await self.stream(call, reader, writer)
@@ -247,6 +282,9 @@
         if self.send_limit is not None:
             headers[SEND_LIMIT] = self.send_limit
         length = {"Content-Length": str(len(self.body))}
+        if self.is_silent:
+            await reader.read()
+            return
         match fault:
             case UpstreamFault.FAIL:
                 writer.write(self.encode_head(500, headers | length) + self.body)
@@ -379,10 +417,27 @@
         yield standin
 
 
+@contextmanager
+def unanswered_port(port: int) -> Iterator[None]:
+    """Leave new connections to a loopback port unanswered, neither open nor refused."""
+    with ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((LOOPBACK, port))
+        listener.listen(0)
+        for _ in range(PENDING_CONNECTIONS):
+            pending = stack.enter_context(socket.socket())
+            pending.setblocking(False)
+            pending.connect_ex((LOOPBACK, port))
+        yield
+
+
 @asynccontextmanager
-async def running_standin(standin: UpstreamStandin) -> AsyncIterator[None]:
-    """Serve an existing upstream on a free loopback port, and set its address."""
-    server = await asyncio.start_server(standin.serve, LOOPBACK, 0)
+async def running_standin(
+    standin: UpstreamStandin, port: int = 0
+) -> AsyncIterator[None]:
+    """Serve an existing upstream on a loopback port, free by default."""
+    server = await asyncio.start_server(standin.serve, LOOPBACK, port)
     standin.server = server
     port = server.sockets[0].getsockname()[1]
     standin.address = f"{LOOPBACK}:{port}"
--- a/tests/common/crash_fixtures.py
+++ b/tests/common/crash_fixtures.py
@@ -5,12 +5,13 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, nullcontext
 from dataclasses import dataclass, field, replace
 
 import aiohttp
 
 from tests.common.relay_fixtures import (
+    PATHS,
     Answer,
     RelaySimulation,
     configuration,
@@ -25,21 +26,28 @@
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
     PROMPT_PARTS,
+    REQUEST_ID,
     UPSTREAM_PREFIX,
 )
 from turmericusher.platform.node import running_node
 from turmericusher.relay_serving import RelayInstance
 from turmericusher.standins.platform_store import running_platform_store
 from turmericusher.standins.platform_upstream import (
+    CrashSign,
     ReceivedCall,
     UpstreamStandin,
     running_standin,
+    unanswered_port,
 )
+from turmericusher.standins.store import MemoryStore
 from turmericusher.tasks.background import background_tasks
 
 BAD_PART = "badbadba"
 """The part of a prompt that crashes upstreams."""
 
+BAD_NAME = "bad"
+"""The end of the path of a call that crashes upstreams."""
+
 RESTART_S = 0.6
 """Seconds from the crash of an upstream until one with another name starts."""
 
@@ -47,6 +55,20 @@
 """Seconds for which the list still shows an upstream that has crashed."""
 
 
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """How an upstream that has crashed is replaced; times in seconds after its crash.
+
+    The list shows it for `listed_s`, and another one starts after `restart_s`, at the
+    same address if `keeps_address`, and under the same name if `keeps_name`.
+    """
+
+    restart_s: float = RESTART_S
+    listed_s: float = LISTED_AFTER_CRASH_S
+    keeps_address: bool = False
+    keeps_name: bool = False
+
+
 def make_blocked_shared(is_due: bool = False) -> RelayShared:
     """Return the state of an instance at which `BAD_PART` is blocked.
 
@@ -71,6 +93,7 @@
     """
 
     instances: list[RelaySimulation]
+    replacement: Replacement = Replacement()
     running: dict[int, UpstreamStandin] = field(default_factory=dict)
     ended: list[UpstreamStandin] = field(default_factory=list)
     crash_times: list[float] = field(default_factory=list)
@@ -100,24 +123,58 @@
         except aiohttp.ClientError:
             return Answer(0, {}, b"", False)
 
+    async def call_plain(self, instance: int, name: str, wait_ms: int = 400) -> Answer:
+        """Send an idempotent call, the same one for each name, to one instance."""
+        self.request_count += 1
+        simulation = self.instances[instance]
+        simulation.count = self.request_count
+        return await simulation.call(RequestKind.IDEMPOTENT, wait_ms, name)
+
+    def plain_calls(self, name: str) -> int:
+        """Return how many plain calls of this name have run at an upstream."""
+        target = f"{PATHS[RequestKind.IDEMPOTENT]}{name}"
+        return sum(
+            call.target == target and call.headers[REQUEST_ID] in upstream.runs
+            for upstream in (*self.running.values(), *self.ended)
+            for call in upstream.calls
+        )
+
     async def keep_upstream(self, index: int, fields: dict[str, object]) -> None:
         """Run an upstream, and another one in its place after each crash."""
-        store = self.instances[0].store.store
-        for life in range(1_000):
-            standin = UpstreamStandin(f"u{index}-{life}", **fields)  # type: ignore[arg-type]
-            born = 1_700_000_000_000 + 1_000 * index + life
-            standin.report = replace(standin.report, incarnation=str(born))
-            async with running_standin(standin):
-                self.running[index] = standin
-                key = f"{UPSTREAM_PREFIX}{standin.name}"
-                entry = encode_upstream_entry(standin.address, index, born=born)
-                store.write(key, entry)
-                await standin.crashed.wait()
-                self.crash_times.append(time.monotonic())
-                self.ended.append(self.running.pop(index))
-            await asyncio.sleep(LISTED_AFTER_CRASH_S)
-            store.write(key, None)
-            await asyncio.sleep(RESTART_S - LISTED_AFTER_CRASH_S)
+        port = 0
+        how = self.replacement
+        async with AsyncExitStack() as entries:
+            for life in range(1_000):
+                name = f"u{index}" if how.keeps_name else f"u{index}-{life}"
+                standin = UpstreamStandin(name, **fields)  # type: ignore[arg-type]
+                born = 1_700_000_000_000 + 1_000 * index + life
+                standin.report = replace(standin.report, incarnation=str(born))
+                async with running_standin(standin, port):
+                    self.running[index] = standin
+                    key = f"{UPSTREAM_PREFIX}{standin.name}"
+                    entry = encode_upstream_entry(standin.address, index, born=born)
+                    self.store.write(key, entry)
+                    await standin.crashed.wait()
+                    self.crash_times.append(time.monotonic())
+                    self.ended.append(self.running.pop(index))
+                if not how.keeps_name:
+                    removal = background_tasks({f"removal-{name}": self.remove(key)})
+                    await entries.enter_async_context(removal)
+                address_port = int(standin.address.rpartition(":")[2])
+                port = address_port if how.keeps_address else 0
+                is_refusing = standin.crash_sign is CrashSign.RESET
+                with nullcontext() if is_refusing else unanswered_port(address_port):
+                    await asyncio.sleep(how.restart_s)
+
+    @property
+    def store(self) -> MemoryStore:
+        """The state of the platform's store."""
+        return self.instances[0].store.store
+
+    async def remove(self, key: str) -> None:
+        """Remove the entry of an upstream that has crashed, as late as the list is."""
+        await asyncio.sleep(self.replacement.listed_s)
+        self.store.write(key, None)
 
 
 @asynccontextmanager
@@ -133,14 +190,17 @@
 
 @asynccontextmanager
 async def running_crash_simulation(
-    instances: int = 3, upstreams: int = 6, **fields: object
+    instances: int = 3,
+    upstreams: int = 6,
+    replacement: Replacement = Replacement(),
+    **fields: object,
 ) -> AsyncIterator[CrashSimulation]:
     """Run instances and upstreams; `fields` are those of the stand-ins."""
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_platform_store())
         session = await stack.enter_async_context(aiohttp.ClientSession())
         store.store.write(CONFIGURATION_KEY, configuration())
-        simulation = CrashSimulation([])
+        simulation = CrashSimulation([], replacement)
         for number in range(instances):
             settings = replace(
                 make_node_settings(store.address), name=f"entry-{number}"
--- a/tests/common/relay_fixtures.py
+++ b/tests/common/relay_fixtures.py
@@ -211,14 +211,15 @@
         self.store.store.write(f"{UPSTREAM_PREFIX}{self.upstreams[index].name}", None)
 
     async def call(
-        self, kind: RequestKind, wait_ms: int = 3_000, **headers: str
+        self, kind: RequestKind, wait_ms: int = 3_000, name: str = "x", **headers: str
     ) -> Answer:
         """Send one request and return the response, complete or broken off.
 
-        Underscores in the names of `headers` stand for hyphens.
+        `name` is the end of its path. Underscores in the names of `headers` stand for
+        hyphens.
         """
         self.count += 1
-        url = f"http://{self.settings.caller_address}{PATHS[kind]}x"
+        url = f"http://{self.settings.caller_address}{PATHS[kind]}{name}"
         sent = self.headers | {
             "X-Request-Id": f"q{self.count}",
             "X-Deadline-Milliseconds": str(wait_ms),
