A possible end of an upstream stays open until something answers it

Cause: an end was believed only if a failed attempt was followed at once by a refused connection or a report of another incarnation. An upstream that falls silent fails no attempt, one whose new connections hang or whose successor answers at the address was taken for running, and nobody asked again. The ledger stayed empty.

Change: each attempt that had a connection and ended unanswered leaves a question, which the list, 421, a refused connection, a report or a later answer settles within ten seconds. A whole request needs no second rank to be blocked. Trials are bounded: they need an upstream that accepts connections, come less often with each trial made, and end after two deaths for a whole request that goes on to come. Records last an hour after the last death or refusal.

Why it works: whatever ends an attempt, what the upstream was given is on record before the list can show that it has gone, and the records are shared as before.

--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -42,6 +42,7 @@
 )
 from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.open_losses import EndState
 from turmericusher.decisions.reachability import RECHECK_INTERVAL_S
 from turmericusher.decisions.relay import Relay
 from turmericusher.decisions.relay_messages import (
@@ -300,8 +301,9 @@
             ledger.begin_check(engine)
 
             def record(at: float, engine: UpstreamInstance = engine) -> None:
-                has_ended = engine.name not in self.engines
-                if ledger.record_check(engine, has_ended, at) is not None:
+                is_running = engine.name in self.engines
+                state = EndState.RUNNING if is_running else EndState.ENDED
+                if ledger.record_check(engine, state, at) is not None:
                     self.apply_blocks(number, at)
 
             self.at(now + CHECK_S, record)
--- a/benchmarks/load_simulation.py
+++ b/benchmarks/load_simulation.py
@@ -378,7 +378,7 @@
             name, domain, scheduler, simulation.completion_callback(name)
         )
         simulation.all_upstreams[name] = UpstreamInstance(
-            name, SERVICE, UpstreamKind.ENGINE, "127.0.0.1:1", domain
+            name, SERVICE, UpstreamKind.ENGINE, f"{name}:1", domain
         )
     names = [f"entry-{index}" for index in range(len(INSTANCE_SHARES))]
     for index, name in enumerate(names):
--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -7,17 +7,19 @@
 
 Each death puts the traits of the requests that the upstream had begun last under
 suspicion. A trait is cleared by any request with it that runs well. It is blocked after
-a few deaths, of which one came after another was known: deaths at the same time may
-have one cause. If other traits explain its deaths better, those are blocked instead.
+a few deaths. One that different requests share is blocked only if one of the deaths
+came after another was known: deaths at the same time may have one cause. If other
+traits explain its deaths better, those are blocked instead.
 
 Blocked traits are tried again from time to time, by one instance of all, and less often
-after each trial that ends in a death, so that a sound trait comes free.
+after each trial, so that a sound trait comes free. A whole request is not tried again
+after a few trials that ended in deaths, as long as it goes on to come.
 """
 
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.crash_records import (
@@ -27,15 +29,19 @@
     Suspicion,
     TrialRecord,
     death_name,
+    is_shared,
+    next_suspicion,
+    severity,
 )
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.open_losses import EndState, Loss, OpenLosses
 from turmericusher.decisions.subsets import rendezvous_weight
 
 BLOCKING_DEATHS = 3
 """Deaths after which a trait is blocked."""
 
 BLOCKING_RANK = 2
-"""Least rank that one of these deaths must have."""
+"""Least rank that one of these deaths must have if requests share the trait."""
 
 CLEAN_RUN_S = 1.0
 """Seconds after an attempt's first event from which on it shows that its request is
@@ -45,8 +51,9 @@
 """Seconds for which a trait is not suspected after a request with it ran well: a few
 times the pause between two streams at one instance."""
 
-RECORD_TTL_S = 600
-"""Seconds after which a death is forgotten."""
+RECORD_TTL_S = 3600
+"""Seconds after which a death is forgotten, counted from the last one of its traits, or
+the last request that was refused for one of them."""
 
 MAX_DEATHS = 500
 MAX_CHAINS = 64
@@ -57,7 +64,10 @@
 a whole service, whose traits nobody has seen run well, this ends the refusals."""
 
 TRIAL_BACKOFF = 15.0
-"""Factor by which each death that came of a trial makes that time longer."""
+"""Factor by which each trial, or death that came of one, makes that time longer."""
+
+MAX_FAILED_TRIALS = 2
+"""Deaths that came of trials after which a whole request is not tried again."""
 
 PUBLISH_STAGGER_S = 0.3
 """Seconds by which each instance tells of a sound trait later than the one before it in
@@ -72,21 +82,17 @@
     learned_at: float
 
 
-@dataclass(slots=True)
-class Loss:
-    """An upstream that may have died, with the requests suspected of it."""
-
-    upstream: UpstreamInstance
-    chains: set[Chain] = field(default_factory=set)
-    is_being_checked: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class Trial:
-    """A trial that an instance knows of since `learned_at`, in monotonic seconds."""
+    """A trial that an instance knows of since `learned_at`, in monotonic seconds.
+
+    `number` counts all trials of the trait, of which `earlier` came before the deaths
+    for which it is blocked now.
+    """
 
     number: int
     learned_at: float
+    earlier: int
 
 
 @dataclass(slots=True)
@@ -94,10 +100,11 @@
     """The deaths of upstreams and the traits that are suspected of them.
 
     `own` is the name of this instance and `instances` are those of all live ones.
-    `losses` are deaths that were not confirmed yet. `suspicions` maps a trait to what
-    each death that it was not cleared of tells of it. `cleared` has the deaths that
-    each trait was cleared of, and when. `sound_at` is when a request with a trait last
-    ran well, `trials` the last trial of a trait. `unpublished_deaths` and
+    `open_losses` are deaths that were not confirmed yet. `suspicions` maps a trait to
+    what each death that it was not cleared of tells of it. `cleared` has the deaths
+    that each trait was cleared of, and when. `sound_at` is when a request with a trait
+    last ran well, `refused_at` when one was last refused, and `trials` has the last
+    trial of a trait. `unpublished_deaths` and
     `unpublished_sound` are not in the store yet; the latter with the time from which on
     they are due. Times are monotonic seconds.
     """
@@ -105,10 +112,11 @@
     own: str = ""
     instances: frozenset[str] = frozenset()
     deaths: dict[str, Death] = field(default_factory=dict)
-    losses: dict[str, Loss] = field(default_factory=dict)
+    open_losses: OpenLosses = field(default_factory=OpenLosses)
     suspicions: dict[str, dict[str, Suspicion]] = field(default_factory=dict)
     cleared: dict[str, dict[str, float]] = field(default_factory=dict)
     sound_at: dict[str, float] = field(default_factory=dict)
+    refused_at: dict[str, float] = field(default_factory=dict)
     trials: dict[str, Trial] = field(default_factory=dict)
     unpublished_deaths: set[str] = field(default_factory=set)
     unpublished_sound: dict[str, float] = field(default_factory=dict)
@@ -126,19 +134,23 @@
             for trait in traits
             if trait in self.suspicions
         }
-        for loss in self.losses.values():
-            for suspicion in (each for chain in loss.chains for each in chain):
-                if suspicion.trait in traits:
-                    known = found.get(suspicion.trait, suspicion)
-                    found[suspicion.trait] = max(known, suspicion, key=severity)
+        for trait in traits:
+            lost = self.open_losses.suspected.get(trait)
+            if lost is not None:
+                found[trait] = max(found.get(trait, lost), lost, key=severity)
         return found
 
+    def is_suspected(self, traits: Sequence[str]) -> bool:
+        """Whether a request with these traits may have ended an upstream."""
+        return bool(self.known_suspicions(traits))
+
     def is_blocked(self, trait: str) -> bool:
         """Whether a trait has caused too many deaths, for all that is known."""
         suspicions = self.suspicions.get(trait, {})
         if len(suspicions) < BLOCKING_DEATHS:
             return False
-        if max(each.rank for each in suspicions.values()) < BLOCKING_RANK:
+        rank = max(each.rank for each in suspicions.values())
+        if is_shared(trait) and rank < BLOCKING_RANK:
             return False
         return not any(
             self.explains(other, trait) for other in self.suspicions if other != trait
@@ -181,12 +193,36 @@
         )
 
     def next_trial_at(self, trait: str) -> float:
-        """Return when a blocked trait may be tried again by some instance."""
+        """Return when a blocked trait may be tried again by some instance.
+
+        If there is to be no other trial, that is when its deaths are forgotten.
+        """
+        if not is_shared(trait) and self.failed_trials(trait) >= MAX_FAILED_TRIALS:
+            return self.last_seen_at(trait) + RECORD_TTL_S
         trial = self.trials.get(trait)
         tried_at = trial.learned_at if trial is not None else -math.inf
         last_at = max(self.last_death_at(trait), tried_at)
         return last_at + self.trial_interval_s(trait)
 
+    def failed_trials(self, trait: str) -> int:
+        """Return how many deaths of a blocked trait came of trials.
+
+        Of a whole request, which is the same each time, each death beyond those for
+        which it was blocked tells as much.
+        """
+        suspicions = self.suspicions[trait].values()
+        failed = max(each.trials for each in suspicions)
+        if is_shared(trait):
+            return failed
+        return max(failed, len(suspicions) - BLOCKING_DEATHS)
+
+    def trials_since_deaths(self, trait: str) -> int:
+        """Return how many trials of a trait were made for the deaths known now."""
+        trial = self.trials.get(trait)
+        if trial is None or trial.learned_at < self.first_death_at(trait):
+            return 0
+        return trial.number - trial.earlier
+
     def next_trial(self, trait: str) -> TrialRecord:
         """Return the record to write for the next trial of a trait."""
         trial = self.trials.get(trait)
@@ -194,13 +230,23 @@
 
     def trial_interval_s(self, trait: str) -> float:
         """Return the seconds between two trials of a blocked trait."""
-        trials = max(each.trials for each in self.suspicions[trait].values())
+        trials = max(self.failed_trials(trait), self.trials_since_deaths(trait))
         return min(TRIAL_AFTER_S * TRIAL_BACKOFF**trials, RECORD_TTL_S)
 
     def last_death_at(self, trait: str) -> float:
         """Return when this instance learned of a suspected trait's last death."""
         return max(self.deaths[death].learned_at for death in self.suspicions[trait])
 
+    def last_seen_at(self, trait: str) -> float:
+        """Return when a suspected trait last caused a death or was last refused."""
+        refused_at = self.refused_at.get(trait, -math.inf)
+        return max(self.last_death_at(trait), refused_at)
+
+    def first_death_at(self, trait: str) -> float:
+        """Return when this instance learned of a trait's first death, inf for none."""
+        deaths = self.suspicions.get(trait, ())
+        return min((self.deaths[each].learned_at for each in deaths), default=math.inf)
+
     def retry_after_s(self, trait: str, now: float) -> float:
         """Return the seconds until a blocked trait may be tried, at least the first."""
         return max(TRIAL_AFTER_S, self.next_trial_at(trait) - now)
@@ -219,9 +265,7 @@
 
     def unchecked_losses(self) -> list[UpstreamInstance]:
         """Return the upstreams that may have died and are not being checked yet."""
-        return [
-            loss.upstream for loss in self.losses.values() if not loss.is_being_checked
-        ]
+        return self.open_losses.due_checks()
 
     def unpublished(self, now: float) -> list[CrashRecord | SoundRecord]:
         """Return the records that are due to be written to the store."""
@@ -242,11 +286,13 @@
         known: Mapping[str, Suspicion],
         now: float,
         is_trial: bool = False,
+        is_stall: bool = False,
     ) -> None:
         """Record that an upstream broke off a request that it had just begun.
 
         `known` is what was known of its traits when it was sent. If any of them is
-        suspected, it remains to be checked whether the upstream has died.
+        suspected, it remains to be found out whether the upstream has died. In a stall
+        it has not answered, and is asked only if the request was suspected before.
         """
         chain = tuple(
             next_suspicion(trait, known.get(trait), is_trial)
@@ -257,7 +303,8 @@
             return
         name = death_name(upstream.name, upstream.incarnation)
         if name not in self.deaths:
-            self.losses.setdefault(name, Loss(upstream)).chains.add(chain)
+            needs_check = not is_stall or bool(known)
+            self.open_losses.add(upstream, chain, now, needs_check)
             return
         chains = self.deaths[name].record.chains | {chain}
         record = CrashRecord(upstream.name, upstream.incarnation, chains)
@@ -266,20 +313,36 @@
 
     def begin_check(self, upstream: UpstreamInstance) -> None:
         """Record that an upstream is being checked."""
-        name = death_name(upstream.name, upstream.incarnation)
-        self.losses[name].is_being_checked = True
+        self.open_losses.begin_check(upstream)
 
     def record_check(
-        self, upstream: UpstreamInstance, has_ended: bool, now: float
+        self, upstream: UpstreamInstance, state: EndState, now: float
     ) -> CrashRecord | None:
-        """Record whether an upstream has ended; return the death if it is a new one."""
-        loss = self.losses.pop(death_name(upstream.name, upstream.incarnation), None)
-        if loss is None or not has_ended:
+        """Record what a check has found; return the death if it is a new one."""
+        if state is EndState.UNKNOWN:
+            self.open_losses.end_check(upstream)
+            return None
+        loss = self.open_losses.remove(upstream)
+        if loss is None or state is EndState.RUNNING:
             return None
+        return self.record_end(loss, now)
+
+    def review_losses(
+        self, has_ended: Callable[[UpstreamInstance], bool], now: float
+    ) -> list[CrashRecord]:
+        """Return the new deaths among the losses; forget those that are settled."""
+        records = [
+            self.record_end(loss, now)
+            for loss in self.open_losses.review(has_ended, now)
+        ]
+        return [record for record in records if record is not None]
+
+    def record_end(self, loss: Loss, now: float) -> CrashRecord | None:
+        """Record that a loss was a death; return it if it is a new one."""
         chains = [self.without_sound(chain, now) for chain in loss.chains]
         record = CrashRecord(
-            upstream.name,
-            upstream.incarnation,
+            loss.upstream.name,
+            loss.upstream.incarnation,
             frozenset(each for each in chains if each),
         )
         if not record.chains or not self.merge_crash(record, now):
@@ -295,6 +358,10 @@
             if not self.was_sound_lately(suspicion.trait, now)
         )
 
+    def record_refusal(self, trait: str, now: float) -> None:
+        """Record that a request was refused for a blocked trait."""
+        self.refused_at[trait] = now
+
     def record_clean_run(self, traits: Iterable[str], now: float) -> None:
         """Record that a request with these traits ran well."""
         self.sound_at = {
@@ -320,13 +387,18 @@
             del suspicions[death]
         if not suspicions:
             self.suspicions.pop(trait, None)
+            self.refused_at.pop(trait, None)
 
     def merge_trial(self, record: TrialRecord, now: float) -> bool:
         """Record a trial by this instance or another one; return whether it is new."""
         known = self.trials.get(record.trait)
         if known is not None and known.number >= record.number:
             return False
-        self.trials[record.trait] = Trial(record.number, now)
+        earlier = 0
+        if known is not None:
+            is_of_these = known.learned_at >= self.first_death_at(record.trait)
+            earlier = known.earlier if is_of_these else known.number
+        self.trials[record.trait] = Trial(record.number, now, earlier)
         return True
 
     def merge_crash(self, record: CrashRecord, now: float) -> bool:
@@ -389,8 +461,9 @@
     def forget_expired(self, now: float) -> None:
         """Forget old deaths, the oldest above `MAX_DEATHS`, and what was cleared."""
         surplus = len(self.deaths) - MAX_DEATHS + 1
-        for number, (name, death) in enumerate(list(self.deaths.items())):
-            if number < surplus or now - death.learned_at >= RECORD_TTL_S:
+        expired = [name for name in self.deaths if self.is_expired(name, now)]
+        for name in expired + list(self.deaths)[: max(0, surplus)]:
+            if name in self.deaths:
                 self.forget_death(name)
         self.trials = {
             trait: trial
@@ -405,6 +478,22 @@
                 del self.cleared[trait]
                 self.unpublished_sound.pop(trait, None)
 
+    def is_expired(self, name: str, now: float) -> bool:
+        """Whether a death is old, and so are the later ones of the same traits.
+
+        A request that goes on to be refused would otherwise be sent again as soon as
+        the first of its deaths is forgotten.
+        """
+        death = self.deaths[name]
+        if now - death.learned_at < RECORD_TTL_S:
+            return False
+        traits = {each.trait for chain in death.record.chains for each in chain}
+        return all(
+            now - self.last_seen_at(trait) >= RECORD_TTL_S
+            for trait in traits
+            if name in self.suspicions.get(trait, ())
+        )
+
     def forget_death(self, name: str) -> None:
         """Forget one death."""
         death = self.deaths.pop(name)
@@ -413,18 +502,6 @@
             self.withdraw(suspicion.trait, frozenset({name}))
 
 
-def next_suspicion(trait: str, known: Suspicion | None, is_trial: bool) -> Suspicion:
-    """Return a trait as suspected of a further death."""
-    if known is None:
-        return Suspicion(trait, 1)
-    return Suspicion(trait, known.rank + 1, known.trials + is_trial)
-
-
-def severity(suspicion: Suspicion) -> tuple[int, int]:
-    """Return the sort key by which the more serious of two suspicions is found."""
-    return suspicion.trials, suspicion.rank
-
-
 def position(chain: Chain, trait: str) -> int | None:
     """Return the place of a trait in a request's chain, or None if it is not there."""
     for number, suspicion in enumerate(chain):
--- a/src/turmericusher/decisions/crash_records.py
+++ b/src/turmericusher/decisions/crash_records.py
@@ -11,6 +11,8 @@
 
 from turmericusher.decisions.relay_messages import RelayedRequest
 
+PART_PREFIX = "part-"
+
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
@@ -64,6 +66,18 @@
     number: int
 
 
+def next_suspicion(trait: str, known: Suspicion | None, is_trial: bool) -> Suspicion:
+    """Return a trait as suspected of a further death."""
+    if known is None:
+        return Suspicion(trait, 1)
+    return Suspicion(trait, known.rank + 1, known.trials + is_trial)
+
+
+def severity(suspicion: Suspicion) -> tuple[int, int]:
+    """Return the sort key by which the more serious of two suspicions is found."""
+    return suspicion.trials, suspicion.rank
+
+
 LedgerRecord = CrashRecord | SoundRecord | TrialRecord
 
 
@@ -80,5 +94,10 @@
         whole.update(f"{text}\0".encode())
     whole.update(f"{','.join(request.prompt_parts)}\0".encode())
     whole.update(request.body)
-    parts = dict.fromkeys(f"part-{part}" for part in request.shared_parts)
+    parts = dict.fromkeys(f"{PART_PREFIX}{part}" for part in request.shared_parts)
     return (*parts, f"request-{whole.hexdigest()}")
+
+
+def is_shared(trait: str) -> bool:
+    """Whether a trait is one that different requests have in common."""
+    return trait.startswith(PART_PREFIX)
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -22,6 +22,7 @@
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
     AttemptCause,
+    AttemptConnected,
     AttemptFailed,
     DeliverAnswer,
     DeliverEvents,
@@ -59,8 +60,13 @@
 """Seconds after which an attempt appears in its upstream's reports, with a margin."""
 
 CRASH_CAUSES = frozenset({AttemptCause.LOST, AttemptCause.MALFORMED})
-"""Causes that may mean that the upstream has crashed. A stall rather means that it
-pauses."""
+"""Causes that may mean that the upstream has crashed, and after which it is asked. A
+stall rather means that it pauses."""
+
+ANSWER_CAUSES = frozenset(
+    {AttemptCause.OVERLOADED, AttemptCause.NO_COPY, AttemptCause.FAILED}
+)
+"""Causes that are answers of the upstream itself."""
 
 STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
 """Causes that are inferred from missing events while the connection is still open."""
@@ -100,6 +106,7 @@
 
     def start(self, now: float) -> list[RelayAction]:
         """Start the first attempt, or refuse the request if no time is left for one."""
+        self.now = now
         self.position = self.request.resume_after
         service = self.routed.service.name
         # A request that is forwarded counts at the instance that sends it to upstreams.
@@ -125,6 +132,7 @@
 
     def handle(self, event: RelayEvent, now: float) -> list[RelayAction]:
         """Return the actions for an event; drop it if its attempt is not live."""
+        self.now = now
         if isinstance(event, LoadsReported):
             return self.handle_loads(event, now)
         if isinstance(event, TraitBlocked):
@@ -140,6 +148,7 @@
 
     def tick(self, now: float) -> list[RelayAction]:
         """Return the actions that are due by now: retries, hedges, probes, deadline."""
+        self.now = now
         if self.is_over:
             return []
         if now >= self.deadline():
@@ -169,9 +178,9 @@
                 times.append(self.stall_check_at(attempt))
         return min(times)
 
-    def close(self) -> list[RelayAction]:
+    def close(self, now: float) -> list[RelayAction]:
         """End the request because the caller is done or gone."""
-        self.is_over = True
+        self.now, self.is_over = now, True
         self.shared.versions.record_end(self.request.stream_id)
         return [*self.release_copies(), *self.cancel_all()]
 
@@ -324,6 +333,9 @@
     def record_failure(self, attempt: RelayAttempt, event: AttemptFailed) -> None:
         """Record what a failed attempt implies for the request and its upstream."""
         name = attempt.upstream.name
+        # A trial that no upstream has run is still to be made.
+        if attempt.is_trial and event.verdict is Verdict.NOT_RUN:
+            self.has_trial = True
         self.record_connection(attempt, event)
         self.record_possible_crash(attempt, event)
         # What a suspected request does to upstreams says nothing of the service.
@@ -369,18 +381,19 @@
     def record_possible_crash(
         self, attempt: RelayAttempt, event: AttemptFailed
     ) -> None:
-        """Suspicion the request of crashing its upstream if that had just begun it."""
-        if event.cause not in CRASH_CAUSES or event.at >= self.deadline():
-            return
-        begun_at = attempt.first_event_at
-        if begun_at is None or event.at - begun_at < CLEAN_RUN_S:
-            self.shared.crashes.record_loss(
-                attempt.upstream,
-                self.traits,
-                attempt.known_suspicions,
-                event.at,
-                attempt.is_trial,
-            )
+        """Suspect the request of crashing its upstream if that had just begun it."""
+        if event.cause in CRASH_CAUSES and event.at < self.deadline():
+            self.suspect(attempt, event.at, is_stall=False)
+        elif event.cause in CRASH_CAUSES:
+            self.record_unanswered(attempt)
+        elif event.cause in ANSWER_CAUSES:
+            self.record_answer(attempt, event.at)
+
+    def record_answer(self, attempt: RelayAttempt, now: float) -> None:
+        """Record that the upstream of an attempt has answered, in whatever way."""
+        if not attempt.is_forward:
+            losses = self.shared.crashes.open_losses
+            losses.record_answer(attempt.upstream, attempt.started_at, now)
 
     def is_below_limits(self) -> bool:
         """Whether `max_attempts` and the limit on refusals allow one more attempt."""
@@ -497,6 +510,15 @@
     raise NotImplementedError(f"event={event!r} is not a relay event")
 
 
+@handle_event.register
+def handle_connected(
+    event: AttemptConnected, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Record that the upstream of an attempt may run the request."""
+    attempt.is_connected = True
+    return []
+
+
 @handle_event.register
 def handle_answer(
     event: AnswerArrived, relay: Relay, attempt: RelayAttempt, now: float
@@ -505,6 +527,7 @@
     # An instance may itself give another answer to what was forwarded to it.
     if event.answer.status < 300 or not attempt.is_forward:
         relay.record_connection(attempt)
+    relay.record_answer(attempt, event.at)
     relay.shared.budget_for(relay.routed.service.name).record_success()
     return [*relay.finish(attempt, now), DeliverAnswer(event.answer)]
 
@@ -515,6 +538,7 @@
 ) -> list[RelayAction]:
     """Keep the headers, which are delivered with the first event."""
     relay.record_connection(attempt)
+    relay.record_answer(attempt, event.at)
     attempt.headers = event.headers
     attempt.last_active_at = max(attempt.last_active_at, event.at)
     return []
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -88,6 +88,14 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptConnected:
+    """An attempt has a connection, so that its upstream may run the request."""
+
+    attempt: int
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerArrived:
     """An attempt received a complete answer that is not a stream."""
@@ -279,9 +287,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimTrial:
-    """Ask for the right to try a blocked trait with this request."""
+    """Ask for the right to try a blocked trait with this request.
+
+    `upstream` is one that could run it. If that accepts no connection, the service is
+    down, and the trial would show nothing.
+    """
 
     trait: str
+    upstream: UpstreamInstance
 
 
 @dataclass(frozen=True, slots=True)
@@ -335,7 +348,8 @@
 
 
 RelayEvent = (
-    AnswerArrived
+    AttemptConnected
+    | AnswerArrived
     | StreamOpened
     | EventArrived
     | StreamFinished
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -306,10 +306,13 @@
 
     def claim_trial(self, trait: str, now: float) -> list[RelayAction]:
         """Ask for a trial of a blocked trait if one is due; else refuse the request."""
-        if not self.shared.crashes.is_trial_due(self.traits, now):
+        upstream = None
+        if self.shared.crashes.is_trial_due(self.traits, now):
+            upstream = self.pick_upstream(now)
+        if upstream is None:
             return self.refuse_crashing(trait, now)
         self.is_claiming_trial = True
-        return [ClaimTrial(trait)]
+        return [ClaimTrial(trait, upstream)]
 
     def handle_version(self, event: VersionFound, now: float) -> list[RelayAction]:
         """Go on with a stream of which the version is known, or refuse it."""
@@ -434,7 +437,7 @@
     def hedge(self, now: float) -> list[RelayAction]:
         """Send a late idempotent call to a second upstream; the first answer wins."""
         self.was_hedged = True
-        if self.blocked_trait() is not None:
+        if self.shared.crashes.is_suspected(self.traits):
             return []
         if self.shared.reach.is_unreachable(self.routed.service.name):
             return []
--- a/src/turmericusher/decisions/relay_starting.py
+++ b/src/turmericusher/decisions/relay_starting.py
@@ -107,6 +107,7 @@
     def refuse_crashing(self, trait: str, now: float) -> list[RelayAction]:
         """Refuse a request that would crash an upstream, or end it if it has run."""
         self.shared.totals.crash_refusals += 1
+        self.shared.crashes.record_refusal(trait, now)
         self.may_have_run = self.may_have_run or bool(self.attempts)
         return self.fail(
             ErrorCode.REQUEST_KILLS_UPSTREAMS,
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from turmericusher.decisions.crash_ledger import CrashLedger
+from turmericusher.decisions.crash_ledger import CLEAN_RUN_S, CrashLedger
 from turmericusher.decisions.crash_records import Suspicion
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
 from turmericusher.decisions.forwarding import Forwarding
@@ -93,6 +93,10 @@
 MIN_ATTEMPT_TIME_S = 0.01
 """Minimum seconds before a request's deadline for an attempt to be started."""
 
+MIN_SILENCE_S = 0.5
+"""Seconds without an event or answer after which an attempt whose upstream is no longer
+listed may have been lost with it: an upstream may also serve on for a while."""
+
 LOST_DOMAIN_AVOIDANCE_S = 3.0
 """Seconds for which a failure domain is avoided after it lost an attempt: about what
 engines that crashed together take to return."""
@@ -201,6 +205,12 @@
         self.update_upstreams(self.selector.upstreams.values(), now)
         return True
 
+    def has_crashed(self, upstream: UpstreamInstance) -> bool:
+        """Whether an upstream has ended and did not say before that it leaves."""
+        if self.selector.is_current(upstream):
+            return False
+        return leaving_mark(upstream) not in self.leaving.marks
+
     def update_upstreams(
         self, upstreams: Iterable[UpstreamInstance], now: float
     ) -> None:
@@ -243,6 +253,8 @@
     A stall is not acted on before `kept_until`. `known_suspicions` are those of the
     request's traits when it was sent; `is_trial`: one was blocked.
     `is_proven`: the attempt has run for long enough to show that the request is sound.
+    `is_connected`: its upstream may have the request. `is_suspected`: the request was
+    recorded as one that may have ended its upstream.
     `is_forward`: it goes by another instance, for which `upstream` stands.
     """
 
@@ -265,6 +277,8 @@
     known_suspicions: dict[str, Suspicion] = field(default_factory=dict)
     is_trial: bool = False
     is_proven: bool = False
+    is_connected: bool = False
+    is_suspected: bool = False
     is_forward: bool = False
 
     @property
@@ -289,16 +303,18 @@
     version. `refused_by` are the instances that did not take the request.
     `last_upstream` is the name of that of the last attempt, empty before any.
     `traits` are what the request shares with others that may crash upstreams.
-    `is_querying_loads`: `queried` candidates were queried for their load, and no
-    attempt runs yet. `is_claiming_trial`: a trial of a blocked trait was asked for, and
-    `has_trial`: the next attempt is one. `unpaid_failure` is that for which a retry is
-    due at `retry_at` if the budget allows it.
+    `now` is the time of the last event. `is_querying_loads`: `queried` candidates were
+    queried for their load, and no attempt runs yet. `is_claiming_trial`: a trial of a
+    blocked trait was asked for, and `has_trial`: the next attempt is one.
+    `unpaid_failure` is that for which a retry is due at `retry_at` if the budget allows
+    it.
     """
 
     request: RelayedRequest
     routed: RoutedRequest
     shared: RelayShared
     traits: tuple[str, ...] = ()
+    now: float = 0.0
     version: str = ""
     is_finding_version: bool = False
     is_version_elsewhere: bool = False
@@ -489,9 +505,42 @@
 
     def cancel(self, number: int) -> list[RelayAction]:
         """Cancel one attempt."""
+        self.record_unanswered(self.attempts[number])
         self.remove_attempt(number)
         return [CancelAttempt(number)]
 
+    def record_unanswered(self, attempt: RelayAttempt) -> None:
+        """Suspect the request of the end of an upstream that has not answered it.
+
+        Nothing shows yet whether the upstream has ended.
+        """
+        if attempt.is_connected and not attempt.is_forward:
+            self.suspect(attempt, self.now, is_stall=True)
+
+    def record_ended_upstreams(self, now: float) -> None:
+        """Suspect the request of the ends of upstreams that it still waits for."""
+        for attempt in self.attempts.values():
+            is_silent = now - attempt.last_active_at >= MIN_SILENCE_S
+            if not attempt.is_connected or attempt.is_suspected or not is_silent:
+                continue
+            if not attempt.is_forward and self.shared.has_crashed(attempt.upstream):
+                self.suspect(attempt, now, is_stall=True)
+
+    def suspect(self, attempt: RelayAttempt, now: float, is_stall: bool) -> None:
+        """Suspect the request of a possible crash if its answer had just begun."""
+        begun_at = attempt.first_event_at
+        if begun_at is not None and now - begun_at >= CLEAN_RUN_S:
+            return
+        attempt.is_suspected = True
+        self.shared.crashes.record_loss(
+            attempt.upstream,
+            self.traits,
+            attempt.known_suspicions,
+            now,
+            attempt.is_trial,
+            is_stall,
+        )
+
     def remove_attempt(self, number: int) -> None:
         """Remove an attempt, so that its upstream no longer counts it as in flight."""
         attempt = self.attempts.pop(number)
--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -82,6 +82,7 @@
         The cached prefixes and the ejection of a restarted upstream are dropped too.
         """
         known = {upstream.name: upstream for upstream in upstreams}
+        self.mark_displaced(known)
         for name, upstream in known.items():
             previous = self.upstreams.get(name)
             if previous is not None and previous.incarnation != upstream.incarnation:
@@ -99,6 +100,19 @@
         self.ejections.prune(set(known), self.now)
         self.update_subsets()
 
+    def mark_displaced(self, known: Mapping[str, UpstreamInstance]) -> None:
+        """Mark upstreams as replaced at whose addresses others are newly listed."""
+        addresses = {
+            upstream.address
+            for name, upstream in known.items()
+            if name not in self.upstreams
+        }
+        if not addresses:
+            return
+        for name, upstream in self.upstreams.items():
+            if upstream.address in addresses and name in known:
+                self.mark_replaced(upstream)
+
     def update_instances(self, names: Iterable[str]) -> None:
         """Replace the names of the live entry instances, and the subsets if changed."""
         instances = frozenset(names) | {self.own}
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -135,6 +135,8 @@
         exchange = StreamVersionExchange(shared.versions)
         checks = ReachChecks(shared.reach, port)
         context = RelayContext(port, shared, reports, exchange, checks)
+        reports.has_crashed = shared.has_crashed
+        reports.before_review = context.record_ended_upstreams
         reports.on_change = context.apply_blocks
         instance = assemble_instance(settings, context, store)
         instance.set_budgets(1)
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -19,9 +19,11 @@
 from turmericusher.api.headers import FORWARDED_HEADER
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.forwarding import Hop, Refusal
+from turmericusher.decisions.open_losses import EndState
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
     AttemptCause,
+    AttemptConnected,
     AttemptFailed,
     EventArrived,
     Headers,
@@ -128,8 +130,12 @@
         sink: EventSink,
     ) -> None:
         """Send one attempt and pass its events to `sink`; the last ends the attempt."""
-        progress = SendProgress()
         clock = asyncio.get_running_loop().time
+
+        async def report_connection() -> None:
+            await sink(AttemptConnected(start.attempt, clock()))
+
+        progress = SendProgress(on_connected=report_connection)
         try:
             async with self.session.request(
                 request.method,
@@ -205,25 +211,33 @@
             log_event("report_missing", upstream=upstream.name, error=repr(error))
             return None
 
-    async def has_ended(self, upstream: UpstreamInstance) -> bool:
-        """Whether an upstream refuses connections or another incarnation answers.
+    async def find_end_state(self, upstream: UpstreamInstance) -> EndState:
+        """Find out whether an upstream refuses connections or another one answers.
 
-        An upstream that makes no reports answers with an error, and runs.
+        One that makes no reports answers with an error, as its successor at the address
+        may do too.
         """
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
         url = f"http://{upstream.address}{REPORT_PATH}"
+        headers = {TARGET_UPSTREAM: upstream.name}
         try:
-            async with self.session.get(url, timeout=timeout) as response:
+            async with self.session.get(
+                url, headers=headers, timeout=timeout
+            ) as response:
                 self.note_leaving(upstream, response)
                 data = await response.read()
         except aiohttp.ClientConnectorError as error:
-            return isinstance(error.os_error, ConnectionRefusedError)
+            is_refused = isinstance(error.os_error, ConnectionRefusedError)
+            return EndState.ENDED if is_refused else EndState.UNKNOWN
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return False
+            return EndState.UNKNOWN
+        if response.status == MISDIRECTED:
+            return EndState.ENDED
         try:
-            return decode_report(data).incarnation != upstream.incarnation
+            is_same = decode_report(data).incarnation == upstream.incarnation
         except ValueError:
-            return False
+            return EndState.UNKNOWN
+        return EndState.RUNNING if is_same else EndState.ENDED
 
     async def can_connect(self, upstream: UpstreamInstance) -> bool:
         """Whether an upstream accepts a connection in time; nothing is sent on it."""
--- a/src/turmericusher/ports/relay.py
+++ b/src/turmericusher/ports/relay.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.open_losses import EndState
 from turmericusher.decisions.relay_messages import (
     MemoryCopy,
     RelayedRequest,
@@ -43,10 +44,10 @@
         """Query an upstream's load; return None if no valid report comes in time."""
         ...
 
-    async def has_ended(self, upstream: UpstreamInstance) -> bool:
-        """Whether this incarnation of an upstream has certainly ended.
+    async def find_end_state(self, upstream: UpstreamInstance) -> EndState:
+        """Find out whether this incarnation of an upstream has ended.
 
-        One that does not answer in time may only be slow.
+        Of one that does not answer in time, that is unknown: it may only be slow.
         """
         ...
 
--- a/src/turmericusher/single_send.py
+++ b/src/turmericusher/single_send.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from types import SimpleNamespace
 
@@ -18,11 +19,13 @@
 class SendProgress:
     """Progress of one request; pass it as `trace_request_ctx`.
 
-    `is_connected` is set once a connection is open, so that bytes may have been sent.
+    `is_connected` is set, and `on_connected` called, once a connection is open, so that
+    bytes may have been sent.
     """
 
     is_connected: bool = False
     connections: int = 0
+    on_connected: Callable[[], Awaitable[None]] | None = None
 
 
 async def refuse_second_connection(
@@ -44,6 +47,8 @@
     progress = context.trace_request_ctx
     if isinstance(progress, SendProgress):
         progress.is_connected = True
+        if progress.on_connected is not None:
+            await progress.on_connected()
 
 
 def single_send_trace() -> aiohttp.TraceConfig:
--- a/src/turmericusher/tasks/crash_reports.py
+++ b/src/turmericusher/tasks/crash_reports.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from turmericusher.decisions.crash_ledger import RECORD_TTL_S, CrashLedger
+from turmericusher.decisions.crash_ledger import CrashLedger
 from turmericusher.decisions.crash_records import (
     CrashRecord,
     LedgerRecord,
@@ -33,9 +33,12 @@
 """Seconds for which a request waits for the right to be a trial, which takes some
 milliseconds."""
 
-LEASE_USE_S = RECORD_TTL_S / 2
-"""Seconds for which records are written under one lease. They expire with it, at the
-latest when the instances have forgotten them too."""
+LEASE_TTL_S = 600
+"""Seconds after which the records of an instance expire that no longer runs; the store
+grants no longer ones."""
+
+LEASE_RENEWAL_S = 200.0
+"""Seconds between two renewals of the lease of the records."""
 
 
 class CrashCodec(Protocol):
@@ -54,18 +57,22 @@
 class CrashReports:
     """The task that checks upstreams and writes what the ledger has for the store.
 
-    `on_change` is called after each change of the ledger that a check made. `lease` is
-    that of the records, granted at `granted_at`; 0 if there is none.
+    `has_crashed` says what the list shows of an upstream. `before_review` is called
+    with the time before each review of the losses, and `on_change` after each change of
+    the ledger that a check or a review made. `lease` is that of the records, granted or
+    renewed last at `renewed_at`; 0 if there is none.
     """
 
     ledger: CrashLedger
     port: RelayPort
     store: KeyValueStore
     codec: CrashCodec
+    has_crashed: Callable[[UpstreamInstance], bool] = lambda upstream: False
+    before_review: Callable[[float], None] = lambda now: None
     on_change: Callable[[], None] = lambda: None
     checks: set[asyncio.Task[None]] = field(default_factory=set)
     lease: int = 0
-    granted_at: float = -math.inf
+    renewed_at: float = -math.inf
 
     def check_losses(self) -> None:
         """Start to check the upstreams that may have died."""
@@ -77,30 +84,42 @@
 
     async def check(self, upstream: UpstreamInstance) -> None:
         """Find out whether an upstream has ended, and record the result."""
-        has_ended = await self.port.has_ended(upstream)
+        state = await self.port.find_end_state(upstream)
         log_event(
             "crash_checked",
             upstream=upstream.name,
             incarnation=upstream.incarnation,
-            has_ended=has_ended,
+            state=state.value,
         )
         now = asyncio.get_running_loop().time()
-        record = self.ledger.record_check(upstream, has_ended, now)
+        record = self.ledger.record_check(upstream, state, now)
         if record is not None:
             log_crash(record)
             self.on_change()
 
+    def review(self, now: float) -> None:
+        """Find out by the list which upstreams that may have died have done so."""
+        self.before_review(now)
+        records = self.ledger.review_losses(self.has_crashed, now)
+        for record in records:
+            log_crash(record)
+        if records:
+            self.on_change()
+
     async def run(self) -> None:
-        """Write new records to the store until cancelled."""
+        """Review losses and write new records to the store until cancelled."""
         while True:
             await asyncio.sleep(PUBLISH_INTERVAL_S)
             now = asyncio.get_running_loop().time()
+            self.review(now)
             try:
+                await self.keep_records(now)
                 for record in self.ledger.unpublished(now):
                     await self.write(record, now)
             except StoreError as error:
                 log_event("crash_record_delayed", message=error.message)
-                self.lease = 0
+                # Whether the lease still exists is found out by renewing it.
+                self.renewed_at = -math.inf
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def write(self, record: CrashRecord | SoundRecord, now: float) -> None:
@@ -125,10 +144,24 @@
             record = merged
 
     async def ensure_lease(self, now: float) -> None:
-        """Have a lease for records that does not expire soon."""
-        if not self.lease or now - self.granted_at >= LEASE_USE_S:
-            self.lease = await self.store.grant_lease(RECORD_TTL_S)
-            self.granted_at = now
+        """Have a lease for records."""
+        if not self.lease:
+            self.lease = await self.store.grant_lease(LEASE_TTL_S)
+            self.renewed_at = now
+
+    async def keep_records(self, now: float) -> None:
+        """Renew the lease of the records as long as there are deaths to tell of.
+
+        If it has expired, or the store has lost it, the deaths are written again.
+        """
+        self.ledger.forget_expired(now)
+        if not self.lease or now - self.renewed_at < LEASE_RENEWAL_S:
+            return
+        is_kept = self.ledger.deaths and await self.store.renew_lease(self.lease)
+        self.renewed_at = now
+        if not is_kept:
+            self.lease = 0
+            self.ledger.unpublished_deaths.update(self.ledger.deaths)
 
     async def claim_trial(self, trait: str) -> bool:
         """Write that this instance tries a blocked trait; False if another one does.
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -99,6 +99,11 @@
             if owner.relay.end_is_due():
                 owner.notify(TraitBlocked())
 
+    def record_ended_upstreams(self, now: float) -> None:
+        """Have the requests in progress suspected of ends of their upstreams."""
+        for owner in self.owners:
+            owner.relay.record_ended_upstreams(now)
+
     async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
         """Return an upstream's report, or None if it does not answer.
 
@@ -175,8 +180,8 @@
                 self.attempts.pop(attempt).cancel()
             case ProbeUpstream():
                 self.start_helper(self.probe_upstream(action))
-            case ClaimTrial(trait):
-                self.start_helper(self.claim_trial(trait))
+            case ClaimTrial():
+                self.start_helper(self.claim_trial(action))
             case FindVersion():
                 self.start_helper(self.find_version(action))
             case QueryLoads():
@@ -217,13 +222,15 @@
         now = asyncio.get_running_loop().time()
         await self.inbox.put(UpstreamProbed(action.attempt, now, report))
 
-    async def claim_trial(self, trait: str) -> None:
+    async def claim_trial(self, action: ClaimTrial) -> None:
         """Ask for a trial of a blocked trait and pass the outcome to the inbox."""
-        is_granted = await self.context.crash_reports.claim_trial(trait)
+        is_granted = await self.context.port.can_connect(action.upstream)
+        if is_granted:
+            is_granted = await self.context.crash_reports.claim_trial(action.trait)
         log_event(
             "trial_claimed",
             id=self.relay.request.request_id,
-            trait=trait,
+            trait=action.trait,
             is_granted=is_granted,
         )
         await self.inbox.put(TrialClaimed(is_granted))
@@ -300,7 +307,7 @@
 
     async def close(self) -> None:
         """Cancel all running tasks and wait until their connections are closed."""
-        for action in self.relay.close():
+        for action in self.relay.close(asyncio.get_running_loop().time()):
             self.carry_out(action)
         await cancel_tasks([*self.attempts.values(), *self.helper_tasks])
 
--- a/tests/common/cut_fixtures.py
+++ b/tests/common/cut_fixtures.py
@@ -12,6 +12,7 @@
 from tests.common.relay_fixtures import ACCESS_KEY, HOST, PATHS
 from tests.common.version_fixtures import VersionSimulation
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.open_losses import EndState
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
     MemoryCopy,
@@ -96,12 +97,12 @@
             return None
         return await self.port.query_report(upstream)
 
-    async def has_ended(self, upstream: UpstreamInstance) -> bool:
-        """Whether an upstream has ended; one that is cut off may not have."""
+    async def find_end_state(self, upstream: UpstreamInstance) -> EndState:
+        """Find out whether an upstream has ended; one that is cut off may not have."""
         if self.is_cut(upstream.address):
             await self.fail(REPORT_TIMEOUT_S)
-            return False
-        return await self.port.has_ended(upstream)
+            return EndState.UNKNOWN
+        return await self.port.find_end_state(upstream)
 
     async def can_connect(self, upstream: UpstreamInstance) -> bool:
         """Whether an upstream accepts a connection."""
--- a/tests/common/relay_events.py
+++ b/tests/common/relay_events.py
@@ -8,6 +8,7 @@
     make_test_relay,
 )
 from turmericusher.decisions.relay_messages import (
+    AnswerArrived,
     AttemptFailed,
     CopyMemory,
     EventArrived,
@@ -38,6 +39,11 @@
     return AttemptFailed(attempt, at, cause, verdict, "", answer)
 
 
+def answered(attempt, at=0.1):
+    """Return the complete answer to an attempt."""
+    return AnswerArrived(attempt, at, ANSWER)
+
+
 def event(attempt, number, at=0.1):
     """Return an event of a stream, whose body is its number and a semicolon."""
     return EventArrived(attempt, at, f"{number};".encode(), number)
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -20,6 +20,7 @@
     Suspicion,
     TrialRecord,
 )
+from turmericusher.decisions.open_losses import EndState
 from turmericusher.platform.records import CrashRecordCodec
 
 FIRST, BAD, SOUND = "part-f", "part-b", "part-s"
@@ -44,14 +45,14 @@
     return ledger
 
 
-def lose(ledger, number, traits, now, has_ended=True, known=None):
+def lose(ledger, number, traits, now, state=EndState.ENDED, known=None):
     """Lose a request of an upstream and check whether that has ended."""
     upstream = make_upstream(number)
     known = ledger.known_suspicions(traits) if known is None else known
     ledger.record_loss(upstream, traits, known, now)
     for each in ledger.unchecked_losses():
         ledger.begin_check(each)
-        ledger.record_check(each, has_ended, now)
+        ledger.record_check(each, state, now)
 
 
 ONE_REQUEST = [crash(n, chain(FIRST, BAD, "q1", rank=n + 1)) for n in range(3)]
@@ -106,7 +107,7 @@
     def test_an_upstream_that_still_runs_puts_nobody_under_suspicion(self):
         ledger = make_ledger()
         for number in range(6):
-            lose(ledger, number, (FIRST, BAD, "q1"), 1.0, has_ended=False)
+            lose(ledger, number, (FIRST, BAD, "q1"), 1.0, state=EndState.RUNNING)
         self.assertEqual({}, ledger.suspicions)
         self.assertEqual([], ledger.unpublished(9.0))
 
@@ -115,7 +116,7 @@
         upstream = make_upstream(0)
         for number in range(4):
             ledger.record_loss(upstream, (BAD, f"q{number}"), {}, 1.0)
-        ledger.record_check(upstream, True, 1.0)
+        ledger.record_check(upstream, EndState.ENDED, 1.0)
         ledger.record_loss(upstream, (BAD, "q9"), {}, 1.0)
         self.assertEqual(["u0~1"], list(ledger.suspicions[BAD]))
         (record,) = ledger.unpublished(1.0)
@@ -200,7 +201,7 @@
             self.assertFalse(ledger.is_trial_due((BAD,), now))
             now += 1.0
             ledger.record_loss(make_upstream(number), (BAD,), known, now, True)
-            ledger.record_check(make_upstream(number), True, now)
+            ledger.record_check(make_upstream(number), EndState.ENDED, now)
             interval_s *= TRIAL_BACKOFF
 
     def test_a_restarted_instance_waits_no_longer_for_a_trial_than_the_others(self):
@@ -249,7 +250,7 @@
         for traits in ((FIRST, BAD, f"q{number}"), (FIRST, f"sound{sound}")):
             known = ledger.known_suspicions(traits)
             ledger.record_loss(upstream, traits, known, self.now)
-        ledger.record_check(upstream, True, self.now)
+        ledger.record_check(upstream, EndState.ENDED, self.now)
 
     @rule(own=st.integers(0, 1))
     def records_are_published(self, own):
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -43,6 +43,7 @@
     request_traits,
 )
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.open_losses import EndState
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
     BreakStream,
@@ -235,7 +236,9 @@
     @parameterized.expand([("granted", True), ("not granted", False)])
     def test_one_request_tries_a_blocked_part_when_a_trial_is_due(self, _, is_granted):
         relay = make_bad_relay(make_blocked_shared(is_due=True))
-        self.assertEqual([ClaimTrial(f"part-{BAD}")], relay.start(0.1))
+        (claim,) = relay.start(0.1)
+        self.assertIsInstance(claim, ClaimTrial)
+        self.assertEqual(f"part-{BAD}", claim.trait)
         actions = relay.handle(TrialClaimed(is_granted), 0.2)
         self.assertEqual(is_granted, bool(filter_by_type(actions, StartRelay)))
         if is_granted:
@@ -303,9 +306,9 @@
 class EndedUpstreamTest(TestCase):
     @parameterized.expand(
         [
-            ("running", "1700000000000", True, False),
-            ("another incarnation", "1700000000001", True, True),
-            ("not listening", "1700000000000", False, True),
+            ("running", "1700000000000", True, EndState.RUNNING),
+            ("another incarnation", "1700000000001", True, EndState.ENDED),
+            ("not listening", "1700000000000", False, EndState.ENDED),
         ]
     )
     @run_async
@@ -319,7 +322,7 @@
                 standin.crash()
             upstream = simulation.node.fleet.upstreams.entries["u0"]
             port = simulation.node.frontend.context.port
-            self.assertEqual(expected, await port.has_ended(upstream))
+            self.assertEqual(expected, await port.find_end_state(upstream))
 
 
 class SharedTrialTest(TestCase):
--- a/tests/cover/test_leaving_answers.py
+++ b/tests/cover/test_leaving_answers.py
@@ -367,7 +367,7 @@
     @parameterized.expand(
         [
             ("a_load_report", lambda port, one, copy: port.query_report(one)),
-            ("a_check_for_its_end", lambda port, one, copy: port.has_ended(one)),
+            ("a_check_for_its_end", lambda port, one, copy: port.find_end_state(one)),
             ("a_copy", lambda port, one, copy: port.copy_memory(one, "q", one)),
             ("a_release", lambda port, one, copy: port.release_copy(copy)),
         ]
--- a/tests/cover/test_relay_machine.py
+++ b/tests/cover/test_relay_machine.py
@@ -354,7 +354,7 @@
     def nothing_follows_the_outcome(self, seconds):
         self.now += seconds
         assert self.relay.tick(self.now) == []
-        assert self.relay.close() == []
+        assert self.relay.close(self.now) == []
 
     @invariant()
     def the_caller_has_received_a_gapless_prefix(self):
--- a/tests/cover/test_relay_stalls.py
+++ b/tests/cover/test_relay_stalls.py
@@ -190,5 +190,5 @@
         shared = make_relay_shared()
         relay, start = make_started_stream(shared)
         self.assertEqual(1, shared.selector.in_flight[start.upstream.name])
-        self.assertEqual([CancelAttempt(1)], relay.close())
+        self.assertEqual([CancelAttempt(1)], relay.close(0.5))
         self.assertEqual({}, shared.selector.in_flight)
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -203,7 +203,7 @@
         copy = MemoryCopy(request.target, request.source, "h7")
         relay.handle(MemoryCopied(1, 0.4, copy), 0.4)
         finished = StreamFinished(1, 0.5)
-        actions = relay.handle(finished, 0.5) if has_ended else relay.close()
+        actions = relay.handle(finished, 0.5) if has_ended else relay.close(0.5)
         self.assertEqual([ReleaseCopy(copy)], filter_by_type(actions, ReleaseCopy))
 
     def test_a_failed_copy_is_requested_again_after_a_pause(self):
