Crash records: an instance that restarts knows how long ago a death or a trial was

Callers saw: refusals for longer than need be.

Cause: records had no time, so that whoever read them later took them for new.

Change: records of deaths and trials have the Unix time at which they were first known. A reader takes it within its own bounds: not later than now, not older than what is remembered, so that a clock that differs by seconds shifts a wait by seconds, and how many trials there are does not depend on it. Records without a time, as earlier builds write them, count from when they are read.

--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -333,7 +333,7 @@
         if not self.has_store(stream.instance, now):
             return False
         ledger = stream.relay.shared.crashes
-        record, known = ledger.next_trial(trait), self.trials.get(trait)
+        record, known = ledger.next_trial(trait, now), self.trials.get(trait)
         if known is not None and known.number >= record.number:
             ledger.merge_trial(known, now)
             return False
--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -20,7 +20,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from turmericusher.decisions.crash_records import (
     Chain,
@@ -76,7 +76,10 @@
 
 @dataclass(slots=True)
 class Death:
-    """A death that an instance knows of since `learned_at`, in monotonic seconds."""
+    """A death that an instance knows of since `learned_at`, in monotonic seconds.
+
+    An instance that has just started has that time from the record.
+    """
 
     record: CrashRecord
     learned_at: float
@@ -100,17 +103,19 @@
     """The deaths of upstreams and the traits that are suspected of them.
 
     `own` is the name of this instance and `instances` are those of all live ones.
-    `open_losses` are deaths that were not confirmed yet. `suspicions` maps a trait to
-    what each death that it was not cleared of tells of it. `cleared` has the deaths
-    that each trait was cleared of, and when. `sound_at` is when a request with a trait
-    last ran well, `refused_at` when one was last refused, and `trials` has the last
-    trial of a trait. `unpublished_deaths` and
-    `unpublished_sound` are not in the store yet; the latter with the time from which on
-    they are due. Times are monotonic seconds.
+    `clock_offset` is the Unix time minus the monotonic one, by which records tell an
+    instance that has just started how long ago something was. `open_losses` are deaths
+    that were not confirmed yet. `suspicions` maps a trait to what each death that it
+    was not cleared of tells of it. `cleared` has the deaths that each trait was cleared
+    of, and when. `sound_at` is when a request with a trait last ran well, `refused_at`
+    when one was last refused, and `trials` has the last trial of a trait.
+    `unpublished_deaths` and `unpublished_sound` are not in the store yet; the latter
+    with the time from which on they are due. Times are monotonic seconds.
     """
 
     own: str = ""
     instances: frozenset[str] = frozenset()
+    clock_offset: float = 0.0
     deaths: dict[str, Death] = field(default_factory=dict)
     open_losses: OpenLosses = field(default_factory=OpenLosses)
     suspicions: dict[str, dict[str, Suspicion]] = field(default_factory=dict)
@@ -223,10 +228,11 @@
             return 0
         return trial.number - trial.earlier
 
-    def next_trial(self, trait: str) -> TrialRecord:
-        """Return the record to write for the next trial of a trait."""
+    def next_trial(self, trait: str, now: float) -> TrialRecord:
+        """Return the record to write for a trial of a trait that is made now."""
         trial = self.trials.get(trait)
-        return TrialRecord(trait, trial.number + 1 if trial is not None else 1)
+        number = trial.number + 1 if trial is not None else 1
+        return TrialRecord(trait, number, now + self.clock_offset)
 
     def trial_interval_s(self, trait: str) -> float:
         """Return the seconds between two trials of a blocked trait."""
@@ -267,6 +273,16 @@
         """Return the upstreams that may have died and are not being checked yet."""
         return self.open_losses.due_checks()
 
+    def own_time(self, at: float | None, now: float) -> float:
+        """Return the monotonic time of a record, or now if it has none.
+
+        Clocks of instances differ, so it is neither later than now nor older than what
+        is remembered.
+        """
+        if at is None:
+            return now
+        return min(now, max(now - RECORD_TTL_S, at - self.clock_offset))
+
     def unpublished(self, now: float) -> list[CrashRecord | SoundRecord]:
         """Return the records that are due to be written to the store."""
         found: list[CrashRecord | SoundRecord] = [
@@ -306,8 +322,8 @@
             needs_check = not is_stall or bool(known)
             self.open_losses.add(upstream, chain, now, needs_check)
             return
-        chains = self.deaths[name].record.chains | {chain}
-        record = CrashRecord(upstream.name, upstream.incarnation, chains)
+        known_record = self.deaths[name].record
+        record = replace(known_record, chains=known_record.chains | {chain})
         if self.merge_crash(record, now):
             self.unpublished_deaths.add(name)
 
@@ -344,6 +360,7 @@
             loss.upstream.name,
             loss.upstream.incarnation,
             frozenset(each for each in chains if each),
+            now + self.clock_offset,
         )
         if not record.chains or not self.merge_crash(record, now):
             return None
@@ -394,11 +411,12 @@
         known = self.trials.get(record.trait)
         if known is not None and known.number >= record.number:
             return False
+        tried_at = self.own_time(record.at, now)
         earlier = 0
         if known is not None:
             is_of_these = known.learned_at >= self.first_death_at(record.trait)
             earlier = known.earlier if is_of_these else known.number
-        self.trials[record.trait] = Trial(record.number, now, earlier)
+        self.trials[record.trait] = Trial(record.number, tried_at, earlier)
         return True
 
     def merge_crash(self, record: CrashRecord, now: float) -> bool:
@@ -413,11 +431,13 @@
         chains = known | record.chains
         if chains == known or (death is not None and len(known) >= MAX_CHAINS):
             return False
-        merged = CrashRecord(record.upstream, record.incarnation, chains)
         if death is None:
-            self.deaths[record.death] = Death(merged, now)
+            known_since = self.own_time(record.at, now)
+            self.deaths[record.death] = Death(
+                replace(record, chains=chains), known_since
+            )
         else:
-            death.record = merged
+            death.record = replace(death.record, chains=chains)
         for suspicion in (each for chain in record.chains for each in chain):
             self.add_suspicion(suspicion, record.death)
             if self.was_sound_lately(suspicion.trait, now):
--- a/src/turmericusher/decisions/crash_records.py
+++ b/src/turmericusher/decisions/crash_records.py
@@ -37,12 +37,14 @@
     """The death of one incarnation of an upstream, with the requests suspected of it.
 
     Only requests of which the upstream had just begun to write an answer, or might have
-    begun to, are suspected.
+    begun to, are suspected. `at` is when an instance first knew of it, in Unix seconds
+    by that one's clock; None if it did not say.
     """
 
     upstream: str
     incarnation: str
     chains: frozenset[Chain]
+    at: float | None = None
 
     @property
     def death(self) -> str:
@@ -60,10 +62,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialRecord:
-    """The last trial of a blocked trait by any instance; `number` counts them."""
+    """The last trial of a blocked trait by any instance; `number` counts them.
+
+    `at` is when it was claimed, as in `CrashRecord`.
+    """
 
     trait: str
     number: int
+    at: float | None = None
 
 
 def next_suspicion(trait: str, known: Suspicion | None, is_trial: bool) -> Suspicion:
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -10,6 +10,7 @@
     BaseModel,
     ConfigDict,
     Field,
+    FiniteFloat,
     StrictBool,
     StrictFloat,
     StrictInt,
@@ -222,6 +223,7 @@
     upstream: StrictStr
     incarnation: StrictStr
     chains: tuple[tuple[tuple[StrictStr, StrictInt, StrictInt], ...], ...]
+    at: FiniteFloat | None = None
 
 
 class SoundModel(WireModel):
@@ -236,6 +238,7 @@
 
     trait: StrictStr
     number: StrictInt
+    at: FiniteFloat | None = None
 
 
 def decode_record(key: str, value: bytes | None) -> Record | None:
@@ -472,7 +475,7 @@
             sound = {"trait": record.trait, "deaths": sorted(record.deaths)}
             return f"{SOUND_PREFIX}{record.trait}", orjson.dumps(sound)
         if isinstance(record, TrialRecord):
-            trial = {"trait": record.trait, "number": record.number}
+            trial = {"trait": record.trait, "number": record.number, "at": record.at}
             return f"{TRIAL_PREFIX}{record.trait}", orjson.dumps(trial)
         chains = [
             [(s.trait, s.rank, s.trials) for s in chain] for chain in record.chains
@@ -481,6 +484,7 @@
             "upstream": record.upstream,
             "incarnation": record.incarnation,
             "chains": sorted(chains),
+            "at": record.at,
         }
         return f"{CRASH_PREFIX}{record.death}", orjson.dumps(crash)
 
@@ -491,7 +495,7 @@
             return SoundRecord(sound.trait, sound.deaths) if sound else None
         if key.startswith(TRIAL_PREFIX):
             trial = parse_or_log(TrialModel, value, "crash_record_dropped", key=key)
-            return TrialRecord(trial.trait, trial.number) if trial else None
+            return TrialRecord(trial.trait, trial.number, trial.at) if trial else None
         if not key.startswith(CRASH_PREFIX):
             return None
         model = parse_or_log(CrashModel, value, "crash_record_dropped", key=key)
@@ -501,4 +505,4 @@
             tuple(Suspicion(*suspicion) for suspicion in chain)
             for chain in model.chains
         )
-        return CrashRecord(model.upstream, model.incarnation, chains)
+        return CrashRecord(model.upstream, model.incarnation, chains, model.at)
--- a/src/turmericusher/tasks/crash_reports.py
+++ b/src/turmericusher/tasks/crash_reports.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import math
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from turmericusher.decisions.crash_ledger import CrashLedger
@@ -99,6 +100,7 @@
 
     def review(self, now: float) -> None:
         """Find out by the list which upstreams that may have died have done so."""
+        self.ledger.clock_offset = time.time() - now
         self.before_review(now)
         records = self.ledger.review_losses(self.has_crashed, now)
         for record in records:
@@ -168,7 +170,8 @@
 
         Without the store no trait is tried.
         """
-        record = self.ledger.next_trial(trait)
+        now = asyncio.get_running_loop().time()
+        record = self.ledger.next_trial(trait, now)
         try:
             async with asyncio.timeout(CLAIM_TIMEOUT_S):
                 return await self.write_trial(record)
@@ -201,7 +204,7 @@
     match record, known:
         case CrashRecord(), CrashRecord():
             chains = record.chains | known.chains
-            return CrashRecord(record.upstream, record.incarnation, chains)
+            return replace(known, chains=chains)
         case SoundRecord(), SoundRecord():
             return SoundRecord(record.trait, record.deaths | known.deaths)
     return record
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -134,6 +135,7 @@
     def merge_crash_record(self, record: LedgerRecord, now: float) -> None:
         """Pass on what an instance told of a crash."""
         ledger = self.shared.crashes
+        ledger.clock_offset = time.time() - now
         match record:
             case CrashRecord():
                 if ledger.merge_crash(record, now):
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -1,5 +1,7 @@
 """Test which requests the ledger of crashes finds to crash upstreams."""
 
+from dataclasses import replace
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -197,7 +199,7 @@
             now += interval_s
             self.assertTrue(ledger.is_trial_due((FIRST, BAD), now))
             known = ledger.known_suspicions((BAD,))
-            ledger.merge_trial(ledger.next_trial(BAD), now)
+            ledger.merge_trial(ledger.next_trial(BAD, now), now)
             self.assertFalse(ledger.is_trial_due((BAD,), now))
             now += 1.0
             ledger.record_loss(make_upstream(number), (BAD,), known, now, True)
@@ -206,22 +208,37 @@
 
     def test_a_restarted_instance_waits_no_longer_for_a_trial_than_the_others(self):
         after_trial = CrashRecord("u3", "1", frozenset({(Suspicion(BAD, 3, 1),)}))
-        records = [*TWO_REQUESTS, after_trial]
+        records = [replace(each, at=0.0) for each in (*TWO_REQUESTS, after_trial)]
         due_at = make_ledger(*records).next_trial_at(BAD)
         restarted = make_ledger(*records, now=due_at - 1.0)
         self.assertLessEqual(restarted.next_trial_at(BAD), due_at)
 
+    @parameterized.expand(
+        [
+            ("of a clock that is ahead", 1e9, 50.0),
+            ("of a clock that is far behind", -1e9, 50.0 - RECORD_TTL_S),
+            ("of another start of the clock", 1_040.0, 40.0),
+            ("without a time", None, 50.0),
+        ]
+    )
+    def test_the_time_of_a_record_is_within_what_is_remembered(self, _, at, expected):
+        ledger = make_ledger()
+        ledger.clock_offset = 1_000.0
+        self.assertEqual(expected, ledger.own_time(at, 50.0))
+
     def test_a_trial_by_another_instance_delays_the_next_one(self):
         ledger = make_ledger(*TWO_REQUESTS)
         ledger.merge_trial(TrialRecord(BAD, 1), 5.0)
         self.assertFalse(ledger.is_trial_due((BAD,), 5.0 + TRIAL_AFTER_S - 0.1))
-        self.assertEqual(TrialRecord(BAD, 2), ledger.next_trial(BAD))
+        self.assertEqual(TrialRecord(BAD, 2, 9.0), ledger.next_trial(BAD, 9.0))
 
     @parameterized.expand(
         [
             ("a crash", crash(1, chain(FIRST, BAD, rank=3))),
+            ("a crash with its time", replace(crash(1, chain(BAD)), at=5.5)),
             ("a sound trait", SoundRecord(BAD, frozenset({"u0~1"}))),
             ("a trial", TrialRecord(BAD, 4)),
+            ("a trial with its time", TrialRecord(BAD, 4, 5.5)),
         ]
     )
     def test_a_record_is_read_as_it_was_written(self, _, record):
--- a/tests/cover/test_open_losses.py
+++ b/tests/cover/test_open_losses.py
@@ -181,7 +181,7 @@
         relay = make_test_relay(IDEMPOTENT, shared, arrived_at=4.0, deadline=5.0)
         (claim,) = relay.start(4.0)
         self.assertIsInstance(claim, ClaimTrial)
-        shared.crashes.merge_trial(shared.crashes.next_trial(claim.trait), 4.0)
+        shared.crashes.merge_trial(shared.crashes.next_trial(claim.trait, 4.0), 4.0)
         (start,) = relay.handle(TrialClaimed(True), 4.0)
         relay.handle(answered(start.attempt, at=4.1), 4.1)
         relay, start = start_call(shared, 4.2)
@@ -211,7 +211,7 @@
                 ledger.record_refusal(BAD, now)
                 continue
             known = ledger.known_suspicions((BAD,))
-            ledger.merge_trial(ledger.next_trial(BAD), now)
+            ledger.merge_trial(ledger.next_trial(BAD, now), now)
             trials += 1
             if is_confirmed:
                 upstream = make_upstream(10 + trials)
