--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -16,6 +16,7 @@
     LAST_EVENT_ID,
     LEAVING,
     LOAD,
+    PAUSE,
     PROMPT_PARTS,
     REMAINING_MS,
     REQUEST_ID,
@@ -193,6 +194,21 @@
     )
 
 
+def parse_pause(headers: Headers) -> float | None:
+    """Return the seconds for which a refusal asks its receiver to send nothing.
+
+    Returns None if it does not ask for that; raises `ValueError` for a malformed value.
+    A date is one too.
+    """
+    value = next((value for name, value in headers if name.lower() == PAUSE), None)
+    if value is None:
+        return None
+    seconds = float(value)
+    if not 0 <= seconds < math.inf:
+        raise ValueError(f"header {PAUSE}={value!r} is not a time in seconds")
+    return seconds
+
+
 def parse_send_limit(headers: Headers) -> float | None:
     """Return the requests per second that an upstream takes from all instances.
 
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -62,6 +62,9 @@
 # Requests per second that the upstream takes from all instances together.
 SEND_LIMIT = "server-limit"
 
+# Seconds for which an upstream that refuses a request wants no more from its sender.
+PAUSE = "retry-after"
+
 # "1" in all responses of an upstream that is leaving.
 LEAVING = "server-leaving"
 
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -40,7 +40,12 @@
 from turmericusher.decisions.upstream_load import LoadReport
 from turmericusher.errors import ErrorCode, Verdict
 from turmericusher.logs import log_event
-from turmericusher.platform.codec import parse_leaving, parse_load, parse_send_limit
+from turmericusher.platform.codec import (
+    parse_leaving,
+    parse_load,
+    parse_pause,
+    parse_send_limit,
+)
 from turmericusher.platform.names import (
     COPY_PATH,
     COPY_SOURCE,
@@ -80,6 +85,7 @@
 copies."""
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 SUCCESS = range(200, 300)
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that nothing ran; not passed on if the request may have
@@ -163,6 +169,8 @@
         """Pass on what an upstream says of itself in a response to an attempt."""
         upstream, headers = exchange.start.upstream, exchange.headers
         self.note_leaving(upstream, exchange.response)
+        if exchange.response.status == UNAVAILABLE:
+            self.read_pause(upstream, headers)
         load = parse_load(headers)
         if load is not None:
             self.on_load(upstream.name, LoadReport(*load))
@@ -191,6 +199,16 @@
             log_event("limit_malformed", upstream=upstream.name, error=str(error))
             return None
 
+    def read_pause(self, upstream: UpstreamInstance, headers: Headers) -> None:
+        """Log a pause that a refusal asks for; a malformed one counts as none."""
+        try:
+            pause_s = parse_pause(headers)
+        except ValueError as error:
+            log_event("pause_malformed", upstream=upstream.name, error=str(error))
+            return
+        if pause_s is not None:
+            log_event("pause_requested", upstream=upstream.name, pause_s=pause_s)
+
     async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
         """Query an upstream's load; return None if no valid report comes in time."""
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
