--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -22,6 +22,7 @@
     LEAVING,
     LOAD,
     NOT_RUN_MARK,
+    PAUSE,
     PROMPT_PARTS,
     RELEASE_PATH,
     REPORT_PATH,
@@ -96,12 +97,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReceivedCall:
-    """One call as received; header names are in lower case."""
+    """One call, received at `at` in monotonic seconds; header names in lower case."""
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float
 
 
 @dataclass(slots=True)
@@ -116,6 +118,7 @@
     upstreams on which copies can be made. `runs` lists the ids of the requests that
     ran, and `released` the handles that callers released. `caller_disconnects` counts
     the calls whose caller closed the connection before the answer was complete.
+    While `pause` is set, it refuses calls and asks for a pause of that text.
     `report` is the load report that it returns, and `send_limit` the text of the limit
     that it names in its answers, if any. While `is_leaving`, all its answers say so. A
     call with one of `crashing_parts` in its prompt, or for one of `crashing_targets`,
@@ -142,6 +145,7 @@
     report: UpstreamReport = IDLE_REPORT
     send_limit: str | None = None
     is_leaving: bool = False
+    pause: str | None = None
     crashing_parts: frozenset[str] = frozenset()
     crashing_targets: frozenset[str] = frozenset()
     crash_sign: CrashSign = CrashSign.RESET
@@ -237,6 +241,9 @@
         if call.headers.get(TARGET_UPSTREAM, self.name) != self.name:
             writer.write(self.encode_head(421, {}))
             return False
+        if self.pause is not None:
+            writer.write(self.encode_head(503, {NOT_RUN_MARK: "1", PAUSE: self.pause}))
+            return False
         _, _, handle = call.headers.get(COPY_SOURCE, "").rpartition("/")
         if should_shed or (handle and handle not in self.copies):
             writer.write(self.encode_head(503, {NOT_RUN_MARK: "1"}))
@@ -377,7 +384,8 @@
         if separator:
             headers[name.lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return ReceivedCall(method, target, headers, body)
+    at = asyncio.get_running_loop().time()
+    return ReceivedCall(method, target, headers, body, at)
 
 
 def encode_head(status: int, headers: dict[str, str]) -> bytes:
