An upstream that asks for a pause gets no request of this instance until it is over

Callers saw little: requests that an engine turned away were served by another one some milliseconds later, each at the price of a retry.

Cause: nothing read the Retry-After of an upstream's 503; a refusal excluded the upstream for that request only.

Change: pauses are kept by incarnation, and one gate says for limits and pauses together whether an upstream takes a request now. Picks, holders, loads, probes and refusals ask it, and start_on, through which all attempts at upstreams go. All closed: refused at once with when to come back, one second at most, spread.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -223,6 +223,8 @@
                 actions.extend(self.abandon(attempt, AttemptCause.SILENT, text, now))
             elif now >= self.probe_due_at(attempt):
                 attempt.probed_at = now
+                if self.shared.gate.is_paused(attempt.upstream.name, now):
+                    continue
                 self.shared.totals.probes += 1
                 actions.append(ProbeUpstream(attempt.number, attempt.upstream))
         return actions
@@ -338,8 +340,11 @@
             self.has_trial = True
         self.record_connection(attempt, event)
         self.record_possible_crash(attempt, event)
-        # What a suspected request does to upstreams says nothing of the service.
-        if event.cause in FAST_FAILURE_CAUSES and not attempt.known_suspicions:
+        # What a suspected request does to upstreams says nothing of the service, and an
+        # upstream that asks for a pause is not down.
+        is_paused = self.shared.gate.is_paused(name, event.at)
+        is_excepted = is_paused or bool(attempt.known_suspicions)
+        if event.cause in FAST_FAILURE_CAUSES and not is_excepted:
             self.shared.budget_for(self.routed.service.name).record_failure()
         self.last_message = f"{name}: {event.cause.value} {event.message}"
         if event.verdict is not Verdict.NOT_RUN:
--- a/src/turmericusher/decisions/relay_copies.py
+++ b/src/turmericusher/decisions/relay_copies.py
@@ -47,6 +47,8 @@
             return []
         if now - (attempt.copy_requested_at or -COPY_RETRY_S) < COPY_RETRY_S:
             return []
+        if self.shared.gate.is_paused(attempt.upstream.name, now):
+            return []
         target = attempt.copy.holder if has_current_copy and attempt.copy else None
         target = target or self.choose_standby(attempt.upstream, now)
         if target is None:
@@ -67,6 +69,8 @@
             copy.holder, now
         ):
             return []
+        if self.shared.gate.is_paused(copy.holder.name, now):
+            return []
         holders.record_check(copy.holder, now)
         return [CheckHolder(attempt.number, copy.holder)]
 
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -40,9 +40,9 @@
 """Retry-After in seconds when upstreams refused the request: a full service has usually
 completed several of its calls by then."""
 
-MAX_LIMITED_RETRY_S = 1.0
-"""Longest Retry-After in seconds while upstreams name limits: another instance may have
-its turn sooner."""
+MAX_CLOSED_RETRY_S = 1.0
+"""Longest Retry-After in seconds while upstreams name limits or ask for pauses: another
+instance may have its turn sooner, or may not have been asked."""
 
 COPY_WAIT_S = 1.0
 """Longest wait in seconds for a holder that names a limit: about what a prefill takes,
@@ -99,7 +99,7 @@
         copy = self.usable_copy()
         wait_s = 0.0
         if copy is not None:
-            wait_s = self.shared.send_limits.wait_s(copy.holder.name, now)
+            wait_s = self.shared.gate.wait_s(copy.holder.name, now)
         if 0.0 < wait_s <= COPY_WAIT_S:
             self.retry_at = now + wait_s
             return []
@@ -141,11 +141,11 @@
             name: self.expected_wait_at(name, report, size, now)
             for name, report in reports.items()
         }
-        blocked = self.shared.send_limits.blocked(now)
+        closed = self.shared.gate.closed(now)
         usable = [
             selector.upstreams[name]
             for name in rank_by_wait(reports, waits)
-            if is_live(selector.upstreams[name]) and name not in blocked
+            if is_live(selector.upstreams[name]) and name not in closed
         ]
         if not usable:
             upstream = self.pick_upstream(now)
@@ -270,6 +270,10 @@
         wanted = self.pick_request(self.excluded, self.recently_lost_domains(now), now)
         return self.shared.selector.pick(wanted)
 
+    def pick_any(self, now: float) -> UpstreamInstance | None:
+        """Return an upstream that takes requests, also one that has failed this one."""
+        return self.shared.selector.pick(self.pick_request(set(), set(), now))
+
     def start_on(
         self,
         upstream: UpstreamInstance,
@@ -282,9 +286,11 @@
 
         With `copy` the attempt resumes from that copy. `RelayAttempt.copy` is another
         one: the copy that the upstream will keep on the standby. None starts at another
-        version than the one that began the stream.
+        version than the one that began the stream, or at an upstream that takes nothing
+        now.
         """
-        if self.version and upstream.version != self.version:
+        is_other_version = self.version and upstream.version != self.version
+        if is_other_version or self.shared.gate.wait_s(upstream.name, now) > 0.0:
             return self.wait_or_refuse(now)
         standby = standby or self.choose_standby(upstream, now)
         attempt = RelayAttempt(
@@ -385,9 +391,9 @@
         if self.has_delivered:
             self.retry_at = now + UPSTREAM_POLL_INTERVAL_S
             return []
-        limited = self.limited_upstreams(now)
-        if limited:
-            return self.refuse_limited(limited, now)
+        closed = self.closed_upstreams(now)
+        if closed:
+            return self.refuse_closed(closed, now)
         if self.excluded:
             return self.refuse_overloaded()
         return self.fail(
@@ -396,34 +402,44 @@
             self.jittered(NO_UPSTREAM_RETRY_S),
         )
 
-    def limited_upstreams(self, now: float) -> list[str]:
-        """Return the upstreams that would be used, but take no request now."""
+    def closed_upstreams(self, now: float) -> list[str]:
+        """Return the upstreams that would be used, but take no request now.
+
+        One that has refused this request and asked for a pause is one of them.
+        """
+        closed = self.shared.gate.closed(now)
         wanted = PickRequest(
             self.routed.service.name,
             version=self.version,
-            excluded=frozenset(self.excluded),
+            excluded=frozenset(self.excluded) - closed,
         )
-        blocked = self.shared.send_limits.blocked(now)
         candidates = self.shared.selector.candidates(wanted)
-        return [each.name for each in candidates if each.name in blocked]
+        return [each.name for each in candidates if each.name in closed]
 
-    def refuse_limited(self, names: list[str], now: float) -> list[RelayAction]:
+    def refuse_closed(self, names: list[str], now: float) -> list[RelayAction]:
         """Refuse a request at once while all upstreams take no more than they get.
 
         Waiting here would only move the excess to later requests. The caller may return
         to any instance, so it is not told to wait for this one's turn if that is long.
         """
-        self.shared.totals.limit_refusals += 1
-        soonest_s = min(self.shared.send_limits.wait_s(name, now) for name in names)
+        gate, totals = self.shared.gate, self.shared.totals
+        paused = sum(gate.is_paused(name, now) for name in names)
+        totals.pause_refusals += paused > 0
+        totals.limit_refusals += paused == 0
+        soonest_s = min(gate.wait_s(name, now) for name in names)
         return self.fail(
             ErrorCode.UPSTREAM_FAILED if self.may_have_run else ErrorCode.OVERLOADED,
             f"service={self.routed.service.name!r}: {len(names)} upstreams name limits "
-            f"that allow the next request in {soonest_s:.2f} s",
-            self.jittered(min(max(soonest_s, FULL_RETRY_S), MAX_LIMITED_RETRY_S)),
+            f"or ask for pauses ({paused}) that allow the next request in "
+            f"{soonest_s:.2f} s",
+            self.jittered(min(max(soonest_s, FULL_RETRY_S), MAX_CLOSED_RETRY_S)),
         )
 
     def refuse_overloaded(self) -> list[RelayAction]:
         """Refuse a request that no upstream took, or fail it if it may have run."""
+        closed = self.closed_upstreams(self.now)
+        if closed and self.refusals and self.pick_any(self.now) is None:
+            return self.refuse_closed(closed, self.now)
         # Without any refusal, no upstream accepted a connection.
         code = ErrorCode.OVERLOADED if self.refusals else ErrorCode.NO_UPSTREAM
         return self.fail(
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -34,7 +34,9 @@
 from turmericusher.decisions.retries import RetryBudget
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.selection import PickRequest, Selector
+from turmericusher.decisions.send_gate import SendGate
 from turmericusher.decisions.send_limits import SendLimits
+from turmericusher.decisions.send_pauses import SendPauses
 from turmericusher.decisions.stream_versions import StreamVersions
 from turmericusher.decisions.upstream_marks import LeavingMarks, leaving_mark
 from turmericusher.errors import ErrorCode, Verdict
@@ -123,7 +125,9 @@
     of retry budget, and `postponed_repeats` counts how often a stream in progress
     found none and waited. `limited_sends` are the attempts, and `limited_repeats` of
     them those after the first of their request, to an upstream that names a limit;
-    `limit_refusals` are the requests refused because all upstreams named limits.
+    `limit_refusals` are the requests refused because all upstreams named limits, and
+    `pause_refusals` those refused because some had asked for a pause and no other one
+    took requests.
     `crash_refusals` are those refused or ended because one of their traits crashes
     upstreams, and `crash_trials` the attempts that tried such a trait again.
     `version_refusals` are the streams that no instance knew the version of.
@@ -147,6 +151,7 @@
     limited_sends: int = 0
     limited_repeats: int = 0
     limit_refusals: int = 0
+    pause_refusals: int = 0
     crash_refusals: int = 0
     crash_trials: int = 0
     version_refusals: int = 0
@@ -163,7 +168,8 @@
     of each service; `budget_template` is copied for those of new services.
     `stream_duration` estimates how long streams last after their first event,
     `typical_sizes` the request size of each service. `holders` tracks which holders of
-    copies are lost, `send_limits` the limits that upstreams name, `crashes` which
+    copies are lost, `send_limits` the limits that upstreams name, `pauses` those that
+    they ask for, `gate` what follows from both for each send, `crashes` which
     requests crash upstreams, and `versions` at which version each stream began.
     `leaving` has the upstreams that leave, by their own answers or by the list, and
     `reach` the services whose upstreams accept no connections of this instance,
@@ -183,7 +189,9 @@
     typical_sizes: dict[str, TypicalSize] = field(default_factory=dict)
     crashes: CrashLedger = field(default_factory=CrashLedger)
     versions: StreamVersions = field(default_factory=StreamVersions)
+    pauses: SendPauses = field(default_factory=SendPauses)
     send_limits: SendLimits = field(init=False)
+    gate: SendGate = field(init=False)
     leaving: LeavingMarks = field(init=False)
     reach: Reachability = field(init=False)
     forwarding: Forwarding = field(init=False)
@@ -191,6 +199,7 @@
     def __post_init__(self) -> None:
         """Start without any limit, mark or failed connection."""
         self.send_limits = SendLimits(self.random)
+        self.gate = SendGate(self.send_limits, self.pauses)
         self.leaving = LeavingMarks(self.random)
         self.reach = Reachability(self.selector)
         self.forwarding = Forwarding(self.random)
@@ -431,12 +440,12 @@
     ) -> PickRequest:
         """Return the selector's request for the upstream of the next attempt.
 
-        Upstreams that take no request now, by a limit that they name, are excluded.
+        Upstreams that take no request now, by what they have asked for, are excluded.
         """
         return PickRequest(
             service=self.routed.service.name,
             version=self.version,
-            excluded=frozenset(excluded) | self.shared.send_limits.blocked(now),
+            excluded=frozenset(excluded) | self.shared.gate.closed(now),
             avoided_domains=frozenset(avoided_domains),
         )
 
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -32,6 +32,9 @@
 BEARER_PREFIX = "bearer "
 REQUEST_ONLY_HEADERS = SYSTEM_HEADERS | {FORWARDED_HEADER.lower()}
 HOP = re.compile(r"([^;]+);([0-9]+);([01]);([^;]+)")
+MAX_PAUSE_S = 86_400.0
+"""Seconds beyond which a pause is taken for a mistake."""
+
 PART_ID = re.compile(r"[0-9a-fA-F]{1,64}")
 
 
@@ -204,8 +207,8 @@
     if value is None:
         return None
     seconds = float(value)
-    if not 0 <= seconds < math.inf:
-        raise ValueError(f"header {PAUSE}={value!r} is not a time in seconds")
+    if not 0 <= seconds <= MAX_PAUSE_S:
+        raise ValueError(f"header {PAUSE}={value!r} is not from 0 to {MAX_PAUSE_S} s")
     return seconds
 
 
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -129,6 +129,7 @@
                 selector.merge_report,
                 partial(record_send_limit, shared),
                 partial(record_leaving, shared),
+                partial(record_pause, shared),
             )
         )
         reports = CrashReports(shared.crashes, port, store, CrashRecordCodec())
@@ -185,6 +186,18 @@
         )
 
 
+def record_pause(
+    shared: RelayShared, upstream: UpstreamInstance, pause_s: float | None
+) -> None:
+    """Record the pause that an upstream asks for, None for a malformed one; log it."""
+    now = asyncio.get_running_loop().time()
+    if pause_s is not None:
+        shared.pauses.record_refusal(upstream, pause_s, now)
+        log_event("pause_requested", upstream=upstream.name, pause_s=pause_s)
+    elif shared.pauses.record_malformed(upstream, now):
+        log_event("pause_malformed", upstream=upstream.name)
+
+
 def assemble_instance(
     settings: NodeSettings, context: RelayContext, store: KeyValueStore
 ) -> RelayInstance:
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -99,6 +99,7 @@
 LoadListener = Callable[[str, LoadReport], None]
 LimitListener = Callable[[UpstreamInstance, float | None], None]
 LeavingListener = Callable[[UpstreamInstance], None]
+PauseListener = Callable[[UpstreamInstance, float | None], None]
 
 
 class MalformedStreamError(Exception):
@@ -121,12 +122,15 @@
     response to a request, the requests per second that its upstream takes, or None
     without a limit. A report or a refusal may name a limit too, but does not lift one.
     `on_leaving` receives, for each response that says so, the upstream that is leaving.
+    `on_pause` receives, for each refusal that asks for a pause, its seconds, or None if
+    they are malformed.
     """
 
     session: aiohttp.ClientSession
     on_load: LoadListener
     on_limit: LimitListener
     on_leaving: LeavingListener
+    on_pause: PauseListener
 
     async def send(
         self,
@@ -168,9 +172,7 @@
     def read_signals(self, exchange: AttemptExchange) -> None:
         """Pass on what an upstream says of itself in a response to an attempt."""
         upstream, headers = exchange.start.upstream, exchange.headers
-        self.note_leaving(upstream, exchange.response)
-        if exchange.response.status == UNAVAILABLE:
-            self.read_pause(upstream, headers)
+        self.note_signals(upstream, exchange.response)
         load = parse_load(headers)
         if load is not None:
             self.on_load(upstream.name, LoadReport(*load))
@@ -178,14 +180,15 @@
         if limit_per_s is not None or not exchange.is_refusal:
             self.on_limit(upstream, limit_per_s)
 
-    def note_leaving(
+    def note_signals(
         self, upstream: UpstreamInstance, response: aiohttp.ClientResponse
     ) -> bool:
         """Pass on that an upstream is leaving if its response says so.
 
         If another incarnation or another upstream has answered at the address, this one
-        has ended.
+        has ended. A pause that a refusal asks for is passed on as well.
         """
+        self.note_pause(upstream, response)
         is_leaving = parse_leaving(tuple(response.headers.items()))
         if is_leaving:
             self.on_leaving(upstream)
@@ -199,15 +202,19 @@
             log_event("limit_malformed", upstream=upstream.name, error=str(error))
             return None
 
-    def read_pause(self, upstream: UpstreamInstance, headers: Headers) -> None:
-        """Log a pause that a refusal asks for; a malformed one counts as none."""
+    def note_pause(
+        self, upstream: UpstreamInstance, response: aiohttp.ClientResponse
+    ) -> None:
+        """Pass on the pause that a refusal asks for; a malformed one counts as none."""
+        if response.status != UNAVAILABLE:
+            return
         try:
-            pause_s = parse_pause(headers)
-        except ValueError as error:
-            log_event("pause_malformed", upstream=upstream.name, error=str(error))
+            pause_s = parse_pause(tuple(response.headers.items()))
+        except ValueError:
+            self.on_pause(upstream, None)
             return
         if pause_s is not None:
-            log_event("pause_requested", upstream=upstream.name, pause_s=pause_s)
+            self.on_pause(upstream, pause_s)
 
     async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
         """Query an upstream's load; return None if no valid report comes in time."""
@@ -215,7 +222,7 @@
         url = f"http://{upstream.address}{REPORT_PATH}"
         try:
             async with self.session.get(url, timeout=timeout) as response:
-                is_leaving = self.note_leaving(upstream, response)
+                is_leaving = self.note_signals(upstream, response)
                 data = await response.read()
             limit_per_s = self.read_limit(upstream, tuple(response.headers.items()))
             if limit_per_s is not None:
@@ -242,7 +249,7 @@
             async with self.session.get(
                 url, headers=headers, timeout=timeout
             ) as response:
-                self.note_leaving(upstream, response)
+                self.note_signals(upstream, response)
                 data = await response.read()
         except aiohttp.ClientConnectorError as error:
             is_refused = isinstance(error.os_error, ConnectionRefusedError)
@@ -280,7 +287,7 @@
         body = encode_copy_request(request_id, target.address)
         try:
             async with self.session.post(url, data=body, timeout=timeout) as response:
-                self.note_leaving(source, response)
+                self.note_signals(source, response)
                 data = await response.read()
                 if response.status not in SUCCESS:
                     return None
@@ -295,7 +302,7 @@
         url = f"http://{copy.source.address}{RELEASE_PATH}/{copy.handle}"
         try:
             async with self.session.delete(url, timeout=timeout) as response:
-                self.note_leaving(copy.source, response)
+                self.note_signals(copy.source, response)
                 await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             log_event("release_failed", holder=copy.holder.name, error=repr(error))
@@ -545,8 +552,11 @@
 
 @asynccontextmanager
 async def open_platform_upstreams(
-    on_load: LoadListener, on_limit: LimitListener, on_leaving: LeavingListener
+    on_load: LoadListener,
+    on_limit: LimitListener,
+    on_leaving: LeavingListener,
+    on_pause: PauseListener,
 ) -> AsyncIterator[PlatformUpstreams]:
     """Yield the port, and close its session on exit."""
     async with open_single_send_session() as session:
-        yield PlatformUpstreams(session, on_load, on_limit, on_leaving)
+        yield PlatformUpstreams(session, on_load, on_limit, on_leaving, on_pause)
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -71,6 +71,9 @@
         self.metrics.gauge("upstreams", len(self.fleet.upstreams.entries))
         self.metrics.gauge("instances", len(self.fleet.instances.entries))
         self.metrics.gauge("limited_upstreams", len(self.shared.send_limits.limits))
+        paused = self.shared.pauses.blocked(self.frontend.clock())
+        self.metrics.gauge("paused_upstreams", len(paused))
+        self.metrics.gauge("malformed_pauses", self.shared.pauses.malformed)
         self.metrics.gauge("suspected_traits", len(self.shared.crashes.suspicions))
         unreachable = self.shared.reach.unreachable_services()
         self.metrics.gauge("unreachable_services", len(unreachable))
@@ -84,6 +87,7 @@
         """Return the current state of this process as plain JSON values."""
         selector = self.shared.selector
         table = self.tables.table
+        now = self.frontend.clock()
         return {
             "name": self.own.name,
             "configuration": table.version if table else None,
@@ -96,6 +100,7 @@
                     "failure_domain": upstream.failure_domain,
                     "state": upstream.lifecycle.value,
                     "in_flight": selector.in_flight.get(name, 0),
+                    "closed_for_s": self.shared.gate.wait_s(name, now),
                     "estimate": selector.load.estimate(name, selector.now),
                 }
                 for name, upstream in selector.upstreams.items()
--- a/tests/cover/test_leaving_answers.py
+++ b/tests/cover/test_leaving_answers.py
@@ -358,7 +358,7 @@
 async def recording_port(marked):
     """Yield the adapter; it adds the upstreams that say that they leave to a list."""
     async with open_platform_upstreams(
-        lambda *_: None, lambda *_: None, marked.append
+        lambda *_: None, lambda *_: None, marked.append, lambda *_: None
     ) as port:
         yield port
 
