A request that runs well is no longer suspected of ends that nothing has confirmed

A call that timed out once stayed suspected for ten seconds, and its repeats were not hedged meanwhile, although the same call had run well since. Found by reading the mend of the possible ends. Its test failed before (is_suspected) and passes.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -386,6 +386,7 @@
         }
         for trait in traits:
             self.sound_at[trait] = now
+            self.open_losses.clear_trait(trait)
             if trait in self.suspicions:
                 self.clear(trait, frozenset(self.suspicions[trait]), now)
                 self.unpublished_sound[trait] = (
--- a/src/turmericusher/decisions/open_losses.py
+++ b/src/turmericusher/decisions/open_losses.py
@@ -135,6 +135,18 @@
             loss.answered_since = max(loss.answered_since, sent_at)
             loss.answered_at = min(loss.answered_at, now)
 
+    def clear_trait(self, trait: str) -> None:
+        """Suspect a trait no longer, since a request with it has run well."""
+        if trait not in self.suspected:
+            return
+        for loss in self.losses.values():
+            loss.chains = {
+                tuple(each for each in chain if each.trait != trait): lost_at
+                for chain, lost_at in loss.chains.items()
+            }
+            loss.chains.pop((), None)
+        self.rebuild_index()
+
     def remove(self, upstream: UpstreamInstance) -> Loss | None:
         """Remove and return the loss of an upstream, if there is one."""
         name = death_name(upstream.name, upstream.incarnation)
--- a/tests/cover/test_open_losses.py
+++ b/tests/cover/test_open_losses.py
@@ -152,6 +152,16 @@
         records = shared.crashes.review_losses(shared.has_crashed, 2.0)
         self.assertEqual([start.upstream.name], [each.upstream for each in records])
 
+    def test_a_call_that_runs_well_elsewhere_meanwhile_is_not_suspected(self):
+        shared = make_relay_shared(UPSTREAMS)
+        lost, start = start_call(shared)
+        time_out(lost, 0.0)
+        other, again = start_call(shared, 1.5)
+        other.handle(answered(again.attempt, at=1.6), 1.6)
+        self.assertFalse(shared.crashes.is_suspected(lost.traits))
+        list_without(shared, start.upstream.name)
+        self.assertEqual([], shared.crashes.review_losses(shared.has_crashed, 2.0))
+
 
 class HotRequestTest(TestCase):
     """A sound request that is in flight at all upstreams of a service at once."""
