Forwarding: a refusal with a malformed Retry-After is still a refusal

Callers saw, by reading: a request that another instance had refused, and that had run nowhere, ended as one that may have run if the refusal's Retry-After was no number; what must not repeat then failed with 502 in place of going to another instance.

Cause: float() of the header outside any guard; the adapter took the ValueError for a malformed answer. Now a malformed time is logged and counts as none.

Test: 3 of 4 cases failed before ('soon', 'inf', '-1'), all pass.

--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -345,12 +345,18 @@
         """
         text = (await read_body(self.response)).decode(errors="replace").strip()
         code, _, message = text.partition(": ")
-        retry_after = self.response.headers.get("Retry-After")
+        try:
+            retry_after_s = parse_pause(self.headers)
+        except ValueError as error:
+            log_event(
+                "refusal_malformed", instance=self.start.upstream.name, error=error
+            )
+            retry_after_s = None
         known = code in ErrorCode.__members__.values()
         refusal = Refusal(
             ErrorCode(code) if known else ErrorCode.NO_UPSTREAM,
             message[:MAX_MESSAGE_CHARS],
-            float(retry_after) if retry_after is not None else None,
+            retry_after_s,
         )
         failed = failure(
             self.start, AttemptCause.REFUSED, Verdict.NOT_RUN, text[:MAX_MESSAGE_CHARS]
--- a/tests/cover/test_pauses.py
+++ b/tests/cover/test_pauses.py
@@ -29,6 +29,7 @@
     make_upstream,
     running_relay_simulation,
 )
+from turmericusher.decisions.forwarding import Hop
 from turmericusher.decisions.generation_messages import Fail
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
@@ -112,6 +113,32 @@
             self.assertEqual(200, (await simulation.call(IDEMPOTENT, 500)).status)
 
 
+class ForwardedRefusalTest(TestCase):
+    @parameterized.expand([("0.4", 0.4), ("soon", None), ("inf", None), ("-1", None)])
+    @run_async
+    async def test_an_instance_that_refuses_has_not_run_a_request_whatever_it_says(
+        self, text, expected
+    ):
+        async with running_relay_simulation(upstreams=1) as simulation:
+            simulation.upstreams[0].pause = text
+            relay = make_test_relay(IDEMPOTENT, make_relay_shared(1))
+            target = simulation.node.fleet.upstreams.entries["u0"]
+            hop = Hop("e0", 1, False, "1", None)
+            deadline = asyncio.get_running_loop().time() + 1.0
+            start = StartRelay(1, target, deadline, hop=hop)
+            received = []
+
+            async def sink(event):
+                received.append(event)
+
+            port = simulation.node.frontend.context.port
+            await port.send(start, relay.request, relay.routed, sink)
+            failure = received[-1]
+            self.assertEqual(AttemptCause.REFUSED, failure.cause)
+            self.assertEqual(NOT_RUN, failure.verdict)
+            self.assertEqual(expected, failure.refusal.retry_after_s)
+
+
 class PauseTextTest(TestCase):
     @parameterized.expand(
         [("3", 3.0), ("0.25", 0.25), ("0", 0.0), (str(MAX_PAUSE_S), MAX_PAUSE_S)]
