Soak: a call that crashes upstreams, which end by reset or silence

In half of the seeds one idempotent call is sent at random instances again and again; each upstream that runs it ends, with or without a sign, and comes up again under its name or as another one at its address. The check is crashing_calls_stop (three crashes, 4 s, three sends), its mutation silent-ends-are-not-remembered. Draws have a generator of their own, so older seeds keep their other faults. The function that leaves connections unanswered moves from the soak to the stand-ins, which had got a second one.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -16,6 +16,7 @@
 from benchmarks.soak.history import Probe, SentRequest
 from benchmarks.soak.upstream import (
     CRASHING_PART,
+    CRASHING_TARGET,
     EVENT_COUNT,
     answer_content,
     request_body,
@@ -55,6 +56,7 @@
 RESOLVE_INTERVAL_S = 1.0
 """How often callers refresh the entry points: as rarely as the system allows."""
 
+CRASHING_CALL_INTERVAL_S = 0.4
 PROBE_INTERVAL_S = 0.3
 EVENT_PATTERN = re.compile(rb"id: (\d+)\nevent: (\w+)\ndata: ([0-9a-f]+)\n\n")
 MAX_WAIT_S = 5.0
@@ -203,7 +205,7 @@
         if request.kind is RequestKind.RESUMABLE_STREAM:
             headers[PROMPT_PARTS] = prompt_parts(request)
         url = f"http://{instance.caller_link.address}{request.path}"
-        body = request_body(request.request_id)
+        body = request_body(request.body_of or request.request_id)
         async with session.post(url, headers=headers, data=body) as response:
             request.status = response.status
             if "Retry-After" in response.headers:
@@ -241,6 +243,24 @@
         if buffer or request.last_event != EVENT_COUNT:
             request.error = f"complete after event {request.last_event}, {buffer!r}"
 
+    async def send_crashing_call(self) -> None:
+        """Send the call that crashes upstreams to random instances, while faults last.
+
+        It is the same each time, but for its id.
+        """
+        first_id = ""
+        async with aiohttp.ClientSession() as session:
+            while self.deployment.history.faults_end_at == math.inf:
+                await asyncio.sleep(self.rng.expovariate(1 / CRASHING_CALL_INTERVAL_S))
+                instance = self.rng.choice(self.deployment.instances)
+                request = self.record_request(
+                    RequestKind.IDEMPOTENT, instance, CRASHING_TARGET
+                )
+                first_id = first_id or request.request_id
+                request.is_crashing, request.body_of = True, first_id
+                await self.exchange(session, instance, request)
+                request.ended_at = self.deployment.now()
+
     async def probe_versions(self) -> None:
         """Probe random instances for the routes of the three newest versions."""
         async with aiohttp.ClientSession() as session:
@@ -293,5 +313,7 @@
     callers = Callers(deployment, random.Random(f"soak-callers/{deployment.plan.seed}"))
     coroutines = [callers.poll_entrypoints(), callers.probe_versions()]
     coroutines += [callers.send_requests() for _ in range(deployment.plan.callers)]
+    if deployment.plan.has_crashing_call:
+        coroutines.append(callers.send_crashing_call())
     for coroutine in coroutines:
         deployment.tasks.add(asyncio.create_task(coroutine))
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -63,9 +63,10 @@
 the least share of what is served elsewhere that must be served there."""
 
 CRASHES_TO_LEARN = 5
+CALL_CRASHES_TO_LEARN = 3
 MAX_LATE_CRASHING_SENDS = 3
-"""Crashes under one part after which the instances must know it, and the requests with
-it that may still reach upstreams then."""
+"""Crashes under one part, and under one call, after which the instances must know it,
+and the requests with it that may still reach upstreams then."""
 
 RECOVERY_S = 15.0
 """Required recovery time, from the end of the last fault until every request is served
@@ -331,19 +332,34 @@
 
 
 def crashing_requests_stop(history: History) -> Iterator[str]:
-    """Yield one message if too many crashing requests were sent after five crashes.
+    """Yield one message if too many requests with a crashing part were sent late."""
+    yield from late_crashing_sends(history, RequestKind.RESUMABLE_STREAM)
+
+
+def crashing_calls_stop(history: History) -> Iterator[str]:
+    """Yield one message if the crashing call was sent too often late."""
+    yield from late_crashing_sends(history, RequestKind.IDEMPOTENT)
+
+
+def late_crashing_sends(history: History, kind: RequestKind) -> Iterator[str]:
+    """Yield one message if too many crashing requests of a kind were sent late.
 
     Requests of instances that were disturbed lately do not count, nor those sent while
     the store was.
     """
-    if len(history.crashes) < CRASHES_TO_LEARN:
+    is_call = kind is RequestKind.IDEMPOTENT
+    crashes = history.call_crashes if is_call else history.crashes
+    to_learn = CALL_CRASHES_TO_LEARN if is_call else CRASHES_TO_LEARN
+    if len(crashes) < to_learn:
         return
-    from_s = history.crashes[CRASHES_TO_LEARN - 1] + STABILIZATION_S
+    from_s = crashes[to_learn - 1] + STABILIZATION_S
     late = []
     for arrival in history.arrivals:
         request = history.requests.get(arrival.request_id)
         if request is None or not request.is_crashing or arrival.at < from_s:
             continue
+        if request.kind is not kind:
+            continue
         if is_undisturbed(history, arrival.sender, arrival.at):
             late.append(f"{request.request_id} at {arrival.at:.2f}")
     if len(late) > MAX_LATE_CRASHING_SENDS:
@@ -440,6 +456,7 @@
     named_limits,
     streams_keep_their_version,
     crashing_requests_stop,
+    crashing_calls_stop,
     work_ends_with_callers,
     cut_instances_serve,
     served_after_recovery,
--- a/benchmarks/soak/deployment.py
+++ b/benchmarks/soak/deployment.py
@@ -26,7 +26,11 @@
 )
 from benchmarks.soak.proxy import Direction, Proxy, running_proxy
 from benchmarks.soak.schedule import Plan
-from benchmarks.soak.upstream import SoakUpstream
+from benchmarks.soak.upstream import (
+    CRASHING_PART,
+    CRASHING_TARGET,
+    SoakUpstream,
+)
 from tests.common.relay_fixtures import (
     DOMAINS,
     configuration,
@@ -162,6 +166,16 @@
         for link in self.links.values():
             link.refuse()
 
+    def fall_silent(self) -> None:
+        """Hold open connections and leave new ones unanswered."""
+        for link in self.links.values():
+            link.fall_silent()
+
+    def end_silence(self) -> None:
+        """Reset what was held in a silence."""
+        for link in self.links.values():
+            link.end_silence()
+
     async def listen(self) -> None:
         """Accept connections again."""
         for link in self.links.values():
@@ -304,7 +318,13 @@
     version = plan.version_of(index)
     name = f"u{index}"
     standin = SoakUpstream(
-        name, history=history, team=TEAM_NAME, stable_name=name, version=version
+        name,
+        history=history,
+        team=TEAM_NAME,
+        stable_name=name,
+        version=version,
+        crashing_parts=frozenset({CRASHING_PART}),
+        crashing_targets=frozenset({CRASHING_TARGET}),
     )
     standin.restart(FIRST_START_MS)
     await stack.enter_async_context(running_standin(standin))
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -30,7 +30,8 @@
     set if the caller was refused and sends the request again after `Retry-After`.
     `last_event` is the last event of a stream that arrived, and `versions` are those of
     the upstreams of its events. `resumes` is the request whose stream this one goes on
-    with. `is_crashing`: it has the part that crashes upstreams.
+    with. `is_crashing`: it has the part that crashes upstreams, or is the call that
+    does. `body_of` is the id of the request whose body it has, if not its own.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     versions: set[str] = field(default_factory=set)
     resumes: str = ""
     is_crashing: bool = False
+    body_of: str = ""
 
     @property
     def is_served(self) -> bool:
@@ -143,7 +145,8 @@
     """Everything that was recorded in one run.
 
     `accepted` maps each configuration version to the time the store accepted it, and
-    `crashes` has the times at which requests with the crashing part ended an upstream.
+    `crashes` has the times at which requests with the crashing part ended an upstream,
+    and `call_crashes` those at which the crashing call did.
     """
 
     requests: dict[str, SentRequest] = field(default_factory=dict)
@@ -155,6 +158,7 @@
     exits: list[UnexpectedExit] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
     crashes: list[float] = field(default_factory=list)
+    call_crashes: list[float] = field(default_factory=list)
     cuts: list[Cut] = field(default_factory=list)
     faults_end_at: float = math.inf
 
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -303,13 +303,21 @@
 
 
 def crash_on_requests(deployment: Deployment, upstream: DeployedUpstream) -> None:
-    """Have an upstream die whenever it begins to answer a request that crashes it."""
+    """Have an upstream die whenever it begins to answer a request that crashes it.
 
-    def crash() -> None:
+    After the end by a call another upstream may come up at its address.
+    """
+    history, plan = deployment.history, deployment.plan
+    rng = random.Random(f"soak/{plan.seed}/crashes/{upstream.index}")
+
+    def crash(by_call: bool) -> None:
         fault = UpstreamFault(upstream.index, UpstreamFaultKind.DIE)
         if upstream.is_shutting_down:
             return
-        deployment.history.crashes.append(deployment.now())
+        if by_call:
+            kind = rng.choice((UpstreamFaultKind.DIE, UpstreamFaultKind.MOVE))
+            fault = UpstreamFault(upstream.index, kind, is_silent=plan.are_ends_silent)
+        (history.call_crashes if by_call else history.crashes).append(deployment.now())
         step = Step(0.0, CRASH_DOWNTIME_S, fault)
         deployment.tasks.add(asyncio.create_task(inject(fault, deployment, step)))
 
@@ -364,9 +372,14 @@
 
     Its entry is deleted from the store only at the end of the downtime.
     """
-    upstream.links.refuse()
     upstream.is_up = False
-    await asyncio.sleep(downtime_s)
+    if fault.is_silent:
+        upstream.links.fall_silent()
+        await asyncio.sleep(downtime_s)
+        upstream.links.end_silence()
+    else:
+        upstream.links.refuse()
+        await asyncio.sleep(downtime_s)
     deployment.write_entry(upstream)
     upstream.incarnation += 1
     if fault.kind is UpstreamFaultKind.MOVE:
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -105,6 +105,13 @@
         "self.version = attempt.upstream.version",
         "pass",
     ),
+    Mutation(
+        "silent-ends-are-not-remembered",
+        "crashing_calls_stop",
+        "decisions/relay_state.py",
+        "        self.record_unanswered(self.attempts[number])\n",
+        "",
+    ),
     Mutation(
         "crashes-are-not-remembered",
         "crashing_requests_stop",
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from turmericusher.standins.platform_upstream import reset
+from turmericusher.standins.platform_upstream import full_backlog, reset
 from turmericusher.tasks.background import cancel_tasks
 
 CHUNK_BYTES = 65_536
@@ -126,6 +126,24 @@
         self.stop_accepting()
         self.reset_connections()
 
+    def fall_silent(self) -> None:
+        """Hold open connections and leave new ones unanswered, as after a silent end.
+
+        A cut must not overlap with this.
+        """
+        self.is_target_up = False
+        self.stop_accepting()
+        self.uncut.clear()
+        self.backlog = full_backlog(self.address)
+
+    def end_silence(self) -> None:
+        """Reset what was held; `listen` accepts connections again."""
+        for sock in self.backlog:
+            sock.close()
+        self.backlog = []
+        self.uncut.set()
+        self.reset_connections()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -161,25 +179,6 @@
             self.ports.discard(port)
 
 
-def full_backlog(address: str) -> list[socket.socket]:
-    """Return sockets that keep connections to an address unanswered while open.
-
-    The kernel drops the first packet of a connection if as many wait to be accepted as
-    the listener allows: with a backlog of 0, one.
-    """
-    host, _, port = address.rpartition(":")
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, int(port)))
-    listener.listen(0)
-    sockets = [listener]
-    for _ in range(2):
-        sockets.append(socket.socket())
-        sockets[-1].setblocking(False)
-        sockets[-1].connect_ex((host, int(port)))
-    return sockets
-
-
 async def pump(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -80,6 +80,11 @@
 SLOWDOWN_KINDS = (UpstreamFaultKind.PAUSE, UpstreamFaultKind.LIMIT)
 """Kinds after which an upstream is sound; they are drawn apart from all others."""
 
+CRASHING_CALL_SHARE = 0.5
+SILENT_CRASH_SHARE = 0.5
+"""Share of the seeds with a call that crashes upstreams, and of those in which they end
+silently; not in seeds with a cut, which acts on the same links."""
+
 CRASHING_SHARES = (0.0, 0.0, 0.1, 0.3)
 """Shares of the resumable streams with a part that crashes upstreams."""
 
@@ -129,11 +134,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamFault:
-    """A fault of an upstream; `clock_step_s` shifts its clock when it restarts."""
+    """A fault of an upstream; `clock_step_s` shifts its clock when it restarts.
+
+    `is_silent`: its connections say nothing more, and new ones are not answered.
+    """
 
     index: int
     kind: UpstreamFaultKind
     clock_step_s: float = 0.0
+    is_silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,7 +182,9 @@
     """One run: its size, and its faults in order of time.
 
     `versions` are those of the upstreams. Callers send `crashing_share` of their
-    resumable streams with a part that crashes the upstreams, while faults last.
+    resumable streams with a part that crashes the upstreams, while faults last, and
+    with `has_crashing_call` one call that does, again and again; upstreams then end
+    silently if `are_ends_silent`.
     """
 
     seed: int
@@ -184,6 +195,8 @@
     steps: tuple[Step, ...]
     versions: int = 1
     crashing_share: float = 0.0
+    has_crashing_call: bool = False
+    are_ends_silent: bool = False
 
     def version_of(self, number: int) -> str:
         """Return one of the versions in turn."""
@@ -208,12 +221,16 @@
         steps.append(Step(at_s, min(fault_duration_s, duration_s - at_s), fault))
         at_s += rng.expovariate(1 / mean_interval_s)
     steps += draw_slowdowns(seed, duration_s, upstreams)
-    steps += draw_cuts(seed, duration_s, instances)
+    cuts = draw_cuts(seed, duration_s, instances)
+    steps += cuts
     steps.sort(key=lambda step: step.at_s)
     # A generator of its own, so that the other draws of a seed stay as they were.
     rng = random.Random(f"soak/{seed}/kinds")
     versions = rng.randint(1, 3)
     crashing_share = rng.choice(CRASHING_SHARES)
+    rng = random.Random(f"soak/{seed}/calls")
+    has_crashing_call = rng.random() < CRASHING_CALL_SHARE
+    are_ends_silent = rng.random() < SILENT_CRASH_SHARE and not cuts
     return Plan(
         seed,
         instances,
@@ -223,6 +240,8 @@
         tuple(steps),
         versions,
         crashing_share,
+        has_crashing_call,
+        are_ends_silent,
     )
 
 
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -8,10 +8,11 @@
 from dataclasses import dataclass, field, replace
 
 from benchmarks.soak.history import Arrival, History
+from tests.common.relay_fixtures import PATHS
 from turmericusher.decisions.relay_messages import UpstreamReport
+from turmericusher.decisions.routing import RequestKind
 from turmericusher.platform.names import (
     LAST_EVENT_ID,
-    PROMPT_PARTS,
     REQUEST_ID,
     SEND_LIMIT,
     SIGNATURE,
@@ -27,6 +28,9 @@
 EVENT_COUNT = 24
 EVENT_INTERVAL_S = 0.05
 CALL_DURATION_S = 0.04
+CRASHING_TARGET = f"{PATHS[RequestKind.IDEMPOTENT]}crash"
+"""The path of the call that crashes each upstream that begins to answer it."""
+
 CRASHING_PART = "badbadba"
 """The part of a prompt that crashes each upstream that begins to answer it."""
 
@@ -61,8 +65,8 @@
     """An upstream that can be set to shed, to fail or to pause.
 
     It sends nothing while `is_unpaused` is clear. Its events name its `version`. It
-    calls `on_crash` when it begins to answer a request that crashes it. `find_sender`
-    returns the instance whose link has a port.
+    calls `on_crash` when it begins to answer a request that crashes it, with whether
+    that is the crashing call. `find_sender` returns the instance whose link has a port.
 
     `stable_name` names its place in the deployment, which stays the same when an
     upstream with another name starts there.
@@ -72,7 +76,7 @@
     team: str = ""
     stable_name: str = ""
     version: str = "v1"
-    on_crash: Callable[[], None] = lambda: None
+    on_crash: Callable[[bool], None] = lambda by_call: None
     is_shedding: bool = False
     is_failing: bool = False
     is_unpaused: asyncio.Event = field(default_factory=set_event)
@@ -140,7 +144,7 @@
             return "not sent by any caller"
         if call.target != sent.path:
             return f"target={call.target!r}"
-        if call.body != request_body(request_id):
+        if call.body != request_body(sent.body_of or request_id):
             return f"body={call.body!r}"
         if call.headers.get(TEAM) != self.team:
             return f"team={call.headers.get(TEAM)!r}"
@@ -159,9 +163,9 @@
             headers[SEND_LIMIT] = self.send_limit
         if self.is_failing:
             writer.write(self.encode_head(500, headers | {"Content-Length": "0"}))
-        elif CRASHING_PART in call.headers.get(PROMPT_PARTS, ""):
+        elif self.crashes_on(call):
             await asyncio.sleep(EVENT_INTERVAL_S)
-            self.on_crash()
+            self.on_crash(call.target in self.crashing_targets)
             await asyncio.sleep(ENDLESS_S)
         elif call.target.startswith(STREAM_PATHS):
             first_number = int(call.headers.get(LAST_EVENT_ID, "0")) + 1
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -10,8 +10,8 @@
 import enum
 import socket
 import struct
-from collections.abc import AsyncIterator, Iterator
-from contextlib import ExitStack, asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.relay_messages import UpstreamReport
@@ -39,9 +39,6 @@
 )
 
 LOOPBACK = "127.0.0.1"
-PENDING_CONNECTIONS = 4
-"""Connections that certainly fill the queue of a listener with a backlog of 0."""
-
 # Nothing runs or waits, and none of the memory for 100,000 tokens is used.
 IDLE_REPORT = UpstreamReport("1700000000000", 0, 0, 0, 100_000, {})
 # `SO_LINGER` on with a timeout of 0: closing the socket sends RST.
@@ -425,19 +422,23 @@
         yield standin
 
 
-@contextmanager
-def unanswered_port(port: int) -> Iterator[None]:
-    """Leave new connections to a loopback port unanswered, neither open nor refused."""
-    with ExitStack() as stack:
-        listener = stack.enter_context(socket.socket())
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((LOOPBACK, port))
-        listener.listen(0)
-        for _ in range(PENDING_CONNECTIONS):
-            pending = stack.enter_context(socket.socket())
-            pending.setblocking(False)
-            pending.connect_ex((LOOPBACK, port))
-        yield
+def full_backlog(address: str) -> list[socket.socket]:
+    """Return sockets that keep connections to an address unanswered while open.
+
+    The kernel drops the first packet of a connection if as many wait to be accepted as
+    the listener allows: with a backlog of 0, one.
+    """
+    host, _, port = address.rpartition(":")
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(0)
+    sockets = [listener]
+    for _ in range(2):
+        sockets.append(socket.socket())
+        sockets[-1].setblocking(False)
+        sockets[-1].connect_ex((host, int(port)))
+    return sockets
 
 
 @asynccontextmanager
--- a/tests/common/crash_fixtures.py
+++ b/tests/common/crash_fixtures.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager, nullcontext
+from contextlib import AsyncExitStack, ExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
 
 import aiohttp
@@ -36,8 +36,8 @@
     CrashSign,
     ReceivedCall,
     UpstreamStandin,
+    full_backlog,
     running_standin,
-    unanswered_port,
 )
 from turmericusher.standins.store import MemoryStore
 from turmericusher.tasks.background import background_tasks
@@ -163,7 +163,10 @@
                 address_port = int(standin.address.rpartition(":")[2])
                 port = address_port if how.keeps_address else 0
                 is_refusing = standin.crash_sign is CrashSign.RESET
-                with nullcontext() if is_refusing else unanswered_port(address_port):
+                with ExitStack() as unanswered:
+                    if not is_refusing:
+                        for held in full_backlog(standin.address):
+                            unanswered.enter_context(held)
                     await asyncio.sleep(how.restart_s)
 
     @property
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -37,6 +37,7 @@
 from turmericusher.decisions.routing import RequestKind
 
 ENTRY, UPSTREAM = "entry-0", "u0"
+RESUMABLE = RequestKind.RESUMABLE_STREAM
 
 
 def make_request(kind=RequestKind.IDEMPOTENT, sent_at=100.0, **changes):
@@ -103,13 +104,22 @@
     """Return crashing requests that arrive after five crashes."""
     names = [f"q{number}" for number in range(count)]
     return make_history(
-        *(make_request(request_id=name, is_crashing=True) for name in names),
+        *(make_request(RESUMABLE, request_id=name, is_crashing=True) for name in names),
         arrivals=[make_arrival(at, request_id=name) for name in names],
         crashes=[100.0, 101.0, 102.0, 103.0, 104.0],
         disturbances=list(disturbances),
     )
 
 
+def crashing_calls(count, at=110.0, crashes=3):
+    """Return crashing calls that arrive after some crashes under them."""
+    history = crashing_requests(count, at)
+    for request in history.requests.values():
+        request.kind = RequestKind.IDEMPOTENT
+    history.crashes, history.call_crashes = [], [100.0, 101.0, 102.0][:crashes]
+    return history
+
+
 def resumed_stream(first_version, version):
     """Return a stream that a second request goes on with."""
     return make_history(
@@ -186,6 +196,7 @@
         make_request(), arrivals=repeated_arrivals(int(RETRY_SLACK) + 2)
     ),
     "named_limits": limited_requests(19),
+    "crashing_calls_stop": crashing_calls(4),
     "streams_keep_their_version": resumed_stream("v1", "v2"),
     "crashing_requests_stop": crashing_requests(4),
     "work_ends_with_callers": abandoned_requests(LATE_CANCEL_ALLOWANCE + 1, 0.6),
@@ -208,6 +219,9 @@
         disturbances=[STOP],
     ),
     "a stream over two requests at one version": resumed_stream("v1", "v1"),
+    "as many crashing calls as trials need": crashing_calls(3),
+    "crashing calls soon after the third crash": crashing_calls(9, at=105.0),
+    "crashing calls after two crashes": crashing_calls(9, crashes=2),
     "as many crashing requests as trials need": crashing_requests(3),
     "crashing requests soon after the fifth crash": crashing_requests(9, at=107.0),
     "crashing requests of a restarted instance": crashing_requests(
