Soak: upstreams that refuse and ask for a pause

One upstream or all refuse and ask for a pause of 2 s, for 0.5 to 4 s at a time, drawn from a generator of their own. The check is asked_pauses (two requests of one instance from half a second after its answer to the end of the pause, for instances and upstreams without another fault), its mutation asked-pauses-are-passed-over.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -62,6 +62,11 @@
 """Requests that may fail at instances that are cut off, besides one in 50 of all, and
 the least share of what is served elsewhere that must be served there."""
 
+PAUSE_TOLD_AFTER_S = 0.5
+MAX_SENDS_IN_PAUSE = 2
+"""Seconds after which an instance that was asked for a pause must know it, and the
+requests that may still reach the upstream then."""
+
 CRASHES_TO_LEARN = 5
 CALL_CRASHES_TO_LEARN = 3
 MAX_LATE_CRASHING_SENDS = 3
@@ -319,6 +324,31 @@
                 break
 
 
+def asked_pauses(history: History) -> Iterator[str]:
+    """Yield the pauses that an upstream asked for and did not get from an instance.
+
+    A fault of the instance, or of anything between the two, excuses it.
+    """
+    for asked in history.arrivals:
+        ends = asked.at + asked.pause_s
+        if not asked.pause_s or not asked.sender:
+            continue
+        if history.was_cut(asked.sender, asked.at, ends) or any(
+            history.was_disturbed(subject, asked.at, ends)
+            for subject in (asked.sender, asked.upstream)
+        ):
+            continue
+        sent = sum(
+            other.sender == asked.sender
+            and other.upstream == asked.upstream
+            and other.incarnation == asked.incarnation
+            and asked.at + PAUSE_TOLD_AFTER_S < other.at < ends
+            for other in history.arrivals
+        )
+        if sent > MAX_SENDS_IN_PAUSE:
+            yield f"{asked.sender} sent {sent} to {asked.upstream} after {asked.at:.2f}"
+
+
 def streams_keep_their_version(history: History) -> Iterator[str]:
     """Yield the streams whose events came from upstreams of several versions.
 
@@ -454,6 +484,7 @@
     answered_in_time,
     bounded_repeats,
     named_limits,
+    asked_pauses,
     streams_keep_their_version,
     crashing_requests_stop,
     crashing_calls_stop,
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -64,8 +64,9 @@
 class Arrival:
     """One request as an upstream received it; `has_run` is set once work began.
 
-    `is_leaving`: the upstream was leaving, and said so in its answer. `sender` is the
-    instance that sent it, which may not be the one that its caller sent it to.
+    `is_leaving`: the upstream was leaving, and said so in its answer. `pause_s` is the
+    pause in seconds that it asked for. `sender` is the instance that sent it, which may
+    not be the one that its caller sent it to.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     error: str = ""
     incarnation: str = ""
     is_leaving: bool = False
+    pause_s: float = 0.0
     sender: str = ""
 
 
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -19,7 +19,7 @@
 from benchmarks.soak.history import Cut, LeavingMark, LimitSpan
 from benchmarks.soak.proxy import Proxy
 from benchmarks.soak.schedule import (
-    SLOWDOWN_KINDS,
+    SOUND_KINDS,
     ChangeConfiguration,
     CutFault,
     Fault,
@@ -57,6 +57,7 @@
 CRASH_DOWNTIME_S = 1.0
 """Seconds until an upstream that a request has crashed is back."""
 
+ASKED_PAUSE_S = 2.0
 NAMED_LIMIT_PER_S = 2.0
 """Limit that an upstream names: a part of what it gets otherwise."""
 
@@ -275,7 +276,7 @@
     or a limit is no disturbance: the upstream is sound.
     """
     upstream = deployment.upstreams[fault.index]
-    if fault.kind in SLOWDOWN_KINDS:
+    if fault.kind in SOUND_KINDS:
         await slow_down(fault.kind, deployment, upstream, step.duration_s)
         return
     is_shutdown = fault.kind not in (UpstreamFaultKind.SHED, UpstreamFaultKind.FAIL)
@@ -330,8 +331,16 @@
     upstream: DeployedUpstream,
     duration_s: float,
 ) -> None:
-    """Let an upstream pause or name a limit, unless it does so already."""
+    """Let an upstream pause, ask for pauses or name a limit.
+
+    One that does so already goes on.
+    """
     standin = upstream.standin
+    if kind is UpstreamFaultKind.ASK_PAUSE:
+        standin.pause = str(ASKED_PAUSE_S)
+        await asyncio.sleep(duration_s)
+        standin.pause = None
+        return
     if kind is UpstreamFaultKind.PAUSE:
         standin.is_unpaused.clear()
         await asyncio.sleep(duration_s)
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -105,6 +105,13 @@
         "self.version = attempt.upstream.version",
         "pass",
     ),
+    Mutation(
+        "asked-pauses-are-passed-over",
+        "asked_pauses",
+        "decisions/send_pauses.py",
+        "return max(0.0, pause.until - now) if pause is not None else 0.0",
+        "return 0.0",
+    ),
     Mutation(
         "silent-ends-are-not-remembered",
         "crashing_calls_stop",
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -65,7 +65,8 @@
     the same, but a different upstream starts at its address. `LEAVE` marks it as
     leaving, ends it and starts it again. `SHED` refuses requests. `FAIL` answers with
     errors while its entry stays in the store. `PAUSE` sends nothing for about a second
-    and then goes on. `LIMIT` names a limit in its answers.
+    and then goes on. `LIMIT` names a limit in its answers. `ASK_PAUSE` refuses requests
+    and asks for a pause.
     """
 
     DIE = "die"
@@ -75,11 +76,17 @@
     FAIL = "fail"
     PAUSE = "pause"
     LIMIT = "limit"
+    ASK_PAUSE = "ask_pause"
 
 
 SLOWDOWN_KINDS = (UpstreamFaultKind.PAUSE, UpstreamFaultKind.LIMIT)
 """Kinds after which an upstream is sound; they are drawn apart from all others."""
 
+SOUND_KINDS = (*SLOWDOWN_KINDS, UpstreamFaultKind.ASK_PAUSE)
+MEAN_PAUSE_REQUEST_INTERVAL_S = 4.0
+PAUSE_REQUEST_LIMITS_S = (0.5, 4.0)
+"""Seconds for which an upstream that asks for pauses does so."""
+
 CRASHING_CALL_SHARE = 0.5
 SILENT_CRASH_SHARE = 0.5
 """Share of the seeds with a call that crashes upstreams, and of those in which they end
@@ -223,6 +230,7 @@
     steps += draw_slowdowns(seed, duration_s, upstreams)
     cuts = draw_cuts(seed, duration_s, instances)
     steps += cuts
+    steps += draw_pause_requests(seed, duration_s, upstreams)
     steps.sort(key=lambda step: step.at_s)
     # A generator of its own, so that the other draws of a seed stay as they were.
     rng = random.Random(f"soak/{seed}/kinds")
@@ -265,6 +273,20 @@
     return steps
 
 
+def draw_pause_requests(seed: int, duration_s: float, upstreams: int) -> list[Step]:
+    """Draw upstreams that ask for pauses, one or all, from a generator of their own."""
+    rng = random.Random(f"soak/{seed}/pause-requests")
+    steps, at_s = [], FIRST_FAULT_AT_S
+    while at_s < duration_s:
+        length_s = min(rng.uniform(*PAUSE_REQUEST_LIMITS_S), duration_s - at_s)
+        first = rng.randrange(upstreams)
+        indexes = range(upstreams) if rng.random() < 0.2 else (first,)
+        kind = UpstreamFaultKind.ASK_PAUSE
+        steps += [Step(at_s, length_s, UpstreamFault(i, kind)) for i in indexes]
+        at_s += rng.expovariate(1 / MEAN_PAUSE_REQUEST_INTERVAL_S)
+    return steps
+
+
 def draw_cuts(seed: int, duration_s: float, instances: int) -> list[Step]:
     """Draw cuts of one instance, of all but one or of all, for some of the seeds.
 
@@ -299,7 +321,7 @@
             return StoreFault(rng.choice(list(StoreFaultKind)))
         case 3:
             kind = rng.choice(
-                [kind for kind in UpstreamFaultKind if kind not in SLOWDOWN_KINDS]
+                [kind for kind in UpstreamFaultKind if kind not in SOUND_KINDS]
             )
             clock_step_s = rng.choice((0.0, -3600.0, 3600.0))
             return UpstreamFault(rng.randrange(upstreams), kind, clock_step_s)
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -117,6 +117,7 @@
             loop.time(),
             incarnation=self.report.incarnation,
             is_leaving=self.is_leaving,
+            pause_s=float(self.pause or 0.0),
             sender=self.find_sender(writer.get_extra_info("peername")[1]),
         )
         self.history.arrivals.append(arrival)
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -120,6 +120,13 @@
     return history
 
 
+def requests_in_a_pause(count, at=101.0, disturbances=(), **changes):
+    """Return requests that reach an upstream some time after it asked for a pause."""
+    asked = make_arrival(100.0, has_run=False, pause_s=2.0)
+    later = [make_arrival(at, request_id=f"q{n}", **changes) for n in range(count)]
+    return make_history(arrivals=[asked, *later], disturbances=list(disturbances))
+
+
 def resumed_stream(first_version, version):
     """Return a stream that a second request goes on with."""
     return make_history(
@@ -196,6 +203,7 @@
         make_request(), arrivals=repeated_arrivals(int(RETRY_SLACK) + 2)
     ),
     "named_limits": limited_requests(19),
+    "asked_pauses": requests_in_a_pause(3),
     "crashing_calls_stop": crashing_calls(4),
     "streams_keep_their_version": resumed_stream("v1", "v2"),
     "crashing_requests_stop": crashing_requests(4),
@@ -219,6 +227,18 @@
         disturbances=[STOP],
     ),
     "a stream over two requests at one version": resumed_stream("v1", "v1"),
+    "as many requests as a pause allows": requests_in_a_pause(2),
+    "requests just after a pause was asked for": requests_in_a_pause(9, 100.4),
+    "requests after a pause": requests_in_a_pause(9, 102.1),
+    "requests in a pause that another incarnation did not ask for": (
+        requests_in_a_pause(9, incarnation="2")
+    ),
+    "requests in a pause from another instance": (
+        requests_in_a_pause(9, sender="entry-9")
+    ),
+    "requests in a pause of a restarted instance": requests_in_a_pause(
+        9, disturbances=[Disturbance(ENTRY, "kill", 100.1, 100.5)]
+    ),
     "as many crashing calls as trials need": crashing_calls(3),
     "crashing calls soon after the third crash": crashing_calls(9, at=105.0),
     "crashing calls after two crashes": crashing_calls(9, crashes=2),
