A pause that a restarted upstream asks for stays in force when the list shows its restart

Cause: an upstream that starts again under its name answers before the list shows its new incarnation, and an answer names none, so that the pause was kept for the one before. The list then showed the new one, and the pause was dropped with the old one. Trace: asked at 3185.226, listed 0.6 s later, sends from 3185.877 on.

Change: a pause that was asked for less than 3 s before the list changes passes to the incarnation that is listed; an older one is dropped as before.

--- a/src/turmericusher/decisions/send_gate.py
+++ b/src/turmericusher/decisions/send_gate.py
@@ -33,7 +33,7 @@
         """Whether an upstream wants nothing at all of this instance, not a question."""
         return self.pauses.wait_s(name, now) > 0.0
 
-    def retain_listed(self, listed: Mapping[str, UpstreamInstance]) -> None:
+    def retain_listed(self, listed: Mapping[str, UpstreamInstance], now: float) -> None:
         """Drop what incarnations have asked for that the list no longer shows."""
         self.limits.retain_listed(listed)
-        self.pauses.retain_listed(listed)
+        self.pauses.retain_listed(listed, now)
--- a/src/turmericusher/decisions/send_pauses.py
+++ b/src/turmericusher/decisions/send_pauses.py
@@ -12,16 +12,24 @@
 
 from turmericusher.decisions.fleet import UpstreamInstance
 
+LIST_LAG_S = 3.0
+"""Seconds after which the list shows an incarnation that has answered. A pause that was
+asked for later than that before a change of the list may be the new one's."""
+
 MALFORMED_LOG_INTERVAL_S = 10.0
 """Seconds between two log lines on malformed pauses of one upstream."""
 
 
 @dataclass(slots=True)
 class Pause:
-    """The pause of one incarnation of an upstream until a monotonic time in seconds."""
+    """The pause of one incarnation of an upstream, asked for last at `asked_at`.
+
+    Times are monotonic seconds.
+    """
 
     incarnation: str
     until: float
+    asked_at: float
 
 
 @dataclass(slots=True)
@@ -44,7 +52,7 @@
         known = self.pauses.get(upstream.name)
         if known is not None and known.incarnation == upstream.incarnation:
             until = max(until, known.until)
-        self.pauses[upstream.name] = Pause(upstream.incarnation, until)
+        self.pauses[upstream.name] = Pause(upstream.incarnation, until, now)
 
     def record_malformed(self, upstream: UpstreamInstance, now: float) -> bool:
         """Count a pause that is unusable; return whether to log it."""
@@ -64,13 +72,20 @@
         """Return the upstreams that take no request of this instance now."""
         return frozenset(name for name in self.pauses if self.wait_s(name, now) > 0.0)
 
-    def retain_listed(self, listed: Mapping[str, UpstreamInstance]) -> None:
-        """Drop the pauses of incarnations that the list no longer shows."""
-        self.pauses = {
-            name: pause
-            for name, pause in self.pauses.items()
-            if name in listed and listed[name].incarnation == pause.incarnation
-        }
+    def retain_listed(self, listed: Mapping[str, UpstreamInstance], now: float) -> None:
+        """Drop the pauses of incarnations that the list no longer shows.
+
+        One that was asked for a short time ago passes to the incarnation that is listed
+        now: an answer does not say which one has sent it.
+        """
+        for name, pause in list(self.pauses.items()):
+            incarnation = listed[name].incarnation if name in listed else None
+            if incarnation == pause.incarnation:
+                continue
+            if now - pause.asked_at >= LIST_LAG_S:
+                del self.pauses[name]
+            elif incarnation is not None:
+                pause.incarnation = incarnation
         self.malformed_logged_at = {
             name: at for name, at in self.malformed_logged_at.items() if name in listed
         }
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -166,7 +166,7 @@
         selector = self.shared.selector
         self.shared.update_upstreams(self.upstreams.entries.values(), now)
         self.shared.holders.retain_listed(self.upstreams.entries)
-        self.shared.gate.retain_listed(self.upstreams.entries)
+        self.shared.gate.retain_listed(self.upstreams.entries, now)
         selector.update_instances(self.instances.entries)
         self.shared.crashes.update_instances(selector.own, self.instances.entries)
         forwarding = self.shared.forwarding
--- a/tests/cover/test_pauses.py
+++ b/tests/cover/test_pauses.py
@@ -369,7 +369,8 @@
                 2.4,
                 False,
             ),
-            ("another incarnation is listed", [(0.0, 9.0)], "2", 0.1, True),
+            ("another incarnation is listed much later", [(0.0, 9.0)], "2", 3.0, True),
+            ("another incarnation is listed just after", [(0.0, 9.0)], "2", 0.6, False),
         ]
     )
     def test_an_upstream_is_used_again_or_not_when(
@@ -378,9 +379,20 @@
         pauses = SendPauses()
         for at, seconds in asked:
             pauses.record_refusal(make_upstream(0), seconds, at)
-        pauses.retain_listed({"u0": make_upstream(0, incarnation=incarnation)})
+        pauses.retain_listed({"u0": make_upstream(0, incarnation=incarnation)}, now)
         self.assertEqual(expected, not pauses.blocked(now))
 
+    def test_a_pause_asked_for_before_the_list_shows_who_asks_lasts_until_its_end(self):
+        pauses, restarted = SendPauses(), make_upstream(0, incarnation="2")
+        pauses.record_refusal(make_upstream(0), 9.0, 0.0)
+        for listed, now in (
+            ({}, 0.5),
+            ({"u0": restarted}, 0.6),
+            ({"u0": restarted}, 8),
+        ):
+            pauses.retain_listed(listed, now)
+        self.assertTrue(pauses.blocked(8.9))
+
     def test_malformed_pauses_of_an_upstream_are_logged_at_a_bounded_rate(self):
         pauses = SendPauses()
         times = [tenths / 10 for tenths in range(int(MALFORMED_LOG_INTERVAL_S) * 25)]
