Soak: what a link had held back tells its instance nothing of a pause

Trace: the call that the upstream refused had been held back by a silence of its link until 3333.472, its connection had ended with the stop of the instance at 3329.473, and the answer at 3333.473 reached nobody.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -328,7 +328,7 @@
     """Yield the pauses that an upstream asked for and did not get from an instance.
 
     A restart or a pause of the instance excuses it, and a fault by which the answer may
-    not have come, at once.
+    not have come. What a link had held back arrives just after the fault.
     """
     for asked in history.arrivals:
         ends = asked.at + asked.pause_s
@@ -336,7 +336,7 @@
             continue
         told_at = asked.at + PAUSE_TOLD_AFTER_S
         is_excused = history.was_cut(asked.sender, asked.at, ends) or any(
-            one.begins <= until and one.ends >= asked.at
+            one.begins <= until and one.ends >= asked.at - PAUSE_TOLD_AFTER_S
             for subject, until in ((asked.sender, ends), (asked.upstream, told_at))
             for one in history.disturbances_on(subject)
         )
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -239,6 +239,11 @@
     "requests in a pause of a restarted instance": requests_in_a_pause(
         9, disturbances=[Disturbance(ENTRY, "kill", 100.1, 100.5)]
     ),
+    "requests after a pause asked for in answer to what a link had held back": (
+        requests_in_a_pause(
+            9, disturbances=[Disturbance(UPSTREAM, "upstream silence", 96.0, 99.99)]
+        )
+    ),
     "as many crashing calls as trials need": crashing_calls(3),
     "crashing calls soon after the third crash": crashing_calls(9, at=105.0),
     "crashing calls after two crashes": crashing_calls(9, crashes=2),
