Soak: an upstream that ends gets no connection that was being opened

Trace: u4 ended at 3400.018, the connection of the stream's second attempt was opened through its link from before to 3400.020, and the stand-in, which lives on as its own successor, went on with the stream at the successor's version. A link whose target has ended now resets what was being opened. The test fails without the change and passes with it.

--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -158,6 +158,11 @@
         except OSError:
             reset_if_open(writer)
             return
+        if not self.is_target_up and self.uncut.is_set():
+            # The target ended while this connection was being opened.
+            reset_if_open(writer)
+            reset_if_open(target_writer)
+            return
         port = target_writer.get_extra_info("sockname")[1]
         self.ports.add(port)
         writer_pair = {writer, target_writer}
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -1,6 +1,7 @@
 """Test the parts of the soak: its checks, its plans, its mutations and its proxy."""
 
 import asyncio
+import contextlib
 import itertools
 import math
 import tempfile
@@ -445,6 +446,20 @@
             self.assertEqual(b"y", await asyncio.wait_for(reader.read(1), 2.0))
         server.close()
 
+    @run_async
+    async def test_a_connection_that_is_opened_while_the_target_ends_gets_nothing(self):
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        target = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with running_proxy(target) as proxy:
+            for _ in range(20):
+                reader, writer = await self.connect(proxy)
+                proxy.refuse()
+                writer.write(b"z")
+                with contextlib.suppress(ConnectionError):
+                    self.assertEqual(b"", await asyncio.wait_for(reader.read(1), 2.0))
+                await proxy.listen()
+        server.close()
+
     @parameterized.expand(
         [
             (CutKind.HANG.value, CutKind.HANG, TimeoutError, False),
