Crash ledger: a trial of a part of which nothing came does not delay the next one for long

A trial of a part shows nothing if its stream is too short to be proof or its caller leaves, and the part stayed blocked for 22 s in place of 1.5 s.

Change: for parts only trials that ended in a death count, as before. A whole request, whose trial is proof or a death, keeps the stricter count.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -235,8 +235,14 @@
         return TrialRecord(trait, number, now + self.clock_offset)
 
     def trial_interval_s(self, trait: str) -> float:
-        """Return the seconds between two trials of a blocked trait."""
-        trials = max(self.failed_trials(trait), self.trials_since_deaths(trait))
+        """Return the seconds between two trials of a blocked trait.
+
+        A trial of a part may show nothing, such as by a stream that is too short to be
+        proof, so that only those count that ended in a death.
+        """
+        trials = self.failed_trials(trait)
+        if not is_shared(trait):
+            trials = max(trials, self.trials_since_deaths(trait))
         return min(TRIAL_AFTER_S * TRIAL_BACKOFF**trials, RECORD_TTL_S)
 
     def last_death_at(self, trait: str) -> float:
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -226,6 +226,16 @@
         ledger.clock_offset = 1_000.0
         self.assertEqual(expected, ledger.own_time(at, 50.0))
 
+    @parameterized.expand([("a part", BAD, 0), ("a whole request", "q1", 1)])
+    def test_a_trial_of_which_nothing_came_delays_the_next_one_of(
+        self, _, trait, longer
+    ):
+        records = [crash(n, chain(trait, rank=n + 1)) for n in range(3)]
+        ledger = make_ledger(*records)
+        ledger.merge_trial(TrialRecord(trait, 1), 5.0)
+        expected = 5.0 + TRIAL_AFTER_S * TRIAL_BACKOFF**longer
+        self.assertEqual(expected, ledger.next_trial_at(trait))
+
     def test_a_trial_by_another_instance_delays_the_next_one(self):
         ledger = make_ledger(*TWO_REQUESTS)
         ledger.merge_trial(TrialRecord(BAD, 1), 5.0)
