A stream that goes on elsewhere is not left for the events before it

Cause: an engine's report counts the events of a resumed stream from its beginning (174 where the attempt had brought 15 and its caller held 160). The answer to a probe was compared with the events of the attempt alone, so every probe of such a stream ended it.

Ruled out: events lost on a cut link (the attempt's own events came until it was left).

Change: an attempt keeps how many events its caller held when it was sent. If an engine should count only its own, nothing counts as lost, and the limit on stalls decides as before. Test that failed before: test_a_resumed_attempt_is_not_expected_to_repeat_the_events_before_it.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -622,14 +622,16 @@
             return []
         text = "does not answer"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
+    # Engines count the events of a resumed stream from its beginning.
     event_count = report.events_made.get(relay.request.request_id)
+    held = attempt.events_before + attempt.events
     missing_limit = MAX_MISSING_EVENTS if attempt.has_event else 1
     if (
         event_count is not None
-        and event_count >= attempt.events + missing_limit
+        and event_count >= held + missing_limit
         and not attempt.from_copy
     ):
-        text = f"has made {event_count} events, of which {attempt.events} arrived"
+        text = f"has made {event_count} events, of which {held} arrived"
         return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
     should_be_visible = now - (attempt.first_event_at or now) >= REPORT_VISIBLE_AFTER_S
     if event_count is None and should_be_visible and not report.waiting:
--- a/src/turmericusher/decisions/relay_starting.py
+++ b/src/turmericusher/decisions/relay_starting.py
@@ -59,6 +59,7 @@
         # A trial is for one attempt.
         is_trial, self.has_trial = self.has_trial, False
         upstream, totals = attempt.upstream, self.shared.totals
+        attempt.events_before = self.position or 0
         self.last_number = attempt.number
         self.last_upstream = upstream.name
         self.sends += 1
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -260,7 +260,8 @@
     prefill first, None where that is not known. `copy` is kept up to date by the
     upstream itself, unless `copied_at` has the time at which it was made on request.
     A stall is not acted on before `kept_until`. `known_suspicions` are those of the
-    request's traits when it was sent; `is_trial`: one was blocked.
+    request's traits when it was sent; `is_trial`: one was blocked. `events_before` are
+    those that the caller held when it was sent.
     `is_proven`: the attempt has run for long enough to show that the request is sound.
     `is_connected`: its upstream may have the request. `is_suspected`: the request was
     recorded as one that may have ended its upstream.
@@ -273,6 +274,7 @@
     last_active_at: float
     copy: MemoryCopy | None
     events: int = 0
+    events_before: int = 0
     from_copy: bool = False
     headers: tuple[tuple[str, str], ...] = ()
     probed_at: float | None = None
--- a/tests/cover/test_relay_stalls.py
+++ b/tests/cover/test_relay_stalls.py
@@ -82,6 +82,28 @@
             now = max(relay.wake_at(), now + 0.01)
         self.assertEqual(1, len(filter_by_type(relay.tick(limit_s), StartRelay)))
 
+    @parameterized.expand(
+        [
+            ("all that arrived, and those before", {"q1": 6}, False),
+            ("the first of its own, in transit", {"q1": 8}, False),
+            ("more of its own than can be in transit", {"q1": 9}, True),
+            ("those of its own alone", {"q1": 2}, False),
+        ]
+    )
+    def test_a_resumed_attempt_is_not_expected_to_repeat_the_events_before_it(
+        self, _, made, is_abandoned
+    ):
+        # Engines count the events of a resumed stream from its beginning.
+        relay = make_test_relay(RESUMABLE, make_relay_shared(), resume_after=4)
+        relay.start(0.0)
+        relay.handle(event(1, 5), 0.1)
+        relay.handle(event(1, 6), 0.1)
+        at = relay.wake_at()
+        relay.tick(at)
+        answer = UpstreamProbed(1, at, make_upstream_report(made=made))
+        starts = filter_by_type(relay.handle(answer, at), StartRelay)
+        self.assertEqual(is_abandoned, bool(starts))
+
     @parameterized.expand(
         [
             ("it produces events that do not arrive", 0, {"q1": 2}, 0, True),
