Outside data: a malformed answer, entry or header costs only itself

What operators and callers saw, or would have seen: one malformed answer of the store to a watch or a renewal ended the task that followed the store, or the one that kept the registration, for good and without a log line: the instance served on with an old configuration and list, or was no longer given to callers. One route, service or team of a kind not met before made the whole configuration unreadable, so that a new instance refused everything. A header with digits that int() does not take (the superscript two, 5,000 digits) ended a request with 500, or an engine's sound answer as may-have-run.

Cause: what the adapter decoded after the call was outside of its error handling; the configuration was validated as one value; isdigit() accepts more than int() does.

Change: a store answer without what it must have is an error of the store, an item that cannot be read is logged and left out; routes, services and teams are decoded one by one. A route that cannot be served keeps its place and refuses its requests (503, not run, come back), since the route with the shorter prefix would run them. Such is also a route without any service, which ended in 500.

--- a/benchmarks/resume.py
+++ b/benchmarks/resume.py
@@ -26,7 +26,8 @@
     make_request,
     make_simulation,
 )
-from turmericusher.profiles import Profile, SecondAttempt, profile_from_mapping
+from turmericusher.profile_models import profile_from_mapping
+from turmericusher.profiles import Profile, SecondAttempt
 
 PROFILES = Path(__file__).parents[1] / "examples" / "profiles"
 PROFILE_NAME = "drafts"
--- a/src/turmericusher/api/bodies.py
+++ b/src/turmericusher/api/bodies.py
@@ -11,7 +11,8 @@
 from turmericusher.api.body_parsing import invalid_body_error, parse_object, short_repr
 from turmericusher.decisions.requests import GenerationRequest, ReceivedAnswer
 from turmericusher.errors import ErrorCode, RequestRefusedError
-from turmericusher.profiles import Profile, describe_validation_error
+from turmericusher.profiles import Profile
+from turmericusher.validation import describe_validation_error
 
 MAX_STOP_STRINGS = 16
 
--- a/src/turmericusher/api/body_parsing.py
+++ b/src/turmericusher/api/body_parsing.py
@@ -1,30 +1,16 @@
-"""Reading and parsing of request bodies, with a size limit."""
+"""Parsing of request bodies."""
 
 from __future__ import annotations
 
 from typing import Any
 
 import orjson
-from starlette.requests import Request
 
 from turmericusher.errors import ErrorCode, RequestRefusedError
 
 MAX_REPR_LENGTH = 80
 
 
-async def read_body(request: Request, limit_bytes: int) -> bytes:
-    """Return the request body; raise `RequestRefusedError` if it exceeds the limit."""
-    body = bytearray()
-    async for part in request.stream():
-        body += part
-        if len(body) > limit_bytes:
-            raise RequestRefusedError(
-                ErrorCode.REQUEST_TOO_LARGE,
-                f"body is larger than {limit_bytes} bytes; send a smaller one",
-            )
-    return bytes(body)
-
-
 def parse_object(data: bytes) -> dict[str, Any]:
     """Return the fields of a JSON object; raise `RequestRefusedError` if it is none."""
     try:
--- a/src/turmericusher/api/completions.py
+++ b/src/turmericusher/api/completions.py
@@ -19,7 +19,6 @@
     generation_from_body,
     parse_body,
 )
-from turmericusher.api.body_parsing import read_body
 from turmericusher.api.chunks import (
     HEARTBEAT,
     STREAM_END,
@@ -40,6 +39,7 @@
     downgrade_not_run,
     parse_attempt_number,
 )
+from turmericusher.asgi import read_body
 from turmericusher.decisions.requests import AnswerChunk, GenerationRequest
 from turmericusher.errors import ErrorCode, RequestRefusedError, TurmericusherError
 from turmericusher.logs import log_event
@@ -83,7 +83,7 @@
     while nothing has been sent, so it can become an HTTP error with its own status.
     """
     team = identify_team(request, runtime.settings)
-    data = await read_body(request, runtime.settings.max_body_bytes)
+    data = await read_body(request.stream(), runtime.settings.max_body_bytes)
     body = parse_body(data, model)
     service = service_for_model(runtime.settings, body.model)
     name = request.headers.get(PROFILE_HEADER, service.default_profile)
--- a/src/turmericusher/api/metrics.py
+++ b/src/turmericusher/api/metrics.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import JSONResponse, PlainTextResponse, Response
-from starlette.routing import Route
-
+from turmericusher.asgi import ASGIApp, Page, pages_app
 from turmericusher.metrics import Metrics, render_prometheus
 
 METRICS_PATH = "/metrics"
@@ -19,22 +16,24 @@
     metrics: Metrics,
     refresh_gauges: Callable[[], None] | None = None,
     state: Callable[[], object] | None = None,
-) -> Starlette:
+) -> ASGIApp:
     """Return the application that serves the metrics and, if given, a state dump.
 
     `refresh_gauges` is called before each export. `state` returns the state as JSON
     values; without it, the route of the dump does not exist.
     """
 
-    async def serve_metrics(request: Request) -> Response:
+    def metrics_page() -> Page:
         if refresh_gauges is not None:
             refresh_gauges()
-        return PlainTextResponse(render_prometheus(metrics))
-
-    async def serve_state(request: Request) -> Response:
-        return JSONResponse(state() if state is not None else None)
+        return Page(render_prometheus(metrics).encode())
 
-    routes = [Route(METRICS_PATH, serve_metrics)]
+    pages = {METRICS_PATH: metrics_page}
     if state is not None:
-        routes.append(Route(STATE_PATH, serve_state))
-    return Starlette(routes=routes)
+        pages[STATE_PATH] = lambda: json_page(state())
+    return pages_app(pages)
+
+
+def json_page(value: object) -> Page:
+    """Return a page with JSON values."""
+    return Page(json.dumps(value).encode(), content_type="application/json")
--- a/src/turmericusher/api/order_commands.py
+++ b/src/turmericusher/api/order_commands.py
@@ -9,11 +9,11 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from turmericusher.api.body_parsing import read_body
+from turmericusher.asgi import read_body
 from turmericusher.decisions.orders import UpstreamSpec
 from turmericusher.errors import ErrorCode, RequestRefusedError
-from turmericusher.profiles import describe_validation_error
 from turmericusher.tasks.orders import INTENT_ADAPTER, IntentChanger
+from turmericusher.validation import describe_validation_error
 
 MAX_BODY_BYTES = 16_384
 ORDER_PATH = "/v1/operator/orders/{service}"
@@ -50,7 +50,7 @@
 
     async def put_order(request: Request) -> Response:
         service = validate_service(request.path_params["service"], services)
-        change = parse_order_change(await read_body(request, MAX_BODY_BYTES))
+        change = parse_order_change(await read_body(request.stream(), MAX_BODY_BYTES))
         wanted = UpstreamSpec(**change.wanted.model_dump())
         accepted = await changer.change(
             service, wanted, change.expected_revision, change.change_id
--- a/src/turmericusher/api/profile_commands.py
+++ b/src/turmericusher/api/profile_commands.py
@@ -9,15 +9,14 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from turmericusher.api.body_parsing import parse_object, read_body
+from turmericusher.api.body_parsing import parse_object
+from turmericusher.asgi import read_body
 from turmericusher.decisions.rollout import ProfileChange
 from turmericusher.errors import ErrorCode, RequestRefusedError
-from turmericusher.profiles import (
-    describe_validation_error,
-    profile_from_mapping,
-    profile_to_mapping,
-)
+from turmericusher.profile_models import profile_from_mapping
+from turmericusher.profiles import profile_to_mapping
 from turmericusher.tasks.profile_changes import AcceptedChange, ProfileChanger
+from turmericusher.validation import describe_validation_error
 
 MAX_BODY_BYTES = 16_384
 PROFILE_PATH = "/v1/operator/profiles/{name}"
@@ -40,7 +39,7 @@
     """Return the routes that create, change and retire profiles."""
 
     async def put_profile(request: Request) -> Response:
-        fields = parse_object(await read_body(request, MAX_BODY_BYTES))
+        fields = parse_object(await read_body(request.stream(), MAX_BODY_BYTES))
         metadata = parse_change_metadata(fields)
         name = request.path_params["name"]
         profile = profile_from_mapping(profile_fields(fields, name))
--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -13,11 +13,15 @@
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
-from starlette.requests import ClientDisconnect, Request
-from starlette.types import Receive, Scope, Send
-
-from turmericusher.api.body_parsing import read_body
-from turmericusher.api.errors import STATUS_BY_CODE
+from turmericusher.api.statuses import STATUS_BY_CODE
+from turmericusher.asgi import (
+    CallerGoneError,
+    Receive,
+    Scope,
+    Send,
+    body_parts,
+    read_body,
+)
 from turmericusher.decisions.generation_messages import Fail
 from turmericusher.decisions.relay import Relay
 from turmericusher.decisions.relay_messages import (
@@ -142,8 +146,7 @@
     async def run(self) -> None:
         """Read, route and relay the request, or answer with an error."""
         try:
-            incoming = Request(self.scope, self.receive)
-            body = await read_body(incoming, self.body_limit_bytes())
+            body = await read_body(body_parts(self.receive), self.body_limit_bytes())
             request = self.frontend.codec.decode(self.scope, body, self.arrived_at)
             request = self.without_false_hop(request)
             self.request_id = request.request_id
@@ -152,7 +155,7 @@
                 request.host, request.path, request.key, self.frontend.random
             )
             self.check_accepting(routed)
-        except ClientDisconnect:
+        except CallerGoneError:
             return
         except RequestRefusedError as error:
             await self.send_error(
--- a/src/turmericusher/api/services.py
+++ b/src/turmericusher/api/services.py
@@ -12,7 +12,6 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from turmericusher.api.body_parsing import read_body
 from turmericusher.api.headers import (
     ATTEMPT_HEADER,
     IDEMPOTENCY_KEY_HEADER,
@@ -20,6 +19,7 @@
     REPLAYED_HEADER,
     RESERVED_HEADER_PREFIX,
 )
+from turmericusher.asgi import read_body
 from turmericusher.decisions.claims import UNNUMBERED
 from turmericusher.errors import (
     ErrorCode,
@@ -59,7 +59,7 @@
                 method=request.method,
                 target=request_target(request),
                 headers=self.forwarded_headers(request),
-                body=await read_body(request, self.max_body_bytes),
+                body=await read_body(request.stream(), self.max_body_bytes),
             ),
             key=request.headers.get(IDEMPOTENCY_KEY_HEADER),
             number=parse_attempt_number(request.headers.get(ATTEMPT_HEADER)),
--- a/src/turmericusher/decisions/routing.py
+++ b/src/turmericusher/decisions/routing.py
@@ -19,6 +19,10 @@
 """Seconds after which an instance that has just started has usually read its
 configuration: one read of the store plus a margin."""
 
+UNSUPPORTED_ROUTE_RETRY_S = 1.0
+"""Retry-After in seconds where a route cannot be served: only another instance, or the
+next configuration, serves it."""
+
 
 class RequestKind(enum.StrEnum):
     """How a request may be repeated after a failed attempt."""
@@ -55,7 +59,8 @@
     for the answer, or for the first event of a stream. `longest_gap_s` is the pause
     between two events that callers accept. `max_attempts` limits the attempts for one
     request. `needs_team` is False where callers need no key. `urgency` is as in a
-    profile: 0 is the most urgent.
+    profile: 0 is the most urgent. Without `services` this build cannot serve the route,
+    which still keeps its requests from those with shorter prefixes.
     """
 
     name: str
@@ -147,6 +152,13 @@
                 f"host={host!r} has no route for path={path!r}; check the address",
             )
         team = self.team_for(route, key)
+        if not route.services:
+            raise RequestRefusedError(
+                ErrorCode.UNSUPPORTED_ROUTE,
+                f"route={route.name!r} is of a kind that this instance cannot serve; "
+                "another instance may",
+                retry_after_s=UNSUPPORTED_ROUTE_RETRY_S,
+            )
         service = choose_service(route.services, rng)
         traits = self.services.get(service) or ServiceTraits(service)
         urgency = self.team_urgency.get(team, route.urgency)
--- a/src/turmericusher/errors.py
+++ b/src/turmericusher/errors.py
@@ -29,6 +29,7 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_ROUTE = "unknown_route"
+    UNSUPPORTED_ROUTE = "unsupported_route"
     NO_CONFIGURATION = "no_configuration"
     INVALID_KEY = "invalid_idempotency_key"
     KEY_EXPIRED = "idempotency_key_expired"
--- a/src/turmericusher/platform/codec.py
+++ b/src/turmericusher/platform/codec.py
@@ -6,9 +6,8 @@
 import re
 from dataclasses import dataclass
 
-from starlette.types import Scope
-
 from turmericusher.api.headers import FORWARDED_HEADER
+from turmericusher.asgi import Scope
 from turmericusher.decisions.forwarding import Hop
 from turmericusher.decisions.relay_messages import Headers, RelayedRequest
 from turmericusher.errors import ErrorCode, RequestRefusedError
@@ -31,7 +30,10 @@
 
 BEARER_PREFIX = "bearer "
 REQUEST_ONLY_HEADERS = SYSTEM_HEADERS | {FORWARDED_HEADER.lower()}
-HOP = re.compile(r"([^;]+);([0-9]+);([01]);([^;]+)")
+HOP = re.compile(r"([^;]+);([0-9]{1,18});([01]);([^;]+)")
+WHOLE_NUMBER = re.compile(r"[ ]*[0-9]{1,18}[ ]*")
+"""Digits as `int` takes them: there are others, and it refuses thousands of them."""
+
 MAX_PAUSE_S = 86_400.0
 """Seconds beyond which a pause is taken for a mistake."""
 
@@ -167,7 +169,7 @@
     Returns 0 if the header is missing or malformed.
     """
     parts = (value or "").split(",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 2 or not all(WHOLE_NUMBER.fullmatch(part) for part in parts):
         return 0
     return int(parts[0]) + int(parts[1])
 
@@ -175,7 +177,7 @@
 def parse_prompt_parts(value: str | None) -> tuple[str, ...]:
     """Return the ids of the prompt's parts in order; none if malformed or missing."""
     parts = [part.strip().partition(":") for part in (value or "").split(",")]
-    if not all(PART_ID.fullmatch(part) and n.isdigit() for part, _, n in parts):
+    if not all(PART_ID.fullmatch(p) and WHOLE_NUMBER.fullmatch(n) for p, _, n in parts):
         return ()
     return tuple(part.lower() for part, _, _ in parts)
 
@@ -185,7 +187,7 @@
     for name, value in headers:
         if name.lower() == LOAD:
             parts = value.split(",")
-            if len(parts) >= 2 and all(part.strip().isdigit() for part in parts):
+            if len(parts) >= 2 and all(map(WHOLE_NUMBER.fullmatch, parts)):
                 return float(parts[0]), float(parts[1])
     return None
 
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -2,21 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated, Literal, TypeVar
 
-import orjson
-from pydantic import (
-    AfterValidator,
-    BaseModel,
-    ConfigDict,
-    Field,
-    FiniteFloat,
-    StrictBool,
-    StrictFloat,
-    StrictInt,
-    StrictStr,
-    ValidationError,
-)
+import msgspec
 
 from turmericusher.decisions.crash_records import (
     CrashRecord,
@@ -33,6 +22,7 @@
 )
 from turmericusher.decisions.relay_messages import UpstreamReport
 from turmericusher.decisions.routing import (
+    UNSUPPORTED_ROUTE_RETRY_S,
     RequestKind,
     RequestLimits,
     Route,
@@ -42,6 +32,13 @@
     make_routing_table,
 )
 from turmericusher.logs import log_event
+from turmericusher.platform.decoding import (
+    WireModel,
+    check_addresses,
+    decode_json,
+    decode_model,
+    describe_decoding_error,
+)
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
     CRASH_PREFIX,
@@ -55,9 +52,7 @@
     LEAST_URGENT,
     MOST_URGENT,
     NORMAL_URGENCY,
-    describe_validation_error,
 )
-from turmericusher.settings import check_address
 from turmericusher.tasks.relay_fleet import (
     ConfigurationRecord,
     InstanceRecord,
@@ -65,29 +60,18 @@
     UpstreamRecord,
 )
 
-StrictAddress = Annotated[StrictStr, AfterValidator(check_address)]
-Number = StrictInt | StrictFloat
-Model = TypeVar("Model", bound=BaseModel)
-
-
-class WireModel(BaseModel):
-    """Base of models of outside data: immutable, and unknown fields are ignored.
-
-    The models declare strict types for their fields, so that a value of another type is
-    refused instead of converted.
-    """
+Number = int | float
+Model = TypeVar("Model", bound=WireModel)
 
-    model_config = ConfigDict(frozen=True)
 
-
-class SplitModel(WireModel):
+class SplitModel(WireModel, frozen=True):
     """One service that a route's traffic is split to, and its weight."""
 
-    service: StrictStr
+    service: str
     weight: Number
 
 
-class RouteModel(WireModel):
+class RouteModel(WireModel, frozen=True):
     """One route; exactly one of `service` and `traffic_split` is set.
 
     Times are in milliseconds. `target_latency_ms` is the target for the answer, or for
@@ -95,22 +79,30 @@
     callers accept.
     """
 
-    name: StrictStr
-    host: StrictStr
-    prefix: StrictStr
+    name: str
+    host: str
+    prefix: str
     kind: Literal["idempotent", "non_idempotent", "streaming"]
     timeout_ms: Number
     target_latency_ms: Number = 1_000
     target_gap_ms: Number = 1_000
-    service: StrictStr | None = None
+    service: str | None = None
     traffic_split: tuple[SplitModel, ...] = ()
-    max_attempts: StrictInt = 1
-    public_access: StrictBool = False
-    stream_resumption: StrictBool = False
-    priority: StrictInt = NORMAL_URGENCY
+    max_attempts: int = 1
+    public_access: bool = False
+    stream_resumption: bool = False
+    priority: int = NORMAL_URGENCY
+
+
+class RoutePlaceModel(WireModel, frozen=True):
+    """Where a route stands that cannot be read in full."""
 
+    host: str
+    prefix: str
+    name: str = ""
 
-class EngineModel(WireModel):
+
+class EngineModel(WireModel, frozen=True):
     """Capabilities of a service's model engines.
 
     `slots` is the number of requests that one engine runs at once, None if unknown.
@@ -119,46 +111,47 @@
     request keeps running where it is.
     """
 
-    slots: StrictInt | None = None
-    backups: StrictBool = False
-    moves: StrictBool = False
+    slots: int | None = None
+    backups: bool = False
+    moves: bool = False
 
 
-class ServiceModel(WireModel):
+class ServiceModel(WireModel, frozen=True):
     """One service; `engine` is None if its upstreams are not model engines."""
 
-    name: StrictStr
+    name: str
     engine: EngineModel | None = None
 
 
-class LimitsModel(WireModel):
+class LimitsModel(WireModel, frozen=True):
     """Limits on what callers may send."""
 
-    max_body_bytes: StrictInt = 4_194_304
+    max_body_bytes: int = 4_194_304
 
 
-class TeamModel(WireModel):
+class TeamModel(WireModel, frozen=True):
     """One team and its access keys; its `priority` takes precedence over a route's."""
 
-    name: StrictStr
-    access_keys: tuple[StrictStr, ...] = ()
-    priority: StrictInt | None = None
+    name: str
+    access_keys: tuple[str, ...] = ()
+    priority: int | None = None
 
 
-class ConfigurationModel(WireModel):
+class ConfigurationModel(WireModel, frozen=True):
     """A whole configuration, as stored under `CONFIGURATION_KEY`.
 
-    `tenants` is None if the deployment has no teams.
+    Its entries are decoded one by one, so that one of a kind not known here leaves the
+    others in force. `tenants` is None if the deployment has no teams.
     """
 
-    version: StrictInt
-    routes: tuple[RouteModel, ...]
-    services: tuple[ServiceModel, ...] = ()
+    version: int
+    routes: tuple[msgspec.Raw, ...]
+    services: tuple[msgspec.Raw, ...] = ()
     limits: LimitsModel = LimitsModel()
-    tenants: tuple[TeamModel, ...] | None = None
+    tenants: tuple[msgspec.Raw, ...] | None = None
 
 
-class UpstreamModel(WireModel):
+class UpstreamModel(WireModel, frozen=True):
     """An upstream's entry in the store, written by the upstream itself.
 
     `born` is the Unix time of its start in milliseconds. It tells two incarnations of
@@ -166,17 +159,21 @@
     used.
     """
 
-    service: StrictStr
-    address: StrictAddress
-    zone: StrictStr
-    version: StrictStr
-    slots: StrictInt = Field(gt=0)
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: Annotated[int, msgspec.Meta(gt=0)]
     state: Literal["ready", "draining"]
-    sequence: StrictInt
-    born: StrictInt | None = None
+    sequence: int
+    born: int | None = None
+
+    def __post_init__(self) -> None:
+        """Raise `ValueError` for what is not an address."""
+        check_addresses(address=self.address)
 
 
-class ReportModel(WireModel):
+class ReportModel(WireModel, frozen=True):
     """An engine's report of its load.
 
     `cache_used` and `cache_total` are in tokens; `cache_used` is memory that cannot be
@@ -186,59 +183,63 @@
     milliseconds.
     """
 
-    active_requests: StrictInt
-    waiting: StrictInt
+    active_requests: int
+    waiting: int
     cache_used: Number
     cache_total: Number
-    born: StrictInt | None = None
-    runs: tuple[tuple[StrictStr, Number, StrictInt, Number], ...] = ()
+    born: int | None = None
+    runs: tuple[tuple[str, Number, int, Number], ...] = ()
 
 
-class CopyModel(WireModel):
+class CopyModel(WireModel, frozen=True):
     """An engine's response to a request to copy a KV cache."""
 
-    handle: StrictStr
+    handle: str
 
 
-class InstanceModel(WireModel):
+class InstanceModel(WireModel, frozen=True):
     """The record under which an entry instance registers itself.
 
     Without a `peer_address` it serves no other instances.
     """
 
-    address: StrictAddress
-    peer_address: StrictAddress | None = None
-    failure_domain: StrictStr
-    incarnation: StrictStr
-    limited_upstreams: frozenset[StrictStr] = frozenset()
-    unreachable_services: frozenset[StrictStr] = frozenset()
+    address: str
+    failure_domain: str
+    incarnation: str
+    peer_address: str | None = None
+    limited_upstreams: frozenset[str] = frozenset()
+    unreachable_services: frozenset[str] = frozenset()
 
+    def __post_init__(self) -> None:
+        """Raise `ValueError` for what is not an address."""
+        check_addresses(address=self.address, peer_address=self.peer_address)
 
-class CrashModel(WireModel):
+
+class CrashModel(WireModel, frozen=True):
     """The death of an upstream.
 
     `chains` has the traits of each suspected request, with their ranks and trials.
     """
 
-    upstream: StrictStr
-    incarnation: StrictStr
-    chains: tuple[tuple[tuple[StrictStr, StrictInt, StrictInt], ...], ...]
-    at: FiniteFloat | None = None
+    upstream: str
+    incarnation: str
+    chains: tuple[tuple[tuple[str, int, int], ...], ...]
+    at: float | None = None
 
 
-class SoundModel(WireModel):
+class SoundModel(WireModel, frozen=True):
     """A trait of a request that ran well, and the deaths that it did not cause."""
 
-    trait: StrictStr
-    deaths: frozenset[StrictStr]
+    trait: str
+    deaths: frozenset[str]
 
 
-class TrialModel(WireModel):
+class TrialModel(WireModel, frozen=True):
     """The last trial of a blocked trait; `number` counts them."""
 
-    trait: StrictStr
-    number: StrictInt
-    at: FiniteFloat | None = None
+    trait: str
+    number: int
+    at: float | None = None
 
 
 def decode_record(key: str, value: bytes | None) -> Record | None:
@@ -267,9 +268,9 @@
 ) -> Model | None:
     """Parse a record; if it is invalid, log `event` with the reason and return None."""
     try:
-        return model.model_validate_json(value)
-    except ValidationError as error:
-        reason = describe_validation_error("record", error)
+        return decode_model(model, value)
+    except ValueError as error:
+        reason = describe_decoding_error("record", error)
         log_event(event, **fields, reason=reason)
         return None
 
@@ -279,28 +280,41 @@
     model = parse_or_log(ConfigurationModel, value, "configuration_unreadable")
     if model is None:
         return None
+    routes = [decode_route(data) for data in model.routes]
+    services = parse_each(ServiceModel, model.services, "service_unreadable")
+    teams = None
+    if model.tenants is not None:
+        teams = parse_each(TeamModel, model.tenants, "team_unreadable")
     return make_routing_table(
         version=model.version,
-        routes=[decode_route(route) for route in model.routes],
-        services=[decode_service(service) for service in model.services],
-        team_by_key=teams_by_key(model),
+        routes=[route for route in routes if route is not None],
+        services=[decode_service(service) for service in services],
+        team_by_key=teams_by_key(teams),
         limits=RequestLimits(model.limits.max_body_bytes),
-        team_urgency=team_urgencies(model),
+        team_urgency=team_urgencies(teams),
     )
 
 
-def teams_by_key(model: ConfigurationModel) -> dict[str, str] | None:
+def parse_each(
+    model: type[Model], entries: Iterable[msgspec.Raw], event: str
+) -> list[Model]:
+    """Parse entries of a configuration; those that are invalid are logged."""
+    parsed = (parse_or_log(model, bytes(entry), event) for entry in entries)
+    return [each for each in parsed if each is not None]
+
+
+def teams_by_key(teams: list[TeamModel] | None) -> dict[str, str] | None:
     """Return the team of each access key, or None if the deployment has no teams."""
-    if model.tenants is None:
+    if teams is None:
         return None
-    return {key: team.name for team in model.tenants for key in team.access_keys}
+    return {key: team.name for team in teams for key in team.access_keys}
 
 
-def team_urgencies(model: ConfigurationModel) -> dict[str, int]:
+def team_urgencies(teams: list[TeamModel] | None) -> dict[str, int]:
     """Return the urgency of each team that sets a priority of its own."""
     return {
         team.name: clamp_urgency(team.priority)
-        for team in model.tenants or ()
+        for team in teams or ()
         if team.priority is not None
     }
 
@@ -310,7 +324,30 @@
     return min(max(priority, MOST_URGENT), LEAST_URGENT)
 
 
-def decode_route(model: RouteModel) -> Route:
+def decode_route(data: msgspec.Raw) -> Route | None:
+    """Return a configuration's route, or None if not even its place can be read.
+
+    One that cannot be read in full has no services, and so refuses its requests.
+    """
+    model = parse_or_log(RouteModel, bytes(data), "route_unreadable")
+    if model is not None:
+        return route_from_model(model)
+    place = parse_or_log(RoutePlaceModel, bytes(data), "route_dropped")
+    if place is None:
+        return None
+    return Route(
+        name=place.name,
+        host=place.host.lower(),
+        prefix=place.prefix,
+        kind=RequestKind.NON_IDEMPOTENT,
+        services=(),
+        timeout_s=UNSUPPORTED_ROUTE_RETRY_S,
+        target_latency_s=UNSUPPORTED_ROUTE_RETRY_S,
+        needs_team=False,
+    )
+
+
+def route_from_model(model: RouteModel) -> Route:
     """Return the route that a model describes, with times in seconds."""
     if model.service is not None:
         services: tuple[WeightedService, ...] = (WeightedService(model.service, 1.0),)
@@ -380,7 +417,7 @@
 
 def decode_report(value: bytes) -> UpstreamReport:
     """Return an engine's load report; raise `ValueError` if it is invalid."""
-    model = ReportModel.model_validate_json(value)
+    model = decode_model(ReportModel, value)
     return UpstreamReport(
         incarnation=incarnation_from_start(model.born),
         running=model.active_requests,
@@ -397,7 +434,7 @@
     `UpstreamReport` has neither the tokens nor the priority of a run: placeholders are
     written for them, 0 and 5, the priority that engines assume where none is given.
     """
-    return orjson.dumps(
+    return msgspec.json.encode(
         {
             "born": int(report.incarnation) if report.incarnation else None,
             "active_requests": report.running,
@@ -414,18 +451,18 @@
 
 def encode_copy_request(request_id: str, target_address: str) -> bytes:
     """Return the body of a request to copy a running request's KV cache."""
-    return orjson.dumps({"identifier": request_id, "target": target_address})
+    return msgspec.json.encode({"identifier": request_id, "target": target_address})
 
 
 def decode_copy_request(value: bytes) -> tuple[str, str]:
     """Return the request id and the target's address of a request to copy."""
-    body = orjson.loads(value)
+    body = decode_json(value)
     return body["identifier"], body["target"]
 
 
 def decode_copy_handle(value: bytes) -> str:
     """Return the handle of a new copy; raise `ValueError` if the body is invalid."""
-    return CopyModel.model_validate_json(value).handle
+    return decode_model(CopyModel, value).handle
 
 
 def encode_copy_handle(handle: str) -> bytes:
@@ -433,7 +470,7 @@
 
     `created` is a placeholder; `decode_copy_handle` ignores it.
     """
-    return orjson.dumps({"handle": handle, "created": 0})
+    return msgspec.json.encode({"handle": handle, "created": 0})
 
 
 def decode_instance(name: str, value: bytes) -> EntryInstance | None:
@@ -454,7 +491,7 @@
 
 def encode_instance(instance: EntryInstance) -> bytes:
     """Return the record under which an entry instance registers itself."""
-    return orjson.dumps(
+    return msgspec.json.encode(
         {
             "address": instance.caller_address,
             "peer_address": instance.peer_address,
@@ -473,10 +510,10 @@
         """Return the key and the value of a record."""
         if isinstance(record, SoundRecord):
             sound = {"trait": record.trait, "deaths": sorted(record.deaths)}
-            return f"{SOUND_PREFIX}{record.trait}", orjson.dumps(sound)
+            return f"{SOUND_PREFIX}{record.trait}", msgspec.json.encode(sound)
         if isinstance(record, TrialRecord):
             trial = {"trait": record.trait, "number": record.number, "at": record.at}
-            return f"{TRIAL_PREFIX}{record.trait}", orjson.dumps(trial)
+            return f"{TRIAL_PREFIX}{record.trait}", msgspec.json.encode(trial)
         chains = [
             [(s.trait, s.rank, s.trials) for s in chain] for chain in record.chains
         ]
@@ -486,7 +523,7 @@
             "chains": sorted(chains),
             "at": record.at,
         }
-        return f"{CRASH_PREFIX}{record.death}", orjson.dumps(crash)
+        return f"{CRASH_PREFIX}{record.death}", msgspec.json.encode(crash)
 
     def decode(self, key: str, value: bytes) -> LedgerRecord | None:
         """Return the record of a key; None if it is of another kind, or invalid."""
--- a/src/turmericusher/platform/settings.py
+++ b/src/turmericusher/platform/settings.py
@@ -6,61 +6,85 @@
 import random
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+import msgspec
 
 from turmericusher.decisions.retries import RetryBounds
 from turmericusher.errors import SettingsError
+from turmericusher.platform.decoding import (
+    WireModel,
+    check_addresses,
+    describe_decoding_error,
+)
 from turmericusher.platform.names import SETTINGS_VARIABLE
-from turmericusher.profiles import describe_validation_error
-from turmericusher.settings import Address, Name, read_settings_file
+from turmericusher.settings_files import NAME_PATTERN, read_settings_file
 
 MILLISECONDS_PER_S = 1_000.0
+BYTES_PER_S_PER_MBIT = 125_000.0
+LARGEST_VALUE_BYTES = 1_048_576.0
 METRICS_PORT = 9464
 """The port that the deploy file names for metrics; the customary one of exporters."""
 
 
-class LenientModel(BaseModel):
-    """Base of the models of the settings file; unknown settings are ignored."""
+Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 
-    model_config = ConfigDict(frozen=True)
 
-
-class ListenModel(LenientModel):
+class ListenModel(WireModel, frozen=True):
     """The addresses on which the process listens."""
 
-    frontend: Address
-    readiness: Address
-    directory: Address | None = None
+    frontend: str
+    readiness: str
+    directory: str | None = None
+
+    def __post_init__(self) -> None:
+        """Raise `ValueError` for what is not an address."""
+        check_addresses(
+            frontend=self.frontend, readiness=self.readiness, directory=self.directory
+        )
 
 
-class BoundsModel(LenientModel):
+class BoundsModel(WireModel, frozen=True):
     """The platform's limits, within which this system must keep."""
 
-    grace_s: float = Field(default=8.0, gt=0)
-    retry_budget_ratio: float = Field(default=0.8, ge=0)
-    budget_slack: float = Field(default=150.0, ge=0)
-    budget_window_s: float = Field(default=10.0, gt=0)
-    ttl_max_s: float = Field(default=5.0, gt=0)
-    configuration_apply_ms: float = Field(default=2000.0, gt=0)
+    grace_s: Positive = 8.0
+    retry_budget_ratio: NotNegative = 0.8
+    budget_slack: NotNegative = 150.0
+    budget_window_s: Positive = 10.0
+    ttl_max_s: Positive = 5.0
+    configuration_apply_ms: Positive = 2000.0
 
 
-class StoreModel(LenientModel):
+class StoreModel(WireModel, frozen=True):
     """Where to reach the platform's key-value service."""
 
-    address: Address
+    address: str
+    value_bytes: Positive = LARGEST_VALUE_BYTES
+
+    def __post_init__(self) -> None:
+        """Raise `ValueError` for what is not an address."""
+        check_addresses(address=self.address)
+
+
+class LimitsModel(WireModel, frozen=True):
+    """The limits of the machine; without `link_mbps` its link may be slow."""
+
+    link_mbps: Positive | None = None
 
 
-class NodeModel(LenientModel):
+class NodeModel(WireModel, frozen=True):
     """The whole settings file."""
 
     node_name: Name
     ip_address: str
-    internal_port_range: str = ""
     zone: Name
     listen_addresses: ListenModel
-    bounds: BoundsModel = BoundsModel()
     platform: StoreModel
+    internal_port_range: str = ""
+    bounds: BoundsModel = BoundsModel()
+    limits: LimitsModel = LimitsModel()
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +95,8 @@
     from the signal to stop until the platform kills the process. An accepted
     configuration change must be in force within `configuration_limit_s`.
     `peer_address` serves other instances; None if no port is free for that.
+    `link_bytes_per_s` is the speed of the machine's link, None if it is not known, and
+    `largest_value_bytes` the size of the largest value in the store.
     """
 
     name: str
@@ -85,6 +111,8 @@
     entrypoint_ttl_limit_s: float
     configuration_limit_s: float
     peer_address: str | None = None
+    link_bytes_per_s: float | None = None
+    largest_value_bytes: float = LARGEST_VALUE_BYTES
 
     def random_for(self, purpose: str) -> random.Random:
         """Return a random number generator seeded by instance name and purpose."""
@@ -109,10 +137,12 @@
 
 def parse_node_settings(text: str) -> NodeSettings:
     """Parse and validate the text of a settings file."""
+    values = parse_lines(text)
     try:
-        model = NodeModel.model_validate(parse_lines(text))
-    except ValidationError as error:
-        raise SettingsError(describe_validation_error("settings", error)) from error
+        model = msgspec.convert(values, NodeModel, strict=False)
+    except msgspec.ValidationError as error:
+        message = describe_decoding_error("settings", error, values)
+        raise SettingsError(message) from error
     return NodeSettings(
         name=model.node_name,
         failure_domain=model.zone,
@@ -130,9 +160,17 @@
         entrypoint_ttl_limit_s=model.bounds.ttl_max_s,
         configuration_limit_s=model.bounds.configuration_apply_ms / MILLISECONDS_PER_S,
         peer_address=peer_address(model),
+        link_bytes_per_s=link_speed(model),
+        largest_value_bytes=model.platform.value_bytes,
     )
 
 
+def link_speed(model: NodeModel) -> float | None:
+    """Return the bytes per second of the machine's link, or None if not known."""
+    mbit_per_s = model.limits.link_mbps
+    return None if mbit_per_s is None else BYTES_PER_S_PER_MBIT * mbit_per_s
+
+
 def peer_address(model: NodeModel) -> str | None:
     """Return the address at the first internal port, or None if there is none."""
     first_port = model.internal_port_range.partition(",")[0].strip()
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -4,19 +4,21 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
 import aiohttp
-import orjson
+import msgspec
 
 from turmericusher.errors import (
+    StoreError,
     StoreHistoryLostError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from turmericusher.platform.decoding import decode_json
 from turmericusher.platform.settings import MILLISECONDS_PER_S
 from turmericusher.platform.store_messages import (
     AFTER,
@@ -91,7 +93,10 @@
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of one key, or None if the key is absent."""
         status, body = await self.read(READ_KEY, {KEY: key})
-        return decode_value(body) if status == OK else None
+        if status != OK:
+            return None
+        with malformed_as(StoreUnavailableError, READ_KEY):
+            return decode_value(body)
 
     async def get_prefix(self, prefix: str) -> Snapshot:
         """Read all keys that start with `prefix`, page by page."""
@@ -104,7 +109,8 @@
                 raise StoreUnavailableError(
                     f"cannot read prefix={prefix!r}: status={status}"
                 )
-            page, revision, has_more = decode_page(body)
+            with malformed_as(StoreUnavailableError, READ_RANGE):
+                page, revision, has_more = decode_page(body)
             values.extend(page)
             # Pages may differ in age, so the snapshot has the revision of the oldest:
             # a watch from there on also brings what changed between the pages.
@@ -119,13 +125,13 @@
         """Write `value`, or delete the key for None, if its revision is as expected."""
         change = encode_swap(key, expected_revision, value, lease)
         status, body = await self.write(SWAP, "POST", change)
-        if status == OK:
-            return SwapResult(True, int(body[REVISION]))
-        if status == PRECONDITION_FAILED:
-            existing_items = [item for item in body["items"] if item.get(REVISION)]
-            return SwapResult(
-                False, 0, decode_value(existing_items[0]) if existing_items else None
-            )
+        with malformed_as(StoreOutcomeUnknownError, SWAP):
+            if status == OK:
+                return SwapResult(True, int(body[REVISION]))
+            if status == PRECONDITION_FAILED:
+                existing = [item for item in body["items"] if item.get(REVISION)]
+                current = decode_value(existing[0]) if existing else None
+                return SwapResult(False, 0, current)
         raise StoreUnavailableError(f"cannot swap key={key!r}: status={status}")
 
     async def grant_lease(self, ttl_s: int) -> int:
@@ -134,7 +140,8 @@
         status, body = await self.write(GRANT_LEASE, "POST", change)
         if status != OK:
             raise StoreUnavailableError(f"cannot grant a lease: status={status}")
-        return int(body[LEASE])
+        with malformed_as(StoreOutcomeUnknownError, GRANT_LEASE):
+            return int(body[LEASE])
 
     async def renew_lease(self, lease: int) -> int:
         """Renew a lease; return its time to live in seconds, 0 if it has expired."""
@@ -143,7 +150,8 @@
             return 0
         if status != OK:
             raise StoreUnavailableError(f"cannot renew lease={lease}: status={status}")
-        return max(1, int(body[EXPIRY_MS] / MILLISECONDS_PER_S))
+        with malformed_as(StoreOutcomeUnknownError, RENEW_LEASE):
+            return max(1, int(body[EXPIRY_MS] / MILLISECONDS_PER_S))
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease, which deletes the keys that are bound to it."""
@@ -173,7 +181,8 @@
                 raise StoreUnavailableError(
                     f"cannot watch prefix={prefix!r}: status={status}"
                 )
-            events, revision = decode_changes(body)
+            with malformed_as(StoreUnavailableError, WATCH):
+                events, revision = decode_changes(body)
             for event in events:
                 yield event
             after = max(after, revision)
@@ -228,7 +237,7 @@
             method,
             f"http://{self.address}/v1/{call}",
             params=query,
-            data=orjson.dumps(change) if change is not None else None,
+            data=msgspec.json.encode(change) if change is not None else None,
             headers={"Content-Type": "application/json"} if change else None,
             timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CALL_TIMEOUT_S),
         ) as response:
@@ -238,7 +247,16 @@
                     f"the store refused call {call}: status={response.status}"
                 )
             is_json = response.status in (OK, PRECONDITION_FAILED) and data
-            return response.status, orjson.loads(data) if is_json else {}
+            return response.status, decode_json(data) if is_json else {}
+
+
+@contextmanager
+def malformed_as(error_type: Callable[[str], StoreError], call: str) -> Iterator[None]:
+    """Raise `error_type` where an answer does not have what it must have."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise error_type(f"store call {call} answered with {error!r}") from error
 
 
 def keepalive_socket(addr_info: Any) -> socket.socket:
--- a/src/turmericusher/platform/store_messages.py
+++ b/src/turmericusher/platform/store_messages.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import base64
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
+from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import Snapshot, StoredValue, WatchEvent
 
 READ_KEY = "kv-key"
@@ -29,6 +31,7 @@
 BUSY_STATUSES = frozenset({429, 503})
 
 Json = dict[str, Any]
+Item = TypeVar("Item")
 
 
 def decode_value(item: Json) -> StoredValue:
@@ -62,10 +65,21 @@
     return encode_value(StoredValue(event.key, event.value, event.revision))
 
 
+def decode_each(decode: Callable[[Json], Item], items: list[Json]) -> list[Item]:
+    """Return the decoded items; one that is malformed is logged and left out."""
+    decoded = []
+    for item in items:
+        try:
+            decoded.append(decode(item))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log_event("store_item_malformed", error=repr(error))
+    return decoded
+
+
 def decode_page(body: Json) -> tuple[tuple[StoredValue, ...], int, bool]:
     """Return a page's values, the store's revision, and whether more pages follow."""
-    values = tuple(decode_value(item) for item in body["items"])
-    return values, int(body["as_of"]), bool(body["more_pages"])
+    items = decode_each(decode_value, body["items"])
+    return tuple(items), int(body["as_of"]), bool(body["more_pages"])
 
 
 def encode_page(snapshot: Snapshot, has_more: bool) -> Json:
@@ -79,7 +93,7 @@
 
 def decode_changes(body: Json) -> tuple[list[WatchEvent], int]:
     """Return the changes in a watch response, and the revision to continue after."""
-    return [decode_event(event) for event in body["events"]], int(body["as_of"])
+    return decode_each(decode_event, body["events"]), int(body["as_of"])
 
 
 def encode_changes(events: list[WatchEvent], revision: int) -> Json:
--- a/src/turmericusher/ports/instances.py
+++ b/src/turmericusher/ports/instances.py
@@ -16,8 +16,8 @@
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance, UpstreamKind
 from turmericusher.errors import ErrorCode, UpstreamError, Verdict
 from turmericusher.logs import log_event
-from turmericusher.profiles import describe_validation_error
 from turmericusher.settings import Address, Name
+from turmericusher.validation import describe_validation_error
 
 MAX_LIST_BYTES = 8_000_000
 STATUS_OK = 200
--- a/src/turmericusher/settings.py
+++ b/src/turmericusher/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import ipaddress
 import random
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,9 +13,12 @@
 
 from turmericusher.decisions.fleet import UpstreamKind
 from turmericusher.errors import SettingsError
-from turmericusher.profiles import describe_validation_error
-
-MAX_PORT = 65_535
+from turmericusher.settings_files import (
+    NAME_PATTERN,
+    check_address,
+    read_settings_file,
+)
+from turmericusher.validation import describe_validation_error
 
 
 class CallerIdentity(enum.StrEnum):
@@ -26,20 +28,8 @@
     TOKEN = "token"
 
 
-def check_address(value: str) -> str:
-    """Accept `ip:port`; host names are refused: instances connect by IP address."""
-    host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit() or not 0 <= int(port) <= MAX_PORT:
-        raise ValueError("write it as IP:PORT, for example 127.0.0.1:8080")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        raise ValueError("use an IP address, not a host name") from None
-    return value
-
-
 Address = Annotated[str, AfterValidator(check_address)]
-Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
 class StrictModel(BaseModel):
@@ -218,16 +208,6 @@
     return parse_settings(read_settings_file(path))
 
 
-def read_settings_file(path: Path) -> str:
-    """Return the text of a settings file; raise `SettingsError` that names the file."""
-    try:
-        return path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(
-            f"cannot read settings file {str(path)!r}: {error}"
-        ) from error
-
-
 def parse_settings(text: str) -> Settings:
     """Validate the text of a settings file; raise `SettingsError` if it is invalid."""
     try:
--- a/src/turmericusher/snapshots.py
+++ b/src/turmericusher/snapshots.py
@@ -22,8 +22,9 @@
     TurmericusherError,
 )
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore, StoredValue
-from turmericusher.profiles import PROFILE_NAME_PATTERN, describe_validation_error
+from turmericusher.profiles import PROFILE_NAME_PATTERN
 from turmericusher.tasks.profile_records import UnreadableRecordError, decode_record
+from turmericusher.validation import describe_validation_error
 
 FORMAT = 1
 MAX_FILE_BYTES = 100_000_000
--- a/src/turmericusher/standins/platform_store.py
+++ b/src/turmericusher/standins/platform_store.py
@@ -55,7 +55,9 @@
     `silent` reads calls and never answers. `oldest_revision` is the oldest revision
     that a watch may start after; an older one gets 410. `suppress_changes` makes every
     watch time out without changes. `page_size` is the number of items in a page.
-    `change_delay_s` delays each answer with changes, as a slow link does.
+    `change_delay_s` delays each answer with changes, as a slow link does. `malformed`
+    has the bytes to answer calls of a name with, and `extra_event` an item that each
+    answer to a watch with changes begins with.
     """
 
     silent: bool = False
@@ -63,6 +65,8 @@
     suppress_changes: bool = False
     page_size: int = 500
     change_delay_s: float = 0.0
+    malformed: dict[str, bytes] = field(default_factory=dict)
+    extra_event: dict[str, object] | None = None
 
 
 @dataclass(slots=True)
@@ -88,6 +92,8 @@
         self.calls.append(name)
         if self.faults.silent:
             await asyncio.sleep(SILENT_WAIT_S)
+        if name in self.faults.malformed:
+            return web.Response(body=self.faults.malformed[name])
         try:
             return await self.dispatch(name, argument, request)
         except StoreUnavailableError:
@@ -158,7 +164,10 @@
                 )
                 if visible_events:
                     await asyncio.sleep(self.faults.change_delay_s)
-                return reply(encode_changes(visible_events, revision))
+                answer = encode_changes(visible_events, revision)
+                if visible_events and self.faults.extra_event is not None:
+                    answer["events"].insert(0, self.faults.extra_event)
+                return reply(answer)
             self.store.raise_if_down()
             self.store.expire_leases()
             await asyncio.sleep(0.01)
--- a/src/turmericusher/tasks/profile_records.py
+++ b/src/turmericusher/tasks/profile_records.py
@@ -7,7 +7,8 @@
 
 from turmericusher.decisions.rollout import AppliedChange, ProfileRecord
 from turmericusher.errors import ErrorCode, TurmericusherError
-from turmericusher.profiles import Profile, ProfileModel, profile_to_mapping
+from turmericusher.profile_models import ProfileModel
+from turmericusher.profiles import Profile, profile_to_mapping
 
 
 class UnreadableRecordError(TurmericusherError):
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -7,7 +7,7 @@
 from testtools import ExpectedException, TestCase
 
 from turmericusher.errors import RequestRefusedError, SettingsError
-from turmericusher.profiles import profile_from_mapping
+from turmericusher.profile_models import profile_from_mapping
 from turmericusher.settings import load_settings, parse_settings
 
 VALID_SETTINGS = """
