A task that fails starts again, and copies are released before the connections close

What operators saw: an unexpected error in a task of the platform's role ended it silently, since nobody waits for background tasks: an instance that no longer followed the store, or was no longer registered, looked sound.

--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -136,6 +136,7 @@
         exchange = StreamVersionExchange(shared.versions)
         checks = ReachChecks(shared.reach, port)
         context = RelayContext(port, shared, reports, exchange, checks)
+        stack.push_async_callback(context.finish_releases)
         reports.has_crashed = shared.has_crashed
         reports.before_review = context.record_ended_upstreams
         reports.on_change = context.apply_blocks
--- a/src/turmericusher/tasks/crash_reports.py
+++ b/src/turmericusher/tasks/crash_reports.py
@@ -22,7 +22,7 @@
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
 from turmericusher.ports.relay import RelayPort
-from turmericusher.tasks.background import background_tasks, cancel_tasks
+from turmericusher.tasks.background import cancel_tasks, lasting_task
 
 PUBLISH_INTERVAL_S = 0.1
 """Seconds between two looks at what is to be written to the store."""
@@ -225,7 +225,7 @@
 async def reporting_crashes(reports: CrashReports) -> AsyncIterator[None]:
     """Write new records while the context is open."""
     try:
-        async with background_tasks({"crash-reports": reports.run()}):
+        async with lasting_task("crash-reports", reports.run):
             yield
     finally:
         await cancel_tasks(reports.checks)
--- a/src/turmericusher/tasks/reach_checks.py
+++ b/src/turmericusher/tasks/reach_checks.py
@@ -11,7 +11,7 @@
 from turmericusher.decisions.reachability import RECHECK_INTERVAL_S, Reachability
 from turmericusher.logs import log_event
 from turmericusher.ports.relay import RelayPort
-from turmericusher.tasks.background import background_tasks, cancel_tasks
+from turmericusher.tasks.background import cancel_tasks, lasting_task
 
 
 @dataclass(slots=True)
@@ -75,7 +75,7 @@
 async def checking_reach(checks: ReachChecks) -> AsyncIterator[None]:
     """Check services while the context is open."""
     try:
-        async with background_tasks({"reach-checks": checks.run()}):
+        async with lasting_task("reach-checks", checks.run):
             yield
     finally:
         await cancel_tasks(checks.checks)
--- a/src/turmericusher/tasks/registration.py
+++ b/src/turmericusher/tasks/registration.py
@@ -10,7 +10,7 @@
 from turmericusher.errors import StoreError
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
-from turmericusher.tasks.background import background_tasks
+from turmericusher.tasks.background import lasting_task
 
 LEASE_TTL_S = 4
 """Seconds after which callers are no longer sent to an instance that died. It spans
@@ -127,7 +127,7 @@
 async def registered(registration: Registration) -> AsyncIterator[None]:
     """Keep the record in the store while the context is open, and remove it at exit."""
     try:
-        async with background_tasks({"registration": registration.run()}):
+        async with lasting_task("registration", registration.run):
             yield
     finally:
         await registration.withdraw()
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -93,6 +93,10 @@
         self.release_tasks.add(task)
         task.add_done_callback(self.release_tasks.discard)
 
+    async def finish_releases(self) -> None:
+        """Wait for the releases that still run; each has a time limit of its own."""
+        await asyncio.gather(*self.release_tasks, return_exceptions=True)
+
     def apply_blocks(self) -> None:
         """Tell the requests in progress that the traits that are blocked may differ."""
         for owner in self.owners:
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -25,7 +25,7 @@
 from turmericusher.decisions.routing import NewestTable, RoutingTable
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import StoredValue, WatchEvent
-from turmericusher.tasks.background import background_tasks
+from turmericusher.tasks.background import lasting_task
 
 EXPIRY_CHECK_INTERVAL_S = 0.1
 """Seconds between two checks for entries that have expired."""
@@ -78,7 +78,8 @@
     after each change, and `on_own_change` with what the others are to know of this one:
     the upstreams whose limits it shares, and the services it is cut off from.
     `on_crash` is called when another instance told of a crash, and `on_versions` when
-    others may have to be told of this instance's streams.
+    others may have to be told of this instance's streams. `has_configuration` is set
+    from the first configuration on.
     """
 
     shared: RelayShared
@@ -90,6 +91,7 @@
     on_versions: Callable[[], None] = lambda: None
     upstreams: Listing[UpstreamInstance] = field(default_factory=Listing)
     instances: Listing[EntryInstance] = field(default_factory=Listing)
+    has_configuration: asyncio.Event = field(default_factory=asyncio.Event)
     claims: frozenset[str] = frozenset()
     cut_off: frozenset[str] = frozenset()
 
@@ -159,6 +161,7 @@
     def apply_table(self, table: RoutingTable | None) -> None:
         """Put a configuration in force if it is newer than the current one."""
         if table is not None and self.tables.replace_if_newer(table):
+            self.has_configuration.set()
             log_event("configuration_in_force", version=table.version)
 
     def update_decisions(self, now: float) -> None:
@@ -236,5 +239,5 @@
 @asynccontextmanager
 async def expiring_entries(fleet: RelayFleet) -> AsyncIterator[None]:
     """Drop expired entries of the fleet while the context is open."""
-    async with background_tasks({"entry-expiry": fleet.run()}):
+    async with lasting_task("entry-expiry", fleet.run):
         yield
--- a/src/turmericusher/tasks/store_follower.py
+++ b/src/turmericusher/tasks/store_follower.py
@@ -17,7 +17,7 @@
 from turmericusher.errors import StoreError, StoreHistoryLostError
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import KeyValueStore, StoredValue, WatchEvent
-from turmericusher.tasks.background import background_tasks
+from turmericusher.tasks.background import lasting_task
 
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
@@ -114,5 +114,5 @@
 @asynccontextmanager
 async def following_store(follower: StoreFollower) -> AsyncIterator[None]:
     """Run the follower while the context is open."""
-    async with background_tasks({"store-follower": follower.run()}):
+    async with lasting_task("store-follower", follower.run):
         yield
