Calls to the store: waits and pauses by the bound for a change and the link's speed

While entries change, which is always at that size, each instance calls once each pause of a quarter of the bound.

Ruled out: narrower watches (nearly all changes are of engines, which every instance needs); one long wait (a waiting watch misses what comes while the store drops its history).

Change: a decision of its own (decisions/watch_pace.py): a pause takes up to 0.6 of the bound, a wait up to 0.75, less the transfer of two or one of the largest values that the store takes over this machine's link.

--- /dev/null
+++ b/src/turmericusher/decisions/watch_pace.py
@@ -0,0 +1,61 @@
+"""How long an instance waits for changes in the store, and pauses after some.
+
+Load: every change wakes each instance that waits for changes, so that the calls to the
+store grow with the instances times the changes. A pause lets one call bring several.
+What bounds it is the time within which a change must be in force: an answer may have to
+bring large configurations over a slow link first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+USED_SHARE = 0.75
+"""Share of the limit that waiting and the answer may take. The rest is for a slow call,
+for decoding, and for requests that were sent just before."""
+
+MAX_PAUSE_SHARE = 0.6
+"""Largest share of the limit for a pause: news of upstreams that end is useful sooner
+than it must be in force."""
+
+MIN_WAIT_SHARE = 0.55
+MIN_PAUSE_SHARE = 0.25
+"""Shares of the limit where the link is slow or its speed is not known."""
+
+ENCODED_SHARE = 4 / 3
+"""Bytes of a value on the wire for each of its own, in base64."""
+
+VERSIONS_AFTER_PAUSE = 2
+"""Versions of the configuration that one answer is assumed to bring after a pause."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchPace:
+    """The longest wait for changes and the pause after changes, in seconds.
+
+    A call that waits may miss changes if the store drops its history, which only the
+    next call shows. The two do not add up: a call after a pause returns at once if
+    something changed during it.
+    """
+
+    wait_s: float
+    pause_s: float
+
+
+def make_watch_pace(
+    limit_s: float, link_bytes_per_s: float | None, largest_value_bytes: float
+) -> WatchPace:
+    """Return the pace at which each change is in force within `limit_s` seconds.
+
+    `link_bytes_per_s` is the speed of this instance's link, None if it is not known,
+    and `largest_value_bytes` the size of the largest value that the store accepts.
+    """
+    wait_s, pause_s = MIN_WAIT_SHARE * limit_s, MIN_PAUSE_SHARE * limit_s
+    if link_bytes_per_s is None:
+        return WatchPace(wait_s, pause_s)
+    transfer_s = ENCODED_SHARE * largest_value_bytes / link_bytes_per_s
+    budget_s = USED_SHARE * limit_s
+    longest_pause_s = min(
+        MAX_PAUSE_SHARE * limit_s, budget_s - VERSIONS_AFTER_PAUSE * transfer_s
+    )
+    return WatchPace(max(wait_s, budget_s - transfer_s), max(pause_s, longest_pause_s))
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -22,6 +22,7 @@
 from turmericusher.decisions.retries import RetryBudget
 from turmericusher.decisions.routing import NewestTable
 from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.watch_pace import make_watch_pace
 from turmericusher.errors import SettingsError
 from turmericusher.logs import log_event
 from turmericusher.metrics import Metrics
@@ -57,19 +58,6 @@
 It bounds how long callers still use a stopped instance, and each caller queries the
 list that often."""
 
-WATCH_WAIT_SHARE = 0.55
-"""Fraction of `configuration_limit_s` for which one watch call may wait for changes.
-
-The rest is for reading the whole store again after a missed change, which takes a
-second for a large configuration over a link of 5 Mbit/s."""
-
-WATCH_PAUSE_SHARE = 0.25
-"""Fraction of `configuration_limit_s` to pause after changes until the next watch call.
-
-A call returns at once if something changed during the pause before it, so that the
-pause and the wait do not add up."""
-
-
 async def serve_node(path: Path) -> None:
     """Run an instance until SIGTERM or SIGINT, then drain it.
 
@@ -107,13 +95,14 @@
 @asynccontextmanager
 async def running_node(settings: NodeSettings) -> AsyncIterator[RelayInstance]:
     """Start all tasks and servers of an instance, and stop them on exit."""
+    pace = make_watch_pace(
+        settings.configuration_limit_s,
+        settings.link_bytes_per_s,
+        settings.largest_value_bytes,
+    )
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(
-            open_platform_store(
-                settings.store_address,
-                WATCH_WAIT_SHARE * settings.configuration_limit_s,
-                WATCH_PAUSE_SHARE * settings.configuration_limit_s,
-            )
+            open_platform_store(settings.store_address, pace.wait_s, pace.pause_s)
         )
         selector = Selector(settings.random_for("selection"), own=settings.name)
         shared = RelayShared(
