--- a/src/turmericusher/log_queue.py
+++ b/src/turmericusher/log_queue.py
@@ -152,9 +152,14 @@
 
 @contextmanager
 def bounded_logs(
-    stream: TextSink, clock: Callable[[], float] = time.monotonic
+    stream: TextSink,
+    clock: Callable[[], float] = time.monotonic,
+    is_direct: bool = False,
 ) -> Iterator[QueuedStream]:
-    """Log to `stream` through a bounded queue and a rate limit inside the context."""
+    """Log to `stream` through a bounded queue and a rate limit inside the context.
+
+    With `is_direct` the events do not go through eliot.
+    """
     queued = QueuedStream(stream)
     queued.start()
     limit = EventRateLimiter()
@@ -166,7 +171,7 @@
             log_event("log_lines_held_back", held_back=held_back, count=count)
         return limit.try_acquire(event, now)
 
-    configure_logs(queued)
+    configure_logs(queued, is_direct)
     STATE.event_filter = is_allowed
     try:
         yield queued
--- a/src/turmericusher/logs.py
+++ b/src/turmericusher/logs.py
@@ -1,12 +1,15 @@
-"""Structured logs: each event is one line of key=value pairs, written through eliot.
+"""Structured logs: each event is one line of key=value pairs.
 
 `log_event` returns at once while no stream is configured, so that programs which use
-the library without logs pay nothing for them.
+the library without logs pay nothing for them. Events go through eliot, so that a
+program may add destinations of its own, or, with `is_direct`, straight to the stream:
+an instance whose callers wait for its start does not load eliot.
 """
 
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -14,8 +17,6 @@
 from functools import singledispatch
 from typing import Protocol
 
-import eliot
-
 MAX_VALUE_CHARACTERS = 2_000
 QUOTED_CHARACTERS = frozenset(" \"'=\\")
 
@@ -34,7 +35,7 @@
 
 @dataclass(slots=True)
 class LineWriter:
-    """An eliot destination that writes each message as one line to `stream`."""
+    """Writes each event as one line to `stream`; also a destination of eliot."""
 
     stream: TextSink
 
@@ -43,15 +44,26 @@
         self.stream.write(format_message(message) + "\n")
         self.stream.flush()
 
+    def write_event(self, event: str, fields: dict[str, object]) -> None:
+        """Write one event without eliot; a stream that fails is no error."""
+        message = {"timestamp": time.time(), "message_type": event, "fields": fields}
+        try:
+            self(message)
+        except (OSError, ValueError):
+            return
+
 
 @dataclass(slots=True)
 class LogState:
-    """Global state of logging: `writer` receives events; None turns logs off.
+    """Global state of logging: `emit` receives events; None turns logs off.
 
+    `writer` writes them, and `is_direct` tells that it gets them without eliot.
     `event_filter` decides whether a line of an event may be written; None allows all.
     """
 
     writer: LineWriter | None = None
+    is_direct: bool = False
+    emit: Callable[[str, dict[str, object]], None] | None = None
     event_filter: Callable[[str], bool] | None = None
 
 
@@ -60,37 +72,51 @@
 
 def log_event(event: str, /, **fields: object) -> None:
     """Log one event with its fields; cheap while no stream is configured."""
-    if STATE.writer is None:
+    if STATE.emit is None:
         return
     if STATE.event_filter is not None and not STATE.event_filter(event):
         return
-    # The fields are passed as one value because eliot reserves some field names.
-    eliot.log_message(event, fields=fields)
+    STATE.emit(event, fields)
 
 
-def configure_logs(stream: TextSink | None) -> None:
+def configure_logs(stream: TextSink | None, is_direct: bool = False) -> None:
     """Write all later events to `stream`; None turns logs off."""
-    if STATE.writer is not None:
+    if STATE.writer is not None and not STATE.is_direct:
+        import eliot
+
         eliot.remove_destination(STATE.writer)
-        STATE.writer = None
-    if stream is not None:
-        STATE.writer = LineWriter(stream)
-        eliot.add_destinations(STATE.writer)
+    STATE.writer = STATE.emit = None
+    STATE.is_direct = is_direct
+    if stream is None:
+        return
+    STATE.writer = LineWriter(stream)
+    if is_direct:
+        STATE.emit = STATE.writer.write_event
+        return
+    import eliot
+
+    def emit_through_eliot(event: str, fields: dict[str, object]) -> None:
+        # The fields are passed as one value because eliot reserves some field names.
+        eliot.log_message(event, fields=fields)
+
+    eliot.add_destinations(STATE.writer)
+    STATE.emit = emit_through_eliot
 
 
 @contextmanager
 def logging_to(stream: TextSink) -> Iterator[None]:
     """Log to `stream` inside the context, and to the previous stream after it."""
-    previous_writer = STATE.writer
+    previous_writer, was_direct = STATE.writer, STATE.is_direct
     configure_logs(stream)
     try:
         yield
     finally:
-        configure_logs(previous_writer.stream if previous_writer is not None else None)
+        previous_stream = previous_writer.stream if previous_writer else None
+        configure_logs(previous_stream, was_direct)
 
 
 def format_message(message: dict[str, object]) -> str:
-    """Return an eliot message as one line of key=value pairs."""
+    """Return a message, as eliot has it, as one line of key=value pairs."""
     fields = message.get("fields")
     pairs = [
         ("time", format_time(message.get("timestamp"))),
--- a/src/turmericusher/peers/streams_service.py
+++ b/src/turmericusher/peers/streams_service.py
@@ -3,17 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Sequence
-from contextlib import asynccontextmanager
+import socket
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass, field
 
 from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from turmericusher.decisions.stream_versions import FoundVersion, StreamVersion
 from turmericusher.decisions.stream_versions import StreamVersions as KnownVersions
 from turmericusher.peers import streams_pb2 as pb
-from turmericusher.peers.exchange_service import bound_socket
 from turmericusher.peers.streams_grpc import StreamsBase, StreamsStub
+from turmericusher.ports.stream_peers import StreamPeerError, StreamPeers
+
+MAX_CHANNELS = 64
+"""Open connections to other instances, of which the least recently used is closed."""
+
+PEER_ERRORS = (
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    OSError,
+    TimeoutError,
+)
 
 
 class StreamsService(StreamsBase):  # type: ignore[misc]
@@ -52,34 +67,78 @@
         )
 
 
-async def send_records(
-    channel: Channel, records: Sequence[StreamVersion], timeout_s: float
-) -> None:
-    """Tell another instance of the versions of streams."""
-    streams = [pb.StreamVersion(stream=r.stream, version=r.version) for r in records]
-    request = pb.RecordRequest(streams=streams)
-    await StreamsStub(channel).Record(request, timeout=timeout_s)
+@dataclass(slots=True)
+class StreamChannels:
+    """The `StreamPeers` over gRPC, with one connection to each instance."""
+
+    channels: OrderedDict[str, Channel] = field(default_factory=OrderedDict)
+
+    async def tell(
+        self, address: str, records: Sequence[StreamVersion], timeout_s: float
+    ) -> None:
+        """Tell an instance of some streams."""
+        streams = [
+            pb.StreamVersion(stream=r.stream, version=r.version) for r in records
+        ]
+        request = pb.RecordRequest(streams=streams)
+        with self.channel_to(address) as channel:
+            await StreamsStub(channel).Record(request, timeout=timeout_s)
+
+    async def ask(
+        self, address: str, stream: str, service: str, timeout_s: float
+    ) -> FoundVersion:
+        """Return what an instance knows of a stream's version."""
+        request = pb.FindRequest(stream=stream, service=service)
+        with self.channel_to(address) as channel:
+            reply = await StreamsStub(channel).Find(request, timeout=timeout_s)
+        version = reply.version if reply.is_known else None
+        return FoundVersion(version, frozenset(reply.versions_seen))
+
+    @contextmanager
+    def channel_to(self, address: str) -> Iterator[Channel]:
+        """Yield the connection to an instance; close it after an error on it."""
+        channel = self.channels.pop(address, None)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host.strip("[]"), int(port))
+        self.channels[address] = channel
+        while len(self.channels) > MAX_CHANNELS:
+            _, oldest = self.channels.popitem(last=False)
+            oldest.close()
+        try:
+            yield channel
+        except PEER_ERRORS as error:
+            if self.channels.get(address) is channel:
+                del self.channels[address]
+            channel.close()
+            raise StreamPeerError(repr(error)) from error
 
+    def close(self) -> None:
+        """Close all connections."""
+        for channel in self.channels.values():
+            channel.close()
 
-async def ask_version(
-    channel: Channel, stream: str, service: str, timeout_s: float
-) -> FoundVersion:
-    """Ask another instance for the version of a stream."""
-    request = pb.FindRequest(stream=stream, service=service)
-    reply = await StreamsStub(channel).Find(request, timeout=timeout_s)
-    version = reply.version if reply.is_known else None
-    return FoundVersion(version, frozenset(reply.versions_seen))
+
+@contextmanager
+def open_channels() -> Iterator[StreamPeers]:
+    """Yield connections to other instances, and close them on exit."""
+    channels = StreamChannels()
+    try:
+        yield channels
+    finally:
+        channels.close()
 
 
 @asynccontextmanager
-async def serving_streams(known: KnownVersions, address: str) -> AsyncIterator[None]:
-    """Serve other instances at `ip:port` while the context is open."""
+async def serving_streams(
+    known: KnownVersions, bound: socket.socket
+) -> AsyncIterator[None]:
+    """Serve other instances at a bound socket while the context is open."""
     clock = asyncio.get_running_loop().time
-    with bound_socket(address) as bound:
-        server = Server([StreamsService(known, clock)])
-        await server.start(sock=bound)
-        try:
-            yield
-        finally:
-            server.close()
-            await server.wait_closed()
+    server = Server([StreamsService(known, clock)])
+    await server.start(sock=bound)
+    try:
+        yield
+    finally:
+        server.close()
+        await server.wait_closed()
--- a/src/turmericusher/platform/calls.py
+++ b/src/turmericusher/platform/calls.py
@@ -5,41 +5,38 @@
 import random
 from collections.abc import Callable
 
-from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
-from starlette.routing import Route
+import msgspec
 
+from turmericusher.asgi import ASGIApp, Page, pages_app
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.platform.names import ENTRYPOINTS_PATH, READINESS_PATH
 
 MAX_ADDRESSES = 64
 """The most addresses that a caller reads from one response."""
 
+UNAVAILABLE = Page(status=503)
 
-def readiness_app(is_ready: Callable[[], bool]) -> Starlette:
-    """Return an application that answers 200 while `is_ready()`, and 503 otherwise."""
-
-    async def readiness(request: Request) -> Response:
-        return Response(status_code=200 if is_ready() else 503)
 
-    return Starlette(routes=[Route(READINESS_PATH, readiness)])
+def readiness_app(is_ready: Callable[[], bool]) -> ASGIApp:
+    """Return an application that answers 200 while `is_ready()`, and 503 otherwise."""
+    return pages_app({READINESS_PATH: lambda: Page() if is_ready() else UNAVAILABLE})
 
 
 def entrypoints_app(
     instances: Callable[[], list[EntryInstance]], ttl_s: float, rng: random.Random
-) -> Starlette:
+) -> ASGIApp:
     """Return an application that lists the addresses to which callers may connect.
 
     The list is in random order. `ttl_s` is the number of seconds for which callers may
     cache it.
     """
 
-    async def resolve(request: Request) -> Response:
+    def entrypoints() -> Page:
         addresses = [instance.caller_address for instance in instances()]
         rng.shuffle(addresses)
         if not addresses:
-            return Response(status_code=503)
-        return JSONResponse({"addresses": addresses[:MAX_ADDRESSES], "expiry_s": ttl_s})
+            return UNAVAILABLE
+        body = {"addresses": addresses[:MAX_ADDRESSES], "expiry_s": ttl_s}
+        return Page(msgspec.json.encode(body), content_type="application/json")
 
-    return Starlette(routes=[Route(ENTRYPOINTS_PATH, resolve)])
+    return pages_app({ENTRYPOINTS_PATH: entrypoints})
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -6,16 +6,16 @@
 import logging
 import secrets
 import signal
+import socket
 from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
-from starlette.types import ASGIApp
-
 from turmericusher.api.metrics import metrics_app
 from turmericusher.api.relay import RelayFrontend
+from turmericusher.asgi import ASGIApp
 from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.relay_stop import RelayStop
@@ -26,7 +26,6 @@
 from turmericusher.errors import SettingsError
 from turmericusher.logs import log_event
 from turmericusher.metrics import Metrics
-from turmericusher.peers.streams_service import serving_streams
 from turmericusher.platform.calls import entrypoints_app, readiness_app
 from turmericusher.platform.codec import PlatformCodec
 from turmericusher.platform.names import INSTANCE_PREFIX
@@ -46,6 +45,7 @@
 from turmericusher.tasks.relay import RelayContext
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
 from turmericusher.tasks.store_follower import StoreFollower, following_store
+from turmericusher.tasks.stream_peers import running_stream_peers
 from turmericusher.tasks.stream_versions import (
     StreamVersionExchange,
     exchanging_versions,
@@ -58,10 +58,16 @@
 It bounds how long callers still use a stopped instance, and each caller queries the
 list that often."""
 
-async def serve_node(path: Path) -> None:
+
+CONFIGURATION_WAIT_S = 0.3
+"""Seconds for which callers wait for the first configuration before they are refused:
+several times what reading it takes."""
+
+
+async def serve_node(path: Path, listener: socket.socket | None = None) -> None:
     """Run an instance until SIGTERM or SIGINT, then drain it.
 
-    SIGHUP reloads the settings file.
+    SIGHUP reloads the settings file. `listener` listens for callers already, if given.
     """
     logging.getLogger("uvicorn").setLevel(logging.CRITICAL)
     settings = load_node_settings(path)
@@ -69,7 +75,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    async with running_node(settings) as instance:
+    async with running_node(settings, listener) as instance:
         loop.add_signal_handler(signal.SIGHUP, reload_settings, instance, path)
         await stopped.wait()
         await drain(instance)
@@ -93,8 +99,14 @@
 
 
 @asynccontextmanager
-async def running_node(settings: NodeSettings) -> AsyncIterator[RelayInstance]:
-    """Start all tasks and servers of an instance, and stop them on exit."""
+async def running_node(
+    settings: NodeSettings, listener: socket.socket | None = None
+) -> AsyncIterator[RelayInstance]:
+    """Start all tasks and servers of an instance, and stop them on exit.
+
+    Callers whose connections wait at `listener` are served once the configuration was
+    read, or is late.
+    """
     pace = make_watch_pace(
         settings.configuration_limit_s,
         settings.link_bytes_per_s,
@@ -139,17 +151,29 @@
         await stack.enter_async_context(reporting_crashes(reports))
         await stack.enter_async_context(exchanging_versions(exchange))
         await stack.enter_async_context(checking_reach(checks))
-        if settings.peer_address is not None:
-            serving = serving_streams(shared.versions, settings.peer_address)
-            await stack.enter_async_context(serving)
         for app, address in applications(settings, instance):
-            server = running_server(app, address, stop_grace_s=0)
+            waiting = None
+            if address == settings.caller_address:
+                await wait_for_configuration(instance.fleet)
+                waiting = listener
+            server = running_server(app, address, 0, waiting)
             instance.servers.append(await stack.enter_async_context(server))
+        peers = running_stream_peers(exchange, settings.peer_address)
+        await stack.enter_async_context(peers)
         await stack.enter_async_context(registered(instance.registration))
         log_event("serving", name=settings.name, address=settings.caller_address)
         yield instance
 
 
+async def wait_for_configuration(fleet: RelayFleet) -> None:
+    """Wait until a configuration was read, but not for long."""
+    try:
+        async with asyncio.timeout(CONFIGURATION_WAIT_S):
+            await fleet.has_configuration.wait()
+    except TimeoutError:
+        log_event("configuration_late", waited_s=CONFIGURATION_WAIT_S)
+
+
 def record_send_limit(
     shared: RelayShared, upstream: UpstreamInstance, per_s: float | None
 ) -> None:
--- a/src/turmericusher/tasks/stream_versions.py
+++ b/src/turmericusher/tasks/stream_versions.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.stream_versions import (
     ASKED_COUNT,
@@ -20,35 +16,37 @@
     merge_found,
 )
 from turmericusher.logs import log_event
-from turmericusher.peers.streams_service import ask_version, send_records
-from turmericusher.tasks.background import background_tasks, cancel_tasks
+from turmericusher.ports.stream_peers import StreamPeerError, StreamPeers
+from turmericusher.tasks.background import cancel_tasks, lasting_task
 
 ASK_TIMEOUT_S = 0.15
 """Seconds that another instance has to answer: several round trips between domains."""
 
 TELL_TIMEOUT_S = 0.3
+LOADING_LIMIT_S = 5.0
+"""Seconds to wait after a start for what connects to other instances: loading it takes
+0.4 s of processor time, and machines may have a tenth of a core."""
+
 MAX_TRIES = 2
 """Tries to reach an instance; the second one goes over a new connection."""
 
-MAX_CHANNELS = 64
-"""Open connections to other instances, of which the least recently used is closed."""
 
-PEER_ERRORS = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    OSError,
-    TimeoutError,
-)
+def new_future() -> asyncio.Future[StreamPeers]:
+    """Return a future of the running event loop."""
+    return asyncio.get_running_loop().create_future()
 
 
 @dataclass(slots=True)
 class StreamVersionExchange:
-    """The connections to other instances; `instances` are those that are listed."""
+    """What instances tell and ask each other; `instances` are those that are listed.
+
+    `peers` is the connection to them, or will be: it is loaded after callers are
+    served. What is told and asked before waits for it.
+    """
 
     versions: StreamVersions
+    peers: asyncio.Future[StreamPeers] = field(default_factory=new_future)
     instances: Mapping[str, EntryInstance] = field(default_factory=dict)
-    channels: OrderedDict[str, Channel] = field(default_factory=OrderedDict)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     sends: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -69,16 +67,16 @@
 
     async def tell(self, name: str, records: Sequence[StreamVersion]) -> None:
         """Tell one instance of some streams."""
+        peers = await self.loaded_peers()
         for _ in range(MAX_TRIES):
-            channel = self.channel_to(name)
-            if channel is None:
+            address = self.peer_address(name)
+            if peers is None or address is None:
                 return
             try:
-                await send_records(channel, records, TELL_TIMEOUT_S)
+                await peers.tell(address, records, TELL_TIMEOUT_S)
                 return
-            except PEER_ERRORS as error:
-                self.drop_channel(name)
-                log_event("stream_versions_untold", peer=name, error=repr(error))
+            except StreamPeerError as error:
+                log_event("stream_versions_untold", peer=name, error=str(error))
 
     async def find(self, stream: str, service: str) -> FoundVersion:
         """Return what this instance and some others know of a stream's version."""
@@ -94,53 +92,42 @@
 
     async def ask(self, name: str, stream: str, service: str) -> FoundVersion | None:
         """Ask one instance for a stream's version; None if it does not answer."""
+        peers = await self.loaded_peers()
         for _ in range(MAX_TRIES):
-            channel = self.channel_to(name)
-            if channel is None:
+            address = self.peer_address(name)
+            if peers is None or address is None:
                 return None
             try:
-                return await ask_version(channel, stream, service, ASK_TIMEOUT_S)
-            except PEER_ERRORS as error:
-                self.drop_channel(name)
-                log_event("stream_version_unanswered", peer=name, error=repr(error))
+                return await peers.ask(address, stream, service, ASK_TIMEOUT_S)
+            except StreamPeerError as error:
+                log_event("stream_version_unanswered", peer=name, error=str(error))
         return None
 
-    def channel_to(self, name: str) -> Channel | None:
-        """Return a connection to an instance; None if it serves no other instances."""
+    async def loaded_peers(self) -> StreamPeers | None:
+        """Return the connections to other instances; None if they do not come."""
+        try:
+            async with asyncio.timeout(LOADING_LIMIT_S):
+                return await asyncio.shield(self.peers)
+        except TimeoutError:
+            log_event("stream_peers_missing")
+            return None
+
+    def peer_address(self, name: str) -> str | None:
+        """Return the address at which an instance serves others; None if it does not.
+
+        One that is no longer listed has none.
+        """
         instance = self.instances.get(name)
         if instance is None or instance.peer_address == instance.caller_address:
             return None
-        address = instance.peer_address
-        channel = self.channels.pop(address, None)
-        if channel is None:
-            host, _, port = address.rpartition(":")
-            channel = Channel(host.strip("[]"), int(port))
-        self.channels[address] = channel
-        while len(self.channels) > MAX_CHANNELS:
-            _, oldest = self.channels.popitem(last=False)
-            oldest.close()
-        return channel
-
-    def drop_channel(self, name: str) -> None:
-        """Close the connection to an instance that did not answer."""
-        instance = self.instances.get(name)
-        if instance is not None:
-            channel = self.channels.pop(instance.peer_address, None)
-            if channel is not None:
-                channel.close()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await cancel_tasks(self.sends)
-        for channel in self.channels.values():
-            channel.close()
+        return instance.peer_address
 
 
 @asynccontextmanager
 async def exchanging_versions(exchange: StreamVersionExchange) -> AsyncIterator[None]:
     """Tell other instances of streams while the context is open."""
     try:
-        async with background_tasks({"stream-versions": exchange.run()}):
+        async with lasting_task("stream-versions", exchange.run):
             yield
     finally:
-        await exchange.close()
+        await cancel_tasks(exchange.sends)
--- a/src/turmericusher/web_server.py
+++ b/src/turmericusher/web_server.py
@@ -9,9 +9,10 @@
 from contextlib import asynccontextmanager
 
 import uvicorn
-from starlette.types import ASGIApp
 
-LISTEN_BACKLOG = 512
+from turmericusher.asgi import ASGIApp
+from turmericusher.listeners import open_listener
+
 STOP_GRACE_S = 5
 """Seconds for which a stopping server waits for requests in flight."""
 
@@ -63,10 +64,16 @@
 
 @asynccontextmanager
 async def running_server(
-    app: ASGIApp, address: str, stop_grace_s: int = STOP_GRACE_S
+    app: ASGIApp,
+    address: str,
+    stop_grace_s: int = STOP_GRACE_S,
+    listener: socket.socket | None = None,
 ) -> AsyncIterator[EmbeddedServer]:
-    """Serve an application at `ip:port`; yield the running server."""
-    listener = open_listener(address)
+    """Serve an application at `ip:port`; yield the running server.
+
+    `listener` listens there already, if given.
+    """
+    listener = listener or open_listener(address)
     config = uvicorn.Config(
         app,
         log_config=None,
@@ -97,17 +104,3 @@
     ready = asyncio.create_task(server.ready.wait())
     await asyncio.wait({ready, serving}, return_when=asyncio.FIRST_COMPLETED)
     ready.cancel()
-
-
-def open_listener(address: str) -> socket.socket:
-    """Return a listening socket bound to `ip:port`."""
-    host, _, port = address.rpartition(":")
-    bare_host = host.strip("[]")
-    family = socket.AF_INET6 if ":" in bare_host else socket.AF_INET
-    # asyncio disables Nagle's algorithm only if the socket names its protocol.
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((bare_host, int(port)))
-    listener.listen(LISTEN_BACKLOG)
-    listener.setblocking(False)
-    return listener
--- a/tests/processes/test_platform_process.py
+++ b/tests/processes/test_platform_process.py
@@ -5,7 +5,9 @@
 import signal
 import sys
 import tempfile
+import time
 from contextlib import asynccontextmanager
+from datetime import datetime
 from pathlib import Path
 
 import aiohttp
@@ -74,6 +76,19 @@
         return False
 
 
+async def wait_until_connected(host):
+    """Wait until the address for callers accepts a connection, and close it."""
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(host, 20001)
+            except OSError:
+                await asyncio.sleep(0.01)
+                continue
+            writer.close()
+            return
+
+
 async def read_stream(session, host):
     """Return the body of one resumable stream."""
     headers = {
@@ -124,6 +139,32 @@
             self.assertIn(logged_event, output)
         self.assertNotIn("drain_cut_short", output)
 
+    @run_async
+    async def test_a_request_that_arrives_during_the_start_is_served(self):
+        # All instances may start at once, and callers try again only once or twice.
+        host = unused_loopback_host()
+        with tempfile.TemporaryDirectory() as folder:
+            async with (
+                running_platform_store() as store,
+                running_upstream("u0") as upstream,
+                aiohttp.ClientSession() as session,
+            ):
+                upstream.events = EVENTS
+                store.store.write(CONFIGURATION_KEY, configuration())
+                key = f"{UPSTREAM_PREFIX}u0"
+                store.store.write(key, encode_upstream_entry(upstream.address, 0))
+                path = Path(folder) / "settings.conf"
+                settings = settings_text(host, store.address)
+                async with running_program(settings, path) as process:
+                    await wait_until_connected(host)
+                    connected_at = time.time()
+                    self.assertEqual(WHOLE_STREAM, await read_stream(session, host))
+                    process.terminate()
+                    output = (await process.stdout.read()).decode()
+        (serving,) = [line for line in output.splitlines() if "event=serving " in line]
+        serving_at = datetime.fromisoformat(serving.split()[0].removeprefix("time="))
+        self.assertGreater(serving_at.timestamp(), connected_at)
+
     @run_async
     async def test_invalid_settings_end_the_program_with_one_log_line(self):
         with tempfile.TemporaryDirectory() as folder:
