An idle web server no longer wakes its process ten times a second

Cause: uvicorn's main loop sleeps 0.1 s at a time, in each of an instance's four servers: 40 wake-ups a second and instance at rest, 7,800 in a fleet of 195, each with its price in processor time.

Ruled out: a longer sleep (a stop would take as long); one server for all pages (readiness and callers have addresses of their own).

Change: the server waits for an event that its owner sets to end it. Nothing of the loop was used: no date header, no request limit.

Measured: timers of an idle server in a second 10 -> 0 (test_an_idle_server_does_not_wake_the_process, failed before).

--- a/src/turmericusher/web_server.py
+++ b/src/turmericusher/web_server.py
@@ -30,12 +30,26 @@
         super().__init__(config)
         self.ready = asyncio.Event()
         self.should_exit_immediately = False
+        self.exit_requested = asyncio.Event()
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
         """Start serving and set `ready`."""
         await super().startup(sockets)
         self.ready.set()
 
+    async def main_loop(self) -> None:
+        """Wait until the server is told to exit.
+
+        The library's own loop looks for that ten times a second, in each server.
+        """
+        await self.on_tick(0)
+        await self.exit_requested.wait()
+
+    def request_exit(self) -> None:
+        """Have the server close its connections and end."""
+        self.should_exit = True
+        self.exit_requested.set()
+
     def stop_accepting(self) -> None:
         """Stop listening, and close the connections that are idle.
 
@@ -93,7 +107,7 @@
         await wait_until_ready(server, serving)
         yield server
     finally:
-        server.should_exit = True
+        server.request_exit()
         if server.should_exit_immediately:
             serving.cancel()
         await asyncio.gather(serving, return_exceptions=server.should_exit_immediately)
