Crash ledger: a stall at an upstream's successor tells nothing of the end that is known

Eight upstreams had crashed within 0.3 s under one part, and the sound part beside it was blocked with it. The store was away, so the list still showed u2 by the incarnation whose end the ledger knew. The trial of the sound part went to u2, which was its successor by then, and stalled there, since the link was cut for 0.9 s. The stall was added to the known end at once: a trial that had ended in a death, so the next one was due 22.5 s later in place of 1.5 s.

Change: a stall of an attempt that began when the end of that incarnation was known is not held against the request. A lost connection still is.

Test: test_of_an_upstream_whose_end_is_known, whose first case fails without the condition; the other two bound it.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -309,12 +309,16 @@
         now: float,
         is_trial: bool = False,
         is_stall: bool = False,
+        began_at: float = -math.inf,
     ) -> None:
         """Record that an upstream broke off a request that it had just begun.
 
         `known` is what was known of its traits when it was sent. If any of them is
         suspected, it remains to be found out whether the upstream has died. In a stall
-        it has not answered, and is asked only if the request was suspected before.
+        it has not answered, and is asked only if the request was suspected before. If
+        the attempt began, at `began_at`, when the end of this incarnation was known, it
+        went to a successor that the list does not show yet. A stall there tells nothing
+        of that end.
         """
         chain = tuple(
             next_suspicion(trait, known.get(trait), is_trial)
@@ -324,12 +328,14 @@
         if not chain:
             return
         name = death_name(upstream.name, upstream.incarnation)
-        if name not in self.deaths:
+        death = self.deaths.get(name)
+        if death is None:
             needs_check = not is_stall or bool(known)
             self.open_losses.add(upstream, chain, now, needs_check)
             return
-        known_record = self.deaths[name].record
-        record = replace(known_record, chains=known_record.chains | {chain})
+        if is_stall and began_at > death.learned_at:
+            return
+        record = replace(death.record, chains=death.record.chains | {chain})
         if self.merge_crash(record, now):
             self.unpublished_deaths.add(name)
 
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -550,6 +550,7 @@
             now,
             attempt.is_trial,
             is_stall,
+            attempt.started_at,
         )
 
     def remove_attempt(self, number: int) -> None:
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -206,6 +206,28 @@
             ledger.record_check(make_upstream(number), EndState.ENDED, now)
             interval_s *= TRIAL_BACKOFF
 
+    @parameterized.expand(
+        [
+            ("a stall of an attempt sent after it is none of", 5.0, True, 1.0),
+            (
+                "a stall of an attempt sent before it is one of",
+                -1.0,
+                True,
+                TRIAL_BACKOFF,
+            ),
+            ("a loss is one of", 5.0, False, TRIAL_BACKOFF),
+        ]
+    )
+    def test_of_an_upstream_whose_end_is_known(self, _, began_at, is_stall, longer):
+        # The list shows it while the store is away, and its successor has its address.
+        ledger = make_ledger(*TWO_REQUESTS)
+        known = ledger.known_suspicions((BAD,))
+        ledger.merge_trial(TrialRecord(BAD, 1), 5.0)
+        ledger.record_loss(
+            make_upstream(0), (BAD,), known, 6.0, True, is_stall, began_at
+        )
+        self.assertEqual(5.0 + TRIAL_AFTER_S * longer, ledger.next_trial_at(BAD))
+
     def test_a_restarted_instance_waits_no_longer_for_a_trial_than_the_others(self):
         after_trial = CrashRecord("u3", "1", frozenset({(Suspicion(BAD, 3, 1),)}))
         records = [replace(each, at=0.0) for each in (*TWO_REQUESTS, after_trial)]
