Versions of streams outlast all instances: records in the store, read by those that start

Cause: the version of a stream was known to the instance that began it and two others. With all of them gone, a new instance took the versions that it listed for all there had been: with one it let any stream go on there, with two it refused all.

Ruled out: copies on standbys as memory of the version (engines keep them for 4 s, callers of a machine without power notice after 18 s); records without a limit (each instance receives each write: 1 MB a second at 6,800 streams).

Change: while a service has several versions, an instance also writes each stream's version to the store (a lease keeps it for two to three minutes; 100 writes a second over all instances at most), and one instance writes the versions of each service. An instance that starts knows from both which versions there were; a stream of which no live instance knows is read there.

--- a/src/turmericusher/decisions/stream_versions.py
+++ b/src/turmericusher/decisions/stream_versions.py
@@ -7,14 +7,20 @@
 some others of its streams: those whose names rank first for the stream's id, so that
 any instance knows whom to ask. With one version nothing needs to be told.
 
+All instances may be killed at once. Therefore the store has the versions of these
+streams, too, and the versions of each service, which an instance that has just started
+cannot have seen. Without the latter it would take an old stream for one of the only
+version that it lists.
+
 Load: a service whose upstreams are replaced by another version, and instances that are
-killed meanwhile. What an instance sends and holds does not grow with the fleet.
+killed meanwhile. What an instance sends and holds does not grow with the fleet, and
+neither does what it receives of the records in the store, which are limited.
 """
 
 from __future__ import annotations
 
 import heapq
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -29,6 +35,17 @@
 """Instances that are asked for a stream: its holders, the instance that began it, and
 one more, since the list of instances may have changed."""
 
+MAX_SAVED_PER_S = 100.0
+"""Records of streams that all instances together write in a second: each instance
+receives all of them, 150 bytes each. Streams beyond that are only told to others."""
+
+MAX_UNSAVED = 256
+"""Streams that wait to be written; the oldest ones are dropped beyond that."""
+
+SAVE_DELAY_S = 1.0
+"""Seconds for which an instance leaves it to each one that ranks before it to write the
+versions of a service. One that has just started does not know the others yet."""
+
 KEPT_S = 120.0
 """Seconds for which the version of a stream is kept, and for which a version of a
 service counts as seen after its last upstream has gone. No stream lasts longer."""
@@ -45,6 +62,34 @@
     version: str
 
 
+@dataclass(frozen=True, slots=True)
+class SavedStream:
+    """The version at which a stream of a service began, for the store."""
+
+    stream: str
+    service: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class SeenVersion:
+    """A version at which a stream of a service began, as read from the store."""
+
+    service: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceVersions:
+    """The versions of a service's upstreams, as the store has them."""
+
+    service: str
+    versions: frozenset[str]
+
+
+VersionRecord = SeenVersion | ServiceVersions
+
+
 @dataclass(frozen=True, slots=True)
 class FoundVersion:
     """What instances know of a stream's version, None if nothing.
@@ -76,7 +121,10 @@
     `known` maps a stream to its version and to when that was recorded, oldest first.
     `running` are the streams that this instance relays. `seen_at` has, for each service
     and version, when an upstream of it was last listed. `unsent` has what other
-    instances are to be told, by their names. Times are monotonic seconds.
+    instances are to be told, by their names, and `unsaved` what the store is to have.
+    `listed` and `saved` are the versions of each service that are listed now and that
+    the store has; `differs_since` tells since when these differ. Times are monotonic
+    seconds.
     """
 
     own: str = ""
@@ -85,6 +133,12 @@
     running: dict[str, OwnStream] = field(default_factory=dict)
     seen_at: dict[str, dict[str, float]] = field(default_factory=dict)
     unsent: dict[str, list[StreamVersion]] = field(default_factory=dict)
+    unsaved: deque[SavedStream] = field(
+        default_factory=lambda: deque(maxlen=MAX_UNSAVED)
+    )
+    listed: dict[str, frozenset[str]] = field(default_factory=dict)
+    saved: dict[str, frozenset[str]] = field(default_factory=dict)
+    differs_since: dict[str, float] = field(default_factory=dict)
 
     # Queries
 
@@ -106,8 +160,56 @@
             count, others, key=lambda name: rendezvous_weight(stream, name)
         )
 
+    def save_interval_s(self) -> float:
+        """Return the seconds between two streams that this instance saves."""
+        return max(1, len(self.instances)) / MAX_SAVED_PER_S
+
+    def rank(self, service: str) -> int:
+        """Return how many other instances are to save a service's versions first."""
+        own = rendezvous_weight(service, self.own)
+        others = self.instances - {self.own}
+        return sum(rendezvous_weight(service, name) > own for name in others)
+
+    def versions_to_save(self, service: str, now: float) -> frozenset[str]:
+        """Return the versions of a service that the store should have.
+
+        A version stays there until this instance has not seen it for a while. Only
+        listed ones are added, so that instances with other views do not alternate.
+        """
+        saved = self.saved.get(service, frozenset())
+        listed = self.listed.get(service, frozenset())
+        return (saved & self.versions_seen(service, now)) | listed
+
     # Commands
 
+    def due_versions(self, now: float) -> list[ServiceVersions]:
+        """Return what this instance is to write to the store of services' versions."""
+        due = []
+        for service in self.listed:
+            versions = self.versions_to_save(service, now)
+            if versions == self.saved.get(service):
+                self.differs_since.pop(service, None)
+                continue
+            since = self.differs_since.setdefault(service, now)
+            if now - since >= SAVE_DELAY_S * (1 + self.rank(service)):
+                due.append(ServiceVersions(service, versions))
+        return due
+
+    def record_saved(self, record: VersionRecord, now: float) -> None:
+        """Record what the store has; versions not known here count as seen now.
+
+        Streams that run are told of if the service has several versions now.
+        """
+        match record:
+            case SeenVersion(version=version):
+                versions = frozenset({version})
+            case ServiceVersions(versions=versions):
+                self.saved[record.service] = versions
+        seen = self.seen_at.setdefault(record.service, {})
+        if not versions <= seen.keys():
+            seen |= {version: now for version in versions - seen.keys()}
+            self.tell_running(record.service, now)
+
     def update_instances(self, own: str, names: Iterable[str]) -> None:
         """Set this instance's name and those of all live ones."""
         self.own, self.instances = own, frozenset(names) | {own}
@@ -120,14 +222,18 @@
             recent = {v: at for v, at in seen.items() if now - at < KEPT_S}
             self.seen_at[service] = recent
         new_versions = set()
+        listed: dict[str, set[str]] = {}
         for upstream in upstreams:
             seen = self.seen_at.setdefault(upstream.service, {})
             if upstream.version not in seen:
                 new_versions.add(upstream.service)
             seen[upstream.version] = now
-        for stream, running in self.running.items():
-            if running.service in new_versions:
-                self.tell(stream, running.service, now)
+            listed.setdefault(upstream.service, set()).add(upstream.version)
+        self.listed = {
+            service: frozenset(versions) for service, versions in listed.items()
+        }
+        for service in new_versions:
+            self.tell_running(service, now)
 
     def record_begin(self, stream: str, service: str, version: str, now: float) -> None:
         """Record that this instance relays a stream that began at a version."""
@@ -146,11 +252,19 @@
         while now - next(iter(self.known.values()))[1] >= KEPT_S:
             self.known.popitem(last=False)
 
+    def tell_running(self, service: str, now: float) -> None:
+        """Have some instances told of the streams of a service that run."""
+        for stream, running in self.running.items():
+            if running.service == service:
+                self.tell(stream, service, now)
+
     def tell(self, stream: str, service: str, now: float) -> None:
-        """Have some instances told of a stream if its service has several versions."""
+        """Have others and the store told of a stream if there are several versions."""
         if len(self.versions_seen(service, now)) <= 1:
             return
-        record = StreamVersion(stream, self.running[stream].version)
+        version = self.running[stream].version
+        self.unsaved.append(SavedStream(stream, service, version))
+        record = StreamVersion(stream, version)
         for name in self.ranked(stream, HOLDER_COUNT):
             self.unsent.setdefault(name, []).append(record)
 
--- a/src/turmericusher/platform/decoding.py
+++ b/src/turmericusher/platform/decoding.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from turmericusher.logs import log_event
 from turmericusher.settings_files import check_address
 
 Model = TypeVar("Model")
@@ -50,6 +51,18 @@
         raise ValueError("the value is nested too deeply") from error
 
 
+def parse_or_log(
+    model: type[Model], value: bytes, event: str, **fields: object
+) -> Model | None:
+    """Parse a record; if it is invalid, log `event` with the reason and return None."""
+    try:
+        return decode_model(model, value)
+    except ValueError as error:
+        reason = describe_decoding_error("record", error)
+        log_event(event, **fields, reason=reason)
+        return None
+
+
 def describe_decoding_error(subject: str, error: Exception, data: object = None) -> str:
     """Return one line with the invalid field, its value in `data`, and the reason."""
     message, _, path = str(error).partition(" - at `$")
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -78,6 +78,8 @@
 CRASH_PREFIX = "turmericusher/crashes/"
 SOUND_PREFIX = "turmericusher/sound/"
 TRIAL_PREFIX = "turmericusher/trials/"
+STREAM_PREFIX = "turmericusher/streams/"
+VERSIONS_PREFIX = "turmericusher/versions/"
 
 # Paths that this system serves.
 READINESS_PATH = "/v1/readiness"
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -37,6 +37,7 @@
 from turmericusher.platform.settings import NodeSettings, load_node_settings
 from turmericusher.platform.store import open_platform_store
 from turmericusher.platform.upstreams import open_platform_upstreams
+from turmericusher.platform.version_records import VersionRecordCodec
 from turmericusher.ports.keyvalue import KeyValueStore
 from turmericusher.relay_serving import RelayInstance, drain
 from turmericusher.tasks.crash_reports import CrashReports, reporting_crashes
@@ -50,6 +51,7 @@
     StreamVersionExchange,
     exchanging_versions,
 )
+from turmericusher.tasks.version_records import VersionRecords, saving_versions
 from turmericusher.web_server import running_server
 
 ENTRYPOINT_TTL_S = 1.0
@@ -134,7 +136,8 @@
             )
         )
         reports = CrashReports(shared.crashes, port, store, CrashRecordCodec())
-        exchange = StreamVersionExchange(shared.versions)
+        records = VersionRecords(shared.versions, store, VersionRecordCodec())
+        exchange = StreamVersionExchange(shared.versions, records)
         checks = ReachChecks(shared.reach, port)
         context = RelayContext(port, shared, reports, exchange, checks)
         stack.push_async_callback(context.finish_releases)
@@ -150,6 +153,7 @@
         await stack.enter_async_context(expiring_entries(instance.fleet))
         await stack.enter_async_context(reporting_crashes(reports))
         await stack.enter_async_context(exchanging_versions(exchange))
+        await stack.enter_async_context(saving_versions(records))
         await stack.enter_async_context(checking_reach(checks))
         for app, address in applications(settings, instance):
             waiting = None
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -31,23 +31,25 @@
     WeightedService,
     make_routing_table,
 )
-from turmericusher.logs import log_event
 from turmericusher.platform.decoding import (
     WireModel,
     check_addresses,
     decode_json,
     decode_model,
-    describe_decoding_error,
+    parse_or_log,
 )
 from turmericusher.platform.names import (
     CONFIGURATION_KEY,
     CRASH_PREFIX,
     INSTANCE_PREFIX,
     SOUND_PREFIX,
+    STREAM_PREFIX,
     TRIAL_PREFIX,
     UPSTREAM_PREFIX,
+    VERSIONS_PREFIX,
 )
 from turmericusher.platform.settings import MILLISECONDS_PER_S
+from turmericusher.platform.version_records import VersionRecordCodec
 from turmericusher.profiles import (
     LEAST_URGENT,
     MOST_URGENT,
@@ -258,21 +260,11 @@
         name = key.removeprefix(INSTANCE_PREFIX)
         instance = decode_instance(name, value) if value is not None else None
         return InstanceRecord(name, instance)
-    if value is not None:
-        return CrashRecordCodec().decode(key, value)
-    return None
-
-
-def parse_or_log(
-    model: type[Model], value: bytes, event: str, **fields: object
-) -> Model | None:
-    """Parse a record; if it is invalid, log `event` with the reason and return None."""
-    try:
-        return decode_model(model, value)
-    except ValueError as error:
-        reason = describe_decoding_error("record", error)
-        log_event(event, **fields, reason=reason)
+    if value is None:
         return None
+    if key.startswith((STREAM_PREFIX, VERSIONS_PREFIX)):
+        return VersionRecordCodec().decode(key, value)
+    return CrashRecordCodec().decode(key, value)
 
 
 def decode_configuration(value: bytes) -> RoutingTable | None:
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -23,6 +23,11 @@
 from turmericusher.decisions.listing import Listing
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.routing import NewestTable, RoutingTable
+from turmericusher.decisions.stream_versions import (
+    SeenVersion,
+    ServiceVersions,
+    VersionRecord,
+)
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import StoredValue, WatchEvent
 from turmericusher.tasks.background import lasting_task
@@ -56,7 +61,9 @@
     instance: EntryInstance | None
 
 
-Record = ConfigurationRecord | UpstreamRecord | InstanceRecord | LedgerRecord
+Record = (
+    ConfigurationRecord | UpstreamRecord | InstanceRecord | LedgerRecord | VersionRecord
+)
 
 
 class RecordDecoder(Protocol):
@@ -109,6 +116,8 @@
                     instances[name] = instance
                 case CrashRecord() | SoundRecord() | TrialRecord() as record:
                     self.merge_crash_record(record, now)
+                case SeenVersion() | ServiceVersions() as record:
+                    self.shared.versions.record_saved(record, now)
         self.upstreams.replace_all(upstreams, now)
         self.instances.replace_all(instances, now)
         self.update_decisions(now)
@@ -133,6 +142,9 @@
                 self.update_decisions(now)
             case CrashRecord() | SoundRecord() | TrialRecord() as record:
                 self.merge_crash_record(record, now)
+            case SeenVersion() | ServiceVersions() as record:
+                self.shared.versions.record_saved(record, now)
+                self.on_versions()
 
     def merge_crash_record(self, record: LedgerRecord, now: float) -> None:
         """Pass on what an instance told of a crash."""
--- a/src/turmericusher/tasks/stream_versions.py
+++ b/src/turmericusher/tasks/stream_versions.py
@@ -18,6 +18,7 @@
 from turmericusher.logs import log_event
 from turmericusher.ports.stream_peers import StreamPeerError, StreamPeers
 from turmericusher.tasks.background import cancel_tasks, lasting_task
+from turmericusher.tasks.version_records import VersionRecords
 
 ASK_TIMEOUT_S = 0.15
 """Seconds that another instance has to answer: several round trips between domains."""
@@ -41,10 +42,12 @@
     """What instances tell and ask each other; `instances` are those that are listed.
 
     `peers` is the connection to them, or will be: it is loaded after callers are
-    served. What is told and asked before waits for it.
+    served. What is told and asked before waits for it. `records` are those in the
+    store, for streams of which no live instance knows.
     """
 
     versions: StreamVersions
+    records: VersionRecords
     peers: asyncio.Future[StreamPeers] = field(default_factory=new_future)
     instances: Mapping[str, EntryInstance] = field(default_factory=dict)
     wake: asyncio.Event = field(default_factory=asyncio.Event)
@@ -79,17 +82,26 @@
                 log_event("stream_versions_untold", peer=name, error=str(error))
 
     async def find(self, stream: str, service: str) -> FoundVersion:
-        """Return what this instance and some others know of a stream's version."""
+        """Return what this instance, some others and the store know of a stream."""
         now = asyncio.get_running_loop().time()
         own = self.versions.find(stream, service, now)
         if own.version is not None:
             return own
         names = self.versions.ranked(stream, ASKED_COUNT)
         answers = await asyncio.gather(
-            *(self.ask(name, stream, service) for name in names)
+            self.find_saved(stream, service, own),
+            *(self.ask(name, stream, service) for name in names),
         )
         return merge_found([own, *(each for each in answers if each is not None)])
 
+    async def find_saved(
+        self, stream: str, service: str, own: FoundVersion
+    ) -> FoundVersion | None:
+        """Return what the store has of a stream, if several versions began some."""
+        if own.may_go_on:
+            return None
+        return FoundVersion(await self.records.find(stream, service))
+
     async def ask(self, name: str, stream: str, service: str) -> FoundVersion | None:
         """Ask one instance for a stream's version; None if it does not answer."""
         peers = await self.loaded_peers()
--- a/tests/common/version_fixtures.py
+++ b/tests/common/version_fixtures.py
@@ -56,7 +56,8 @@
         node = await stack.enter_async_context(running_node(settings))
         self.instances[name] = node
         async with asyncio.timeout(5):
-            while len(node.fleet.upstreams.entries) < len(self.upstreams):
+            listed = [each for each in self.upstreams if self.is_listed(each)]
+            while len(node.fleet.upstreams.entries) < len(listed):
                 await asyncio.sleep(0.01)
 
     async def stop_instance(self, name: str) -> None:
@@ -64,6 +65,30 @@
         del self.instances[name]
         await self.stacks.pop(name).aclose()
 
+    async def replace_all_instances(self, leaving: str | None = None) -> None:
+        """End all instances at once, and start others with the same names.
+
+        Meanwhile the upstreams of the version `leaving` leave, and those of
+        `later_versions` are listed.
+        """
+        names = list(self.instances)
+        await asyncio.gather(*(self.stop_instance(name) for name in names))
+        for index, upstream in enumerate(self.upstreams):
+            if self.versions[upstream.name] == leaving:
+                self.store.store.write(f"{UPSTREAM_PREFIX}{upstream.name}", None)
+            elif not self.is_listed(upstream):
+                self.write_upstream_entry(index)
+        for name in names:
+            await self.add_instance(name)
+
+    def saved(self, prefix: str) -> list[str]:
+        """Return the keys of the store that begin with a prefix."""
+        return [key for key in self.store.store.values if key.startswith(prefix)]
+
+    def is_listed(self, upstream: UpstreamStandin) -> bool:
+        """Whether the store has an entry of an upstream."""
+        return f"{UPSTREAM_PREFIX}{upstream.name}" in self.store.store.values
+
     def write_upstream_entry(self, index: int, state: str = "ready") -> None:
         """Write the entry of an upstream to the store."""
         standin = self.upstreams[index]
@@ -109,21 +134,29 @@
 
 @asynccontextmanager
 async def running_version_simulation(
-    versions: Iterable[str], instances: int = 3, **fields: object
+    versions: Iterable[str],
+    instances: int = 3,
+    later_versions: Iterable[str] = (),
+    **fields: object,
 ) -> AsyncIterator[VersionSimulation]:
-    """Run instances and an upstream of each version; `fields` are of the stand-ins."""
+    """Run instances and an upstream of each version; `fields` are of the stand-ins.
+
+    Those of `later_versions` run too, and are not listed at first.
+    """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_platform_store())
         session = await stack.enter_async_context(aiohttp.ClientSession())
         store.store.write(CONFIGURATION_KEY, configuration())
         simulation = VersionSimulation(store, session)
-        for index, version in enumerate(versions):
+        listed_versions = list(versions)
+        for index, version in enumerate([*listed_versions, *later_versions]):
             standin = await stack.enter_async_context(
                 running_upstream(f"u{index}", **fields)
             )
             simulation.upstreams.append(standin)
             simulation.versions[standin.name] = version
-            simulation.write_upstream_entry(index)
+            if index < len(listed_versions):
+                simulation.write_upstream_entry(index)
         for standin in simulation.upstreams:
             standin.peers = {each.address: each for each in simulation.upstreams}
         try:
