An unexpected error in a request's work is logged, ends no other work, and is not waited for

An error while a request was ended left its attempts running at upstreams for callers that were gone. An error in the request itself became a 500 of the server's with no line at all, as the server's log is off.

Change: what runs beside a request tells it that nothing was found out; the end of a request cancels its attempts whatever else fails; request_error and helper_failed are logged.

--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -119,6 +119,12 @@
         exchange = Exchange(self, scope, receive, send, self.clock())
         try:
             await exchange.run()
+        except Exception as error:
+            # The server answers 500 or closes the connection, and logs nothing.
+            log_event(
+                "request_error", id=exchange.request_id or None, error=repr(error)
+            )
+            raise
         finally:
             self.in_flight -= 1
             if not self.in_flight:
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import singledispatch
 from typing import Any
 
 from turmericusher.decisions.fleet import UpstreamInstance
@@ -62,6 +63,11 @@
 """Seconds that candidates have to report their load. This covers several round trips
 between failure domains and is short compared with the time to a first event."""
 
+HelperAction = (
+    ProbeUpstream | ClaimTrial | FindVersion | QueryLoads | CopyMemory | CheckHolder
+)
+"""Actions that are carried out beside a request, which waits for their results."""
+
 FINAL_OUTPUTS = (DeliverAnswer, EndStream, BreakStream, Fail)
 """Outputs after which the caller gets nothing more."""
 
@@ -183,17 +189,17 @@
             case CancelAttempt(attempt):
                 self.attempts.pop(attempt).cancel()
             case ProbeUpstream():
-                self.start_helper(self.probe_upstream(action))
+                self.start_helper(action, self.probe_upstream(action))
             case ClaimTrial():
-                self.start_helper(self.claim_trial(action))
+                self.start_helper(action, self.claim_trial(action))
             case FindVersion():
-                self.start_helper(self.find_version(action))
+                self.start_helper(action, self.find_version(action))
             case QueryLoads():
-                self.start_helper(self.query_loads(action))
+                self.start_helper(action, self.query_loads(action))
             case CopyMemory():
-                self.start_helper(self.copy_memory(action))
+                self.start_helper(action, self.copy_memory(action))
             case CheckHolder():
-                self.start_helper(self.check_holder(action))
+                self.start_helper(action, self.check_holder(action))
             case ReleaseCopy(copy):
                 self.context.release(copy)
             case _:
@@ -303,17 +309,77 @@
         now = asyncio.get_running_loop().time()
         await self.inbox.put(HolderChecked(action.attempt, now, holder, report))
 
-    def start_helper(self, work: Coroutine[Any, Any, None]) -> None:
+    def start_helper(
+        self, action: HelperAction, work: Coroutine[Any, Any, None]
+    ) -> None:
         """Run a coroutine as a task that is cancelled when the owner closes."""
-        task = asyncio.create_task(work)
+        task = asyncio.create_task(self.run_helper(action, work))
         self.helper_tasks.add(task)
         task.add_done_callback(self.helper_tasks.discard)
 
+    async def run_helper(
+        self, action: HelperAction, work: Coroutine[Any, Any, None]
+    ) -> None:
+        """Run the work for an action; the request must not wait for it if it fails."""
+        try:
+            await work
+        except Exception as error:
+            log_event(
+                "helper_failed", id=self.relay.request.request_id, error=repr(error)
+            )
+            now = asyncio.get_running_loop().time()
+            await self.inbox.put(empty_result(action, self.relay, now))
+
     async def close(self) -> None:
         """Cancel all running tasks and wait until their connections are closed."""
-        for action in self.relay.close(asyncio.get_running_loop().time()):
-            self.carry_out(action)
-        await cancel_tasks([*self.attempts.values(), *self.helper_tasks])
+        try:
+            for action in self.relay.close(asyncio.get_running_loop().time()):
+                self.carry_out(action)
+        finally:
+            # Upstreams would otherwise work on for a caller that is gone.
+            await cancel_tasks([*self.attempts.values(), *self.helper_tasks])
+
+
+@singledispatch
+def empty_result(action: HelperAction, relay: Relay, now: float) -> RelayEvent:
+    """Return the event for an action of which nothing was found out."""
+    raise NotImplementedError(f"action={action!r} has no result")
+
+
+@empty_result.register
+def empty_probe(action: ProbeUpstream, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of a probe without an answer."""
+    return UpstreamProbed(action.attempt, now, None)
+
+
+@empty_result.register
+def empty_claim(action: ClaimTrial, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of a trial that another instance has, or may have."""
+    return TrialClaimed(False)
+
+
+@empty_result.register
+def empty_version(action: FindVersion, relay: Relay, now: float) -> RelayEvent:
+    """Return what this instance itself knows of a stream's version."""
+    return VersionFound(relay.shared.versions.find(action.stream, action.service, now))
+
+
+@empty_result.register
+def empty_loads(action: QueryLoads, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of a query that no candidate has answered."""
+    return LoadsReported(now, {})
+
+
+@empty_result.register
+def empty_copy(action: CopyMemory, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of a copy that was not made."""
+    return MemoryCopied(action.attempt, now, None)
+
+
+@empty_result.register
+def empty_check(action: CheckHolder, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of a holder that does not answer."""
+    return HolderChecked(action.attempt, now, action.holder, None)
 
 
 @asynccontextmanager
