What runs beside a request is created when it begins, so none ends unawaited

Change: the task gets the function and the action. Test: test_a_helper_that_has_not_begun_ends_without_a_warning, failed before by that warning.

--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import singledispatch
-from typing import Any
+from typing import Any, TypeVar
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
@@ -68,6 +68,9 @@
 )
 """Actions that are carried out beside a request, which waits for their results."""
 
+A = TypeVar("A", bound=HelperAction)
+HelperWork = Callable[[A], Coroutine[Any, Any, None]]
+
 FINAL_OUTPUTS = (DeliverAnswer, EndStream, BreakStream, Fail)
 """Outputs after which the caller gets nothing more."""
 
@@ -189,17 +192,17 @@
             case CancelAttempt(attempt):
                 self.attempts.pop(attempt).cancel()
             case ProbeUpstream():
-                self.start_helper(action, self.probe_upstream(action))
+                self.start_helper(action, self.probe_upstream)
             case ClaimTrial():
-                self.start_helper(action, self.claim_trial(action))
+                self.start_helper(action, self.claim_trial)
             case FindVersion():
-                self.start_helper(action, self.find_version(action))
+                self.start_helper(action, self.find_version)
             case QueryLoads():
-                self.start_helper(action, self.query_loads(action))
+                self.start_helper(action, self.query_loads)
             case CopyMemory():
-                self.start_helper(action, self.copy_memory(action))
+                self.start_helper(action, self.copy_memory)
             case CheckHolder():
-                self.start_helper(action, self.check_holder(action))
+                self.start_helper(action, self.check_holder)
             case ReleaseCopy(copy):
                 self.context.release(copy)
             case _:
@@ -309,20 +312,16 @@
         now = asyncio.get_running_loop().time()
         await self.inbox.put(HolderChecked(action.attempt, now, holder, report))
 
-    def start_helper(
-        self, action: HelperAction, work: Coroutine[Any, Any, None]
-    ) -> None:
-        """Run a coroutine as a task that is cancelled when the owner closes."""
+    def start_helper(self, action: A, work: HelperWork[A]) -> None:
+        """Carry out an action in a task that is cancelled when the owner closes."""
         task = asyncio.create_task(self.run_helper(action, work))
         self.helper_tasks.add(task)
         task.add_done_callback(self.helper_tasks.discard)
 
-    async def run_helper(
-        self, action: HelperAction, work: Coroutine[Any, Any, None]
-    ) -> None:
-        """Run the work for an action; the request must not wait for it if it fails."""
+    async def run_helper(self, action: A, work: HelperWork[A]) -> None:
+        """Carry out an action; the request must not wait for it if that fails."""
         try:
-            await work
+            await work(action)
         except Exception as error:
             log_event(
                 "helper_failed", id=self.relay.request.request_id, error=repr(error)
--- a/tests/cover/test_unexpected_errors.py
+++ b/tests/cover/test_unexpected_errors.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import io
+import warnings
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -95,6 +97,16 @@
         async with asyncio.timeout(2.0):
             self.assertFalse((await owner.inbox.get()).found.may_go_on)
 
+    @run_async
+    async def test_a_helper_that_has_not_begun_ends_without_a_warning(self):
+        owner = make_failing_owner()
+        with warnings.catch_warnings(record=True) as caught:
+            warnings.simplefilter("always")
+            owner.carry_out(CheckHolder(1, SECOND))
+            await owner.close()
+            gc.collect()
+        self.assertEqual([], [str(each.message) for each in caught])
+
 
 class RequestTest(TestCase):
     @run_async
