Requests that a stop cuts off end, and free their copies, before the connections close

Cause: at the end of its time a stop cancels the server, which then neither cancels nor waits for its requests. They went on until the process ended, after its connections had closed.

Change: the web server's context ends them before it ends.

Test: test_copies_of_requests_that_a_stop_cuts_off_are_released_before_too, failed before (with a caller whose connection outlasts the instance).

--- a/src/turmericusher/web_server.py
+++ b/src/turmericusher/web_server.py
@@ -12,6 +12,7 @@
 
 from turmericusher.asgi import ASGIApp
 from turmericusher.listeners import open_listener
+from turmericusher.tasks.background import cancel_tasks
 
 STOP_GRACE_S = 5
 """Seconds for which a stopping server waits for requests in flight."""
@@ -111,6 +112,8 @@
         if server.should_exit_immediately:
             serving.cancel()
         await asyncio.gather(serving, return_exceptions=server.should_exit_immediately)
+        # Requests that the server has left must free what they hold elsewhere.
+        await cancel_tasks(list(server.server_state.tasks))
 
 
 async def wait_until_ready(server: EmbeddedServer, serving: asyncio.Task[None]) -> None:
