Crash ledger: a part is not tried by a request whose other part would explain its end

Cause: the trial of the sound part was made by a stream with the crashing one. It ended in a death, which counted as a failed trial of both, and the next trial of the sound part was due 15 times later.

Ruled out: to hold the end against the other part alone (a crashing part with ever new parts beside it would be tried without limit).

Test: test_a_blocked_part_is_tried_first_by_a_request_with; its second case failed before.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -189,14 +189,27 @@
             return None
         return next((trait for trait in traits if self.is_blocked(trait)), None)
 
-    def is_trial_due(self, traits: Iterable[str], now: float) -> bool:
+    def is_trial_due(self, traits: Sequence[str], now: float) -> bool:
         """Whether a request with these traits may try those that are blocked."""
         return all(
-            now >= self.next_trial_at(trait)
+            now >= self.next_trial_at(trait) + self.trial_delay_s(trait, traits)
             for trait in traits
             if self.is_blocked(trait)
         )
 
+    def trial_delay_s(self, trait: str, traits: Sequence[str]) -> float:
+        """Return the seconds for which a request leaves a trial of a part to others.
+
+        If a less shared one of its parts is suspected, too, that would explain its end
+        better. The part that was tried would then wait for the next trial although it
+        may be sound.
+        """
+        less_shared = traits[traits.index(trait) + 1 :]
+        is_ambiguous = any(
+            is_shared(other) and other in self.suspicions for other in less_shared
+        )
+        return self.trial_interval_s(trait) if is_ambiguous else 0.0
+
     def next_trial_at(self, trait: str) -> float:
         """Return when a blocked trait may be tried again by some instance.
 
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -228,6 +228,23 @@
         )
         self.assertEqual(5.0 + TRIAL_AFTER_S * longer, ledger.next_trial_at(BAD))
 
+    @parameterized.expand(
+        [
+            ("no other part that is suspected", (FIRST, SOUND), TRIAL_AFTER_S),
+            ("a suspected part that fewer have", (FIRST, BAD), 2 * TRIAL_AFTER_S),
+            ("a suspected whole request", (FIRST, "q1"), TRIAL_AFTER_S),
+        ]
+    )
+    def test_a_blocked_part_is_tried_first_by_a_request_with(self, _, traits, due_at):
+        # The end of a request with both parts would be explained by the other one.
+        ledger = make_ledger(
+            *(crash(n, chain(FIRST, BAD, "q1", rank=n + 1)) for n in range(2)),
+            *(crash(n, chain(FIRST, rank=n + 1)) for n in range(2, 5)),
+        )
+        self.assertEqual(FIRST, ledger.blocked_trait(traits))
+        self.assertFalse(ledger.is_trial_due(traits, due_at - 0.1))
+        self.assertTrue(ledger.is_trial_due(traits, due_at))
+
     def test_a_restarted_instance_waits_no_longer_for_a_trial_than_the_others(self):
         after_trial = CrashRecord("u3", "1", frozenset({(Suspicion(BAD, 3, 1),)}))
         records = [replace(each, at=0.0) for each in (*TWO_REQUESTS, after_trial)]
