Load reports that say that an engine leaves change nothing again

It made an engine whose report says that it leaves get no new work. While the store is away such an engine serves on, since it waits for the store to accept its leaving, and its room is missed.

--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -155,8 +155,7 @@
 
     `memory_used` and `memory_total` are in tokens. `running` counts the requests in
     progress; `events_made` maps the ids of those that have produced events to the
-    number of their events. `incarnation` is that of the upstream that reports, and
-    `is_leaving` tells whether that will end as planned.
+    number of their events. `incarnation` is that of the upstream that reports.
     """
 
     incarnation: str
@@ -165,7 +164,6 @@
     memory_used: int
     memory_total: int
     events_made: Mapping[str, int]
-    is_leaving: bool = False
 
     def prefilling(self) -> int:
         """Return how many requests are in their prefill now."""
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -62,9 +62,6 @@
     UpstreamRecord,
 )
 
-READY, DRAINING = "ready", "draining"
-"""States of upstreams; one that is draining ends as planned."""
-
 Number = int | float
 Model = TypeVar("Model", bound=WireModel)
 
@@ -185,7 +182,7 @@
     freed. `active_requests` includes requests in prefill; `runs` does not. Each row of
     `runs` holds a request's id, its tokens in memory, the number of events that it has
     produced, and its priority. `born` is the Unix time of the engine's start in
-    milliseconds. `state` is that of its entry in the store, and comes sooner.
+    milliseconds.
     """
 
     active_requests: int
@@ -194,7 +191,6 @@
     cache_total: Number
     born: int | None = None
     runs: tuple[tuple[str, Number, int, Number], ...] = ()
-    state: str | None = None
 
 
 class CopyModel(WireModel, frozen=True):
@@ -402,7 +398,7 @@
         failure_domain=model.zone,
         incarnation=incarnation_from_start(model.born),
         version=model.version,
-        lifecycle=Lifecycle.LIVE if model.state == READY else Lifecycle.LEAVING,
+        lifecycle=Lifecycle.LIVE if model.state == "ready" else Lifecycle.LEAVING,
     )
 
 
@@ -421,7 +417,6 @@
         memory_used=int(model.cache_used),
         memory_total=int(model.cache_total),
         events_made={run[0]: run[2] for run in model.runs},
-        is_leaving=model.state == DRAINING,
     )
 
 
@@ -438,7 +433,6 @@
             "waiting": report.waiting,
             "cache_used": report.memory_used,
             "cache_total": report.memory_total,
-            "state": DRAINING if report.is_leaving else READY,
             "runs": [
                 [name, 0, event_count, 5]
                 for name, event_count in report.events_made.items()
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -228,7 +228,7 @@
             if limit_per_s is not None:
                 self.on_limit(upstream, limit_per_s)
             report = decode_report(data)
-            if is_leaving or report.is_leaving:
+            if is_leaving:
                 # The report names the incarnation, which the list may not show yet.
                 self.on_leaving(replace(upstream, incarnation=report.incarnation))
             return report
