Few instances of a failure domain watch the store, and pass its changes on to the others

Change: two instances of each failure domain, by rendezvous hash of their names, watch with short waits; the others there follow one of them by a gRPC stream, which has an element for each answer of the store. decisions/watch_sharing.py chooses and keeps the changes; tasks/shared_watch.py is the watch. An instance whose watcher ends or says nothing for 0.35 of the bound for a change asks the store itself at once, from the last revision, and another watcher after that; one that has failed is avoided for 5 s. A watcher that loses the store, or its history, ends the streams. Values from 2 KB on are not passed on, since a watcher's link may have 5 Mbit/s: each instance reads them from the store. Domains of fewer than four instances are as before, so the small deployments are.

Tests: tests/cover/test_watch_sharing.py. By count: 10 of 30, 60, 86, 195 and 420 instances in five domains ask the store (all of them before). End to end with six instances: only the watchers poll; a change is in force within 2 s after the end of one or all watchers, and while they are silent; outages, lost history, large configurations and instances that come later. A state machine of the log: what is passed on misses nothing.

--- a/src/turmericusher/decisions/watch_pace.py
+++ b/src/turmericusher/decisions/watch_pace.py
@@ -22,6 +22,14 @@
 MIN_PAUSE_SHARE = 0.25
 """Shares of the limit where the link is slow or its speed is not known."""
 
+WATCHER_SHARE = 0.25
+"""Share of the limit after which an instance that watches for others asks the store
+again at the latest, and tells them what it has learned."""
+
+SILENCE_SHARE = 0.35
+"""Share of the limit after which the others take its silence for a failure: the rest is
+for asking the store, as from the beginning."""
+
 ENCODED_SHARE = 4 / 3
 """Bytes of a value on the wire for each of its own, in base64."""
 
@@ -33,6 +41,9 @@
 class WatchPace:
     """The longest wait for changes and the pause after changes, in seconds.
 
+    `watcher_s` is both of an instance that watches for others, and `silence_s` how long
+    these wait for it to say anything.
+
     A call that waits may miss changes if the store drops its history, which only the
     next call shows. The two do not add up: a call after a pause returns at once if
     something changed during it.
@@ -40,6 +51,8 @@
 
     wait_s: float
     pause_s: float
+    watcher_s: float
+    silence_s: float
 
 
 def make_watch_pace(
@@ -51,11 +64,13 @@
     and `largest_value_bytes` the size of the largest value that the store accepts.
     """
     wait_s, pause_s = MIN_WAIT_SHARE * limit_s, MIN_PAUSE_SHARE * limit_s
+    watcher_s, silence_s = WATCHER_SHARE * limit_s, SILENCE_SHARE * limit_s
     if link_bytes_per_s is None:
-        return WatchPace(wait_s, pause_s)
+        return WatchPace(wait_s, pause_s, watcher_s, silence_s)
     transfer_s = ENCODED_SHARE * largest_value_bytes / link_bytes_per_s
     budget_s = USED_SHARE * limit_s
     longest_pause_s = min(
         MAX_PAUSE_SHARE * limit_s, budget_s - VERSIONS_AFTER_PAUSE * transfer_s
     )
-    return WatchPace(max(wait_s, budget_s - transfer_s), max(pause_s, longest_pause_s))
+    wait_s, pause_s = max(wait_s, budget_s - transfer_s), max(pause_s, longest_pause_s)
+    return WatchPace(wait_s, pause_s, watcher_s, silence_s)
--- /dev/null
+++ b/src/turmericusher/peers/instance_services.py
@@ -0,0 +1,34 @@
+"""The gRPC server of an instance, with all that it serves to other instances."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from grpclib.server import Server
+
+from turmericusher.decisions.stream_versions import StreamVersions
+from turmericusher.peers.changes_service import ChangesService, ChangeStreams
+from turmericusher.peers.streams_service import StreamsService, open_channels
+from turmericusher.tasks.change_feed import ChangeFeed
+
+__all__ = ["ChangeStreams", "open_channels", "serving_instances"]
+
+
+@asynccontextmanager
+async def serving_instances(
+    known: StreamVersions, feed: ChangeFeed, bound: socket.socket
+) -> AsyncIterator[None]:
+    """Serve other instances at a bound socket while the context is open."""
+    clock = asyncio.get_running_loop().time
+    server = Server([StreamsService(known, clock), ChangesService(feed)])
+    await server.start(sock=bound)
+    try:
+        yield
+    finally:
+        # Streams of changes have no end of their own.
+        feed.close()
+        server.close()
+        await server.wait_closed()
--- a/src/turmericusher/peers/streams_service.py
+++ b/src/turmericusher/peers/streams_service.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
-import socket
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Callable, Iterator, Sequence
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 
 from turmericusher.decisions.stream_versions import FoundVersion, StreamVersion
 from turmericusher.decisions.stream_versions import StreamVersions as KnownVersions
@@ -127,18 +125,3 @@
         yield channels
     finally:
         channels.close()
-
-
-@asynccontextmanager
-async def serving_streams(
-    known: KnownVersions, bound: socket.socket
-) -> AsyncIterator[None]:
-    """Serve other instances at a bound socket while the context is open."""
-    clock = asyncio.get_running_loop().time
-    server = Server([StreamsService(known, clock)])
-    await server.start(sock=bound)
-    try:
-        yield
-    finally:
-        server.close()
-        await server.wait_closed()
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -23,6 +23,7 @@
 from turmericusher.decisions.routing import NewestTable
 from turmericusher.decisions.selection import Selector
 from turmericusher.decisions.watch_pace import make_watch_pace
+from turmericusher.decisions.watch_sharing import WatchSharing
 from turmericusher.errors import SettingsError
 from turmericusher.logs import log_event
 from turmericusher.metrics import Metrics
@@ -45,6 +46,7 @@
 from turmericusher.tasks.registration import Registration, registered
 from turmericusher.tasks.relay import RelayContext
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
+from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.store_follower import StoreFollower, following_store
 from turmericusher.tasks.stream_peers import running_stream_peers
 from turmericusher.tasks.stream_versions import (
@@ -144,10 +146,12 @@
         reports.has_crashed = shared.has_crashed
         reports.before_review = context.record_ended_upstreams
         reports.on_change = context.apply_blocks
-        instance = assemble_instance(settings, context, store)
+        sharing = WatchSharing(settings.name, settings.failure_domain)
+        watch = SharedWatch(store, pace, sharing)
+        instance = assemble_instance(settings, context, store, watch)
         instance.set_budgets(1)
         follower = StoreFollower(
-            store, "", instance.fleet, settings.random_for("store-follower")
+            watch, "", instance.fleet, settings.random_for("store-follower")
         )
         await stack.enter_async_context(following_store(follower))
         await stack.enter_async_context(expiring_entries(instance.fleet))
@@ -162,7 +166,7 @@
                 waiting = listener
             server = running_server(app, address, 0, waiting)
             instance.servers.append(await stack.enter_async_context(server))
-        peers = running_stream_peers(exchange, settings.peer_address)
+        peers = running_stream_peers(exchange, watch, settings.peer_address)
         await stack.enter_async_context(peers)
         await stack.enter_async_context(registered(instance.registration))
         log_event("serving", name=settings.name, address=settings.caller_address)
@@ -217,7 +221,10 @@
 
 
 def assemble_instance(
-    settings: NodeSettings, context: RelayContext, store: KeyValueStore
+    settings: NodeSettings,
+    context: RelayContext,
+    store: KeyValueStore,
+    watch: SharedWatch,
 ) -> RelayInstance:
     """Assemble an instance from its parts without starting any of them."""
     tables, metrics = NewestTable(), Metrics()
@@ -242,11 +249,13 @@
         frontend,
         fleet,
         registration,
+        watch,
         metrics,
     )
     fleet.on_instance_count = instance.set_budgets
     fleet.on_crash = context.apply_blocks
     fleet.on_versions = context.versions.notify
+    fleet.on_instances = watch.sharing.update_instances
     context.versions.instances = fleet.instances.entries
     fleet.on_own_change = lambda claims, cut_off: registration.update(
         encode_instance(
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -50,6 +50,7 @@
     Snapshot,
     StoredValue,
     SwapResult,
+    WatchAnswer,
     WatchEvent,
 )
 
@@ -166,29 +167,36 @@
         """
         after = from_revision - 1
         while True:
-            query = {
-                PREFIX: prefix,
-                AFTER: str(after),
-                WAIT_MS: str(int(self.watch_wait_s * MILLISECONDS_PER_S)),
-            }
-            timeout_s = self.watch_wait_s + WATCH_MARGIN_S
-            status, body = await self.read(WATCH, query, timeout_s)
-            if status == GONE:
-                raise StoreHistoryLostError(
-                    f"the store holds no history after revision={after}"
-                )
-            if status != OK:
-                raise StoreUnavailableError(
-                    f"cannot watch prefix={prefix!r}: status={status}"
-                )
-            with malformed_as(StoreUnavailableError, WATCH):
-                events, revision = decode_changes(body)
-            for event in events:
+            answer = await self.poll(prefix, after, self.watch_wait_s)
+            for event in answer.events:
                 yield event
-            after = max(after, revision)
-            if events:
+            after = max(after, answer.revision)
+            if answer.events:
                 await asyncio.sleep(self.watch_pause_s)
 
+    async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
+        """Return the changes under `prefix` after a revision as soon as there are any.
+
+        There are none if nothing changes for `wait_s` seconds. Raises as `watch` does.
+        """
+        query = {
+            PREFIX: prefix,
+            AFTER: str(after),
+            WAIT_MS: str(int(wait_s * MILLISECONDS_PER_S)),
+        }
+        status, body = await self.read(WATCH, query, wait_s + WATCH_MARGIN_S)
+        if status == GONE:
+            raise StoreHistoryLostError(
+                f"the store holds no history after revision={after}"
+            )
+        if status != OK:
+            raise StoreUnavailableError(
+                f"cannot watch prefix={prefix!r}: status={status}"
+            )
+        with malformed_as(StoreUnavailableError, WATCH):
+            events, revision = decode_changes(body)
+        return WatchAnswer(tuple(events), revision)
+
     async def read(
         self, call: str, query: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
     ) -> tuple[int, Json]:
--- /dev/null
+++ b/src/turmericusher/ports/change_peers.py
@@ -0,0 +1,27 @@
+"""The port over which an instance learns of changes in the store from another one."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol
+
+from turmericusher.decisions.watch_sharing import PassedChanges
+
+
+class ChangePeerError(Exception):
+    """Another instance does not pass changes on, or no more."""
+
+
+class ChangePeers(Protocol):
+    """Connections to other instances, each by its `ip:port`."""
+
+    def follow(
+        self, address: str, after_revision: int
+    ) -> AbstractAsyncContextManager[AsyncIterator[PassedChanges]]:
+        """Open a stream of the changes after a revision.
+
+        It has an element for each answer of the store, also one without changes. Both
+        entering the context and iterating raise `ChangePeerError`.
+        """
+        ...
--- a/src/turmericusher/ports/keyvalue.py
+++ b/src/turmericusher/ports/keyvalue.py
@@ -57,6 +57,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class WatchAnswer:
+    """All changes up to the store's `revision` from the one that was asked after."""
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
 class KeyValueStore(Protocol):
     """The operations that the platform's key-value service guarantees.
 
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -17,6 +17,7 @@
 from turmericusher.metrics import Metrics
 from turmericusher.tasks.registration import Registration
 from turmericusher.tasks.relay_fleet import RelayFleet
+from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.web_server import EmbeddedServer
 
 
@@ -27,8 +28,8 @@
     `own` is the entry under which its peers list it. `retries` limits the retries of
     all instances together, `shared` is the state that all relayed requests share,
     `tables` holds the newest routing table, and `fleet` the upstreams and instances
-    that the store lists. `servers` are the running web servers, including the one for
-    callers.
+    that the store lists. `watch` is where it learns of changes from. `servers` are the
+    running web servers, including the one for callers.
     """
 
     own: EntryInstance
@@ -38,6 +39,7 @@
     frontend: RelayFrontend
     fleet: RelayFleet
     registration: Registration
+    watch: SharedWatch
     metrics: Metrics
     servers: list[EmbeddedServer] = field(default_factory=list)
 
@@ -70,6 +72,7 @@
         self.metrics.gauge("configuration", table.version if table else 0)
         self.metrics.gauge("upstreams", len(self.fleet.upstreams.entries))
         self.metrics.gauge("instances", len(self.fleet.instances.entries))
+        self.metrics.gauge("store_polls", self.watch.polls)
         self.metrics.gauge("limited_upstreams", len(self.shared.send_limits.limits))
         paused = self.shared.pauses.blocked(self.frontend.clock())
         self.metrics.gauge("paused_upstreams", len(paused))
@@ -106,6 +109,7 @@
                 for name, upstream in selector.upstreams.items()
             },
             "instances": sorted(self.fleet.instances.entries),
+            "watch_source": self.watch.source or "store",
             "unreachable_services": sorted(self.shared.reach.unreachable_services()),
             "metrics": self.metrics.snapshot(),
         }
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
@@ -85,8 +85,9 @@
     after each change, and `on_own_change` with what the others are to know of this one:
     the upstreams whose limits it shares, and the services it is cut off from.
     `on_crash` is called when another instance told of a crash, and `on_versions` when
-    others may have to be told of this instance's streams. `has_configuration` is set
-    from the first configuration on.
+    others may have to be told of this instance's streams. `on_instances` is called with
+    all entry instances after each change. `has_configuration` is set from the first
+    configuration on.
     """
 
     shared: RelayShared
@@ -96,6 +97,7 @@
     on_own_change: Callable[[frozenset[str], frozenset[str]], None] | None = None
     on_crash: Callable[[], None] = lambda: None
     on_versions: Callable[[], None] = lambda: None
+    on_instances: Callable[[Iterable[EntryInstance]], None] = lambda instances: None
     upstreams: Listing[UpstreamInstance] = field(default_factory=Listing)
     instances: Listing[EntryInstance] = field(default_factory=Listing)
     has_configuration: asyncio.Event = field(default_factory=asyncio.Event)
@@ -186,6 +188,7 @@
         self.shared.crashes.update_instances(selector.own, self.instances.entries)
         forwarding = self.shared.forwarding
         forwarding.update_instances(selector.own, self.instances.entries.values())
+        self.on_instances(self.instances.entries.values())
         versions = self.shared.versions
         versions.update_instances(selector.own, self.instances.entries)
         versions.update_upstreams(self.upstreams.entries.values(), now)
--- /dev/null
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -0,0 +1,160 @@
+"""Watches the store, or learns of its changes from an instance that does.
+
+Whether it learns from the store or from another instance, an instance sees the same
+changes in the same order. What another one passes on is left at its first failure or
+silence, and the store is asked from the last revision on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from turmericusher.decisions.fleet import EntryInstance
+from turmericusher.decisions.watch_pace import WatchPace
+from turmericusher.decisions.watch_sharing import PassedChange, WatchSharing
+from turmericusher.logs import log_event
+from turmericusher.ports.change_peers import ChangePeerError, ChangePeers
+from turmericusher.ports.keyvalue import (
+    Snapshot,
+    StoredValue,
+    WatchAnswer,
+    WatchEvent,
+)
+from turmericusher.tasks.change_feed import ChangeFeed
+
+
+class PolledStore(Protocol):
+    """A key-value service whose changes are asked for call by call.
+
+    The errors are those of `KeyValueStore`.
+    """
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value of one key, or None if the key is absent."""
+        ...
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys that start with `prefix`."""
+        ...
+
+    async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
+        """Return the changes after a revision as soon as there are any."""
+        ...
+
+
+def new_peers() -> asyncio.Future[ChangePeers]:
+    """Return a future of the running event loop."""
+    return asyncio.get_running_loop().create_future()
+
+
+@dataclass(slots=True)
+class SharedWatch:
+    """The watch of one instance, whose changes other instances may follow.
+
+    `feed` passes on what the store itself has answered. `peers` are the connections to
+    other instances once they are loaded. `source` is the name of the instance that
+    changes come from now, None for the store, and `polls` counts calls of the store.
+    """
+
+    store: PolledStore
+    pace: WatchPace
+    sharing: WatchSharing
+    feed: ChangeFeed = field(default_factory=ChangeFeed)
+    peers: asyncio.Future[ChangePeers] = field(default_factory=new_peers)
+    source: str | None = None
+    polls: int = 0
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys that start with `prefix` from the store."""
+        return await self.store.get_prefix(prefix)
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncGenerator[WatchEvent, None]:
+        """Yield the changes under `prefix` from `from_revision` on, in order.
+
+        It raises what asking the store raises. A failure of another instance is none.
+        """
+        after = from_revision - 1
+        try:
+            while True:
+                source = self.next_source()
+                if source is None:
+                    answers = self.poll_store(prefix, after)
+                else:
+                    answers = self.follow(source, after)
+                async with aclosing(answers):
+                    async for answer in answers:
+                        for event in answer.events:
+                            yield event
+                        after = max(after, answer.revision)
+        finally:
+            self.feed.close()
+
+    def next_source(self) -> EntryInstance | None:
+        """Return the instance to learn from, and log a change of it; None for none."""
+        is_loaded = self.peers.done() and not self.peers.cancelled()
+        source = self.sharing.source(clock()) if is_loaded else None
+        name = source.name if source is not None else None
+        if name != self.source:
+            log_event("watch_source", source=name or "store")
+            self.source = name
+        return source
+
+    async def poll_store(
+        self, prefix: str, after: int
+    ) -> AsyncGenerator[WatchAnswer, None]:
+        """Yield the store's answers until there is an instance to learn from."""
+        self.feed.open_at(after)
+        while True:
+            is_watcher = self.sharing.is_watcher
+            self.polls += 1
+            wait_s = self.pace.watcher_s if is_watcher else self.pace.wait_s
+            answer = await self.store.poll(prefix, after, wait_s)
+            self.feed.publish(answer.events, answer.revision)
+            yield answer
+            after = max(after, answer.revision)
+            if self.next_source() is not None:
+                self.feed.close()
+                return
+            if answer.events:
+                pause_s = self.pace.watcher_s if is_watcher else self.pace.pause_s
+                await asyncio.sleep(pause_s)
+
+    async def follow(
+        self, source: EntryInstance, after: int
+    ) -> AsyncGenerator[WatchAnswer, None]:
+        """Yield what another instance passes on, until it fails or is not to be used.
+
+        After a failure the store itself is asked, once at least.
+        """
+        self.feed.close()
+        try:
+            async with self.peers.result().follow(source.peer_address, after) as stream:
+                while self.sharing.source(clock()) == source:
+                    async with asyncio.timeout(self.pace.silence_s):
+                        passed = await anext(stream)
+                    events = [await self.read_change(each) for each in passed.changes]
+                    yield WatchAnswer(tuple(events), passed.revision)
+            return
+        except (ChangePeerError, TimeoutError, StopAsyncIteration) as error:
+            log_event("watcher_left", instance=source.name, error=repr(error))
+        self.sharing.record_failure(source.name, clock())
+
+    async def read_change(self, change: PassedChange) -> WatchEvent:
+        """Return a change with its value, which may be read from the store."""
+        if not change.must_be_read:
+            return WatchEvent(change.key, change.value, change.revision)
+        stored = await self.store.get(change.key)
+        if stored is None:
+            return WatchEvent(change.key, None, change.revision)
+        return WatchEvent(change.key, stored.value, change.revision)
+
+
+def clock() -> float:
+    """Return the event loop's monotonic time in seconds."""
+    return asyncio.get_running_loop().time()
--- a/src/turmericusher/tasks/store_follower.py
+++ b/src/turmericusher/tasks/store_follower.py
@@ -9,14 +9,14 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
 from typing import Protocol
 
 from turmericusher.errors import StoreError, StoreHistoryLostError
 from turmericusher.logs import log_event
-from turmericusher.ports.keyvalue import KeyValueStore, StoredValue, WatchEvent
+from turmericusher.ports.keyvalue import Snapshot, StoredValue, WatchEvent
 from turmericusher.tasks.background import lasting_task
 
 MIN_BACKOFF_S = 0.05
@@ -48,11 +48,25 @@
         ...
 
 
+class WatchedStore(Protocol):
+    """What is read and watched: a `KeyValueStore`, or a watch that several share."""
+
+    async def get_prefix(self, prefix: str) -> Snapshot:
+        """Read all keys that start with `prefix`."""
+        ...
+
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncGenerator[WatchEvent, None]:
+        """Yield the changes under `prefix` from `from_revision` on, in order."""
+        ...
+
+
 @dataclass(slots=True)
 class StoreFollower:
     """The task that owns the watch; `revision` is the last one seen, if any."""
 
-    store: KeyValueStore
+    store: WatchedStore
     prefix: str
     listener: StoreListener
     random: random.Random
@@ -86,9 +100,12 @@
     async def watch(self) -> None:
         """Pass each change to the listener as it arrives."""
         assert self.revision is not None
-        async for event in self.store.watch(self.prefix, self.revision + 1):
-            self.listener.store_changed(event, clock())
-            self.revision = max(self.revision, event.revision)
+        events = self.store.watch(self.prefix, self.revision + 1)
+        # An error in applying a change must not leave what the watch holds open.
+        async with aclosing(events):
+            async for event in events:
+                self.listener.store_changed(event, clock())
+                self.revision = max(self.revision, event.revision)
 
     def mark_lost(self, error: StoreError) -> None:
         """Log the start of an outage and tell the listener, once per outage."""
--- /dev/null
+++ b/tests/cover/test_watch_sharing.py
@@ -0,0 +1,262 @@
+"""Test that few instances watch the store, and that all learn of changes in time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from unittest.mock import patch
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from parameterized import parameterized
+from testtools import TestCase
+
+from tests.common.asynchronous import run_async
+from tests.common.domain_fixtures import running_domain
+from tests.common.relay_fixtures import configuration
+from turmericusher.decisions.fleet import EntryInstance, Lifecycle
+from turmericusher.decisions.watch_sharing import (
+    AVOIDANCE_S,
+    LARGE_VALUE_BYTES,
+    MAX_KEPT_CHANGES,
+    MIN_SHARING,
+    WATCHERS,
+    ChangeLog,
+    PassedChange,
+    WatchSharing,
+    make_passed_change,
+)
+from turmericusher.platform.names import CONFIGURATION_KEY
+from turmericusher.platform.store_messages import READ_KEY, READ_RANGE
+from turmericusher.tasks.change_feed import ChangeFeed
+
+FLEET = 6
+DOMAINS = 5
+
+
+def make_instances(count, domains=DOMAINS):
+    """Return so many instances, spread over failure domains."""
+    return [
+        EntryInstance(f"e{number}", f"d{number % domains}", f"c{number}", f"p{number}")
+        for number in range(count)
+    ]
+
+
+def share(instances):
+    """Return the sharing of each instance that knows all of them."""
+    sharings = []
+    for each in instances:
+        sharing = WatchSharing(each.name, each.failure_domain)
+        sharing.update_instances(instances)
+        sharings.append(sharing)
+    return sharings
+
+
+class WatchSharingTest(TestCase):
+    @parameterized.expand([(count,) for count in (30, 60, 86, 195, 420)])
+    def test_instances_that_watch_do_not_grow_with_the_fleet(self, count):
+        sharings = share(make_instances(count))
+        direct = [each for each in sharings if each.source(0.0) is None]
+        self.assertEqual(DOMAINS * WATCHERS, len(direct))
+        self.assertTrue(all(each.is_watcher for each in direct))
+
+    @parameterized.expand([(count,) for count in (60, 195, 420)])
+    def test_those_that_follow_are_spread_over_the_watchers_of_their_domain(
+        self, count
+    ):
+        instances = make_instances(count)
+        domain_of = {each.name: each.failure_domain for each in instances}
+        followers = Counter()
+        for each in share(instances):
+            source = each.source(0.0)
+            if source is not None:
+                self.assertEqual(each.failure_domain, source.failure_domain)
+                self.assertEqual(domain_of[source.name], each.failure_domain)
+                followers[source.name] += 1
+        fair_share = count / (DOMAINS * WATCHERS)
+        self.assertLess(max(followers.values()), 2 * fair_share)
+
+    @parameterized.expand(
+        [
+            ("a domain of few", make_instances(MIN_SHARING - 1, 1)),
+            (
+                "instances that serve no others",
+                [EntryInstance(f"e{n}", "d0", f"c{n}", f"c{n}") for n in range(9)],
+            ),
+            (
+                "instances that leave",
+                [
+                    EntryInstance(
+                        f"e{n}", "d0", f"c{n}", f"p{n}", lifecycle=Lifecycle.LEAVING
+                    )
+                    for n in range(9)
+                ],
+            ),
+        ]
+    )
+    def test_all_watch_for_themselves_in(self, _, instances):
+        for each in share(instances):
+            self.assertIsNone(each.source(0.0))
+            self.assertFalse(each.is_watcher)
+
+    def test_a_watcher_that_fails_is_left_for_the_next_and_then_for_the_store(self):
+        (sharing,) = [e for e in share(make_instances(20, 1)) if not e.is_watcher][:1]
+        first = sharing.source(0.0)
+        sharing.record_failure(first.name, 0.0)
+        second = sharing.source(0.1)
+        self.assertNotEqual(first, second)
+        sharing.record_failure(second.name, 0.1)
+        self.assertIsNone(sharing.source(0.2))
+        self.assertEqual(first, sharing.source(AVOIDANCE_S))
+
+    @parameterized.expand(
+        [
+            ("small", b"x" * (LARGE_VALUE_BYTES - 1), False),
+            ("large", b"x" * LARGE_VALUE_BYTES, True),
+            ("deleted", None, False),
+        ]
+    )
+    def test_only_a_large_value_is_not_passed_on_when_it_is(self, _, value, is_large):
+        change = make_passed_change("k", 1, value)
+        self.assertEqual(is_large, change.must_be_read)
+        self.assertEqual(None if is_large else value, change.value)
+
+
+class ChangeLogMachine(RuleBasedStateMachine):
+    """A log that is opened, closed and written, beside all changes that there were."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = ChangeLog()
+        self.written = []
+        self.revision = 0
+
+    @rule(skipped=st.integers(0, 3))
+    def open(self, skipped):
+        self.written += [self.revision + n + 1 for n in range(skipped)]
+        self.revision += skipped
+        self.log.open_at(self.revision)
+
+    @precondition(lambda self: self.log.is_open)
+    @rule(count=st.sampled_from([0, 1, 3, MAX_KEPT_CHANGES]), gap=st.integers(0, 2))
+    def append(self, count, gap):
+        new = [self.revision + n + 1 for n in range(count)]
+        self.written += new
+        self.revision += count + gap
+        changes = [PassedChange("k", revision, b"") for revision in new]
+        self.log.append(changes, self.revision)
+
+    @rule()
+    def close(self):
+        self.log.close()
+
+    @invariant()
+    def what_is_passed_on_misses_nothing(self):
+        for after in {0, self.revision // 2, self.revision - 1, self.revision}:
+            passed = self.log.after(after)
+            if passed is None:
+                continue
+            expected = [r for r in self.written if after < r <= passed.revision]
+            self.assertEqual_(expected, [each.revision for each in passed.changes])
+
+    @invariant()
+    def what_is_kept_is_bounded(self):
+        assert len(self.log.changes) <= MAX_KEPT_CHANGES
+
+    def assertEqual_(self, expected, found):
+        assert expected == found, (expected, found)
+
+
+ChangeLogTest = ChangeLogMachine.TestCase
+ChangeLogTest.settings = settings(max_examples=60, stateful_step_count=20)
+
+
+def is_in_force(version):
+    """Return the condition that an instance has a version of the configuration."""
+    return lambda each: each.tables.current().version == version
+
+
+class SharedWatchTest(TestCase):
+    @run_async
+    async def test_only_the_watchers_ask_the_store_again_and_again(self):
+        async with running_domain(FLEET) as simulation:
+            self.assertEqual(WATCHERS, len(simulation.watchers()))
+            self.assertEqual(FLEET - WATCHERS, len(simulation.followers()))
+            polls = {n: e.watch.polls for n, e in simulation.instances.items()}
+            for index in range(6):
+                simulation.write_upstream(index)
+                await asyncio.sleep(0.25)
+            await simulation.wait_for_upstreams(6)
+            asked = {
+                name
+                for name, each in simulation.instances.items()
+                if each.watch.polls > polls[name]
+            }
+            self.assertEqual(set(simulation.watchers()), asked)
+
+    @run_async
+    async def test_a_large_configuration_is_read_from_the_store_by_each(self):
+        async with running_domain(FLEET) as simulation:
+            calls = Counter(simulation.store.calls)
+            filler = [{"name": f"s{n}"} for n in range(LARGE_VALUE_BYTES)]
+            large = configuration(2, services=[{"name": "s"}, *filler])
+            simulation.store.store.write(CONFIGURATION_KEY, large)
+            await simulation.wait_for_all(is_in_force(2))
+            calls = Counter(simulation.store.calls) - calls
+            self.assertEqual(FLEET - WATCHERS, calls[READ_KEY])
+            self.assertEqual(0, calls[READ_RANGE])
+
+    @parameterized.expand([("one", 1), ("all", WATCHERS)])
+    @run_async
+    async def test_a_change_is_in_force_in_time_after_the_end_of_watchers(
+        self, _, count
+    ):
+        async with running_domain(FLEET) as simulation:
+            await asyncio.gather(
+                *map(simulation.stop_instance, simulation.watchers()[:count])
+            )
+            simulation.store.store.write(CONFIGURATION_KEY, configuration(2))
+            await simulation.wait_for_all(is_in_force(2))
+
+    @run_async
+    async def test_a_change_is_in_force_in_time_while_watchers_are_silent(self):
+        async with running_domain(FLEET) as simulation:
+            with patch.object(ChangeFeed, "publish", lambda *_: None):
+                simulation.store.store.write(CONFIGURATION_KEY, configuration(2))
+                await simulation.wait_for_all(is_in_force(2))
+
+    @run_async
+    async def test_an_outage_of_the_store_is_noticed_by_those_that_follow(self):
+        async with running_domain(FLEET) as simulation:
+            simulation.store.store.faults.down = True
+            await simulation.wait_for_all(
+                lambda each: each.fleet.upstreams.store_lost_at is not None
+            )
+            simulation.write_upstream(0)
+            simulation.store.store.faults.down = False
+            await simulation.wait_for_upstreams(1)
+
+    @run_async
+    async def test_changes_arrive_after_the_store_has_dropped_its_history(self):
+        async with running_domain(FLEET) as simulation:
+            simulation.store.faults.oldest_revision = simulation.store.store.revision
+            simulation.write_upstream(0)
+            simulation.store.faults.oldest_revision = simulation.store.store.revision
+            await simulation.wait_for_upstreams(1, 2 * 2.0)
+
+    @run_async
+    async def test_instances_that_come_later_follow_and_miss_nothing(self):
+        async with running_domain(FLEET) as simulation:
+            simulation.write_upstream(0)
+            await simulation.add_instance("entry-late")
+            simulation.write_upstream(1)
+            await simulation.wait_for_upstreams(2)
+            await simulation.wait_for_all(
+                lambda each: (
+                    bool(each.watch.source) == bool(each.watch.sharing.watchers)
+                ),
+                3 * AVOIDANCE_S,
+            )
+            simulation.write_upstream(2)
+            await simulation.wait_for_upstreams(3)
