Shared watch: the store is asked at once when an instance is silent, and its record may change

Found in reading again. Each change of a watcher's record (limits that it shares, services that it does not reach) cut the streams of all that follow it. A large value that could not be read counted as an outage of the store.

Change: a failure is followed by a call of the store, without a wait; what is compared is the incarnation; an unread value leaves its change to the store. A closed log holds nothing, an open one 500 changes.

Tests: FollowingTest, three, all of which failed before.

--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -32,7 +32,7 @@
 """Size from which on a value is not passed on, since a watcher's link may be slow. Each
 instance reads it from the store."""
 
-MAX_KEPT_CHANGES = 2_000
+MAX_KEPT_CHANGES = 500
 """Changes that a watcher keeps for those who come, of some 300 bytes each."""
 
 
@@ -86,6 +86,8 @@
     def close(self) -> None:
         """Pass on nothing more: what the store has now is not known."""
         self.is_open = False
+        self.changes.clear()
+        self.floor = self.revision
 
     def append(self, changes: Iterable[PassedChange], revision: int) -> None:
         """Add the answer to a watch, which has all changes up to `revision`."""
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -16,6 +16,7 @@
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.watch_pace import WatchPace
 from turmericusher.decisions.watch_sharing import PassedChange, WatchSharing
+from turmericusher.errors import StoreError
 from turmericusher.logs import log_event
 from turmericusher.ports.change_peers import ChangePeerError, ChangePeers
 from turmericusher.ports.keyvalue import (
@@ -86,7 +87,7 @@
                 if source is None:
                     answers = self.poll_store(prefix, after)
                 else:
-                    answers = self.follow(source, after)
+                    answers = self.follow(source, prefix, after)
                 async with aclosing(answers):
                     async for answer in answers:
                         for event in answer.events:
@@ -112,9 +113,8 @@
         self.feed.open_at(after)
         while True:
             is_watcher = self.sharing.is_watcher
-            self.polls += 1
             wait_s = self.pace.watcher_s if is_watcher else self.pace.wait_s
-            answer = await self.store.poll(prefix, after, wait_s)
+            answer = await self.poll(prefix, after, wait_s)
             self.feed.publish(answer.events, answer.revision)
             yield answer
             after = max(after, answer.revision)
@@ -126,24 +126,41 @@
                 await asyncio.sleep(pause_s)
 
     async def follow(
-        self, source: EntryInstance, after: int
+        self, source: EntryInstance, prefix: str, after: int
     ) -> AsyncGenerator[WatchAnswer, None]:
         """Yield what another instance passes on, until it fails or is not to be used.
 
-        After a failure the store itself is asked, once at least.
+        After a failure the store itself is asked at once, since changes may wait there
+        for as long as the instance was silent.
         """
         self.feed.close()
         try:
             async with self.peers.result().follow(source.peer_address, after) as stream:
-                while self.sharing.source(clock()) == source:
+                while self.is_source(source):
                     async with asyncio.timeout(self.pace.silence_s):
                         passed = await anext(stream)
                     events = [await self.read_change(each) for each in passed.changes]
                     yield WatchAnswer(tuple(events), passed.revision)
+                    after = max(after, passed.revision)
             return
+        except StoreError as error:
+            log_event("changed_value_unread", error=error.message)
         except (ChangePeerError, TimeoutError, StopAsyncIteration) as error:
             log_event("watcher_left", instance=source.name, error=repr(error))
-        self.sharing.record_failure(source.name, clock())
+            self.sharing.record_failure(source.name, clock())
+        yield await self.poll(prefix, after, 0.0)
+
+    def is_source(self, instance: EntryInstance) -> bool:
+        """Whether this incarnation of an instance is still the one to learn from."""
+        source = self.sharing.source(clock())
+        return source is not None and (
+            (source.name, source.incarnation) == (instance.name, instance.incarnation)
+        )
+
+    async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
+        """Ask the store for changes, and count the call."""
+        self.polls += 1
+        return await self.store.poll(prefix, after, wait_s)
 
     async def read_change(self, change: PassedChange) -> WatchEvent:
         """Return a change with its value, which may be read from the store."""
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from collections import Counter
+from contextlib import aclosing, asynccontextmanager, suppress
+from dataclasses import replace
 from unittest.mock import patch
 
 from hypothesis import settings
@@ -16,6 +18,7 @@
 from tests.common.domain_fixtures import running_domain
 from tests.common.relay_fixtures import configuration
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle
+from turmericusher.decisions.watch_pace import WatchPace
 from turmericusher.decisions.watch_sharing import (
     AVOIDANCE_S,
     LARGE_VALUE_BYTES,
@@ -24,12 +27,16 @@
     WATCHERS,
     ChangeLog,
     PassedChange,
+    PassedChanges,
     WatchSharing,
     make_passed_change,
 )
+from turmericusher.errors import StoreUnavailableError
 from turmericusher.platform.names import CONFIGURATION_KEY
 from turmericusher.platform.store_messages import READ_KEY, READ_RANGE
+from turmericusher.ports.keyvalue import StoredValue, WatchAnswer
 from turmericusher.tasks.change_feed import ChangeFeed
+from turmericusher.tasks.shared_watch import SharedWatch
 
 FLEET = 6
 DOMAINS = 5
@@ -172,6 +179,91 @@
 ChangeLogTest.settings = settings(max_examples=60, stateful_step_count=20)
 
 
+class ScriptedStore:
+    """A store without changes, and connections to instances; `calls` lists them all.
+
+    `passed` has what the instances pass on before they fall silent, by address.
+    """
+
+    def __init__(self, **passed):
+        self.calls, self.passed, self.revision = [], passed, 10
+        self.is_down = False
+
+    async def get(self, key):
+        self.calls.append("get")
+        if self.is_down:
+            raise StoreUnavailableError("down")
+        return StoredValue(key, b"large", self.revision)
+
+    async def poll(self, prefix, after, wait_s):
+        self.calls.append(f"poll {after}")
+        await asyncio.sleep(min(wait_s, 0.05))
+        return WatchAnswer((), max(after, self.revision))
+
+    @asynccontextmanager
+    async def follow(self, address, after_revision):
+        self.calls.append(f"follow {address} {after_revision}")
+        yield self.stream(address)
+
+    async def stream(self, address):
+        for passed in self.passed.get(address, ()):
+            yield passed
+        await asyncio.Event().wait()
+
+
+def make_shared_watch(store, watchers=("w0", "w1")):
+    """Return the watch of an instance that may follow these."""
+    sharing = WatchSharing("own", "d0")
+    sharing.watchers = tuple(EntryInstance(n, "d0", f"c{n}", n) for n in watchers)
+    pace = WatchPace(wait_s=0.05, pause_s=0.0, watcher_s=0.05, silence_s=0.05)
+    watch = SharedWatch(store, pace, sharing)
+    watch.peers.set_result(store)
+    return watch
+
+
+async def watch_for(watch, seconds):
+    """Return the changes that a watch brings in some seconds."""
+    events = []
+    with suppress(TimeoutError):
+        async with asyncio.timeout(seconds), aclosing(watch.watch("", 11)) as changes:
+            async for event in changes:
+                events.append(event)
+    return events
+
+
+class FollowingTest(TestCase):
+    @run_async
+    async def test_the_store_is_asked_at_once_when_an_instance_is_silent(self):
+        store = ScriptedStore()
+        await watch_for(make_shared_watch(store), 0.3)
+        self.assertEqual(
+            ["follow w0 10", "poll 10", "follow w1 10", "poll 10", "poll 10"],
+            store.calls[:5],
+        )
+
+    @run_async
+    async def test_an_instance_is_followed_on_although_its_record_changes(self):
+        changes = [PassedChanges((PassedChange("k", n, b""),), n) for n in (11, 12)]
+        store = ScriptedStore(w0=changes)
+        watch = make_shared_watch(store)
+        async with aclosing(watch.watch("", 11)) as events:
+            await anext(events)
+            (first, second) = watch.sharing.watchers
+            changed = replace(first, limited_upstreams=frozenset({"u0"}))
+            watch.sharing.watchers = (changed, second)
+            self.assertEqual(12, (await anext(events)).revision)
+        self.assertEqual(["follow w0 10"], store.calls)
+
+    @run_async
+    async def test_a_value_that_cannot_be_read_leaves_its_change_to_the_store(self):
+        large = PassedChange("k", 11, None, must_be_read=True)
+        store = ScriptedStore(w0=[PassedChanges((large,), 11)])
+        store.is_down = True
+        events = await watch_for(make_shared_watch(store), 0.04)
+        self.assertEqual([], events)
+        self.assertEqual(["follow w0 10", "get", "poll 10"], store.calls[:3])
+
+
 def is_in_force(version):
     """Return the condition that an instance has a version of the configuration."""
     return lambda each: each.tables.current().version == version
