Shared watch: an instance that is silent once is followed on

A watcher that reads a large configuration over a link of 5 or 10 Mbit/s is silent for longer than 0.35 of the bound. All that follow it left it and asked the store themselves for 5 s, five calls each.

Change: after each silence the store is asked once, and after the third in a row the instance is left. What it passes on late is compared by revision, so that nothing old is applied.

Tests: test_the_store_is_asked_at_once_when_an_instance_is_silent (with the count of calls) and test_an_instance_that_is_late_is_followed_on_and_brings_nothing_old, both failed before.

--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -8,14 +8,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator
-from contextlib import aclosing
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.watch_pace import WatchPace
-from turmericusher.decisions.watch_sharing import PassedChange, WatchSharing
+from turmericusher.decisions.watch_sharing import (
+    PassedChange,
+    PassedChanges,
+    WatchSharing,
+)
 from turmericusher.errors import StoreError
 from turmericusher.logs import log_event
 from turmericusher.ports.change_peers import ChangePeerError, ChangePeers
@@ -25,8 +29,12 @@
     WatchAnswer,
     WatchEvent,
 )
+from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.change_feed import ChangeFeed
 
+MAX_SILENCES = 3
+"""Silences in a row after which an instance is no longer followed."""
+
 
 class PolledStore(Protocol):
     """A key-value service whose changes are asked for call by call.
@@ -130,26 +138,58 @@
     ) -> AsyncGenerator[WatchAnswer, None]:
         """Yield what another instance passes on, until it fails or is not to be used.
 
-        After a failure the store itself is asked at once, since changes may wait there
-        for as long as the instance was silent.
+        After a silence or a failure the store itself is asked at once, since changes
+        may wait there for that long. A watcher that reads a large value over a slow
+        link is silent once.
         """
         self.feed.close()
+        silences = 0
         try:
-            async with self.peers.result().follow(source.peer_address, after) as stream:
+            async with self.receiving(source, after) as receive:
                 while self.is_source(source):
-                    async with asyncio.timeout(self.pace.silence_s):
-                        passed = await anext(stream)
-                    events = [await self.read_change(each) for each in passed.changes]
-                    yield WatchAnswer(tuple(events), passed.revision)
-                    after = max(after, passed.revision)
+                    passed = await receive(self.pace.silence_s)
+                    if passed is not None:
+                        silences = 0
+                        answer = await self.read_changes(passed, after)
+                    elif silences < MAX_SILENCES - 1:
+                        silences += 1
+                        answer = await self.poll(prefix, after, 0.0)
+                    else:
+                        raise ChangePeerError(f"silent {MAX_SILENCES} times")
+                    yield answer
+                    after = max(after, answer.revision)
             return
-        except StoreError as error:
-            log_event("changed_value_unread", error=error.message)
-        except (ChangePeerError, TimeoutError, StopAsyncIteration) as error:
+        except ChangePeerError as error:
             log_event("watcher_left", instance=source.name, error=repr(error))
             self.sharing.record_failure(source.name, clock())
         yield await self.poll(prefix, after, 0.0)
 
+    @asynccontextmanager
+    async def receiving(
+        self, source: EntryInstance, after: int
+    ) -> AsyncIterator[Callable[[float], Awaitable[PassedChanges | None]]]:
+        """Yield a function that returns what comes within some seconds, else None."""
+        async with self.peers.result().follow(source.peer_address, after) as stream:
+            pending = asyncio.ensure_future(anext(stream))
+
+            async def receive(wait_s: float) -> PassedChanges | None:
+                nonlocal pending
+                # A stream whose next element is no longer awaited would be lost.
+                done, _ = await asyncio.wait({pending}, timeout=wait_s)
+                if not done:
+                    return None
+                try:
+                    passed = await pending
+                except StopAsyncIteration:
+                    raise ChangePeerError("the stream has ended") from None
+                pending = asyncio.ensure_future(anext(stream))
+                return passed
+
+            try:
+                yield receive
+            finally:
+                await cancel_tasks({pending})
+
     def is_source(self, instance: EntryInstance) -> bool:
         """Whether this incarnation of an instance is still the one to learn from."""
         source = self.sharing.source(clock())
@@ -162,6 +202,19 @@
         self.polls += 1
         return await self.store.poll(prefix, after, wait_s)
 
+    async def read_changes(self, passed: PassedChanges, after: int) -> WatchAnswer:
+        """Return the changes after a revision, with their values.
+
+        A value that cannot be read leaves all of them to the store.
+        """
+        newer = [each for each in passed.changes if each.revision > after]
+        try:
+            events = [await self.read_change(each) for each in newer]
+        except StoreError as error:
+            log_event("changed_value_unread", error=error.message)
+            raise ChangePeerError("a value could not be read") from error
+        return WatchAnswer(tuple(events), passed.revision)
+
     async def read_change(self, change: PassedChange) -> WatchEvent:
         """Return a change with its value, which may be read from the store."""
         if not change.must_be_read:
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -36,7 +36,7 @@
 from turmericusher.platform.store_messages import READ_KEY, READ_RANGE
 from turmericusher.ports.keyvalue import StoredValue, WatchAnswer
 from turmericusher.tasks.change_feed import ChangeFeed
-from turmericusher.tasks.shared_watch import SharedWatch
+from turmericusher.tasks.shared_watch import MAX_SILENCES, SharedWatch
 
 FLEET = 6
 DOMAINS = 5
@@ -182,12 +182,14 @@
 class ScriptedStore:
     """A store without changes, and connections to instances; `calls` lists them all.
 
-    `passed` has what the instances pass on before they fall silent, by address.
+    `passed` has what the instances pass on before they fall silent, by address, each
+    `delay_s` seconds after the one before.
     """
 
     def __init__(self, **passed):
         self.calls, self.passed, self.revision = [], passed, 10
         self.is_down = False
+        self.delay_s = 0.0
 
     async def get(self, key):
         self.calls.append("get")
@@ -207,6 +209,7 @@
 
     async def stream(self, address):
         for passed in self.passed.get(address, ()):
+            await asyncio.sleep(self.delay_s)
             yield passed
         await asyncio.Event().wait()
 
@@ -237,10 +240,21 @@
         store = ScriptedStore()
         await watch_for(make_shared_watch(store), 0.3)
         self.assertEqual(
-            ["follow w0 10", "poll 10", "follow w1 10", "poll 10", "poll 10"],
-            store.calls[:5],
+            ["follow w0 10", *["poll 10"] * MAX_SILENCES, "follow w1 10"],
+            store.calls[: MAX_SILENCES + 2],
         )
 
+    @run_async
+    async def test_an_instance_that_is_late_is_followed_on_and_brings_nothing_old(self):
+        late = [PassedChanges((PassedChange("k", n, b""),), n) for n in (11, 12, 13)]
+        store = ScriptedStore(w0=late)
+        store.revision, store.delay_s = 12, 0.08
+        events = await watch_for(make_shared_watch(store), 0.35)
+        self.assertEqual([13], [each.revision for each in events])
+        follows = [call for call in store.calls if call.startswith("follow")]
+        self.assertEqual(["follow w0 10"], follows[:1])
+        self.assertIn("poll 10", store.calls)
+
     @run_async
     async def test_an_instance_is_followed_on_although_its_record_changes(self):
         changes = [PassedChanges((PassedChange("k", n, b""),), n) for n in (11, 12)]
