A stream whose upstreams all refuse connections tries them ever less often

Cause: when all upstreams were tried in vain, a stream in progress began anew after 0.1 s, without end. Where no request reaches the service, the account of reachable services had bounded that already.

Change: the pause doubles with each round, up to 1 s, and begins anew after an event.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -446,7 +446,7 @@
             self.record_version(attempt, now)
         self.has_delivered = True
         self.may_have_run = True
-        self.failures_in_a_row = 0
+        self.failures_in_a_row = self.rounds_in_a_row = 0
         self.position = event.event_id
         return [
             DeliverEvents(event.payload, headers),
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -79,6 +79,16 @@
 """Share of the reserve of retries that only streams in progress may use."""
 
 
+MAX_ROUND_PAUSE_S = 1.0
+"""Longest pause in seconds until all upstreams are tried again, so that output goes on
+within 2 s after one is back."""
+
+
+def round_pause_s(rounds: int) -> float:
+    """Return the pause after all upstreams were tried in vain so many times before."""
+    return min(MAX_ROUND_PAUSE_S, UPSTREAM_POLL_INTERVAL_S * 2.0 ** min(rounds, 8))
+
+
 @dataclass(slots=True)
 class RelayPlacing(RelayStarting):
     """Starts attempts, and refuses requests for which none can be started."""
@@ -382,11 +392,13 @@
         """Wait for an upstream if the request must go on, or else refuse it.
 
         It must go on if events were delivered. It also does if it may have run and may
-        repeat, and upstreams were excluded after failures: these are then tried again.
+        repeat, and upstreams were excluded after failures: these are then tried again,
+        less often after each time.
         """
         if self.excluded and self.kind.may_repeat and self.may_have_run:
             self.excluded.clear()
-            self.retry_at = now + UPSTREAM_POLL_INTERVAL_S
+            self.retry_at = now + self.jittered(round_pause_s(self.rounds_in_a_row))
+            self.rounds_in_a_row += 1
             return []
         if self.has_delivered:
             self.retry_at = now + UPSTREAM_POLL_INTERVAL_S
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -306,8 +306,9 @@
     time at which each failure domain last lost an attempt. `sends` counts the attempts
     that an upstream may have run, those in flight included, and `refusals` those that
     one had no free capacity for. `stalled_upstreams` are those that were left because
-    they sent nothing. `failures_in_a_row` counts the failures that came at once since
-    the last event. `copy` is that of the last attempt that may have run.
+    they sent nothing. Since the last event, `rounds_in_a_row` counts how often all
+    upstreams were tried in vain, and `failures_in_a_row` the failures that came at
+    once. `copy` is that of the last attempt that may have run.
     `version` is that of the upstreams at which the stream goes on, empty until it has
     begun or if there is only one; `is_finding_version`: other instances were asked.
     `is_version_elsewhere`: it began at an upstream of another instance, which knows its
@@ -340,6 +341,7 @@
     sends: int = 0
     refusals: int = 0
     stalled_upstreams: list[UpstreamInstance] = field(default_factory=list)
+    rounds_in_a_row: int = 0
     failures_in_a_row: int = 0
     has_delivered: bool = False
     may_have_run: bool = False
--- a/tests/cover/test_relay_stalls.py
+++ b/tests/cover/test_relay_stalls.py
@@ -1,24 +1,31 @@
 """Test how a relayed stream reacts to an upstream that stalls."""
 
+import itertools
+
 from parameterized import parameterized
 from testtools import TestCase
 
 from tests.common.relay_events import (
+    MAY_HAVE_RUN,
+    NOT_RUN,
     RESUMABLE,
     RUNNING_LIMIT_S,
     RUNNING_PROBE_S,
     event,
+    failed,
     filter_by_type,
     make_started_stream,
     make_upstream_report,
 )
 from tests.common.relay_fixtures import (
+    SERVICE,
     make_relay_shared,
     make_test_relay,
 )
 from turmericusher.decisions.generation_messages import CancelAttempt
 from turmericusher.decisions.relay import REPORT_VISIBLE_AFTER_S
 from turmericusher.decisions.relay_messages import (
+    AttemptCause,
     ProbeUpstream,
     StartRelay,
     UpstreamProbed,
@@ -31,6 +38,40 @@
 )
 
 
+UPSTREAMS = 16
+
+
+class RefusedConnectionsTest(TestCase):
+    def test_a_stream_tries_upstreams_that_all_refuse_connections_ever_less_often(
+        self,
+    ):
+        shared = make_relay_shared(UPSTREAMS)
+        relay = make_test_relay(RESUMABLE, shared, deadline=60.0)
+        relay.start(0.0)
+        relay.handle(event(1, 1), 0.1)
+        now, tries = 0.2, []
+        actions = relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN, now), now)
+        while now < 10.0:
+            # Other requests reach the service, such as at its other version.
+            shared.reach.record_success(SERVICE, now)
+            starts = filter_by_type(actions, StartRelay)
+            if starts:
+                now += 0.001
+                tries.append(now)
+                failure = failed(
+                    starts[0].attempt, AttemptCause.UNREACHABLE, NOT_RUN, now
+                )
+                actions = relay.handle(failure, now)
+            else:
+                now = relay.wake_at()
+                actions = relay.tick(now)
+        last_second = [at for at in tries if at > now - 1.0]
+        self.assertLessEqual(len(last_second), 2 * UPSTREAMS)
+        # Output goes on within 2 s after an upstream is back.
+        gaps = [b - a for a, b in itertools.pairwise(tries)]
+        self.assertLess(max(gaps), 1.5)
+
+
 class StallTest(TestCase):
     @parameterized.expand(
         [
