make try writes nothing while it is quiet: a query of a service's load is no call of it

Cause: an instance queries the load of its upstreams at /metrics each half second, and the stand-in of a plain service counted and logged each as a run without a key, so that the lines that a newcomer is to type scrolled away.

Change: the stand-in answers such a query with 404, as a service does that tells no load.

Test: tests/cover/test_service_standin.py, failed before (200, and a run). make try for 6 s: no such line (one each half second before).

--- a/src/turmericusher/standins/service.py
+++ b/src/turmericusher/standins/service.py
@@ -7,6 +7,8 @@
 - `GET /control/requests` returns the `Request-Name` headers of the runs by key;
 - `PUT /control/faults` takes the fields of `ServiceFaults` as JSON;
 - `GET /control/faults` returns them.
+
+Instances query the load of their upstreams at `GET /metrics`, which is no call.
 """
 
 from __future__ import annotations
@@ -112,6 +114,11 @@
 FAULTS_ADAPTER = TypeAdapter(ServiceFaults)
 
 
+async def refuse_load_query(request: web.Request) -> web.StreamResponse:
+    """Answer that the service tells no load; such a query is no run."""
+    return web.Response(status=404)
+
+
 async def handle_call(request: web.Request) -> web.StreamResponse:
     """Run one call and answer it, or fail in the way that is switched on."""
     ledger = request.app[LEDGER]
@@ -204,6 +211,7 @@
     app.router.add_get("/control/requests", get_request_names)
     app.router.add_get("/control/faults", get_faults)
     app.router.add_put("/control/faults", put_faults)
+    app.router.add_get("/metrics", refuse_load_query)
     app.router.add_route("*", "/{path:.*}", handle_call)
     return app
 
--- a/tests/cover/test_relay_stalls.py
+++ b/tests/cover/test_relay_stalls.py
@@ -37,7 +37,6 @@
     STARTING_PROBE_AFTER_S,
 )
 
-
 UPSTREAMS = 16
 
 
