A late second answer on a kept connection is no longer taken for the next request's

Engines and services get a connection for each send, so it could not happen there. The connections to both stores, to the instance list, for load reports and for orders are kept: with a store that repeats answers a read of one key got another key's value, and a write whose condition had failed was told to have succeeded, which is what claims of calls that must not repeat rest on.

Cause: aiohttp looks for unread bytes when a connection is given back, not when it is used again, and parses what came meanwhile as the answer.

Ruled out: a connection for each call (a lost first packet takes a second, on links that lose packets); names in answers (neither store's has them).

Change: pooled_session.py. Nothing is sent on a connection with unread bytes: it is closed, logged, and another one is used, also for methods that aiohttp does not send again, since nothing was sent.

What remains: a copy that arrives after the next request was sent and before its answer cannot be told from it by either store's protocol.

--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -46,6 +46,7 @@
     decode_value,
     encode_swap,
 )
+from turmericusher.pooled_session import open_pooled_session
 from turmericusher.ports.keyvalue import (
     Snapshot,
     StoredValue,
@@ -284,5 +285,5 @@
 ) -> AsyncIterator[PlatformStore]:
     """Yield the store at `ip:port`, and close its connections on exit."""
     connector = aiohttp.TCPConnector(socket_factory=keepalive_socket)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with open_pooled_session(connector=connector) as session:
         yield PlatformStore(session, address, watch_wait_s, watch_pause_s)
--- a/src/turmericusher/ports/etcd.py
+++ b/src/turmericusher/ports/etcd.py
@@ -21,6 +21,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from turmericusher.pooled_session import open_pooled_session
 from turmericusher.ports.etcd_messages import (
     ErrorReply,
     KeepAliveReply,
@@ -238,7 +239,7 @@
     url: str, timeout_s: float, stall_timeout_s: float = WATCH_STALL_TIMEOUT_S
 ) -> AsyncIterator[EtcdStore]:
     """Yield a store at `url`, and close its connections on exit."""
-    session = aiohttp.ClientSession(
+    opening = open_pooled_session(
         connector=aiohttp.TCPConnector(limit=0),
         timeout=aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=timeout_s * CONNECT_TIMEOUT_SHARE
@@ -249,7 +250,7 @@
         trust_env=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
-    async with session:
+    async with opening as session:
         yield EtcdStore(url.rstrip("/"), timeout_s, session, stall_timeout_s)
 
 
--- a/src/turmericusher/tasks/instance_list.py
+++ b/src/turmericusher/tasks/instance_list.py
@@ -11,6 +11,7 @@
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.errors import UpstreamError
 from turmericusher.logs import log_event
+from turmericusher.pooled_session import open_pooled_session
 from turmericusher.ports.instances import fetch_instances
 from turmericusher.tasks.background import background_tasks
 
@@ -46,7 +47,7 @@
 ) -> AsyncIterator[None]:
     """Follow the list while the context is open."""
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with open_pooled_session(timeout=timeout) as session:
         following = follow_instance_list(session, url, on_change)
         async with background_tasks({"instance-list": following}):
             yield
--- a/src/turmericusher/tasks/load_control.py
+++ b/src/turmericusher/tasks/load_control.py
@@ -9,12 +9,11 @@
     asynccontextmanager,
 )
 
-import aiohttp
-
 from turmericusher.decisions.capacity import CapacityView
 from turmericusher.decisions.fair_queue import Ticket
 from turmericusher.decisions.requests import GenerationRequest
 from turmericusher.decisions.selection import Selector
+from turmericusher.pooled_session import open_pooled_session
 from turmericusher.profiles import Profile
 from turmericusher.settings import Service, Settings
 from turmericusher.tasks.admission import Admission, admitted, running_admission
@@ -46,7 +45,7 @@
         return capacity_view(services[name], selector)
 
     async with AsyncExitStack() as stack:
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(open_pooled_session())
         polling = poll_load_pages(selector, session, seed, on_leaving=on_leaving)
         async with background_tasks({"load-reports": polling}):
             yield await stack.enter_async_context(
--- a/src/turmericusher/tasks/order_control.py
+++ b/src/turmericusher/tasks/order_control.py
@@ -6,11 +6,10 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import replace
 
-import aiohttp
-
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
 from turmericusher.decisions.order_holder import OrderHolder
 from turmericusher.decisions.selection import Selector
+from turmericusher.pooled_session import open_pooled_session
 from turmericusher.ports.keyvalue import KeyValueStore
 from turmericusher.ports.orders import HttpOrderPort
 from turmericusher.ports.weights import HttpWeightStore
@@ -36,7 +35,7 @@
         yield
         return
     async with AsyncExitStack() as stack:
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(open_pooled_session())
         weights = HttpWeightStore(session, settings.weight_store_url)
         work = {}
         for service in settings.services:
