Tests: streams that send bytes but no event are left, slow ones within their pauses are not

A stand-in that sends single bytes for ever after event 1 to 5: the stream goes on elsewhere within two accepted pauses, and the first upstream is released.

--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
+import itertools
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -39,6 +41,7 @@
 )
 
 LOOPBACK = "127.0.0.1"
+TRICKLE_PAUSE_S = 0.02
 # Nothing runs or waits, and none of the memory for 100,000 tokens is used.
 IDLE_REPORT = UpstreamReport("1700000000000", 0, 0, 0, 100_000, {})
 # `SO_LINGER` on with a timeout of 0: closing the socket sends RST.
@@ -110,7 +113,8 @@
     `faults` holds the faults of the next calls, in order; further calls succeed. An
     answer is a stream if `events` is above 0: that many events, the first after
     `first_event_s` seconds and the others `event_gap_s` apart. The connection is reset
-    after event `die_after`, and nothing more is sent after event `stop_after`. `copies`
+    after event `die_after`, nothing more is sent after event `stop_after`, and single
+    bytes but no whole event after event `trickle_after`. `copies`
     holds the handles of the KV cache copies stored here; `peers` maps addresses to the
     upstreams on which copies can be made. `runs` lists the ids of the requests that
     ran, and `released` the handles that callers released. `caller_disconnects` counts
@@ -133,6 +137,7 @@
     first_event_s: float = 0.0
     die_after: int | None = None
     stop_after: int | None = None
+    trickle_after: int | None = None
     copies: set[str] = field(default_factory=set)
     peers: dict[str, UpstreamStandin] = field(default_factory=dict)
     calls: list[ReceivedCall] = field(default_factory=list)
@@ -356,6 +361,9 @@
                 await asyncio.sleep(0.01)
                 reset(writer)
                 return
+            if number == self.trickle_after:
+                await self.trickle(event(number + 1), reader, writer)
+                return
             if number == self.stop_after:
                 await reader.read()
                 self.caller_disconnects += 1
@@ -364,6 +372,25 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    async def trickle(
+        self,
+        unfinished: bytes,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send an event a byte at a time, and its last byte never.
+
+        At its end the bytes begin again, as a comment that does not end.
+        """
+        for byte in itertools.chain(unfinished[:-2], itertools.repeat(ord("."))):
+            writer.write(encode_chunk(bytes([byte])))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TRICKLE_PAUSE_S):
+                    with contextlib.suppress(ConnectionError):
+                        await reader.read()
+                    self.caller_disconnects += 1
+                    return
+
 
 async def read_call(reader: asyncio.StreamReader) -> ReceivedCall | None:
     """Read one call; None if the caller closed the connection without sending any."""
