--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -118,7 +118,7 @@
         instances = frozenset(names) | {self.own}
         if instances != self.instances:
             self.ring.update(instances)
-            self.update_subsets()
+            self.compute_subsets()
 
     @property
     def instances(self) -> frozenset[str]:
@@ -126,11 +126,20 @@
         return self.ring.instances
 
     def update_subsets(self) -> None:
-        """Recompute the subsets after a change of the upstreams or entry instances."""
-        self.live = {}
+        """Recompute the subsets if the live upstreams of any service have changed."""
+        live: dict[str, list[str]] = {}
         for upstream in self.upstreams.values():
             if upstream.lifecycle is Lifecycle.LIVE:
-                self.live.setdefault(upstream.service, []).append(upstream.name)
+                live.setdefault(upstream.service, []).append(upstream.name)
+        if live != self.live:
+            self.live = live
+            self.compute_subsets()
+
+    def compute_subsets(self) -> None:
+        """Compute which live upstreams this instance sends to.
+
+        The time that it takes grows with the entry instances and the upstreams.
+        """
         self.ring.update_positions(self.upstreams)
         self.subset_names = {
             service: self.ring.covered_upstreams(self.own, names)
--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -22,8 +22,9 @@
 WATCHERS = 2
 """Instances of each failure domain that watch for the others there: one may fail."""
 
-MIN_SHARING = 4
-"""Instances of a failure domain from which on they share. Fewer would save little."""
+MIN_SHARING = 8
+"""Instances of a failure domain from which on they share. Watchers ask the store about
+twice as often as an instance that watches for itself, so fewer would save nothing."""
 
 AVOIDANCE_S = 5.0
 """Seconds for which a watcher that has failed is not asked again."""
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
@@ -124,9 +124,26 @@
         self.instances.replace_all(instances, now)
         self.update_decisions(now)
 
-    def store_changed(self, event: WatchEvent, now: float) -> None:
-        """Apply one change of a key to the fleet and pass the new state on."""
-        match self.decode(event.key, event.value):
+    def store_changed(self, events: Sequence[WatchEvent], now: float) -> None:
+        """Apply the changes of one answer of the store and pass the new state on once.
+
+        In a large fleet an answer has many, and each pass costs as much as all of them.
+        """
+        changed = {self.apply_change(event, now) for event in events}
+        if UpstreamRecord in changed:
+            self.update_upstreams(now)
+        if InstanceRecord in changed:
+            self.update_instances()
+        if changed & {UpstreamRecord, SeenVersion, ServiceVersions}:
+            self.on_versions()
+
+    def apply_change(self, event: WatchEvent, now: float) -> type[Record] | None:
+        """Apply one change of a key; return the kind of its record, if it has one.
+
+        What lists of upstreams and instances mean for decisions is not passed on yet.
+        """
+        record = self.decode(event.key, event.value)
+        match record:
             case ConfigurationRecord(table):
                 self.apply_table(table)
             case UpstreamRecord(name, upstream):
@@ -138,15 +155,13 @@
                     revision=event.revision,
                 )
                 put_or_remove(self.upstreams, name, upstream, now)
-                self.update_decisions(now)
             case InstanceRecord(name, instance):
                 put_or_remove(self.instances, name, instance, now)
-                self.update_decisions(now)
-            case CrashRecord() | SoundRecord() | TrialRecord() as record:
+            case CrashRecord() | SoundRecord() | TrialRecord():
                 self.merge_crash_record(record, now)
-            case SeenVersion() | ServiceVersions() as record:
+            case SeenVersion() | ServiceVersions():
                 self.shared.versions.record_saved(record, now)
-                self.on_versions()
+        return type(record) if record is not None else None
 
     def merge_crash_record(self, record: LedgerRecord, now: float) -> None:
         """Pass on what an instance told of a crash."""
@@ -180,26 +195,30 @@
 
     def update_decisions(self, now: float) -> None:
         """Pass the current upstreams and entry instances to the decision logic."""
-        selector = self.shared.selector
-        self.shared.update_upstreams(self.upstreams.entries.values(), now)
-        self.shared.holders.retain_listed(self.upstreams.entries)
-        self.shared.gate.retain_listed(self.upstreams.entries, now)
-        selector.update_instances(self.instances.entries)
-        self.shared.crashes.update_instances(selector.own, self.instances.entries)
-        forwarding = self.shared.forwarding
-        forwarding.update_instances(selector.own, self.instances.entries.values())
-        self.on_instances(self.instances.entries.values())
-        versions = self.shared.versions
-        versions.update_instances(selector.own, self.instances.entries)
-        versions.update_upstreams(self.upstreams.entries.values(), now)
+        self.update_upstreams(now)
+        self.update_instances()
         self.on_versions()
+
+    def update_upstreams(self, now: float) -> None:
+        """Pass the current upstreams to the decision logic."""
+        upstreams = self.upstreams.entries
+        self.shared.update_upstreams(upstreams.values(), now)
+        self.shared.holders.retain_listed(upstreams)
+        self.shared.gate.retain_listed(upstreams, now)
+        self.shared.versions.update_upstreams(upstreams.values(), now)
+
+    def update_instances(self) -> None:
+        """Pass the current entry instances to the decision logic."""
+        selector, instances = self.shared.selector, self.instances.entries
+        selector.update_instances(instances)
+        self.shared.crashes.update_instances(selector.own, instances)
+        self.shared.forwarding.update_instances(selector.own, instances.values())
+        self.shared.versions.update_instances(selector.own, instances)
         self.shared.send_limits.update_instances(
             selector.own,
-            {
-                name: instance.limited_upstreams
-                for name, instance in self.instances.entries.items()
-            },
+            {name: each.limited_upstreams for name, each in instances.items()},
         )
+        self.on_instances(instances.values())
         if self.on_instance_count is not None:
             # The list may lack this instance's own record.
             self.on_instance_count(len(selector.instances))
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -83,10 +83,11 @@
 
     async def watch(
         self, prefix: str, from_revision: int
-    ) -> AsyncGenerator[WatchEvent, None]:
+    ) -> AsyncGenerator[WatchAnswer, None]:
         """Yield the changes under `prefix` from `from_revision` on, in order.
 
-        It raises what asking the store raises. A failure of another instance is none.
+        Those that came together are in one answer. It raises what asking the store
+        raises. A failure of another instance is none.
         """
         after = from_revision - 1
         try:
@@ -98,8 +99,7 @@
                     answers = self.follow(source, prefix, after)
                 async with aclosing(answers):
                     async for answer in answers:
-                        for event in answer.events:
-                            yield event
+                        yield answer
                         after = max(after, answer.revision)
         finally:
             self.feed.close()
--- a/src/turmericusher/tasks/store_follower.py
+++ b/src/turmericusher/tasks/store_follower.py
@@ -9,14 +9,19 @@
 
 import asyncio
 import random
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Sequence
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
 from typing import Protocol
 
 from turmericusher.errors import StoreError, StoreHistoryLostError
 from turmericusher.logs import log_event
-from turmericusher.ports.keyvalue import Snapshot, StoredValue, WatchEvent
+from turmericusher.ports.keyvalue import (
+    Snapshot,
+    StoredValue,
+    WatchAnswer,
+    WatchEvent,
+)
 from turmericusher.tasks.background import lasting_task
 
 MIN_BACKOFF_S = 0.05
@@ -35,8 +40,8 @@
         """Replace the known state by all values under the prefix."""
         ...
 
-    def store_changed(self, event: WatchEvent, now: float) -> None:
-        """Apply one change."""
+    def store_changed(self, events: Sequence[WatchEvent], now: float) -> None:
+        """Apply changes that came together, in their order."""
         ...
 
     def store_lost(self, now: float) -> None:
@@ -49,7 +54,7 @@
 
 
 class WatchedStore(Protocol):
-    """What is read and watched: a `KeyValueStore`, or a watch that several share."""
+    """What is read and watched, with the errors of a `KeyValueStore`."""
 
     async def get_prefix(self, prefix: str) -> Snapshot:
         """Read all keys that start with `prefix`."""
@@ -57,7 +62,7 @@
 
     def watch(
         self, prefix: str, from_revision: int
-    ) -> AsyncGenerator[WatchEvent, None]:
+    ) -> AsyncGenerator[WatchAnswer, None]:
         """Yield the changes under `prefix` from `from_revision` on, in order."""
         ...
 
@@ -98,14 +103,15 @@
         log_event("store_read", revision=snapshot.revision, values=len(snapshot.values))
 
     async def watch(self) -> None:
-        """Pass each change to the listener as it arrives."""
+        """Pass changes to the listener as they arrive."""
         assert self.revision is not None
-        events = self.store.watch(self.prefix, self.revision + 1)
+        answers = self.store.watch(self.prefix, self.revision + 1)
         # An error in applying a change must not leave what the watch holds open.
-        async with aclosing(events):
-            async for event in events:
-                self.listener.store_changed(event, clock())
-                self.revision = max(self.revision, event.revision)
+        async with aclosing(answers):
+            async for answer in answers:
+                if answer.events:
+                    self.listener.store_changed(answer.events, clock())
+                self.revision = max(self.revision, answer.revision)
 
     def mark_lost(self, error: StoreError) -> None:
         """Log the start of an outage and tell the listener, once per outage."""
