A copy of a store's answer in front of the next one is no answer

Cause: neither store's protocol names the call that an answer belongs to.

Change: what the answers do have is compared. A write that succeeded has a newer revision than any that was known when it was sent, a read of a prefix none that is older, and a read of a key has that key; otherwise the outcome of the write is unknown, and the read had no answer. After an answer that is too old its revision is the newest one, so that a store which was set back is served again.

What remains: a refused write, and a key that is absent, look alike from one call to the next.

Tests: four in tests/cover/test_pooled_session.py that failed before (both adapters), and one for a store that was set back.

--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -47,6 +47,7 @@
     encode_swap,
 )
 from turmericusher.pooled_session import open_pooled_session
+from turmericusher.ports.answer_order import AnswerOrder, check_key
 from turmericusher.ports.keyvalue import (
     Snapshot,
     StoredValue,
@@ -91,6 +92,7 @@
     watch_wait_s: float = MAX_WATCH_WAIT_S
     watch_pause_s: float = 0.0
     calls: dict[str, int] = field(default_factory=dict)
+    order: AnswerOrder = field(default_factory=AnswerOrder)
 
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of one key, or None if the key is absent."""
@@ -98,7 +100,9 @@
         if status != OK:
             return None
         with malformed_as(StoreUnavailableError, READ_KEY):
-            return decode_value(body)
+            stored = decode_value(body)
+        check_key(stored, key)
+        return stored
 
     async def get_prefix(self, prefix: str) -> Snapshot:
         """Read all keys that start with `prefix`, page by page."""
@@ -106,6 +110,7 @@
         first_revision: int | None = None
         query = {PREFIX: prefix}
         while True:
+            known = self.order.newest
             status, body = await self.read(READ_RANGE, query)
             if status != OK:
                 raise StoreUnavailableError(
@@ -113,6 +118,7 @@
                 )
             with malformed_as(StoreUnavailableError, READ_RANGE):
                 page, revision, has_more = decode_page(body)
+            self.order.check_read(revision, known)
             values.extend(page)
             # Pages may differ in age, so the snapshot has the revision of the oldest:
             # a watch from there on also brings what changed between the pages.
@@ -126,9 +132,11 @@
     ) -> SwapResult:
         """Write `value`, or delete the key for None, if its revision is as expected."""
         change = encode_swap(key, expected_revision, value, lease)
+        known = self.order.newest
         status, body = await self.write(SWAP, "POST", change)
         with malformed_as(StoreOutcomeUnknownError, SWAP):
             if status == OK:
+                self.order.check_write(int(body[REVISION]), known)
                 return SwapResult(True, int(body[REVISION]))
             if status == PRECONDITION_FAILED:
                 existing = [item for item in body["items"] if item.get(REVISION)]
@@ -196,6 +204,7 @@
             )
         with malformed_as(StoreUnavailableError, WATCH):
             events, revision = decode_changes(body)
+        self.order.record(revision)
         return WatchAnswer(tuple(events), revision)
 
     async def read(
--- a/src/turmericusher/ports/etcd.py
+++ b/src/turmericusher/ports/etcd.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import aiohttp
@@ -22,6 +22,7 @@
     StoreUnavailableError,
 )
 from turmericusher.pooled_session import open_pooled_session
+from turmericusher.ports.answer_order import AnswerOrder, check_key
 from turmericusher.ports.etcd_messages import (
     ErrorReply,
     KeepAliveReply,
@@ -93,11 +94,14 @@
     timeout_s: float
     session: aiohttp.ClientSession
     stall_timeout_s: float = WATCH_STALL_TIMEOUT_S
+    order: AnswerOrder = field(default_factory=AnswerOrder)
 
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of one key, or None if the key is absent."""
         reply = await self.read_range("/v3/kv/range", {"key": encode_key(key)})
-        return reply.values[0] if reply.values else None
+        stored = reply.values[0] if reply.values else None
+        check_key(stored, key)
+        return stored
 
     async def get_prefix(self, prefix: str) -> Snapshot:
         """Read all keys that start with `prefix`."""
@@ -108,8 +112,10 @@
     ) -> SwapResult:
         """Write `value`, or delete the key for None, if its revision is as expected."""
         request = swap_request(key, expected_revision, value, lease)
+        known = self.order.newest
         reply = await self.write("/v3/kv/txn", request, TransactionReply)
         if reply.succeeded:
+            self.order.check_write(reply.header.revision, known)
             return SwapResult(True, reply.header.revision)
         return SwapResult(False, reply.header.revision, conflicting_value(reply))
 
@@ -193,6 +199,7 @@
 
     async def read_range(self, path: str, request: Mapping[str, object]) -> Snapshot:
         """Make a range call; raise `StoreUnavailableError` if it fails."""
+        known = self.order.newest
         try:
             body = await self.post(path, request)
             reply = parse_message(RangeReply, body)
@@ -201,6 +208,7 @@
             raise StoreUnavailableError(error.message) from error
         except CALL_ERRORS as error:
             raise unavailable_error(path, error) from error
+        self.order.check_read(reply.header.revision, known)
         return Snapshot(values, reply.header.revision)
 
     async def write(
--- a/tests/cover/test_pooled_session.py
+++ b/tests/cover/test_pooled_session.py
@@ -9,6 +9,7 @@
 from testtools import TestCase
 
 from tests.common.asynchronous import run_async
+from turmericusher.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from turmericusher.platform.store import open_platform_store
 from turmericusher.pooled_session import open_pooled_session
 from turmericusher.ports.etcd import open_etcd_store
@@ -96,10 +97,14 @@
 
 
 class RepeatingProxy:
-    """Passes a store's bytes on, and sends its first answers again, late."""
+    """Passes a store's bytes on, and sends the first answer of a connection again.
 
-    def __init__(self, upstream):
-        self.upstream = upstream
+    The copy comes a little later, or in front of the next answer, or, if `in_front` is
+    None, never.
+    """
+
+    def __init__(self, upstream, in_front):
+        self.upstream, self.in_front = upstream, in_front
         self.tasks, self.writers = set(), []
 
     async def serve(self, reader, writer):
@@ -109,13 +114,16 @@
         self.writers += [writer, store_writer]
 
         async def pump(source, target, is_answer):
-            is_first = is_answer
+            copy, is_first = b"", is_answer and self.in_front is not None
             while data := await source.read(65_536):
-                target.write(data)
-                if is_first:
-                    is_first = False
+                target.write(copy + data)
+                copy = b""
+                if is_first and self.in_front:
+                    copy = data
+                elif is_first:
                     await asyncio.sleep(LATE_S)
                     target.write(data)
+                is_first = False
             target.close()
 
         for task in (
@@ -126,9 +134,9 @@
 
 
 @asynccontextmanager
-async def repeating(address):
+async def repeating(address, in_front):
     """Yield the address of a proxy before `address` that repeats answers."""
-    proxy = RepeatingProxy(address)
+    proxy = RepeatingProxy(address, in_front)
     server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
     try:
@@ -140,22 +148,22 @@
 
 
 @asynccontextmanager
-async def product_store(memory):
+async def product_store(memory, in_front=False):
     """Yield the product's adapter to a store that repeats answers."""
     async with (
         running_store("127.0.0.1", 0, memory) as address,
-        repeating(address) as repeated,
+        repeating(address, in_front) as repeated,
         open_etcd_store(f"http://{repeated}", 2.0) as store,
     ):
         yield store
 
 
 @asynccontextmanager
-async def platform_store(memory):
+async def platform_store(memory, in_front=False):
     """Yield the platform's adapter to a store that repeats answers."""
     async with (
         running_platform_store(memory) as standin,
-        repeating(standin.address) as repeated,
+        repeating(standin.address, in_front) as repeated,
         open_platform_store(repeated) as store,
     ):
         yield store
@@ -187,3 +195,42 @@
             second = await store.compare_and_swap("a", ABSENT, b"2")
             self.assertFalse(second.succeeded)
             self.assertEqual(b"1", second.current.value)
+
+    @parameterized.expand([("product", product_store), ("platform", platform_store)])
+    @run_async
+    async def test_a_copy_in_front_of_the_answer_to_a_write_leaves_its_outcome_unknown(
+        self, _, open_store
+    ):
+        async with open_store(MemoryStore(), in_front=True) as store:
+            self.assertTrue((await store.compare_and_swap("a", ABSENT, b"1")).succeeded)
+            with self.assertRaises(StoreOutcomeUnknownError):
+                await store.compare_and_swap("a", ABSENT, b"2")
+            third = await store.compare_and_swap("a", ABSENT, b"2")
+            self.assertEqual(b"1", third.current.value)
+
+    @parameterized.expand([("product", product_store), ("platform", platform_store)])
+    @run_async
+    async def test_a_copy_in_front_of_the_answer_to_a_read_is_no_answer(
+        self, _, open_store
+    ):
+        memory = MemoryStore()
+        memory.write("a", b"of a")
+        memory.write("b", b"of b")
+        async with open_store(memory, in_front=True) as store:
+            self.assertEqual(b"of a", (await store.get("a")).value)
+            with self.assertRaises(StoreUnavailableError):
+                await store.get("b")
+            self.assertEqual(b"of b", (await store.get("b")).value)
+
+    @parameterized.expand([("product", product_store), ("platform", platform_store)])
+    @run_async
+    async def test_writes_succeed_after_a_store_has_lost_revisions(self, _, open_store):
+        memory = MemoryStore()
+        memory.revision = 100
+        async with open_store(memory, in_front=None) as store:
+            await store.compare_and_swap("a", ABSENT, b"1")
+            memory.revision = 50
+            with self.assertRaises(StoreOutcomeUnknownError):
+                await store.compare_and_swap("b", ABSENT, b"1")
+            swap = await store.compare_and_swap("c", ABSENT, b"1")
+            self.assertTrue(swap.succeeded)
