Records of versions: who writes is ranked once for each difference, and looked for four times a second

Found in reading again: an instance ranked itself among all others ten times a second for each service whose record differed, which at 420 instances and 12 services would take a tenth of a core while the store is away; and each look wakes the process.

Change: the time at which an instance writes is computed when a difference begins; looks are 0.25 s apart.

Tests: ServiceVersionsTest, five (order of the writers, removal of a version, bounds for 1 to 420 instances); they hold before and after.

--- a/src/turmericusher/decisions/stream_versions.py
+++ b/src/turmericusher/decisions/stream_versions.py
@@ -123,8 +123,8 @@
     and version, when an upstream of it was last listed. `unsent` has what other
     instances are to be told, by their names, and `unsaved` what the store is to have.
     `listed` and `saved` are the versions of each service that are listed now and that
-    the store has; `differs_since` tells since when these differ. Times are monotonic
-    seconds.
+    the store has; `due_at` is when this instance writes what differs. Times are
+    monotonic seconds.
     """
 
     own: str = ""
@@ -138,7 +138,7 @@
     )
     listed: dict[str, frozenset[str]] = field(default_factory=dict)
     saved: dict[str, frozenset[str]] = field(default_factory=dict)
-    differs_since: dict[str, float] = field(default_factory=dict)
+    due_at: dict[str, float] = field(default_factory=dict)
 
     # Queries
 
@@ -188,10 +188,11 @@
         for service in self.listed:
             versions = self.versions_to_save(service, now)
             if versions == self.saved.get(service):
-                self.differs_since.pop(service, None)
+                self.due_at.pop(service, None)
                 continue
-            since = self.differs_since.setdefault(service, now)
-            if now - since >= SAVE_DELAY_S * (1 + self.rank(service)):
+            if service not in self.due_at:
+                self.due_at[service] = now + SAVE_DELAY_S * (1 + self.rank(service))
+            if now >= self.due_at[service]:
                 due.append(ServiceVersions(service, versions))
         return due
 
--- a/src/turmericusher/tasks/version_records.py
+++ b/src/turmericusher/tasks/version_records.py
@@ -25,8 +25,8 @@
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
 from turmericusher.tasks.background import lasting_task
 
-CHECK_INTERVAL_S = 0.1
-"""Seconds between two looks at what is to be written."""
+CHECK_INTERVAL_S = 0.25
+"""Seconds between two looks at what is to be written: each wakes the process."""
 
 RETRY_DELAY_S = 0.5
 """Seconds until the next write after the store failed."""
