Shared watch: an instance that knows more than its watcher is not turned away

Change: what is newer than the watcher's log waits until the log has caught up.

Test: the state machine of the log (those_that_know_more_are_not_turned_away), failed before.

--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -71,11 +71,14 @@
     changes: deque[PassedChange] = field(default_factory=deque)
 
     def after(self, revision: int) -> PassedChanges | None:
-        """Return the changes after a revision; None if they are not all held here."""
-        if not self.is_open or not self.floor <= revision <= self.revision:
+        """Return the changes after a revision; None if they are not all held here.
+
+        One that has asked the store itself may know more than is held here.
+        """
+        if not self.is_open or revision < self.floor:
             return None
         newer = tuple(each for each in self.changes if each.revision > revision)
-        return PassedChanges(newer, self.revision)
+        return PassedChanges(newer, max(revision, self.revision))
 
     def open_at(self, revision: int) -> None:
         """Begin anew after a revision, unless all up to there is known."""
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -158,6 +158,12 @@
     def close(self):
         self.log.close()
 
+    @invariant()
+    def those_that_know_more_are_not_turned_away(self):
+        ahead = self.log.after(self.revision + 1)
+        assert (ahead is not None) == self.log.is_open
+        assert ahead is None or not ahead.changes
+
     @invariant()
     def what_is_passed_on_misses_nothing(self):
         for after in {0, self.revision // 2, self.revision - 1, self.revision}:
