Shared watch: one watcher for sixteen that follow, whatever the size of a domain

By arithmetic two watchers in a domain of 70 (420 instances in 6 domains) would send each change 34 times: 200 KB a second at 20 changes a second, where control may take 26 KB. Each watcher serves 16 on average now; in domains of up to 34 there are two as before.

Tests: by counts at 60 to 3,200 instances: no watcher has more than 32 followers, and the share of instances that ask the store is 1 in 17, or two a domain.

--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -19,9 +20,13 @@
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle
 from turmericusher.decisions.subsets import rendezvous_weight
 
-WATCHERS = 2
+MIN_WATCHERS = 2
 """Instances of each failure domain that watch for the others there: one may fail."""
 
+FOLLOWERS = 16
+"""Instances on average that follow one at most. What it sends them takes bytes of its
+link and processor time, and must not grow with the fleet."""
+
 MIN_SHARING = 8
 """Instances of a failure domain from which on they share. Watchers ask the store about
 twice as often as an instance that watches for itself, so fewer would save nothing."""
@@ -107,6 +112,11 @@
     return PassedChange(key, revision, None if is_large else value, is_large)
 
 
+def watcher_count(instances: int) -> int:
+    """Return how many of the instances of a failure domain watch for the others."""
+    return max(MIN_WATCHERS, math.ceil(instances / (1 + FOLLOWERS)))
+
+
 @dataclass(slots=True)
 class WatchSharing:
     """Which instance this one, of the name `own`, learns of changes from.
@@ -138,7 +148,9 @@
         if len(near) < MIN_SHARING:
             return
         chosen = heapq.nlargest(
-            WATCHERS, near, key=lambda name: rendezvous_weight("watch", name)
+            watcher_count(len(near)),
+            near,
+            key=lambda name: rendezvous_weight("watch", name),
         )
         self.is_watcher = self.own in chosen
         if not self.is_watcher:
