Shared watch: a watcher that cannot be connected to costs a third of the bound, not minutes

Found in reading: opening the stream had no limit of time. An instance whose path to its watcher drops packets would have waited for the connection for two minutes and learned of no change meanwhile.

Change: the same limit as for a silence; then the store is asked, and the next watcher followed.

Test: test_the_store_is_asked_if_an_instance_cannot_be_connected_to, failed before (only the connection was tried in 0.3 s).

--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
-from contextlib import aclosing, asynccontextmanager
+from contextlib import AsyncExitStack, aclosing, asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -169,7 +169,13 @@
         self, source: EntryInstance, after: int
     ) -> AsyncIterator[Callable[[float], Awaitable[PassedChanges | None]]]:
         """Yield a function that returns what comes within some seconds, else None."""
-        async with self.peers.result().follow(source.peer_address, after) as stream:
+        async with AsyncExitStack() as stack:
+            opening = self.peers.result().follow(source.peer_address, after)
+            try:
+                async with asyncio.timeout(self.pace.silence_s):
+                    stream = await stack.enter_async_context(opening)
+            except TimeoutError as error:
+                raise ChangePeerError("no connection in time") from error
             pending = asyncio.ensure_future(anext(stream))
 
             async def receive(wait_s: float) -> PassedChanges | None:
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -193,13 +193,13 @@
     """A store without changes, and connections to instances; `calls` lists them all.
 
     `passed` has what the instances pass on before they fall silent, by address, each
-    `delay_s` seconds after the one before.
+    `delay_s` seconds after the one before. A connection takes `connect_s` seconds.
     """
 
     def __init__(self, **passed):
         self.calls, self.passed, self.revision = [], passed, 10
         self.is_down = False
-        self.delay_s = 0.0
+        self.delay_s = self.connect_s = 0.0
 
     async def get(self, key):
         self.calls.append("get")
@@ -215,6 +215,7 @@
     @asynccontextmanager
     async def follow(self, address, after_revision):
         self.calls.append(f"follow {address} {after_revision}")
+        await asyncio.sleep(self.connect_s)
         yield self.stream(address)
 
     async def stream(self, address):
@@ -265,6 +266,16 @@
         self.assertEqual(["follow w0 10"], follows[:1])
         self.assertIn("poll 10", store.calls)
 
+    @run_async
+    async def test_the_store_is_asked_if_an_instance_cannot_be_connected_to(self):
+        store = ScriptedStore()
+        store.connect_s = 60.0
+        await watch_for(make_shared_watch(store), 0.3)
+        self.assertEqual(
+            ["follow w0 10", "poll 10", "follow w1 10", "poll 10", "poll 10"],
+            store.calls[:5],
+        )
+
     @run_async
     async def test_an_instance_is_followed_on_although_its_record_changes(self):
         changes = [PassedChanges((PassedChange("k", n, b""),), n) for n in (11, 12)]
