--- a/tests/cover/test_version_records.py
+++ b/tests/cover/test_version_records.py
@@ -92,6 +92,21 @@
         self.assertAlmostEqual(MAX_SAVED_PER_S, per_s)
 
 
+async def begin_streams(simulation):
+    """Begin streams at all instances; return their ids and those of their take-ups."""
+    ids = [(f"q{number}", f"q{number}-again") for number in range(STREAMS)]
+    for number, (first, _) in enumerate(ids):
+        await simulation.stream(f"entry-{number % 3}", first, 3)
+    return ids
+
+
+async def take_up(simulation, number, first, second):
+    """Take a stream up after its third event; return the status and events."""
+    return await simulation.stream(
+        f"entry-{number % 3}", second, EVENTS, Last_Event_Id="3", Resumes=first
+    )
+
+
 class AllInstancesKilledTest(TestCase):
     @run_async
     async def test_a_stream_goes_on_at_its_version_after_all_instances_were_killed(
@@ -100,19 +115,11 @@
         async with running_version_simulation(
             TWO_VERSIONS, events=EVENTS, event_gap_s=0.05
         ) as simulation:
-            ids = [(f"q{number}", f"q{number}-again") for number in range(STREAMS)]
-            for number, (first, _) in enumerate(ids):
-                await simulation.stream(f"entry-{number % 3}", first, 3)
+            ids = await begin_streams(simulation)
             await wait_until(lambda: len(simulation.saved(STREAM_PREFIX)) == STREAMS)
             await simulation.replace_all_instances()
             for number, (first, second) in enumerate(ids):
-                status, events = await simulation.stream(
-                    f"entry-{number % 3}",
-                    second,
-                    EVENTS,
-                    Last_Event_Id="3",
-                    Resumes=first,
-                )
+                status, events = await take_up(simulation, number, first, second)
                 self.assertEqual(200, status)
                 self.assertEqual(list(range(4, EVENTS + 1)), events)
                 self.assertEqual(1, len(simulation.versions_of([first, second])))
@@ -130,9 +137,7 @@
         async with running_version_simulation(
             versions, later_versions=("v2",) * 3, events=EVENTS, event_gap_s=0.05
         ) as simulation:
-            ids = [(f"q{number}", f"q{number}-again") for number in range(STREAMS)]
-            for number, (first, _) in enumerate(ids):
-                await simulation.stream(f"entry-{number % 3}", first, 3)
+            ids = await begin_streams(simulation)
             began_at = {first: simulation.versions_of([first]) for first, _ in ids}
             is_mixed = len(set(versions)) > 1
             streams = STREAMS if is_mixed else 0
@@ -140,13 +145,7 @@
             await wait_until(lambda: simulation.saved(VERSIONS_PREFIX))
             await simulation.replace_all_instances(leaving="v1")
             for number, (first, second) in enumerate(ids):
-                status, _ = await simulation.stream(
-                    f"entry-{number % 3}",
-                    second,
-                    EVENTS,
-                    Last_Event_Id="3",
-                    Resumes=first,
-                )
+                status, _ = await take_up(simulation, number, first, second)
                 expected = 200 if began_at[first] == {"v2"} else 503
                 self.assertEqual(expected, status)
                 self.assertEqual(1, len(simulation.versions_of([first, second])))
