Crash ledger: after an outage of the store, requests with one suspected part get their chance for a trial first

Cause: the time for which a request with a crashing part leaves the trial to others ran while the store was away and nobody could claim a trial. When it was back 0.07 s earlier, the first stream that came had the crashing part, and its end counted as a failed trial.

Change: that time begins anew when a claim fails for lack of the store.

Test: test_others_get_their_chance_for_a_trial_after_trials_were_impossible.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -110,7 +110,8 @@
     of, and when. `sound_at` is when a request with a trait last ran well, `refused_at`
     when one was last refused, and `trials` has the last trial of a trait.
     `unpublished_deaths` and `unpublished_sound` are not in the store yet; the latter
-    with the time from which on they are due. Times are monotonic seconds.
+    with the time from which on they are due. `claim_failed_at` is when a trial last
+    could not be claimed. Times are monotonic seconds.
     """
 
     own: str = ""
@@ -125,6 +126,7 @@
     trials: dict[str, Trial] = field(default_factory=dict)
     unpublished_deaths: set[str] = field(default_factory=set)
     unpublished_sound: dict[str, float] = field(default_factory=dict)
+    claim_failed_at: float = -math.inf
 
     def update_instances(self, own: str, names: Iterable[str]) -> None:
         """Set this instance's name and those of all live ones."""
@@ -192,23 +194,33 @@
     def is_trial_due(self, traits: Sequence[str], now: float) -> bool:
         """Whether a request with these traits may try those that are blocked."""
         return all(
-            now >= self.next_trial_at(trait) + self.trial_delay_s(trait, traits)
+            now >= self.trial_due_at(trait, traits)
             for trait in traits
             if self.is_blocked(trait)
         )
 
-    def trial_delay_s(self, trait: str, traits: Sequence[str]) -> float:
-        """Return the seconds for which a request leaves a trial of a part to others.
+    def trial_due_at(self, trait: str, traits: Sequence[str]) -> float:
+        """Return when a request with these traits may try one that is blocked.
+
+        It leaves the trial to others for one more interval if its end would tell
+        nothing, counted from when trials are possible again if they were not.
+        """
+        due_at = self.next_trial_at(trait)
+        if not self.is_ambiguous(trait, traits):
+            return due_at
+        return max(due_at, self.claim_failed_at) + self.trial_interval_s(trait)
+
+    def is_ambiguous(self, trait: str, traits: Sequence[str]) -> bool:
+        """Whether the end of a request would tell nothing of a part that it tries.
 
         If a less shared one of its parts is suspected, too, that would explain its end
         better. The part that was tried would then wait for the next trial although it
         may be sound.
         """
         less_shared = traits[traits.index(trait) + 1 :]
-        is_ambiguous = any(
+        return any(
             is_shared(other) and other in self.suspicions for other in less_shared
         )
-        return self.trial_interval_s(trait) if is_ambiguous else 0.0
 
     def next_trial_at(self, trait: str) -> float:
         """Return when a blocked trait may be tried again by some instance.
@@ -400,6 +412,10 @@
             if not self.was_sound_lately(suspicion.trait, now)
         )
 
+    def record_failed_claim(self, now: float) -> None:
+        """Record that no trial could be claimed, since the store did not answer."""
+        self.claim_failed_at = now
+
     def record_refusal(self, trait: str, now: float) -> None:
         """Record that a request was refused for a blocked trait."""
         self.refused_at[trait] = now
--- a/src/turmericusher/tasks/crash_reports.py
+++ b/src/turmericusher/tasks/crash_reports.py
@@ -177,6 +177,7 @@
                 return await self.write_trial(record)
         except (StoreError, TimeoutError) as error:
             log_event("trial_not_claimed", trait=trait, error=repr(error))
+            self.ledger.record_failed_claim(asyncio.get_running_loop().time())
             return False
 
     async def write_trial(self, record: TrialRecord) -> bool:
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -245,6 +245,19 @@
         self.assertFalse(ledger.is_trial_due(traits, due_at - 0.1))
         self.assertTrue(ledger.is_trial_due(traits, due_at))
 
+    def test_others_get_their_chance_for_a_trial_after_trials_were_impossible(self):
+        # As long as the store is away, nobody may try.
+        ledger = make_ledger(
+            *(crash(n, chain(FIRST, BAD, "q1", rank=n + 1)) for n in range(2)),
+            *(crash(n, chain(FIRST, rank=n + 1)) for n in range(2, 5)),
+        )
+        away_until = 10 * TRIAL_AFTER_S
+        ledger.record_failed_claim(away_until)
+        now = away_until + 0.1
+        self.assertTrue(ledger.is_trial_due((FIRST, SOUND), now))
+        self.assertFalse(ledger.is_trial_due((FIRST, BAD), now))
+        self.assertTrue(ledger.is_trial_due((FIRST, BAD), now + TRIAL_AFTER_S))
+
     def test_a_restarted_instance_waits_no_longer_for_a_trial_than_the_others(self):
         after_trial = CrashRecord("u3", "1", frozenset({(Suspicion(BAD, 3, 1),)}))
         records = [replace(each, at=0.0) for each in (*TWO_REQUESTS, after_trial)]
