Crash ledger: a trial counts only for the trait that was tried

Cause: a trial of the crashing part was made by a stream that also had the sound one. Its end counted as a failed trial of both, although the sound part was not blocked then. When another end blocked it 2 s later, its first trial was due 22.5 s after that in place of 1.5 s.

Change: a suspicion counts a trial only if its trait was blocked.

Test: test_a_trial_counts_only_for_what_was_tried, failed before.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -346,7 +346,7 @@
         of that end.
         """
         chain = tuple(
-            next_suspicion(trait, known.get(trait), is_trial)
+            next_suspicion(trait, known.get(trait), is_trial and self.is_blocked(trait))
             for trait in traits
             if not self.was_sound_lately(trait, now)
         )
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -245,6 +245,17 @@
         self.assertFalse(ledger.is_trial_due(traits, due_at - 0.1))
         self.assertTrue(ledger.is_trial_due(traits, due_at))
 
+    def test_a_trial_counts_only_for_what_was_tried(self):
+        # The other part is suspected of the same ends, which the tried one explains.
+        ledger = make_ledger(*TWO_REQUESTS)
+        self.assertEqual(BAD, ledger.blocked_trait((FIRST, BAD)))
+        known = ledger.known_suspicions((FIRST, BAD))
+        upstream = make_upstream(7)
+        ledger.record_loss(upstream, (FIRST, BAD, "q9"), known, 5.0, True)
+        ledger.record_check(upstream, EndState.ENDED, 5.0)
+        self.assertEqual(1, ledger.failed_trials(BAD))
+        self.assertEqual(0, ledger.failed_trials(FIRST))
+
     def test_others_get_their_chance_for_a_trial_after_trials_were_impossible(self):
         # As long as the store is away, nobody may try.
         ledger = make_ledger(
