Crash ledger: the time for which a trial is left to others begins when one could make it

While all upstreams were refusing or the store was away, no trial was tried, and the time for which a stream with the crashing part leaves the trial to others passed meanwhile. The first stream that could make the trial, 5 s after the deaths, had the crashing part.

Change: that time begins with the first such request for which an upstream is there, for each trial, and anew when a claim fails.

Tests: test_a_blocked_part_is_tried_first_by_a_request_with and its neighbour now have the first request come late, as strict as before: no trial before the first interval, at once for requests whose end would tell, one interval after the first chance for others. They fail on the code before.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -110,8 +110,9 @@
     of, and when. `sound_at` is when a request with a trait last ran well, `refused_at`
     when one was last refused, and `trials` has the last trial of a trait.
     `unpublished_deaths` and `unpublished_sound` are not in the store yet; the latter
-    with the time from which on they are due. `claim_failed_at` is when a trial last
-    could not be claimed. Times are monotonic seconds.
+    with the time from which on they are due. `left_at` is when a request first left the
+    next trial of a trait to others, and `claim_failed_at` when a trial last could not
+    be claimed. Times are monotonic seconds.
     """
 
     own: str = ""
@@ -126,6 +127,7 @@
     trials: dict[str, Trial] = field(default_factory=dict)
     unpublished_deaths: set[str] = field(default_factory=set)
     unpublished_sound: dict[str, float] = field(default_factory=dict)
+    left_at: dict[str, float] = field(default_factory=dict)
     claim_failed_at: float = -math.inf
 
     def update_instances(self, own: str, names: Iterable[str]) -> None:
@@ -202,13 +204,16 @@
     def trial_due_at(self, trait: str, traits: Sequence[str]) -> float:
         """Return when a request with these traits may try one that is blocked.
 
-        It leaves the trial to others for one more interval if its end would tell
-        nothing, counted from when trials are possible again if they were not.
+        If its end would tell nothing, it leaves the trial to others for one interval
+        from when the first such request could have made it.
         """
         due_at = self.next_trial_at(trait)
         if not self.is_ambiguous(trait, traits):
             return due_at
-        return max(due_at, self.claim_failed_at) + self.trial_interval_s(trait)
+        left_at = self.left_at.get(trait, -math.inf)
+        if left_at < due_at:
+            return math.inf
+        return max(left_at, self.claim_failed_at) + self.trial_interval_s(trait)
 
     def is_ambiguous(self, trait: str, traits: Sequence[str]) -> bool:
         """Whether the end of a request would tell nothing of a part that it tries.
@@ -412,6 +417,14 @@
             if not self.was_sound_lately(suspicion.trait, now)
         )
 
+    def leave_trial(self, traits: Sequence[str], now: float) -> None:
+        """Record that a request could make a trial now and may leave it to others."""
+        for trait in traits:
+            if self.is_blocked(trait) and self.is_ambiguous(trait, traits):
+                due_at = self.next_trial_at(trait)
+                if now >= due_at > self.left_at.get(trait, -math.inf):
+                    self.left_at[trait] = now
+
     def record_failed_claim(self, now: float) -> None:
         """Record that no trial could be claimed, since the store did not answer."""
         self.claim_failed_at = now
@@ -447,6 +460,7 @@
         if not suspicions:
             self.suspicions.pop(trait, None)
             self.refused_at.pop(trait, None)
+            self.left_at.pop(trait, None)
 
     def merge_trial(self, record: TrialRecord, now: float) -> bool:
         """Record a trial by this instance or another one; return whether it is new."""
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -322,11 +322,12 @@
 
     def claim_trial(self, trait: str, now: float) -> list[RelayAction]:
         """Ask for a trial of a blocked trait if one is due; else refuse the request."""
-        upstream = None
-        if self.shared.crashes.is_trial_due(self.traits, now):
-            upstream = self.pick_upstream(now)
+        upstream = self.pick_upstream(now)
         if upstream is None:
             return self.refuse_crashing(trait, now)
+        self.shared.crashes.leave_trial(self.traits, now)
+        if not self.shared.crashes.is_trial_due(self.traits, now):
+            return self.refuse_crashing(trait, now)
         self.is_claiming_trial = True
         return [ClaimTrial(trait, upstream)]
 
