Tests of processes: entry instances listen at loopback hosts of their own

Ports were looked up on 127.0.0.1, given back, and bound seconds later by the process; any outgoing connection of another process may take one meanwhile, as tests/common/relay_fixtures.py says, which reserves hosts for that reason.

Change: the same hosts for the processes of the product's own interface. The 13 tests of tests/processes (without the soak): passed. No serving code.

--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -8,7 +8,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -23,8 +22,11 @@
 
 import yaml
 
+from tests.common.relay_fixtures import unused_loopback_host
+
 ROOT = Path(__file__).parents[2]
 LISTENING_PREFIX = "listening on "
+CALLER_PORT = 20001
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
@@ -145,16 +147,14 @@
 ) -> dict[str, Any]:
     """Return the settings of one entry instance, whose seeds are the earlier ones."""
     peers = [peer_address_for(entry.address) for entry in deployment.entries]
-    assigned_ports = {
-        int(entry.address.rpartition(":")[2]) for entry in deployment.entries
-    }
-    caller_port = free_port_pair(assigned_ports)
+    # On 127.0.0.1 any outgoing connection may take a port before it is bound.
+    caller_address = f"{unused_loopback_host()}:{CALLER_PORT}"
     return {
         "instance": {
             "name": f"entry-{number}",
             "failure_domain": DOMAINS[number % len(DOMAINS)],
-            "caller_address": f"127.0.0.1:{caller_port}",
-            "peer_address": peer_address_for(f"127.0.0.1:{caller_port}"),
+            "caller_address": caller_address,
+            "peer_address": peer_address_for(caller_address),
         },
         "store": {"url": f"http://{deployment.store.address}"},
         "instance_list_url": f"http://{deployment.instances.address}/instances",
@@ -307,23 +307,3 @@
     if process.log_path is None:
         return ""
     return process.log_path.read_text()[-2000:]
-
-
-def free_port_pair(assigned: set[int]) -> int:
-    """Return a port that is free together with the next one.
-
-    `assigned` are the first ports of pairs given out earlier, which may not be bound
-    yet.
-    """
-    excluded = assigned | {port + 1 for port in assigned}
-    while True:
-        with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
-            port = int(first.getsockname()[1])
-            if port in excluded or port + 1 in excluded:
-                continue
-            try:
-                second.bind(("127.0.0.1", port + 1))
-            except OSError:
-                continue
-            return port
