Crash ledger: a sound part whose trial met a death of another cause is tried again in recovery time

Cause: the first trial of the part met a death of another cause, and the next trial was due 15 times later. Deployments must serve within 12 s after a fault. Change: the intervals between trials of a part are 1.5, 7.5, 120 and 1,200 s by deaths of trials (were 1.5, 22.5, 337). Those of a whole request are as before (its sends are bounded by a rule).

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -63,8 +63,13 @@
 """Seconds after the last death until a blocked trait is tried first. After the crash of
 a whole service, whose traits nobody has seen run well, this ends the refusals."""
 
-TRIAL_BACKOFF = 15.0
-"""Factor by which each trial, or death that came of one, makes that time longer."""
+PART_TRIAL_INTERVALS_S = (TRIAL_AFTER_S, 7.5, 120.0, 1200.0)
+"""Seconds between two trials of a part, by how many have ended in a death. The second
+is shorter than the time in which a deployment must have recovered: the first trial of a
+sound part may have met a death of another cause."""
+
+REQUEST_TRIAL_BACKOFF = 15.0
+"""Factor by which each trial of a whole request makes the time to the next longer."""
 
 MAX_FAILED_TRIALS = 2
 """Deaths that came of trials after which a whole request is not tried again."""
@@ -270,10 +275,11 @@
         A trial of a part may show nothing, such as by a stream that is too short to be
         proof, so that only those count that ended in a death.
         """
-        trials = self.failed_trials(trait)
-        if not is_shared(trait):
-            trials = max(trials, self.trials_since_deaths(trait))
-        return min(TRIAL_AFTER_S * TRIAL_BACKOFF**trials, RECORD_TTL_S)
+        failed = self.failed_trials(trait)
+        if is_shared(trait):
+            return PART_TRIAL_INTERVALS_S[min(failed, len(PART_TRIAL_INTERVALS_S) - 1)]
+        trials = max(failed, self.trials_since_deaths(trait))
+        return min(TRIAL_AFTER_S * REQUEST_TRIAL_BACKOFF**trials, RECORD_TTL_S)
 
     def last_death_at(self, trait: str) -> float:
         """Return when this instance learned of a suspected trait's last death."""
