--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -1,6 +1,7 @@
 """A short run of the soak with a fixed seed, and the seeds that once found a fault."""
 
 import asyncio
+import re
 import sys
 import tempfile
 from pathlib import Path
@@ -9,7 +10,7 @@
 from testtools import TestCase
 
 from benchmarks.soak.deployment import ROOT, START_TIMEOUT_S
-from benchmarks.soak.run import run_seed
+from benchmarks.soak.run import Outcome, run_seed
 from benchmarks.soak.schedule import make_plan
 from tests.common.asynchronous import run_async
 from tests.common.waiting import wait_until
@@ -32,7 +33,8 @@
         with tempfile.TemporaryDirectory() as folder:
             plan = make_plan(seed, duration_s)
             outcome = await run_seed(plan, Path(folder), ROOT / "src")
-        self.assertEqual([], outcome.findings, outcome.describe())
+            logs = relevant_lines(Path(folder), outcome)
+        self.assertEqual([], outcome.findings, f"{outcome.describe()}\n{logs}")
         self.assertTrue(
             any(request.is_served for request in outcome.history.requests.values())
         )
@@ -58,6 +60,25 @@
     return Path(f"/proc/{pid}").exists()
 
 
+def relevant_lines(folder: Path, outcome: Outcome) -> str:
+    """Return the log lines on crashes, starts and the requests that checks name.
+
+    They are what is left of a failed run: its folder is removed.
+    """
+    if not outcome.findings:
+        return ""
+    messages = " ".join(one.message for one in outcome.findings)
+    named = "|".join(set(re.findall(r"\bq\d+\b", messages)) | {"crash", "trait"})
+    wanted = re.compile(rf"\b(?:{named})\b|event=(?:serving|store_|\w*(?:trial|cras))")
+    lines = (
+        f"{log.stem} {line}"
+        for log in sorted(folder.glob("*.log"))
+        for line in log.read_text(errors="replace").splitlines()
+        if wanted.search(line)
+    )
+    return "\n".join(lines)
+
+
 def child_pids(parent: int) -> list[int]:
     """Return the ids of the processes that a process has started."""
     listed = Path(f"/proc/{parent}/task/{parent}/children").read_text()
