Crash ledger: a request with a part that crashes upstreams leaves trials of its other parts to sound ones

Callers saw: streams with a sound part that all of them have were refused for 20 s after the last fault. The store was away, a trial failed at 35.85; sound streams and those with the bad part were both held to be ambiguous, since the sound ones' second part was suspected too, so both waited one interval. At 37.37 one with the bad part came first and was the trial; it ended its upstream, which counted as a failed trial of both parts; waited 22.5 s more. Change: the death of a trial counts only for the least shared blocked part of the request. A request with another blocked part leaves the trial to others for two intervals, one with a suspected part for one, as before. Measured: both new tests failed before.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -209,28 +209,45 @@
     def trial_due_at(self, trait: str, traits: Sequence[str]) -> float:
         """Return when a request with these traits may try one that is blocked.
 
-        If its end would tell nothing, it leaves the trial to others for one interval
+        If its end would tell little, it leaves the trial to others for some intervals
         from when the first such request could have made it.
         """
         due_at = self.next_trial_at(trait)
-        if not self.is_ambiguous(trait, traits):
+        intervals = self.intervals_to_leave(trait, traits)
+        if intervals == 0:
             return due_at
         left_at = self.left_at.get(trait, -math.inf)
         if left_at < due_at:
             return math.inf
-        return max(left_at, self.claim_failed_at) + self.trial_interval_s(trait)
+        left_at = max(left_at, self.claim_failed_at)
+        return left_at + intervals * self.trial_interval_s(trait)
 
-    def is_ambiguous(self, trait: str, traits: Sequence[str]) -> bool:
-        """Whether the end of a request would tell nothing of a part that it tries.
+    def intervals_to_leave(self, trait: str, traits: Sequence[str]) -> int:
+        """Return for how many intervals a request leaves a trial of a part to others.
 
-        If a less shared one of its parts is suspected, too, that would explain its end
-        better. The part that was tried would then wait for the next trial although it
-        may be sound.
+        That is none, unless a less shared one of its parts is suspected, too: its end
+        may come of that one. If that one is blocked, it probably would.
         """
-        less_shared = traits[traits.index(trait) + 1 :]
-        return any(
-            is_shared(other) and other in self.suspicions for other in less_shared
-        )
+        less_shared = self.less_shared_parts(trait, traits)
+        if any(map(self.is_blocked, less_shared)):
+            return 2
+        return int(any(other in self.suspicions for other in less_shared))
+
+    def less_shared_parts(self, trait: str, traits: Sequence[str]) -> list[str]:
+        """Return the parts of a request that fewer requests have than a trait of it."""
+        return [each for each in traits[traits.index(trait) + 1 :] if is_shared(each)]
+
+    def is_tried_by(self, trait: str, traits: Sequence[str]) -> bool:
+        """Whether the end of a trial by a request counts as one of a trait of it.
+
+        Of its blocked parts that is so only for the least shared one, which explains
+        the end. The others may be sound.
+        """
+        if not self.is_blocked(trait):
+            return False
+        if not is_shared(trait):
+            return True
+        return not any(map(self.is_blocked, self.less_shared_parts(trait, traits)))
 
     def next_trial_at(self, trait: str) -> float:
         """Return when a blocked trait may be tried again by some instance.
@@ -357,7 +374,9 @@
         of that end.
         """
         chain = tuple(
-            next_suspicion(trait, known.get(trait), is_trial and self.is_blocked(trait))
+            next_suspicion(
+                trait, known.get(trait), is_trial and self.is_tried_by(trait, traits)
+            )
             for trait in traits
             if not self.was_sound_lately(trait, now)
         )
@@ -426,7 +445,7 @@
     def leave_trial(self, traits: Sequence[str], now: float) -> None:
         """Record that a request could make a trial now and may leave it to others."""
         for trait in traits:
-            if self.is_blocked(trait) and self.is_ambiguous(trait, traits):
+            if self.is_blocked(trait) and self.intervals_to_leave(trait, traits) > 0:
                 due_at = self.next_trial_at(trait)
                 if now >= due_at > self.left_at.get(trait, -math.inf):
                     self.left_at[trait] = now
--- a/tests/cover/test_crash_ledger.py
+++ b/tests/cover/test_crash_ledger.py
@@ -79,6 +79,14 @@
     )
 
 
+def make_blocked_parts():
+    """Return a ledger with two blocked parts and a third one that is suspected."""
+    return make_ledger(
+        *(crash(n, chain(FIRST, BAD, f"q{n}", rank=n + 1)) for n in range(4)),
+        *(crash(n, chain(FIRST, SOUND, f"q{n}", rank=n + 1)) for n in range(4, 6)),
+    )
+
+
 class BlockTest(TestCase):
     @parameterized.expand(
         [
@@ -287,6 +295,33 @@
         self.assertEqual(1, ledger.failed_trials(BAD))
         self.assertEqual(0, ledger.failed_trials(FIRST))
 
+    def test_a_trial_counts_for_the_least_shared_blocked_part_only(self):
+        # The end of a request with a part that crashes upstreams tells nothing of the
+        # other parts that it has.
+        ledger = make_blocked_parts()
+        self.assertTrue(ledger.is_blocked(FIRST) and ledger.is_blocked(BAD))
+        known = ledger.known_suspicions((FIRST, BAD))
+        upstream = make_upstream(7)
+        ledger.record_loss(upstream, (FIRST, BAD, "q9"), known, 5.0, True)
+        ledger.record_check(upstream, EndState.ENDED, 5.0)
+        self.assertEqual(1, ledger.failed_trials(BAD))
+        self.assertEqual(5.0 + TRIAL_AFTER_S, ledger.next_trial_at(FIRST))
+
+    @parameterized.expand(
+        [
+            ("a suspected part", (FIRST, SOUND, "q8"), 1.0),
+            ("a blocked part", (FIRST, BAD, "q9"), 2.0),
+        ]
+    )
+    def test_a_trial_is_left_to_less_suspected_requests_by_one_with(
+        self, _, traits, intervals
+    ):
+        ledger = make_blocked_parts()
+        ledger.leave_trial(traits, TRIAL_AFTER_S)
+        due_at = TRIAL_AFTER_S * (1.0 + intervals)
+        self.assertFalse(ledger.is_trial_due(traits, due_at - 0.1))
+        self.assertTrue(ledger.is_trial_due(traits, due_at))
+
     def test_others_get_their_chance_for_a_trial_after_trials_were_impossible(self):
         # As long as the store is away, nobody may try.
         ledger = make_two_suspects()
