View of the fleet: an unexpected error in applying one entry costs only that entry

Change: each entry of a read or of an answer is applied by itself; an error is logged as entry_not_applied with its key. Shown by: both cases of the new test failed before.

--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -8,8 +8,8 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable, Iterable, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
 
@@ -109,17 +109,18 @@
         upstreams: dict[str, UpstreamInstance] = {}
         instances: dict[str, EntryInstance] = {}
         for value in values:
-            match self.decode(value.key, value.value):
-                case ConfigurationRecord(table):
-                    self.apply_table(table)
-                case UpstreamRecord(name, upstream) if upstream is not None:
-                    upstreams[name] = upstream
-                case InstanceRecord(name, instance) if instance is not None:
-                    instances[name] = instance
-                case CrashRecord() | SoundRecord() | TrialRecord() as record:
-                    self.merge_crash_record(record, now)
-                case SeenVersion() | ServiceVersions() as record:
-                    self.shared.versions.record_saved(record, now)
+            with logged_errors(value.key):
+                match self.decode(value.key, value.value):
+                    case ConfigurationRecord(table):
+                        self.apply_table(table)
+                    case UpstreamRecord(name, upstream) if upstream is not None:
+                        upstreams[name] = upstream
+                    case InstanceRecord(name, instance) if instance is not None:
+                        instances[name] = instance
+                    case CrashRecord() | SoundRecord() | TrialRecord() as record:
+                        self.merge_crash_record(record, now)
+                    case SeenVersion() | ServiceVersions() as record:
+                        self.shared.versions.record_saved(record, now)
         self.upstreams.replace_all(upstreams, now)
         self.instances.replace_all(instances, now)
         self.update_decisions(now)
@@ -129,7 +130,10 @@
 
         In a large fleet an answer has many, and each pass costs as much as all of them.
         """
-        changed = {self.apply_change(event, now) for event in events}
+        changed: set[type[Record] | None] = set()
+        for event in events:
+            with logged_errors(event.key):
+                changed.add(self.apply_change(event, now))
         if UpstreamRecord in changed:
             self.update_upstreams(now)
         if InstanceRecord in changed:
@@ -270,6 +274,15 @@
         listing.put(name, entry)
 
 
+@contextmanager
+def logged_errors(key: str) -> Iterator[None]:
+    """Log an unexpected error in applying one entry, so that it costs no other one."""
+    try:
+        yield
+    except Exception as error:
+        log_event("entry_not_applied", key=key, error=repr(error))
+
+
 @asynccontextmanager
 async def expiring_entries(fleet: RelayFleet) -> AsyncIterator[None]:
     """Drop expired entries of the fleet while the context is open."""
--- a/tests/cover/test_unexpected_errors.py
+++ b/tests/cover/test_unexpected_errors.py
@@ -15,6 +15,7 @@
 from tests.common.asynchronous import run_async
 from tests.common.relay_events import NON_IDEMPOTENT, RESUMABLE
 from tests.common.relay_fixtures import (
+    encode_upstream_entry,
     make_relay_shared,
     make_test_relay,
     make_upstream,
@@ -37,9 +38,14 @@
     UpstreamProbed,
     VersionFound,
 )
+from turmericusher.decisions.routing import NewestTable
 from turmericusher.logs import logging_to
+from turmericusher.platform.names import UPSTREAM_PREFIX
+from turmericusher.platform.records import decode_record
+from turmericusher.ports.keyvalue import StoredValue, WatchEvent
 from turmericusher.standins.platform_upstream import UpstreamFault
 from turmericusher.tasks.relay import RelayOwner
+from turmericusher.tasks.relay_fleet import RelayFleet
 
 FIRST, SECOND = make_upstream(0), make_upstream(1)
 
@@ -151,6 +157,45 @@
                 self.assertEqual(500, (await call).status)
 
 
+class FleetTest(TestCase):
+    @parameterized.expand(
+        [
+            (
+                "a change",
+                lambda fleet, entries: fleet.store_changed(
+                    [WatchEvent(e.key, e.value, e.revision) for e in entries], 1.0
+                ),
+            ),
+            (
+                "a read of all",
+                lambda fleet, entries: fleet.store_read(tuple(entries), 1.0),
+            ),
+        ]
+    )
+    def test_an_unexpected_error_in_one_entry_costs_only_that_one_in(self, _, apply):
+        def decode_all_but_one(key, value):
+            if key.endswith("u1"):
+                raise RuntimeError("unexpected")
+            return decode_record(key, value)
+
+        shared = make_relay_shared(0)
+        fleet = RelayFleet(shared, NewestTable(), decode_all_but_one)
+        entries = [
+            StoredValue(
+                f"{UPSTREAM_PREFIX}u{n}",
+                encode_upstream_entry(f"127.0.0.1:{n + 1}", n),
+                n + 1,
+            )
+            for n in range(3)
+        ]
+        logs = io.StringIO()
+        with logging_to(logs):
+            apply(fleet, entries)
+        self.assertEqual({"u0", "u2"}, set(shared.selector.upstreams))
+        self.assertIn("event=entry_not_applied", logs.getvalue())
+        self.assertIn("u1", logs.getvalue())
+
+
 async def exception_of(work):
     """Return the exception that a coroutine raises, or None."""
     try:
