Streams lost before their first event do not ask a standby for a copy that cannot be there

Cause: the standby was asked for a copy, refused (no_copy), and that send took the retry that an instance has when the budget is divided by 195; the next one came after the target latency. Change: the copy of an attempt is used only if it had an event, went on from a copy itself, had a copy made on request, or its engine is known to have made events. Shown by: the first case of the new table failed before.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -349,7 +349,7 @@
         self.last_message = f"{name}: {event.cause.value} {event.message}"
         if event.verdict is not Verdict.NOT_RUN:
             self.may_have_run = True
-            self.copy = attempt.copy
+            self.copy = attempt.copy if has_begun(attempt, event) else None
             self.sends -= self.has_upstream_ended(event)
             if event.cause is AttemptCause.SILENT:
                 self.stalled_upstreams.append(attempt.upstream)
@@ -649,6 +649,17 @@
     return []
 
 
+def has_begun(attempt: RelayAttempt, failure: AttemptFailed) -> bool:
+    """Whether the upstream had begun to answer, so that its standby may hold a copy.
+
+    A run begins with its first event, which may not have arrived. One that goes on from
+    a copy begins with that.
+    """
+    if attempt.has_event or attempt.from_copy or attempt.copied_at is not None:
+        return True
+    return failure.cause is AttemptCause.UNANSWERED
+
+
 def retry_pause_s(failures: int) -> float:
     """Return the pause before a retry after so many failures without an event."""
     if failures < IMMEDIATE_RETRIES:
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -68,6 +68,28 @@
         self.assertEqual(3, resumed.resume_after)
         self.assertEqual([DeliverEvents(b"4;")], relay.handle(event(2, 4), 0.3))
 
+    @parameterized.expand(
+        [
+            ("before its first event, does not use", 0, AttemptCause.LOST, False),
+            ("after an event, uses", 1, AttemptCause.LOST, True),
+            ("with events that did not come, uses", 0, AttemptCause.UNANSWERED, True),
+        ]
+    )
+    def test_a_stream_that_is_lost(self, _, events, cause, uses_copy):
+        # An upstream copies what a run holds, and a run begins with its first event.
+        relay, _ = make_started_stream(make_relay_shared(), events)
+        (repeated,) = relay.handle(failed(1, cause, MAY_HAVE_RUN), 0.2)
+        self.assertEqual(uses_copy, repeated.from_copy)
+
+    def test_a_stream_that_went_on_from_a_copy_uses_the_next_one_without_an_event(self):
+        relay, _ = make_started_stream(make_relay_shared())
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN)
+        (resumed,) = relay.handle(lost, 0.2)
+        lost = failed(2, AttemptCause.LOST, MAY_HAVE_RUN)
+        (again,) = relay.handle(lost, 0.3)
+        self.assertTrue(again.from_copy)
+        self.assertEqual(resumed.standby, again.upstream)
+
     def test_the_standby_is_in_another_domain_even_if_all_were_lost(self):
         shared = make_relay_shared()
         relay, _ = make_started_stream(shared)
