Instances lend each other retries: a stream in a large fleet does not wait for a share that is too small

Cause: the limit on the retries of all instances was divided once and for all. At 195 instances each has a reserve of one and 0.56 for each of its one or two streams in 10 s, whereas a domain's crash takes several streams of one instance. Ruled out: the limits of the whole service (a fifth was used), max_attempts (5; engines that ended do not count). Change: a stream without a retry asks a random instance over gRPC. The lender pays from its own budget before it answers, so the budgets add up to the same limit. Valid for 1 s; nothing is borrowed while the service may be down; calls do not borrow. A stalled stream whose instance has no retry is now probed, and leaves an engine that does not answer with a loan.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -24,6 +24,7 @@
     AttemptCause,
     AttemptConnected,
     AttemptFailed,
+    BorrowRetry,
     DeliverAnswer,
     DeliverEvents,
     EndStream,
@@ -36,6 +37,7 @@
     RelayAction,
     RelayedRequest,
     RelayEvent,
+    RetryLent,
     StreamFinished,
     StreamOpened,
     TraitBlocked,
@@ -52,6 +54,7 @@
     RelayAttempt,
     RelayShared,
 )
+from turmericusher.decisions.retry_loans import LOAN_VALIDITY_S
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import ErrorCode, Verdict
@@ -141,6 +144,8 @@
             return self.handle_trial(event, now)
         if isinstance(event, VersionFound):
             return self.handle_version(event, now)
+        if isinstance(event, RetryLent):
+            return self.handle_loan(event, now)
         attempt = self.attempts.get(event.attempt)
         if self.is_over or attempt is None:
             return []
@@ -215,9 +220,14 @@
         for attempt in list(self.attempts.values()):
             if now < self.stall_check_at(attempt):
                 continue
-            if not self.may_replace(attempt, now):
+            is_replaceable = self.may_replace(attempt, now)
+            if not is_replaceable and not self.may_borrow(now):
                 self.keep_attempt(attempt, now)
             elif now >= self.abandon_at(attempt):
+                if not is_replaceable:
+                    self.keep_attempt(attempt, now)
+                    actions.extend(self.borrow_retry(now))
+                    continue
                 idle_s = now - attempt.last_active_at
                 text = f"stalled for {idle_s:.2f} s"
                 actions.extend(self.abandon(attempt, AttemptCause.SILENT, text, now))
@@ -313,7 +323,24 @@
         self.shared.totals.postponed_repeats += 1
         self.unpaid_failure = event
         self.retry_at = now + RETRY_POLL_INTERVAL_S
-        return []
+        return self.borrow_retry(now)
+
+    def handle_loan(self, event: RetryLent, now: float) -> list[RelayAction]:
+        """Make the retry that another instance has lent; else wait on."""
+        self.is_borrowing = False
+        if not event.is_lent:
+            self.shared.loans.record_refusal(event.lender, now)
+            return []
+        if self.is_over:
+            return []
+        self.shared.totals.retries_borrowed += 1
+        self.loan_until = now + LOAN_VALIDITY_S
+        if self.unpaid_failure is not None:
+            self.retry_at = None
+            return self.retry_if_paid(self.unpaid_failure, now)
+        for attempt in self.attempts.values():
+            attempt.kept_until = now
+        return self.handle_stalls(now)
 
     def may_wait_for_budget(self, now: float) -> bool:
         """Whether a request may wait until the budget allows a retry.
@@ -326,6 +353,22 @@
         in_time_until = self.request.arrived_at + self.routed.route.target_latency_s
         return self.kind.is_stream and self.may_have_run and now < in_time_until
 
+    def may_borrow(self, now: float) -> bool:
+        """Whether another instance could be asked for a retry."""
+        if not self.kind.is_stream or self.is_borrowing or not self.is_below_limits():
+            return False
+        budget = self.shared.budget_for(self.routed.service.name)
+        return not budget.is_spaced(now) and self.shared.loans.has_lender(now)
+
+    def borrow_retry(self, now: float) -> list[RelayAction]:
+        """Ask another instance for a retry, as there is none left here."""
+        if not self.may_borrow(now):
+            return []
+        lender = self.shared.loans.pick_lender(now)
+        self.shared.totals.loan_requests += 1
+        self.is_borrowing = True
+        return [BorrowRetry(lender, self.routed.service.name, self.is_new_stream)]
+
     def count_repeat(self, event: AttemptFailed) -> None:
         """Count why the next attempt is made."""
         totals = self.shared.totals
@@ -619,7 +662,7 @@
     if report is None:
         if not relay.may_replace(attempt, now):
             relay.keep_attempt(attempt, now)
-            return []
+            return relay.borrow_retry(now)
         text = "does not answer"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
     # Engines count the events of a resumed stream from its beginning.
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
 from turmericusher.decisions.forwarding import Hop, Refusal
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
 from turmericusher.decisions.stream_versions import FoundVersion
@@ -206,6 +206,23 @@
     found: FoundVersion
 
 
+@dataclass(frozen=True, slots=True)
+class BorrowRetry:
+    """Ask another instance for a retry of a service's budget."""
+
+    lender: EntryInstance
+    service: str
+    is_new_stream: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RetryLent:
+    """Whether the instance named `lender` has lent a retry."""
+
+    lender: str
+    is_lent: bool
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryCopy:
     """A copy of an attempt's KV cache that `holder` has.
@@ -359,6 +376,7 @@
     | TraitBlocked
     | TrialClaimed
     | VersionFound
+    | RetryLent
     | MemoryCopied
     | HolderChecked
 )
@@ -370,6 +388,7 @@
     | QueryLoads
     | ClaimTrial
     | FindVersion
+    | BorrowRetry
     | CopyMemory
     | CheckHolder
     | ReleaseCopy
--- a/src/turmericusher/decisions/relay_placing.py
+++ b/src/turmericusher/decisions/relay_placing.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
@@ -32,6 +33,7 @@
 )
 from turmericusher.decisions.relay_starting import NO_UPSTREAM_RETRY_S, RelayStarting
 from turmericusher.decisions.relay_state import UPSTREAM_POLL_INTERVAL_S, RelayAttempt
+from turmericusher.decisions.retry_loans import kept_share
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.decisions.selection import PickRequest
 from turmericusher.errors import ErrorCode
@@ -75,9 +77,6 @@
 MIN_RETRY_S = 0.3
 """Minimum Retry-After in seconds: about a third of the prefill time of a prompt."""
 
-NEW_STREAM_KEPT_SHARE = 0.5
-"""Share of the reserve of retries that only streams in progress may use."""
-
 
 MAX_ROUND_PAUSE_S = 1.0
 """Longest pause in seconds until all upstreams are tried again, so that output goes on
@@ -481,20 +480,31 @@
         return self.start_on(upstream, now)
 
     def has_retry(self, now: float) -> bool:
-        """Whether the service's budget allows this request one more attempt."""
+        """Whether a loan or the service's budget allows this request one more attempt.
+
+        The loan is one that this request has borrowed.
+        """
         budget = self.shared.budget_for(self.routed.service.name)
-        return budget.has_retry(now, self.kept_share())
+        return now < self.loan_until or budget.has_retry(now, self.kept_share())
 
     def spend_retry(self, now: float) -> bool:
-        """Take one retry from the service's budget; return whether there was one."""
+        """Take one retry from the loan or the budget; return whether there was one."""
         budget = self.shared.budget_for(self.routed.service.name)
+        if now < self.loan_until:
+            self.loan_until = -math.inf
+            budget.record_retry(now)
+            return True
         return budget.spend(now, self.kept_share())
 
+    @property
+    def is_new_stream(self) -> bool:
+        """Whether this is a stream that has not begun."""
+        return self.kind.is_stream and not self.has_delivered
+
     def kept_share(self) -> float:
         """Return the share of the reserve that this request leaves to other streams.
 
         A stream in progress may use all of it: its caller would otherwise receive
         nothing for a while, or request all of it again.
         """
-        is_new_stream = self.kind.is_stream and not self.has_delivered
-        return NEW_STREAM_KEPT_SHARE if is_new_stream else 0.0
+        return kept_share(self.is_new_stream)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -32,6 +32,7 @@
 )
 from turmericusher.decisions.relay_stop import DurationEstimate
 from turmericusher.decisions.retries import RetryBudget
+from turmericusher.decisions.retry_loans import RetryLoans
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.decisions.selection import PickRequest, Selector
 from turmericusher.decisions.send_gate import SendGate
@@ -132,7 +133,9 @@
     upstreams, and `crash_trials` the attempts that tried such a trait again.
     `version_refusals` are the streams that no instance knew the version of.
     `forwards` are the attempts that went by another instance, and `forward_refusals`
-    those that it did not take.
+    those that it did not take. `loan_requests` counts the requests to other instances
+    for a retry, `retries_borrowed` those that they lent, and `retries_lent` those that
+    this one lent.
     """
 
     attempts: int = 0
@@ -157,6 +160,9 @@
     version_refusals: int = 0
     forwards: int = 0
     forward_refusals: int = 0
+    loan_requests: int = 0
+    retries_borrowed: int = 0
+    retries_lent: int = 0
 
 
 @dataclass(slots=True)
@@ -173,7 +179,8 @@
     requests crash upstreams, and `versions` at which version each stream began.
     `leaving` has the upstreams that leave, by their own answers or by the list, and
     `reach` the services whose upstreams accept no connections of this instance,
-    for which `forwarding` has the other instances.
+    for which `forwarding` has the other instances. `loans` says which of them is asked
+    for a retry.
     """
 
     selector: Selector
@@ -195,6 +202,7 @@
     leaving: LeavingMarks = field(init=False)
     reach: Reachability = field(init=False)
     forwarding: Forwarding = field(init=False)
+    loans: RetryLoans = field(init=False)
 
     def __post_init__(self) -> None:
         """Start without any limit, mark or failed connection."""
@@ -203,6 +211,7 @@
         self.leaving = LeavingMarks(self.random)
         self.reach = Reachability(self.selector)
         self.forwarding = Forwarding(self.random)
+        self.loans = RetryLoans(self.random)
 
     def record_leaving(self, upstream: UpstreamInstance, now: float) -> bool:
         """Use an upstream no more that said that it leaves; return whether it is new.
@@ -319,7 +328,8 @@
     queried for their load, and no attempt runs yet. `is_claiming_trial`: a trial of a
     blocked trait was asked for, and `has_trial`: the next attempt is one.
     `unpaid_failure` is that for which a retry is due at `retry_at` if the budget allows
-    it.
+    it. `is_borrowing`: another instance was asked for a retry. One that it has lent may
+    be made until `loan_until`.
     """
 
     request: RelayedRequest
@@ -329,6 +339,8 @@
     now: float = 0.0
     version: str = ""
     is_finding_version: bool = False
+    is_borrowing: bool = False
+    loan_until: float = -math.inf
     is_version_elsewhere: bool = False
     refused_by: set[str] = field(default_factory=set)
     position: int | None = None
--- a/src/turmericusher/decisions/retries.py
+++ b/src/turmericusher/decisions/retries.py
@@ -89,9 +89,14 @@
         earned = self.ratio * self.requests.count(now)
         return self.current_reserve(now) + earned - self.retries.count(now)
 
+    def is_spaced(self, now: float) -> bool:
+        """Whether no retry is due yet because the service may be down."""
+        may_be_down = self.failures_in_a_row >= OUTAGE_FAILURES
+        return may_be_down and now < self.next_retry_at
+
     def has_retry(self, now: float, kept_share: float = 0.0) -> bool:
         """Whether the budget allows one more retry and keeps a share of the reserve."""
-        if self.failures_in_a_row >= OUTAGE_FAILURES and now < self.next_retry_at:
+        if self.is_spaced(now):
             return False
         kept = kept_share * self.current_reserve(now)
         return self.allowance(now) - kept >= 1
@@ -101,9 +106,13 @@
         if not self.has_retry(now, kept_share):
             return False
         self.retries.record(now)
-        self.next_retry_at = now + OUTAGE_RETRY_INTERVAL_S
+        self.record_retry(now)
         return True
 
+    def record_retry(self, now: float) -> None:
+        """Record that a retry is made, also one that another instance paid for."""
+        self.next_retry_at = now + OUTAGE_RETRY_INTERVAL_S
+
     def record_failure(self) -> None:
         """Record that an attempt of any request has failed at an upstream."""
         self.failures_in_a_row += 1
--- a/src/turmericusher/peers/instance_services.py
+++ b/src/turmericusher/peers/instance_services.py
@@ -11,19 +11,29 @@
 
 from turmericusher.decisions.stream_versions import StreamVersions
 from turmericusher.peers.changes_service import ChangesService, ChangeStreams
+from turmericusher.peers.retries_service import (
+    Lender,
+    RetriesService,
+    RetryChannels,
+)
 from turmericusher.peers.streams_service import StreamsService, open_channels
 from turmericusher.tasks.change_feed import ChangeFeed
 
-__all__ = ["ChangeStreams", "open_channels", "serving_instances"]
+__all__ = ["ChangeStreams", "RetryChannels", "open_channels", "serving_instances"]
 
 
 @asynccontextmanager
 async def serving_instances(
-    known: StreamVersions, feed: ChangeFeed, bound: socket.socket
+    known: StreamVersions, feed: ChangeFeed, lend: Lender, bound: socket.socket
 ) -> AsyncIterator[None]:
     """Serve other instances at a bound socket while the context is open."""
     clock = asyncio.get_running_loop().time
-    server = Server([StreamsService(known, clock), ChangesService(feed)])
+    services = [
+        StreamsService(known, clock),
+        ChangesService(feed),
+        RetriesService(lend),
+    ]
+    server = Server(services)
     await server.start(sock=bound)
     try:
         yield
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -46,6 +46,7 @@
 from turmericusher.tasks.registration import Registration, registered
 from turmericusher.tasks.relay import RelayContext
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
+from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.store_follower import StoreFollower, following_store
 from turmericusher.tasks.stream_peers import running_stream_peers
@@ -141,7 +142,8 @@
         records = VersionRecords(shared.versions, store, VersionRecordCodec())
         exchange = StreamVersionExchange(shared.versions, records)
         checks = ReachChecks(shared.reach, port)
-        context = RelayContext(port, shared, reports, exchange, checks)
+        lending = RetryLending(shared)
+        context = RelayContext(port, shared, reports, exchange, checks, lending)
         stack.push_async_callback(context.finish_releases)
         reports.has_crashed = shared.has_crashed
         reports.before_review = context.record_ended_upstreams
@@ -166,7 +168,7 @@
                 waiting = listener
             server = running_server(app, address, 0, waiting)
             instance.servers.append(await stack.enter_async_context(server))
-        peers = running_stream_peers(exchange, watch, settings.peer_address)
+        peers = running_stream_peers(exchange, watch, lending, settings.peer_address)
         await stack.enter_async_context(peers)
         await stack.enter_async_context(registered(instance.registration))
         log_event("serving", name=settings.name, address=settings.caller_address)
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -21,6 +21,7 @@
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
     AttemptFailed,
+    BorrowRetry,
     BreakStream,
     CheckHolder,
     ClaimTrial,
@@ -39,6 +40,7 @@
     RelayEvent,
     RelayOutput,
     ReleaseCopy,
+    RetryLent,
     StartRelay,
     TraitBlocked,
     TrialClaimed,
@@ -54,6 +56,7 @@
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.crash_reports import CrashReports
 from turmericusher.tasks.reach_checks import ReachChecks
+from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.stream_versions import StreamVersionExchange
 
 INBOX_SIZE = 64
@@ -64,7 +67,13 @@
 between failure domains and is short compared with the time to a first event."""
 
 HelperAction = (
-    ProbeUpstream | ClaimTrial | FindVersion | QueryLoads | CopyMemory | CheckHolder
+    ProbeUpstream
+    | ClaimTrial
+    | FindVersion
+    | BorrowRetry
+    | QueryLoads
+    | CopyMemory
+    | CheckHolder
 )
 """Actions that are carried out beside a request, which waits for their results."""
 
@@ -90,6 +99,7 @@
     crash_reports: CrashReports
     versions: StreamVersionExchange
     reach_checks: ReachChecks
+    lending: RetryLending
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[UpstreamReport | None]] = field(
         default_factory=dict
@@ -197,6 +207,8 @@
                 self.start_helper(action, self.claim_trial)
             case FindVersion():
                 self.start_helper(action, self.find_version)
+            case BorrowRetry():
+                self.start_helper(action, self.borrow_retry)
             case QueryLoads():
                 self.start_helper(action, self.query_loads)
             case CopyMemory():
@@ -260,6 +272,20 @@
         )
         await self.inbox.put(VersionFound(found))
 
+    async def borrow_retry(self, action: BorrowRetry) -> None:
+        """Ask another instance for a retry and pass its answer to the inbox."""
+        lender = action.lender
+        is_lent = await self.context.lending.borrow(
+            lender, action.service, action.is_new_stream
+        )
+        log_event(
+            "retry_borrowed",
+            id=self.relay.request.request_id,
+            instance=lender.name,
+            is_lent=is_lent,
+        )
+        await self.inbox.put(RetryLent(lender.name, is_lent))
+
     async def query_loads(self, action: QueryLoads) -> None:
         """Query candidates for their load and pass on the reports that came in time."""
         queries = {
@@ -363,6 +389,12 @@
     return VersionFound(relay.shared.versions.find(action.stream, action.service, now))
 
 
+@empty_result.register
+def empty_loan(action: BorrowRetry, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of a retry that was not lent."""
+    return RetryLent(action.lender.name, False)
+
+
 @empty_result.register
 def empty_loads(action: QueryLoads, relay: Relay, now: float) -> RelayEvent:
     """Return the event of a query that no candidate has answered."""
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -217,6 +217,7 @@
         selector.update_instances(instances)
         self.shared.crashes.update_instances(selector.own, instances)
         self.shared.forwarding.update_instances(selector.own, instances.values())
+        self.shared.loans.update_instances(selector.own, instances.values())
         self.shared.versions.update_instances(selector.own, instances)
         self.shared.send_limits.update_instances(
             selector.own,
--- a/src/turmericusher/tasks/stream_peers.py
+++ b/src/turmericusher/tasks/stream_peers.py
@@ -14,6 +14,7 @@
 from turmericusher.listeners import open_listener
 from turmericusher.logs import log_event
 from turmericusher.tasks.background import background_tasks
+from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.stream_versions import StreamVersionExchange
 
@@ -22,16 +23,19 @@
 
 @asynccontextmanager
 async def running_stream_peers(
-    exchange: StreamVersionExchange, watch: SharedWatch, address: str | None
+    exchange: StreamVersionExchange,
+    watch: SharedWatch,
+    lending: RetryLending,
+    address: str | None,
 ) -> AsyncIterator[None]:
-    """Give the exchange and the watch their connections while the context is open.
+    """Give all three their connections to other instances while the context is open.
 
     Other instances are served at `ip:port` unless that is None. Connections that arrive
     before gRPC is loaded wait in the socket's backlog.
     """
     with ExitStack() as stack:
         listener = stack.enter_context(open_listener(address)) if address else None
-        running = run_stream_peers(exchange, watch, listener)
+        running = run_stream_peers(exchange, watch, lending, listener)
         async with background_tasks({"stream-peers": running}):
             yield
 
@@ -39,15 +43,20 @@
 async def run_stream_peers(
     exchange: StreamVersionExchange,
     watch: SharedWatch,
+    lending: RetryLending,
     listener: socket.socket | None,
 ) -> None:
     """Load gRPC in a thread, serve, and hand the connections out."""
     service = await asyncio.to_thread(import_module, SERVICE_MODULE)
     async with AsyncExitStack() as stack:
         if listener is not None:
-            serving = service.serving_instances(exchange.versions, watch.feed, listener)
+            serving = service.serving_instances(
+                exchange.versions, watch.feed, lending.lend, listener
+            )
             await stack.enter_async_context(serving)
-        exchange.peers.set_result(stack.enter_context(service.open_channels()))
+        channels = stack.enter_context(service.open_channels())
+        exchange.peers.set_result(channels)
+        lending.peers.set_result(service.RetryChannels(channels))
         watch.peers.set_result(service.ChangeStreams())
         log_event("stream_peers_loaded", is_serving=listener is not None)
         await asyncio.Event().wait()
