Tests: the limit on all retries holds while instances start at once or join, and count too few others

A model with production budgets: instances register within 1.2 s, look at the list each second, and make each retry that is allowed while all requests fail. 8 to 420 start, 39 join 156, 195 join 195.

--- a/tests/cover/test_budgets.py
+++ b/tests/cover/test_budgets.py
@@ -1,7 +1,10 @@
 """Budgets bound retries to a share of the calls, and the resumes that wait at once."""
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
+from parameterized import parameterized
 from testtools import TestCase
 
 from turmericusher.decisions.extra_work import ResumeLimiter
@@ -11,7 +14,58 @@
 PAUSES = st.sampled_from([0.0, 0.01, 0.3, 1.0, 4.0, 11.0])
 
 
+BOUNDS = RetryBounds(0.8, 150.0, WINDOW_S)
+REGISTRATION_S, NEWS_S = 1.2, 1.0
+"""Seconds within which all instances of a fleet that starts are listed, and between two
+looks of an instance at the list."""
+
+
+def count_retries_after_start(joining, running, requests_per_s, until_s=6.0):
+    """Return the requests and the retries while each retry that is allowed is made.
+
+    `joining` instances start at once beside `running` ones. Each learns late how many
+    there are.
+    """
+    rng = random.Random(1)
+    started_at = [-100.0] * running
+    started_at += sorted(rng.uniform(0.0, REGISTRATION_S) for _ in range(joining))
+    budgets = [RetryBudget(window_s=WINDOW_S, started_at=at) for at in started_at]
+    requests, retries, now = 0, 0, rng.expovariate(requests_per_s)
+    while now < until_s:
+        number = rng.randrange(len(budgets))
+        if started_at[number] <= now:
+            budget, begun_at = budgets[number], max(0.0, started_at[number])
+            looked_at = begun_at + (now - begun_at) // NEWS_S * NEWS_S
+            listed = sum(at <= looked_at for at in started_at)
+            budget.ratio, budget.reserve = (
+                BOUNDS.instance_ratio(),
+                BOUNDS.reserve(listed),
+            )
+            budget.record_request(now)
+            requests += 1
+            retries += sum(budget.spend(now) for _ in range(4))
+        now += rng.expovariate(requests_per_s)
+    return requests, retries
+
+
 class BudgetTest(TestCase):
+    @parameterized.expand(
+        [
+            ("8 start", 8, 0, 24.0),
+            ("60 start", 60, 0, 30.0),
+            ("195 start, calls", 195, 0, 133.0),
+            ("195 start, streams", 195, 0, 22.0),
+            ("420 start", 420, 0, 50.0),
+            ("39 join 156", 39, 156, 133.0),
+            ("195 join 195", 195, 195, 133.0),
+        ]
+    )
+    def test_retries_keep_within_the_limit_of_all_instances_when(
+        self, _, joining, running, requests_per_s
+    ) -> None:
+        requests, retries = count_retries_after_start(joining, running, requests_per_s)
+        self.assertLessEqual(retries, BOUNDS.slack + BOUNDS.ratio * requests)
+
     @given(events=st.lists(st.tuples(st.booleans(), PAUSES), max_size=300))
     def test_retries_of_a_window_never_exceed_the_reserve_and_a_share_of_the_calls(
         self, events
