Crash ledger: a trial is left to others for a second, not for the current interval

Timeline: six deaths block part within 0.5 s; at 6.5 s, when the store is back, a stream with the crashing part, which is suspected but not blocked, is the trial, and its end counts as one of: the next is due at 14.1 s. All sound streams have a second part that is blocked, too. At 14.1 s these begin to leave the trial to others for two intervals, which are now 7.5 s each. Change: a trial is left to others for 1 s, or for 2 s by a request with another blocked part, whatever the interval.

--- a/src/turmericusher/decisions/crash_ledger.py
+++ b/src/turmericusher/decisions/crash_ledger.py
@@ -68,6 +68,10 @@
 is shorter than the time in which a deployment must have recovered: the first trial of a
 sound part may have met a death of another cause."""
 
+TRIAL_LEAVE_S = 1.0
+"""Seconds for which a request whose end would tell little leaves a trial to others:
+some pauses between two streams at one instance."""
+
 REQUEST_TRIAL_BACKOFF = 15.0
 """Factor by which each trial of a whole request makes the time to the next longer."""
 
@@ -209,29 +213,29 @@
     def trial_due_at(self, trait: str, traits: Sequence[str]) -> float:
         """Return when a request with these traits may try one that is blocked.
 
-        If its end would tell little, it leaves the trial to others for some intervals
-        from when the first such request could have made it.
+        If its end would tell little, it leaves the trial to others for a time from when
+        the first such request could have made it.
         """
         due_at = self.next_trial_at(trait)
-        intervals = self.intervals_to_leave(trait, traits)
-        if intervals == 0:
+        leave_s = self.leave_s(trait, traits)
+        if leave_s == 0.0:
             return due_at
         left_at = self.left_at.get(trait, -math.inf)
         if left_at < due_at:
             return math.inf
-        left_at = max(left_at, self.claim_failed_at)
-        return left_at + intervals * self.trial_interval_s(trait)
+        return max(left_at, self.claim_failed_at) + leave_s
 
-    def intervals_to_leave(self, trait: str, traits: Sequence[str]) -> int:
-        """Return for how many intervals a request leaves a trial of a part to others.
+    def leave_s(self, trait: str, traits: Sequence[str]) -> float:
+        """Return for how many seconds a request leaves a trial of a part to others.
 
         That is none, unless a less shared one of its parts is suspected, too: its end
         may come of that one. If that one is blocked, it probably would.
         """
         less_shared = self.less_shared_parts(trait, traits)
         if any(map(self.is_blocked, less_shared)):
-            return 2
-        return int(any(other in self.suspicions for other in less_shared))
+            return 2 * TRIAL_LEAVE_S
+        is_suspected = any(other in self.suspicions for other in less_shared)
+        return TRIAL_LEAVE_S if is_suspected else 0.0
 
     def less_shared_parts(self, trait: str, traits: Sequence[str]) -> list[str]:
         """Return the parts of a request that fewer requests have than a trait of it."""
@@ -445,7 +449,7 @@
     def leave_trial(self, traits: Sequence[str], now: float) -> None:
         """Record that a request could make a trial now and may leave it to others."""
         for trait in traits:
-            if self.is_blocked(trait) and self.intervals_to_leave(trait, traits) > 0:
+            if self.is_blocked(trait) and self.leave_s(trait, traits) > 0.0:
                 due_at = self.next_trial_at(trait)
                 if now >= due_at > self.left_at.get(trait, -math.inf):
                     self.left_at[trait] = now
