--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -32,6 +32,10 @@
 from turmericusher.ports.keyvalue import StoredValue, WatchEvent
 from turmericusher.tasks.background import lasting_task
 
+MAX_FAILURES = 3
+"""Unexpected errors in a row in applying an entry after which it is left out: it would
+hold up the changes after it for good."""
+
 EXPIRY_CHECK_INTERVAL_S = 0.1
 """Seconds between two checks for entries that have expired."""
 
@@ -87,7 +91,8 @@
     `on_crash` is called when another instance told of a crash, and `on_versions` when
     others may have to be told of this instance's streams. `on_instances` is called with
     all entry instances after each change. `has_configuration` is set from the first
-    configuration on.
+    configuration on. `failures` counts the unexpected errors in a row in applying each
+    entry, and `error` is one for which the entries are to be applied again.
     """
 
     shared: RelayShared
@@ -101,6 +106,8 @@
     upstreams: Listing[UpstreamInstance] = field(default_factory=Listing)
     instances: Listing[EntryInstance] = field(default_factory=Listing)
     has_configuration: asyncio.Event = field(default_factory=asyncio.Event)
+    failures: dict[str, int] = field(default_factory=dict)
+    error: Exception | None = None
     claims: frozenset[str] = frozenset()
     cut_off: frozenset[str] = frozenset()
 
@@ -109,7 +116,7 @@
         upstreams: dict[str, UpstreamInstance] = {}
         instances: dict[str, EntryInstance] = {}
         for value in values:
-            with logged_errors(value.key):
+            with self.applying(value.key):
                 match self.decode(value.key, value.value):
                     case ConfigurationRecord(table):
                         self.apply_table(table)
@@ -124,6 +131,7 @@
         self.upstreams.replace_all(upstreams, now)
         self.instances.replace_all(instances, now)
         self.update_decisions(now)
+        self.raise_error()
 
     def store_changed(self, events: Sequence[WatchEvent], now: float) -> None:
         """Apply the changes of one answer of the store and pass the new state on once.
@@ -132,7 +140,7 @@
         """
         changed: set[type[Record] | None] = set()
         for event in events:
-            with logged_errors(event.key):
+            with self.applying(event.key):
                 changed.add(self.apply_change(event, now))
         if UpstreamRecord in changed:
             self.update_upstreams(now)
@@ -140,6 +148,29 @@
             self.update_instances()
         if changed & {UpstreamRecord, SeenVersion, ServiceVersions}:
             self.on_versions()
+        self.raise_error()
+
+    @contextmanager
+    def applying(self, key: str) -> Iterator[None]:
+        """Keep an unexpected error in applying one entry from the others.
+
+        After some errors in a row that entry is left out.
+        """
+        try:
+            yield
+        except Exception as error:
+            failures = self.failures[key] = self.failures.get(key, 0) + 1
+            log_event("entry_not_applied", key=key, error=repr(error))
+            if failures < MAX_FAILURES:
+                self.error = error
+        else:
+            self.failures.pop(key, None)
+
+    def raise_error(self) -> None:
+        """Raise the error of an entry, so that all of them are applied again."""
+        error, self.error = self.error, None
+        if error is not None:
+            raise error
 
     def apply_change(self, event: WatchEvent, now: float) -> type[Record] | None:
         """Apply one change of a key; return the kind of its record, if it has one.
@@ -275,15 +306,6 @@
         listing.put(name, entry)
 
 
-@contextmanager
-def logged_errors(key: str) -> Iterator[None]:
-    """Log an unexpected error in applying one entry, so that it costs no other one."""
-    try:
-        yield
-    except Exception as error:
-        log_event("entry_not_applied", key=key, error=repr(error))
-
-
 @asynccontextmanager
 async def expiring_entries(fleet: RelayFleet) -> AsyncIterator[None]:
     """Drop expired entries of the fleet while the context is open."""
--- a/tests/cover/test_unexpected_errors.py
+++ b/tests/cover/test_unexpected_errors.py
@@ -45,7 +45,7 @@
 from turmericusher.ports.keyvalue import StoredValue, WatchEvent
 from turmericusher.standins.platform_upstream import UpstreamFault
 from turmericusher.tasks.relay import RelayOwner
-from turmericusher.tasks.relay_fleet import RelayFleet
+from turmericusher.tasks.relay_fleet import MAX_FAILURES, RelayFleet
 
 FIRST, SECOND = make_upstream(0), make_upstream(1)
 
@@ -190,10 +190,15 @@
         ]
         logs = io.StringIO()
         with logging_to(logs):
+            # What follows the store applies all of them again after an error.
+            for _ in range(MAX_FAILURES - 1):
+                self.assertRaises(RuntimeError, apply, fleet, entries)
+                self.assertEqual({"u0", "u2"}, set(shared.selector.upstreams))
             apply(fleet, entries)
         self.assertEqual({"u0", "u2"}, set(shared.selector.upstreams))
-        self.assertIn("event=entry_not_applied", logs.getvalue())
-        self.assertIn("u1", logs.getvalue())
+        self.assertIn(
+            f"event=entry_not_applied key={UPSTREAM_PREFIX}u1", logs.getvalue()
+        )
 
 
 async def exception_of(work):
