Soak: links listen at hosts of their own

Links listen at an unused loopback host now, as instances do since, and keep it when they come back (the re-listen went to 127.0.0.1 whatever the host was).

--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from tests.common.relay_fixtures import unused_loopback_host
 from turmericusher.standins.platform_upstream import full_backlog, reset
 from turmericusher.tasks.background import cancel_tasks
 
@@ -112,12 +113,17 @@
         if self.server is not None:
             self.server.close()
 
-    async def listen(self, host: str = "127.0.0.1") -> None:
-        """Accept connections, at the same address as before if there is one."""
+    async def listen(self) -> None:
+        """Accept connections, at the same address as before if there is one.
+
+        At the first time that is one of a host of its own: on 127.0.0.1, the port may
+        be another connection's when the proxy listens again.
+        """
         self.is_target_up = True
         if self.is_cut:
             return
-        port = int(self.address.rpartition(":")[2] or 0)
+        known_host, _, known_port = self.address.rpartition(":")
+        host, port = known_host or unused_loopback_host(), int(known_port or 0)
         self.server = await asyncio.start_server(self.serve, host, port)
         self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
 
@@ -213,12 +219,10 @@
 
 
 @asynccontextmanager
-async def running_proxy(
-    target: str, host: str = "127.0.0.1", **fields: Any
-) -> AsyncIterator[Proxy]:
-    """Run a proxy on a port chosen by the operating system."""
+async def running_proxy(target: str, **fields: Any) -> AsyncIterator[Proxy]:
+    """Run a proxy at an unused address."""
     proxy = Proxy(target, **fields)
-    await proxy.listen(host)
+    await proxy.listen()
     try:
         yield proxy
     finally:
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import math
+import socket
 import tempfile
 from dataclasses import replace
 from pathlib import Path
@@ -446,6 +447,20 @@
             self.assertEqual(b"y", await asyncio.wait_for(reader.read(1), 2.0))
         server.close()
 
+    @run_async
+    async def test_a_link_comes_back_although_its_port_is_in_use_on_another_host(self):
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        target = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with running_proxy(target) as proxy:
+            proxy.refuse()
+            with socket.socket() as other:
+                other.bind(("127.0.0.1", int(proxy.address.rpartition(":")[2])))
+                await proxy.listen()
+                reader, writer = await self.connect(proxy)
+                writer.write(b"x")
+                self.assertEqual(b"x", await asyncio.wait_for(reader.read(1), 2.0))
+        server.close()
+
     @run_async
     async def test_a_connection_that_is_opened_while_the_target_ends_gets_nothing(self):
         server = await asyncio.start_server(echo, "127.0.0.1", 0)
