--- a/review/1/run.py
+++ b/review/1/run.py
@@ -24,8 +24,9 @@
 SEED = 45
 EVENTS, GAP_S = 140, 0.1
 STREAMS, STREAM_INTERVAL_S = 300, 0.02
-ENGINES_AFTER_S, STREAMS_AFTER_S, RESET_AFTER_S, CUT_S = 0.5, 2.0, 8.0, 12.0
-CUT_INSTANCE, RESET_INSTANCE = "front-1", "front-2"
+ENGINES_AFTER_S, STREAMS_AFTER_S, CUT_S = 0.5, 2.0, 12.0
+CUT_INSTANCE = "front-1"
+RESETS = (("front-2", 8.0), ("front-3", 9.5))
 RESET_SHARE = 0.55
 DEADLINE_MS = 25_000
 MAX_MIXED = 2
@@ -73,10 +74,10 @@
             await asyncio.sleep(sent_at - record.now())
             task = client(record, fleet, number, rng.random())
             clients.append(asyncio.create_task(task))
-        await asyncio.sleep(cut_at + RESET_AFTER_S - record.now())
-        link = fleet.instances[RESET_INSTANCE].clients
-        count = link.reset_some(RESET_SHARE, rng)
-        record.add("reset", instance=RESET_INSTANCE, connections=count)
+        for name, after_s in RESETS:
+            await asyncio.sleep(cut_at + after_s - record.now())
+            count = fleet.instances[name].clients.reset_some(RESET_SHARE, rng)
+            record.add("reset", instance=name, connections=count)
         await asyncio.sleep(cut_at + CUT_S - record.now())
         if is_troubled:
             await fleet.restore(CUT_INSTANCE)
