--- a/review/rig/callers.py
+++ b/review/rig/callers.py
@@ -7,6 +7,7 @@
 import json
 import random
 from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from rig.fleet import DIRECTORY, Fleet, Instance
@@ -133,6 +134,54 @@
     return answer
 
 
+@dataclass(slots=True)
+class KeptConnection:
+    """A connection of a client that carries one request after the other.
+
+    `answered` counts the requests that it has carried to their whole answers, and
+    `last_id` is that of the last one sent.
+    """
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    answered: int = 0
+    last_id: str = ""
+
+    async def call(self, record: Record, path: str, deadline_ms: int) -> Answer:
+        """Send a request that must not repeat, and return its answer.
+
+        Raises `OSError` or `IncompleteReadError` if the connection ends without one.
+        """
+        answer = Answer(f"q{next(IDS):06d}")
+        self.last_id = answer.request_id
+        record.add("sent", id=answer.request_id, path=path, kept=self.answered)
+        kept = {"Connection": "keep-alive"}
+        self.writer.write(
+            request_bytes("POST", path, answer.request_id, deadline_ms, kept)
+        )
+        async with asyncio.timeout(deadline_ms / 1000):
+            message = await read_head(self.reader)
+            answer.status, answer.headers = message.status, message.headers
+            async for part in read_body(self.reader, message):
+                answer.body += part
+        answer.is_whole = True
+        self.answered += 1
+        record.add("answered", id=answer.request_id, status=answer.status, whole=True)
+        return answer
+
+
+@asynccontextmanager
+async def kept_connection(address: str) -> AsyncIterator[KeptConnection]:
+    """Open a connection, and close it at the end."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(CONNECT_LIMIT_S):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield KeptConnection(reader, writer)
+    finally:
+        writer.close()
+
+
 async def exchange(
     answer: Answer,
     address: str,
--- a/review/rig/case.py
+++ b/review/rig/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -33,13 +34,16 @@
     """Return the exit status of a check."""
 
     async def limited(record: Record) -> bool:
+        # A script that is told to end must end what it has started.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(LIMIT_S):
             return await check(record, is_troubled())
 
     with recording(folder / "record.txt") as record:
         try:
             has_held = asyncio.run(limited(record))
-        except (Exception, KeyboardInterrupt):
+        except (Exception, KeyboardInterrupt, asyncio.CancelledError):
             traceback.print_exc()
             return COULD_NOT_RUN
     return HELD if has_held else BROKEN
