--- a/review/1/run.py
+++ b/review/1/run.py
@@ -22,11 +22,11 @@
 from rig.record import Record
 
 SEED = 45
-EVENTS, GAP_S = 140, 0.1
-STREAMS, STREAM_INTERVAL_S = 300, 0.02
-ENGINES_AFTER_S, STREAMS_AFTER_S, CUT_S = 0.5, 2.0, 12.0
+EVENTS, GAP_S = 140, 0.12
+STREAMS, STREAM_INTERVAL_S = 400, 0.01
+ENGINES_AFTER_S, STREAMS_AFTER_S, CUT_S = 0.5, 1.5, 8.0
 CUT_INSTANCE = "front-1"
-RESETS = (("front-2", 8.0), ("front-3", 9.5))
+RESETS = (("front-2", 5.6), ("front-3", 6.2), ("front-4", 6.8))
 RESET_SHARE = 0.55
 DEADLINE_MS = 25_000
 MAX_MIXED = 2
@@ -36,7 +36,7 @@
 async def check(record: Record, is_troubled: bool) -> bool:
     """Return whether at most two streams hold events of two software versions."""
     async with AsyncExitStack() as stack:
-        fleet = await stack.enter_async_context(running_fleet(record, 3))
+        fleet = await stack.enter_async_context(running_fleet(record, 4))
 
         async def add_engine(number: int, version: str) -> None:
             engine = Engine(
@@ -108,13 +108,15 @@
     """Read one stream, and take it up once if its connection breaks."""
     rng, stream, failed = random.Random(seed), Stream(), set()
     instances = list(fleet.instances.values())
-    nearest = instances[number % 3 :] + instances[: number % 3]
+    nearest = instances[number % 4 :] + instances[: number % 4]
+    ends_at = record.now() + DEADLINE_MS / 1000
     for _ in range(1 + CLIENT_RETRIES):
+        left_ms = round(1000 * (ends_at - record.now()))
         address = pick(await resolve(fleet, nearest), failed, rng)
         if address is None:
             break
         path = f"{STREAM_ROUTE['prefix']}{number}"
-        if await read_stream(record, stream, address, path, DEADLINE_MS):
+        if await read_stream(record, stream, address, path, left_ms):
             break
         failed.add(address)
     return stream
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -23,9 +23,9 @@
 from rig.record import Record
 
 SEED = 45
-ENGINES = 6
+ENGINES = 9
 EVENTS, GAP_S = 140, 0.05
-STREAMS, STREAM_INTERVAL_S = 80, 0.03
+STREAMS, STREAM_INTERVAL_S = 200, 0.015
 NEW_STREAMS, NEW_STREAM_INTERVAL_S = 30, 0.1
 DARK_S = 3.5
 RELEASE_AFTER_S, RELEASE_GAP_S = 0.5, 0.3
@@ -38,7 +38,7 @@
     """Return whether enough of the streams that are taken up go on."""
     new_version = os.environ.get("NEW_VERSION", "v2")
     async with AsyncExitStack() as stack:
-        fleet = await stack.enter_async_context(running_fleet(record, 3))
+        fleet = await stack.enter_async_context(running_fleet(record, 8))
 
         async def add_engine(number: int, version: str) -> None:
             engine = Engine(
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -184,7 +184,7 @@
         engines.append(await add_engine(number))
         number += 1
         old = engines.pop(0)
-        old.state = "draining"
+        old.state, old.says = "draining", {"Server-Leaving": "1"}
         old.write_entry()
         record.add("draining", engine=old.name)
         asyncio.get_running_loop().call_later(DRAIN_S, leave, old)
@@ -217,12 +217,13 @@
 async def stream_client(record: Record, fleet: Fleet, rng: random.Random) -> None:
     """Read one stream, and take it up once if its connection breaks."""
     stream, failed = Stream(), set()
+    ends_at = record.now() + STREAM_DEADLINE_MS / 1000
     for _ in range(2):
         nearest = rng.sample(list(fleet.instances.values()), 2)
         address = pick(await resolve(fleet, nearest), failed, rng)
         path = f"{STREAM_ROUTE['prefix']}x"
         if address is None or await read_stream(
-            record, stream, address, path, STREAM_DEADLINE_MS
+            record, stream, address, path, round(1000 * (ends_at - record.now()))
         ):
             return
         failed.add(address)
--- a/review/rig/callers.py
+++ b/review/rig/callers.py
@@ -18,6 +18,7 @@
 TENANT = "huka270"
 HOST = "ficu95.example"
 CONNECT_LIMIT_S = 1.0
+SHARED_TOKENS, OWN_TOKENS, OUTPUT_TOKENS = 200, 60, 560
 LONGEST_GAP_S = 18.0
 """Seconds without an event after which clients abandon a stream.
 
@@ -219,7 +220,8 @@
     """One stream over all of its client's attempts.
 
     `events` has the engine's data of each event by its id, in the order of receipt;
-    `first_id` is the client attempt that brought the first event.
+    `first_id` is the client attempt that brought the first event, and `part` the id of
+    the last part of its prompt.
     """
 
     events: list[tuple[int, str]] = field(default_factory=list)
@@ -227,6 +229,7 @@
     statuses: list[int] = field(default_factory=list)
     attempts: list[str] = field(default_factory=list)
     is_whole: bool = False
+    part: str = field(default_factory=lambda: f"{next(IDS) + 0x10000000:x}")
 
     @property
     def versions(self) -> set[str]:
@@ -249,7 +252,11 @@
     an event for `longest_gap_s` is abandoned.
     """
     request_id = f"s{next(IDS):06d}"
-    headers = dict(extra or {})
+    headers = {
+        "X-Model-Name": "m",
+        "X-Token-Counts": f"{SHARED_TOKENS + OWN_TOKENS},{OUTPUT_TOKENS}",
+        "X-Prompt-Prefix": f"5c1e07a2:{SHARED_TOKENS},{stream.part}:{OWN_TOKENS}",
+    } | (extra or {})
     if stream.events:
         headers["Last-Event-Id"] = str(stream.events[-1][0])
         headers["Resumes"] = stream.first_id
--- a/review/rig/engines.py
+++ b/review/rig/engines.py
@@ -21,6 +21,9 @@
 
 HEARTBEAT_S = 1.2
 REPORT_TOKENS = 88_000
+BY_ADDRESS: dict[str, Engine] = {}
+"""The engines that others may copy to, by their addresses."""
+
 
 Fault = Callable[["Engine", Message, asyncio.StreamWriter], Awaitable[bool]]
 
@@ -32,6 +35,7 @@
     request_id: str
     position: int
     events: int = 0
+    size: int = 0
     writer: asyncio.StreamWriter | None = None
 
 
@@ -69,6 +73,7 @@
     is_up: bool = True
     gate: asyncio.Semaphore = field(init=False)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    copies: set[str] = field(default_factory=set)
     handles: itertools.count = field(default_factory=lambda: itertools.count(1))
 
     def __post_init__(self) -> None:
@@ -83,6 +88,7 @@
         )
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{self.host}:{port}"
+        BY_ADDRESS[self.address] = self
 
     def write_entry(self) -> None:
         """Write the entry in the store."""
@@ -111,6 +117,8 @@
     def fall(self) -> None:
         """Crash: all connections are reset, and new ones are refused."""
         self.is_up = False
+        self.copies.clear()
+        BY_ADDRESS.pop(self.address, None)
         if self.server is not None:
             self.server.close()
         for writer in list(self.writers):
@@ -151,13 +159,25 @@
         if request.target == "/v1/report":
             writer.write(response(200, self.says, json.dumps(self.report()).encode()))
         elif request.target == "/v1/kv-move":
-            known = json.loads(request.body)["identifier"] in self.runs
-            body = {"handle": f"h{next(self.handles)}", "created": 0} if known else {}
-            status = 200 if known else 404
+            status, body = self.copy(json.loads(request.body))
             writer.write(response(status, self.says, json.dumps(body).encode()))
         else:
             writer.write(response(200, self.says, b"{}"))
 
+    def copy(self, call: dict[str, str]) -> tuple[int, dict]:
+        """Copy the memory of a run to another engine."""
+        target = BY_ADDRESS.get(call["target"])
+        if call["identifier"] not in self.runs:
+            return 404, {}
+        if target is None:
+            return 503, {}
+        handle = f"h{next(self.handles)}"
+        target.copies.add(f"{self.address}/{handle}")
+        return 200, {
+            "handle": handle,
+            "created": self.runs[call["identifier"]].events,
+        }
+
     def report(self) -> dict:
         """Return the report of the load."""
         running = [run for run in self.runs.values() if run.events]
@@ -168,13 +188,14 @@
             "sequence": 0,
             "waiting": self.waiting,
             "active_requests": len(self.runs),
-            "cache_used": 100 * len(self.runs),
+            "cache_used": sum(run.size for run in self.runs.values()),
             "cache_total": REPORT_TOKENS,
             "handles": 0,
             "state": self.state,
             "born": self.born,
             "runs": [
-                [run.request_id, 100, run.position + run.events, 5] for run in running
+                [run.request_id, run.size, run.position + run.events, 5]
+                for run in running
             ],
         }
 
@@ -213,6 +234,10 @@
         if request.headers.get("x-target-instance", self.name) != self.name:
             self.refuse(request, writer, 421, "other")
             return
+        source = request.headers.get("kv-from")
+        if source is not None and source not in self.copies:
+            self.refuse(request, writer, 503, "no_copy")
+            return
         if self.gate.locked():
             if self.waiting >= self.queue:
                 self.refuse(request, writer, 503, "full")
@@ -222,7 +247,13 @@
         else:
             await self.gate.acquire()
         position = int(request.headers.get("last-event-id", "0"))
-        run = Run(request_id, position, writer=writer)
+        tokens = request.headers.get("x-token-counts", "0,0").split(",")
+        run = Run(request_id, position, size=sum(map(int, tokens)), writer=writer)
+        self.copies.discard(source or "")
+        holder = BY_ADDRESS.get(request.headers.get("x-cache-backup", ""))
+        backup = f"{holder.address}/{request_id}" if holder is not None else ""
+        if holder is not None:
+            holder.copies.add(backup)
         self.runs[request_id] = run
         self.record.add(
             "run",
@@ -244,6 +275,8 @@
             if self.runs.get(request_id) is run:
                 del self.runs[request_id]
             self.gate.release()
+            if holder is not None and is_whole:
+                holder.copies.discard(backup)
             self.record.add(
                 "run_ended",
                 engine=self.name,
