--- a/review/1/run.py
+++ b/review/1/run.py
@@ -24,9 +24,9 @@
 SEED = 45
 EVENTS, GAP_S = 140, 0.12
 STREAMS, STREAM_INTERVAL_S = 400, 0.01
-ENGINES_AFTER_S, STREAMS_AFTER_S, CUT_S = 0.5, 1.5, 8.0
+ENGINES_AFTER_S, STREAMS_AFTER_S, CUT_S = 0.5, 2.0, 12.0
 CUT_INSTANCE = "front-1"
-RESETS = (("front-2", 5.6), ("front-3", 6.2), ("front-4", 6.8))
+RESETS = (("front-2", 7.5), ("front-3", 9.0))
 RESET_SHARE = 0.55
 DEADLINE_MS = 25_000
 MAX_MIXED = 2
@@ -36,7 +36,7 @@
 async def check(record: Record, is_troubled: bool) -> bool:
     """Return whether at most two streams hold events of two software versions."""
     async with AsyncExitStack() as stack:
-        fleet = await stack.enter_async_context(running_fleet(record, 4))
+        fleet = await stack.enter_async_context(running_fleet(record, 3))
 
         async def add_engine(number: int, version: str) -> None:
             engine = Engine(
@@ -108,7 +108,7 @@
     """Read one stream, and take it up once if its connection breaks."""
     rng, stream, failed = random.Random(seed), Stream(), set()
     instances = list(fleet.instances.values())
-    nearest = instances[number % 4 :] + instances[: number % 4]
+    nearest = instances[number % 3 :] + instances[: number % 3]
     ends_at = record.now() + DEADLINE_MS / 1000
     for _ in range(1 + CLIENT_RETRIES):
         left_ms = round(1000 * (ends_at - record.now()))
--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -189,17 +189,17 @@
         )
 
     def cut_from_store(self, name: str) -> None:
-        """Partition an instance from the store."""
-        self.instances[name].store_link.cut()
+        """Partition an instance from the store; nothing answers it there."""
+        self.instances[name].store_link.darken()
         self.record.add("cut", instance=name, side="store")
 
     def cut_from_peers(self, name: str) -> None:
-        """Partition an instance from all other machines of the system."""
+        """Partition an instance from all other machines; no side answers the other."""
         for other in self.instances.values():
             for peer, links in other.peers.items():
                 if name in (other.name, peer):
                     for link in links:
-                        link.cut()
+                        link.darken()
         self.record.add("cut", instance=name, side="peers")
 
     async def lose_power(self, name: str) -> None:
