Stream versions: an unknown stream goes on only where its version is confirmed

What callers saw: during a release an instance that was cut off from the store and the others took up streams that had begun at a newer version of the engines, and went on with them at the older one; the answer was joined from both (ORDER).

Cause: FoundVersion.may_go_on had no value for "unknown". An instance that had seen one version let every stream go on, whoever had confirmed that there is only one. Besides, an upstream of a new version got streams a second or more before the store had that version, so that asking the store would not have helped one that was frozen.

Change: conclude_version lets a stream go on at a version that another instance or the store names, or at the only version of the service if the store confirms that now or, while it is away, enough of the instances that were asked. A stream is sent to an upstream of one of several versions once the store has both records; while it takes none, streams begin at versions that it has. What a stream that is taken up costs does not grow with the fleet: one read of the store while there is one version, instead of up to four questions to other instances.

The tests of merge_found are replaced by a table on conclude_version, which has their cases and those without confirmation: "nobody knows it, and all saw one version" went on with two answers of any number, which is the fault. Streams without Resumes now pass the same search; five tests that started such a stream answer it first.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -56,7 +56,6 @@
 )
 from turmericusher.decisions.retry_loans import LOAN_VALIDITY_S
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
-from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import ErrorCode, Verdict
 
 REPORT_VISIBLE_AFTER_S = 0.8
@@ -71,6 +70,11 @@
 )
 """Causes that are answers of the upstream itself."""
 
+UNSENT_CAUSES = frozenset(
+    {AttemptCause.UNREACHABLE, AttemptCause.REFUSED, AttemptCause.UNRECORDED}
+)
+"""Failures of attempts that no upstream has received."""
+
 STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
 """Causes that are inferred from missing events while the connection is still open."""
 
@@ -118,20 +122,13 @@
         if self.deadline() - now < MIN_ATTEMPT_TIME_S:
             return self.fail(ErrorCode.WAIT_EXCEEDED, "no time was left on arrival")
         if self.kind is RequestKind.RESUMABLE_STREAM and self.position is not None:
-            return self.find_version(now)
+            return self.find_version()
         return self.start_next(now)
 
-    def find_version(self, now: float) -> list[RelayAction]:
-        """Find the version of a stream that its caller takes up again.
-
-        Without the id of the stream, only what is listed here can be known.
-        """
+    def find_version(self) -> list[RelayAction]:
+        """Find the version of a stream that its caller takes up again."""
         self.is_finding_version = True
-        service = self.routed.service.name
-        if self.request.resumes is not None:
-            return [FindVersion(self.request.resumes, service)]
-        found = FoundVersion(None, self.shared.versions.versions_seen(service, now))
-        return self.handle_version(VersionFound(found), now)
+        return [FindVersion(self.request.resumes, self.routed.service.name)]
 
     def handle(self, event: RelayEvent, now: float) -> list[RelayAction]:
         """Return the actions for an event; drop it if its attempt is not live."""
@@ -294,7 +291,7 @@
         if event.refusal is not None and not self.may_go_elsewhere(event.refusal):
             return self.pass_on_refusal(event.refusal)
         # An attempt that could not connect reached no upstream and costs nothing.
-        if event.cause in (AttemptCause.UNREACHABLE, AttemptCause.REFUSED):
+        if event.cause in UNSENT_CAUSES:
             return self.start_next(now)
         if not self.is_below_limits():
             return self.fail_or_deliver(event)
@@ -381,6 +378,12 @@
         # A trial that no upstream has run is still to be made.
         if attempt.is_trial and event.verdict is Verdict.NOT_RUN:
             self.has_trial = True
+        if event.cause is AttemptCause.UNRECORDED:
+            # It tells nothing of the upstream.
+            self.sends -= 1
+            self.excluded.add(name)
+            self.last_message = f"{name}: {event.cause.value}"
+            return
         self.record_connection(attempt, event)
         self.record_possible_crash(attempt, event)
         # What a suspected request does to upstreams says nothing of the service, and an
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -64,7 +64,8 @@
     answer did. `MALFORMED`: the data received is no answer to this request. `SILENT`:
     abandoned after a stall. `UNANSWERED`: the upstream has run the request, but its
     answer was lost. `FAILED`: the upstream itself reported a failure. `REFUSED`: the
-    instance to which the request was forwarded did not take it.
+    instance to which the request was forwarded did not take it. `UNRECORDED`: not sent,
+    since the store did not take the record of the version at which the stream begins.
     """
 
     OVERLOADED = "overloaded"
@@ -77,6 +78,7 @@
     UNANSWERED = "unanswered"
     FAILED = "failed"
     REFUSED = "refused"
+    UNRECORDED = "unrecorded"
 
 
 @dataclass(frozen=True, slots=True)
@@ -286,6 +288,7 @@
     `copy` the attempt resumes from the copy that `upstream` holds. `standby` is the
     upstream that is to hold a copy of this attempt's KV cache. With `hop` the request
     is forwarded: `upstream` stands for another instance, at its address for callers.
+    With `must_record` the store must have the upstream's version for the stream first.
     """
 
     attempt: int
@@ -295,6 +298,7 @@
     copy: MemoryCopy | None = None
     standby: UpstreamInstance | None = None
     hop: Hop | None = None
+    must_record: bool = False
 
     @property
     def from_copy(self) -> bool:
@@ -316,9 +320,12 @@
 
 @dataclass(frozen=True, slots=True)
 class FindVersion:
-    """Find out at which version of its service a stream began."""
+    """Find out at which version of its service a stream began.
 
-    stream: str
+    `stream` is None if its caller did not name it.
+    """
+
+    stream: str | None
     service: str
 
 
--- a/src/turmericusher/decisions/relay_starting.py
+++ b/src/turmericusher/decisions/relay_starting.py
@@ -81,6 +81,7 @@
                 resume_after=self.position,
                 copy=copy,
                 standby=standby,
+                must_record=hop is None and self.must_record_version(upstream, now),
                 hop=hop,
             )
         ]
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -458,13 +458,28 @@
 
         Upstreams that take no request now, by what they have asked for, are excluded.
         """
+        service, closed_versions = self.routed.service.name, frozenset[str]()
+        if self.kind is RequestKind.RESUMABLE_STREAM and not self.version:
+            closed_versions = self.shared.versions.closed_versions(service, now)
         return PickRequest(
-            service=self.routed.service.name,
+            service=service,
             version=self.version,
+            closed_versions=closed_versions,
             excluded=frozenset(excluded) | self.shared.gate.closed(now),
             avoided_domains=frozenset(avoided_domains),
         )
 
+    def must_record_version(self, upstream: UpstreamInstance, now: float) -> bool:
+        """Whether the store must have an upstream's version before an attempt there.
+
+        It need not if the stream has begun, or does not go on after a failure.
+        """
+        if self.kind is not RequestKind.RESUMABLE_STREAM or self.version:
+            return False
+        return self.shared.versions.must_record(
+            self.request.stream_id, self.routed.service.name, upstream.version, now
+        )
+
     def is_holder_current(self, holder: UpstreamInstance) -> bool:
         """Whether the holder of a copy is live and still the same incarnation."""
         selector = self.shared.selector
--- a/src/turmericusher/decisions/selection.py
+++ b/src/turmericusher/decisions/selection.py
@@ -29,7 +29,8 @@
     """What an attempt requires of its upstream.
 
     `model` is empty for a plain service, which has no models. `version` is empty until
-    the first attempt has determined one. `excluded` names are never picked;
+    the first attempt has determined one, and those of `closed_versions` are never
+    picked. `excluded` names are never picked;
     `avoided_domains` are picked only when nothing else is left. `prefix` is a hash of
     the beginning of the prompt, for cache affinity; empty disables it. `is_resume` does
     not influence the choice.
@@ -38,6 +39,7 @@
     service: str
     model: str = ""
     version: str = ""
+    closed_versions: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
     avoided_domains: frozenset[str] = frozenset()
     prefix: bytes = b""
@@ -317,4 +319,5 @@
         and upstream.name not in request.excluded
         and (not request.model or request.model in upstream.models)
         and (not request.version or upstream.version == request.version)
+        and upstream.version not in request.closed_versions
     )
--- a/src/turmericusher/decisions/stream_versions.py
+++ b/src/turmericusher/decisions/stream_versions.py
@@ -8,9 +8,10 @@
 any instance knows whom to ask. With one version nothing needs to be told.
 
 All instances may be killed at once. Therefore the store has the versions of these
-streams, too, and the versions of each service, which an instance that has just started
-cannot have seen. Without the latter it would take an old stream for one of the only
-version that it lists.
+streams, too, and the versions of each service. Both are written before an upstream of a
+further version gets a stream. An instance that has just started, was frozen or is cut
+off may list one version where there are two: it lets a stream that it does not know go
+on only if the store or enough other instances confirm that there is only one.
 
 Load: a service whose upstreams are replaced by another version, and instances that are
 killed meanwhile. What an instance sends and holds does not grow with the fleet, and
@@ -21,10 +22,10 @@
 
 import heapq
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
 from turmericusher.decisions.subsets import rendezvous_weight
 
 HOLDER_COUNT = 2
@@ -42,6 +43,13 @@
 MAX_UNSAVED = 256
 """Streams that wait to be written; the oldest ones are dropped beyond that."""
 
+SAVE_BURST = 8
+"""Records that one instance may write at once before that limit applies to it."""
+
+SAVE_PAUSE_S = 2.0
+"""Seconds after a failed write for which no stream begins at a version that has to be
+recorded, as long as another version is live."""
+
 SAVE_DELAY_S = 1.0
 """Seconds for which an instance leaves it to each one that ranks before it to write the
 versions of a service. One that has just started does not know the others yet."""
@@ -92,9 +100,9 @@
 
 @dataclass(frozen=True, slots=True)
 class FoundVersion:
-    """What instances know of a stream's version, None if nothing.
+    """The version at which a stream goes on, None if it is unknown.
 
-    `versions_seen` are those of the service's upstreams that they have seen lately.
+    `versions_seen` are those of the service's upstreams that were seen lately.
     """
 
     version: str | None
@@ -102,8 +110,19 @@
 
     @property
     def may_go_on(self) -> bool:
-        """Whether the stream may go on: its version is known or there is only one."""
-        return self.version is not None or len(self.versions_seen) <= 1
+        """Whether the stream may go on."""
+        return self.version is not None
+
+
+@dataclass(frozen=True, slots=True)
+class StoredVersion:
+    """What the store has of a stream's version and of its service, as read just now.
+
+    `version` is None without a record of the stream, `service` without one of that.
+    """
+
+    version: str | None
+    service: ServiceVersions | None
 
 
 @dataclass(slots=True)
@@ -123,8 +142,12 @@
     and version, when an upstream of it was last listed. `unsent` has what other
     instances are to be told, by their names, and `unsaved` what the store is to have.
     `listed` and `saved` are the versions of each service that are listed now and that
-    the store has; `due_at` is when this instance writes what differs. Times are
-    monotonic seconds.
+    the store has; `due_at` is when this instance writes what differs. `live` are the
+    versions of upstreams that take new streams. `written` has the versions that this
+    instance has written, or tried to, for streams that are not over.
+    `is_store_lost` is set while the store cannot be read, `paused_until` after a failed
+    write, and `next_save_at` is when the limit allows a record without a burst. Times
+    are monotonic seconds.
     """
 
     own: str = ""
@@ -139,6 +162,11 @@
     listed: dict[str, frozenset[str]] = field(default_factory=dict)
     saved: dict[str, frozenset[str]] = field(default_factory=dict)
     due_at: dict[str, float] = field(default_factory=dict)
+    live: dict[str, frozenset[str]] = field(default_factory=dict)
+    written: dict[str, str] = field(default_factory=dict)
+    is_store_lost: bool = False
+    paused_until: float = 0.0
+    next_save_at: float = 0.0
 
     # Queries
 
@@ -160,6 +188,38 @@
             count, others, key=lambda name: rendezvous_weight(stream, name)
         )
 
+    def must_record(self, stream: str, service: str, version: str, now: float) -> bool:
+        """Whether the store must have a stream's version before the stream is sent.
+
+        It must while the service has another version, and if it has another one for
+        this stream, whose earlier attempt has brought no event.
+        """
+        if stream in self.written:
+            return self.written[stream] != version
+        return bool(self.versions_seen(service, now) - {version})
+
+    def closed_versions(self, service: str, now: float) -> frozenset[str]:
+        """Return the versions at which no stream begins now.
+
+        Those are the ones that the store does not have while it takes no records, as
+        long as upstreams of another version are live.
+        """
+        live = self.live.get(service, frozenset())
+        if len(live) <= 1 or self.may_save(now):
+            return frozenset()
+        saved = self.saved.get(service, frozenset())
+        return live - saved if live & saved else frozenset()
+
+    def may_save(self, now: float) -> bool:
+        """Whether the store takes records, and the limit allows one more."""
+        if self.is_store_lost or now < self.paused_until:
+            return False
+        return self.next_save_at - now < SAVE_BURST * self.save_interval_s()
+
+    def versions_with(self, service: str, version: str, now: float) -> ServiceVersions:
+        """Return the record of a service's versions with one more version."""
+        return ServiceVersions(service, self.versions_to_save(service, now) | {version})
+
     def save_interval_s(self) -> float:
         """Return the seconds between two streams that this instance saves."""
         return max(1, len(self.instances)) / MAX_SAVED_PER_S
@@ -224,15 +284,19 @@
             self.seen_at[service] = recent
         new_versions = set()
         listed: dict[str, set[str]] = {}
+        live: dict[str, set[str]] = {}
         for upstream in upstreams:
             seen = self.seen_at.setdefault(upstream.service, {})
             if upstream.version not in seen:
                 new_versions.add(upstream.service)
             seen[upstream.version] = now
             listed.setdefault(upstream.service, set()).add(upstream.version)
-        self.listed = {
-            service: frozenset(versions) for service, versions in listed.items()
-        }
+            if upstream.lifecycle is Lifecycle.LIVE:
+                live.setdefault(upstream.service, set()).add(upstream.version)
+        self.listed, self.live = (
+            {service: frozenset(versions) for service, versions in found.items()}
+            for found in (listed, live)
+        )
         for service in new_versions:
             self.tell_running(service, now)
 
@@ -245,6 +309,16 @@
     def record_end(self, stream: str) -> None:
         """Record that this instance no longer relays a stream."""
         self.running.pop(stream, None)
+        self.written.pop(stream, None)
+
+    def record_saving(self, record: SavedStream, now: float) -> None:
+        """Record that a stream's version is being written, which may have an effect."""
+        self.written[record.stream] = record.version
+        self.next_save_at = max(self.next_save_at, now) + self.save_interval_s()
+
+    def record_save_failure(self, now: float) -> None:
+        """Record that the store did not take a record in time."""
+        self.paused_until = now + SAVE_PAUSE_S
 
     def record_known(self, record: StreamVersion, now: float) -> None:
         """Keep the version of a stream; the first one that was recorded stays."""
@@ -264,7 +338,8 @@
         if len(self.versions_seen(service, now)) <= 1:
             return
         version = self.running[stream].version
-        self.unsaved.append(SavedStream(stream, service, version))
+        if self.written.get(stream) != version:
+            self.unsaved.append(SavedStream(stream, service, version))
         record = StreamVersion(stream, version)
         for name in self.ranked(stream, HOLDER_COUNT):
             self.unsent.setdefault(name, []).append(record)
@@ -275,9 +350,38 @@
         return unsent
 
 
-def merge_found(found: Iterable[FoundVersion]) -> FoundVersion:
-    """Return what several instances know of a stream's version together."""
-    answers = list(found)
-    versions = [answer.version for answer in answers if answer.version is not None]
-    seen = frozenset().union(*(answer.versions_seen for answer in answers))
-    return FoundVersion(versions[0] if versions else None, seen)
+def sufficient_answers(asked: int) -> int:
+    """Return how many of the instances that were asked must answer.
+
+    Each stream is told to `HOLDER_COUNT` of the first ones, so that without one of them
+    a holder answers still. With one or two others, none may be missing.
+    """
+    return asked - 1 if asked > HOLDER_COUNT else max(1, asked)
+
+
+def conclude_version(
+    own: FoundVersion,
+    asked: int,
+    answers: Sequence[FoundVersion],
+    stored: StoredVersion | None,
+) -> FoundVersion:
+    """Return the version at which a stream goes on that this instance does not know.
+
+    `answers` are those that came from the `asked` instances, and `stored` is what the
+    store has, None if it could not be read. A stream of which nobody knows goes on if
+    its service has one version. What `own` has seen alone does not show that.
+    """
+    seen = own.versions_seen.union(*(answer.versions_seen for answer in answers))
+    for answer in answers:
+        if answer.version is not None:
+            return FoundVersion(answer.version, seen)
+    is_confirmed = len(answers) >= sufficient_answers(asked)
+    if stored is not None:
+        is_confirmed = True
+        if stored.service is not None:
+            seen |= stored.service.versions
+        if stored.version is not None:
+            return FoundVersion(stored.version, seen)
+    if is_confirmed and len(seen) == 1:
+        return FoundVersion(min(seen), seen)
+    return FoundVersion(None, seen)
--- a/src/turmericusher/platform/version_records.py
+++ b/src/turmericusher/platform/version_records.py
@@ -40,14 +40,17 @@
         """Return the key of a stream's record."""
         return f"{STREAM_PREFIX}{digest(stream)}"
 
+    def service_key(self, service: str) -> str:
+        """Return the key of the record of a service's versions."""
+        return f"{VERSIONS_PREFIX}{digest(service)}"
+
     def encode(self, record: SavedStream | ServiceVersions) -> tuple[str, bytes]:
         """Return the key and the value of a record."""
         if isinstance(record, SavedStream):
             model = {"service": record.service, "version": record.version}
             return self.stream_key(record.stream), msgspec.json.encode(model)
         versions = {"service": record.service, "versions": sorted(record.versions)}
-        key = f"{VERSIONS_PREFIX}{digest(record.service)}"
-        return key, msgspec.json.encode(versions)
+        return self.service_key(record.service), msgspec.json.encode(versions)
 
     def decode(self, key: str, value: bytes) -> VersionRecord | None:
         """Return the record of a key; None if it is of another kind, or invalid."""
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -50,6 +50,7 @@
 )
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.routing import RoutedRequest
+from turmericusher.decisions.stream_versions import SavedStream
 from turmericusher.errors import Verdict
 from turmericusher.logs import log_event
 from turmericusher.ports.relay import RelayPort
@@ -224,6 +225,11 @@
     async def run_attempt(self, start: StartRelay) -> None:
         """Send one attempt; an unexpected exception is reported as its failure."""
         try:
+            if start.must_record and not await self.record_version(start):
+                now = asyncio.get_running_loop().time()
+                cause, verdict = AttemptCause.UNRECORDED, Verdict.NOT_RUN
+                await self.inbox.put(AttemptFailed(start.attempt, now, cause, verdict))
+                return
             await self.context.port.send(
                 start, self.relay.request, self.relay.routed, self.inbox.put
             )
@@ -241,6 +247,20 @@
                 )
             )
 
+    async def record_version(self, start: StartRelay) -> bool:
+        """Have the store know at which version a stream is to begin.
+
+        Return whether the attempt may be sent. While no other version is live, it may
+        be sent all the same.
+        """
+        versions, version = self.context.versions, start.upstream.version
+        service = self.relay.routed.service.name
+        record = SavedStream(self.relay.request.stream_id, service, version)
+        if await versions.records.save_stream(record):
+            return True
+        now = asyncio.get_running_loop().time()
+        return version not in versions.versions.closed_versions(service, now)
+
     async def probe_upstream(self, action: ProbeUpstream) -> None:
         """Query the upstream of a stalled attempt and pass its report to the inbox."""
         report = await self.context.query_report(action.upstream)
@@ -386,7 +406,8 @@
 @empty_result.register
 def empty_version(action: FindVersion, relay: Relay, now: float) -> RelayEvent:
     """Return what this instance itself knows of a stream's version."""
-    return VersionFound(relay.shared.versions.find(action.stream, action.service, now))
+    found = relay.shared.versions.find(action.stream or "", action.service, now)
+    return VersionFound(found)
 
 
 @empty_result.register
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -216,11 +216,13 @@
         """Start an outage: all entries are kept until the store can be read again."""
         self.upstreams.mark_store_lost(now)
         self.instances.mark_store_lost(now)
+        self.shared.versions.is_store_lost = True
 
     def store_regained(self, now: float) -> None:
         """End an outage: entries that lapsed during it get a grace time to return."""
         self.upstreams.mark_store_available(now)
         self.instances.mark_store_available(now)
+        self.shared.versions.is_store_lost = False
 
     def apply_table(self, table: RoutingTable | None) -> None:
         """Put a configuration in force if it is newer than the current one."""
--- a/src/turmericusher/tasks/stream_versions.py
+++ b/src/turmericusher/tasks/stream_versions.py
@@ -13,7 +13,7 @@
     FoundVersion,
     StreamVersion,
     StreamVersions,
-    merge_found,
+    conclude_version,
 )
 from turmericusher.logs import log_event
 from turmericusher.ports.stream_peers import StreamPeerError, StreamPeers
@@ -23,6 +23,10 @@
 ASK_TIMEOUT_S = 0.15
 """Seconds that another instance has to answer: several round trips between domains."""
 
+STORE_FIRST_S = 0.05
+"""Seconds for which the store alone is asked: several times what it usually takes. Its
+answer is enough while a service has one version."""
+
 TELL_TIMEOUT_S = 0.3
 LOADING_LIMIT_S = 5.0
 """Seconds to wait after a start for what connects to other instances: loading it takes
@@ -81,26 +85,30 @@
             except StreamPeerError as error:
                 log_event("stream_versions_untold", peer=name, error=str(error))
 
-    async def find(self, stream: str, service: str) -> FoundVersion:
-        """Return what this instance, some others and the store know of a stream."""
+    async def find(self, stream: str | None, service: str) -> FoundVersion:
+        """Return the version at which a stream of a service goes on.
+
+        Without its id, it is known only of a service that has one version.
+        """
         now = asyncio.get_running_loop().time()
-        own = self.versions.find(stream, service, now)
+        own = self.versions.find(stream or "", service, now)
         if own.version is not None:
             return own
-        names = self.versions.ranked(stream, ASKED_COUNT)
-        answers = await asyncio.gather(
-            self.find_saved(stream, service, own),
-            *(self.ask(name, stream, service) for name in names),
-        )
-        return merge_found([own, *(each for each in answers if each is not None)])
-
-    async def find_saved(
-        self, stream: str, service: str, own: FoundVersion
-    ) -> FoundVersion | None:
-        """Return what the store has of a stream, if several versions began some."""
-        if own.may_go_on:
-            return None
-        return FoundVersion(await self.records.find(stream, service))
+        reading = asyncio.create_task(self.records.find(stream, service))
+        try:
+            await asyncio.wait({reading}, timeout=STORE_FIRST_S)
+            if reading.done():
+                found = conclude_version(own, 0, (), reading.result())
+                if found.version is not None and len(found.versions_seen) == 1:
+                    return found
+            names = self.versions.ranked(stream or service, ASKED_COUNT)
+            asked = await asyncio.gather(
+                *(self.ask(name, stream or "", service) for name in names)
+            )
+            answers = [answer for answer in asked if answer is not None]
+            return conclude_version(own, len(names), answers, await reading)
+        finally:
+            await cancel_tasks({reading})
 
     async def ask(self, name: str, stream: str, service: str) -> FoundVersion | None:
         """Ask one instance for a stream's version; None if it does not answer."""
--- a/src/turmericusher/tasks/version_records.py
+++ b/src/turmericusher/tasks/version_records.py
@@ -1,6 +1,7 @@
 """Writes the versions of streams and services to the store, and reads them there.
 
-The store is asked last: its records are for streams of which no live instance knows.
+A stream that begins at one of several versions is sent to its upstream once the store
+has that version, so that an instance which asks the store knows of all of them.
 """
 
 from __future__ import annotations
@@ -17,10 +18,11 @@
     SavedStream,
     SeenVersion,
     ServiceVersions,
+    StoredVersion,
     StreamVersions,
     VersionRecord,
 )
-from turmericusher.errors import StoreError
+from turmericusher.errors import StoreError, StoreUnavailableError
 from turmericusher.logs import log_event
 from turmericusher.ports.keyvalue import ABSENT, KeyValueStore
 from turmericusher.tasks.background import lasting_task
@@ -35,6 +37,12 @@
 """Seconds for which a stream that is taken up waits for the store: one lost reply and a
 slow one."""
 
+SAVE_TIMEOUT_S = 0.5
+"""Seconds for which a new stream waits until its version is written."""
+
+MAX_SWAPS = 3
+"""Tries to write a record that others write as well."""
+
 LEASE_RENEWAL_S = 60.0
 """Seconds after which streams are written under a new lease."""
 
@@ -49,6 +57,10 @@
         """Return the key of a stream's record."""
         ...
 
+    def service_key(self, service: str) -> str:
+        """Return the key of the record of a service's versions."""
+        ...
+
     def encode(self, record: SavedStream | ServiceVersions) -> tuple[str, bytes]:
         """Return the key and the value of a record."""
         ...
@@ -74,19 +86,84 @@
     granted_at: float = -math.inf
     revisions: dict[str, int] = field(default_factory=dict)
 
-    async def find(self, stream: str, service: str) -> str | None:
-        """Return the version that the store has of a stream of a service, if any."""
-        key = self.codec.stream_key(stream)
+    async def find(self, stream: str | None, service: str) -> StoredVersion | None:
+        """Return what the store has of a stream and its service, None if unreadable.
+
+        A stream is looked up if its service has several versions.
+        """
         try:
             async with asyncio.timeout(LOOKUP_TIMEOUT_S):
-                stored = await self.store.get(key)
+                versions = await self.read_service(service)
+                if stream is None or versions is None or len(versions.versions) <= 1:
+                    return StoredVersion(None, versions)
+                stored = await self.store.get(self.codec.stream_key(stream))
         except (StoreError, TimeoutError) as error:
             log_event("stream_version_unread", stream=stream, error=repr(error))
             return None
-        record = self.codec.decode(key, stored.value) if stored is not None else None
+        record = self.codec.decode(stored.key, stored.value) if stored else None
         if not isinstance(record, SeenVersion) or record.service != service:
+            return StoredVersion(None, versions)
+        return StoredVersion(record.version, versions)
+
+    async def read_service(self, service: str) -> ServiceVersions | None:
+        """Read the record of a service's versions, None if there is none."""
+        stored = await self.store.get(self.codec.service_key(service))
+        record = self.codec.decode(stored.key, stored.value) if stored else None
+        if not isinstance(record, ServiceVersions):
             return None
-        return record.version
+        self.versions.record_saved(record, asyncio.get_running_loop().time())
+        return record
+
+    async def save_stream(self, record: SavedStream) -> bool:
+        """Write the version at which a stream is to begin; return whether it is there.
+
+        The record of its service has that version first. Nothing is written while the
+        store is away or the limit is reached.
+        """
+        clock = asyncio.get_running_loop().time
+        if not self.versions.may_save(clock()):
+            return False
+        self.versions.record_saving(record, clock())
+        try:
+            async with asyncio.timeout(SAVE_TIMEOUT_S):
+                await self.save_version(record.service, record.version)
+                await self.ensure_lease()
+                await self.write_stream(record)
+        except (StoreError, TimeoutError) as error:
+            log_event("stream_version_unsaved", stream=record.stream, error=repr(error))
+            self.lease = 0
+            self.versions.record_save_failure(clock())
+            return False
+        return True
+
+    async def save_version(self, service: str, version: str) -> None:
+        """Have a version in the record of a service."""
+        for _ in range(MAX_SWAPS):
+            if version in self.versions.saved.get(service, ()):
+                return
+            now = asyncio.get_running_loop().time()
+            await self.swap_service(self.versions.versions_with(service, version, now))
+        raise StoreUnavailableError(
+            f"the record of service={service!r} was written by others {MAX_SWAPS} times"
+        )
+
+    async def write_stream(self, record: SavedStream) -> None:
+        """Write the record of a stream, in place of another version's if there is one.
+
+        An attempt that brought no event may have left that.
+        """
+        key, value = self.codec.encode(record)
+        revision = ABSENT
+        for _ in range(MAX_SWAPS):
+            swap = await self.store.compare_and_swap(key, revision, value, self.lease)
+            current = swap.current
+            if swap.succeeded or (current is not None and current.value == value):
+                return
+            revision = current.revision if current is not None else ABSENT
+        raise StoreUnavailableError(
+            f"the record of stream={record.stream!r} was written by others "
+            f"{MAX_SWAPS} times"
+        )
 
     async def run(self) -> None:
         """Write to the store what it is to have until cancelled."""
@@ -105,28 +182,30 @@
         """Write the versions of services that this instance is to write now."""
         now = asyncio.get_running_loop().time()
         for record in self.versions.due_versions(now):
-            key, value = self.codec.encode(record)
-            revision = self.revisions.get(key, ABSENT)
-            swap = await self.store.compare_and_swap(key, revision, value)
-            if swap.succeeded:
-                self.revisions[key] = swap.revision
-                self.versions.record_saved(record, now)
-                continue
-            # Another instance has written it; what is due is decided anew.
-            current = swap.current
-            self.revisions[key] = current.revision if current is not None else ABSENT
-            known = self.codec.decode(key, current.value) if current else None
-            if known is not None:
-                self.versions.record_saved(known, now)
+            await self.swap_service(record)
+
+    async def swap_service(self, record: ServiceVersions) -> None:
+        """Write a service's versions, unless another instance has written them."""
+        now = asyncio.get_running_loop().time()
+        key, value = self.codec.encode(record)
+        revision = self.revisions.get(key, ABSENT)
+        swap = await self.store.compare_and_swap(key, revision, value)
+        if swap.succeeded:
+            self.revisions[key] = swap.revision
+            self.versions.record_saved(record, now)
+            return
+        current = swap.current
+        self.revisions[key] = current.revision if current is not None else ABSENT
+        known = self.codec.decode(key, current.value) if current else None
+        if known is not None:
+            self.versions.record_saved(known, now)
 
     async def save_streams(self) -> None:
         """Write the streams that wait, at this instance's share of the limit."""
         unsaved = self.versions.unsaved
         while unsaved:
             await self.ensure_lease()
-            key, value = self.codec.encode(unsaved[0])
-            # One that exists has been written before, by this or another instance.
-            await self.store.compare_and_swap(key, ABSENT, value, self.lease)
+            await self.write_stream(unsaved[0])
             unsaved.popleft()
             if unsaved:
                 await asyncio.sleep(self.versions.save_interval_s())
--- a/tests/common/relay_fixtures.py
+++ b/tests/common/relay_fixtures.py
@@ -21,7 +21,12 @@
     UpstreamKind,
 )
 from turmericusher.decisions.relay import Relay, make_relay
-from turmericusher.decisions.relay_messages import RelayedRequest
+from turmericusher.decisions.relay_messages import (
+    FindVersion,
+    RelayAction,
+    RelayedRequest,
+    VersionFound,
+)
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.retries import RetryBounds
 from turmericusher.decisions.routing import (
@@ -32,6 +37,7 @@
     WeightedService,
 )
 from turmericusher.decisions.selection import Selector
+from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.platform.names import CONFIGURATION_KEY, UPSTREAM_PREFIX
 from turmericusher.platform.node import running_node
 from turmericusher.platform.settings import NodeSettings
@@ -140,6 +146,14 @@
     return make_relay(request, routed_request, shared)
 
 
+def start_taken_up(relay: Relay, now: float = 0.0) -> list[RelayAction]:
+    """Start a request; a stream that is taken up goes on at the version of all."""
+    actions = relay.start(now)
+    if any(isinstance(action, FindVersion) for action in actions):
+        return relay.handle(VersionFound(FoundVersion("")), now)
+    return actions
+
+
 def configuration(version: int = 1, **changes: object) -> bytes:
     """Return a configuration as operators write it, with one route for each kind."""
     routes = [
--- a/tests/common/version_fixtures.py
+++ b/tests/common/version_fixtures.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import aiohttp
 
@@ -30,6 +30,8 @@
 )
 from turmericusher.standins.platform_upstream import UpstreamStandin, running_upstream
 
+REFUSING_ADDRESS = "127.0.0.1:9"
+
 
 @dataclass(slots=True)
 class VersionSimulation:
@@ -46,11 +48,15 @@
     instances: dict[str, RelayInstance] = field(default_factory=dict)
     stacks: dict[str, AsyncExitStack] = field(default_factory=dict)
 
-    async def add_instance(self, name: str) -> None:
-        """Start an instance and wait until it lists all upstreams."""
+    async def add_instance(self, name: str, store_address: str | None = None) -> None:
+        """Start an instance and wait until it lists all upstreams.
+
+        It may reach the store at an address of its own.
+        """
         host = unused_loopback_host()
         domain = DOMAINS[len(self.instances) % len(DOMAINS)]
-        text = settings_text(host, self.store.address, name, domain)
+        address = store_address or self.store.address
+        text = settings_text(host, address, name, domain)
         settings = parse_node_settings(f"{text}internal_port_range=20005,20009\n")
         stack = self.stacks[name] = AsyncExitStack()
         node = await stack.enter_async_context(running_node(settings))
@@ -60,6 +66,12 @@
             while len(node.fleet.upstreams.entries) < len(listed):
                 await asyncio.sleep(0.01)
 
+    def cut_from_instances(self, name: str) -> None:
+        """Cut an instance off from all others, which refuse connections from now on."""
+        entries = self.instances[name].fleet.instances.entries
+        for other in entries.keys() - {name}:
+            entries[other] = replace(entries[other], peer_address=REFUSING_ADDRESS)
+
     async def stop_instance(self, name: str) -> None:
         """End an instance with all that it relays."""
         del self.instances[name]
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -35,6 +35,7 @@
     make_relay_shared,
     make_test_relay,
     running_relay_simulation,
+    start_taken_up,
 )
 from tests.common.waiting import wait_until
 from turmericusher.decisions import relay_placing
@@ -143,7 +144,7 @@
 
 def start_blocked(kind=RESUMABLE, **options):
     """Return the actions with which a request that is blocked on arrival starts."""
-    return make_bad_relay(make_blocked_shared(), kind, **options).start(0.1)
+    return start_taken_up(make_bad_relay(make_blocked_shared(), kind, **options), 0.1)
 
 
 def hedge_then_block():
--- a/tests/cover/test_relay_load.py
+++ b/tests/cover/test_relay_load.py
@@ -6,7 +6,12 @@
 from benchmarks import policies
 from benchmarks.relay_model import DURATION_S, ENGINES, PREFILL_S, TARGET_S, simulate
 from tests.common.relay_events import make_upstream_report
-from tests.common.relay_fixtures import SERVICE, make_relay_shared, make_test_relay
+from tests.common.relay_fixtures import (
+    SERVICE,
+    make_relay_shared,
+    make_test_relay,
+    start_taken_up,
+)
 from turmericusher.decisions.free_capacity import (
     PrefillTime,
     TypicalSize,
@@ -87,7 +92,7 @@
             reports_load=True,
             target_latency_s=TARGET_S,
         )
-        relay.start(0.0)
+        start_taken_up(relay)
         reports = {"u0": make_upstream_report(9, 9)}
         (action,) = relay.handle(LoadsReported(0.0, reports), 0.0)
         self.assertIsInstance(action, expected)
--- a/tests/cover/test_relay_machine.py
+++ b/tests/cover/test_relay_machine.py
@@ -19,6 +19,7 @@
     make_relay_shared,
     make_test_relay,
     make_upstream,
+    start_taken_up,
 )
 from turmericusher.decisions.fleet import Lifecycle
 from turmericusher.decisions.forwarding import ELSEWHERE_CODES, Refusal
@@ -112,7 +113,7 @@
         self.run_count = 0
         self.received = list(range(1, (resume_after or 0) + 1))
         self.last = None
-        self.execute(self.relay.start(self.now))
+        self.execute(start_taken_up(self.relay, self.now))
 
     def execute(self, actions):
         for action in actions:
--- a/tests/cover/test_relay_stalls.py
+++ b/tests/cover/test_relay_stalls.py
@@ -21,6 +21,7 @@
     SERVICE,
     make_relay_shared,
     make_test_relay,
+    start_taken_up,
 )
 from turmericusher.decisions.generation_messages import CancelAttempt
 from turmericusher.decisions.relay import REPORT_VISIBLE_AFTER_S
@@ -135,7 +136,7 @@
     ):
         # Engines count the events of a resumed stream from its beginning.
         relay = make_test_relay(RESUMABLE, make_relay_shared(), resume_after=4)
-        relay.start(0.0)
+        start_taken_up(relay)
         relay.handle(event(1, 5), 0.1)
         relay.handle(event(1, 6), 0.1)
         at = relay.wake_at()
--- a/tests/cover/test_relay_streams.py
+++ b/tests/cover/test_relay_streams.py
@@ -23,6 +23,7 @@
     make_relay_shared,
     make_test_relay,
     make_upstream,
+    start_taken_up,
 )
 from turmericusher.decisions.fleet import Lifecycle
 from turmericusher.decisions.generation_messages import CancelAttempt
@@ -266,7 +267,7 @@
 
     def test_a_stream_begins_at_the_position_its_caller_gives(self):
         relay = make_test_relay(RESUMABLE, make_relay_shared(), resume_after=7)
-        (start,) = relay.start(0.0)
+        (start,) = start_taken_up(relay)
         self.assertEqual(7, start.resume_after)
         relay.handle(StreamOpened(1, 0.05, ()), 0.05)
         self.assertEqual([], relay.handle(event(1, 7), 0.1))
--- a/tests/cover/test_stream_versions.py
+++ b/tests/cover/test_stream_versions.py
@@ -40,10 +40,14 @@
     ASKED_COUNT,
     HOLDER_COUNT,
     KEPT_S,
+    SAVE_BURST,
     FoundVersion,
+    SavedStream,
+    ServiceVersions,
+    StoredVersion,
     StreamVersion,
     StreamVersions,
-    merge_found,
+    conclude_version,
 )
 
 TWO_VERSIONS = ("v1", "v2", "v1", "v2", "v1", "v2")
@@ -211,11 +215,8 @@
         """Return the actions for a stream that its caller takes up again."""
         relay = make_test_relay(RESUMABLE, shared, resume_after=3)
         relay.request = replace(relay.request, resumes=resumes)
-        actions = relay.start(0.0)
-        if resumes is not None:
-            self.assertEqual([FindVersion(resumes, SERVICE)], actions)
-            actions = relay.handle(VersionFound(found), 0.1)
-        return actions
+        self.assertEqual([FindVersion(resumes, SERVICE)], relay.start(0.0))
+        return relay.handle(VersionFound(found), 0.1)
 
     @parameterized.expand([("v1", "u0"), ("v2", "u1")])
     def test_it_goes_on_at_the_version_that_is_found(self, version, upstream):
@@ -238,7 +239,7 @@
     @parameterized.expand([("with its id", "q0"), ("without it", None)])
     def test_it_goes_on_if_there_is_only_one_version(self, _, resumes):
         shared = make_mixed_shared("v1", "v1")
-        found = FoundVersion(None, frozenset({"v1"}))
+        found = FoundVersion("v1", frozenset({"v1"}))
         (start,) = self.take_up(shared, found, resumes)
         self.assertEqual(3, start.resume_after)
 
@@ -325,31 +326,94 @@
             frozenset({"v2"}), versions.versions_seen(SERVICE, KEPT_S + 0.5)
         )
 
+    def test_a_version_is_recorded_before_a_stream_begins_at_one_of_several(self):
+        versions = make_versions()
+        list_versions(versions, "v1")
+        self.assertFalse(versions.must_record("q1", SERVICE, "v1", 1.0))
+        list_versions(versions, "v1", "v2", now=2.0)
+        self.assertTrue(versions.must_record("q1", SERVICE, "v2", 2.0))
+        versions.record_saving(SavedStream("q1", SERVICE, "v2"), 2.0)
+        self.assertFalse(versions.must_record("q1", SERVICE, "v2", 2.0))
+        self.assertTrue(versions.must_record("q1", SERVICE, "v1", 2.0))
+
     @parameterized.expand(
         [
-            ("one knows it", [FoundVersion(None), FoundVersion("v1")], "v1", True),
-            (
-                "nobody knows it, and one saw a second version",
-                [
-                    FoundVersion(None, frozenset({"v1"})),
-                    FoundVersion(None, frozenset({"v2"})),
-                ],
-                None,
-                False,
-            ),
+            ("the store is away", lambda each: setattr(each, "is_store_lost", True)),
+            ("a write has failed", lambda each: each.record_save_failure(2.0)),
+            ("the limit is reached", lambda each: save_many(each, 2 * SAVE_BURST)),
+        ]
+    )
+    def test_no_stream_begins_at_a_version_that_cannot_be_recorded_while(self, _, act):
+        versions = make_versions()
+        list_versions(versions, "v1", now=1.0)
+        record = ServiceVersions(SERVICE, frozenset({"v1"}))
+        versions.record_saved(record, 1.0)
+        list_versions(versions, "v1", "v2", now=2.0)
+        self.assertEqual(frozenset(), versions.closed_versions(SERVICE, 2.0))
+        act(versions)
+        self.assertEqual(frozenset({"v2"}), versions.closed_versions(SERVICE, 2.0))
+        list_versions(versions, "v2", now=2.0)
+        self.assertEqual(frozenset(), versions.closed_versions(SERVICE, 2.0))
+
+    def test_a_stream_that_cannot_be_recorded_begins_elsewhere_and_costs_nothing(self):
+        shared = make_mixed_shared("v1", "v2")
+        shared.versions.record_saved(ServiceVersions(SERVICE, frozenset({"v1"})), 0.0)
+        shared.selector.mark_replaced(shared.selector.upstreams["u0"])
+        relay = make_test_relay(RESUMABLE, shared)
+        (start,) = relay.start(0.0)
+        self.assertTrue(start.must_record)
+        shared.selector.replaced.clear()
+        shared.versions.record_save_failure(0.1)
+        unrecorded = failed(1, AttemptCause.UNRECORDED, NOT_RUN, 0.1)
+        (start,) = filter_by_type(relay.handle(unrecorded, 0.1), StartRelay)
+        self.assertEqual("v1", start.upstream.version)
+        self.assertEqual(1, relay.sends)
+        self.assertFalse(shared.reach.services_cut_off())
+
+
+ONE, OTHER = frozenset({"v1"}), frozenset({"v2"})
+NOBODY = FoundVersion(None, ONE)
+
+
+class ConcludeTest(TestCase):
+    # An instance that was out of step took its one version for the only one there is.
+    @parameterized.expand(
+        [
+            ("another instance knows it", 4, [NOBODY, FoundVersion("v2")], None, "v2"),
+            ("the store knows it", 4, [], ("v2", ONE | OTHER), "v2"),
+            ("the store has one version", 0, [], (None, ONE), "v1"),
+            ("the store has no record of the service", 0, [], (None, None), "v1"),
+            ("the store has another version", 4, [], (None, OTHER), None),
             (
-                "nobody knows it, and all saw one version",
-                [FoundVersion(None, frozenset({"v1"}))] * 2,
+                "an instance has seen another version",
+                1,
+                [FoundVersion(None, OTHER)],
+                (None, ONE),
                 None,
-                True,
             ),
+            ("the store is away and all but one answer", 4, [NOBODY] * 3, None, "v1"),
+            ("the store is away and too few answer", 4, [NOBODY] * 2, None, None),
+            ("the store is away and both answer", 2, [NOBODY] * 2, None, "v1"),
+            ("the store is away and one of two answers", 2, [NOBODY], None, None),
+            ("the store is away and there is nobody else", 0, [], None, None),
         ]
     )
-    def test_the_answers_of_instances_are_put_together_if(
-        self, _, answers, version, may_go_on
+    def test_a_stream_nobody_here_knows_goes_on_only_if_that_is_confirmed(
+        self, _, asked, answers, stored, version
     ):
-        found = merge_found(answers)
-        self.assertEqual((version, may_go_on), (found.version, found.may_go_on))
+        if stored is not None:
+            of_stream, of_service = stored
+            service = ServiceVersions(SERVICE, of_service) if of_service else None
+            stored = StoredVersion(of_stream, service)
+        found = conclude_version(NOBODY, asked, answers, stored)
+        self.assertEqual(version, found.version)
+        self.assertEqual(version is not None, found.may_go_on)
+
+
+def save_many(versions, count):
+    """Let an instance write as many records at once."""
+    for number in range(count):
+        versions.record_saving(SavedStream(f"q{number}", SERVICE, "v2"), 2.0)
 
 
 class ExchangeTest(TestCase):
