Stream versions: streams of a lost instance go on at the version without records

Cause: a stream's version was told to others and to the store only while its instance saw two versions. One that is lost before never tells anybody, and "nobody knows it" was treated alike for streams that need no record and for those that must have one. Evidence: no record of these streams in the store; with new engines of the same version all go on.

ORDER holds as before: what neither the store nor enough other instances answer is refused.

--- a/src/turmericusher/decisions/stream_versions.py
+++ b/src/turmericusher/decisions/stream_versions.py
@@ -13,6 +13,10 @@
 off may list one version where there are two: it lets a stream that it does not know go
 on only if the store or enough other instances confirm that there is only one.
 
+Streams that begin while there is one version are told to nobody, and their instance may
+be lost before there is a second one. The record of a service therefore names the
+version whose streams are not recorded. A stream without a record began at that one.
+
 Load: a service whose upstreams are replaced by another version, and instances that are
 killed meanwhile. What an instance sends and holds does not grow with the fleet, and
 neither does what it receives of the records in the store, which are limited.
@@ -89,10 +93,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceVersions:
-    """The versions of a service's upstreams, as the store has them."""
+    """The versions of a service's upstreams, as the store has them.
+
+    Each stream has a record, but for those of the version `unrecorded`; None if all of
+    them have.
+    """
 
     service: str
     versions: frozenset[str]
+    unrecorded: str | None = None
 
 
 VersionRecord = SeenVersion | ServiceVersions
@@ -118,7 +127,7 @@
 class StoredVersion:
     """What the store has of a stream's version and of its service, as read just now.
 
-    `version` is None without a record of the stream, `service` without one of that.
+    `version` is None if that is unknown, and `service` if it has no record.
     """
 
     version: str | None
@@ -160,7 +169,7 @@
         default_factory=lambda: deque(maxlen=MAX_UNSAVED)
     )
     listed: dict[str, frozenset[str]] = field(default_factory=dict)
-    saved: dict[str, frozenset[str]] = field(default_factory=dict)
+    saved: dict[str, ServiceVersions] = field(default_factory=dict)
     due_at: dict[str, float] = field(default_factory=dict)
     live: dict[str, frozenset[str]] = field(default_factory=dict)
     written: dict[str, str] = field(default_factory=dict)
@@ -191,24 +200,32 @@
     def must_record(self, stream: str, service: str, version: str, now: float) -> bool:
         """Whether the store must have a stream's version before the stream is sent.
 
-        It must while the service has another version, and if it has another one for
-        this stream, whose earlier attempt has brought no event.
+        It must while the service has another version, unless streams of this one have
+        no records, and if it has another one for this stream, whose earlier attempt has
+        brought no event.
         """
         if stream in self.written:
             return self.written[stream] != version
+        if version == self.unrecorded_version(service):
+            return False
         return bool(self.versions_seen(service, now) - {version})
 
+    def unrecorded_version(self, service: str) -> str | None:
+        """Return the version of a service whose streams have no records, if any."""
+        saved = self.saved.get(service)
+        return saved.unrecorded if saved is not None else None
+
     def closed_versions(self, service: str, now: float) -> frozenset[str]:
         """Return the versions at which no stream begins now.
 
-        Those are the ones that the store does not have while it takes no records, as
-        long as upstreams of another version are live.
+        Those are the ones that need a record while the store takes none, as long as
+        upstreams of the version that needs none are live.
         """
         live = self.live.get(service, frozenset())
-        if len(live) <= 1 or self.may_save(now):
+        unrecorded = self.unrecorded_version(service)
+        if unrecorded not in live or self.may_save(now):
             return frozenset()
-        saved = self.saved.get(service, frozenset())
-        return live - saved if live & saved else frozenset()
+        return live - {unrecorded}
 
     def may_save(self, now: float) -> bool:
         """Whether the store takes records, and the limit allows one more."""
@@ -218,7 +235,15 @@
 
     def versions_with(self, service: str, version: str, now: float) -> ServiceVersions:
         """Return the record of a service's versions with one more version."""
-        return ServiceVersions(service, self.versions_to_save(service, now) | {version})
+        return self.service_record(
+            service, self.versions_to_save(service, now) | {version}
+        )
+
+    def service_record(self, service: str, versions: frozenset[str]) -> ServiceVersions:
+        """Return the record of a service that follows the one in the store."""
+        return make_service_versions(
+            service, versions, self.unrecorded_version(service)
+        )
 
     def save_interval_s(self) -> float:
         """Return the seconds between two streams that this instance saves."""
@@ -236,7 +261,8 @@
         A version stays there until this instance has not seen it for a while. Only
         listed ones are added, so that instances with other views do not alternate.
         """
-        saved = self.saved.get(service, frozenset())
+        record = self.saved.get(service)
+        saved = record.versions if record is not None else frozenset[str]()
         listed = self.listed.get(service, frozenset())
         return (saved & self.versions_seen(service, now)) | listed
 
@@ -247,13 +273,14 @@
         due = []
         for service in self.listed:
             versions = self.versions_to_save(service, now)
-            if versions == self.saved.get(service):
+            saved = self.saved.get(service)
+            if saved is not None and versions == saved.versions:
                 self.due_at.pop(service, None)
                 continue
             if service not in self.due_at:
                 self.due_at[service] = now + SAVE_DELAY_S * (1 + self.rank(service))
             if now >= self.due_at[service]:
-                due.append(ServiceVersions(service, versions))
+                due.append(self.service_record(service, versions))
         return due
 
     def record_saved(self, record: VersionRecord, now: float) -> None:
@@ -265,7 +292,7 @@
             case SeenVersion(version=version):
                 versions = frozenset({version})
             case ServiceVersions(versions=versions):
-                self.saved[record.service] = versions
+                self.saved[record.service] = record
         seen = self.seen_at.setdefault(record.service, {})
         if not versions <= seen.keys():
             seen |= {version: now for version in versions - seen.keys()}
@@ -345,7 +372,11 @@
         if len(self.versions_seen(service, now)) <= 1:
             return
         version = self.running[stream].version
-        if self.written.get(stream) != version:
+        is_recorded = version in (
+            self.written.get(stream),
+            self.unrecorded_version(service),
+        )
+        if not is_recorded:
             self.unsaved.append(SavedStream(stream, service, version))
         record = StreamVersion(stream, version)
         for name in self.ranked(stream, HOLDER_COUNT):
@@ -357,6 +388,19 @@
         return unsent
 
 
+def make_service_versions(
+    service: str, versions: frozenset[str], unrecorded: str | None = None
+) -> ServiceVersions:
+    """Return the record of a service, of whose versions one may need no records.
+
+    That one stays the same while it is among them. Without one the only version is it:
+    all streams of others are recorded.
+    """
+    if unrecorded not in versions:
+        unrecorded = min(versions) if len(versions) == 1 else None
+    return ServiceVersions(service, versions, unrecorded)
+
+
 def sufficient_answers(asked: int) -> int:
     """Return how many of the instances that were asked must answer.
 
--- a/src/turmericusher/platform/version_records.py
+++ b/src/turmericusher/platform/version_records.py
@@ -11,6 +11,7 @@
     SeenVersion,
     ServiceVersions,
     VersionRecord,
+    make_service_versions,
 )
 from turmericusher.platform.decoding import WireModel, parse_or_log
 from turmericusher.platform.names import STREAM_PREFIX, VERSIONS_PREFIX
@@ -27,10 +28,14 @@
 
 
 class ServiceVersionsModel(WireModel, frozen=True):
-    """The versions of a service's upstreams that were seen lately."""
+    """The versions of a service's upstreams that were seen lately.
+
+    Streams of the version `unrecorded` have no records.
+    """
 
     service: str
     versions: frozenset[str]
+    unrecorded: str | None = None
 
 
 class VersionRecordCodec:
@@ -49,7 +54,11 @@
         if isinstance(record, SavedStream):
             model = {"service": record.service, "version": record.version}
             return self.stream_key(record.stream), msgspec.json.encode(model)
-        versions = {"service": record.service, "versions": sorted(record.versions)}
+        versions = {
+            "service": record.service,
+            "versions": sorted(record.versions),
+            "unrecorded": record.unrecorded,
+        }
         return self.service_key(record.service), msgspec.json.encode(versions)
 
     def decode(self, key: str, value: bytes) -> VersionRecord | None:
@@ -62,7 +71,9 @@
         model = parse_or_log(
             ServiceVersionsModel, value, "version_record_dropped", key=key
         )
-        return ServiceVersions(model.service, model.versions) if model else None
+        if model is None:
+            return None
+        return make_service_versions(model.service, model.versions, model.unrecorded)
 
 
 def digest(name: str) -> str:
--- a/src/turmericusher/tasks/version_records.py
+++ b/src/turmericusher/tasks/version_records.py
@@ -99,13 +99,17 @@
         try:
             async with asyncio.timeout(LOOKUP_TIMEOUT_S):
                 versions = await self.read_service(service)
-                if stream is None or versions is None or len(versions.versions) <= 1:
+                if stream is None or versions is None:
                     return StoredVersion(None, versions)
+                if versions.versions == {versions.unrecorded}:
+                    return StoredVersion(versions.unrecorded, versions)
                 stored = await self.store.get(self.codec.stream_key(stream))
         except (StoreError, TimeoutError) as error:
             log_event("stream_version_unread", stream=stream, error=repr(error))
             return None
-        record = self.codec.decode(stored.key, stored.value) if stored else None
+        if stored is None:
+            return StoredVersion(versions.unrecorded, versions)
+        record = self.codec.decode(stored.key, stored.value)
         if not isinstance(record, SeenVersion) or record.service != service:
             return StoredVersion(None, versions)
         return StoredVersion(record.version, versions)
@@ -144,7 +148,8 @@
     async def save_version(self, service: str, version: str) -> None:
         """Have a version in the record of a service."""
         for _ in range(MAX_SWAPS):
-            if version in self.versions.saved.get(service, ()):
+            saved = self.versions.saved.get(service)
+            if saved is not None and version in saved.versions:
                 return
             now = asyncio.get_running_loop().time()
             await self.swap_service(self.versions.versions_with(service, version, now))
--- a/tests/cover/test_version_records.py
+++ b/tests/cover/test_version_records.py
@@ -107,6 +107,39 @@
     )
 
 
+class LostInstanceTest(TestCase):
+    # They were told to nobody, and refused once two versions served (LOST, review/2).
+    @parameterized.expand([("their instance", False), ("all instances", True)])
+    @run_async
+    async def test_streams_from_before_the_second_version_go_on_after_the_loss_of(
+        self, _, is_all
+    ):
+        async with running_version_simulation(
+            ("v1",) * 3,
+            instances=4,
+            later_versions=("v2",) * 3,
+            events=EVENTS,
+            event_gap_s=0.05,
+        ) as simulation:
+            await wait_until(lambda: simulation.saved(VERSIONS_PREFIX))
+            ids = [(f"q{number}", f"q{number}-again") for number in range(STREAMS)]
+            for first, _again in ids:
+                await simulation.stream("entry-3", first, 3)
+            await simulation.stop_instance("entry-3")
+            if is_all:
+                await simulation.replace_all_instances()
+            for index in (3, 4, 5):
+                simulation.write_upstream_entry(index)
+            for node in simulation.instances.values():
+                entries = node.fleet.upstreams.entries
+                await wait_until(lambda entries=entries: len(entries) == 6)
+            for number, (first, second) in enumerate(ids):
+                status, events = await take_up(simulation, number, first, second)
+                self.assertEqual(200, status)
+                self.assertEqual(list(range(4, EVENTS + 1)), events)
+                self.assertEqual({"v1"}, simulation.versions_of([first, second]))
+
+
 class AllInstancesKilledTest(TestCase):
     @run_async
     async def test_a_stream_goes_on_at_its_version_after_all_instances_were_killed(
