Upstreams: every answer has a limit in bytes, large ones share one

What callers saw: calls on kept connections that had run got no answer, because the process had been ended for its memory (LOST); processes ended again and again (Fault).

Cause: the answer to a call for a copy was read whole for up to 2 s, without a limit in bytes. Reports, checks for an end, releases and calls of the store had none either; answers to requests had 16 MB each, events too, and interim responses were kept until the final one had come.

Change: bounded_bodies has the limits and the readers; answers larger than 256 KiB share 16 MB over all in progress; more than 16 interim responses end a connection.

--- /dev/null
+++ b/src/turmericusher/bounded_bodies.py
@@ -0,0 +1,143 @@
+"""Reads bodies of responses within limits: what another process sends may never end.
+
+A faulty upstream sends bytes until its caller closes. Bytes that have been received
+count towards the memory of the machine, which is small.
+"""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import AsyncIterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+MAX_MESSAGE_BYTES = 262_144
+"""Size of the largest answer about a request or an upstream: a report has some 100
+bytes for each of a few hundred runs."""
+
+MAX_EVENT_BYTES = 1_048_576
+"""Size of the largest event of a stream, which holds a few tokens."""
+
+MAX_ANSWER_BYTES = 16_000_000
+"""Size of the largest answer to a caller that is not a stream."""
+
+MAX_STORE_ANSWER_BYTES = 16_000_000
+"""Size of the largest answer of the store: a few of its largest values, in base64."""
+
+FREE_BYTES = 262_144
+"""Size up to which an answer counts for nothing in `HeldBytes`."""
+
+MAX_HELD_BYTES = MAX_ANSWER_BYTES
+"""Bytes of all larger answers that an instance holds at one time."""
+
+MAX_INTERIM_RESPONSES = 16
+"""Interim responses (RFC 9110, section 15.2) before one that is final."""
+
+
+class BodyTooLargeError(Exception):
+    """A body is larger than allowed; its connection is closed."""
+
+
+@dataclass(slots=True)
+class HeldBytes:
+    """The bytes of large answers that are held now, and how many may be."""
+
+    limit: int = MAX_HELD_BYTES
+    held: int = 0
+
+    @contextmanager
+    def counting(self) -> Iterator[CountedBody]:
+        """Yield the count of one answer, which ends with the context."""
+        counted = CountedBody(self)
+        try:
+            yield counted
+        finally:
+            self.held -= counted.counted
+
+
+@dataclass(slots=True)
+class CountedBody:
+    """How many bytes of one answer count in `total`."""
+
+    total: HeldBytes
+    counted: int = 0
+
+    def grow_to(self, size: int) -> None:
+        """Count an answer of this size; raise `BodyTooLargeError` over the limits."""
+        check_size(size, MAX_ANSWER_BYTES)
+        added = max(0, size - FREE_BYTES) - self.counted
+        if added > self.total.limit - self.total.held:
+            raise BodyTooLargeError(
+                f"answers in progress hold {self.total.held} bytes of "
+                f"{self.total.limit}; one with {size} bytes has no room"
+            )
+        self.total.held += added
+        self.counted += added
+
+
+def check_size(size: int, max_bytes: int) -> None:
+    """Raise `BodyTooLargeError` if a body has more bytes than allowed."""
+    if size > max_bytes:
+        raise BodyTooLargeError(f"the body exceeds {max_bytes} bytes")
+
+
+async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return the whole body; raise `BodyTooLargeError` beyond a size."""
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > max_bytes:
+            response.close()
+            check_size(len(body), max_bytes)
+    return bytes(body)
+
+
+async def read_held(chunks: AsyncIterable[bytes], held: HeldBytes) -> bytes:
+    """Return the whole body of an answer to a caller, which counts while it is read.
+
+    Raises `BodyTooLargeError` over the limits of one answer or of all.
+    """
+    body = bytearray()
+    with held.counting() as counted:
+        async for chunk in chunks:
+            body += chunk
+            counted.grow_to(len(body))
+        return bytes(body)
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """The reader of one connection, which ends after too many interim responses.
+
+    aiohttp bounds each head but keeps all interim ones until the final one has come.
+    """
+
+    interim_count = 0
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take one response, or close the connection."""
+        message, _ = data
+        if message.code < 200:
+            self.interim_count += 1
+            if self.interim_count > MAX_INTERIM_RESPONSES:
+                # An abort drops the exception.
+                self.abort()
+                self.set_exception(
+                    aiohttp.ServerDisconnectedError("too many interim responses")
+                )
+                return
+        else:
+            self.interim_count = 0
+        super().feed_data(data, size)
+
+
+def bounded_connector(**options: Any) -> aiohttp.TCPConnector:
+    """Return a connector whose connections bound what precedes a response."""
+    connector = aiohttp.TCPConnector(**options)
+    # aiohttp has no public option for the reader of its connections.
+    factory: Any = functools.partial(BoundedResponseHandler, loop=connector._loop)
+    connector._factory = factory
+    return connector
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -12,6 +12,12 @@
 import aiohttp
 import msgspec
 
+from turmericusher.bounded_bodies import (
+    MAX_STORE_ANSWER_BYTES,
+    BodyTooLargeError,
+    bounded_connector,
+    read_bounded,
+)
 from turmericusher.errors import (
     StoreError,
     StoreHistoryLostError,
@@ -80,6 +86,15 @@
 lets an instance go without updates."""
 
 
+STORE_CALL_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    ValueError,
+    BodyTooLargeError,
+)
+
+
 @dataclass(slots=True)
 class PlatformStore:
     """A `KeyValueStore` over the platform's HTTP API; `calls` counts calls by name.
@@ -268,7 +283,7 @@
         """Make a read-only call; raise `StoreUnavailableError` if it fails."""
         try:
             return await self.call("GET", call, query, None, timeout_s)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except STORE_CALL_ERRORS as error:
             raise StoreUnavailableError(
                 f"store call {call} failed: {error!r}"
             ) from error
@@ -287,7 +302,7 @@
             raise StoreUnavailableError(
                 f"store call {call} failed: {error!r}"
             ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except STORE_CALL_ERRORS as error:
             raise StoreOutcomeUnknownError(
                 f"store call {call} may have taken effect: {error!r}"
             ) from error
@@ -314,7 +329,7 @@
             headers={"Content-Type": "application/json"} if change else None,
             timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CALL_TIMEOUT_S),
         ) as response:
-            data = await response.read()
+            data = await read_bounded(response, MAX_STORE_ANSWER_BYTES)
             self.record_era(response.headers.get(STORE_ERA))
             if response.status in BUSY_STATUSES:
                 raise StoreUnavailableError(
@@ -349,6 +364,6 @@
     address: str, watch_wait_s: float = MAX_WATCH_WAIT_S, watch_pause_s: float = 0.0
 ) -> AsyncIterator[PlatformStore]:
     """Yield the store at `ip:port`, and close its connections on exit."""
-    connector = aiohttp.TCPConnector(socket_factory=keepalive_socket)
+    connector = bounded_connector(socket_factory=keepalive_socket)
     async with open_pooled_session(connector=connector) as session:
         yield PlatformStore(session, address, watch_wait_s, watch_pause_s)
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -11,12 +11,21 @@
 import re
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import aiohttp
 from yarl import URL
 
 from turmericusher.api.headers import FORWARDED_HEADER
+from turmericusher.bounded_bodies import (
+    MAX_EVENT_BYTES,
+    MAX_MESSAGE_BYTES,
+    BodyTooLargeError,
+    HeldBytes,
+    check_size,
+    read_bounded,
+    read_held,
+)
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.forwarding import Hop, Refusal
 from turmericusher.decisions.open_losses import EndState
@@ -69,7 +78,7 @@
 )
 from turmericusher.platform.settings import MILLISECONDS_PER_S
 from turmericusher.ports.relay import EventSink
-from turmericusher.ports.services import MAX_ANSWER_BYTES, open_single_send_session
+from turmericusher.ports.services import open_single_send_session
 from turmericusher.single_send import SendProgress
 
 CONNECT_TIMEOUT_S = 0.3
@@ -94,6 +103,7 @@
 MAX_MESSAGE_CHARS = 200
 
 EVENT_END = re.compile(rb"\r?\n\r?\n")
+MAX_EVENT_END_BYTES = 4
 EVENT_ID = re.compile(rb"^id:[ ]*([0-9]+)[ ]*\r?$", re.MULTILINE)
 
 LoadListener = Callable[[str, LoadReport], None]
@@ -103,7 +113,17 @@
 
 
 class MalformedStreamError(Exception):
-    """A response has an event without an id, ends within an event, or is too large."""
+    """A response has an event without an id or ends within an event."""
+
+
+MESSAGE_ERRORS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    ValueError,
+    BodyTooLargeError,
+)
+"""Errors of a call about an upstream or a copy, which then counts as unanswered."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +143,7 @@
     without a limit. A report or a refusal may name a limit too, but does not lift one.
     `on_leaving` receives, for each response that says so, the upstream that is leaving.
     `on_pause` receives, for each refusal that asks for a pause, its seconds, or None if
-    they are malformed.
+    they are malformed. `held` counts the bytes of large answers in progress.
     """
 
     session: aiohttp.ClientSession
@@ -131,6 +151,7 @@
     on_limit: LimitListener
     on_leaving: LeavingListener
     on_pause: PauseListener
+    held: HeldBytes = field(default_factory=HeldBytes)
 
     async def send(
         self,
@@ -159,11 +180,11 @@
                 ),
                 trace_request_ctx=progress,
             ) as response:
-                exchange = AttemptExchange(start, request, response, sink)
+                exchange = AttemptExchange(start, request, response, sink, self.held)
                 if start.hop is None:
                     self.read_signals(exchange)
                 await exchange.emit_events(routed.route.kind.is_stream)
-        except MalformedStreamError as error:
+        except (MalformedStreamError, BodyTooLargeError) as error:
             cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
             await sink(failure(start, cause, verdict, str(error)))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
@@ -223,7 +244,7 @@
         try:
             async with self.session.get(url, timeout=timeout) as response:
                 is_leaving = self.note_signals(upstream, response)
-                data = await response.read()
+                data = await read_bounded(response, MAX_MESSAGE_BYTES)
             limit_per_s = self.read_limit(upstream, tuple(response.headers.items()))
             if limit_per_s is not None:
                 self.on_limit(upstream, limit_per_s)
@@ -232,7 +253,7 @@
                 # The report names the incarnation, which the list may not show yet.
                 self.on_leaving(replace(upstream, incarnation=report.incarnation))
             return report
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except MESSAGE_ERRORS as error:
             log_event("report_missing", upstream=upstream.name, error=repr(error))
             return None
 
@@ -250,11 +271,11 @@
                 url, headers=headers, timeout=timeout
             ) as response:
                 self.note_signals(upstream, response)
-                data = await response.read()
+                data = await read_bounded(response, MAX_MESSAGE_BYTES)
         except aiohttp.ClientConnectorError as error:
             is_refused = isinstance(error.os_error, ConnectionRefusedError)
             return EndState.ENDED if is_refused else EndState.UNKNOWN
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except MESSAGE_ERRORS:
             return EndState.UNKNOWN
         if response.status == MISDIRECTED:
             return EndState.ENDED
@@ -288,11 +309,11 @@
         try:
             async with self.session.post(url, data=body, timeout=timeout) as response:
                 self.note_signals(source, response)
-                data = await response.read()
+                data = await read_bounded(response, MAX_MESSAGE_BYTES)
                 if response.status not in SUCCESS:
                     return None
             return MemoryCopy(target, source, decode_copy_handle(data))
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except MESSAGE_ERRORS as error:
             log_event("copy_missing", upstream=source.name, error=repr(error))
             return None
 
@@ -303,8 +324,8 @@
         try:
             async with self.session.delete(url, timeout=timeout) as response:
                 self.note_signals(copy.source, response)
-                await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                await read_bounded(response, MAX_MESSAGE_BYTES)
+        except MESSAGE_ERRORS as error:
             log_event("release_failed", holder=copy.holder.name, error=repr(error))
 
 
@@ -316,6 +337,7 @@
     request: RelayedRequest
     response: aiohttp.ClientResponse
     sink: EventSink
+    held: HeldBytes
 
     @property
     def headers(self) -> Headers:
@@ -343,7 +365,8 @@
 
         Its body has the error code and the message, with a colon between them.
         """
-        text = (await read_body(self.response)).decode(errors="replace").strip()
+        body = await read_bounded(self.response, MAX_MESSAGE_BYTES)
+        text = body.decode(errors="replace").strip()
         code, _, message = text.partition(": ")
         try:
             retry_after_s = parse_pause(self.headers)
@@ -375,7 +398,7 @@
         if is_stream and self.response.status in SUCCESS:
             await self.emit_stream()
             return
-        body = await read_body(self.response)
+        body = await read_held(read_chunks(self.response), self.held)
         await self.sink(
             self.answer_event(RelayAnswer(self.response.status, self.headers, body))
         )
@@ -433,32 +456,28 @@
 
 
 async def read_events(response: aiohttp.ClientResponse) -> AsyncIterator[StreamEvent]:
-    """Yield the events of a stream; raise `MalformedStreamError` for an invalid one."""
-    pending = b""
+    """Yield the events of a stream.
+
+    Raises `MalformedStreamError` for one without an id or without its end, and
+    `BodyTooLargeError` for one that is too large.
+    """
+    pending, searched = bytearray(), 0
     async for chunk in read_chunks(response):
         pending += chunk
-        while (end := EVENT_END.search(pending)) is not None:
-            payload, pending = pending[: end.end()], pending[end.end() :]
+        while (end := EVENT_END.search(pending, searched)) is not None:
+            payload, searched = bytes(pending[: end.end()]), 0
+            del pending[: end.end()]
             id_match = EVENT_ID.search(payload)
             if id_match is None:
                 raise MalformedStreamError(f"event without an id: {payload[:80]!r}")
             yield StreamEvent(int(id_match[1]), payload)
-        if len(pending) > MAX_ANSWER_BYTES:
-            raise MalformedStreamError("an event exceeds the size limit")
+        # The end may lie across two chunks.
+        searched = max(0, len(pending) - MAX_EVENT_END_BYTES)
+        check_size(len(pending), MAX_EVENT_BYTES)
     if pending.strip():
         raise MalformedStreamError("the stream ended within an event")
 
 
-async def read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Return the whole body; raise `MalformedStreamError` if it is too large."""
-    body = bytearray()
-    async for chunk in read_chunks(response):
-        body += chunk
-        if len(body) > MAX_ANSWER_BYTES:
-            raise MalformedStreamError(f"the body exceeds {MAX_ANSWER_BYTES} bytes")
-    return bytes(body)
-
-
 async def read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     """Yield the bytes of a body; raise `OSError` if the connection was reset.
 
--- a/src/turmericusher/ports/services.py
+++ b/src/turmericusher/ports/services.py
@@ -17,11 +17,11 @@
 import aiohttp
 from yarl import URL
 
+from turmericusher.bounded_bodies import MAX_ANSWER_BYTES, bounded_connector
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.errors import ErrorCode, UpstreamError, Verdict
 from turmericusher.single_send import SendProgress, single_send_trace
 
-MAX_ANSWER_BYTES = 16_000_000
 READ_CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
 
@@ -173,7 +173,7 @@
 
     It adds no headers and decodes no bodies, so that calls and answers pass unchanged.
     """
-    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    connector = bounded_connector(force_close=True, limit=0)
     async with aiohttp.ClientSession(
         connector=connector,
         trace_configs=[single_send_trace()],
