Entries and reports: what names nothing that can be reached counts as absent

Reported from a like system: an odd entry among those of the engines ended the machines that read the list. Here the three that it names (deep nesting, a number too large, a port out of range) only cost a log line; the test keeps it so.

Found beside them: an entry with port 0, with digits that are not ASCII, with an open bracket or with a name that no header takes named an upstream, and each attempt there failed; counts of hundreds of digits in a report ended the request that had asked, with an OverflowError in a decision.

Cause: addresses of others were checked like own settings, names not at all, and counts had no range. Now they are, at the border.

--- a/src/turmericusher/platform/decoding.py
+++ b/src/turmericusher/platform/decoding.py
@@ -28,12 +28,18 @@
     """
 
 
+PEER_ADDRESS = re.compile(r"(\[[0-9a-fA-F:.%]+\]|[0-9.]+):0*[1-9][0-9]{0,4}")
+"""An address to connect to: other digits and port 0 are none."""
+
+
 def check_addresses(**addresses: str | None) -> None:
     """Raise `ValueError` that names the first address that is not `ip:port`."""
     for name, value in addresses.items():
         try:
             if value is not None:
                 check_address(value)
+                if PEER_ADDRESS.fullmatch(value) is None:
+                    raise ValueError("write it as IP:PORT, with a port from 1 on")
         except ValueError as error:
             raise ValueError(f"{name}={value!r}: {error}") from None
 
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -31,6 +31,7 @@
     WeightedService,
     make_routing_table,
 )
+from turmericusher.logs import log_event
 from turmericusher.platform.decoding import (
     WireModel,
     check_addresses,
@@ -63,6 +64,16 @@
 )
 
 Number = int | float
+
+MAX_COUNT = 2**53
+"""Largest number of anything that is counted: beyond it, a float is not exact, and far
+beyond, none at all."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Amount = (
+    Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+    | Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_COUNT))]
+)
 Model = TypeVar("Model", bound=WireModel)
 
 
@@ -185,12 +196,12 @@
     milliseconds.
     """
 
-    active_requests: int
-    waiting: int
-    cache_used: Number
-    cache_total: Number
+    active_requests: Count
+    waiting: Count
+    cache_used: Amount
+    cache_total: Amount
     born: int | None = None
-    runs: tuple[tuple[str, Number, int, Number], ...] = ()
+    runs: tuple[tuple[str, Number, Count, Number], ...] = ()
 
 
 class CopyModel(WireModel, frozen=True):
@@ -387,6 +398,10 @@
     """Return an upstream's entry, without the upstream if that is invalid or gone."""
     if value is None:
         return UpstreamRecord(name, None)
+    if not (name.isascii() and name.isprintable()):
+        # Requests name their upstream in a header.
+        log_event("upstream_entry_dropped", upstream=ascii(name), reason="its name")
+        return UpstreamRecord(name, None)
     model = parse_or_log(UpstreamModel, value, "upstream_entry_dropped", upstream=name)
     if model is None:
         return UpstreamRecord(name, None)
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -344,7 +344,13 @@
     """Raise `error_type` where an answer does not have what it must have."""
     try:
         yield
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise error_type(f"store call {call} answered with {error!r}") from error
 
 
--- a/src/turmericusher/platform/store_messages.py
+++ b/src/turmericusher/platform/store_messages.py
@@ -71,7 +71,13 @@
     for item in items:
         try:
             decoded.append(decode(item))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (
+            KeyError,
+            TypeError,
+            ValueError,
+            AttributeError,
+            OverflowError,
+        ) as error:
             log_event("store_item_malformed", error=repr(error))
     return decoded
 
