Upstreams: a refusal of another request says nothing of this one

Cause: failure_from_headers looked at 421 and at the mark "not run" before it compared the id of the request, so an answer that named another request counted as a refusal of this one; its limit, pause and leaving were believed, too.

Change: the id is compared first; an answer that names another request is malformed, with the verdict that the request may have run, and its signals are not read.

--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -181,7 +181,7 @@
                 trace_request_ctx=progress,
             ) as response:
                 exchange = AttemptExchange(start, request, response, sink, self.held)
-                if start.hop is None:
+                if start.hop is None and exchange.answered_id is None:
                     self.read_signals(exchange)
                 await exchange.emit_events(routed.route.kind.is_stream)
         except (MalformedStreamError, BodyTooLargeError) as error:
@@ -344,6 +344,16 @@
         """Return the response's headers."""
         return tuple(self.response.headers.items())
 
+    @property
+    def answered_id(self) -> str | None:
+        """The id of another request that the response belongs to, if it names one.
+
+        A faulty upstream may send an earlier response once more.
+        """
+        own = self.request.request_id
+        answered = self.response.headers.get(REQUEST_ID, own)
+        return answered if answered != own else None
+
     @property
     def is_refusal(self) -> bool:
         """Whether the response says that the request did not run here."""
@@ -410,6 +420,11 @@
         to resume from a copy, and `OVERLOADED` otherwise.
         """
         status, headers = self.response.status, self.response.headers
+        if self.answered_id is not None:
+            # What it says of another request, a refusal too, says nothing of this one.
+            cause, verdict = AttemptCause.MALFORMED, Verdict.MAY_HAVE_RUN
+            problem = f"response to another request: {self.answered_id!r}"
+            return failure(self.start, cause, verdict, problem)
         if status == MISDIRECTED:
             return failure(self.start, AttemptCause.MISDIRECTED, Verdict.NOT_RUN)
         if NOT_RUN_MARK in headers:
@@ -417,9 +432,7 @@
             cause = AttemptCause.NO_COPY if is_copy else AttemptCause.OVERLOADED
             return failure(self.start, cause, Verdict.NOT_RUN, f"status={status}")
         problem = ""
-        if headers.get(REQUEST_ID, self.request.request_id) != self.request.request_id:
-            problem = f"response to another request: {headers[REQUEST_ID]!r}"
-        elif status in SUCCESS and SIGNATURE not in headers:
+        if status in SUCCESS and SIGNATURE not in headers:
             problem = f"status={status} without a signature"
         elif "Content-Encoding" in headers:
             problem = f"unexpected content encoding {headers['Content-Encoding']!r}"
