Stream versions: a record whose write may have failed is written again

Found in reading. A stream's version was noted as written before the write; after a write without a reply the store might not have it, and a later attempt at the same version was sent without a record: the stream could have been joined from two versions after a loss of its instance (ORDER). Now it counts as written once the store has answered; an outcome that is unknown makes any next attempt write it.

The test asserts that, and failed before.

--- a/src/turmericusher/decisions/stream_versions.py
+++ b/src/turmericusher/decisions/stream_versions.py
@@ -153,7 +153,7 @@
     `listed` and `saved` are the versions of each service that are listed now and that
     the store has; `due_at` is when this instance writes what differs. `live` are the
     versions of upstreams that take new streams. `written` has the versions that this
-    instance has written, or tried to, for streams that are not over.
+    instance has written for streams that are not over, None if a write may have failed.
     `is_store_lost` is set while the store cannot be read, `paused_until` after a failed
     write, and `next_save_at` is when the limit allows a record without a burst. Times
     are monotonic seconds.
@@ -172,7 +172,7 @@
     saved: dict[str, ServiceVersions] = field(default_factory=dict)
     due_at: dict[str, float] = field(default_factory=dict)
     live: dict[str, frozenset[str]] = field(default_factory=dict)
-    written: dict[str, str] = field(default_factory=dict)
+    written: dict[str, str | None] = field(default_factory=dict)
     is_store_lost: bool = False
     paused_until: float = 0.0
     next_save_at: float = 0.0
@@ -201,8 +201,8 @@
         """Whether the store must have a stream's version before the stream is sent.
 
         It must while the service has another version, unless streams of this one have
-        no records, and if it has another one for this stream, whose earlier attempt has
-        brought no event.
+        no records. It must also if it may have another one for this stream, whose
+        earlier attempt has brought no event.
         """
         if stream in self.written:
             return self.written[stream] != version
@@ -345,12 +345,16 @@
         self.running.pop(stream, None)
         self.written.pop(stream, None)
 
-    def record_saving(self, record: SavedStream, now: float) -> None:
+    def begin_saving(self, stream: str, now: float) -> None:
         """Record that a stream's version is being written, which may have an effect."""
-        self.written[record.stream] = record.version
+        self.written[stream] = None
         self.next_save_at = max(self.next_save_at, now) + self.save_interval_s()
 
-    def record_save_failure(self, now: float) -> None:
+    def finish_saving(self, record: SavedStream) -> None:
+        """Record that the store has a stream's version."""
+        self.written[record.stream] = record.version
+
+    def pause_saving(self, now: float) -> None:
         """Record that the store did not take a record in time."""
         self.paused_until = now + SAVE_PAUSE_S
 
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -37,6 +37,7 @@
     GRANT_LEASE,
     KEY,
     LEASE,
+    MALFORMED_ERRORS,
     NOT_FOUND,
     OK,
     PRECONDITION_FAILED,
@@ -344,13 +345,7 @@
     """Raise `error_type` where an answer does not have what it must have."""
     try:
         yield
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-    ) as error:
+    except MALFORMED_ERRORS as error:
         raise error_type(f"store call {call} answered with {error!r}") from error
 
 
--- a/src/turmericusher/platform/store_messages.py
+++ b/src/turmericusher/platform/store_messages.py
@@ -30,6 +30,15 @@
 OK, FORBIDDEN, NOT_FOUND, GONE, PRECONDITION_FAILED = 200, 403, 404, 410, 412
 BUSY_STATUSES = frozenset({429, 503})
 
+MALFORMED_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+)
+"""Errors of reading an answer that does not have what it must have."""
+
 Json = dict[str, Any]
 Item = TypeVar("Item")
 
@@ -71,13 +80,7 @@
     for item in items:
         try:
             decoded.append(decode(item))
-        except (
-            KeyError,
-            TypeError,
-            ValueError,
-            AttributeError,
-            OverflowError,
-        ) as error:
+        except MALFORMED_ERRORS as error:
             log_event("store_item_malformed", error=repr(error))
     return decoded
 
--- a/src/turmericusher/tasks/version_records.py
+++ b/src/turmericusher/tasks/version_records.py
@@ -132,7 +132,7 @@
         clock = asyncio.get_running_loop().time
         if not self.versions.may_save(clock()):
             return False
-        self.versions.record_saving(record, clock())
+        self.versions.begin_saving(record.stream, clock())
         try:
             async with asyncio.timeout(SAVE_TIMEOUT_S):
                 await self.save_version(record.service, record.version)
@@ -141,8 +141,9 @@
         except (StoreError, TimeoutError) as error:
             log_event("stream_version_unsaved", stream=record.stream, error=repr(error))
             self.lease = 0
-            self.versions.record_save_failure(clock())
+            self.versions.pause_saving(clock())
             return False
+        self.versions.finish_saving(record)
         return True
 
     async def save_version(self, service: str, version: str) -> None:
--- a/tests/cover/test_stream_versions.py
+++ b/tests/cover/test_stream_versions.py
@@ -334,14 +334,17 @@
         self.assertFalse(versions.must_record("q1", SERVICE, "v1", 1.0))
         list_versions(versions, "v1", "v2", now=2.0)
         self.assertTrue(versions.must_record("q1", SERVICE, "v2", 2.0))
-        versions.record_saving(SavedStream("q1", SERVICE, "v2"), 2.0)
+        versions.begin_saving("q1", 2.0)
+        # The write may have failed.
+        self.assertTrue(versions.must_record("q1", SERVICE, "v2", 2.0))
+        versions.finish_saving(SavedStream("q1", SERVICE, "v2"))
         self.assertFalse(versions.must_record("q1", SERVICE, "v2", 2.0))
         self.assertTrue(versions.must_record("q1", SERVICE, "v1", 2.0))
 
     @parameterized.expand(
         [
             ("the store is away", lambda each: setattr(each, "is_store_lost", True)),
-            ("a write has failed", lambda each: each.record_save_failure(2.0)),
+            ("a write has failed", lambda each: each.pause_saving(2.0)),
             ("the limit is reached", lambda each: save_many(each, 2 * SAVE_BURST)),
         ]
     )
@@ -366,7 +369,7 @@
         (start,) = relay.start(0.0)
         self.assertTrue(start.must_record)
         shared.selector.replaced.clear()
-        shared.versions.record_save_failure(0.1)
+        shared.versions.pause_saving(0.1)
         unrecorded = failed(1, AttemptCause.UNRECORDED, NOT_RUN, 0.1)
         (start,) = filter_by_type(relay.handle(unrecorded, 0.1), StartRelay)
         self.assertEqual("v1", start.upstream.version)
@@ -408,7 +411,7 @@
     def test_a_former_record_of_another_attempt_is_replaced(self):
         versions = make_versions()
         versions.record_saved(make_service_versions(SERVICE, ONE | OTHER, "v1"), 0.0)
-        versions.record_saving(SavedStream("q1", SERVICE, "v2"), 1.0)
+        versions.finish_saving(SavedStream("q1", SERVICE, "v2"))
         self.assertTrue(versions.must_record("q1", SERVICE, "v1", 1.0))
 
 
@@ -450,7 +453,7 @@
 def save_many(versions, count):
     """Let an instance write as many records at once."""
     for number in range(count):
-        versions.record_saving(SavedStream(f"q{number}", SERVICE, "v2"), 2.0)
+        versions.begin_saving(f"q{number}", 2.0)
 
 
 class ExchangeTest(TestCase):
--- a/tests/cover/test_stream_versions_machine.py
+++ b/tests/cover/test_stream_versions_machine.py
@@ -126,9 +126,10 @@
         if own.must_record(stream, SERVICE, version, self.now):
             if name in self.cut_from_store:
                 return
-            own.record_saving(SavedStream(stream, SERVICE, version), self.now)
+            own.begin_saving(stream, self.now)
             self.save_service(own, version)
             self.records[stream] = version
+            own.finish_saving(SavedStream(stream, SERVICE, version))
         own.record_begin(stream, SERVICE, version, self.now)
         self.begun[stream] = version
         for holder, told in own.take_unsent().items():
