Store: a longer absence before an older copy counts as a restored store, too

Found in reading. If the store was away for long enough to be noticed, the follower read everything anew as after any outage, and StoreRestoredError was never raised: entries that had been removed came back with the copy, and this instance did not write its own records and leases again. Now a complete read tells of it once.

The test failed before and passes.

--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -107,7 +107,8 @@
 
     `era` is the last one that the store named: it rises when the store comes back from
     an older copy, in which revisions are given out again. `read_era` is that of the
-    last complete read, without which the changes after a revision mean nothing.
+    last complete read, without which the changes after a revision mean nothing, and
+    `told_era` the last one of which a `StoreRestoredError` has told.
     """
 
     session: aiohttp.ClientSession
@@ -118,6 +119,7 @@
     order: AnswerOrder = field(default_factory=AnswerOrder)
     era: int | None = None
     read_era: int | None = None
+    told_era: int | None = None
 
     async def get(self, key: str) -> StoredValue | None:
         """Return the value of one key, or None if the key is absent."""
@@ -130,7 +132,10 @@
         return stored
 
     async def get_prefix(self, prefix: str) -> Snapshot:
-        """Read all keys that start with `prefix`, page by page."""
+        """Read all keys that start with `prefix`, page by page.
+
+        Raises `StoreRestoredError` once if the store was restored since the last time.
+        """
         values: list[StoredValue] = []
         first_revision: int | None = None
         query = {PREFIX: prefix}
@@ -145,6 +150,8 @@
             with malformed_as(StoreUnavailableError, READ_RANGE):
                 page, revision, has_more = decode_page(body)
             if first_revision is None:
+                if self.told_era != self.era:
+                    self.check_history()
                 era = self.era
             elif self.era != era:
                 raise StoreUnavailableError(
@@ -254,6 +261,7 @@
     def check_history(self) -> None:
         """Raise `StoreRestoredError` if the store was restored since it was read."""
         if self.read_era != self.era and self.read_era is not None:
+            self.told_era = self.era
             raise StoreRestoredError(
                 f"the store has come back from an older copy: its era is {self.era}, "
                 f"and that of the last read {self.read_era}; read it again"
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -51,7 +51,7 @@
     """A listener that keeps the values and counts the restored stores."""
 
     def __init__(self):
-        self.values, self.restored = {}, 0
+        self.values, self.restored, self.losses = {}, 0, 0
 
     def store_read(self, values, now):
         self.values = {each.key: each.value for each in values}
@@ -60,7 +60,7 @@
         self.values |= {each.key: each.value for each in events}
 
     def store_lost(self, now):
-        pass
+        self.losses += 1
 
     def store_regained(self, now):
         pass
@@ -116,6 +116,21 @@
                 self.assertNotIn("lost", recorder.values)
                 self.assertEqual(1, recorder.restored)
 
+    @run_async
+    async def test_a_store_that_was_away_for_longer_counts_as_restored_too(self):
+        memory = MemoryStore()
+        async with running_platform_store(memory) as standin:
+            copy = memory.copied()
+            memory.write("lost", b"")
+            async with following(standin) as recorder:
+                await wait_until(lambda: "lost" in recorder.values)
+                memory.faults.down = True
+                await wait_until(lambda: recorder.losses == 1)
+                restore_and_write(memory, copy, 3)
+                memory.faults.down = False
+                await wait_until(lambda: "op/change" in recorder.values)
+                self.assertEqual(1, recorder.restored)
+
     @run_async
     async def test_it_is_read_while_the_changes_come_from_another_instance(self):
         store = FollowedStore()
@@ -163,6 +178,8 @@
             memory.restore(copy)
             swap = await store.compare_and_swap("k", ABSENT, b"1")
             self.assertTrue(swap.succeeded)
+            with ExpectedException(StoreRestoredError):
+                await store.poll("", swap.revision, 0.0)
             with ExpectedException(StoreRestoredError):
                 await store.poll("", swap.revision, 0.0)
             snapshot = await store.get_prefix("")
