--- a/tests/common/crash_fixtures.py
+++ b/tests/common/crash_fixtures.py
@@ -123,16 +123,25 @@
         except aiohttp.ClientError:
             return Answer(0, {}, b"", False)
 
-    async def call_plain(self, instance: int, name: str, wait_ms: int = 400) -> Answer:
-        """Send an idempotent call, the same one for each name, to one instance."""
+    async def call_named(
+        self,
+        instance: int,
+        name: str,
+        wait_ms: int = 400,
+        kind: RequestKind = RequestKind.IDEMPOTENT,
+    ) -> Answer:
+        """Send a request, the same one for each name, to one instance."""
         self.request_count += 1
         simulation = self.instances[instance]
         simulation.count = self.request_count
-        return await simulation.call(RequestKind.IDEMPOTENT, wait_ms, name)
+        try:
+            return await simulation.call(kind, wait_ms, name)
+        except aiohttp.ClientError:
+            return Answer(0, {}, b"", False)
 
-    def plain_calls(self, name: str) -> int:
-        """Return how many plain calls of this name have run at an upstream."""
-        target = f"{PATHS[RequestKind.IDEMPOTENT]}{name}"
+    def named_runs(self, name: str, kind: RequestKind = RequestKind.IDEMPOTENT) -> int:
+        """Return how many requests of this name have run at an upstream."""
+        target = f"{PATHS[kind]}{name}"
         return sum(
             call.target == target and call.headers[REQUEST_ID] in upstream.runs
             for upstream in (*self.running.values(), *self.ended)
--- a/tests/cover/test_crashing_calls.py
+++ b/tests/cover/test_crashing_calls.py
@@ -25,6 +25,7 @@
 MAX_LATE_SENDS = 3
 TRAFFIC_S = 14.0
 REQUEST_INTERVAL_S = 0.25
+WAIT_MS = {RequestKind.IDEMPOTENT: 400, RequestKind.RESUMABLE_STREAM: 3_000}
 CRASH_AFTER_S = 0.1
 RESTART_S = 1.2
 LISTED_S = 2.4
@@ -57,12 +58,24 @@
     async def test_a_call_that_crashes_upstreams_stops_reaching_them(
         self, _, sign, makes_reports, replacement
     ):
+        await self.check(RequestKind.IDEMPOTENT, sign, makes_reports, replacement)
+
+    # Streams that crash each engine that begins them come again at any instance.
+    @parameterized.expand([(sign.value, sign) for sign in CrashSign])
+    @run_async
+    async def test_a_stream_that_crashes_upstreams_stops_reaching_them(self, _, sign):
+        replacement = Replacement(RESTART_S, keeps_address=True, keeps_name=True)
+        await self.check(RequestKind.RESUMABLE_STREAM, sign, True, replacement)
+
+    async def check(self, kind, sign, makes_reports, replacement):
+        """Check that few requests run late that crash their upstreams."""
         async with running_crash_simulation(
             instances=4,
             upstreams=3,
             replacement=replacement,
             first_event_s=CRASH_AFTER_S,
-            crashing_targets=frozenset({f"{PATHS[RequestKind.IDEMPOTENT]}{BAD_NAME}"}),
+            events=2 if kind.is_stream else 0,
+            crashing_targets=frozenset({f"{PATHS[kind]}{BAD_NAME}"}),
             crash_sign=sign,
             makes_reports=makes_reports,
         ) as simulation:
@@ -72,15 +85,17 @@
                 while (now := time.monotonic()) < ends_at:
                     number = simulation.request_count
                     name = BAD_NAME if number % 2 == 0 else "sound"
-                    call = simulation.call_plain(number // 2 % 4, name)
+                    call = simulation.call_named(
+                        number // 2 % 4, name, WAIT_MS[kind], kind
+                    )
                     task = tasks.create_task(call)
                     if name != BAD_NAME and now > ends_at - TRAFFIC_S / 3:
                         sound.append(task)
-                    sent = simulation.plain_calls(BAD_NAME)
+                    sent = simulation.named_runs(BAD_NAME, kind)
                     await asyncio.sleep(REQUEST_INTERVAL_S)
                     third_crash_at = (*simulation.crash_times, *[math.inf] * 3)[2]
                     if now - third_crash_at > SETTLE_S:
-                        late += simulation.plain_calls(BAD_NAME) - sent
+                        late += simulation.named_runs(BAD_NAME, kind) - sent
             self.assertLessEqual(late, MAX_LATE_SENDS)
             served = sum(task.result().status == 200 for task in sound)
             self.assertGreater(served, len(sound) / 2)
