--- a/tests/cover/test_earlier_refusals.py
+++ b/tests/cover/test_earlier_refusals.py
@@ -10,6 +10,7 @@
 from testtools import TestCase
 
 from tests.common.asynchronous import run_async
+from tests.common.raw_servers import running_raw_server
 from tests.common.relay_fixtures import (
     make_relay_shared,
     make_test_relay,
@@ -48,28 +49,26 @@
 
     async def serve(self, reader, writer):
         self.connections += 1
-        try:
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                self.requests += 1
-                if self.requests > 1:
-                    writer.write(self.again + ANSWER)
-                    continue
-                writer.write(self.first)
-                await asyncio.sleep(0.05)
-                writer.write(self.first)
-        except (OSError, asyncio.IncompleteReadError):
-            writer.close()
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            if self.requests > 1:
+                writer.write(self.again + ANSWER)
+                continue
+            writer.write(self.first)
+            await asyncio.sleep(0.05)
+            writer.write(self.first)
 
 
 @asynccontextmanager
 async def running_port(upstream, signals):
     """Yield a function that sends a request to an upstream and returns its end."""
-    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
-    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    known = replace(make_upstream(0), address=address)
     listeners = [lambda *each: signals.append(each)] * 4
-    async with server, open_platform_upstreams(*listeners) as port:
+    async with (
+        running_raw_server(upstream.serve) as address,
+        open_platform_upstreams(*listeners) as port,
+    ):
+        known = replace(make_upstream(0), address=address)
 
         async def send(request_id, body=b""):
             relay = make_test_relay(RequestKind.NON_IDEMPOTENT, make_relay_shared())
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -10,6 +10,7 @@
 from testtools import ExpectedException, TestCase
 
 from tests.common.asynchronous import run_async
+from tests.common.raw_servers import running_raw_server
 from tests.common.relay_fixtures import (
     make_relay_shared,
     make_test_relay,
@@ -66,20 +67,15 @@
                 writer.write(self.part)
                 await writer.drain()
                 sent += len(self.part)
-        except (OSError, asyncio.IncompleteReadError):
-            pass
         finally:
             self.sent.append(sent)
-            writer.close()
 
 
 @asynccontextmanager
 async def running_endless(head=BODY, part=PART):
     """Run a server whose answers do not end."""
     endless = EndlessServer(head, part)
-    server = await asyncio.start_server(endless.serve, "127.0.0.1", 0)
-    endless.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    async with server:
+    async with running_raw_server(endless.serve) as endless.address:
         yield endless
 
 
