Store: logs and metrics tell up to which change an instance is, and since when

Change: AppliedChanges holds the revision, time and source of the last applied answer, and its errors; request_ended names the revision and age of the list of the last attempt; a complete read logs what it changes; three gauges, and the state page. No decision reads them.

--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -353,6 +353,8 @@
             kind=kind,
             attempts=relay.last_number,
             upstream=relay.last_upstream or None,
+            list_revision=relay.list_revision,
+            list_age_s=relay.list_age_s,
             resume_after=request.resume_after,
             resumes=request.resumes,
             forwarded_by=request.hop.sender if request.hop else None,
--- a/src/turmericusher/decisions/relay_starting.py
+++ b/src/turmericusher/decisions/relay_starting.py
@@ -62,6 +62,8 @@
         attempt.events_before = self.position or 0
         self.last_number = attempt.number
         self.last_upstream = upstream.name
+        self.list_revision = self.shared.applied.revision
+        self.list_age_s = self.shared.applied.age_s(now)
         self.sends += 1
         self.attempts[attempt.number] = attempt
         totals.attempts += 1
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from turmericusher.decisions.applied_changes import AppliedChanges
 from turmericusher.decisions.crash_ledger import CLEAN_RUN_S, CrashLedger
 from turmericusher.decisions.crash_records import Suspicion
 from turmericusher.decisions.fleet import Lifecycle, UpstreamInstance
@@ -220,7 +221,8 @@
     `stream_lengths` has how many events streams have.
     `held_parts` has what upstreams hold of prompts, and `prefilled_sizes` the tokens of
     each service's prompts that they did not hold. `rollouts` are orders to move
-    services to another version.
+    services to another version. `applied` tells up to where the store's changes are
+    known here.
     """
 
     selector: Selector
@@ -242,6 +244,7 @@
     versions: StreamVersions = field(default_factory=StreamVersions)
     pauses: SendPauses = field(default_factory=SendPauses)
     rollouts: Rollouts = field(default_factory=Rollouts)
+    applied: AppliedChanges = field(default_factory=AppliedChanges)
     send_limits: SendLimits = field(init=False)
     gate: SendGate = field(init=False)
     leaving: LeavingMarks = field(init=False)
@@ -436,7 +439,8 @@
     begun or if there is only one; `is_finding_version`: other instances were asked.
     `is_version_elsewhere`: it began at an upstream of another instance, which knows its
     version. `refused_by` are the instances that did not take the request.
-    `last_upstream` is the name of that of the last attempt, empty before any.
+    `last_upstream` is the name of that of the last attempt, empty before any, and
+    `list_revision` and `list_age_s` are those of the list that it was picked from.
     `traits` are what the request shares with others that may crash upstreams.
     `now` is the time of the last event. `is_querying_loads`: `queried` candidates were
     queried for their load at `queried_at`, and no attempt runs yet. `shares` has the
@@ -473,6 +477,8 @@
     copy: MemoryCopy | None = None
     last_number: int = 0
     last_upstream: str = ""
+    list_revision: int | None = None
+    list_age_s: float | None = None
     sends: int = 0
     refusals: int = 0
     stalled_upstreams: list[UpstreamInstance] = field(default_factory=list)
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -162,7 +162,11 @@
         guard.metrics, instance.guard = instance.metrics, guard
         guard.request_limits = partial(request_limits, instance.tables)
         follower = StoreFollower(
-            watch, "", instance.fleet, settings.random_for("store-follower")
+            watch,
+            "",
+            instance.fleet,
+            settings.random_for("store-follower"),
+            applied=shared.applied,
         )
         if settings.rollouts is not None:
             rollouts = make_rollout_task(settings.rollouts, instance, store)
--- a/src/turmericusher/ports/keyvalue.py
+++ b/src/turmericusher/ports/keyvalue.py
@@ -59,10 +59,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchAnswer:
-    """All changes up to the store's `revision` from the one that was asked after."""
+    """All changes up to the store's `revision` from the one that was asked after.
+
+    `source` is the instance that has passed them on, None for the store itself.
+    """
 
     events: tuple[WatchEvent, ...]
     revision: int
+    source: str | None = None
 
 
 class KeyValueStore(Protocol):
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -90,6 +90,10 @@
         if self.guard is not None:
             self.guard.refresh_gauges()
         self.metrics.gauge("store_polls", self.watch.polls)
+        applied = self.shared.applied
+        self.metrics.gauge("store_revision", applied.revision or 0)
+        self.metrics.gauge("store_age_s", applied.age_s(self.frontend.clock()) or 0.0)
+        self.metrics.gauge("answers_not_applied", applied.errors)
         self.metrics.gauge("limited_upstreams", len(self.shared.send_limits.limits))
         paused = self.shared.pauses.blocked(self.frontend.clock())
         self.metrics.gauge("paused_upstreams", len(paused))
@@ -137,6 +141,12 @@
             },
             "instances": sorted(self.fleet.instances.entries),
             "watch_source": self.watch.source or "store",
+            "applied": {
+                "revision": self.shared.applied.revision,
+                "age_s": self.shared.applied.age_s(now),
+                "source": self.shared.applied.source or "store",
+                "last_error": self.shared.applied.last_error,
+            },
             "unreachable_services": sorted(self.shared.reach.unreachable_services()),
             "metrics": self.metrics.snapshot(),
         }
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -8,7 +8,14 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from typing import Protocol, TypeVar
@@ -167,6 +174,7 @@
                     case SeenVersion() | ServiceVersions() as record:
                         self.shared.versions.record_saved(record, now)
         self.is_restored = False
+        self.log_read_changes(upstreams)
         self.upstreams.replace_all(upstreams, now)
         self.instances.replace_all(instances, now)
         self.update_decisions(now)
@@ -225,13 +233,7 @@
                 self.apply_table(table)
             case UpstreamRecord(name, upstream, sequence):
                 self.record_sequence(name, upstream, sequence, now)
-                log_event(
-                    "upstream_changed",
-                    upstream=name,
-                    state=upstream.lifecycle.value if upstream else "gone",
-                    service=upstream.service if upstream else None,
-                    revision=event.revision,
-                )
+                log_upstream_change(name, upstream, event.revision)
                 put_or_remove(self.upstreams, name, upstream, now)
             case InstanceRecord(name, instance):
                 put_or_remove(self.instances, name, instance, now)
@@ -241,6 +243,13 @@
                 self.shared.versions.record_saved(record, now)
         return type(record) if record is not None else None
 
+    def log_read_changes(self, found: Mapping[str, UpstreamInstance]) -> None:
+        """Log in what a complete read differs from the upstreams listed before."""
+        listed = self.upstreams.entries
+        for name in sorted(listed.keys() | found.keys()):
+            if listed.get(name) != found.get(name):
+                log_upstream_change(name, found.get(name), None)
+
     def record_sequence(
         self, name: str, upstream: UpstreamInstance | None, sequence: int, now: float
     ) -> None:
@@ -383,6 +392,19 @@
         return [each for each in live if len(each.unreachable_services) == fewest]
 
 
+def log_upstream_change(
+    name: str, upstream: UpstreamInstance | None, revision: int | None
+) -> None:
+    """Log a change of an upstream's entry; a complete read has no `revision` of it."""
+    log_event(
+        "upstream_changed",
+        upstream=name,
+        state=upstream.lifecycle.value if upstream else "gone",
+        service=upstream.service if upstream else None,
+        revision=revision,
+    )
+
+
 def put_or_remove(listing: Listing[T], name: str, entry: T | None, now: float) -> None:
     """Store an entry in the listing, or remove it if `entry` is None."""
     if entry is None:
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -155,7 +155,7 @@
                     self.store.check_history()
                     if passed is not None:
                         silences = 0
-                        answer = await self.read_changes(passed, after)
+                        answer = await self.read_changes(source, passed, after)
                     elif silences < MAX_SILENCES - 1:
                         silences += 1
                         answer = await self.poll(prefix, after, 0.0)
@@ -213,7 +213,9 @@
         self.polls += 1
         return await self.store.poll(prefix, after, wait_s)
 
-    async def read_changes(self, passed: PassedChanges, after: int) -> WatchAnswer:
+    async def read_changes(
+        self, source: EntryInstance, passed: PassedChanges, after: int
+    ) -> WatchAnswer:
         """Return the changes after a revision, with their values.
 
         A value that cannot be read leaves all of them to the store.
@@ -224,7 +226,7 @@
         except StoreError as error:
             log_event("changed_value_unread", error=error.message)
             raise ChangePeerError("a value could not be read") from error
-        return WatchAnswer(tuple(events), passed.revision)
+        return WatchAnswer(tuple(events), passed.revision, source.name)
 
     async def read_change(self, change: PassedChange) -> WatchEvent:
         """Return a change with its value, which may be read from the store."""
--- a/src/turmericusher/tasks/store_follower.py
+++ b/src/turmericusher/tasks/store_follower.py
@@ -10,11 +10,18 @@
 
 import asyncio
 import random
-from collections.abc import AsyncGenerator, AsyncIterator, Callable, Sequence
-from contextlib import aclosing, asynccontextmanager
-from dataclasses import dataclass
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Callable,
+    Iterator,
+    Sequence,
+)
+from contextlib import aclosing, asynccontextmanager, contextmanager
+from dataclasses import dataclass, field
 from typing import Protocol
 
+from turmericusher.decisions.applied_changes import AppliedChanges
 from turmericusher.errors import (
     StoreError,
     StoreHistoryLostError,
@@ -80,7 +87,8 @@
 class StoreFollower:
     """The task that owns the watch; `revision` is the last one seen, if any.
 
-    `on_heard` is called with the time after each answer of the store was applied.
+    `on_heard` is called with the time after each answer of the store was applied, and
+    `applied` has what the last one was.
     """
 
     store: WatchedStore
@@ -89,6 +97,7 @@
     random: random.Random
     revision: int | None = None
     on_heard: Callable[[float], None] = lambda now: None
+    applied: AppliedChanges = field(default_factory=AppliedChanges)
     is_lost: bool = False
     backoff_s: float = MIN_BACKOFF_S
 
@@ -115,9 +124,11 @@
         """Read the whole prefix and record the revision from which to watch."""
         snapshot = await self.store.get_prefix(self.prefix)
         self.mark_regained()
-        self.listener.store_read(snapshot.values, clock())
+        with self.applying(snapshot.revision):
+            self.listener.store_read(snapshot.values, clock())
         self.on_heard(clock())
         self.revision = snapshot.revision
+        self.applied.record_answer(snapshot.revision, None, clock())
         log_event("store_read", revision=snapshot.revision, values=len(snapshot.values))
 
     async def watch(self) -> None:
@@ -128,15 +139,38 @@
         async with aclosing(answers):
             async for answer in answers:
                 if answer.events:
-                    self.listener.store_changed(answer.events, clock())
+                    with self.applying(answer.revision):
+                        self.listener.store_changed(answer.events, clock())
                 self.on_heard(clock())
                 self.revision = max(self.revision, answer.revision)
+                self.applied.record_answer(self.revision, answer.source, clock())
+
+    @contextmanager
+    def applying(self, revision: int) -> Iterator[None]:
+        """Record and log an error in applying an answer; the answer comes again."""
+        try:
+            yield
+        except Exception as error:
+            self.applied.record_error(error)
+            log_event(
+                "answer_not_applied",
+                revision=revision,
+                applied=self.applied.revision,
+                age_s=self.applied.age_s(clock()),
+                error=repr(error),
+            )
+            raise
 
     def mark_lost(self, error: StoreError) -> None:
         """Log the start of an outage and tell the listener, once per outage."""
         if not self.is_lost:
             self.is_lost = True
-            log_event("store_lost", message=error.message, revision=self.revision)
+            log_event(
+                "store_lost",
+                message=error.message,
+                revision=self.revision,
+                age_s=self.applied.age_s(clock()),
+            )
             self.listener.store_lost(clock())
 
     def mark_regained(self) -> None:
