Store: its return is seen within half a second, and entries then seen at once

Cause: missing entries get two seconds to come back from when this instance sees the return, which was 1.5 s later at worst: a call that is not answered was waited for before the next one. Together that is 3.5 s, and the platform counts the instance as in touch after three. Change: while the store does not answer, a call is made every half a second at most, whether or not the one before was answered; the time begins with the first answer. In the two seconds after it the watch pauses for 0.1 s at most, as an entry that comes back in time and is seen late would count as gone.

--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import (
     AsyncGenerator,
@@ -49,7 +50,16 @@
 """Silences in a row after which an instance is no longer followed."""
 
 CHECK_INTERVAL_S = 0.5
-"""Seconds between two calls to see whether the store answers again."""
+"""Seconds between two calls to see whether the store answers again. A call that is not
+answered does not delay the next one: entries that are missing then count as gone two
+seconds after the store's return, and must no longer be used after three."""
+
+RETURN_S = 2.0
+"""Seconds after a return of the store within which lapsed entries are written again."""
+
+RETURN_PAUSE_S = 0.1
+"""Longest pause in seconds after changes meanwhile: an entry that is seen late counts
+as gone."""
 
 OTHERS_PAUSE_S = 0.5
 """Seconds until the other instances are asked again when none could help."""
@@ -103,7 +113,8 @@
     other instances once they are loaded. `source` is the name of the instance that
     changes come from now, None for the store, and `polls` counts calls of the store.
     The store has not answered since `unreached_since`, a time of the event loop in
-    seconds, None while it does; `on_reach` is called with each change of that.
+    seconds, None while it does; `on_reach` is called with each change of that, and
+    `returned_at` is when it last answered again.
     """
 
     store: PolledStore
@@ -115,6 +126,7 @@
     source: str | None = None
     polls: int = 0
     unreached_since: float | None = None
+    returned_at: float = -math.inf
     on_reach: Callable[[bool], None] = lambda is_reached: None
 
     async def get_prefix(self, prefix: str) -> Snapshot:
@@ -190,6 +202,8 @@
                 return
             if answer.events:
                 pause_s = self.pace.watcher_s if is_watcher else self.pace.pause_s
+                if clock() - self.returned_at < RETURN_S:
+                    pause_s = min(pause_s, RETURN_PAUSE_S)
                 await asyncio.sleep(pause_s)
 
     async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
@@ -216,7 +230,7 @@
                 self.on_reach(False)
             raise
         if self.unreached_since is not None:
-            self.unreached_since = None
+            self.unreached_since, self.returned_at = None, clock()
             self.on_reach(True)
 
     # Learning from the instance that watches for this one
@@ -414,9 +428,23 @@
             await cancel_tasks({store_answers, asking})
 
     async def wait_for_store(self) -> None:
-        """Return once the store answers."""
-        while not await self.is_store_answering():
-            await asyncio.sleep(CHECK_INTERVAL_S * self.random.uniform(0.5, 1.0))
+        """Return once the store answers; a call is made every `CHECK_INTERVAL_S`."""
+        calls: set[asyncio.Task[bool]] = set()
+        try:
+            while True:
+                calls.add(asyncio.create_task(self.is_store_answering()))
+                until = clock() + CHECK_INTERVAL_S * self.random.uniform(0.5, 1.0)
+                while calls and clock() < until:
+                    done, calls = await asyncio.wait(
+                        calls,
+                        timeout=until - clock(),
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                    if any(each.result() for each in done):
+                        return
+                await asyncio.sleep(max(0.0, until - clock()))
+        finally:
+            await cancel_tasks(calls)
 
     async def is_store_answering(self) -> bool:
         """Whether the store answers a call now."""
--- a/tests/cover/test_turned_away.py
+++ b/tests/cover/test_turned_away.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from parameterized import parameterized
 from testtools import TestCase
@@ -16,6 +17,7 @@
     running_turned_away,
 )
 from tests.common.waiting import wait_until
+from turmericusher.decisions.listing import RELIST_GRACE_S
 from turmericusher.decisions.watch_sharing import LARGE_VALUE_BYTES
 from turmericusher.platform.names import CONFIGURATION_KEY, UPSTREAM_PREFIX
 
@@ -66,3 +68,27 @@
                 self.assertTrue(simulation.is_used(0))
             simulation.take_back()
             await wait_until(lambda: not simulation.is_used(0), SETTLING_S)
+
+    @parameterized.expand(PHASES)
+    @run_async
+    async def test_drain_an_upstream_that_is_missing_after_an_outage_is_not_used_late(
+        self, phase_s
+    ):
+        async with running_turned_away() as simulation:
+            write = simulation.fleet.store.store.write
+            stores = (simulation.fleet.store, simulation.door)
+            for each in stores:
+                each.faults.silent = True
+            await wait_until(lambda: simulation.alone.watch.unreached_since, 5.0)
+            await asyncio.sleep(SETTLING_S + phase_s)
+            write(f"{UPSTREAM_PREFIX}u0", None)
+            write(f"{UPSTREAM_PREFIX}u1", None)
+            for each in stores:
+                each.faults.silent = False
+            returned_at = time.monotonic()
+            await asyncio.sleep(RELIST_GRACE_S - 0.5)
+            simulation.fleet.write_upstream_entry(1)
+            while time.monotonic() < returned_at + SETTLING_S:
+                self.assertTrue(simulation.is_used(1))
+                await asyncio.sleep(0.01)
+            self.assertFalse(simulation.is_used(0))
