Store: an outage lasts from when an answer was due, not from the time-out

What callers saw: in an outage that an instance noticed only at its end, upstreams whose entries had lapsed counted as gone at once, and their requests were refused. Cause: the outage began with the time-out of the unanswered call, a second after its answer was due; one that ended meanwhile was shorter than the second from which on entries get time to return. Change: unreached_since is when the answer was due, or when it failed before.

--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -131,7 +131,7 @@
 
     async def get_prefix(self, prefix: str) -> Snapshot:
         """Read all keys that start with `prefix` from the store."""
-        with self.reaching():
+        with self.reaching(0.0):
             return await self.store.get_prefix(prefix)
 
     async def watch(
@@ -209,15 +209,16 @@
     async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
         """Ask the store for changes, and count the call."""
         self.polls += 1
-        with self.reaching():
+        with self.reaching(wait_s):
             return await self.store.poll(prefix, after, wait_s)
 
     @contextmanager
-    def reaching(self) -> Iterator[None]:
-        """Record whether the store answers a call.
+    def reaching(self, wait_s: float) -> Iterator[None]:
+        """Record whether the store answers a call, which it may do after some seconds.
 
         While it does not, nothing is passed on.
         """
+        due_at = clock() + wait_s
         try:
             yield
         except StoreHistoryLostError:
@@ -225,7 +226,7 @@
         except StoreError as error:
             self.feed.close()
             if self.unreached_since is None:
-                self.unreached_since = clock()
+                self.unreached_since = min(clock(), due_at)
                 log_event("store_unreached", message=error.message)
                 self.on_reach(False)
             raise
--- a/tests/cover/test_turned_away.py
+++ b/tests/cover/test_turned_away.py
@@ -20,6 +20,7 @@
 from turmericusher.decisions.listing import RELIST_GRACE_S
 from turmericusher.decisions.watch_sharing import LARGE_VALUE_BYTES
 from turmericusher.platform.names import CONFIGURATION_KEY, UPSTREAM_PREFIX
+from turmericusher.platform.store_messages import WATCH
 
 LARGE_SERVICES = [{"name": "s"}, *({"name": f"s{n}"} for n in range(LARGE_VALUE_BYTES))]
 # Seconds from a call, which takes one at most, to the end of the fault.
@@ -92,3 +93,18 @@
                 self.assertTrue(simulation.is_used(1))
                 await asyncio.sleep(0.01)
             self.assertFalse(simulation.is_used(0))
+
+    @run_async
+    async def test_an_entry_that_lapsed_in_an_outage_seen_at_its_end_is_kept(self):
+        async with running_turned_away() as simulation:
+            with simulation.cut_from_others():
+                simulation.door.faults.silent = True
+                seen = len(simulation.door.calls)
+                await wait_until(lambda: WATCH in simulation.door.calls[seen:])
+                simulation.fleet.store.store.write(f"{UPSTREAM_PREFIX}u1", None)
+                simulation.take_back()
+                listing = simulation.alone.fleet.upstreams
+                await wait_until(lambda: listing.missing, 5.0)
+                simulation.fleet.write_upstream_entry(1)
+                await wait_until(lambda: not listing.missing)
+                self.assertTrue(simulation.is_used(1))
