Answers: a body without a length that ends with a reset is never complete

Cause: aiohttp reports the reset of a connection as the end of such a body. Answers of plain services in the product's own role were not checked at all. On the platform the check looked at the public connection when the body was read; if whoever takes the events of the attempt was busy meanwhile, it was gone, and aiohttp drops the error when it closes its own side. Change: the reader of each connection keeps the error that it ended with, and every body is read by one function that raises it, reports and answers of the store too.

--- a/src/turmericusher/bounded_bodies.py
+++ b/src/turmericusher/bounded_bodies.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterable, Iterator
+from collections.abc import AsyncIterable, AsyncIterator, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -38,6 +38,9 @@
 MAX_HELD_BYTES = MAX_ANSWER_BYTES
 """Bytes of all larger answers that an instance holds at one time."""
 
+HEADERS_OF_AN_END = ("Content-Length", "Transfer-Encoding")
+"""Headers by which the end of a body is known without that of its connection."""
+
 MAX_INTERIM_RESPONSES = 16
 """Interim responses (RFC 9110, section 15.2) before one that is final."""
 
@@ -106,10 +109,25 @@
         raise BodyTooLargeError(f"the body exceeds {max_bytes} bytes")
 
 
+async def read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the bytes of a body; raise `OSError` if it ends with a reset.
+
+    A body with neither a length nor chunks ends when its connection closes, and aiohttp
+    reports a reset as such an end.
+    """
+    # A response whose body has ended has no public connection any more.
+    protocol = response._protocol
+    async for chunk in response.content.iter_any():
+        yield chunk
+    has_own_end = any(name in response.headers for name in HEADERS_OF_AN_END)
+    if not has_own_end and isinstance(protocol, BoundedResponseHandler):
+        protocol.raise_if_reset()
+
+
 async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Return the whole body; raise `BodyTooLargeError` beyond a size."""
     body = bytearray()
-    async for chunk in response.content.iter_any():
+    async for chunk in read_chunks(response):
         body += chunk
         if len(body) > max_bytes:
             response.close()
@@ -136,9 +154,12 @@
     aiohttp bounds each head but keeps all interim ones until the final one has come.
     It also ends if the server does not read the request: aiohttp has no time limit for
     that, and the request's body is held meanwhile.
+    `lost_by` is the error that the connection ended with, if it did not end by itself:
+    aiohttp forgets it when it closes its side.
     """
 
     interim_count = 0
+    lost_by: OSError | None = None
     slow_reader_s = SLOW_READER_S
     watch: WriteWatch | None = None
 
@@ -157,10 +178,17 @@
         self.stop_watch()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """End the watch with the connection."""
+        """End the watch with the connection, and keep the error."""
         self.stop_watch()
+        if isinstance(exc, OSError):
+            self.lost_by = exc
         super().connection_lost(exc)
 
+    def raise_if_reset(self) -> None:
+        """Raise the error that the connection ended with, if there was one."""
+        if self.lost_by is not None:
+            raise self.lost_by
+
     def stop_watch(self) -> None:
         """End the watch, if there is one."""
         if self.watch is not None:
@@ -172,9 +200,10 @@
         log_event("slow_server", limit_s=self.slow_reader_s)
         # An abort drops the exception.
         self.abort()
-        self.set_exception(
-            aiohttp.ServerTimeoutError("the server does not read the request")
+        self.lost_by = aiohttp.ServerTimeoutError(
+            "the server does not read the request"
         )
+        self.set_exception(self.lost_by)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take one response, or close the connection."""
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -25,6 +25,7 @@
     HeldBytes,
     check_size,
     read_bounded,
+    read_chunks,
     read_held,
 )
 from turmericusher.decisions.fleet import UpstreamInstance
@@ -510,23 +511,6 @@
         raise MalformedStreamError("the stream ended within an event")
 
 
-async def read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    """Yield the bytes of a body; raise `OSError` if the connection was reset.
-
-    A body without a length ends when its connection closes, and aiohttp reports a reset
-    as such an end.
-    """
-    connection = response.connection
-    protocol = connection.protocol if connection is not None else None
-    async for chunk in response.content.iter_any():
-        yield chunk
-    error = protocol.exception() if protocol is not None else None
-    if isinstance(error, OSError) and not isinstance(
-        error, aiohttp.ServerDisconnectedError
-    ):
-        raise error
-
-
 def attempt_headers(
     start: StartRelay, request: RelayedRequest, routed: RoutedRequest, now: float
 ) -> list[tuple[str, str]]:
--- a/src/turmericusher/ports/services.py
+++ b/src/turmericusher/ports/services.py
@@ -17,13 +17,16 @@
 import aiohttp
 from yarl import URL
 
-from turmericusher.bounded_bodies import MAX_ANSWER_BYTES, bounded_connector
+from turmericusher.bounded_bodies import (
+    MAX_ANSWER_BYTES,
+    bounded_connector,
+    read_chunks,
+)
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.held_memory.limits import SLOW_READER_S
 from turmericusher.errors import ErrorCode, UpstreamError, Verdict
 from turmericusher.single_send import SendProgress, single_send_trace
 
-READ_CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -121,7 +124,7 @@
 ) -> ServiceAnswer:
     """Return the whole answer; raise `UpstreamError` if it is too large to hold."""
     body = bytearray()
-    async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
+    async for chunk in read_chunks(response):
         body += chunk
         if len(body) > MAX_ANSWER_BYTES:
             raise UpstreamError(
