Answers: a status that is none, such as 000, is not passed on

What callers saw: an upstream in trouble answered with status 000 and callers got that as an answer (MIXED). Cause: any status below 500 counted as an answer; aiohttp takes three digits of any value, and interim ones are those from 100 to 199 only. Evidence: statuses 000, 001, 099, 600 and 999 in both roles, 10 of 10 fail before. Change: what is not from 200 to 599 is malformed and may have run, so that it is repeated where that is allowed, and is an error of ours elsewhere. Result: 10 of 10 pass; 200, 404, 418 and 599 are passed on as before.

--- a/src/turmericusher/bounded_bodies.py
+++ b/src/turmericusher/bounded_bodies.py
@@ -38,6 +38,9 @@
 MAX_HELD_BYTES = MAX_ANSWER_BYTES
 """Bytes of all larger answers that an instance holds at one time."""
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses of final responses (RFC 9110, section 15)."""
+
 HEADERS_OF_AN_END = ("Content-Length", "Transfer-Encoding")
 """Headers by which the end of a body is known without that of its connection."""
 
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -18,6 +18,7 @@
 
 from turmericusher.api.headers import FORWARDED_HEADER
 from turmericusher.bounded_bodies import (
+    FINAL_STATUSES,
     MAX_EVENT_BYTES,
     MAX_MESSAGE_BYTES,
     BodyTooLargeError,
@@ -440,7 +441,9 @@
             cause = AttemptCause.NO_COPY if is_copy else AttemptCause.OVERLOADED
             return failure(self.start, cause, Verdict.NOT_RUN, f"status={status}")
         problem = ""
-        if status in SUCCESS and SIGNATURE not in headers:
+        if status not in FINAL_STATUSES:
+            problem = f"status={status} is not that of an answer"
+        elif status in SUCCESS and SIGNATURE not in headers:
             problem = f"status={status} without a signature"
         elif "Content-Encoding" in headers:
             problem = f"unexpected content encoding {headers['Content-Encoding']!r}"
--- a/src/turmericusher/ports/services.py
+++ b/src/turmericusher/ports/services.py
@@ -18,6 +18,7 @@
 from yarl import URL
 
 from turmericusher.bounded_bodies import (
+    FINAL_STATUSES,
     MAX_ANSWER_BYTES,
     bounded_connector,
     read_chunks,
@@ -122,7 +123,17 @@
 async def read_answer(
     upstream: UpstreamInstance, response: aiohttp.ClientResponse
 ) -> ServiceAnswer:
-    """Return the whole answer; raise `UpstreamError` if it is too large to hold."""
+    """Return the whole answer.
+
+    Raises `UpstreamError` if it is none, or too large to hold.
+    """
+    if response.status not in FINAL_STATUSES:
+        raise UpstreamError(
+            ErrorCode.UPSTREAM_FAILED,
+            f"upstream {upstream.name!r} answered with status={response.status}, which "
+            "is not that of an answer",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
     body = bytearray()
     async for chunk in read_chunks(response):
         body += chunk
--- a/tests/cover/test_broken_answers.py
+++ b/tests/cover/test_broken_answers.py
@@ -168,3 +168,47 @@
         except UpstreamError as error:
             return error
         raise AssertionError(f"answered with {answer}")
+
+
+STATUSES = [(status,) for status in ("000", "001", "099", "600", "999")]
+
+
+class StatusTest(TestCase):
+    @parameterized.expand(STATUSES)
+    @run_async
+    async def test_mixed_a_status_that_is_none_is_no_answer(self, status):
+        async with running_relay_port(answering(status)) as send:
+            ended = await send(RequestKind.IDEMPOTENT, b"")
+        self.assertIsInstance(ended, AttemptFailed)
+        self.assertEqual(AttemptCause.MALFORMED, ended.cause)
+        self.assertIsNone(ended.answer)
+
+    @parameterized.expand(STATUSES)
+    @run_async
+    async def test_mixed_a_service_with_a_status_that_is_none_has_not_answered(
+        self, status
+    ):
+        error = await ResetTest.assertRaisesAsync(
+            self, call_service(answering(status), b"")
+        )
+        self.assertEqual(Verdict.MAY_HAVE_RUN, error.verdict)
+
+    @parameterized.expand([("200",), ("404",), ("418",), ("599",)])
+    @run_async
+    async def test_a_status_of_the_protocol_is_passed_on(self, status):
+        answer = await call_service(answering(status), b"")
+        self.assertEqual(int(status), answer.status)
+        async with running_relay_port(answering(status)) as send:
+            ended = await send(RequestKind.IDEMPOTENT, b"")
+        self.assertEqual(int(status), ended.answer.status)
+
+
+def answering(status):
+    """Return a server that answers each request with a status, and its mark."""
+    lines = f"HTTP/1.1 {status} X\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(lines.encode())
+
+    return serve
