Stop: a request that still runs at the end of a planned stop gets an answer

But one that was taken before and runs longer than the grace was cut with no answer, one that may not be repeated too. Cause: the process ended when the limit had passed, whatever was in flight. Change: 0.1 s before the end, what still runs ends with an error that says that it may have run, or is broken off if it is a stream with events. Why it works: the answer is written before the process ends, and idle requests do not delay that.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -32,6 +32,7 @@
     EventArrived,
     FindVersion,
     HolderChecked,
+    InstanceEnds,
     LoadsReported,
     MemoryCopied,
     ProbeUpstream,
@@ -148,6 +149,8 @@
             return self.handle_loads(event, now)
         if isinstance(event, TraitBlocked):
             return self.end_if_blocked(now)
+        if isinstance(event, InstanceEnds):
+            return self.end_with_instance()
         if isinstance(event, TrialClaimed):
             return self.handle_trial(event, now)
         if isinstance(event, VersionFound):
@@ -594,6 +597,16 @@
             return []
         return self.refuse_crashing(trait, now)
 
+    def end_with_instance(self) -> list[RelayAction]:
+        """End the request because this instance ends."""
+        if self.is_over:
+            return []
+        self.may_have_run = self.may_have_run or bool(self.attempts)
+        return self.fail(
+            ErrorCode.INSTANCE_STOPPING,
+            "this instance stopped before the request had ended; use another one",
+        )
+
     def record_version(self, attempt: RelayAttempt, now: float) -> None:
         """Have the stream go on at the version that began it, here and elsewhere."""
         if attempt.is_forward:
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -216,6 +216,11 @@
     """A trait became known to crash upstreams; the request may have it."""
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceEnds:
+    """This instance ends now, whatever still runs."""
+
+
 @dataclass(frozen=True, slots=True)
 class TrialClaimed:
     """Whether this request may try a blocked trait, which one request at a time may."""
@@ -410,6 +415,7 @@
     | UpstreamProbed
     | LoadsReported
     | TraitBlocked
+    | InstanceEnds
     | TrialClaimed
     | VersionFound
     | RetryLent
--- a/src/turmericusher/decisions/relay_stop.py
+++ b/src/turmericusher/decisions/relay_stop.py
@@ -19,6 +19,10 @@
 EXIT_MARGIN_S = 0.15
 """Seconds reserved for closing down before the process is killed."""
 
+LAST_ANSWERS_S = 0.1
+"""Seconds before the end in which requests that still run get an answer that says so:
+without one, a caller could not tell it from a failed connection."""
+
 INITIAL_DURATION_S = 5.0
 """Assumed duration in seconds while no stream has ended: near that of a typical one."""
 
@@ -81,6 +85,10 @@
         assert self.begun_at is not None
         return self.begun_at + self.limit_s - EXIT_MARGIN_S
 
+    def gives_up_at(self) -> float:
+        """Return the time at which requests that still run are ended with an error."""
+        return self.ends_at() - LAST_ANSWERS_S
+
     def can_accept(self, kind: RequestKind, now: float) -> bool:
         """Whether a new request is likely to end before the process does."""
         if self.begun_at is None:
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from turmericusher.api.relay import RelayFrontend
@@ -155,6 +156,7 @@
 async def drain(instance: RelayInstance) -> None:
     """Withdraw from the entry points and wait for requests in flight, up to a limit.
 
+    Those that still run then are ended with an error.
     New connections are accepted for a while after the withdrawal, since callers keep
     the addresses that they were given. The process may exit when this returns.
     """
@@ -167,10 +169,14 @@
         server.stop_accepting()
     log_event("draining", in_flight=frontend.in_flight)
     try:
-        async with asyncio.timeout_at(stop.ends_at()):
+        async with asyncio.timeout_at(stop.gives_up_at()):
             await frontend.idle.wait()
     except TimeoutError:
         log_event("drain_cut_short", in_flight=frontend.in_flight)
+        frontend.context.end_requests()
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(stop.ends_at()):
+                await frontend.idle.wait()
     for server in instance.servers:
         server.should_exit_immediately = True
 
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -31,6 +31,7 @@
     EventArrived,
     FindVersion,
     HolderChecked,
+    InstanceEnds,
     LoadsReported,
     MemoryCopied,
     MemoryCopy,
@@ -128,6 +129,11 @@
             if owner.relay.end_is_due():
                 owner.notify(TraitBlocked())
 
+    def end_requests(self) -> None:
+        """End the requests in progress with an error, because this instance ends."""
+        for owner in self.owners:
+            owner.notify(InstanceEnds())
+
     def record_ended_upstreams(self, now: float) -> None:
         """Have the requests in progress suspected of ends of their upstreams."""
         for owner in self.owners:
