Streams: an answer of a further upstream does not end a stream that has begun

Here it was broken off although others could go on. Cause: an answer below 500 counted as the answer to the request, also after events had been delivered. Its head was refused by the server's library, which closed the connection; nothing of it reached the caller. Change: an answer in the middle of a stream is a failed attempt, and the stream goes on elsewhere as after a 500.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -661,7 +661,13 @@
 def handle_answer(
     event: AnswerArrived, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
-    """Deliver a complete answer and cancel the other attempts."""
+    """Deliver a complete answer and cancel the other attempts.
+
+    One that comes while a stream is in progress is no part of it.
+    """
+    if relay.has_delivered:
+        text = f"status={event.answer.status} in the middle of a stream"
+        return relay.abandon(attempt, AttemptCause.FAILED, text, now)
     # An instance may itself give another answer to what was forwarded to it.
     if event.answer.status < 300 or not attempt.is_forward:
         relay.record_connection(attempt)
