Fleet: an error of one part that gets the list does not end the watch

Cause: an unexpected error in what follows from a new list ended the watch before its revision was recorded; the same answer was applied again every half second, and nothing was passed on to the instances that follow this one. Evidence: with each of six parts failing, the list and a new configuration were in force in time, and the revision stayed behind: 6 of 6 fail before. Change: each part but the selector is updated by itself; an error is logged and counted, and the part gets the next list. Result: 6 of 6 pass.

--- a/src/turmericusher/decisions/applied_changes.py
+++ b/src/turmericusher/decisions/applied_changes.py
@@ -11,8 +11,8 @@
 
     `revision` is the store's, None before any, and `applied_at` a monotonic time in
     seconds. `source` is the instance that passed the answer on, None for the store.
-    `errors` counts the answers that could not be applied, and `last_error` is that of
-    the last one.
+    `errors` counts the unexpected errors in applying answers, and `last_error` is the
+    last one.
     """
 
     revision: int | None = None
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -339,26 +339,48 @@
         """Pass the current upstreams to the decision logic."""
         upstreams = self.upstreams.entries
         self.shared.update_upstreams(upstreams.values(), now)
-        self.shared.holders.retain_listed(upstreams)
-        self.shared.gate.retain_listed(upstreams, now)
-        self.shared.versions.update_upstreams(upstreams.values(), now)
+        with self.updating("holders"):
+            self.shared.holders.retain_listed(upstreams)
+        with self.updating("gate"):
+            self.shared.gate.retain_listed(upstreams, now)
+        with self.updating("versions"):
+            self.shared.versions.update_upstreams(upstreams.values(), now)
 
     def update_instances(self) -> None:
         """Pass the current entry instances to the decision logic."""
         selector, instances = self.shared.selector, self.instances.entries
         selector.update_instances(instances)
-        self.shared.crashes.update_instances(selector.own, instances)
-        self.shared.forwarding.update_instances(selector.own, instances.values())
-        self.shared.loans.update_instances(selector.own, instances.values())
-        self.shared.versions.update_instances(selector.own, instances)
-        self.shared.send_limits.update_instances(
-            selector.own,
-            {name: each.limited_upstreams for name, each in instances.items()},
-        )
-        self.on_instances(instances.values())
-        if self.on_instance_count is not None:
-            # The list may lack this instance's own record.
-            self.on_instance_count(len(selector.instances))
+        with self.updating("crashes"):
+            self.shared.crashes.update_instances(selector.own, instances)
+        with self.updating("forwarding"):
+            self.shared.forwarding.update_instances(selector.own, instances.values())
+        with self.updating("loans"):
+            self.shared.loans.update_instances(selector.own, instances.values())
+        with self.updating("versions"):
+            self.shared.versions.update_instances(selector.own, instances)
+        with self.updating("send_limits"):
+            self.shared.send_limits.update_instances(
+                selector.own,
+                {name: each.limited_upstreams for name, each in instances.items()},
+            )
+        with self.updating("watch"):
+            self.on_instances(instances.values())
+        with self.updating("budgets"):
+            if self.on_instance_count is not None:
+                # The list may lack this instance's own record.
+                self.on_instance_count(len(selector.instances))
+
+    @contextmanager
+    def updating(self, part: str) -> Iterator[None]:
+        """Keep an unexpected error of one part, which gets the next list, from others.
+
+        Without this the watch would end, and nothing be passed on to other instances.
+        """
+        try:
+            yield
+        except Exception as error:
+            self.shared.applied.record_error(error)
+            log_event("part_not_updated", part=part, error=repr(error))
 
     def drop_expired(self, now: float) -> None:
         """Drop the entries whose grace time after an outage has passed."""
