Store: in an outage of the store each instance asks three others every two seconds at most

Cause: by reading. While the store is away for all, every instance asked nine others twice a second; in a large fleet the few that watch for the others would answer some 300 connections a second each at 195 instances. Change: nine are asked once when the store stops answering, then three every one to two seconds, and three at its return: by arithmetic 20 to 40 a second at each of 15 watchers, whatever the size of the fleet, as their number grows with it. Tests that a watcher and one that follows it have changes in time while the store turns them away, a value that is not passed on too; they pass, and were not run on the code before, which lacks a function that they use. Result: 49 of 49 of these two files pass; the load itself was not measured.

--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -61,8 +61,9 @@
 """Longest pause in seconds after changes meanwhile: an entry that is seen late counts
 as gone."""
 
-OTHERS_PAUSE_S = 0.5
-"""Seconds until the other instances are asked again when none could help."""
+OTHERS_PAUSE_S = 2.0
+"""Seconds until the other instances are asked again when none could help. In an outage
+of the store itself all instances ask, and the few that watch for the others answer."""
 
 LAST_CHANCE_S = 0.3
 """Seconds that the others have to answer once the store itself does."""
@@ -355,7 +356,7 @@
         store_answers = asyncio.create_task(self.wait_for_store())
         try:
             while not store_answers.done():
-                asking = asyncio.create_task(self.ask_others(after))
+                asking = asyncio.create_task(self.ask_others(after, MAX_OTHERS_ASKED))
                 try:
                     await asyncio.wait(
                         {asking, store_answers}, return_when=asyncio.FIRST_COMPLETED
@@ -421,7 +422,7 @@
             # Those that are being asked may not be reached since before the store was.
             try:
                 async with asyncio.timeout(LAST_CHANCE_S):
-                    found = await self.ask_others(after)
+                    found = await self.ask_others(after, OTHERS_ASKED)
             except TimeoutError:
                 return None
             return found[1] if found is not None else None
@@ -458,17 +459,19 @@
     async def ask_others_repeatedly(self, after: int) -> WatchAnswer:
         """Return the changes after a revision once another instance tells them."""
         while True:
-            found = await self.ask_others(after)
+            found = await self.ask_others(after, OTHERS_ASKED)
             if found is not None:
                 return found[1]
-            await asyncio.sleep(OTHERS_PAUSE_S)
+            await asyncio.sleep(OTHERS_PAUSE_S * self.random.uniform(0.5, 1.0))
 
-    async def ask_others(self, after: int) -> tuple[EntryInstance, WatchAnswer] | None:
+    async def ask_others(
+        self, after: int, most: int
+    ) -> tuple[EntryInstance, WatchAnswer] | None:
         """Return the changes after a revision from the first instance that tells them.
 
-        Some are asked at once, and some more if none of them can.
+        Some are asked at once, and some more if none of them can, `most` in all.
         """
-        others = self.sharing.others[:MAX_OTHERS_ASKED] if self.has_peers() else ()
+        others = self.sharing.others[:most] if self.has_peers() else ()
         for first in range(0, len(others), OTHERS_ASKED):
             asked = {
                 asyncio.create_task(self.ask(each, after))
--- a/tests/common/domain_fixtures.py
+++ b/tests/common/domain_fixtures.py
@@ -35,9 +35,10 @@
     instances: dict[str, RelayInstance] = field(default_factory=dict)
     stacks: dict[str, AsyncExitStack] = field(default_factory=dict)
 
-    async def add_instance(self, name: str) -> None:
-        """Start an instance."""
-        text = settings_text(unused_loopback_host(), self.store.address, name)
+    async def add_instance(self, name: str, store_address: str | None = None) -> None:
+        """Start an instance, which may reach the store at an address of its own."""
+        address = store_address or self.store.address
+        text = settings_text(unused_loopback_host(), address, name)
         settings = parse_node_settings(f"{text}internal_port_range=20005,20009\n")
         stack = self.stacks[name] = AsyncExitStack()
         self.instances[name] = await stack.enter_async_context(running_node(settings))
--- a/tests/cover/test_turned_away.py
+++ b/tests/cover/test_turned_away.py
@@ -9,6 +9,7 @@
 from testtools import TestCase
 
 from tests.common.asynchronous import run_async
+from tests.common.domain_fixtures import running_domain
 from tests.common.relay_fixtures import configuration
 from tests.common.turned_away_fixtures import (
     LIMIT_S,
@@ -18,9 +19,14 @@
 )
 from tests.common.waiting import wait_until
 from turmericusher.decisions.listing import RELIST_GRACE_S
-from turmericusher.decisions.watch_sharing import LARGE_VALUE_BYTES
+from turmericusher.decisions.watch_sharing import (
+    LARGE_VALUE_BYTES,
+    MIN_SHARING,
+    choose_asking,
+)
 from turmericusher.platform.names import CONFIGURATION_KEY, UPSTREAM_PREFIX
 from turmericusher.platform.store_messages import WATCH
+from turmericusher.standins.platform_store import running_platform_store
 
 LARGE_SERVICES = [{"name": "s"}, *({"name": f"s{n}"} for n in range(LARGE_VALUE_BYTES))]
 # Seconds from a call, which takes one at most, to the end of the fault.
@@ -108,3 +114,46 @@
                 simulation.fleet.write_upstream_entry(1)
                 await wait_until(lambda: not listing.missing)
                 self.assertTrue(simulation.is_used(1))
+
+
+class SharedTest(TestCase):
+    @parameterized.expand([("watcher", True), ("follower", False)])
+    @run_async
+    async def test_config_is_in_force_in_time_if_the_store_turns_away_a(
+        self, _, is_watcher
+    ):
+        async with (
+            running_domain(MIN_SHARING - 1) as simulation,
+            running_platform_store(simulation.store.store) as door,
+        ):
+            name = name_in_role(list(simulation.instances), is_watcher)
+            await simulation.add_instance(name, door.address)
+            alone = simulation.instances[name]
+            await wait_until(
+                lambda: (
+                    alone.watch.sharing.is_watcher == is_watcher
+                    and len(alone.fleet.instances.entries) == MIN_SHARING
+                    and bool(alone.watch.source) != is_watcher
+                ),
+                10.0,
+            )
+            door.faults.refusal = 503
+            await asyncio.sleep(SETTLING_S)
+            write = simulation.store.store.write
+            write(CONFIGURATION_KEY, configuration(2, services=LARGE_SERVICES))
+            simulation.write_upstream(0)
+            await simulation.wait_for_all(
+                lambda each: (
+                    each.tables.current().version == 2
+                    and len(each.fleet.upstreams.entries) == 1
+                )
+            )
+
+
+def name_in_role(others, is_watcher):
+    """Return a name with which one more instance watches for the others, or not."""
+    for number in range(1_000):
+        names = [*others, f"entry-alone-{number}"]
+        if (names[-1] in choose_asking({each: None for each in names})) == is_watcher:
+            return names[-1]
+    raise AssertionError("no such name")
