Store: who may be asked in an outage is found when it is asked

Change: the instances are kept, and sorted when one is to be asked. What a stopping instance ends names Retry-After 0 as its refusals do, from one place.

--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -34,7 +34,7 @@
     RelayedRequest,
     RelayOutput,
 )
-from turmericusher.decisions.relay_stop import RelayStop
+from turmericusher.decisions.relay_stop import OTHER_INSTANCE_RETRY_S, RelayStop
 from turmericusher.decisions.routing import (
     NO_CONFIGURATION_RETRY_S,
     NewestTable,
@@ -58,9 +58,6 @@
 They keep their status in `STATUS_BY_CODE`; other errors get one of those below.
 """
 
-OTHER_INSTANCE_RETRY_S = 0.0
-"""Retry delay sent by a stopping instance: other instances accept at once."""
-
 MESSAGE_OVERHEAD_BYTES = 80
 """Estimated bytes that the network adds to a message: a frame, IP and TCP headers, and
 the frame of a chunk."""
--- a/src/turmericusher/decisions/listing.py
+++ b/src/turmericusher/decisions/listing.py
@@ -42,8 +42,8 @@
     def mark_store_available(self, now: float, was_away: bool = True) -> None:
         """Record that the store is available again, and start the grace period.
 
-        There is none if the store `was_away` for this instance only: it has removed no
-        entry of an instance that lives.
+        There is none unless the store `was_away` for all: one that was not has removed
+        no entry of an instance that lives.
         """
         lost_at, self.store_lost_at = self.store_lost_at, None
         if was_away and lost_at is not None and now - lost_at >= MIN_OUTAGE_S:
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -56,6 +56,7 @@
     RelayAttempt,
     RelayShared,
 )
+from turmericusher.decisions.relay_stop import OTHER_INSTANCE_RETRY_S
 from turmericusher.decisions.rollouts.evidence import FIRST, PACE
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.errors import ErrorCode, Verdict
@@ -605,6 +606,7 @@
         return self.fail(
             ErrorCode.INSTANCE_STOPPING,
             "this instance stopped before the request had ended; use another one",
+            OTHER_INSTANCE_RETRY_S,
         )
 
     def record_version(self, attempt: RelayAttempt, now: float) -> None:
--- a/src/turmericusher/decisions/relay_stop.py
+++ b/src/turmericusher/decisions/relay_stop.py
@@ -19,6 +19,9 @@
 EXIT_MARGIN_S = 0.15
 """Seconds reserved for closing down before the process is killed."""
 
+OTHER_INSTANCE_RETRY_S = 0.0
+"""Retry-After of a stopping instance in seconds: other instances accept at once."""
+
 LAST_ANSWERS_S = 0.1
 """Seconds before the end in which requests that still run get an answer that says so:
 without one, a caller could not tell it from a failed connection."""
--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -152,8 +152,7 @@
     `watchers` are those of its failure domain that it may ask, the one to ask first in
     front; there are none if it watches itself, and `is_watcher` tells whether it does
     so for others. `avoided_until` has those that have failed, with monotonic seconds.
-    `others` are the instances of all failure domains that ask the store themselves,
-    those of its own in front.
+    `domains` has the instances that serve others, by failure domain and name.
     """
 
     own: str
@@ -161,7 +160,7 @@
     watchers: tuple[EntryInstance, ...] = ()
     is_watcher: bool = False
     avoided_until: dict[str, float] = field(default_factory=dict)
-    others: tuple[EntryInstance, ...] = ()
+    domains: dict[str, dict[str, EntryInstance]] = field(default_factory=dict)
 
     def update_instances(self, instances: Iterable[EntryInstance]) -> None:
         """Choose the watchers anew from the instances that are listed.
@@ -173,16 +172,24 @@
             is_served = each.peer_address != each.caller_address
             if each.lifecycle is Lifecycle.LIVE and is_served:
                 domains.setdefault(each.failure_domain, {})[each.name] = each
-        asking = {name: choose_asking(near) for name, near in domains.items()}
-        self.watchers, self.is_watcher = (), False
+        self.domains, self.watchers, self.is_watcher = domains, (), False
         near = domains[self.failure_domain]
-        if len(near) >= MIN_SHARING:
-            self.is_watcher = self.own in asking[self.failure_domain]
-            if not self.is_watcher:
-                self.watchers = self.in_own_order(asking[self.failure_domain].values())
-        here = asking.pop(self.failure_domain)
+        if len(near) < MIN_SHARING:
+            return
+        asking = choose_asking(near)
+        self.is_watcher = self.own in asking
+        if not self.is_watcher:
+            self.watchers = self.in_own_order(asking.values())
+
+    def others(self) -> tuple[EntryInstance, ...]:
+        """Return the other instances that ask the store, those of its domain in front.
+
+        It takes time for each instance of the fleet, and is called in outages only.
+        """
+        asking = {name: choose_asking(near) for name, near in self.domains.items()}
+        here = asking.pop(self.failure_domain, {})
         elsewhere = [each for chosen in asking.values() for each in chosen.values()]
-        self.others = (
+        return (
             *self.in_own_order(e for e in here.values() if e.name != self.own),
             *self.in_own_order(elsewhere),
         )
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -471,7 +471,7 @@
 
         Some are asked at once, and some more if none of them can, `most` in all.
         """
-        others = self.sharing.others[:most] if self.has_peers() else ()
+        others = self.sharing.others()[:most] if self.has_peers() else ()
         for first in range(0, len(others), OTHERS_ASKED):
             asked = {
                 asyncio.create_task(self.ask(each, after))
