--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -74,8 +74,8 @@
         "a-stop-waits-for-no-request",
         "planned_stops_cut_nothing",
         "relay_serving.py",
-        "await frontend.idle.wait()",
-        "pass",
+        "timeout_at(stop.gives_up_at()):\n            await frontend.idle.wait()",
+        "timeout_at(stop.gives_up_at()):\n            pass",
     ),
     Mutation(
         "deadlines-are-passed-over",
