Peers: a call that is refused for its size does not end its connection

What others saw: a message of another instance that was refused ended the connection with all its calls, by an unexpected error in the server (StreamClosedError), when more of its data had come at the same moment. Cause: the call was reset again for each further frame of the same read. The new test, with three frames in one write, fails before. Change: data of a call that was refused is acknowledged and dropped.

--- a/src/turmericusher/peers/guarded_server.py
+++ b/src/turmericusher/peers/guarded_server.py
@@ -27,16 +27,24 @@
 
 
 class GuardedProcessor(EventsProcessor):  # type: ignore[misc]
-    """The events of one connection; `held_bytes` counts the data of its open calls."""
+    """The events of one connection; `held_bytes` counts the data of its open calls.
+
+    `refused` are the calls that were ended for their data, of which more may come that
+    was sent before.
+    """
 
     def __init__(self, server: GuardedServer, *arguments: Any) -> None:
         super().__init__(*arguments)
         self.server = server
         self.held_bytes = 0
+        self.refused: set[int] = set()
 
     def process_data_received(self, event: DataReceived) -> None:
         """Take data of a call, or end the call if its data has no room."""
         stream = self.streams.get(event.stream_id)
+        if event.stream_id in self.refused:
+            self.connection.ack(event.stream_id, event.flow_controlled_length)
+            return
         if stream is not None:
             size = len(event.data)
             total = self.server.held_bytes + size
@@ -46,6 +54,7 @@
                 length = event.flow_controlled_length
                 self.connection.ack(event.stream_id, length)
                 stream.reset_nowait(ErrorCodes.ENHANCE_YOUR_CALM)
+                self.refused.add(event.stream_id)
                 stream.__terminated__("the message is too large")
                 self.handler.cancel(stream)
                 return
@@ -58,6 +67,7 @@
 
         def release_counted() -> None:
             self.hold(-stream.data_received)
+            self.refused.discard(stream.id)
             release()
 
         return release_counted
--- a/tests/cover/test_guarded_peers.py
+++ b/tests/cover/test_guarded_peers.py
@@ -47,14 +47,34 @@
             await server.wait_closed()
 
 
+def send_head(connection, stream_id):
+    """Begin a call."""
+    pairs = {":method": "POST", ":scheme": "http", ":path": PATH, ":authority": "x"}
+    pairs |= {"content-type": "application/grpc+proto", "te": "trailers"}
+    connection.send_headers(stream_id, list(pairs.items()))
+
+
+async def wait_for_end(connection, reader, writer, stream_id):
+    """Read until a call has ended; return its HTTP status, or None after a reset."""
+    status = None
+    async with asyncio.timeout(LIMIT_S):
+        while True:
+            for event in connection.receive_data(await reader.readexactly(1)):
+                if getattr(event, "stream_id", None) != stream_id:
+                    continue
+                if isinstance(event, h2.events.ResponseReceived):
+                    status = int(dict(event.headers)[b":status"])
+                if isinstance(event, h2.events.StreamReset | h2.events.StreamEnded):
+                    return status
+            writer.write(connection.data_to_send())
+
+
 async def send_endless(port):
     """Send a message within the flow-control window until the call is reset."""
     config = h2.config.H2Configuration(client_side=True, header_encoding="utf-8")
     connection = h2.connection.H2Connection(config)
     connection.initiate_connection()
-    pairs = {":method": "POST", ":scheme": "http", ":path": PATH, ":authority": "x"}
-    pairs |= {"content-type": "application/grpc+proto", "te": "trailers"}
-    connection.send_headers(1, list(pairs.items()))
+    send_head(connection, 1)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     data = bytearray(b"\x00" + SENT_BYTES.to_bytes(4, "big") + bytes(SENT_BYTES))
     sent = 0
@@ -105,6 +125,29 @@
             self.assertTrue(await lend(port))
             self.assertEqual(0, server.held_bytes)
 
+    @run_async
+    async def test_a_refused_message_does_not_end_its_connection(self):
+        async with running(peer_mb=PEER_MB) as (server, port):
+            server.held_bytes = server.guard.limits.peer_bytes
+            config = h2.config.H2Configuration(client_side=True)
+            connection = h2.connection.H2Connection(config)
+            connection.initiate_connection()
+            send_head(connection, 1)
+            # Several frames, which the server gets at once.
+            for _ in range(3):
+                connection.send_data(1, bytes(16_384))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(connection.data_to_send())
+            await wait_for_end(connection, reader, writer, 1)
+            server.held_bytes = 0
+            send_head(connection, 3)
+            message = pb.LendRequest().SerializeToString()
+            prefix = b"\x00" + len(message).to_bytes(4, "big")
+            connection.send_data(3, prefix + message, end_stream=True)
+            writer.write(connection.data_to_send())
+            self.assertEqual(200, await wait_for_end(connection, reader, writer, 3))
+            writer.close()
+
     @run_async
     async def test_connections_are_bounded(self):
         async with running(peer_connections=2) as (server, port):
