Store: a small change does not wait for a large value that came before it

What callers saw: requests reached an upstream up to 3.3 s after the store had acknowledged that it leaves (DRAIN, bound 3 s), in large fleets while the configuration grew. Cause: an instance that learns of changes from another one reads values of 2 KB and more from the store itself, one after the other, before it applies anything that came with them or after them. A configuration with 1,400 routes takes a second over a link of 5 Mbit/s, each of its versions was read by itself, and the mark of an upstream that leaves waited behind them. Evidence: the new test with a value that takes long fails before. Change: small changes are applied when they come; one large value is read beside them, the last version of each key only. Until it is read, the revision stays before its change, so that a failure brings it again.

--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -122,6 +122,58 @@
             self.floor = self.changes.popleft().revision
 
 
+@dataclass(slots=True)
+class UnreadChanges:
+    """The changes passed on whose large values are not read yet.
+
+    All changes up to `revision` have been passed on. `changes` has the last one of each
+    key, and `first` the revision of the first one that has not been read.
+    """
+
+    revision: int
+    changes: dict[str, PassedChange] = field(default_factory=dict)
+    first: dict[str, int] = field(default_factory=dict)
+
+    def add_changes(self, passed: PassedChanges) -> tuple[PassedChange, ...]:
+        """Add what was passed on; return the changes whose values are known."""
+        known = []
+        for each in passed.changes:
+            if each.revision <= self.revision:
+                continue
+            if each.must_be_read:
+                self.changes[each.key] = each
+                self.first.setdefault(each.key, each.revision)
+                continue
+            self.drop(each.key)
+            known.append(each)
+        self.revision = max(self.revision, passed.revision)
+        return tuple(known)
+
+    def add_value(self, read: PassedChange) -> tuple[PassedChange, ...]:
+        """Add a change whose value was read; return it, if its key still has one.
+
+        What was read answers all changes of the key up to then; one that has come since
+        the read began is read again.
+        """
+        newest = self.changes.get(read.key)
+        if newest is None:
+            return ()
+        self.drop(read.key)
+        if newest.revision > read.revision:
+            self.changes[read.key] = newest
+            self.first[read.key] = read.revision + 1
+        return (read,)
+
+    def drop(self, key: str) -> None:
+        """Forget the changes of a key."""
+        self.changes.pop(key, None)
+        self.first.pop(key, None)
+
+    def known_until(self) -> int:
+        """Return the revision up to which all changes and their values are known."""
+        return min([self.revision, *(each - 1 for each in self.first.values())])
+
+
 def make_passed_change(key: str, revision: int, value: bytes | None) -> PassedChange:
     """Return a change as it is passed on."""
     is_large = value is not None and len(value) >= LARGE_VALUE_BYTES
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -19,10 +19,11 @@
     AsyncIterator,
     Awaitable,
     Callable,
+    Iterable,
     Iterator,
 )
 from contextlib import AsyncExitStack, aclosing, asynccontextmanager, contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from turmericusher.decisions.fleet import EntryInstance
@@ -32,6 +33,7 @@
     OTHERS_ASKED,
     PassedChange,
     PassedChanges,
+    UnreadChanges,
     WatchSharing,
 )
 from turmericusher.errors import StoreError, StoreHistoryLostError
@@ -247,22 +249,25 @@
         link is silent once.
         """
         self.feed.close()
-        silences = 0
+        silences, polled = 0, after
         try:
-            async with self.receiving(source, after) as receive:
-                while self.is_source(source):
-                    passed = await receive(self.pace.silence_s)
-                    self.store.check_history()
-                    if passed is not None:
+            async with aclosing(
+                self.passed_on(source, after, self.pace.silence_s)
+            ) as answers:
+                async for answer in answers:
+                    if not self.is_source(source):
+                        return
+                    if answer is not None:
                         silences = 0
-                        answer = await self.read_changes(source, passed, after)
+                        yield answer_after(answer, polled)
+                        after = max(after, answer.revision)
                     elif silences < MAX_SILENCES - 1:
                         silences += 1
-                        answer = await self.poll(prefix, after, 0.0)
+                        own = await self.poll(prefix, after, 0.0)
+                        yield own
+                        after = polled = max(after, own.revision)
                     else:
                         raise ChangePeerError(f"silent {MAX_SILENCES} times")
-                    yield answer
-                    after = max(after, answer.revision)
             return
         except ChangePeerError as error:
             self.log_left(source, error)
@@ -314,25 +319,48 @@
             (source.name, source.incarnation) == (instance.name, instance.incarnation)
         )
 
-    async def read_changes(
-        self, source: EntryInstance, passed: PassedChanges, after: int
-    ) -> WatchAnswer:
-        """Return the changes after a revision, with their values.
+    async def passed_on(
+        self, source: EntryInstance, after: int, silence_s: float
+    ) -> AsyncGenerator[WatchAnswer | None, None]:
+        """Yield what an instance passes on; None after each silence of some seconds.
 
-        A value that cannot be read leaves all of them to the store.
+        Small changes do not wait for the large values before them, which are read
+        meanwhile: over a slow link one takes seconds, and a mark of an upstream that
+        leaves would come late. A value that cannot be read leaves its change, and those
+        after it, to the store.
         """
-        newer = [each for each in passed.changes if each.revision > after]
-        events = [await self.read_change(source, each) for each in newer]
-        return WatchAnswer(tuple(events), passed.revision, source.name)
+        unread = UnreadChanges(after)
+        reading: asyncio.Task[PassedChange] | None = None
+        async with self.receiving(source, after) as receive:
+            news = asyncio.ensure_future(receive(silence_s))
+            try:
+                while True:
+                    if reading is None and unread.changes:
+                        change = next(iter(unread.changes.values()))
+                        reading = asyncio.create_task(self.read_change(source, change))
+                    await asyncio.wait(
+                        {news} if reading is None else {news, reading},
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                    if reading is not None and reading.done():
+                        known, reading = unread.add_value(reading.result()), None
+                        yield make_answer(known, unread, source)
+                        continue
+                    passed = news.result()
+                    news = asyncio.ensure_future(receive(silence_s))
+                    self.store.check_history()
+                    if passed is None:
+                        yield None
+                        continue
+                    yield make_answer(unread.add_changes(passed), unread, source)
+            finally:
+                await cancel_tasks({news} if reading is None else {news, reading})
 
     async def read_change(
         self, source: EntryInstance, change: PassedChange
-    ) -> WatchEvent:
-        """Return a change with its value, which may have to be read."""
-        value = change.value
-        if change.must_be_read:
-            value = await self.read_value(source, change.key)
-        return WatchEvent(change.key, value, change.revision)
+    ) -> PassedChange:
+        """Return a change of a large value, with what the store has now."""
+        return replace(change, value=await self.read_value(source, change.key))
 
     async def read_value(self, source: EntryInstance, key: str) -> bytes | None:
         """Read a key from the store, or else by an instance; None if it is absent."""
@@ -392,16 +420,15 @@
         heard_at = clock()
         max_silence_s = self.pace.wait_s + self.pace.silence_s
         try:
-            async with self.receiving(source, after) as receive:
-                while not ended.done() and clock() - heard_at < max_silence_s:
-                    passed = await receive(CHECK_INTERVAL_S)
-                    self.store.check_history()
-                    if passed is None:
-                        continue
-                    heard_at = clock()
-                    answer = await self.read_changes(source, passed, after)
-                    yield answer
-                    after = max(after, answer.revision)
+            async with aclosing(
+                self.passed_on(source, after, CHECK_INTERVAL_S)
+            ) as answers:
+                async for answer in answers:
+                    if answer is not None:
+                        heard_at = clock()
+                        yield answer
+                    if ended.done() or clock() - heard_at > max_silence_s:
+                        return
         except ChangePeerError as error:
             self.log_left(source, error)
 
@@ -491,7 +518,8 @@
     ) -> tuple[EntryInstance, WatchAnswer] | None:
         """Return what an instance knows of the changes after a revision.
 
-        None if it was itself without the store since this instance is.
+        It goes up to the first value that is too large to be passed on. None if the
+        instance was itself without the store since this one is.
         """
         try:
             async with self.receiving(source, after) as receive:
@@ -499,7 +527,9 @@
                 self.store.check_history()
                 if passed is None or not self.has_followed(passed):
                     return None
-                return source, await self.read_changes(source, passed, after)
+                unread = UnreadChanges(after)
+                known = unread.add_changes(passed)
+                return source, make_answer(known, unread, source)
         except ChangePeerError:
             return None
 
@@ -509,6 +539,20 @@
         return since is None or clock() - passed.followed_s <= since
 
 
+def make_answer(
+    changes: Iterable[PassedChange], unread: UnreadChanges, source: EntryInstance
+) -> WatchAnswer:
+    """Return the answer for changes whose values are known."""
+    events = (WatchEvent(each.key, each.value, each.revision) for each in changes)
+    return WatchAnswer(tuple(events), unread.known_until(), source.name)
+
+
+def answer_after(answer: WatchAnswer, revision: int) -> WatchAnswer:
+    """Return an answer without what was known before, up to a revision."""
+    events = tuple(each for each in answer.events if each.revision > revision)
+    return replace(answer, events=events)
+
+
 def clock() -> float:
     """Return the event loop's monotonic time in seconds."""
     return asyncio.get_running_loop().time()
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -397,3 +397,58 @@
             )
             simulation.write_upstream(2)
             await simulation.wait_for_upstreams(3)
+
+
+class SlowValueStore(ScriptedStore):
+    """A store whose large values take long to read; `reads` are those in progress."""
+
+    def __init__(self, **passed):
+        super().__init__(**passed)
+        self.may_read = asyncio.Event()
+
+    async def get(self, key):
+        self.calls.append("get")
+        await self.may_read.wait()
+        return StoredValue(key, b"large", self.revision)
+
+
+class LargeValueTest(TestCase):
+    @run_async
+    async def test_drain_a_small_change_does_not_wait_for_a_large_value(self):
+        passed = [
+            PassedChanges((PassedChange("config", 11, None, must_be_read=True),), 11),
+            PassedChanges((PassedChange("upstream", 12, b"leaving"),), 12),
+            PassedChanges((PassedChange("config", 13, None, must_be_read=True),), 13),
+            PassedChanges((PassedChange("other", 14, None),), 14),
+        ]
+        store = SlowValueStore(w0=passed)
+        seen, revisions = [], []
+        async with aclosing(make_shared_watch(store).watch("", 11)) as answers:
+            async with asyncio.timeout(2.0):
+                async for answer in answers:
+                    seen += [(each.key, each.revision) for each in answer.events]
+                    revisions.append(answer.revision)
+                    if len(seen) == 2:
+                        store.may_read.set()
+                    if answer.revision == 14:
+                        break
+        self.assertEqual([("upstream", 12), ("other", 14)], seen[:2])
+        self.assertEqual([("config", 11), ("config", 13)], seen[2:])
+        # What is not read yet is asked for again after a failure.
+        self.assertEqual([10, 10, 10, 10, 11, 14], revisions)
+        self.assertEqual(["get", "get"], [c for c in store.calls if c == "get"])
+
+    @run_async
+    async def test_versions_that_came_before_a_read_are_read_once(self):
+        versions = [
+            PassedChange("config", revision, None, must_be_read=True)
+            for revision in (11, 12, 13)
+        ]
+        store = SlowValueStore(w0=[PassedChanges(tuple(versions), 13)])
+        store.may_read.set()
+        async with aclosing(make_shared_watch(store).watch("", 11)) as answers:
+            await anext(answers)
+            read = await anext(answers)
+        self.assertEqual([13], [each.revision for each in read.events])
+        self.assertEqual(13, read.revision)
+        self.assertEqual(["follow w0 10", "get"], store.calls)
