Store: what an instance passes on does not wait for the answer to its silence

Cause: an instance that watches for others over a slow link is silent for as long as it reads a large configuration (0.73 s, after a pause of 0.75 s; 1.05 s are allowed). Each of its 16 followers then asked the store itself, read the same value over its own slow link, and took nothing from the watcher until it had it; what it had read was then read once more, as the watcher's message said that it must be. Change: the follower takes what is passed on while its own call runs; what that call brought is not read again.

--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -16,6 +16,7 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Protocol, TypeVar
 
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle
 from turmericusher.decisions.subsets import rendezvous_weight
@@ -49,6 +50,23 @@
 """Changes that a watcher keeps for those who come, of some 300 bytes each."""
 
 
+class KeyedChange(Protocol):
+    """A change of a key at a revision of the store."""
+
+    @property
+    def key(self) -> str:
+        """The key that was written or deleted."""
+        ...
+
+    @property
+    def revision(self) -> int:
+        """The store's revision of the change."""
+        ...
+
+
+Change = TypeVar("Change", bound=KeyedChange)
+
+
 @dataclass(frozen=True, slots=True)
 class PassedChange:
     """A change as a watcher passes it on; a large value `must_be_read` from the store.
@@ -164,6 +182,24 @@
             self.first[read.key] = read.revision + 1
         return (read,)
 
+    def add_polled(self, events: Iterable[Change], revision: int) -> list[Change]:
+        """Add the store's own answer, whose values are known; return what is new in it.
+
+        What was passed on since it was asked for may be newer.
+        """
+        new = [
+            each
+            for each in events
+            if each.revision > self.revision or each.key in self.changes
+        ]
+        for key, change in list(self.changes.items()):
+            if change.revision <= revision:
+                self.drop(key)
+            else:
+                self.first[key] = max(self.first[key], revision + 1)
+        self.revision = max(self.revision, revision)
+        return new
+
     def drop(self, key: str) -> None:
         """Forget the changes of a key."""
         self.changes.pop(key, None)
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -19,12 +19,14 @@
     AsyncIterator,
     Awaitable,
     Callable,
+    Coroutine,
     Iterable,
     Iterator,
 )
 from contextlib import AsyncExitStack, aclosing, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field, replace
-from typing import Protocol
+from functools import partial
+from typing import Any, Protocol
 
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.watch_pace import WatchPace
@@ -246,28 +248,27 @@
 
         After a silence or a failure the store itself is asked at once, since changes
         may wait there for that long. A watcher that reads a large value over a slow
-        link is silent once.
+        link is silent once, and so would the store's own answer be late.
         """
         self.feed.close()
-        silences, polled = 0, after
+        silences = 0
+        poll = partial(self.poll, prefix, wait_s=0.0)
         try:
             async with aclosing(
-                self.passed_on(source, after, self.pace.silence_s)
+                self.passed_on(source, after, self.pace.silence_s, poll)
             ) as answers:
                 async for answer in answers:
                     if not self.is_source(source):
                         return
-                    if answer is not None:
-                        silences = 0
-                        yield answer_after(answer, polled)
-                        after = max(after, answer.revision)
-                    elif silences < MAX_SILENCES - 1:
+                    if answer is None:
                         silences += 1
-                        own = await self.poll(prefix, after, 0.0)
-                        yield own
-                        after = polled = max(after, own.revision)
-                    else:
-                        raise ChangePeerError(f"silent {MAX_SILENCES} times")
+                        if silences >= MAX_SILENCES:
+                            raise ChangePeerError(f"silent {MAX_SILENCES} times")
+                        continue
+                    if answer.source is not None:
+                        silences = 0
+                    yield answer
+                    after = max(after, answer.revision)
             return
         except ChangePeerError as error:
             self.log_left(source, error)
@@ -320,10 +321,16 @@
         )
 
     async def passed_on(
-        self, source: EntryInstance, after: int, silence_s: float
+        self,
+        source: EntryInstance,
+        after: int,
+        silence_s: float,
+        poll: Callable[[int], Coroutine[Any, Any, WatchAnswer]] | None = None,
     ) -> AsyncGenerator[WatchAnswer | None, None]:
         """Yield what an instance passes on; None after each silence of some seconds.
 
+        After a silence the changes after a revision are also asked for by `poll`; what
+        the instance passes on meanwhile does not wait for that.
         Small changes do not wait for the large values before them, which are read
         meanwhile: over a slow link one takes seconds, and a mark of an upstream that
         leaves would come late. A value that cannot be read leaves its change, and those
@@ -331,30 +338,37 @@
         """
         unread = UnreadChanges(after)
         reading: asyncio.Task[PassedChange] | None = None
+        polling: asyncio.Task[WatchAnswer] | None = None
         async with self.receiving(source, after) as receive:
             news = asyncio.ensure_future(receive(silence_s))
+            waiting: set[asyncio.Future[Any]] = {news}
             try:
                 while True:
                     if reading is None and unread.changes:
                         change = next(iter(unread.changes.values()))
                         reading = asyncio.create_task(self.read_change(source, change))
-                    await asyncio.wait(
-                        {news} if reading is None else {news, reading},
-                        return_when=asyncio.FIRST_COMPLETED,
-                    )
+                    waiting = {each for each in (news, reading, polling) if each}
+                    await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
                     if reading is not None and reading.done():
                         known, reading = unread.add_value(reading.result()), None
                         yield make_answer(known, unread, source)
-                        continue
-                    passed = news.result()
-                    news = asyncio.ensure_future(receive(silence_s))
-                    self.store.check_history()
-                    if passed is None:
+                    elif polling is not None and polling.done():
+                        own, polling = polling.result(), None
+                        events = tuple(unread.add_polled(own.events, own.revision))
+                        yield WatchAnswer(events, unread.known_until())
+                    else:
+                        passed = news.result()
+                        news = asyncio.ensure_future(receive(silence_s))
+                        self.store.check_history()
+                        if passed is not None:
+                            known = unread.add_changes(passed)
+                            yield make_answer(known, unread, source)
+                            continue
                         yield None
-                        continue
-                    yield make_answer(unread.add_changes(passed), unread, source)
+                        if poll is not None and polling is None:
+                            polling = asyncio.create_task(poll(unread.known_until()))
             finally:
-                await cancel_tasks({news} if reading is None else {news, reading})
+                await cancel_tasks(waiting | {news})
 
     async def read_change(
         self, source: EntryInstance, change: PassedChange
@@ -547,12 +561,6 @@
     return WatchAnswer(tuple(events), unread.known_until(), source.name)
 
 
-def answer_after(answer: WatchAnswer, revision: int) -> WatchAnswer:
-    """Return an answer without what was known before, up to a revision."""
-    events = tuple(each for each in answer.events if each.revision > revision)
-    return replace(answer, events=events)
-
-
 def clock() -> float:
     """Return the event loop's monotonic time in seconds."""
     return asyncio.get_running_loop().time()
