Store: a large value is not read and polled for at once, and not read through others

Cause: an instance that read a large value asked the store for the same at a silence, both over one slow link; the call ended by its time-out (15 instances), the store counted as not answering, and the value was then read through the watchers, whose links are as slow. Change: one of the two at a time; only an instance that the store does not answer reads through another one, which may take three seconds.

--- a/src/turmericusher/peers/changes_service.py
+++ b/src/turmericusher/peers/changes_service.py
@@ -21,8 +21,9 @@
 
 MILLISECONDS_PER_S = 1_000
 
-READ_TIMEOUT_S = 1.0
-"""Seconds that a read by another instance may take: those of a call of the store."""
+READ_TIMEOUT_S = 3.0
+"""Seconds that a read by another instance may take: it passes two links, which may be
+slow."""
 
 KeyReader = Callable[[str], Awaitable[StoredValue | None]]
 """Reads a key from the store; raises as `KeyValueStore.get` does."""
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -344,7 +344,8 @@
             waiting: set[asyncio.Future[Any]] = {news}
             try:
                 while True:
-                    if reading is None and unread.changes:
+                    # Reading and polling bring the same values: one at a time.
+                    if unread.changes and reading is None and polling is None:
                         change = next(iter(unread.changes.values()))
                         reading = asyncio.create_task(self.read_change(source, change))
                     waiting = {each for each in (news, reading, polling) if each}
@@ -365,7 +366,7 @@
                             yield make_answer(known, unread, source)
                             continue
                         yield None
-                        if poll is not None and polling is None:
+                        if poll is not None and reading is None and polling is None:
                             polling = asyncio.create_task(poll(unread.known_until()))
             finally:
                 await cancel_tasks(waiting | {news})
@@ -377,14 +378,18 @@
         return replace(change, value=await self.read_value(source, change.key))
 
     async def read_value(self, source: EntryInstance, key: str) -> bytes | None:
-        """Read a key from the store, or else by an instance; None if it is absent."""
-        if self.unreached_since is None:
-            try:
-                stored = await self.store.get(key)
-                return stored.value if stored is not None else None
-            except StoreError as error:
-                log_event("changed_value_unread", error=error.message)
-        return await self.peers.result().read(source.peer_address, key)
+        """Read a key, by an instance while the store does not answer this one.
+
+        Returns None if the key is absent. Raises `ChangePeerError`.
+        """
+        if self.unreached_since is not None:
+            return await self.peers.result().read(source.peer_address, key)
+        try:
+            stored = await self.store.get(key)
+        except StoreError as error:
+            log_event("changed_value_unread", error=error.message)
+            raise ChangePeerError("a value could not be read") from error
+        return stored.value if stored is not None else None
 
     # Learning from any other instance while the store does not answer
 
