--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -16,7 +16,6 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol, TypeVar
 
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle
 from turmericusher.decisions.subsets import rendezvous_weight
@@ -50,23 +49,6 @@
 """Changes that a watcher keeps for those who come, of some 300 bytes each."""
 
 
-class KeyedChange(Protocol):
-    """A change of a key at a revision of the store."""
-
-    @property
-    def key(self) -> str:
-        """The key that was written or deleted."""
-        ...
-
-    @property
-    def revision(self) -> int:
-        """The store's revision of the change."""
-        ...
-
-
-Change = TypeVar("Change", bound=KeyedChange)
-
-
 @dataclass(frozen=True, slots=True)
 class PassedChange:
     """A change as a watcher passes it on; a large value `must_be_read` from the store.
@@ -140,76 +122,6 @@
             self.floor = self.changes.popleft().revision
 
 
-@dataclass(slots=True)
-class UnreadChanges:
-    """The changes passed on whose large values are not read yet.
-
-    All changes up to `revision` have been passed on. `changes` has the last one of each
-    key, and `first` the revision of the first one that has not been read.
-    """
-
-    revision: int
-    changes: dict[str, PassedChange] = field(default_factory=dict)
-    first: dict[str, int] = field(default_factory=dict)
-
-    def add_changes(self, passed: PassedChanges) -> tuple[PassedChange, ...]:
-        """Add what was passed on; return the changes whose values are known."""
-        known = []
-        for each in passed.changes:
-            if each.revision <= self.revision:
-                continue
-            if each.must_be_read:
-                self.changes[each.key] = each
-                self.first.setdefault(each.key, each.revision)
-                continue
-            self.drop(each.key)
-            known.append(each)
-        self.revision = max(self.revision, passed.revision)
-        return tuple(known)
-
-    def add_value(self, read: PassedChange) -> tuple[PassedChange, ...]:
-        """Add a change whose value was read; return it, if its key still has one.
-
-        What was read answers all changes of the key up to then; one that has come since
-        the read began is read again.
-        """
-        newest = self.changes.get(read.key)
-        if newest is None:
-            return ()
-        self.drop(read.key)
-        if newest.revision > read.revision:
-            self.changes[read.key] = newest
-            self.first[read.key] = read.revision + 1
-        return (read,)
-
-    def add_polled(self, events: Iterable[Change], revision: int) -> list[Change]:
-        """Add the store's own answer, whose values are known; return what is new in it.
-
-        What was passed on since it was asked for may be newer.
-        """
-        new = [
-            each
-            for each in events
-            if each.revision > self.revision or each.key in self.changes
-        ]
-        for key, change in list(self.changes.items()):
-            if change.revision <= revision:
-                self.drop(key)
-            else:
-                self.first[key] = max(self.first[key], revision + 1)
-        self.revision = max(self.revision, revision)
-        return new
-
-    def drop(self, key: str) -> None:
-        """Forget the changes of a key."""
-        self.changes.pop(key, None)
-        self.first.pop(key, None)
-
-    def known_until(self) -> int:
-        """Return the revision up to which all changes and their values are known."""
-        return min([self.revision, *(each - 1 for each in self.first.values())])
-
-
 def make_passed_change(key: str, revision: int, value: bytes | None) -> PassedChange:
     """Return a change as it is passed on."""
     is_large = value is not None and len(value) >= LARGE_VALUE_BYTES
--- a/src/turmericusher/tasks/background.py
+++ b/src/turmericusher/tasks/background.py
@@ -57,7 +57,7 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
 
-async def cancel_tasks(tasks: Iterable[asyncio.Future[Any]]) -> None:
+async def cancel_tasks(tasks: Iterable[asyncio.Task[Any]]) -> None:
     """Cancel tasks and wait until all have ended; their exceptions are ignored."""
     cancelled = list(tasks)
     for task in cancelled:
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -19,14 +19,11 @@
     AsyncIterator,
     Awaitable,
     Callable,
-    Coroutine,
-    Iterable,
     Iterator,
 )
 from contextlib import AsyncExitStack, aclosing, asynccontextmanager, contextmanager
-from dataclasses import dataclass, field, replace
-from functools import partial
-from typing import Any, Protocol
+from dataclasses import dataclass, field
+from typing import Protocol
 
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.watch_pace import WatchPace
@@ -35,7 +32,6 @@
     OTHERS_ASKED,
     PassedChange,
     PassedChanges,
-    UnreadChanges,
     WatchSharing,
 )
 from turmericusher.errors import StoreError, StoreHistoryLostError
@@ -248,25 +244,23 @@
 
         After a silence or a failure the store itself is asked at once, since changes
         may wait there for that long. A watcher that reads a large value over a slow
-        link is silent once, and so would the store's own answer be late.
+        link is silent once.
         """
         self.feed.close()
         silences = 0
-        poll = partial(self.poll, prefix, wait_s=0.0)
         try:
-            async with aclosing(
-                self.passed_on(source, after, self.pace.silence_s, poll)
-            ) as answers:
-                async for answer in answers:
-                    if not self.is_source(source):
-                        return
-                    if answer is None:
-                        silences += 1
-                        if silences >= MAX_SILENCES:
-                            raise ChangePeerError(f"silent {MAX_SILENCES} times")
-                        continue
-                    if answer.source is not None:
+            async with self.receiving(source, after) as receive:
+                while self.is_source(source):
+                    passed = await receive(self.pace.silence_s)
+                    self.store.check_history()
+                    if passed is not None:
                         silences = 0
+                        answer = await self.read_changes(source, passed, after)
+                    elif silences < MAX_SILENCES - 1:
+                        silences += 1
+                        answer = await self.poll(prefix, after, 0.0)
+                    else:
+                        raise ChangePeerError(f"silent {MAX_SILENCES} times")
                     yield answer
                     after = max(after, answer.revision)
             return
@@ -320,62 +314,25 @@
             (source.name, source.incarnation) == (instance.name, instance.incarnation)
         )
 
-    async def passed_on(
-        self,
-        source: EntryInstance,
-        after: int,
-        silence_s: float,
-        poll: Callable[[int], Coroutine[Any, Any, WatchAnswer]] | None = None,
-    ) -> AsyncGenerator[WatchAnswer | None, None]:
-        """Yield what an instance passes on; None after each silence of some seconds.
-
-        After a silence the changes after a revision are also asked for by `poll`; what
-        the instance passes on meanwhile does not wait for that.
-        Small changes do not wait for the large values before them, which are read
-        meanwhile: over a slow link one takes seconds, and a mark of an upstream that
-        leaves would come late. A value that cannot be read leaves its change, and those
-        after it, to the store.
+    async def read_changes(
+        self, source: EntryInstance, passed: PassedChanges, after: int
+    ) -> WatchAnswer:
+        """Return the changes after a revision, with their values.
+
+        A value that cannot be read leaves all of them to the store.
         """
-        unread = UnreadChanges(after)
-        reading: asyncio.Task[PassedChange] | None = None
-        polling: asyncio.Task[WatchAnswer] | None = None
-        async with self.receiving(source, after) as receive:
-            news = asyncio.ensure_future(receive(silence_s))
-            waiting: set[asyncio.Future[Any]] = {news}
-            try:
-                while True:
-                    # Reading and polling bring the same values: one at a time.
-                    if unread.changes and reading is None and polling is None:
-                        change = next(iter(unread.changes.values()))
-                        reading = asyncio.create_task(self.read_change(source, change))
-                    waiting = {each for each in (news, reading, polling) if each}
-                    await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-                    if reading is not None and reading.done():
-                        known, reading = unread.add_value(reading.result()), None
-                        yield make_answer(known, unread, source)
-                    elif polling is not None and polling.done():
-                        own, polling = polling.result(), None
-                        events = tuple(unread.add_polled(own.events, own.revision))
-                        yield WatchAnswer(events, unread.known_until())
-                    else:
-                        passed = news.result()
-                        news = asyncio.ensure_future(receive(silence_s))
-                        self.store.check_history()
-                        if passed is not None:
-                            known = unread.add_changes(passed)
-                            yield make_answer(known, unread, source)
-                            continue
-                        yield None
-                        if poll is not None and reading is None and polling is None:
-                            polling = asyncio.create_task(poll(unread.known_until()))
-            finally:
-                await cancel_tasks(waiting | {news})
+        newer = [each for each in passed.changes if each.revision > after]
+        events = [await self.read_change(source, each) for each in newer]
+        return WatchAnswer(tuple(events), passed.revision, source.name)
 
     async def read_change(
         self, source: EntryInstance, change: PassedChange
-    ) -> PassedChange:
-        """Return a change of a large value, with what the store has now."""
-        return replace(change, value=await self.read_value(source, change.key))
+    ) -> WatchEvent:
+        """Return a change with its value, which may have to be read."""
+        value = change.value
+        if change.must_be_read:
+            value = await self.read_value(source, change.key)
+        return WatchEvent(change.key, value, change.revision)
 
     async def read_value(self, source: EntryInstance, key: str) -> bytes | None:
         """Read a key, by an instance while the store does not answer this one.
@@ -439,15 +396,16 @@
         heard_at = clock()
         max_silence_s = self.pace.wait_s + self.pace.silence_s
         try:
-            async with aclosing(
-                self.passed_on(source, after, CHECK_INTERVAL_S)
-            ) as answers:
-                async for answer in answers:
-                    if answer is not None:
-                        heard_at = clock()
-                        yield answer
-                    if ended.done() or clock() - heard_at > max_silence_s:
-                        return
+            async with self.receiving(source, after) as receive:
+                while not ended.done() and clock() - heard_at < max_silence_s:
+                    passed = await receive(CHECK_INTERVAL_S)
+                    self.store.check_history()
+                    if passed is None:
+                        continue
+                    heard_at = clock()
+                    answer = await self.read_changes(source, passed, after)
+                    yield answer
+                    after = max(after, answer.revision)
         except ChangePeerError as error:
             self.log_left(source, error)
 
@@ -537,8 +495,7 @@
     ) -> tuple[EntryInstance, WatchAnswer] | None:
         """Return what an instance knows of the changes after a revision.
 
-        It goes up to the first value that is too large to be passed on. None if the
-        instance was itself without the store since this one is.
+        None if it was itself without the store since this instance is.
         """
         try:
             async with self.receiving(source, after) as receive:
@@ -546,9 +503,7 @@
                 self.store.check_history()
                 if passed is None or not self.has_followed(passed):
                     return None
-                unread = UnreadChanges(after)
-                known = unread.add_changes(passed)
-                return source, make_answer(known, unread, source)
+                return source, await self.read_changes(source, passed, after)
         except ChangePeerError:
             return None
 
@@ -558,14 +513,6 @@
         return since is None or clock() - passed.followed_s <= since
 
 
-def make_answer(
-    changes: Iterable[PassedChange], unread: UnreadChanges, source: EntryInstance
-) -> WatchAnswer:
-    """Return the answer for changes whose values are known."""
-    events = (WatchEvent(each.key, each.value, each.revision) for each in changes)
-    return WatchAnswer(tuple(events), unread.known_until(), source.name)
-
-
 def clock() -> float:
     """Return the event loop's monotonic time in seconds."""
     return asyncio.get_running_loop().time()
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -29,7 +29,6 @@
     ChangeLog,
     PassedChange,
     PassedChanges,
-    UnreadChanges,
     WatchSharing,
     make_passed_change,
 )
@@ -37,7 +36,7 @@
 from turmericusher.platform.names import CONFIGURATION_KEY
 from turmericusher.platform.store_messages import READ_KEY, READ_RANGE
 from turmericusher.ports.change_peers import ChangePeerError
-from turmericusher.ports.keyvalue import StoredValue, WatchAnswer, WatchEvent
+from turmericusher.ports.keyvalue import StoredValue, WatchAnswer
 from turmericusher.tasks.change_feed import ChangeFeed
 from turmericusher.tasks.shared_watch import MAX_SILENCES, SharedWatch
 
@@ -451,82 +450,3 @@
         self.assertEqual([13], [each.revision for each in read.events])
         self.assertEqual(13, read.revision)
         self.assertEqual(["follow w0 10", "get"], store.calls)
-
-    @run_async
-    async def test_drain_a_change_does_not_wait_for_the_answer_to_a_silence(self):
-        late = [PassedChanges((PassedChange("upstream", 11, b"leaving"),), 11)]
-        store = SlowAnswerStore(w0=late)
-        store.delay_s = 0.08
-        watch = make_shared_watch(store)
-        async with aclosing(watch.watch("", 11)) as answers:
-            async with asyncio.timeout(2.0):
-                first = await anext(answers)
-                self.assertEqual(["upstream"], [each.key for each in first.events])
-                store.may_answer.set()
-                own = await anext(answers)
-        self.assertEqual((), own.events)
-        self.assertEqual(["follow w0 10", "poll 10"], store.calls)
-
-    @run_async
-    async def test_config_is_not_read_and_polled_for_at_the_same_time(self):
-        large = PassedChanges(
-            (PassedChange("config", 11, None, must_be_read=True),), 11
-        )
-        store = SlowValueStore(w0=[large])
-        watch = make_shared_watch(store)
-        async with aclosing(watch.watch("", 11)) as answers:
-            first = await anext(answers)
-            self.assertEqual(10, first.revision)
-            pending = asyncio.ensure_future(anext(answers))
-            # Longer than one silence, and shorter than those that end it.
-            await asyncio.sleep(1.5 * watch.pace.silence_s)
-            self.assertEqual(["follow w0 10", "get"], store.calls)
-            store.may_read.set()
-            self.assertEqual(11, (await pending).revision)
-
-
-class SlowAnswerStore(ScriptedStore):
-    """A store whose answer with a change takes long."""
-
-    def __init__(self, **passed):
-        super().__init__(**passed)
-        self.may_answer = asyncio.Event()
-
-    async def poll(self, prefix, after, wait_s):
-        self.calls.append(f"poll {after}")
-        await self.may_answer.wait()
-        return WatchAnswer((WatchEvent("upstream", b"leaving", 11),), 11)
-
-
-class UnreadChangesTest(TestCase):
-    # Each step is what comes, what is new of it, and up to where all is known then.
-    @parameterized.expand(
-        [
-            ("a polled value", [("large", 11), ("polled", 11)], [[], [11]], [10, 11]),
-            ("a newer one", [("large", 11), ("large", 13), ("polled", 12)],
-             [[], [], [12]], [10, 10, 12]),
-            ("what was passed on before", [("small", 11), ("polled", 11)],
-             [[11], []], [11, 11]),
-            ("a read value", [("large", 11), ("small", 12), ("read", 11)],
-             [[], [12], [11]], [10, 10, 12]),
-            ("a value read too early", [("large", 11), ("large", 13), ("read", 11)],
-             [[], [], [11]], [10, 10, 11]),
-            ("one that was polled", [("large", 11), ("polled", 11), ("read", 11)],
-             [[], [11], []], [10, 11, 11]),
-        ]
-    )  # fmt: skip
-    def test_nothing_is_lost_or_applied_twice_with(self, _, steps, new, known):
-        unread = UnreadChanges(10)
-        for (what, revision), expected, until in zip(steps, new, known, strict=True):
-            key = "k" if what != "small" else "s"
-            change = PassedChange(key, revision, b"", what == "large")
-            if what == "polled":
-                keys = [replace(change, key=each) for each in ("k", "s")]
-                both = keys if steps[0][0] == "small" else keys[:1]
-                got = unread.add_polled(both[-1:], revision)
-            elif what == "read":
-                got = unread.add_value(change)
-            else:
-                got = unread.add_changes(PassedChanges((change,), revision))
-            self.assertEqual(expected, [each.revision for each in got])
-            self.assertEqual(until, unread.known_until())
