--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -156,9 +156,15 @@
 
     async def wait_until_ready(self) -> None:
         """Wait until it says that it is ready."""
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while not await self.is_ready():
-                await asyncio.sleep(0.02)
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while not await self.is_ready():
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            text = self.log.read_text()[-1000:]
+            raise RuntimeError(
+                f"{self.name} is not ready, exit={self.process.returncode}: {text}"
+            ) from None
 
 
 @asynccontextmanager
