--- a/review/rig-2/engines.py
+++ b/review/rig-2/engines.py
@@ -55,6 +55,7 @@
 
     `crashes_on` says whether a request ends it when it begins to write its answer.
     `on_crash` is called then. A plain server has no tokens and answers after `work_s`.
+    `spans` has the times at which each stream began and ended here.
     """
 
     service: str
@@ -77,6 +78,7 @@
     answer_headers: dict[str, str] = field(default_factory=dict)
     calls: list[Call] = field(default_factory=list)
     runs: list[Call] = field(default_factory=list)
+    spans: list[tuple[str, float, float]] = field(default_factory=list)
     server: asyncio.Server | None = None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
     prefill: asyncio.Lock = field(default_factory=asyncio.Lock)
@@ -205,19 +207,20 @@
     async def run_stream(self, call: Call, writer: asyncio.StreamWriter) -> bool:
         """Prefill a prompt, then stream the events that the caller does not have."""
         tokens = int(call.headers.get("x-token-counts", "800,100").split(",")[0])
+        held, is_waiting = [tokens, 0], True
         self.waiting += 1
         try:
             async with self.prefill:
                 self.waiting -= 1
-                self.active[call.id] = [tokens, 0]
+                is_waiting = False
+                self.active[call.id] = held
                 await asyncio.sleep(tokens / PREFILL_TOKENS_PER_S)
         except asyncio.CancelledError:
-            if call.id in self.active:
-                del self.active[call.id]
-            else:
-                self.waiting -= 1
+            self.waiting -= is_waiting
+            self.drop(call, held)
             raise
         self.runs.append(call)
+        began = time.monotonic()
         try:
             await asyncio.sleep(0.1)
             if self.crashes_on(call):
@@ -231,7 +234,7 @@
             }
             writer.write(encode_head(200, headers))
             for number in range(first, self.events + 1):
-                self.active[call.id][1] = number
+                held[1] = number
                 writer.write(encode_chunk(event(number)))
                 await writer.drain()
                 await asyncio.sleep(self.gap_s)
@@ -239,7 +242,13 @@
             await writer.drain()
             return True
         finally:
-            self.active.pop(call.id, None)
+            self.drop(call, held)
+            self.spans.append((call.id, began, time.monotonic()))
+
+    def drop(self, call: Call, held: list[int]) -> None:
+        """Forget a run, unless another one of the same request has begun here."""
+        if self.active.get(call.id) is held:
+            del self.active[call.id]
 
     def signed(self, call: Call) -> dict[str, str]:
         """Return the headers of an answer of this engine."""
