--- a/review/rig-2/engines.py
+++ b/review/rig-2/engines.py
@@ -27,6 +27,7 @@
 
 RESET_LINGER = struct.pack("ii", 1, 0)
 PREFILL_TOKENS_PER_S = 8000.0
+MEMORY_TOKENS = 88000
 LISTED_BEATS = 3
 """Heartbeat intervals of silence after which the platform removes an entry."""
 
@@ -191,6 +192,10 @@
             return await self.reply(writer, 503, {"X-Not-Executed": "1"}, b"")
         if self.is_plain:
             return await self.run_call(call, writer)
+        counts = call.headers.get("x-token-counts", "0,0").split(",")
+        if sum(map(int, counts)) > MEMORY_TOKENS:
+            # It is rejected as if the engine were full.
+            return await self.reply(writer, 503, {"X-Not-Executed": "1"}, b"")
         return await self.run_stream(call, writer)
 
     async def run_call(self, call: Call, writer: asyncio.StreamWriter) -> bool:
@@ -269,7 +274,7 @@
             "waiting": self.waiting,
             "active_requests": len(self.active),
             "cache_used": sum(held[0] for held in self.active.values()),
-            "cache_total": 88000,
+            "cache_total": MEMORY_TOKENS,
             "handles": 0,
             "pinned": 0,
             "held": 0,
