--- a/review/7/case.py
+++ b/review/7/case.py
@@ -159,7 +159,9 @@
         folder = await stack.enter_async_context(scratch_folder())
         store = await stack.enter_async_context(running_platform_store())
         routes = [stream_route("r-draft", "/draft/", "redacteur")]
-        write_json(store, "op/config", configuration(routes, {"redacteur": MODEL_SERVICE}))
+        write_json(
+            store, "op/config", configuration(routes, {"redacteur": MODEL_SERVICE})
+        )
         deployment = Deployment(record, store)
         stack.callback(deployment.close)
         for number in range(ENGINES_PER_DOMAIN * len(DOMAINS)):
@@ -177,7 +179,10 @@
             await program.wait_until_ready()
         await asyncio.sleep(2.0)
         clients = Clients(programs, record, time.monotonic())
-        next_draft, crashes = clients.began, list(zip(CRASHES_S, itertools.cycle(DOMAINS)))
+        next_draft, crashes = (
+            clients.began,
+            list(zip(CRASHES_S, itertools.cycle(DOMAINS))),
+        )
         killed_s = back_s = None
         async with asyncio.TaskGroup() as tasks:
             while (now_s := time.monotonic() - clients.began) < LENGTH_S:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -95,7 +95,9 @@
             }
         is_served, text = False, ""
         try:
-            answer = await send(program.address, b"POST", f"{path}2f", headers, b"x", 26)
+            answer = await send(
+                program.address, b"POST", f"{path}2f", headers, b"x", 26
+            )
             is_served = answer.status == 200 and answer.is_whole
             text = "served" if is_served else f"{answer.status} {answer.body[:90]!r}"
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
@@ -115,7 +117,13 @@
             zone, is_plain = DOMAINS[number % len(DOMAINS)], number < 3
             service = "halle-app" if is_plain else "redacteur"
             engine = Engine(
-                service, zone, record, store, is_plain=is_plain, events=EVENTS, gap_s=GAP_S
+                service,
+                zone,
+                record,
+                store,
+                is_plain=is_plain,
+                events=EVENTS,
+                gap_s=GAP_S,
             )
             await engine.start()
             stack.callback(engine.close)
@@ -150,7 +158,9 @@
         for path, found in clients.results.items():
             record.add(f"{path}: {sum(found)} of {len(found)} served")
         ratio = shares["/draft/"] / max(shares["/booking/"], 0.01)
-        record.add(f"the later route was served {ratio:.2f} times as often as the first")
+        record.add(
+            f"the later route was served {ratio:.2f} times as often as the first"
+        )
         return BROKEN if ratio < LEAST_RATIO else HELD
 
 
--- a/review/rig-2/engines.py
+++ b/review/rig-2/engines.py
@@ -73,8 +73,8 @@
     version: str = "1"
     born: int = 0
     crashes_on: Callable[[Call], bool] = lambda call: False
-    on_crash: Callable[["Engine"], None] = lambda engine: None
-    on_reach: Callable[["Engine", Call], None] = lambda engine, call: None
+    on_crash: Callable[[Engine], None] = lambda engine: None
+    on_reach: Callable[[Engine, Call], None] = lambda engine, call: None
     is_silent: bool = False
     answer_headers: dict[str, str] = field(default_factory=dict)
     calls: list[Call] = field(default_factory=list)
@@ -207,7 +207,9 @@
             self.record.add(f"{self.name} crashes under {call.id}")
             self.crash()
             return False
-        return await self.reply(writer, 200, self.signed(call), b"done " + call.id.encode())
+        return await self.reply(
+            writer, 200, self.signed(call), b"done " + call.id.encode()
+        )
 
     async def run_stream(self, call: Call, writer: asyncio.StreamWriter) -> bool:
         """Prefill a prompt, then stream the events that the caller does not have."""
@@ -285,7 +287,11 @@
         }
 
     async def reply(
-        self, writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        headers: dict[str, str],
+        body: bytes,
     ) -> bool:
         """Send a whole answer."""
         length = {"Content-Length": str(len(body))}
@@ -353,5 +359,3 @@
     """Remove the entry of an engine that is silent, as the platform does."""
     await asyncio.sleep(LISTED_BEATS * HEARTBEAT_S)
     remove(engine.store, f"servers/{engine.name}")
-
-
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -22,7 +22,7 @@
 
 from turmericusher.standins.platform_store import (
     PlatformStoreStandin,
-    running_platform_store,
+    running_platform_store,  # noqa: F401 (the cases import it from here)
 )
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -175,7 +175,9 @@
     path, log = folder / f"{name}.conf", folder / f"{name}.log"
     path.write_text(settings)
     environment = {
-        name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+        name: os.environ[name]
+        for name in ("PATH", "HOME", "LANG")
+        if name in os.environ
     }
     environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
     environment["TURMERICUSHER_NODE_FILE"] = str(path)
@@ -314,7 +316,7 @@
     """Run a case and exit with its result; 2 if it could not run."""
     try:
         result = asyncio.run(case)
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         record.add(f"the case could not run: {error!r}")
         result = NOT_RUN
     record.add({BROKEN: "BROKEN", HELD: "held", NOT_RUN: "not run"}[result])
@@ -323,7 +325,6 @@
     sys.exit(result)
 
 
-
 def call_route(name: str, prefix: str, service: str, **changes: object) -> dict:
     """Return a route of calls that must not run twice, like those of the site."""
     return {
