Logs: what of a failed answer of the store had arrived, how long a large value took, who could not tell changes

Change: store_call_failed (revision asked after, time, bytes received), changed_value_read, changes_not_told. No logic is changed.

--- a/src/turmericusher/bounded_bodies.py
+++ b/src/turmericusher/bounded_bodies.py
@@ -136,12 +136,19 @@
 async def read_bounded(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Return the whole body; raise `BodyTooLargeError` beyond a size."""
     body = bytearray()
+    await read_into(body, response, max_bytes)
+    return bytes(body)
+
+
+async def read_into(
+    body: bytearray, response: aiohttp.ClientResponse, max_bytes: int
+) -> None:
+    """Append the body as it arrives; raise `BodyTooLargeError` beyond a size."""
     async for chunk in read_chunks(response):
         body += chunk
         if len(body) > max_bytes:
             response.close()
             check_size(len(body), max_bytes)
-    return bytes(body)
 
 
 async def read_held(chunks: AsyncIterable[bytes], held: HeldBytes) -> bytes:
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -16,7 +16,7 @@
     MAX_STORE_ANSWER_BYTES,
     BodyTooLargeError,
     bounded_connector,
-    read_bounded,
+    read_into,
 )
 from turmericusher.errors import (
     StoreError,
@@ -342,22 +342,46 @@
         """
         name = call.partition("/")[0]
         self.calls[name] = self.calls.get(name, 0) + 1
-        async with self.session.request(
-            method,
-            f"http://{self.address}/v1/{call}",
-            params=query,
-            data=msgspec.json.encode(change) if change is not None else None,
-            headers={"Content-Type": "application/json"} if change else None,
-            timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=CALL_TIMEOUT_S),
-        ) as response:
-            data = await read_bounded(response, MAX_STORE_ANSWER_BYTES)
+        data = bytearray()
+        with logging_failures(name, query, data):
+            async with self.session.request(
+                method,
+                f"http://{self.address}/v1/{call}",
+                params=query,
+                data=msgspec.json.encode(change) if change is not None else None,
+                headers={"Content-Type": "application/json"} if change else None,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, sock_connect=CALL_TIMEOUT_S
+                ),
+            ) as response:
+                await read_into(data, response, MAX_STORE_ANSWER_BYTES)
             self.record_era(response.headers.get(STORE_ERA))
             if response.status in BUSY_STATUSES:
                 raise StoreUnavailableError(
                     f"the store refused call {call}: status={response.status}"
                 )
             is_json = response.status in (OK, PRECONDITION_FAILED) and data
-            return response.status, decode_json(data) if is_json else {}
+            return response.status, decode_json(bytes(data)) if is_json else {}
+
+
+@contextmanager
+def logging_failures(
+    call: str, query: dict[str, str], received: bytearray
+) -> Iterator[None]:
+    """Log a call that fails, with what of the answer's body had been received."""
+    started_at = asyncio.get_running_loop().time()
+    try:
+        yield
+    except STORE_CALL_ERRORS as error:
+        log_event(
+            "store_call_failed",
+            call=call,
+            after=query.get(AFTER),
+            took_s=asyncio.get_running_loop().time() - started_at,
+            received_bytes=len(received),
+            error=repr(error),
+        )
+        raise
 
 
 @contextmanager
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -339,14 +339,19 @@
 
         Returns None if the key is absent. Raises `ChangePeerError`.
         """
+        started_at = clock()
         if self.unreached_since is not None:
-            return await self.peers.result().read(source.peer_address, key)
+            value = await self.peers.result().read(source.peer_address, key)
+            log_value_read(key, value, source.name, started_at)
+            return value
         try:
             stored = await self.store.get(key)
         except StoreError as error:
-            log_event("changed_value_unread", error=error.message)
+            log_event("changed_value_unread", key=key, error=error.message)
             raise ChangePeerError("a value could not be read") from error
-        return stored.value if stored is not None else None
+        value = stored.value if stored is not None else None
+        log_value_read(key, value, None, started_at)
+        return value
 
     # Learning from any other instance while the store does not answer
 
@@ -502,9 +507,12 @@
                 passed = await receive(self.pace.silence_s)
                 self.store.check_history()
                 if passed is None or not self.has_followed(passed):
+                    reason = "silent" if passed is None else "was without the store"
+                    log_unhelpful(source, after, reason)
                     return None
                 return source, await self.read_changes(source, passed, after)
-        except ChangePeerError:
+        except ChangePeerError as error:
+            log_unhelpful(source, after, repr(error))
             return None
         except StoreError:
             raise
@@ -519,6 +527,24 @@
         return since is None or clock() - passed.followed_s <= since
 
 
+def log_value_read(
+    key: str, value: bytes | None, source: str | None, started_at: float
+) -> None:
+    """Log a large value that was read, from the store or through an instance."""
+    log_event(
+        "changed_value_read",
+        key=key,
+        bytes=len(value or b""),
+        source=source or "store",
+        took_s=clock() - started_at,
+    )
+
+
+def log_unhelpful(source: EntryInstance, after: int, reason: str) -> None:
+    """Log that an instance does not tell the changes after a revision."""
+    log_event("changes_not_told", instance=source.name, after=after, reason=reason)
+
+
 def clock() -> float:
     """Return the event loop's monotonic time in seconds."""
     return asyncio.get_running_loop().time()
