Tests: large values over slow links, and a history dropped while one instance is turned away

Callers saw a leaving upstream used, and 404 for a route that had been added, because a call of the store that carries a large configuration ends after a second although its answer arrives, and because nobody can tell an instance what was changed in a gap of the history.

--- a/src/turmericusher/standins/platform_store.py
+++ b/src/turmericusher/standins/platform_store.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -57,12 +57,13 @@
     """The faults of the connection, in addition to those of the store.
 
     `silent` reads calls and never answers. `oldest_revision` is the oldest revision
-    that a watch may start after; an older one gets 410. `suppress_changes` makes every
-    watch time out without changes. `page_size` is the number of items in a page.
-    `change_delay_s` delays each answer with changes, as a slow link does. `malformed`
-    has the bytes to answer calls of a name with, and `extra_event` an item that each
-    answer to a watch with changes begins with. `refusal` turns all calls away, also
-    those that wait: a status, or `RESET` for a reset of the connection.
+    that a watch may be after; an older one gets 410, also while it waits.
+    `suppress_changes` makes every watch time out without changes. `page_size` is the
+    number of items in a page. `change_delay_s` delays each answer with changes, as a
+    slow link does. `malformed` has the bytes to answer calls of a name with, and
+    `extra_event` an item that each answer to a watch with changes begins with.
+    `refusal` turns all calls away, also those that wait: a status, or `RESET` for a
+    reset of the connection.
     """
 
     silent: bool = False
@@ -75,12 +76,52 @@
     refusal: int | None = None
 
 
+PIECE_BYTES = 8_192
+"""Bytes of an answer that a slow link carries before those of another answer."""
+
+
+@dataclass(slots=True)
+class SlowLink:
+    """A link that all answers share; it is free again at `free_at`, a monotonic time.
+
+    `carried_bytes` counts what it has carried.
+    """
+
+    bytes_per_s: float
+    free_at: float = 0.0
+    carried_bytes: int = 0
+
+    async def send(
+        self, request: web.Request, answer: web.Response
+    ) -> web.StreamResponse:
+        """Send an answer in pieces, between those of other answers."""
+        response = web.StreamResponse(status=answer.status, headers=answer.headers)
+        body = answer.body if isinstance(answer.body, bytes) else b""
+        response.content_length = len(body)
+        await response.prepare(request)
+        with suppress(ConnectionResetError):
+            for start in range(0, len(body), PIECE_BYTES):
+                piece = body[start : start + PIECE_BYTES]
+                await self.carry(len(piece))
+                await response.write(piece)
+            await response.write_eof()
+        return response
+
+    async def carry(self, size: int) -> None:
+        """Wait until the link has carried so many bytes."""
+        now = asyncio.get_running_loop().time()
+        self.free_at = max(now, self.free_at) + size / self.bytes_per_s
+        self.carried_bytes += size
+        await asyncio.sleep(self.free_at - now)
+
+
 @dataclass(slots=True)
 class PlatformStoreStandin:
     """The service's calls over one `MemoryStore`; `calls` lists the names received.
 
     `view` changes the values that are read, so that the callers of one address may see
-    others than those of another one with the same store.
+    others than those of another one with the same store. `link` carries the answers,
+    if there is one.
     """
 
     store: MemoryStore
@@ -88,6 +129,7 @@
     view: Callable[[bytes], bytes] = lambda value: value
     calls: list[str] = field(default_factory=list)
     address: str = ""
+    link: SlowLink | None = None
 
     async def handle_call(self, request: web.Request) -> web.StreamResponse:
         """Answer any call, with the faults that are switched on.
@@ -107,6 +149,8 @@
             if self.faults.refusal is not None:
                 return self.refuse(request, self.faults.refusal)
             response.headers[STORE_ERA] = str(self.store.era)
+            if self.link is not None and isinstance(response, web.Response):
+                return await self.link.send(request, response)
             return response
         except StoreUnavailableError:
             return web.Response(status=REFUSED_STATUS)
@@ -163,11 +207,11 @@
         """Return the changes after a revision, or none when the caller's wait ends."""
         prefix, after = request.query[PREFIX], int(request.query[AFTER])
         await self.store.begin_read()
-        if after < self.faults.oldest_revision or after > self.store.revision:
-            return web.Response(status=GONE)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(request.query[WAIT_MS]) / MILLISECONDS_PER_S
         while True:
+            if after < self.faults.oldest_revision or after > self.store.revision:
+                return web.Response(status=GONE)
             events = [
                 event
                 if event.value is None
--- a/tests/common/domain_fixtures.py
+++ b/tests/common/domain_fixtures.py
@@ -20,6 +20,7 @@
 from turmericusher.relay_serving import RelayInstance
 from turmericusher.standins.platform_store import (
     PlatformStoreStandin,
+    SlowLink,
     running_platform_store,
 )
 
@@ -34,11 +35,13 @@
     store: PlatformStoreStandin
     instances: dict[str, RelayInstance] = field(default_factory=dict)
     stacks: dict[str, AsyncExitStack] = field(default_factory=dict)
+    bounds: dict[str, float] = field(default_factory=dict)
+    links: dict[str, SlowLink] = field(default_factory=dict)
 
     async def add_instance(self, name: str, store_address: str | None = None) -> None:
         """Start an instance, which may reach the store at an address of its own."""
         address = store_address or self.store.address
-        text = settings_text(unused_loopback_host(), address, name)
+        text = settings_text(unused_loopback_host(), address, name, **self.bounds)
         settings = parse_node_settings(f"{text}internal_port_range=20005,20009\n")
         stack = self.stacks[name] = AsyncExitStack()
         self.instances[name] = await stack.enter_async_context(running_node(settings))
@@ -80,15 +83,30 @@
 
 
 @asynccontextmanager
-async def running_domain(instances: int) -> AsyncIterator[DomainSimulation]:
-    """Run instances that know each other and, if there are enough, share the watch."""
-    async with running_platform_store() as store:
+async def running_domain(
+    instances: int, link_bytes_per_s: float | None = None, **bounds: float
+) -> AsyncIterator[DomainSimulation]:
+    """Run instances that know each other and, if there are enough, share the watch.
+
+    With `link_bytes_per_s`, each has a link of its own from the store.
+    """
+    async with AsyncExitStack() as doors, running_platform_store() as store:
         store.store.write(CONFIGURATION_KEY, configuration())
-        simulation = DomainSimulation(store)
+        simulation = DomainSimulation(store, bounds=bounds)
+
+        async def add_instance(name: str) -> None:
+            address = None
+            if link_bytes_per_s is not None:
+                link = SlowLink(link_bytes_per_s)
+                door = running_platform_store(store.store, link=link)
+                address = (await doors.enter_async_context(door)).address
+                simulation.links[name] = link
+            await simulation.add_instance(name, address)
+
         try:
             async with asyncio.TaskGroup() as group:
                 for number in range(instances):
-                    group.create_task(simulation.add_instance(f"entry-{number}"))
+                    group.create_task(add_instance(f"entry-{number}"))
             await simulation.wait_for_all(
                 lambda each: len(each.fleet.instances.entries) == instances, 20.0
             )
--- a/tests/common/turned_away_fixtures.py
+++ b/tests/common/turned_away_fixtures.py
@@ -32,6 +32,9 @@
 LIMIT_S = 2.0
 """Seconds within which a change must then be in force there."""
 
+GAP_S = 1.0
+"""Seconds for which watches bring nothing before the store drops its history."""
+
 TURNING_AWAY: dict[str, Callable[[ConnectionFaults], None]] = {
     "busy": lambda faults: setattr(faults, "refusal", 503),
     "limited": lambda faults: setattr(faults, "refusal", 429),
@@ -72,6 +75,18 @@
         """Serve the instance again."""
         self.door.faults = ConnectionFaults()
 
+    @asynccontextmanager
+    async def losing_history(self) -> AsyncIterator[None]:
+        """Have no watch bring what is written inside the context; then drop it."""
+        doors = (self.fleet.store, self.door)
+        for each in doors:
+            each.faults.suppress_changes = True
+        yield
+        await asyncio.sleep(GAP_S)
+        for each in doors:
+            each.faults.oldest_revision = self.fleet.store.store.revision
+            each.faults.suppress_changes = False
+
     @contextmanager
     def cut_from_others(self) -> Iterator[None]:
         """Let the instance reach no other one inside the context."""
--- a/tests/cover/test_turned_away.py
+++ b/tests/cover/test_turned_away.py
@@ -62,6 +62,47 @@
             write(CONFIGURATION_KEY, configuration(3, services=LARGE_SERVICES))
             await simulation.wait_for_version(3)
 
+    @parameterized.expand(WAYS)
+    @run_async
+    async def test_drain_a_leaving_upstream_is_not_used_though_the_history_is_gone(
+        self, how
+    ):
+        async with running_turned_away() as simulation:
+            await simulation.turn_away(how)
+            async with simulation.losing_history():
+                simulation.fleet.write_upstream_entry(0, "draining")
+                simulation.fleet.store.store.write(f"{UPSTREAM_PREFIX}u1", None)
+            await wait_until(
+                lambda: not simulation.is_used(0) and not simulation.is_used(1),
+                LIMIT_S,
+            )
+            self.assertTrue(simulation.is_used(2))
+
+    @parameterized.expand(WAYS)
+    @run_async
+    async def test_config_is_in_force_in_time_though_the_history_is_gone(self, how):
+        async with running_turned_away() as simulation:
+            await simulation.turn_away(how)
+            write = simulation.fleet.store.store.write
+            async with simulation.losing_history():
+                write(CONFIGURATION_KEY, configuration(2, services=LARGE_SERVICES))
+            await simulation.wait_for_version(2)
+
+    @run_async
+    async def test_drain_an_upstream_that_others_know_is_gone_gets_no_time_to_return(
+        self,
+    ):
+        async with running_turned_away() as simulation:
+            with simulation.cut_from_others():
+                await simulation.turn_away("silent")
+                simulation.fleet.store.store.write(f"{UPSTREAM_PREFIX}u0", None)
+                await asyncio.sleep(LIMIT_S)
+                self.assertTrue(simulation.is_used(0))
+            listing = simulation.alone.fleet.upstreams
+            await wait_until(lambda: listing.store_lost_at is None, RELIST_GRACE_S)
+            await asyncio.sleep(0.1)
+            self.assertFalse(simulation.is_used(0))
+
     @parameterized.expand(PHASES)
     @run_async
     async def test_drain_an_upstream_that_left_during_a_cut_is_not_used_after_it(
