Store: a call lasts as long as its answer arrives

Cause: a call of the store had one second whatever its answer carried. Evidence: nine instances asked after revision 635, received 573 to 596 KB in that second, threw it away, took the store for lost, and asked the same again. Change: an answer must begin in time, and then go on arriving; silence of a second ends it, or 15 s in all. Why it works: what a link carries is progress, however large the value.

--- a/src/turmericusher/bounded_bodies.py
+++ b/src/turmericusher/bounded_bodies.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterable, AsyncIterator, Iterator
+from collections.abc import AsyncIterable, AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -141,10 +141,20 @@
 
 
 async def read_into(
-    body: bytearray, response: aiohttp.ClientResponse, max_bytes: int
+    body: bytearray,
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    on_arrival: Callable[[], None] = lambda: None,
 ) -> None:
-    """Append the body as it arrives; raise `BodyTooLargeError` beyond a size."""
+    """Append the body as it arrives; raise `BodyTooLargeError` beyond a size.
+
+    A body whose stated length is beyond it is not read.
+    """
+    if (response.content_length or 0) > max_bytes:
+        response.close()
+        check_size(response.content_length or 0, max_bytes)
     async for chunk in read_chunks(response):
+        on_arrival()
         body += chunk
         if len(body) > max_bytes:
             response.close()
--- a/src/turmericusher/errors.py
+++ b/src/turmericusher/errors.py
@@ -120,5 +120,12 @@
     """The store has come back from an older copy: its revisions mean something else."""
 
 
+class LargeAnswerError(TurmericusherError):
+    """An answer of the store is larger than it may be; the store does answer."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(ErrorCode.STORE_UNAVAILABLE, message)
+
+
 class ConflictError(TurmericusherError):
     """A change was refused because a concurrent change took effect first."""
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -19,6 +20,7 @@
     read_into,
 )
 from turmericusher.errors import (
+    LargeAnswerError,
     StoreError,
     StoreHistoryLostError,
     StoreOutcomeUnknownError,
@@ -69,6 +71,12 @@
 CALL_TIMEOUT_S = 1.0
 """Calls take milliseconds, and a few hundred milliseconds when the store is slow."""
 
+ANSWER_TIMEOUT_S = 15.0
+"""Seconds that the whole of an answer may take to arrive. The largest page of a read
+takes 3 s over the slowest links, and as long again for each other answer beside it."""
+
+CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT_S)
+
 MAX_WATCH_WAIT_S = 25.0
 """The longest wait of a watch call, below the 30 s that the store allows at most."""
 
@@ -143,6 +151,21 @@
 
         Raises `StoreRestoredError` once if the store was restored since the last time.
         """
+        snapshot, era = await self.read_pages(prefix)
+        self.read_era = era
+        return snapshot
+
+    async def read_part(self, prefix: str) -> Snapshot:
+        """Read the keys of a prefix of what is watched.
+
+        Raises `StoreRestoredError` if the store was restored since all of it was read.
+        """
+        snapshot, _ = await self.read_pages(prefix)
+        self.check_history()
+        return snapshot
+
+    async def read_pages(self, prefix: str) -> tuple[Snapshot, int | None]:
+        """Read all keys that start with `prefix`, and the era that they are of."""
         values: list[StoredValue] = []
         first_revision: int | None = None
         query = {PREFIX: prefix}
@@ -170,8 +193,7 @@
             # a watch from there on also brings what changed between the pages.
             first_revision = revision if first_revision is None else first_revision
             if not has_more or not page:
-                self.read_era = era
-                return Snapshot(tuple(values), first_revision)
+                return Snapshot(tuple(values), first_revision), era
             query = {PREFIX: prefix, AFTER: page[-1].key}
 
     async def compare_and_swap(
@@ -231,11 +253,18 @@
             if answer.events:
                 await asyncio.sleep(self.watch_pause_s)
 
-    async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
+    async def poll(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        max_bytes: int = MAX_STORE_ANSWER_BYTES,
+    ) -> WatchAnswer:
         """Return the changes under `prefix` after a revision as soon as there are any.
 
         There are none if nothing changes for `wait_s` seconds. Raises as `watch` does,
-        and `StoreRestoredError` if the revision is of a history that was replaced.
+        `StoreRestoredError` if the revision is of a history that was replaced, and
+        `LargeAnswerError` if the answer has more than `max_bytes`.
         """
         self.check_history()
         query = {
@@ -243,7 +272,7 @@
             AFTER: str(after),
             WAIT_MS: str(int(wait_s * MILLISECONDS_PER_S)),
         }
-        status, body = await self.read(WATCH, query, wait_s + WATCH_MARGIN_S)
+        status, body = await self.read(WATCH, query, wait_s + WATCH_MARGIN_S, max_bytes)
         self.check_history()
         if status == GONE:
             raise StoreHistoryLostError(
@@ -299,11 +328,18 @@
         self.era = era
 
     async def read(
-        self, call: str, query: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
+        self,
+        call: str,
+        query: dict[str, str],
+        timeout_s: float = CALL_TIMEOUT_S,
+        max_bytes: int = MAX_STORE_ANSWER_BYTES,
     ) -> tuple[int, Json]:
-        """Make a read-only call; raise `StoreUnavailableError` if it fails."""
+        """Make a read-only call; raise `StoreUnavailableError` if it fails.
+
+        Raises `LargeAnswerError` as `call` does.
+        """
         try:
-            return await self.call("GET", call, query, None, timeout_s)
+            return await self.call("GET", call, query, None, timeout_s, max_bytes)
         except STORE_CALL_ERRORS as error:
             raise StoreUnavailableError(
                 f"store call {call} failed: {error!r}"
@@ -335,26 +371,37 @@
         query: dict[str, str],
         change: Json | None,
         timeout_s: float,
+        max_bytes: int = MAX_STORE_ANSWER_BYTES,
     ) -> tuple[int, Json]:
         """Send one request; return its status and its JSON body, if it has one.
 
-        Raises `StoreUnavailableError` if the store was too busy to take the call.
+        The answer must begin within `timeout_s` seconds. How long it then takes is the
+        link's matter, as long as more of it arrives. Raises `StoreUnavailableError` if
+        the store was too busy to take the call, and `LargeAnswerError` if `max_bytes`
+        is lower than for any answer and this one has more.
         """
         name = call.partition("/")[0]
         self.calls[name] = self.calls.get(name, 0) + 1
         data = bytearray()
         with logging_failures(name, query, data):
-            async with self.session.request(
-                method,
-                f"http://{self.address}/v1/{call}",
-                params=query,
-                data=msgspec.json.encode(change) if change is not None else None,
-                headers={"Content-Type": "application/json"} if change else None,
-                timeout=aiohttp.ClientTimeout(
-                    total=timeout_s, sock_connect=CALL_TIMEOUT_S
-                ),
-            ) as response:
-                await read_into(data, response, MAX_STORE_ANSWER_BYTES)
+            async with (
+                arriving(timeout_s) as has_arrived,
+                self.session.request(
+                    method,
+                    f"http://{self.address}/v1/{call}",
+                    params=query,
+                    data=msgspec.json.encode(change) if change is not None else None,
+                    headers={"Content-Type": "application/json"} if change else None,
+                    timeout=CONNECT_TIMEOUT,
+                ) as response,
+            ):
+                has_arrived()
+                try:
+                    await read_into(data, response, max_bytes, has_arrived)
+                except BodyTooLargeError as error:
+                    if max_bytes < MAX_STORE_ANSWER_BYTES:
+                        raise LargeAnswerError(f"{name}: {error}") from error
+                    raise
             self.record_era(response.headers.get(STORE_ERA))
             if response.status in BUSY_STATUSES:
                 raise StoreUnavailableError(
@@ -364,6 +411,25 @@
             return response.status, decode_json(bytes(data)) if is_json else {}
 
 
+@asynccontextmanager
+async def arriving(timeout_s: float) -> AsyncIterator[Callable[[], None]]:
+    """Yield a function to be called when something of an answer has arrived.
+
+    Raises `TimeoutError` if nothing does for `timeout_s` seconds, later for
+    `CALL_TIMEOUT_S`, or if the whole takes `ANSWER_TIMEOUT_S` after its beginning.
+    """
+    clock = asyncio.get_running_loop().time
+    ends_by = math.inf
+
+    def has_arrived() -> None:
+        nonlocal ends_by
+        ends_by = min(ends_by, clock() + ANSWER_TIMEOUT_S)
+        timeout.reschedule(min(ends_by, clock() + CALL_TIMEOUT_S))
+
+    async with asyncio.timeout(timeout_s) as timeout:
+        yield has_arrived
+
+
 @contextmanager
 def logging_failures(
     call: str, query: dict[str, str], received: bytearray
--- a/src/turmericusher/standins/platform_store.py
+++ b/src/turmericusher/standins/platform_store.py
@@ -84,12 +84,14 @@
 class SlowLink:
     """A link that all answers share; it is free again at `free_at`, a monotonic time.
 
+    It carries nothing more after `stops_after_bytes`, if that is not None;
     `carried_bytes` counts what it has carried.
     """
 
     bytes_per_s: float
     free_at: float = 0.0
     carried_bytes: int = 0
+    stops_after_bytes: int | None = None
 
     async def send(
         self, request: web.Request, answer: web.Response
@@ -109,6 +111,9 @@
 
     async def carry(self, size: int) -> None:
         """Wait until the link has carried so many bytes."""
+        limit = self.stops_after_bytes
+        if limit is not None and self.carried_bytes >= limit:
+            await asyncio.sleep(SILENT_WAIT_S)
         now = asyncio.get_running_loop().time()
         self.free_at = max(now, self.free_at) + size / self.bytes_per_s
         self.carried_bytes += size
--- a/tests/cover/test_platform_store.py
+++ b/tests/cover/test_platform_store.py
@@ -1,9 +1,10 @@
 """Test the adapter of the platform's store against a stand-in with its wire format."""
 
 import asyncio
+import time
 
 from parameterized import parameterized
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 
 from tests.common.asynchronous import run_async
 from tests.common.waiting import wait_until
@@ -12,10 +13,10 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from turmericusher.platform.store import open_platform_store
+from turmericusher.platform.store import CALL_TIMEOUT_S, open_platform_store
 from turmericusher.platform.store_messages import READ_RANGE, WATCH
 from turmericusher.ports.keyvalue import ABSENT
-from turmericusher.standins.platform_store import running_platform_store
+from turmericusher.standins.platform_store import SlowLink, running_platform_store
 
 WATCH_PAUSE_S = 0.3
 
@@ -96,6 +97,23 @@
             with self.assertRaises(StoreUnavailableError):
                 await store.get("a/1")
 
+    @run_async
+    async def test_a_call_lasts_while_its_answer_arrives_and_ends_when_it_stops(self):
+        async with (
+            running_platform_store() as standin,
+            open_platform_store(standin.address) as store,
+        ):
+            standin.store.write("a/1", b"x" * 150_000)
+            standin.link = SlowLink(100_000)
+            started_at = time.monotonic()
+            self.assertEqual(150_000, len((await store.get("a/1")).value))
+            self.assertGreater(time.monotonic() - started_at, 1.5 * CALL_TIMEOUT_S)
+            standin.link = SlowLink(100_000, stops_after_bytes=50_000)
+            started_at = time.monotonic()
+            with ExpectedException(StoreUnavailableError):
+                await store.get("a/1")
+            self.assertLess(time.monotonic() - started_at, 2.5 * CALL_TIMEOUT_S)
+
     @run_async
     async def test_a_write_to_an_unreachable_store_has_not_taken_effect(self):
         async with running_platform_store() as standin:
