Watch: small changes do not wait for large values, of which only the newest is read

Cause: an instance that follows another one applied nothing before it had read each version of each large value in turn; at a silence it asked the store for all versions since, whole. Change: what is passed on is applied as it comes, and large values are read beside it, the newest version once. An answer that would take long on this link is not read: entries and the operator's keys are then asked for apart, each with a revision of its own, and of several versions the newest state is read. What was applied of each key never gives way to something older. What is told as complete does not pass a value that is not read, so that a failure loses none.

--- a/src/turmericusher/decisions/watch_pace.py
+++ b/src/turmericusher/decisions/watch_pace.py
@@ -30,6 +30,12 @@
 """Share of the limit after which the others take its silence for a failure: the rest is
 for asking the store, as from the beginning."""
 
+LARGE_ANSWER_SHARE = 0.05
+"""Share of the limit for which small changes may wait for one answer to arrive."""
+
+MIN_LARGE_ANSWER_BYTES = 65_536
+"""An answer of fewer bytes is not large on any link: asking anew would take longer."""
+
 ENCODED_SHARE = 4 / 3
 """Bytes of a value on the wire for each of its own, in base64."""
 
@@ -42,7 +48,8 @@
     """The longest wait for changes and the pause after changes, in seconds.
 
     `watcher_s` is both of an instance that watches for others, and `silence_s` how long
-    these wait for it to say anything.
+    these wait for it to say anything. An answer with more than `large_answer_bytes`
+    keeps small changes waiting on this link; None if there is none of that size.
 
     A call that waits may miss changes if the store drops its history, which only the
     next call shows. The two do not add up: a call after a pause returns at once if
@@ -53,6 +60,7 @@
     pause_s: float
     watcher_s: float
     silence_s: float
+    large_answer_bytes: int | None = None
 
 
 def make_watch_pace(
@@ -66,11 +74,17 @@
     wait_s, pause_s = MIN_WAIT_SHARE * limit_s, MIN_PAUSE_SHARE * limit_s
     watcher_s, silence_s = WATCHER_SHARE * limit_s, SILENCE_SHARE * limit_s
     if link_bytes_per_s is None:
-        return WatchPace(wait_s, pause_s, watcher_s, silence_s)
+        return WatchPace(wait_s, pause_s, watcher_s, silence_s, MIN_LARGE_ANSWER_BYTES)
+    large_bytes = max(
+        MIN_LARGE_ANSWER_BYTES, int(LARGE_ANSWER_SHARE * limit_s * link_bytes_per_s)
+    )
+    is_fast = large_bytes > ENCODED_SHARE * largest_value_bytes
     transfer_s = ENCODED_SHARE * largest_value_bytes / link_bytes_per_s
     budget_s = USED_SHARE * limit_s
     longest_pause_s = min(
         MAX_PAUSE_SHARE * limit_s, budget_s - VERSIONS_AFTER_PAUSE * transfer_s
     )
     wait_s, pause_s = max(wait_s, budget_s - transfer_s), max(pause_s, longest_pause_s)
-    return WatchPace(wait_s, pause_s, watcher_s, silence_s)
+    return WatchPace(
+        wait_s, pause_s, watcher_s, silence_s, None if is_fast else large_bytes
+    )
--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -16,6 +16,7 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from itertools import islice
 
 from turmericusher.decisions.fleet import EntryInstance, Lifecycle
 from turmericusher.decisions.subsets import rendezvous_weight
@@ -66,21 +67,25 @@
 class PassedChanges:
     """All changes up to a revision of the store, from the one last passed on.
 
-    The instance that passes them on has followed the store for `followed_s` seconds
-    without a break.
+    There may be later ones too. The instance that passes them on has followed the store
+    for `followed_s` seconds without a break, and has heard of all its keys within the
+    last `age_s` seconds.
     """
 
     changes: tuple[PassedChange, ...]
     revision: int
     followed_s: float = 0.0
+    age_s: float = 0.0
 
 
 @dataclass(slots=True)
 class ChangeLog:
-    """The latest changes that an instance has seen in the store, the oldest first.
+    """The latest changes that an instance has seen in the store.
 
-    It has all of them from after `floor` up to `revision`, while `is_open`. Revisions
-    are those of `history`, which changes when the store comes back from an older copy.
+    It has all of them from after `floor` up to `revision`, while `is_open`, and some
+    later ones; those of one key are in their order. Revisions are those of `history`,
+    which changes when the store comes back from an older copy. `added` counts the
+    changes ever added, and `begun` how often the log has begun anew.
     """
 
     floor: int = 0
@@ -88,6 +93,8 @@
     is_open: bool = False
     history: int | None = None
     changes: deque[PassedChange] = field(default_factory=deque)
+    added: int = 0
+    begun: int = 0
 
     def after(self, revision: int) -> PassedChanges | None:
         """Return the changes after a revision; None if they are not all held here.
@@ -99,11 +106,22 @@
         newer = tuple(each for each in self.changes if each.revision > revision)
         return PassedChanges(newer, max(revision, self.revision))
 
+    def since(self, added: int, begun: int) -> PassedChanges | None:
+        """Return what came after a state of the log; None if it is not all held here.
+
+        `added` and `begun` are those of that state.
+        """
+        count = self.added - added
+        if not self.is_open or begun != self.begun or count > len(self.changes):
+            return None
+        first = len(self.changes) - count
+        return PassedChanges(tuple(islice(self.changes, first, None)), self.revision)
+
     def open_at(self, revision: int, history: int | None = None) -> None:
         """Begin anew after a revision, unless all up to there is known."""
         is_known = self.is_open and history == self.history
         if not is_known or revision != self.revision:
-            self.changes.clear()
+            self.clear()
             self.floor = self.revision = revision
         self.history = history
         self.is_open = True
@@ -111,15 +129,22 @@
     def close(self) -> None:
         """Pass on nothing more: what the store has now is not known."""
         self.is_open = False
-        self.changes.clear()
+        self.clear()
         self.floor = self.revision
 
+    def clear(self) -> None:
+        """Forget all changes."""
+        self.changes.clear()
+        self.begun += 1
+
     def append(self, changes: Iterable[PassedChange], revision: int) -> None:
         """Add the answer to a watch, which has all changes up to `revision`."""
-        self.changes.extend(changes)
+        for each in changes:
+            self.changes.append(each)
+            self.added += 1
         self.revision = max(self.revision, revision)
         while len(self.changes) > MAX_KEPT_CHANGES:
-            self.floor = self.changes.popleft().revision
+            self.floor = max(self.floor, self.changes.popleft().revision)
 
 
 def make_passed_change(key: str, revision: int, value: bytes | None) -> PassedChange:
--- a/src/turmericusher/peers/changes_service.py
+++ b/src/turmericusher/peers/changes_service.py
@@ -131,6 +131,7 @@
         changes=changes,
         revision=passed.revision,
         followed_ms=int(passed.followed_s * MILLISECONDS_PER_S),
+        age_ms=int(passed.age_s * MILLISECONDS_PER_S),
     )
 
 
@@ -146,5 +147,8 @@
         for each in message.changes
     )
     return PassedChanges(
-        tuple(changes), message.revision, message.followed_ms / MILLISECONDS_PER_S
+        tuple(changes),
+        message.revision,
+        message.followed_ms / MILLISECONDS_PER_S,
+        message.age_ms / MILLISECONDS_PER_S,
     )
--- a/src/turmericusher/platform/names.py
+++ b/src/turmericusher/platform/names.py
@@ -84,8 +84,10 @@
 STORE_ERA = "store-era"
 
 # Keys and key prefixes in the store.
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
+OWN_PREFIX = "turmericusher/"
 INSTANCE_PREFIX = "turmericusher/instances/"
 CRASH_PREFIX = "turmericusher/crashes/"
 SOUND_PREFIX = "turmericusher/sound/"
@@ -95,6 +97,7 @@
 
 # The order to move a service's traffic to a version, by service, and its status.
 ROLLOUT_ORDER_PREFIX = "op/rollout/"
+STATUS_PREFIX = "status/"
 ROLLOUT_STATUS_PREFIX = "status/rollout/"
 
 # The decision on a roll-out and the instance that decides, by service, and what each
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -23,7 +23,7 @@
 from turmericusher.decisions.retrying.retries import RetryBudget
 from turmericusher.decisions.rollouts.orders import RolloutBounds
 from turmericusher.decisions.routing import NewestTable, RequestLimits
-from turmericusher.decisions.watch_pace import make_watch_pace
+from turmericusher.decisions.watch_pace import WatchPace, make_watch_pace
 from turmericusher.decisions.watch_sharing import WatchSharing
 from turmericusher.errors import SettingsError
 from turmericusher.logs import log_event
@@ -31,7 +31,13 @@
 from turmericusher.metrics import Metrics
 from turmericusher.platform.calls import entrypoints_app, readiness_app
 from turmericusher.platform.codec import PlatformCodec
-from turmericusher.platform.names import INSTANCE_PREFIX
+from turmericusher.platform.names import (
+    INSTANCE_PREFIX,
+    OPERATOR_PREFIX,
+    OWN_PREFIX,
+    STATUS_PREFIX,
+    UPSTREAM_PREFIX,
+)
 from turmericusher.platform.records import (
     CrashRecordCodec,
     decode_record,
@@ -54,6 +60,7 @@
 from turmericusher.tasks.rollouts import RolloutTask, rolling_out
 from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.store_follower import StoreFollower, following_store
+from turmericusher.tasks.store_polls import WatchedParts
 from turmericusher.tasks.stream_peers import running_stream_peers
 from turmericusher.tasks.stream_versions import (
     StreamVersionExchange,
@@ -156,7 +163,9 @@
         reports.before_review = context.record_ended_upstreams
         reports.on_change = context.apply_blocks
         sharing = WatchSharing(settings.name, settings.failure_domain)
-        watch = SharedWatch(store, pace, sharing, settings.random_for("watch"))
+        watch = SharedWatch(
+            store, pace, sharing, settings.random_for("watch"), watched_parts(pace)
+        )
         instance = assemble_instance(settings, context, store, watch)
         instance.set_budgets(1)
         guard.metrics, instance.guard = instance.metrics, guard
@@ -195,6 +204,14 @@
         yield instance
 
 
+def watched_parts(pace: WatchPace) -> WatchedParts | None:
+    """Return which keys are asked for apart; None where no value takes long."""
+    if pace.large_answer_bytes is None:
+        return None
+    small = (UPSTREAM_PREFIX, OWN_PREFIX, STATUS_PREFIX)
+    return WatchedParts(small, OPERATOR_PREFIX, pace.large_answer_bytes)
+
+
 def request_limits(tables: NewestTable) -> RequestLimits:
     """Return the limits of the configuration in force, or those by default."""
     return tables.table.limits if tables.table is not None else RequestLimits()
--- a/src/turmericusher/ports/keyvalue.py
+++ b/src/turmericusher/ports/keyvalue.py
@@ -61,12 +61,15 @@
 class WatchAnswer:
     """All changes up to the store's `revision` from the one that was asked after.
 
-    `source` is the instance that has passed them on, None for the store itself.
+    There may be later ones too, which come again if they are asked for. `source` is
+    the instance that has passed them on, None for the store itself. All keys were
+    heard of at `heard_at` or later, a monotonic time in seconds, if it is told.
     """
 
     events: tuple[WatchEvent, ...]
     revision: int
     source: str | None = None
+    heard_at: float | None = None
 
 
 class KeyValueStore(Protocol):
--- a/src/turmericusher/tasks/rollouts.py
+++ b/src/turmericusher/tasks/rollouts.py
@@ -176,8 +176,8 @@
                 self.apply(record, now)
 
     def record_heard(self, now: float) -> None:
-        """Record that the store was heard of."""
-        self.rollouts.heard_at = now
+        """Record that the store was heard of at a time, or later."""
+        self.rollouts.heard_at = max(self.rollouts.heard_at, now)
 
     def store_lost(self, now: float) -> None:
         """Do nothing: sends keep the last step known, and end a trial."""
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -17,13 +17,14 @@
 from collections.abc import (
     AsyncGenerator,
     AsyncIterator,
-    Awaitable,
     Callable,
+    Iterable,
     Iterator,
 )
 from contextlib import AsyncExitStack, aclosing, asynccontextmanager, contextmanager
-from dataclasses import dataclass, field
-from typing import Protocol
+from dataclasses import dataclass, field, replace
+from functools import partial
+from typing import Any, Protocol
 
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.watch_pace import WatchPace
@@ -34,9 +35,14 @@
     PassedChanges,
     WatchSharing,
 )
-from turmericusher.errors import StoreError, StoreHistoryLostError
+from turmericusher.errors import (
+    LargeAnswerError,
+    StoreError,
+    StoreHistoryLostError,
+)
 from turmericusher.logs import log_event
 from turmericusher.ports.change_peers import ChangePeerError, ChangePeers
+from turmericusher.ports.key_revisions import KeyRevisions
 from turmericusher.ports.keyvalue import (
     Snapshot,
     StoredValue,
@@ -45,6 +51,8 @@
 )
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.change_feed import ChangeFeed
+from turmericusher.tasks.large_values import reading_values
+from turmericusher.tasks.store_polls import StorePolls, WatchedParts, open_polls
 
 MAX_SILENCES = 3
 """Silences in a row after which an instance is no longer followed."""
@@ -92,8 +100,17 @@
         """Read all keys that start with `prefix`."""
         ...
 
-    async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
-        """Return the changes after a revision as soon as there are any."""
+    async def read_part(self, prefix: str) -> Snapshot:
+        """Read the keys of a prefix of what is watched."""
+        ...
+
+    async def poll(
+        self, prefix: str, after: int, wait_s: float, max_bytes: int = ...
+    ) -> WatchAnswer:
+        """Return the changes after a revision as soon as there are any.
+
+        Raises `LargeAnswerError` if the answer has more than `max_bytes`.
+        """
         ...
 
     def check_history(self) -> None:
@@ -115,13 +132,16 @@
     changes come from now, None for the store, and `polls` counts calls of the store.
     The store has not answered since `unreached_since`, a time of the event loop in
     seconds, None while it does; `on_reach` is called with each change of that, and
-    `returned_at` is when it last answered again.
+    `returned_at` is when it last answered again. `known` has what was applied of each
+    key, which `StoreFollower` records. `parts` tells which keys may have large values.
     """
 
     store: PolledStore
     pace: WatchPace
     sharing: WatchSharing
     random: random.Random = field(default_factory=random.Random)
+    parts: WatchedParts | None = None
+    known: KeyRevisions = field(default_factory=KeyRevisions)
     feed: ChangeFeed = field(default_factory=ChangeFeed)
     peers: asyncio.Future[ChangePeers] = field(default_factory=new_peers)
     source: str | None = None
@@ -191,27 +211,44 @@
     ) -> AsyncGenerator[WatchAnswer, None]:
         """Yield the store's answers until there is an instance to learn from."""
         self.feed.open_at(after, self.store.history)
-        while True:
-            is_watcher = self.sharing.is_watcher
-            wait_s = self.pace.watcher_s if is_watcher else self.pace.wait_s
-            answer = await self.poll(prefix, after, wait_s)
-            self.feed.publish(answer.events, answer.revision)
-            yield answer
-            after = max(after, answer.revision)
-            if self.next_source() is not None:
-                self.feed.close()
-                return
-            if answer.events:
-                pause_s = self.pace.watcher_s if is_watcher else self.pace.pause_s
-                if clock() - self.returned_at < RETURN_S:
-                    pause_s = min(pause_s, RETURN_PAUSE_S)
-                await asyncio.sleep(pause_s)
-
-    async def poll(self, prefix: str, after: int, wait_s: float) -> WatchAnswer:
+        polls = StorePolls(self, prefix, self.known, self.parts, self.waits)
+        async with open_polls(polls):
+            polls.begin(after)
+            while True:
+                await wait_for_any(polls.tasks.values())
+                for answer in polls.take(clock()):
+                    news = self.known.select_news(answer.events)
+                    self.feed.publish(news, answer.revision, answer.heard_at)
+                    yield replace(answer, events=news)
+                    if self.next_source() is not None:
+                        self.feed.close()
+                        return
+                polls.join()
+
+    def waits(self) -> tuple[float, float]:
+        """Return how long a call waits for changes, and the pause after some."""
+        if self.sharing.is_watcher:
+            wait_s = pause_s = self.pace.watcher_s
+        else:
+            wait_s, pause_s = self.pace.wait_s, self.pace.pause_s
+        if clock() - self.returned_at < RETURN_S:
+            pause_s = min(pause_s, RETURN_PAUSE_S)
+        return wait_s, pause_s
+
+    async def poll(
+        self, prefix: str, after: int, wait_s: float, max_bytes: int | None = None
+    ) -> WatchAnswer:
         """Ask the store for changes, and count the call."""
         self.polls += 1
         with self.reaching(wait_s):
-            return await self.store.poll(prefix, after, wait_s)
+            if max_bytes is None:
+                return await self.store.poll(prefix, after, wait_s)
+            return await self.store.poll(prefix, after, wait_s, max_bytes)
+
+    async def read_part(self, prefix: str) -> Snapshot:
+        """Read the keys of a prefix from the store."""
+        with self.reaching(0.0):
+            return await self.store.read_part(prefix)
 
     @contextmanager
     def reaching(self, wait_s: float) -> Iterator[None]:
@@ -224,6 +261,9 @@
             yield
         except StoreHistoryLostError:
             raise
+        except LargeAnswerError:
+            self.mark_reached()
+            raise
         except StoreError as error:
             self.feed.close()
             if self.unreached_since is None:
@@ -231,6 +271,10 @@
                 log_event("store_unreached", message=error.message)
                 self.on_reach(False)
             raise
+        self.mark_reached()
+
+    def mark_reached(self) -> None:
+        """Record that the store answers."""
         if self.unreached_since is not None:
             self.unreached_since, self.returned_at = None, clock()
             self.on_reach(True)
@@ -247,27 +291,90 @@
         link is silent once.
         """
         self.feed.close()
-        silences = 0
+        read = partial(self.read_value, source)
+        complete = told = after
+        silences, heard_at = 0, clock()
+        polls = StorePolls(self, prefix, self.known, self.parts)
         try:
-            async with self.receiving(source, after) as receive:
+            async with (
+                self.receiving(source, after) as stream,
+                reading_values(read, self.random) as values,
+                open_polls(polls),
+            ):
                 while self.is_source(source):
-                    passed = await receive(self.pace.silence_s)
+                    await wait_for_any(
+                        {stream.pending},
+                        values.tasks.values(),
+                        polls.tasks.values(),
+                        wait_s=heard_at + self.pace.silence_s - clock(),
+                    )
+                    now = clock()
                     self.store.check_history()
-                    if passed is not None:
-                        silences = 0
-                        answer = await self.read_changes(source, passed, after)
-                    elif silences < MAX_SILENCES - 1:
-                        silences += 1
-                        answer = await self.poll(prefix, after, 0.0)
-                    else:
-                        raise ChangePeerError(f"silent {MAX_SILENCES} times")
-                    yield answer
-                    after = max(after, answer.revision)
+                    if stream.pending.done():
+                        silences, heard_at = 0, now
+                        passed = stream.take()
+                        complete = max(complete, passed.revision)
+                        values.want_all(self.large_news(passed, told))
+                        events = self.small_news(passed, told)
+                        told = values.complete(complete)
+                        heard = now - passed.age_s
+                        yield WatchAnswer(events, told, source.name, heard)
+                    elif now >= heard_at + self.pace.silence_s:
+                        silences, heard_at = silences + 1, now
+                        if silences == MAX_SILENCES:
+                            raise ChangePeerError(f"silent {MAX_SILENCES} times")
+                    for event in values.take():
+                        told = values.complete(complete)
+                        yield WatchAnswer((event,), told, source.name, 0.0)
+                    is_silent = silences > 0 and heard_at == now
+                    if (is_silent or values.has_failed) and not polls.tasks:
+                        polls.skips_large = bool(values.unread)
+                        polls.begin(told)
+                    values.has_failed = False
+                    for answer in polls.take(now):
+                        complete = max(complete, answer.revision)
+                        told = values.complete(complete)
+                        yield replace(answer, revision=told)
             return
         except ChangePeerError as error:
             self.log_left(source, error)
             self.sharing.record_failure(source.name, clock())
-        yield await self.poll(prefix, after, 0.0)
+        async with aclosing(self.poll_once(prefix, told)) as answers:
+            async for answer in answers:
+                yield answer
+
+    async def poll_once(
+        self, prefix: str, after: int
+    ) -> AsyncGenerator[WatchAnswer, None]:
+        """Yield what the store tells at once of the changes after a revision.
+
+        Large values are left to the next instance that is followed, or to the store.
+        """
+        polls = StorePolls(self, prefix, self.known, self.parts, skips_large=True)
+        async with open_polls(polls):
+            polls.begin(after)
+            while polls.tasks:
+                await wait_for_any(polls.tasks.values())
+                for answer in polls.take(clock()):
+                    yield answer
+
+    def small_news(self, passed: PassedChanges, after: int) -> tuple[WatchEvent, ...]:
+        """Return the small changes after a revision that are not known."""
+        return tuple(
+            WatchEvent(each.key, each.value, each.revision)
+            for each in self.news(passed, after)
+            if not each.must_be_read
+        )
+
+    def large_news(self, passed: PassedChanges, after: int) -> tuple[PassedChange, ...]:
+        """Return the changes after a revision whose values must be read."""
+        return tuple(each for each in self.news(passed, after) if each.must_be_read)
+
+    def news(self, passed: PassedChanges, after: int) -> Iterator[PassedChange]:
+        """Yield the changes after a revision that are not known."""
+        for each in passed.changes:
+            if each.revision > after and self.known.is_news(each.key, each.revision):
+                yield each
 
     def log_left(self, source: EntryInstance, error: ChangePeerError) -> None:
         """Log why nothing more is learned from an instance."""
@@ -276,36 +383,22 @@
     @asynccontextmanager
     async def receiving(
         self, source: EntryInstance, after: int
-    ) -> AsyncIterator[Callable[[float], Awaitable[PassedChanges | None]]]:
-        """Yield a function that returns what comes within some seconds, else None."""
+    ) -> AsyncIterator[ChangeStream]:
+        """Yield the stream of what another instance passes on after a revision."""
         async with AsyncExitStack() as stack:
             opening = self.peers.result().follow(
                 source.peer_address, after, self.store.history
             )
             try:
                 async with asyncio.timeout(self.pace.silence_s):
-                    stream = await stack.enter_async_context(opening)
+                    opened = await stack.enter_async_context(opening)
             except TimeoutError as error:
                 raise ChangePeerError("no connection in time") from error
-            pending = asyncio.ensure_future(anext(stream))
-
-            async def receive(wait_s: float) -> PassedChanges | None:
-                nonlocal pending
-                # A stream whose next element is no longer awaited would be lost.
-                done, _ = await asyncio.wait({pending}, timeout=wait_s)
-                if not done:
-                    return None
-                try:
-                    passed = await pending
-                except StopAsyncIteration:
-                    raise ChangePeerError("the stream has ended") from None
-                pending = asyncio.ensure_future(anext(stream))
-                return passed
-
+            stream = ChangeStream(opened)
             try:
-                yield receive
+                yield stream
             finally:
-                await cancel_tasks({pending})
+                await cancel_tasks({stream.pending})
 
     def is_source(self, instance: EntryInstance) -> bool:
         """Whether this incarnation of an instance is still the one to learn from."""
@@ -314,36 +407,19 @@
             (source.name, source.incarnation) == (instance.name, instance.incarnation)
         )
 
-    async def read_changes(
-        self, source: EntryInstance, passed: PassedChanges, after: int
-    ) -> WatchAnswer:
-        """Return the changes after a revision, with their values.
-
-        A value that cannot be read leaves all of them to the store.
-        """
-        newer = [each for each in passed.changes if each.revision > after]
-        events = [await self.read_change(source, each) for each in newer]
-        return WatchAnswer(tuple(events), passed.revision, source.name)
-
-    async def read_change(
-        self, source: EntryInstance, change: PassedChange
+    async def read_value(
+        self, source: EntryInstance, key: str, revision: int
     ) -> WatchEvent:
-        """Return a change with its value, which may have to be read."""
-        value = change.value
-        if change.must_be_read:
-            value = await self.read_value(source, change.key)
-        return WatchEvent(change.key, value, change.revision)
-
-    async def read_value(self, source: EntryInstance, key: str) -> bytes | None:
-        """Read a key, by an instance while the store does not answer this one.
+        """Read the value that a key has had since a revision.
 
-        Returns None if the key is absent. Raises `ChangePeerError`.
+        It is read by another instance while the store does not answer this one. Raises
+        `ChangePeerError`.
         """
         started_at = clock()
         if self.unreached_since is not None:
             value = await self.peers.result().read(source.peer_address, key)
             log_value_read(key, value, source.name, started_at)
-            return value
+            return WatchEvent(key, value, revision)
         try:
             stored = await self.store.get(key)
         except StoreError as error:
@@ -351,7 +427,8 @@
             raise ChangePeerError("a value could not be read") from error
         value = stored.value if stored is not None else None
         log_value_read(key, value, None, started_at)
-        return value
+        read_at = stored.revision if stored is not None else revision
+        return WatchEvent(key, value, max(revision, read_at))
 
     # Learning from any other instance while the store does not answer
 
@@ -398,19 +475,34 @@
         It ends earlier if the instance fails, or is silent for longer than one may be
         that watches for itself.
         """
+        complete = told = after
         heard_at = clock()
         max_silence_s = self.pace.wait_s + self.pace.silence_s
+        read = partial(self.read_value, source)
         try:
-            async with self.receiving(source, after) as receive:
+            async with (
+                self.receiving(source, after) as stream,
+                reading_values(read, self.random) as values,
+            ):
                 while not ended.done() and clock() - heard_at < max_silence_s:
-                    passed = await receive(CHECK_INTERVAL_S)
+                    await wait_for_any(
+                        {stream.pending}, values.tasks.values(), wait_s=CHECK_INTERVAL_S
+                    )
                     self.store.check_history()
-                    if passed is None:
-                        continue
-                    heard_at = clock()
-                    answer = await self.read_changes(source, passed, after)
-                    yield answer
-                    after = max(after, answer.revision)
+                    if stream.pending.done():
+                        heard_at = clock()
+                        passed = stream.take()
+                        complete = max(complete, passed.revision)
+                        values.want_all(self.large_news(passed, told))
+                        events = self.small_news(passed, told)
+                        told = values.complete(complete)
+                        heard = heard_at - passed.age_s
+                        yield WatchAnswer(events, told, source.name, heard)
+                    for event in values.take():
+                        told = values.complete(complete)
+                        yield WatchAnswer((event,), told, source.name, 0.0)
+                    if values.has_failed:
+                        raise ChangePeerError("a value could not be read")
         except ChangePeerError as error:
             self.log_left(source, error)
 
@@ -503,14 +595,19 @@
         None if it was itself without the store since this instance is.
         """
         try:
-            async with self.receiving(source, after) as receive:
-                passed = await receive(self.pace.silence_s)
+            async with self.receiving(source, after) as stream:
+                passed = await stream.receive(self.pace.silence_s)
                 self.store.check_history()
                 if passed is None or not self.has_followed(passed):
                     reason = "silent" if passed is None else "was without the store"
                     log_unhelpful(source, after, reason)
                     return None
-                return source, await self.read_changes(source, passed, after)
+                # Large values are told again when the instance is followed.
+                large = self.large_news(passed, after)
+                complete = min([passed.revision, *(e.revision - 1 for e in large)])
+                events = self.small_news(passed, after)
+                told = max(after, complete)
+                return source, WatchAnswer(events, told, source.name)
         except ChangePeerError as error:
             log_unhelpful(source, after, repr(error))
             return None
@@ -527,6 +624,50 @@
         return since is None or clock() - passed.followed_s <= since
 
 
+@dataclass(slots=True)
+class ChangeStream:
+    """What another instance passes on; `pending` brings the next of it."""
+
+    stream: AsyncIterator[PassedChanges]
+    pending: asyncio.Task[PassedChanges] = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Wait for the first."""
+        self.pending = self.next_one()
+
+    def next_one(self) -> asyncio.Task[PassedChanges]:
+        """Wait for what comes next."""
+
+        async def receive() -> PassedChanges:
+            try:
+                return await anext(self.stream)
+            except StopAsyncIteration:
+                raise ChangePeerError("the stream has ended") from None
+
+        return asyncio.create_task(receive())
+
+    def take(self) -> PassedChanges:
+        """Return what has come; raise `ChangePeerError` if the stream failed."""
+        passed = self.pending.result()
+        self.pending = self.next_one()
+        return passed
+
+    async def receive(self, wait_s: float) -> PassedChanges | None:
+        """Return what comes within some seconds, else None."""
+        # A stream whose next element is no longer awaited would be lost.
+        await wait_for_any({self.pending}, wait_s=wait_s)
+        return self.take() if self.pending.done() else None
+
+
+async def wait_for_any(
+    *groups: Iterable[asyncio.Task[Any]], wait_s: float | None = None
+) -> None:
+    """Wait until one of some tasks is done, for some seconds at most."""
+    tasks = {task for group in groups for task in group}
+    timeout_s = max(0.0, wait_s) if wait_s is not None else None
+    await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+
+
 def log_value_read(
     key: str, value: bytes | None, source: str | None, started_at: float
 ) -> None:
--- a/src/turmericusher/tasks/store_follower.py
+++ b/src/turmericusher/tasks/store_follower.py
@@ -28,6 +28,7 @@
     StoreRestoredError,
 )
 from turmericusher.logs import log_event
+from turmericusher.ports.key_revisions import KeyRevisions
 from turmericusher.ports.keyvalue import (
     Snapshot,
     StoredValue,
@@ -86,6 +87,11 @@
         """Yield the changes under `prefix` from `from_revision` on, in order."""
         ...
 
+    @property
+    def known(self) -> KeyRevisions:
+        """What was applied of each key."""
+        ...
+
     @property
     def unreached_since(self) -> float | None:
         """The time in seconds since which the store has not answered, if it has not."""
@@ -104,8 +110,8 @@
     """The task that owns the watch; `revision` is the last one seen, if any.
 
     `must_read` is set once the store does not have the changes since then.
-    `on_heard` is called with the time after each answer of the store was applied, and
-    `applied` has what the last one was.
+    `on_heard` is called after each answer of the store was applied, with a time at or
+    after which all keys were heard of; `applied` has what the last answer was.
     """
 
     store: WatchedStore
@@ -159,6 +165,7 @@
         self.mark_regained(reached_at, was_away=True)
         with self.applying(snapshot.revision):
             self.listener.store_read(snapshot.values, clock())
+        self.store.known.replace(snapshot.values)
         self.on_heard(clock())
         self.revision, self.must_read = snapshot.revision, False
         self.applied.record_answer(snapshot.revision, None, clock())
@@ -174,12 +181,14 @@
                 self.apply(answer)
 
     def apply(self, answer: WatchAnswer) -> None:
-        """Pass the changes of an answer to the listener."""
+        """Pass what is new in an answer to the listener."""
         assert self.revision is not None
-        if answer.events:
+        news = self.store.known.select_news(answer.events)
+        if news:
             with self.applying(answer.revision):
-                self.listener.store_changed(answer.events, clock())
-        self.on_heard(clock())
+                self.listener.store_changed(news, clock())
+        self.store.known.record(news, answer.revision)
+        self.on_heard(clock() if answer.heard_at is None else answer.heard_at)
         self.revision = max(self.revision, answer.revision)
         self.applied.record_answer(self.revision, answer.source, clock())
 
