Watch: a dropped history does not end what is passed on to an instance that is turned away

Class: changes passed on where state is known. Change: what a complete read shows to be different is passed on as changes, and the log goes on. Why it works: the log stays complete from its floor on, whatever the store forgets.

--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -39,6 +39,7 @@
     LargeAnswerError,
     StoreError,
     StoreHistoryLostError,
+    StoreRestoredError,
 )
 from turmericusher.logs import log_event
 from turmericusher.ports.change_peers import ChangePeerError, ChangePeers
@@ -151,9 +152,23 @@
     on_reach: Callable[[bool], None] = lambda is_reached: None
 
     async def get_prefix(self, prefix: str) -> Snapshot:
-        """Read all keys that start with `prefix` from the store."""
-        with self.reaching(0.0):
-            return await self.store.get_prefix(prefix)
+        """Read all keys that start with `prefix` from the store.
+
+        Those that follow this instance learn what was changed, if they still do.
+        """
+        history = self.store.history
+        try:
+            with self.reaching(0.0):
+                snapshot = await self.store.get_prefix(prefix)
+        except StoreRestoredError:
+            self.feed.close()
+            raise
+        if self.feed.log.is_open and history == self.store.history:
+            changes = self.known.changes_to(snapshot.values, snapshot.revision, prefix)
+            self.feed.publish(changes, snapshot.revision)
+        else:
+            self.feed.close()
+        return snapshot
 
     async def watch(
         self, prefix: str, from_revision: int
@@ -164,6 +179,7 @@
         raises, unless another instance helps. A failure of another instance is none.
         """
         after = from_revision - 1
+        is_kept = False
         try:
             while True:
                 source = self.next_source()
@@ -185,8 +201,13 @@
                     async for answer in answers:
                         yield answer
                         after = max(after, answer.revision)
+        except StoreHistoryLostError as error:
+            # What is passed on has no gap if all is read next.
+            is_kept = not isinstance(error, StoreRestoredError)
+            raise
         finally:
-            self.feed.close()
+            if not is_kept:
+                self.feed.close()
 
     def next_source(self) -> EntryInstance | None:
         """Return the instance to learn from, and log a change of it; None for none."""
