Watch: a large value is read through another instance in pieces, and once for all that want it

Cause: one call of the store for each that asks, and a time limit on the whole. Change: a value that the instance knows is passed on, others wait for one call, and the value comes in pieces, each of them in time; an instance of the release before is asked as before.

--- a/src/turmericusher/peers/changes_grpc.py
+++ b/src/turmericusher/peers/changes_grpc.py
@@ -22,6 +22,10 @@
     async def Read(self, stream: 'grpclib.server.Stream[turmericusher.peers.changes_pb2.ReadRequest, turmericusher.peers.changes_pb2.ReadValue]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def ReadPieces(self, stream: 'grpclib.server.Stream[turmericusher.peers.changes_pb2.ReadRequest, turmericusher.peers.changes_pb2.ValuePiece]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/turmericusher.peers.Changes/Follow': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 turmericusher.peers.changes_pb2.ReadRequest,
                 turmericusher.peers.changes_pb2.ReadValue,
             ),
+            '/turmericusher.peers.Changes/ReadPieces': grpclib.const.Handler(
+                self.ReadPieces,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                turmericusher.peers.changes_pb2.ReadRequest,
+                turmericusher.peers.changes_pb2.ValuePiece,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             turmericusher.peers.changes_pb2.ReadRequest,
             turmericusher.peers.changes_pb2.ReadValue,
         )
+        self.ReadPieces = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/turmericusher.peers.Changes/ReadPieces',
+            turmericusher.peers.changes_pb2.ReadRequest,
+            turmericusher.peers.changes_pb2.ValuePiece,
+        )
--- a/src/turmericusher/peers/changes_service.py
+++ b/src/turmericusher/peers/changes_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
@@ -23,11 +24,14 @@
 MILLISECONDS_PER_S = 1_000
 
 READ_TIMEOUT_S = 3.0
-"""Seconds that a read by another instance may take: it passes two links, which may be
-slow."""
+"""Seconds within which an instance that reads a value for another one must send the
+next piece of it. It may have to read it over a slow link first."""
 
-KeyReader = Callable[[str], Awaitable[StoredValue | None]]
-"""Reads a key from the store; raises as `KeyValueStore.get` does."""
+PIECE_BYTES = 16_384
+"""Bytes of a value in one message, which takes some milliseconds over a slow link."""
+
+KeyReader = Callable[[str, int], Awaitable[StoredValue | None]]
+"""Reads a key at a revision or later; raises as `KeyValueStore.get` does."""
 
 
 class ChangesService(ChangesBase):  # type: ignore[misc]
@@ -56,14 +60,32 @@
         request = await stream.recv_message()
         if request is None:
             return
-        try:
-            stored = await self.read_key(request.key)
-        except StoreError as error:
-            raise GRPCError(Status.UNAVAILABLE, error.message) from error
+        stored = await self.read_stored(request)
         await stream.send_message(
             pb.ReadValue(value=stored.value if stored is not None else None)
         )
 
+    async def ReadPieces(  # noqa: N802
+        self, stream: Stream[pb.ReadRequest, pb.ValuePiece]
+    ) -> None:
+        """Tell the value of a key in pieces."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        stored = await self.read_stored(request)
+        value = stored.value if stored is not None else b""
+        for start in range(0, len(value), PIECE_BYTES):
+            piece = pb.ValuePiece(bytes=value[start : start + PIECE_BYTES])
+            await stream.send_message(piece)
+        await stream.send_message(pb.ValuePiece(is_last=True, is_absent=stored is None))
+
+    async def read_stored(self, request: pb.ReadRequest) -> StoredValue | None:
+        """Read a key; raise `GRPCError` if that fails."""
+        try:
+            return await self.read_key(request.key, request.revision)
+        except StoreError as error:
+            raise GRPCError(Status.UNAVAILABLE, error.message) from error
+
 
 class ChangeStreams:
     """The `ChangePeers` over gRPC, with a connection for each stream."""
@@ -83,15 +105,38 @@
                 # An end that was not asked for would be an error of the protocol.
                 await stream.cancel()
 
-    async def read(self, address: str, key: str) -> bytes | None:
-        """Have an instance read a key from the store."""
+    async def read(self, address: str, key: str, revision: int) -> bytes | None:
+        """Have an instance tell the value that a key has had since a revision."""
+        request = pb.ReadRequest(key=key, revision=revision)
         with open_channel(address) as channel:
+            try:
+                return await receive_pieces(channel, request)
+            except GRPCError as error:
+                if error.status is not Status.UNIMPLEMENTED:
+                    raise
+            # An instance of the release before sends the value as a whole only.
             value: pb.ReadValue = await ChangesStub(channel).Read(
-                pb.ReadRequest(key=key), timeout=READ_TIMEOUT_S
+                request, timeout=READ_TIMEOUT_S
             )
         return value.value if value.HasField("value") else None
 
 
+async def receive_pieces(channel: Channel, request: pb.ReadRequest) -> bytes | None:
+    """Return a value that comes in pieces, each of them in time; None if absent."""
+    value = bytearray()
+    async with (
+        asyncio.timeout(READ_TIMEOUT_S) as timeout,
+        ChangesStub(channel).ReadPieces.open() as stream,
+    ):
+        await stream.send_message(request, end=True)
+        async for piece in stream:
+            timeout.reschedule(asyncio.get_running_loop().time() + READ_TIMEOUT_S)
+            value += piece.bytes
+            if piece.is_last:
+                return None if piece.is_absent else bytes(value)
+    raise ChangePeerError("the value has no last piece")
+
+
 @contextmanager
 def open_channel(address: str) -> Iterator[Channel]:
     """Yield a connection to `ip:port`; its errors become `ChangePeerError`."""
--- a/src/turmericusher/ports/change_peers.py
+++ b/src/turmericusher/ports/change_peers.py
@@ -26,9 +26,9 @@
         """
         ...
 
-    async def read(self, address: str, key: str) -> bytes | None:
-        """Have an instance read a key from the store; None if the key is absent.
+    async def read(self, address: str, key: str, revision: int) -> bytes | None:
+        """Have an instance tell the value that a key has had since a revision.
 
-        Raises `ChangePeerError`.
+        Returns None if the key is absent. Raises `ChangePeerError`.
         """
         ...
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -134,7 +134,8 @@
     The store has not answered since `unreached_since`, a time of the event loop in
     seconds, None while it does; `on_reach` is called with each change of that, and
     `returned_at` is when it last answered again. `known` has what was applied of each
-    key, which `StoreFollower` records. `parts` tells which keys may have large values.
+    key, which `StoreFollower` records. `parts` tells which keys may have large values,
+    and `readings` has those that are being read for other instances.
     """
 
     store: PolledStore
@@ -143,6 +144,7 @@
     random: random.Random = field(default_factory=random.Random)
     parts: WatchedParts | None = None
     known: KeyRevisions = field(default_factory=KeyRevisions)
+    readings: dict[str, asyncio.Task[StoredValue | None]] = field(default_factory=dict)
     feed: ChangeFeed = field(default_factory=ChangeFeed)
     peers: asyncio.Future[ChangePeers] = field(default_factory=new_peers)
     source: str | None = None
@@ -428,6 +430,22 @@
             (source.name, source.incarnation) == (instance.name, instance.incarnation)
         )
 
+    async def read_for_other(self, key: str, revision: int) -> StoredValue | None:
+        """Return the value that a key has had since a revision, for another instance.
+
+        One that is known here is not read again, and several that want the same wait
+        for one call. Raises as `KeyValueStore.get` does.
+        """
+        known = self.known.large.get(key)
+        if known is not None and known.revision >= revision > 0:
+            return known
+        while (reading := self.readings.get(key)) is not None and not reading.done():
+            stored = await asyncio.shield(reading)
+            if stored is not None and stored.revision >= revision > 0:
+                return stored
+        reading = self.readings[key] = asyncio.create_task(self.store.get(key))
+        return await asyncio.shield(reading)
+
     async def read_value(
         self, source: EntryInstance, key: str, revision: int
     ) -> WatchEvent:
@@ -438,7 +456,8 @@
         """
         started_at = clock()
         if self.unreached_since is not None:
-            value = await self.peers.result().read(source.peer_address, key)
+            peers = self.peers.result()
+            value = await peers.read(source.peer_address, key, revision)
             log_value_read(key, value, source.name, started_at)
             return WatchEvent(key, value, revision)
         try:
--- a/src/turmericusher/tasks/stream_peers.py
+++ b/src/turmericusher/tasks/stream_peers.py
@@ -56,7 +56,7 @@
             serving = service.serving_instances(
                 exchange.versions,
                 watch.feed,
-                watch.store.get,
+                watch.read_for_other,
                 lending.lend,
                 listener,
                 guard,
--- a/tests/common/turned_away_fixtures.py
+++ b/tests/common/turned_away_fixtures.py
@@ -53,7 +53,7 @@
         raise ChangePeerError(f"{address} is not reached")
         yield
 
-    async def read(self, address, key) -> bytes | None:
+    async def read(self, address, key, revision) -> bytes | None:
         """Fail as a connection that is refused does."""
         raise ChangePeerError(f"{address} is not reached")
 
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -216,7 +216,7 @@
         await asyncio.sleep(min(wait_s, 0.05))
         return WatchAnswer((), max(after, self.revision))
 
-    async def read(self, address, key):
+    async def read(self, address, key, revision):
         self.calls.append(f"read {address} {key}")
         raise ChangePeerError("unread")
 
