Watch: what an instance passes on is taken in one place, in a module of its own

Cause: following an instance, with and without the store, repeated how changes, large values and silences are put together (shared_watch.py had 731 lines). Change: followed_changes.py; no change of behaviour but that a silence is counted from what was heard. Result: 106 tests of the watch pass.

--- a/src/turmericusher/tasks/large_values.py
+++ b/src/turmericusher/tasks/large_values.py
@@ -73,6 +73,11 @@
         firsts = (each.first - 1 for each in self.unread.values())
         return min([revision, *firsts])
 
+    def take_failure(self) -> bool:
+        """Whether a reading has failed since the last time."""
+        has_failed, self.has_failed = self.has_failed, False
+        return has_failed
+
     def take(self) -> list[WatchEvent]:
         """Return the values that were read, and begin to read those that changed."""
         events = []
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -18,20 +18,18 @@
     AsyncGenerator,
     AsyncIterator,
     Callable,
-    Iterable,
     Iterator,
 )
 from contextlib import AsyncExitStack, aclosing, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field, replace
 from functools import partial
-from typing import Any, Protocol
+from typing import Protocol
 
 from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.watch_pace import WatchPace
 from turmericusher.decisions.watch_sharing import (
     MAX_OTHERS_ASKED,
     OTHERS_ASKED,
-    PassedChange,
     PassedChanges,
     WatchSharing,
 )
@@ -52,6 +50,12 @@
 )
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.change_feed import ChangeFeed
+from turmericusher.tasks.followed_changes import (
+    ChangeStream,
+    FollowedChanges,
+    divide_news,
+    wait_for_any,
+)
 from turmericusher.tasks.large_values import reading_values
 from turmericusher.tasks.store_polls import StorePolls, WatchedParts, open_polls
 
@@ -314,49 +318,33 @@
         link is silent once.
         """
         self.feed.close()
-        read = partial(self.read_value, source)
-        complete = told = after
-        silences, heard_at = 0, clock()
         polls = StorePolls(self, prefix, self.known, self.parts)
+        told, silences, noticed_at = after, 0, clock()
         try:
-            async with (
-                self.receiving(source, after) as stream,
-                reading_values(read, self.random) as values,
-                open_polls(polls),
-            ):
+            async with self.following(source, after) as followed, open_polls(polls):
                 while self.is_source(source):
                     await wait_for_any(
-                        {stream.pending},
-                        values.tasks.values(),
+                        followed.tasks(),
                         polls.tasks.values(),
-                        wait_s=heard_at + self.pace.silence_s - clock(),
+                        wait_s=noticed_at + self.pace.silence_s - clock(),
                     )
-                    now = clock()
+                    now, heard_at = clock(), followed.heard_at
                     self.store.check_history()
-                    if stream.pending.done():
-                        silences, heard_at = 0, now
-                        passed = stream.take()
-                        complete = max(complete, passed.revision)
-                        values.want_all(self.large_news(passed, told))
-                        events = self.small_news(passed, told)
-                        told = values.complete(complete)
-                        heard = now - passed.age_s
-                        yield WatchAnswer(events, told, source.name, heard)
-                    elif now >= heard_at + self.pace.silence_s:
-                        silences, heard_at = silences + 1, now
+                    for answer in followed.take(now):
+                        told = answer.revision
+                        yield answer
+                    asks_store = followed.values.take_failure()
+                    if followed.heard_at > heard_at:
+                        silences, noticed_at = 0, now
+                    elif now >= noticed_at + self.pace.silence_s:
+                        silences, noticed_at, asks_store = silences + 1, now, True
                         if silences == MAX_SILENCES:
                             raise ChangePeerError(f"silent {MAX_SILENCES} times")
-                    for event in values.take():
-                        told = values.complete(complete)
-                        yield WatchAnswer((event,), told, source.name, 0.0)
-                    is_silent = silences > 0 and heard_at == now
-                    if (is_silent or values.has_failed) and not polls.tasks:
-                        polls.skips_large = bool(values.unread)
+                    if asks_store and not polls.tasks:
+                        polls.skips_large = bool(followed.values.unread)
                         polls.begin(told)
-                    values.has_failed = False
                     for answer in polls.take(now):
-                        complete = max(complete, answer.revision)
-                        told = values.complete(complete)
+                        told = followed.add(answer).revision
                         yield replace(answer, revision=told)
             return
         except ChangePeerError as error:
@@ -381,24 +369,6 @@
                 for answer in polls.take(clock()):
                     yield answer
 
-    def small_news(self, passed: PassedChanges, after: int) -> tuple[WatchEvent, ...]:
-        """Return the small changes after a revision that are not known."""
-        return tuple(
-            WatchEvent(each.key, each.value, each.revision)
-            for each in self.news(passed, after)
-            if not each.must_be_read
-        )
-
-    def large_news(self, passed: PassedChanges, after: int) -> tuple[PassedChange, ...]:
-        """Return the changes after a revision whose values must be read."""
-        return tuple(each for each in self.news(passed, after) if each.must_be_read)
-
-    def news(self, passed: PassedChanges, after: int) -> Iterator[PassedChange]:
-        """Yield the changes after a revision that are not known."""
-        for each in passed.changes:
-            if each.revision > after and self.known.is_news(each.key, each.revision):
-                yield each
-
     def log_left(self, source: EntryInstance, error: ChangePeerError) -> None:
         """Log why nothing more is learned from an instance."""
         log_event("watcher_left", instance=source.name, error=repr(error))
@@ -423,6 +393,20 @@
             finally:
                 await cancel_tasks({stream.pending})
 
+    @asynccontextmanager
+    async def following(
+        self, source: EntryInstance, after: int
+    ) -> AsyncIterator[FollowedChanges]:
+        """Yield what another instance passes on, with large values that are read."""
+        read = partial(self.read_value, source)
+        async with (
+            self.receiving(source, after) as stream,
+            reading_values(read, self.random) as values,
+        ):
+            yield FollowedChanges(
+                source.name, stream, values, self.known, after, after, clock()
+            )
+
     def is_source(self, instance: EntryInstance) -> bool:
         """Whether this incarnation of an instance is still the one to learn from."""
         source = self.sharing.source(clock())
@@ -515,33 +499,15 @@
         It ends earlier if the instance fails, or is silent for longer than one may be
         that watches for itself.
         """
-        complete = told = after
-        heard_at = clock()
         max_silence_s = self.pace.wait_s + self.pace.silence_s
-        read = partial(self.read_value, source)
         try:
-            async with (
-                self.receiving(source, after) as stream,
-                reading_values(read, self.random) as values,
-            ):
-                while not ended.done() and clock() - heard_at < max_silence_s:
-                    await wait_for_any(
-                        {stream.pending}, values.tasks.values(), wait_s=CHECK_INTERVAL_S
-                    )
+            async with self.following(source, after) as followed:
+                while not ended.done() and clock() - followed.heard_at < max_silence_s:
+                    await wait_for_any(followed.tasks(), wait_s=CHECK_INTERVAL_S)
                     self.store.check_history()
-                    if stream.pending.done():
-                        heard_at = clock()
-                        passed = stream.take()
-                        complete = max(complete, passed.revision)
-                        values.want_all(self.large_news(passed, told))
-                        events = self.small_news(passed, told)
-                        told = values.complete(complete)
-                        heard = heard_at - passed.age_s
-                        yield WatchAnswer(events, told, source.name, heard)
-                    for event in values.take():
-                        told = values.complete(complete)
-                        yield WatchAnswer((event,), told, source.name, 0.0)
-                    if values.has_failed:
+                    for answer in followed.take(clock()):
+                        yield answer
+                    if followed.values.take_failure():
                         raise ChangePeerError("a value could not be read")
         except ChangePeerError as error:
             self.log_left(source, error)
@@ -643,11 +609,9 @@
                     log_unhelpful(source, after, reason)
                     return None
                 # Large values are told again when the instance is followed.
-                large = self.large_news(passed, after)
-                complete = min([passed.revision, *(e.revision - 1 for e in large)])
-                events = self.small_news(passed, after)
-                told = max(after, complete)
-                return source, WatchAnswer(events, told, source.name)
+                events, large = divide_news(passed, after, self.known)
+                told = min([passed.revision, *(each.revision - 1 for each in large)])
+                return source, WatchAnswer(events, max(after, told), source.name)
         except ChangePeerError as error:
             log_unhelpful(source, after, repr(error))
             return None
@@ -664,50 +628,6 @@
         return since is None or clock() - passed.followed_s <= since
 
 
-@dataclass(slots=True)
-class ChangeStream:
-    """What another instance passes on; `pending` brings the next of it."""
-
-    stream: AsyncIterator[PassedChanges]
-    pending: asyncio.Task[PassedChanges] = field(init=False)
-
-    def __post_init__(self) -> None:
-        """Wait for the first."""
-        self.pending = self.next_one()
-
-    def next_one(self) -> asyncio.Task[PassedChanges]:
-        """Wait for what comes next."""
-
-        async def receive() -> PassedChanges:
-            try:
-                return await anext(self.stream)
-            except StopAsyncIteration:
-                raise ChangePeerError("the stream has ended") from None
-
-        return asyncio.create_task(receive())
-
-    def take(self) -> PassedChanges:
-        """Return what has come; raise `ChangePeerError` if the stream failed."""
-        passed = self.pending.result()
-        self.pending = self.next_one()
-        return passed
-
-    async def receive(self, wait_s: float) -> PassedChanges | None:
-        """Return what comes within some seconds, else None."""
-        # A stream whose next element is no longer awaited would be lost.
-        await wait_for_any({self.pending}, wait_s=wait_s)
-        return self.take() if self.pending.done() else None
-
-
-async def wait_for_any(
-    *groups: Iterable[asyncio.Task[Any]], wait_s: float | None = None
-) -> None:
-    """Wait until one of some tasks is done, for some seconds at most."""
-    tasks = {task for group in groups for task in group}
-    timeout_s = max(0.0, wait_s) if wait_s is not None else None
-    await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
-
-
 def log_value_read(
     key: str, value: bytes | None, source: str | None, started_at: float
 ) -> None:
