Watch: a burst of changes does not make an instance's revision too old to be helped

Cause, of the same class: changes are kept where the state would do. Change: before a change is dropped for its age, those of keys that changed again later go, as they tell nothing more.

--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -143,9 +143,19 @@
             self.changes.append(each)
             self.added += 1
         self.revision = max(self.revision, revision)
+        if len(self.changes) > MAX_KEPT_CHANGES:
+            self.drop_superseded()
         while len(self.changes) > MAX_KEPT_CHANGES:
             self.floor = max(self.floor, self.changes.popleft().revision)
 
+    def drop_superseded(self) -> None:
+        """Drop the changes of keys that were changed again later."""
+        newest = {each.key: each for each in self.changes}
+        kept = [each for each in self.changes if newest[each.key] is each]
+        if len(kept) < len(self.changes):
+            self.clear()
+            self.changes.extend(kept)
+
 
 def make_passed_change(key: str, revision: int, value: bytes | None) -> PassedChange:
     """Return a change as it is passed on."""
