Server: a request that offers another protocol is read whole

Cause: the parser ends such a request at its head, and hands over no body; the head was passed on as a complete request all the same. Change: the head is read once more without the offer, by a new parser, and the body after it. Why it works: the offer is not taken up, so that the request is one of HTTP/1.1 (RFC 9110, 7.8), limits included.

--- a/src/turmericusher/guarded_protocol.py
+++ b/src/turmericusher/guarded_protocol.py
@@ -9,6 +9,7 @@
 import asyncio
 from typing import Any
 
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
@@ -26,6 +27,8 @@
 """What may come in besides a body, in largest header sections: the request line, the
 header section, and what chunks and trailers add."""
 
+UPGRADE = b"upgrade"
+
 FIELD_SEPARATOR_BYTES = 4
 """A colon, a space and the end of the line."""
 
@@ -90,6 +93,7 @@
     the memory of many fields.
     `expected` is the length that the head states, up to the limit of bodies. `problem`
     is the status and the text of a refusal. `drained` counts what came after it.
+    `offer` is the head of a request that offers another protocol, without that offer.
     """
 
     def __init__(self, guard: MemoryGuard, *arguments: Any, **options: Any) -> None:
@@ -101,6 +105,7 @@
         self.expected = self.head_fields = self.fields_bytes = 0
         self.is_pipelined = False
         self.problem: tuple[int, str] | None = None
+        self.offer: bytes | None = None
         self.is_refused = False
         self.drained = 0
 
@@ -132,7 +137,7 @@
                 self.transport.abort()
             return
         self.overhead += len(data)
-        super().data_received(data)
+        self.parse(data)
         if self.is_refused or not self.overhead:
             return
         limit = self.guard.header_bytes()
@@ -141,6 +146,40 @@
         elif self.has_many_fields() and not self.ask_for_memory():
             self.refuse_counted(503, "no memory for the request's head")
 
+    def parse(self, data: bytes) -> None:
+        """Parse what came in; an offer of another protocol is not taken up.
+
+        The library ends a request with such an offer at its head. It is therefore read
+        once more without the offer, by a new parser, and then its body.
+        """
+        self._unset_keepalive_if_required()
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except HttpParserUpgrade as error:
+                if self.offer is None:
+                    return
+                data = self.offer + data[error.args[0] :]
+                self.offer = None
+                self.parser = HttpRequestParser(self)
+                self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+            except HttpParserError:
+                self.send_400_response("Invalid HTTP request received.")
+                return
+
+    def head_without_offer(self) -> bytes:
+        """Return the head that was read, without its offer of another protocol."""
+        version = self.parser.get_http_version().encode()
+        lines = [b"%s %s HTTP/%s" % (self.parser.get_method(), self.url, version)]
+        for name, value in self.headers:
+            if name == b"connection":
+                options = [each.strip() for each in value.split(b",")]
+                value = b", ".join(e for e in options if e.lower() != UPGRADE)
+            if name != UPGRADE and (value or name != b"connection"):
+                lines.append(b"%s: %s" % (name, value))
+        return b"\r\n".join([*lines, b"", b""])
+
     def open_fields_size(self) -> int:
         """Return the size of the fields of a head, or of trailers, in progress."""
         if not self.headers or self.holding is None:
@@ -182,6 +221,10 @@
 
     def on_headers_complete(self) -> None:
         """Ask for the memory of the body whose length the head states."""
+        is_tunnel = self.parser.get_method() == b"CONNECT"
+        if self.parser.should_upgrade() and not is_tunnel:
+            self.offer = self.head_without_offer()
+            return
         self.head_fields = len(self.headers)
         size = self.head_fields * FIELD_SEPARATOR_BYTES
         for name, value in self.headers:
@@ -226,6 +269,8 @@
 
     def on_message_complete(self) -> None:
         """Record that the request is complete, and may run."""
+        if self.offer is not None:
+            return
         self.overhead = 0
         if len(self.headers) > self.head_fields:
             if self.open_fields_size() > self.guard.header_bytes():
