Crashes: a short stream whose end is its own shows that its parts are sound

Cause: only a stream that runs for a second after its first event cleared its parts; one without a length may have been cut off between two events, and so no stream's end counted. Change: an end that chunks or a length tell counts. Why it works: an upstream that a part crashes does not end its answer. Streams with neither length nor chunks stay as they were.

--- a/src/turmericusher/bounded_bodies.py
+++ b/src/turmericusher/bounded_bodies.py
@@ -118,6 +118,11 @@
         raise BodyTooLargeError(f"the body exceeds {max_bytes} bytes")
 
 
+def has_own_end(response: aiohttp.ClientResponse) -> bool:
+    """Whether the end of a body is known without that of its connection."""
+    return any(name in response.headers for name in HEADERS_OF_AN_END)
+
+
 async def read_chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     """Yield the bytes of a body; raise `OSError` if it ends with a reset.
 
@@ -128,8 +133,7 @@
     protocol = response._protocol
     async for chunk in response.content.iter_any():
         yield chunk
-    has_own_end = any(name in response.headers for name in HEADERS_OF_AN_END)
-    if not has_own_end and isinstance(protocol, BoundedResponseHandler):
+    if not has_own_end(response) and isinstance(protocol, BoundedResponseHandler):
         protocol.raise_if_reset()
 
 
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -620,8 +620,13 @@
                 self.request.stream_id, self.routed.service.name, self.version, now
             )
 
-    def finish(self, attempt: RelayAttempt, now: float) -> list[RelayAction]:
-        """End the request after an attempt that completed, and cancel the others."""
+    def finish(
+        self, attempt: RelayAttempt, now: float, is_whole: bool = True
+    ) -> list[RelayAction]:
+        """End the request after an attempt that completed, and cancel the others.
+
+        `is_whole` is False if the answer may have been cut off between two events.
+        """
         self.is_over = True
         if self.kind.is_stream and attempt.first_event_at is not None:
             self.shared.stream_duration.record_duration(now - attempt.first_event_at)
@@ -633,8 +638,7 @@
                 lasted_s = attempt.last_active_at - attempt.first_event_at
                 pace_s = lasted_s / (attempt.events - 1)
                 self.record_version_time(attempt, PACE, pace_s)
-        # Without a length, a stream cut off between two events looks like a whole one.
-        if not self.kind.is_stream:
+        if is_whole:
             self.record_clean_run(attempt, now)
         actions = self.release_copies()
         self.remove_attempt(attempt.number)
@@ -711,7 +715,8 @@
     if not relay.has_delivered:
         text = "the stream ended without an event"
         return relay.abandon(attempt, AttemptCause.MALFORMED, text, now)
-    return [*relay.finish(attempt, now), EndStream()]
+    is_whole = event.has_own_end and not attempt.is_forward
+    return [*relay.finish(attempt, now, is_whole), EndStream()]
 
 
 @handle_event.register
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -130,10 +130,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamFinished:
-    """An attempt's stream ended properly, with its end marker."""
+    """An attempt's stream ended between two events.
+
+    It `has_own_end` if its end is told from one by a lost connection, as with chunks.
+    """
 
     attempt: int
     at: float
+    has_own_end: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -25,6 +25,7 @@
     CountedBody,
     HeldBytes,
     check_size,
+    has_own_end,
     read_bounded,
     read_chunks,
     read_held,
@@ -476,7 +477,7 @@
             await self.sink(
                 EventArrived(number, clock(), event.payload, event.event_id)
             )
-        await self.sink(StreamFinished(number, clock()))
+        await self.sink(StreamFinished(number, clock(), has_own_end(self.response)))
 
 
 async def read_events(
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -263,6 +263,17 @@
         relay.handle(StreamFinished(1, 0.1), 0.1)
         self.assertEqual({}, relay.shared.crashes.sound_at)
 
+    def test_recover_a_short_stream_with_an_end_of_its_own_shows_that_they_are(self):
+        shared = make_blocked_shared(is_due=True)
+        relay = make_bad_relay(shared)
+        relay.start(0.1)
+        relay.handle(TrialClaimed(True), 0.2)
+        relay.handle(event(1, 1, at=0.3), 0.3)
+        relay.handle(StreamFinished(1, 0.4, has_own_end=True), 0.4)
+        self.assertIn(f"part-{BAD}", shared.crashes.sound_at)
+        (start,) = make_bad_relay(shared).start(0.5)
+        self.assertIsInstance(start, StartRelay)
+
     def test_a_trial_that_runs_well_frees_the_part(self):
         shared = make_blocked_shared(is_due=True)
         relay = make_bad_relay(shared)
