Placing: a stated size that no upstream can run says nothing of other requests

Cause: the mean size of a service's requests took what a request states, whatever an engine's memory is. Change: a size counts if an upstream that reported could hold it. The request itself is still sent and refused by the engine.

--- a/src/turmericusher/decisions/placing/relay_placing.py
+++ b/src/turmericusher/decisions/placing/relay_placing.py
@@ -140,7 +140,10 @@
         selector = self.shared.selector
         reports = self.current_reports(event.reports)
         typical = self.shared.typical_size(self.routed.service.name)
-        typical.record_size(self.request.size)
+        # What a caller states is no size of a request unless an upstream can run it.
+        totals = [each.memory_total for each in reports.values()]
+        if any(not total or self.request.size <= total for total in totals):
+            typical.record_size(self.request.size)
         size = self.request.size or typical.mean
         if self.routed.service.urgency_targets:
             self.estimate_shares(reports, now)
--- a/tests/cover/test_relay_load.py
+++ b/tests/cover/test_relay_load.py
@@ -78,6 +78,30 @@
         (action,) = relay.handle(LoadsReported(0.0, reports), 0.0)
         self.assertIsInstance(action, StartRelay)
 
+    @parameterized.expand(
+        [
+            ("fits no upstream", 10**9, 0.0),
+            ("fits one", 87_000, 87_000.0),
+            ("is at an upstream of unknown memory", 10**9, 10.0**9),
+        ]
+    )
+    def test_config_a_stated_size_counts_for_others_only_if_it(
+        self, name, size, expected
+    ):
+        shared = make_relay_shared(1)
+        relay = make_test_relay(
+            RequestKind.RESUMABLE_STREAM,
+            shared,
+            reports_load=True,
+            target_latency_s=TARGET_S,
+            size=size,
+        )
+        relay.start(0.0)
+        total = 0 if "unknown" in name else 88_000
+        reports = {"u0": UpstreamReport("1", 0, 0, 0, total, {})}
+        relay.handle(LoadsReported(0.0, reports), 0.0)
+        self.assertEqual(expected, shared.typical_size(SERVICE).mean)
+
     @parameterized.expand(
         [("a new stream", None, Fail), ("a resumed stream", 41, StartRelay)]
     )
