List: an upstream that goes on writing its entry is used though another entry has its address

Cause: a newly listed entry with a known address marked the known upstream as replaced until it started anew. Change: the mark, where only the list says so, is lifted by the next entry that the upstream itself writes. Why it works: an address is given to another upstream only after the first has ended, and then it writes no more. Until that next entry, a heartbeat later, the upstream is not used.

--- a/src/turmericusher/decisions/placing/selection.py
+++ b/src/turmericusher/decisions/placing/selection.py
@@ -55,7 +55,8 @@
     passed to `advance_clock`; the age of reports and failures is measured against it.
     `live` and `subset_names` map a service to its live upstreams and to those of them
     that this instance sends to. `replaced` maps an upstream to its incarnation that
-    ended because another instance has answered at its address.
+    ended because another instance has answered at its address, or is listed there;
+    `displaced` has those of which only the list says so.
     """
 
     random: random.Random
@@ -70,6 +71,7 @@
     ejections: EjectionTable = field(default_factory=EjectionTable)
     prefixes: PrefixDirectory = field(default_factory=PrefixDirectory)
     replaced: dict[str, str] = field(default_factory=dict)
+    displaced: set[str] = field(default_factory=set)
 
     @property
     def in_flight(self) -> dict[str, int]:
@@ -118,6 +120,18 @@
         for name, upstream in self.upstreams.items():
             if upstream.address in addresses and name in known:
                 self.mark_replaced(upstream)
+                self.displaced.add(name)
+
+    def record_heartbeat(self, upstream: UpstreamInstance) -> None:
+        """Use an upstream again that goes on writing its entry.
+
+        Another writer may list any address. One that was really given to another
+        upstream belonged to one that had ended, and writes no more.
+        """
+        if upstream.name in self.displaced:
+            self.displaced.discard(upstream.name)
+            if self.replaced.get(upstream.name) == upstream.incarnation:
+                del self.replaced[upstream.name]
 
     def update_instances(self, names: Iterable[str]) -> None:
         """Replace the names of the live entry instances, and the subsets if changed."""
--- a/src/turmericusher/tasks/relay_fleet.py
+++ b/src/turmericusher/tasks/relay_fleet.py
@@ -232,6 +232,7 @@
             case ConfigurationRecord(table):
                 self.apply_table(table)
             case UpstreamRecord(name, upstream, sequence):
+                self.record_heartbeat(name, upstream, sequence)
                 self.record_sequence(name, upstream, sequence, now)
                 log_upstream_change(name, upstream, event.revision)
                 put_or_remove(self.upstreams, name, upstream, now)
@@ -250,6 +251,20 @@
             if listed.get(name) != found.get(name):
                 log_upstream_change(name, found.get(name), None)
 
+    def record_heartbeat(
+        self, name: str, upstream: UpstreamInstance | None, sequence: int
+    ) -> None:
+        """Pass on that an upstream that was listed has written its entry again."""
+        listed = self.upstreams.entries.get(name)
+        if (
+            upstream is None
+            or listed is None
+            or sequence <= self.sequences.get(name, 0)
+        ):
+            return
+        if upstream.incarnation == listed.incarnation:
+            self.shared.selector.record_heartbeat(upstream)
+
     def record_sequence(
         self, name: str, upstream: UpstreamInstance | None, sequence: int, now: float
     ) -> None:
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -85,6 +85,31 @@
             self.assertEqual(200, answer.status)
 
 
+class SameAddressTest(TestCase):
+    @parameterized.expand([("goes on writing", 2, True), ("writes no more", 1, False)])
+    @run_async
+    async def test_config_an_upstream_listed_twice_is_used_again_only_if_it(
+        self, _, sequence, is_used
+    ):
+        async with running_relay_simulation(1) as simulation:
+            (standin,) = simulation.upstreams
+            write = simulation.store.store.write
+            listed = simulation.node.fleet.upstreams.entries
+            selector = simulation.node.shared.selector
+            other = encode_upstream_entry(standin.address, 0, service="rack-agent")
+            write(f"{UPSTREAM_PREFIX}other-writer", other)
+            await wait_until(lambda: "other-writer" in listed, 3.0)
+            self.assertIn(standin.name, selector.replaced)
+            entry = encode_upstream_entry(standin.address, 0, sequence=sequence)
+            write(f"{UPSTREAM_PREFIX}{standin.name}", entry)
+            write(f"{UPSTREAM_PREFIX}last", GOOD)
+            await wait_until(lambda: "last" in listed, 3.0)
+            self.assertEqual(is_used, standin.name not in selector.replaced)
+            if is_used:
+                answer = await simulation.call(RequestKind.IDEMPOTENT)
+                self.assertEqual(200, answer.status)
+
+
 class ReportTest(TestCase):
     @parameterized.expand(
         [
