--- a/tests/cover/test_turned_away.py
+++ b/tests/cover/test_turned_away.py
@@ -88,6 +88,37 @@
                 write(CONFIGURATION_KEY, configuration(2, services=LARGE_SERVICES))
             await simulation.wait_for_version(2)
 
+    @run_async
+    async def test_drain_a_leaving_upstream_is_not_used_though_the_store_was_restored(
+        self,
+    ):
+        async with running_turned_away() as simulation:
+            store = simulation.fleet.store.store
+            copy = store.copied()
+            await simulation.turn_away("busy")
+            store.restore(copy)
+            await asyncio.sleep(SETTLING_S)
+            simulation.fleet.write_upstream_entry(0, "draining")
+            await wait_until(lambda: not simulation.is_used(0), LIMIT_S)
+
+    @run_async
+    async def test_drain_a_mark_that_is_known_holds_though_the_store_was_restored(self):
+        async with running_turned_away() as simulation:
+            store = simulation.fleet.store.store
+            copy = store.copied()
+            await simulation.turn_away("busy")
+            simulation.fleet.write_upstream_entry(0, "draining")
+            await wait_until(lambda: not simulation.is_used(0), LIMIT_S)
+            store.restore(copy)
+            await asyncio.sleep(0.3)
+            simulation.fleet.write_upstream_entry(0, "draining")
+            taken_back_at = time.monotonic() + SETTLING_S
+            while time.monotonic() < taken_back_at + SETTLING_S:
+                self.assertFalse(simulation.is_used(0))
+                await asyncio.sleep(0.02)
+                if time.monotonic() > taken_back_at:
+                    simulation.take_back()
+
     @run_async
     async def test_drain_an_upstream_that_others_know_is_gone_gets_no_time_to_return(
         self,
