Watch: an unexpected error of another instance does not end the watch

Change: any error of that instance, in opening, reading or closing its stream or in reading a value, counts as its failure; the next is followed, and the store asked.

--- a/src/turmericusher/tasks/followed_changes.py
+++ b/src/turmericusher/tasks/followed_changes.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from turmericusher.decisions.watch_sharing import PassedChange, PassedChanges
+from turmericusher.errors import StoreError
+from turmericusher.logs import log_event
 from turmericusher.ports.change_peers import ChangePeerError
 from turmericusher.ports.key_revisions import KeyRevisions
 from turmericusher.ports.keyvalue import WatchAnswer, WatchEvent
@@ -117,6 +120,21 @@
     return tuple(small), tuple(each for each in news if each.must_be_read)
 
 
+@contextmanager
+def as_peer_error() -> Iterator[None]:
+    """Take an unexpected error of asking another instance for one of that instance.
+
+    It must not end the watch, which would then take the store for answering.
+    """
+    try:
+        yield
+    except (ChangePeerError, StoreError):
+        raise
+    except Exception as error:
+        log_event("peer_error", error=repr(error))
+        raise ChangePeerError(f"unexpected error: {error!r}") from error
+
+
 async def wait_for_any(
     *groups: Iterable[asyncio.Task[Any]], wait_s: float | None = None
 ) -> None:
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -53,6 +53,7 @@
 from turmericusher.tasks.followed_changes import (
     ChangeStream,
     FollowedChanges,
+    as_peer_error,
     divide_news,
     wait_for_any,
 )
@@ -377,21 +378,24 @@
     async def receiving(
         self, source: EntryInstance, after: int
     ) -> AsyncIterator[ChangeStream]:
-        """Yield the stream of what another instance passes on after a revision."""
-        async with AsyncExitStack() as stack:
-            opening = self.peers.result().follow(
-                source.peer_address, after, self.store.history
-            )
-            try:
-                async with asyncio.timeout(self.pace.silence_s):
-                    opened = await stack.enter_async_context(opening)
-            except TimeoutError as error:
-                raise ChangePeerError("no connection in time") from error
-            stream = ChangeStream(opened)
-            try:
-                yield stream
-            finally:
-                await cancel_tasks({stream.pending})
+        """Yield the stream of what another instance passes on after a revision.
+
+        Raises `ChangePeerError` for any error of that instance.
+        """
+        peers = self.peers.result()
+        opening = peers.follow(source.peer_address, after, self.store.history)
+        with as_peer_error():
+            async with AsyncExitStack() as stack:
+                try:
+                    async with asyncio.timeout(self.pace.silence_s):
+                        opened = await stack.enter_async_context(opening)
+                except TimeoutError as error:
+                    raise ChangePeerError("no connection in time") from error
+                stream = ChangeStream(opened)
+                try:
+                    yield stream
+                finally:
+                    await cancel_tasks({stream.pending})
 
     @asynccontextmanager
     async def following(
@@ -615,12 +619,6 @@
         except ChangePeerError as error:
             log_unhelpful(source, after, repr(error))
             return None
-        except StoreError:
-            raise
-        except Exception as error:
-            # It must not end the watch, which would take the store for answering.
-            log_event("watcher_left", instance=source.name, error=repr(error))
-            return None
 
     def has_followed(self, passed: PassedChanges) -> bool:
         """Whether an instance has followed the store since before this one did not."""
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -329,6 +329,54 @@
         self.assertEqual(["follow w0 10", "get", "poll 10"], store.calls[:3])
 
 
+class FailingStore(ScriptedStore):
+    """Connections to instances that fail unexpectedly, at `step`."""
+
+    step = ""
+
+    def fail(self, step):
+        if step == self.step:
+            raise AttributeError(step)
+
+    async def get(self, key):
+        self.calls.append("get")
+        self.fail("value")
+        return StoredValue(key, b"large", 11)
+
+    @asynccontextmanager
+    async def follow(self, address, after_revision, history=None):
+        self.calls.append(f"follow {address} {after_revision}")
+        self.fail("opening")
+        yield self.stream(address)
+        self.fail("closing")
+
+    async def stream(self, address):
+        self.fail("first")
+        yield PassedChanges((PassedChange("k", 11, None, must_be_read=True),), 11)
+        await asyncio.sleep(0.02)
+        self.fail("next")
+        raise ChangePeerError("ended")
+
+
+class UnexpectedErrorTest(TestCase):
+    @parameterized.expand(
+        [(step,) for step in ("opening", "first", "value", "next", "closing")]
+    )
+    @run_async
+    async def test_an_unexpected_error_of_an_instance_does_not_end_the_watch(
+        self, step
+    ):
+        store = FailingStore()
+        store.step = step
+        watch = make_shared_watch(store)
+        await watch_for(watch, 0.3)
+        asked = [call for call in store.calls if not call.startswith("get")]
+        self.assertEqual("follow w0 10", asked[0])
+        self.assertIn("follow w1", " ".join(asked))
+        self.assertTrue(any(call.startswith("poll") for call in asked))
+        self.assertIsNone(watch.unreached_since)
+
+
 def is_in_force(version):
     """Return the condition that an instance has a version of the configuration."""
     return lambda each: each.tables.current().version == version
