Watch: an instance that cannot be told the changes is told the state

Cause: others told changes, whose revisions mean nothing across histories or before their floor. Change: others that follow the store tell all keys with their revisions and the history, in parts; one of the same history must have followed it since before this one was without the store, as entries may have lapsed. It is taken like a complete read; large values are read through the same instance. Why it works: a state needs no common past.

--- a/src/turmericusher/decisions/watch_sharing.py
+++ b/src/turmericusher/decisions/watch_sharing.py
@@ -78,6 +78,20 @@
     age_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class PassedState:
+    """What a history of the store has at a revision: the last change of each key.
+
+    The instance that tells it has followed the store for `followed_s` seconds without a
+    break.
+    """
+
+    changes: tuple[PassedChange, ...]
+    revision: int
+    history: int | None
+    followed_s: float = 0.0
+
+
 @dataclass(slots=True)
 class ChangeLog:
     """The latest changes that an instance has seen in the store.
--- a/src/turmericusher/peers/changes_grpc.py
+++ b/src/turmericusher/peers/changes_grpc.py
@@ -26,6 +26,10 @@
     async def ReadPieces(self, stream: 'grpclib.server.Stream[turmericusher.peers.changes_pb2.ReadRequest, turmericusher.peers.changes_pb2.ValuePiece]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def State(self, stream: 'grpclib.server.Stream[turmericusher.peers.changes_pb2.StateRequest, turmericusher.peers.changes_pb2.StatePart]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/turmericusher.peers.Changes/Follow': grpclib.const.Handler(
@@ -46,6 +50,12 @@
                 turmericusher.peers.changes_pb2.ReadRequest,
                 turmericusher.peers.changes_pb2.ValuePiece,
             ),
+            '/turmericusher.peers.Changes/State': grpclib.const.Handler(
+                self.State,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                turmericusher.peers.changes_pb2.StateRequest,
+                turmericusher.peers.changes_pb2.StatePart,
+            ),
         }
 
 
@@ -70,3 +80,9 @@
             turmericusher.peers.changes_pb2.ReadRequest,
             turmericusher.peers.changes_pb2.ValuePiece,
         )
+        self.State = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/turmericusher.peers.Changes/State',
+            turmericusher.peers.changes_pb2.StateRequest,
+            turmericusher.peers.changes_pb2.StatePart,
+        )
--- a/src/turmericusher/peers/changes_service.py
+++ b/src/turmericusher/peers/changes_service.py
@@ -12,7 +12,11 @@
 from grpclib.server import Stream
 from h2.exceptions import H2Error
 
-from turmericusher.decisions.watch_sharing import PassedChange, PassedChanges
+from turmericusher.decisions.watch_sharing import (
+    PassedChange,
+    PassedChanges,
+    PassedState,
+)
 from turmericusher.errors import StoreError
 from turmericusher.peers import changes_pb2 as pb
 from turmericusher.peers.changes_grpc import ChangesBase, ChangesStub
@@ -30,6 +34,12 @@
 PIECE_BYTES = 16_384
 """Bytes of a value in one message, which takes some milliseconds over a slow link."""
 
+STATE_PART_CHANGES = 50
+"""Keys in one message of a state: some 15 KB."""
+
+StateTeller = Callable[[], PassedState | None]
+"""Returns what the store has, or None if that is not known here."""
+
 KeyReader = Callable[[str, int], Awaitable[StoredValue | None]]
 """Reads a key at a revision or later; raises as `KeyValueStore.get` does."""
 
@@ -37,9 +47,12 @@
 class ChangesService(ChangesBase):  # type: ignore[misc]
     """Passes on what this instance learns from the store."""
 
-    def __init__(self, feed: ChangeFeed, read_key: KeyReader) -> None:
+    def __init__(
+        self, feed: ChangeFeed, read_key: KeyReader, tell_state: StateTeller
+    ) -> None:
         self.feed = feed
         self.read_key = read_key
+        self.tell_state = tell_state
 
     async def Follow(  # noqa: N802
         self, stream: Stream[pb.FollowRequest, pb.PassedChanges]
@@ -79,6 +92,19 @@
             await stream.send_message(piece)
         await stream.send_message(pb.ValuePiece(is_last=True, is_absent=stored is None))
 
+    async def State(  # noqa: N802
+        self, stream: Stream[pb.StateRequest, pb.StatePart]
+    ) -> None:
+        """Tell what the store has, in parts."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        state = self.tell_state()
+        if state is None:
+            raise GRPCError(Status.UNAVAILABLE, "what the store has is not known here")
+        for part in encode_state(state):
+            await stream.send_message(part)
+
     async def read_stored(self, request: pb.ReadRequest) -> StoredValue | None:
         """Read a key; raise `GRPCError` if that fails."""
         try:
@@ -105,6 +131,11 @@
                 # An end that was not asked for would be an error of the protocol.
                 await stream.cancel()
 
+    async def state(self, address: str) -> PassedState:
+        """Have an instance tell what the store has."""
+        with open_channel(address) as channel:
+            return await receive_state(channel)
+
     async def read(self, address: str, key: str, revision: int) -> bytes | None:
         """Have an instance tell the value that a key has had since a revision."""
         request = pb.ReadRequest(key=key, revision=revision)
@@ -137,6 +168,37 @@
     raise ChangePeerError("the value has no last piece")
 
 
+async def receive_state(channel: Channel) -> PassedState:
+    """Return a state that comes in parts, each of them in time."""
+    changes: list[PassedChange] = []
+    async with (
+        asyncio.timeout(READ_TIMEOUT_S) as timeout,
+        ChangesStub(channel).State.open() as stream,
+    ):
+        await stream.send_message(pb.StateRequest(), end=True)
+        async for part in stream:
+            timeout.reschedule(asyncio.get_running_loop().time() + READ_TIMEOUT_S)
+            changes += map(decode_change, part.changes)
+            if part.is_last:
+                history = part.history if part.HasField("history") else None
+                followed_s = part.followed_ms / MILLISECONDS_PER_S
+                return PassedState(tuple(changes), part.revision, history, followed_s)
+    raise ChangePeerError("the state has no last part")
+
+
+def encode_state(state: PassedState) -> Iterator[pb.StatePart]:
+    """Yield the messages of a state, the last of which says what it is of."""
+    changes = [encode_change(each) for each in state.changes]
+    for start in range(0, len(changes), STATE_PART_CHANGES):
+        yield pb.StatePart(changes=changes[start : start + STATE_PART_CHANGES])
+    yield pb.StatePart(
+        revision=state.revision,
+        history=state.history,
+        followed_ms=int(state.followed_s * MILLISECONDS_PER_S),
+        is_last=True,
+    )
+
+
 @contextmanager
 def open_channel(address: str) -> Iterator[Channel]:
     """Yield a connection to `ip:port`; its errors become `ChangePeerError`."""
@@ -163,37 +225,39 @@
 
 def encode_changes(passed: PassedChanges) -> pb.PassedChanges:
     """Return the message for changes."""
-    changes = [
-        pb.Change(
-            key=each.key,
-            revision=each.revision,
-            value=each.value,
-            must_be_read=each.must_be_read,
-        )
-        for each in passed.changes
-    ]
     return pb.PassedChanges(
-        changes=changes,
+        changes=[encode_change(each) for each in passed.changes],
         revision=passed.revision,
         followed_ms=int(passed.followed_s * MILLISECONDS_PER_S),
         age_ms=int(passed.age_s * MILLISECONDS_PER_S),
     )
 
 
+def encode_change(change: PassedChange) -> pb.Change:
+    """Return the message for one change."""
+    return pb.Change(
+        key=change.key,
+        revision=change.revision,
+        value=change.value,
+        must_be_read=change.must_be_read,
+    )
+
+
 def decode_changes(message: pb.PassedChanges) -> PassedChanges:
     """Return the changes of a message."""
-    changes = (
-        PassedChange(
-            each.key,
-            each.revision,
-            each.value if each.HasField("value") else None,
-            each.must_be_read,
-        )
-        for each in message.changes
-    )
     return PassedChanges(
-        tuple(changes),
+        tuple(map(decode_change, message.changes)),
         message.revision,
         message.followed_ms / MILLISECONDS_PER_S,
         message.age_ms / MILLISECONDS_PER_S,
     )
+
+
+def decode_change(change: pb.Change) -> PassedChange:
+    """Return one change of a message."""
+    return PassedChange(
+        change.key,
+        change.revision,
+        change.value if change.HasField("value") else None,
+        change.must_be_read,
+    )
--- a/src/turmericusher/peers/instance_services.py
+++ b/src/turmericusher/peers/instance_services.py
@@ -13,6 +13,7 @@
     ChangesService,
     ChangeStreams,
     KeyReader,
+    StateTeller,
 )
 from turmericusher.peers.guarded_server import GuardedServer
 from turmericusher.peers.retries_service import (
@@ -31,6 +32,7 @@
     known: StreamVersions,
     feed: ChangeFeed,
     read_key: KeyReader,
+    tell_state: StateTeller,
     lend: Lender,
     bound: socket.socket,
     guard: MemoryGuard,
@@ -39,7 +41,7 @@
     clock = asyncio.get_running_loop().time
     services = [
         StreamsService(known, clock),
-        ChangesService(feed, read_key),
+        ChangesService(feed, read_key, tell_state),
         RetriesService(lend),
     ]
     server = GuardedServer(services, guard)
--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -292,6 +292,21 @@
         """What the revisions of the last complete read belong to, if it was told."""
         return self.read_era
 
+    def adopt_history(self, history: int | None) -> None:
+        """Take what another instance read of a history for a complete read of it.
+
+        Raises `StoreUnavailableError` if a later one is known.
+        """
+        if history is None:
+            return
+        if self.era is not None and history < self.era:
+            raise StoreUnavailableError(
+                f"history={history} is older than era={self.era}; read the store anew"
+            )
+        if history != self.era:
+            self.order.newest = 0
+        self.era = self.read_era = self.told_era = history
+
     def known_revision(self, known: int) -> int:
         """Return what of a revision known before a call holds after its answer.
 
--- a/src/turmericusher/ports/change_peers.py
+++ b/src/turmericusher/ports/change_peers.py
@@ -6,7 +6,7 @@
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
-from turmericusher.decisions.watch_sharing import PassedChanges
+from turmericusher.decisions.watch_sharing import PassedChanges, PassedState
 
 
 class ChangePeerError(Exception):
@@ -26,6 +26,10 @@
         """
         ...
 
+    async def state(self, address: str) -> PassedState:
+        """Have an instance tell what the store has; raise `ChangePeerError`."""
+        ...
+
     async def read(self, address: str, key: str, revision: int) -> bytes | None:
         """Have an instance tell the value that a key has had since a revision.
 
--- a/src/turmericusher/ports/key_revisions.py
+++ b/src/turmericusher/ports/key_revisions.py
@@ -18,17 +18,18 @@
 class KeyRevisions:
     """The last revision applied of each key, in one history of the store.
 
-    `removed` has keys that were removed later than all changes are known, and `large`
-    the large values, which other instances may need.
+    `live` has the values as well, which other instances may need, and `removed` keys
+    that were removed later than all changes are known.
     """
 
-    live: dict[str, int] = field(default_factory=dict)
+    live: dict[str, StoredValue] = field(default_factory=dict)
     removed: dict[str, int] = field(default_factory=dict)
-    large: dict[str, StoredValue] = field(default_factory=dict)
 
     def is_news(self, key: str, revision: int) -> bool:
         """Whether a change is newer than what was applied of its key."""
-        return revision > max(self.live.get(key, 0), self.removed.get(key, 0))
+        live = self.live.get(key)
+        known = live.revision if live is not None else 0
+        return revision > max(known, self.removed.get(key, 0))
 
     def select_news(self, events: Iterable[WatchEvent]) -> tuple[WatchEvent, ...]:
         """Return the events that are newer than what was applied."""
@@ -37,35 +38,34 @@
     def record(self, events: Iterable[WatchEvent], complete: int) -> None:
         """Record events that were applied; all up to a revision have been by now."""
         for each in events:
-            self.live.pop(each.key, None)
-            self.large.pop(each.key, None)
             if each.value is None:
+                self.live.pop(each.key, None)
                 self.removed[each.key] = each.revision
             else:
                 self.removed.pop(each.key, None)
-                self.record_value(StoredValue(each.key, each.value, each.revision))
+                stored = StoredValue(each.key, each.value, each.revision)
+                self.live[each.key] = stored
         if self.removed:
             later = {k: r for k, r in self.removed.items() if r > complete}
             self.removed = later
 
     def replace(self, values: Iterable[StoredValue]) -> None:
         """Record a complete read, in place of everything before."""
-        self.live, self.removed, self.large = {}, {}, {}
-        for each in values:
-            self.record_value(each)
+        self.live, self.removed = {each.key: each for each in values}, {}
 
-    def record_value(self, stored: StoredValue) -> None:
-        """Record the value that a key has."""
-        self.live[stored.key] = stored.revision
-        if len(stored.value) >= LARGE_VALUE_BYTES:
-            self.large[stored.key] = stored
+    def large_value(self, key: str) -> StoredValue | None:
+        """Return the value of a key if it is large."""
+        stored = self.live.get(key)
+        if stored is None or len(stored.value) < LARGE_VALUE_BYTES:
+            return None
+        return stored
 
     def large_bytes(self, prefix: str) -> int:
         """Return the bytes of all large values under a prefix."""
         return sum(
             len(each.value)
-            for key, each in self.large.items()
-            if key.startswith(prefix)
+            for key, each in self.live.items()
+            if len(each.value) >= LARGE_VALUE_BYTES and key.startswith(prefix)
         )
 
     def changes_to(
@@ -81,6 +81,8 @@
         gone = [
             WatchEvent(key, None, revision)
             for key, known in self.live.items()
-            if key.startswith(prefix) and key not in found and known <= revision
+            if key.startswith(prefix)
+            and key not in found
+            and known.revision <= revision
         ]
         return (*changed, *gone)
--- a/src/turmericusher/ports/keyvalue.py
+++ b/src/turmericusher/ports/keyvalue.py
@@ -72,6 +72,15 @@
     heard_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ToldState:
+    """All that a history of the store has, as another instance tells it."""
+
+    snapshot: Snapshot
+    history: int | None
+    source: str
+
+
 class KeyValueStore(Protocol):
     """The operations that the platform's key-value service guarantees.
 
--- a/src/turmericusher/tasks/shared_watch.py
+++ b/src/turmericusher/tasks/shared_watch.py
@@ -30,8 +30,9 @@
 from turmericusher.decisions.watch_sharing import (
     MAX_OTHERS_ASKED,
     OTHERS_ASKED,
-    PassedChanges,
+    PassedState,
     WatchSharing,
+    make_passed_change,
 )
 from turmericusher.errors import (
     LargeAnswerError,
@@ -45,6 +46,7 @@
 from turmericusher.ports.keyvalue import (
     Snapshot,
     StoredValue,
+    ToldState,
     WatchAnswer,
     WatchEvent,
 )
@@ -123,6 +125,10 @@
         """Raise `StoreRestoredError` if the store was restored since it was read."""
         ...
 
+    def adopt_history(self, history: int | None) -> None:
+        """Take what another instance read of a history for a complete read of it."""
+        ...
+
 
 def new_peers() -> asyncio.Future[ChangePeers]:
     """Return a future of the running event loop."""
@@ -138,7 +144,8 @@
     changes come from now, None for the store, and `polls` counts calls of the store.
     The store has not answered since `unreached_since`, a time of the event loop in
     seconds, None while it does; `on_reach` is called with each change of that, and
-    `returned_at` is when it last answered again. `known` has what was applied of each
+    `returned_at` is when it last answered again, and `adopted_at` when another instance
+    last told all that it has. `known` has what was applied of each
     key, which `StoreFollower` records. `parts` tells which keys may have large values,
     and `readings` has those that are being read for other instances.
     """
@@ -156,6 +163,7 @@
     polls: int = 0
     unreached_since: float | None = None
     returned_at: float = -math.inf
+    adopted_at: float = -math.inf
     on_reach: Callable[[bool], None] = lambda is_reached: None
 
     async def get_prefix(self, prefix: str) -> Snapshot:
@@ -424,7 +432,7 @@
         One that is known here is not read again, and several that want the same wait
         for one call. Raises as `KeyValueStore.get` does.
         """
-        known = self.known.large.get(key)
+        known = self.known.large_value(key)
         if known is not None and known.revision >= revision > 0:
             return known
         while (reading := self.readings.get(key)) is not None and not reading.done():
@@ -516,11 +524,12 @@
         except ChangePeerError as error:
             self.log_left(source, error)
 
-    async def regain(self, after: int) -> WatchAnswer | None:
-        """Wait until the changes after a revision can be learned again.
+    async def regain(self, after: int | None) -> WatchAnswer | ToldState | None:
+        """Wait until what the store has can be learned again.
 
-        Returns them from an instance that has followed the store all along, or None if
-        the store answers and there is no such instance.
+        Returns the changes after a revision from an instance that has followed the
+        store all along, or all that the store has if there can be no such changes; None
+        if the store answers and there is no such instance.
         """
         store_answers = asyncio.create_task(self.wait_for_store())
         asking = asyncio.create_task(self.ask_others_repeatedly(after))
@@ -530,6 +539,8 @@
             )
             if asking.done():
                 return asking.result()
+            if after is None:
+                return None
             # Those that are being asked may not be reached since before the store was.
             try:
                 async with asyncio.timeout(LAST_CHANCE_S):
@@ -540,6 +551,16 @@
         finally:
             await cancel_tasks({store_answers, asking})
 
+    @property
+    def history(self) -> int | None:
+        """What the revisions of the last complete read belong to, if it was told."""
+        return self.store.history
+
+    def adopt_history(self, history: int | None) -> None:
+        """Go on from what another instance has told of a history of the store."""
+        self.store.adopt_history(history)
+        self.adopted_at = clock()
+
     async def wait_for_store(self) -> None:
         """Return once the store answers; a call is made every `CHECK_INTERVAL_S`."""
         calls: set[asyncio.Task[bool]] = set()
@@ -567,14 +588,68 @@
             return False
         return True
 
-    async def ask_others_repeatedly(self, after: int) -> WatchAnswer:
-        """Return the changes after a revision once another instance tells them."""
+    async def ask_others_repeatedly(self, after: int | None) -> WatchAnswer | ToldState:
+        """Return the changes after a revision once another instance tells them.
+
+        If none can, return all that the store has.
+        """
         while True:
-            found = await self.ask_others(after, OTHERS_ASKED)
-            if found is not None:
-                return found[1]
+            if after is not None:
+                found = await self.ask_others(after, OTHERS_ASKED)
+                if found is not None:
+                    return found[1]
+            state = await self.ask_state()
+            if state is not None:
+                return state
             await asyncio.sleep(OTHERS_PAUSE_S * self.random.uniform(0.5, 1.0))
 
+    async def ask_state(self) -> ToldState | None:
+        """Return all that the store has from the first instance that tells it.
+
+        One of the same history must have followed it since before this one did not:
+        entries may have lapsed while the store was away.
+        """
+        others = self.sharing.others()[:OTHERS_ASKED] if self.has_peers() else ()
+        for each in others:
+            try:
+                with as_peer_error():
+                    state = await self.peers.result().state(each.peer_address)
+                is_other = state.history != self.store.history
+                if is_other or self.has_followed(state.followed_s):
+                    return await self.read_state(each, state)
+                log_unhelpful(each, None, "was without the store")
+            except ChangePeerError as error:
+                log_unhelpful(each, None, repr(error))
+        return None
+
+    async def read_state(self, source: EntryInstance, state: PassedState) -> ToldState:
+        """Return what an instance tells of the store, with large values that are read.
+
+        Raises `ChangePeerError`.
+        """
+        values = []
+        for each in state.changes:
+            value: bytes | None = each.value
+            if each.must_be_read:
+                event = await self.read_value(source, each.key, each.revision)
+                value = event.value
+            if value is not None:
+                values.append(StoredValue(each.key, value, each.revision))
+        snapshot = Snapshot(tuple(values), state.revision)
+        return ToldState(snapshot, state.history, source.name)
+
+    def state(self) -> PassedState | None:
+        """Return all that the store has, for another instance; None if not known."""
+        log = self.feed.log
+        if not log.is_open:
+            return None
+        changes = [
+            make_passed_change(key, each.revision, each.value)
+            for key, each in self.known.live.items()
+        ]
+        followed_s = clock() - self.feed.opened_at
+        return PassedState(tuple(changes), log.revision, log.history, followed_s)
+
     async def ask_others(
         self, after: int, most: int
     ) -> tuple[EntryInstance, WatchAnswer] | None:
@@ -608,7 +683,7 @@
             async with self.receiving(source, after) as stream:
                 passed = await stream.receive(self.pace.silence_s)
                 self.store.check_history()
-                if passed is None or not self.has_followed(passed):
+                if passed is None or not self.has_followed(passed.followed_s):
                     reason = "silent" if passed is None else "was without the store"
                     log_unhelpful(source, after, reason)
                     return None
@@ -620,10 +695,15 @@
             log_unhelpful(source, after, repr(error))
             return None
 
-    def has_followed(self, passed: PassedChanges) -> bool:
-        """Whether an instance has followed the store since before this one did not."""
-        since = self.unreached_since
-        return since is None or clock() - passed.followed_s <= since
+    def has_followed(self, followed_s: float) -> bool:
+        """Whether an instance has followed the store since before this one did not.
+
+        It has done so for some seconds. What was told of all keys counts as well.
+        """
+        if self.unreached_since is None:
+            return True
+        since = max(self.unreached_since, self.adopted_at)
+        return clock() - followed_s <= since
 
 
 def log_value_read(
@@ -639,8 +719,8 @@
     )
 
 
-def log_unhelpful(source: EntryInstance, after: int, reason: str) -> None:
-    """Log that an instance does not tell the changes after a revision."""
+def log_unhelpful(source: EntryInstance, after: int | None, reason: str) -> None:
+    """Log that an instance does not tell the changes after a revision, or the state."""
     log_event("changes_not_told", instance=source.name, after=after, reason=reason)
 
 
--- a/src/turmericusher/tasks/store_follower.py
+++ b/src/turmericusher/tasks/store_follower.py
@@ -32,6 +32,7 @@
 from turmericusher.ports.keyvalue import (
     Snapshot,
     StoredValue,
+    ToldState,
     WatchAnswer,
     WatchEvent,
 )
@@ -97,19 +98,33 @@
         """The time in seconds since which the store has not answered, if it has not."""
         ...
 
-    async def regain(self, after: int) -> WatchAnswer | None:
-        """Wait until the changes after a revision can be learned again.
+    async def regain(self, after: int | None) -> WatchAnswer | ToldState | None:
+        """Wait until what the store has can be learned again.
 
-        Returns them if they are known without a gap, or None if all must be read.
+        Returns the changes after a revision if they are known without a gap, or all
+        that another instance knows, or None if all must be read.
         """
         ...
 
+    def adopt_history(self, history: int | None) -> None:
+        """Go on from what another instance has told of a history of the store.
+
+        Raises `StoreUnavailableError` if a later one is known.
+        """
+        ...
+
+    @property
+    def history(self) -> int | None:
+        """What the revisions of the last complete read belong to, if it was told."""
+        ...
+
 
 @dataclass(slots=True)
 class StoreFollower:
     """The task that owns the watch; `revision` is the last one seen, if any.
 
-    `must_read` is set once the store does not have the changes since then.
+    `must_read` is set once the store does not have the changes since then, and
+    `is_restored` while what is known is of a history that was replaced.
     `on_heard` is called after each answer of the store was applied, with a time at or
     after which all keys were heard of; `applied` has what the last answer was.
     """
@@ -122,6 +137,7 @@
     on_heard: Callable[[float], None] = lambda now: None
     applied: AppliedChanges = field(default_factory=AppliedChanges)
     is_lost: bool = False
+    is_restored: bool = False
     must_read: bool = False
     backoff_s: float = MIN_BACKOFF_S
 
@@ -129,15 +145,14 @@
         """Read and watch the store until cancelled, backing off after failures."""
         while True:
             try:
-                if self.is_lost and self.revision is not None:
-                    await self.regain(self.revision)
+                if self.is_lost and (self.revision is not None or self.is_restored):
+                    await self.regain()
                 elif self.revision is None or self.must_read:
                     await self.read_all(clock())
                 await self.watch()
             except StoreRestoredError as error:
                 log_event("store_history_replaced", message=error.message)
-                self.revision = None
-                self.listener.store_restored(clock())
+                self.mark_restored()
             except StoreHistoryLostError as error:
                 log_event("store_history_lost", message=error.message)
                 self.must_read = True
@@ -146,15 +161,18 @@
                 await asyncio.sleep(self.backoff_s * self.random.uniform(0.5, 1.0))
                 self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
 
-    async def regain(self, revision: int) -> None:
+    async def regain(self) -> None:
         """End an outage, by what another instance knows or by reading everything."""
-        answer = await self.store.regain(revision)
-        if answer is None:
-            await self.read_all(clock())
-            return
-        self.mark_regained(clock(), was_away=False)
-        self.apply(answer)
-        self.must_read = False
+        answer = await self.store.regain(self.revision)
+        match answer:
+            case None:
+                await self.read_all(clock())
+            case ToldState():
+                self.adopt(answer)
+            case WatchAnswer():
+                self.mark_regained(clock(), was_away=False)
+                self.apply(answer)
+                self.must_read = False
 
     async def read_all(self, reached_at: float) -> None:
         """Read the whole prefix and record the revision from which to watch.
@@ -163,13 +181,36 @@
         """
         snapshot = await self.store.get_prefix(self.prefix)
         self.mark_regained(reached_at, was_away=True)
+        self.apply_all(snapshot, None)
+
+    def adopt(self, state: ToldState) -> None:
+        """Go on from what another instance has told of all keys."""
+        if state.history != self.store.history and not self.is_restored:
+            self.mark_restored()
+        self.store.adopt_history(state.history)
+        self.mark_regained(clock(), was_away=False)
+        self.apply_all(state.snapshot, state.source)
+
+    def apply_all(self, snapshot: Snapshot, source: str | None) -> None:
+        """Replace what is known by all keys, read or told by an instance."""
         with self.applying(snapshot.revision):
             self.listener.store_read(snapshot.values, clock())
         self.store.known.replace(snapshot.values)
         self.on_heard(clock())
-        self.revision, self.must_read = snapshot.revision, False
-        self.applied.record_answer(snapshot.revision, None, clock())
-        log_event("store_read", revision=snapshot.revision, values=len(snapshot.values))
+        self.revision = snapshot.revision
+        self.must_read = self.is_restored = False
+        self.applied.record_answer(snapshot.revision, source, clock())
+        log_event(
+            "store_read",
+            revision=snapshot.revision,
+            values=len(snapshot.values),
+            source=source or "store",
+        )
+
+    def mark_restored(self) -> None:
+        """Forget what is known of a history of the store that was replaced."""
+        self.revision, self.is_restored = None, True
+        self.listener.store_restored(clock())
 
     async def watch(self) -> None:
         """Pass changes to the listener as they arrive."""
--- a/src/turmericusher/tasks/stream_peers.py
+++ b/src/turmericusher/tasks/stream_peers.py
@@ -57,6 +57,7 @@
                 exchange.versions,
                 watch.feed,
                 watch.read_for_other,
+                watch.state,
                 lending.lend,
                 listener,
                 guard,
--- a/tests/common/turned_away_fixtures.py
+++ b/tests/common/turned_away_fixtures.py
@@ -53,6 +53,10 @@
         raise ChangePeerError(f"{address} is not reached")
         yield
 
+    async def state(self, address) -> None:
+        """Fail as a connection that is refused does."""
+        raise ChangePeerError(f"{address} is not reached")
+
     async def read(self, address, key, revision) -> bytes | None:
         """Fail as a connection that is refused does."""
         raise ChangePeerError(f"{address} is not reached")
--- a/tests/cover/test_value_pieces.py
+++ b/tests/cover/test_told_values.py
@@ -1,4 +1,4 @@
-"""Test that an instance reads a large value for another one, however long it takes."""
+"""Test what an instance tells another one: large values, and all that the store has."""
 
 from __future__ import annotations
 
@@ -13,11 +13,21 @@
 from testtools import ExpectedException, TestCase
 
 from tests.common.asynchronous import run_async
+from turmericusher.decisions.fleet import EntryInstance
 from turmericusher.decisions.watch_pace import WatchPace
-from turmericusher.decisions.watch_sharing import LARGE_VALUE_BYTES, WatchSharing
+from turmericusher.decisions.watch_sharing import (
+    LARGE_VALUE_BYTES,
+    PassedChange,
+    PassedState,
+    WatchSharing,
+)
 from turmericusher.errors import StoreUnavailableError
 from turmericusher.peers import changes_service
-from turmericusher.peers.changes_service import ChangesService, ChangeStreams
+from turmericusher.peers.changes_service import (
+    STATE_PART_CHANGES,
+    ChangesService,
+    ChangeStreams,
+)
 from turmericusher.ports.change_peers import ChangePeerError
 from turmericusher.ports.keyvalue import StoredValue
 from turmericusher.tasks.change_feed import ChangeFeed
@@ -60,7 +70,7 @@
 @asynccontextmanager
 async def serving(service_type, read_key, pause_s=0.0):
     """Serve values; yield the address."""
-    service = service_type(ChangeFeed(), read_key)
+    service = service_type(ChangeFeed(), read_key, lambda: None)
     service.pause_s = pause_s
     server = Server([service])
     await server.start("127.0.0.1", 0)
@@ -114,9 +124,79 @@
                 await ChangeStreams().read(address, "k", 5)
 
 
+STATES = [
+    ("of some keys", 3, 7),
+    ("of many keys", 2 * STATE_PART_CHANGES + 1, 7),
+    ("of no key", 0, 7),
+    ("of a store with one history", 1, None),
+]
+
+
+class StateTest(TestCase):
+    @parameterized.expand(STATES)
+    @run_async
+    async def test_a_state_is_received_as_it_is(self, _, keys, history):
+        changes = [PassedChange(f"k{n}", n + 1, b"v") for n in range(keys)]
+        changes.append(PassedChange("large", 99, None, must_be_read=True))
+        state = PassedState(tuple(changes), 100, history, 2.5)
+        async with telling(state) as address:
+            self.assertEqual(state, await ChangeStreams().state(address))
+
+    @run_async
+    async def test_an_instance_that_does_not_know_tells_no_state(self):
+        async with telling(None) as address:
+            with ExpectedException(ChangePeerError):
+                await ChangeStreams().state(address)
+
+    @parameterized.expand(
+        [
+            ("since before this one was without the store", 7, 10.0, True),
+            ("only since", 7, 0.0, False),
+            ("of another history", 8, 0.0, True),
+        ]
+    )
+    @run_async
+    async def test_a_state_is_used_if_the_store_was_followed(
+        self, _, history, followed_s, is_used
+    ):
+        state = PassedState((PassedChange("k", 5, b"v"),), 9, history, followed_s)
+        async with telling(state) as address:
+            watch = make_watch(CountingStore())
+            watch.sharing.domains = {
+                "d0": {"w0": EntryInstance("w0", "d0", "c", address)}
+            }
+            watch.peers.set_result(ChangeStreams())
+            watch.unreached_since = asyncio.get_running_loop().time() - 5.0
+            found = await watch.ask_state()
+        self.assertEqual(is_used, found is not None)
+        if found is not None:
+            self.assertEqual((StoredValue("k", b"v", 5),), found.snapshot.values)
+            self.assertEqual((9, history), (found.snapshot.revision, found.history))
+
+
+@asynccontextmanager
+async def telling(state):
+    """Serve a state; yield the address."""
+    service = ChangesService(ChangeFeed(), None, lambda: state)
+    server = Server([service])
+    await server.start("127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}"
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+def make_watch(store):
+    pace = WatchPace(wait_s=1.0, pause_s=0.0, watcher_s=1.0, silence_s=1.0)
+    return SharedWatch(store, pace, WatchSharing("own", "d0"))
+
+
 class CountingStore:
     """A store of one value, which counts the calls that read it."""
 
+    history = 7
+
     def __init__(self):
         self.revision, self.calls, self.may_answer = 5, 0, asyncio.Event()
 
@@ -130,14 +210,10 @@
 
 
 class ReadForOtherTest(TestCase):
-    def make_watch(self, store):
-        pace = WatchPace(wait_s=1.0, pause_s=0.0, watcher_s=1.0, silence_s=1.0)
-        return SharedWatch(store, pace, WatchSharing("own", "d0"))
-
     @run_async
     async def test_instances_that_want_the_same_value_cost_one_call(self):
         store = CountingStore()
-        watch = self.make_watch(store)
+        watch = make_watch(store)
         reading = [asyncio.create_task(watch.read_for_other("k", 5)) for _ in range(9)]
         await asyncio.sleep(0.01)
         store.may_answer.set()
@@ -149,7 +225,7 @@
     @run_async
     async def test_a_call_from_before_a_version_does_not_answer_for_it(self):
         store = CountingStore()
-        watch = self.make_watch(store)
+        watch = make_watch(store)
         early = asyncio.create_task(watch.read_for_other("k", 5))
         await asyncio.sleep(0.01)
         store.revision = 6
@@ -168,7 +244,7 @@
         store = CountingStore()
         store.revision = 9
         store.may_answer.set()
-        watch = self.make_watch(store)
+        watch = make_watch(store)
         watch.known.replace([StoredValue("k", b"x" * LARGE_VALUE_BYTES, 7)])
         found = await watch.read_for_other("k", wanted)
         self.assertEqual(9 if calls else 7, found.revision)
@@ -178,7 +254,7 @@
     async def test_an_error_of_the_store_is_passed_on_to_all_that_wait(self):
         store = CountingStore()
         store.revision = 0
-        watch = self.make_watch(store)
+        watch = make_watch(store)
         reading = [asyncio.create_task(watch.read_for_other("k", 5)) for _ in range(3)]
         await asyncio.sleep(0.01)
         store.may_answer.set()
--- a/tests/cover/test_turned_away.py
+++ b/tests/cover/test_turned_away.py
@@ -21,6 +21,7 @@
 from turmericusher.decisions.listing import RELIST_GRACE_S
 from turmericusher.decisions.watch_sharing import (
     LARGE_VALUE_BYTES,
+    MAX_KEPT_CHANGES,
     MIN_SHARING,
     choose_asking,
 )
@@ -88,19 +89,54 @@
                 write(CONFIGURATION_KEY, configuration(2, services=LARGE_SERVICES))
             await simulation.wait_for_version(2)
 
+    @parameterized.expand(WAYS)
     @run_async
     async def test_drain_a_leaving_upstream_is_not_used_though_the_store_was_restored(
-        self,
+        self, how
     ):
         async with running_turned_away() as simulation:
             store = simulation.fleet.store.store
             copy = store.copied()
-            await simulation.turn_away("busy")
+            await simulation.turn_away(how)
             store.restore(copy)
             await asyncio.sleep(SETTLING_S)
             simulation.fleet.write_upstream_entry(0, "draining")
             await wait_until(lambda: not simulation.is_used(0), LIMIT_S)
 
+    @parameterized.expand(WAYS)
+    @run_async
+    async def test_config_is_in_force_in_time_though_the_store_was_restored(self, how):
+        async with running_turned_away() as simulation:
+            store = simulation.fleet.store.store
+            copy = store.copied()
+            await simulation.turn_away(how)
+            store.restore(copy)
+            await asyncio.sleep(SETTLING_S)
+            for version, services in ((2, LARGE_SERVICES), (3, [{"name": "s"}])):
+                store.write(
+                    CONFIGURATION_KEY, configuration(version, services=services)
+                )
+                await simulation.wait_for_version(version)
+            simulation.take_back()
+            await asyncio.sleep(SETTLING_S)
+            store.write(CONFIGURATION_KEY, configuration(4))
+            await simulation.wait_for_version(4)
+
+    @run_async
+    async def test_drain_a_leaving_upstream_is_not_used_though_logs_were_trimmed(self):
+        async with running_turned_away() as simulation:
+            with simulation.cut_from_others():
+                await simulation.turn_away("busy")
+                simulation.fleet.store.store.write(f"{UPSTREAM_PREFIX}u0", None)
+                for number in range(MAX_KEPT_CHANGES + 100):
+                    simulation.fleet.store.store.write(f"status/{number}", b"")
+                await asyncio.sleep(LIMIT_S)
+                self.assertTrue(simulation.is_used(0))
+            listing = simulation.alone.fleet.upstreams
+            await wait_until(lambda: listing.store_lost_at is None, LIMIT_S)
+            self.assertFalse(simulation.is_used(0))
+            self.assertTrue(simulation.is_used(1))
+
     @run_async
     async def test_drain_a_mark_that_is_known_holds_though_the_store_was_restored(self):
         async with running_turned_away() as simulation:
