--- a/src/turmericusher/platform/store.py
+++ b/src/turmericusher/platform/store.py
@@ -72,8 +72,7 @@
 """Calls take milliseconds, and a few hundred milliseconds when the store is slow."""
 
 ANSWER_TIMEOUT_S = 15.0
-"""Seconds that the whole of an answer may take to arrive. The largest page of a read
-takes 3 s over the slowest links, and as long again for each other answer beside it."""
+"""Seconds that the whole of an answer may take to arrive, however steadily it does."""
 
 CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CALL_TIMEOUT_S)
 
--- a/src/turmericusher/ports/key_revisions.py
+++ b/src/turmericusher/ports/key_revisions.py
@@ -1,4 +1,4 @@
-"""Which revision of each key of the store an instance has applied.
+"""Which value and revision of each key of the store an instance has applied.
 
 Changes may come twice, and in another order than they were made: entries and large
 values are asked for apart, and what another instance passes on may be older than what
--- a/tests/cover/test_slow_links.py
+++ b/tests/cover/test_slow_links.py
@@ -15,9 +15,10 @@
 from turmericusher.platform.names import CONFIGURATION_KEY
 
 LINK_BYTES_PER_S = 625_000
+"""5 Mbit/s."""
+
 LIMIT_S = 3.0
-"""The slowest links of the grown deployments as they are played, and the time within
-which a change must be in force there."""
+"""Seconds within which a change must be in force."""
 
 BOUNDS = {"configuration_apply_ms": 1_000 * LIMIT_S, "drain_ms": 1_000 * LIMIT_S}
 
