--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -510,17 +510,19 @@
     return body["identifier"], body["target"]
 
 
+def is_last_copy(value: bytes) -> bool:
+    """Whether a request to copy has the run stopped first."""
+    return bool(decode_json(value).get("last", False))
+
+
 def decode_copy_handle(value: bytes) -> str:
     """Return the handle of a new copy; raise `ValueError` if the body is invalid."""
     return decode_model(CopyModel, value).handle
 
 
-def encode_copy_handle(handle: str) -> bytes:
-    """Return an engine's response to a request to copy.
-
-    `created` is a placeholder; `decode_copy_handle` ignores it.
-    """
-    return msgspec.json.encode({"handle": handle, "created": 0})
+def encode_copy_handle(handle: str, events_made: int = 0) -> bytes:
+    """Return an engine's response to a request to copy."""
+    return msgspec.json.encode({"handle": handle, "created": events_made})
 
 
 def decode_instance(name: str, value: bytes) -> EntryInstance | None:
--- a/tests/common/relay_fixtures.py
+++ b/tests/common/relay_fixtures.py
@@ -7,7 +7,7 @@
 import os
 import random
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -47,7 +47,7 @@
     PlatformStoreStandin,
     running_platform_store,
 )
-from turmericusher.standins.platform_upstream import UpstreamStandin, running_upstream
+from turmericusher.standins.platform_upstream import UpstreamStandin, running_standin
 
 DOMAINS = ("quai-nord", "quai-sud", "bureau-criee")
 SERVICE = "s"
@@ -157,8 +157,13 @@
     return actions
 
 
-def configuration(version: int = 1, **changes: object) -> bytes:
-    """Return a configuration as operators write it, with one route for each kind."""
+def configuration(
+    version: int = 1, route_changes: dict[str, object] | None = None, **changes: object
+) -> bytes:
+    """Return a configuration as operators write it, with one route for each kind.
+
+    `route_changes` are fields of all routes.
+    """
     routes = [
         {
             "name": f"r-{kind.value}",
@@ -171,6 +176,7 @@
             "max_attempts": 3,
             "stream_resumption": kind is RequestKind.RESUMABLE_STREAM,
         }
+        | (route_changes or {})
         for kind, prefix in PATHS.items()
     ]
     fields = {
@@ -339,7 +345,10 @@
 
 @asynccontextmanager
 async def running_relay_simulation(
-    upstreams: int = 3, configuration_limit_s: float = 2.0
+    upstreams: int = 3,
+    configuration_limit_s: float = 2.0,
+    make_standin: Callable[[str], UpstreamStandin] = UpstreamStandin,
+    route_changes: dict[str, object] | None = None,
 ) -> AsyncIterator[RelaySimulation]:
     """Run an instance that has its configuration and knows all its upstreams.
 
@@ -347,12 +356,13 @@
     """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_platform_store())
-        standins = [
-            await stack.enter_async_context(running_upstream(f"u{index}"))
-            for index in range(upstreams)
-        ]
+        standins = [make_standin(f"u{index}") for index in range(upstreams)]
+        for standin in standins:
+            await stack.enter_async_context(running_standin(standin))
         peers = {standin.address: standin for standin in standins}
-        store.store.write(CONFIGURATION_KEY, configuration())
+        store.store.write(
+            CONFIGURATION_KEY, configuration(route_changes=route_changes or {})
+        )
         for index, standin in enumerate(standins):
             standin.peers = peers
             key = f"{UPSTREAM_PREFIX}{standin.name}"
