Logs: a report that is missing says what was seen of its upstream

`report_missing` has `state`: silent, refused, unreached, invalid; the probe of a stalled attempt brings it too.

--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -198,6 +198,29 @@
         return min(tokens, self.memory_used)
 
 
+class ReportState(enum.StrEnum):
+    """What became of a query for an upstream's report.
+
+    `SILENT`: the upstream accepted the connection and did not answer in time, as one
+    whose process stands still. `REFUSED`: nothing listens at its address. `UNREACHED`:
+    no connection in time. `INVALID`: it answered without a report, or broke off.
+    """
+
+    ANSWERED = "answered"
+    SILENT = "silent"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class ReportQuery:
+    """The outcome of a query for a report, which is there only if it was answered."""
+
+    state: ReportState
+    report: UpstreamReport | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamProbed:
     """The upstream of a stalled attempt was probed; None if it did not answer."""
@@ -205,6 +228,7 @@
     attempt: int
     at: float
     report: UpstreamReport | None
+    state: ReportState = ReportState.UNREACHED
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -46,10 +46,11 @@
     RelayAnswer,
     RelayedRequest,
     RelayEvent,
+    ReportQuery,
+    ReportState,
     StartRelay,
     StreamFinished,
     StreamOpened,
-    UpstreamReport,
 )
 from turmericusher.decisions.routing import RoutedRequest
 from turmericusher.errors import ErrorCode, Verdict
@@ -244,12 +245,15 @@
         if pause_s is not None:
             self.on_pause(upstream, pause_s)
 
-    async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
-        """Query an upstream's load; return None if no valid report comes in time."""
+    async def query_report(self, upstream: UpstreamInstance) -> ReportQuery:
+        """Query an upstream's load, for as long as a stalled stream can wait."""
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
         url = f"http://{upstream.address}{REPORT_PATH}"
+        progress = SendProgress()
         try:
-            async with self.session.get(url, timeout=timeout) as response:
+            async with self.session.get(
+                url, timeout=timeout, trace_request_ctx=progress
+            ) as response:
                 is_leaving = self.note_signals(upstream, response)
                 data = await read_bounded(response, MAX_MESSAGE_BYTES)
             limit_per_s = self.read_limit(upstream, tuple(response.headers.items()))
@@ -262,10 +266,16 @@
             if is_leaving:
                 # The report names the incarnation, which the list may not show yet.
                 self.on_leaving(replace(upstream, incarnation=report.incarnation))
-            return report
+            return ReportQuery(ReportState.ANSWERED, report)
         except MESSAGE_ERRORS as error:
-            log_event("report_missing", upstream=upstream.name, error=repr(error))
-            return None
+            state = report_state(progress, error)
+            log_event(
+                "report_missing",
+                upstream=upstream.name,
+                state=state.value,
+                error=repr(error),
+            )
+            return ReportQuery(state)
 
     async def find_end_state(self, upstream: UpstreamInstance) -> EndState:
         """Find out whether an upstream refuses connections or another one answers.
@@ -589,6 +599,16 @@
     return failure(start, cause, verdict, repr(error)[:MAX_MESSAGE_CHARS])
 
 
+def report_state(progress: SendProgress, error: Exception) -> ReportState:
+    """Return what a query for a report that raised `error` shows of its upstream."""
+    if progress.is_connected:
+        is_late = isinstance(error, TimeoutError)
+        return ReportState.SILENT if is_late else ReportState.INVALID
+    os_error = getattr(error, "os_error", error)
+    is_refused = isinstance(os_error, ConnectionRefusedError)
+    return ReportState.REFUSED if is_refused else ReportState.UNREACHED
+
+
 def failure(
     start: StartRelay, cause: AttemptCause, verdict: Verdict, message: str = ""
 ) -> AttemptFailed:
--- a/src/turmericusher/ports/relay.py
+++ b/src/turmericusher/ports/relay.py
@@ -15,8 +15,8 @@
     MemoryCopy,
     RelayedRequest,
     RelayEvent,
+    ReportQuery,
     StartRelay,
-    UpstreamReport,
 )
 from turmericusher.decisions.routing import RoutedRequest
 
@@ -40,8 +40,8 @@
         """
         ...
 
-    async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
-        """Query an upstream's load; return None if no valid report comes in time."""
+    async def query_report(self, upstream: UpstreamInstance) -> ReportQuery:
+        """Query an upstream's load, for as long as a stalled stream can wait."""
         ...
 
     async def find_end_state(self, upstream: UpstreamInstance) -> EndState:
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -42,12 +42,12 @@
     RelayEvent,
     RelayOutput,
     ReleaseCopy,
+    ReportQuery,
     RetryLent,
     StartRelay,
     TraitBlocked,
     TrialClaimed,
     UpstreamProbed,
-    UpstreamReport,
     VersionFound,
 )
 from turmericusher.decisions.relay_state import RelayShared
@@ -108,9 +108,7 @@
     reach_checks: ReachChecks
     lending: RetryLending
     owners: set[RelayOwner] = field(default_factory=set)
-    pending_reports: dict[str, asyncio.Task[UpstreamReport | None]] = field(
-        default_factory=dict
-    )
+    pending_reports: dict[str, asyncio.Task[ReportQuery]] = field(default_factory=dict)
     release_tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def release(self, copy: MemoryCopy) -> None:
@@ -139,8 +137,8 @@
         for owner in self.owners:
             owner.relay.record_ended_upstreams(now)
 
-    async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
-        """Return an upstream's report, or None if it does not answer.
+    async def query_report(self, upstream: UpstreamInstance) -> ReportQuery:
+        """Query an upstream for its report.
 
         A query of that upstream that already runs is shared, and is not cancelled with
         a caller that waits for it.
@@ -317,9 +315,10 @@
 
     async def probe_upstream(self, action: ProbeUpstream) -> None:
         """Query the upstream of a stalled attempt and pass its report to the inbox."""
-        report = await self.context.query_report(action.upstream)
+        query = await self.context.query_report(action.upstream)
         now = asyncio.get_running_loop().time()
-        await self.inbox.put(UpstreamProbed(action.attempt, now, report))
+        probed = UpstreamProbed(action.attempt, now, query.report, query.state)
+        await self.inbox.put(probed)
 
     async def claim_trial(self, action: ClaimTrial) -> None:
         """Ask for a trial of a blocked trait and pass the outcome to the inbox."""
@@ -371,7 +370,7 @@
         for name, task in queries.items():
             if not task.done():
                 task.cancel()
-            elif (report := task.result()) is not None:
+            elif (report := task.result().report) is not None:
                 reports[name] = report
         now = asyncio.get_running_loop().time()
         await self.inbox.put(LoadsReported(now, reports))
@@ -399,7 +398,7 @@
         the copy; this is logged.
         """
         holder = action.holder
-        report = await self.context.query_report(holder)
+        report = (await self.context.query_report(holder)).report
         if report is None or report.incarnation != holder.incarnation:
             log_event(
                 "holder_lost",
--- a/tests/common/cut_fixtures.py
+++ b/tests/common/cut_fixtures.py
@@ -18,8 +18,9 @@
     MemoryCopy,
     RelayedRequest,
     RelayEvent,
+    ReportQuery,
+    ReportState,
     StartRelay,
-    UpstreamReport,
 )
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
 from turmericusher.errors import Verdict
@@ -90,11 +91,11 @@
 
         await self.port.send(start, request, routed, pass_on)
 
-    async def query_report(self, upstream: UpstreamInstance) -> UpstreamReport | None:
+    async def query_report(self, upstream: UpstreamInstance) -> ReportQuery:
         """Return an upstream's report unless it is cut off."""
         if self.is_cut(upstream.address):
             await self.fail(REPORT_TIMEOUT_S)
-            return None
+            return ReportQuery(ReportState.UNREACHED)
         return await self.port.query_report(upstream)
 
     async def find_end_state(self, upstream: UpstreamInstance) -> EndState:
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -133,7 +133,7 @@
 
 
 async def report(port, upstream):
-    return await port.query_report(upstream)
+    return (await port.query_report(upstream)).report
 
 
 async def end_state(port, upstream):
