Relay: a run that was left is stopped, and open until its end is known

Callers' streams went on at a second engine while the first worked on, up to 2.9 s, on each stream of an engine whose open connections had died or were reset at this end only. Cause: an attempt was given up by closing its connection, and that was taken for the end of its run; a lost connection was taken for the end of its engine. On a dead connection the close never arrives.

A run that was left is now an obligation of its own (`decisions/run_ends.py`, `tasks/run_ends.py`), apart from the request: one task for each upstream concerned asks it until it has ended, does not run the request, has stopped it, or the deadline has passed. Until then the request is not sent there again. The order to stop goes over a new connection, as the last copy of the run's KV cache. A stalled stream whose upstream answers is stopped first and goes on from that copy; after a lost connection the stream goes on at once, as before, and the run is stopped beside it.

--- a/src/turmericusher/decisions/placing/relay_placing.py
+++ b/src/turmericusher/decisions/placing/relay_placing.py
@@ -375,7 +375,8 @@
         repeat, and upstreams were excluded after failures: these are then tried again,
         less often after each time.
         """
-        if self.excluded and self.kind.may_repeat and self.may_have_run:
+        is_any_left_out = self.excluded or self.open_upstreams()
+        if is_any_left_out and self.kind.may_repeat and self.may_have_run:
             self.excluded.clear()
             self.retry_at = now + self.jittered(round_pause_s(self.rounds_in_a_row))
             self.rounds_in_a_row += 1
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -18,6 +18,7 @@
 
 from turmericusher.decisions.crash_ledger import CLEAN_RUN_S
 from turmericusher.decisions.crash_records import request_traits
+from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.prompts.relay_prompts import record_first_event
 from turmericusher.decisions.relay_copies import RelayCopies
 from turmericusher.decisions.relay_messages import (
@@ -39,7 +40,11 @@
     RelayAction,
     RelayedRequest,
     RelayEvent,
+    ReleaseCopy,
     RetryLent,
+    RunStopped,
+    SettleRun,
+    StopRun,
     StreamFinished,
     StreamOpened,
     TraitBlocked,
@@ -59,6 +64,7 @@
 from turmericusher.decisions.relay_stop import OTHER_INSTANCE_RETRY_S
 from turmericusher.decisions.rollouts.evidence import FIRST, PACE
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
+from turmericusher.decisions.run_ends import START_DELAY_S, LeftRun, RunEnd
 from turmericusher.errors import ErrorCode, Verdict
 
 REPORT_VISIBLE_AFTER_S = 0.8
@@ -87,6 +93,20 @@
 STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
 """Causes that are inferred from missing events while the connection is still open."""
 
+ENDED_CAUSES = frozenset(
+    {
+        AttemptCause.OVERLOADED,
+        AttemptCause.MISDIRECTED,
+        AttemptCause.NO_COPY,
+        AttemptCause.UNREACHABLE,
+        AttemptCause.FAILED,
+        AttemptCause.REFUSED,
+        AttemptCause.UNRECORDED,
+    }
+)
+"""Causes after which no upstream works on the attempt. A lost connection is none of
+them: it may be lost at this end only."""
+
 FAST_FAILURE_CAUSES = frozenset(
     {
         AttemptCause.OVERLOADED,
@@ -242,7 +262,7 @@
                     continue
                 idle_s = now - attempt.last_active_at
                 text = f"stalled for {idle_s:.2f} s"
-                actions.extend(self.abandon(attempt, AttemptCause.SILENT, text, now))
+                actions.extend(self.give_up(attempt, AttemptCause.SILENT, text, now))
             elif now >= self.probe_due_at(attempt):
                 attempt.probed_at = now
                 if self.shared.gate.is_paused(attempt.upstream.name, now):
@@ -265,6 +285,59 @@
         """Keep a stalled attempt until the next check of the retry budget."""
         attempt.kept_until = now + RETRY_POLL_INTERVAL_S
 
+    def give_up(
+        self, attempt: RelayAttempt, cause: AttemptCause, message: str, now: float
+    ) -> list[RelayAction]:
+        """Have the run of a stalled attempt stopped, and go on after that.
+
+        Its connection may be dead, so that closing it would not stop the run. An
+        attempt that cannot be stopped is abandoned at once.
+        """
+        target = self.stop_target(attempt, now)
+        if target is None:
+            return self.abandon(attempt, cause, message, now)
+        attempt.is_stopping = True
+        attempt.stop_cause, attempt.stop_reason = cause, message
+        return [StopRun(attempt.number, attempt.upstream, target)]
+
+    def stop_target(self, attempt: RelayAttempt, now: float) -> UpstreamInstance | None:
+        """Return where the last copy of an attempt's KV cache may go, or None.
+
+        That is the holder of its copy, or else an upstream that could hold one. There
+        is none if its upstream cannot be ordered to stop the run.
+        """
+        is_stoppable = attempt.is_connected and not attempt.is_forward
+        if not is_stoppable or not self.routed.service.moves_copies:
+            return None
+        if self.kind is not RequestKind.RESUMABLE_STREAM:
+            return None
+        if attempt.copy is not None and self.is_holder_current(attempt.copy.holder):
+            return attempt.copy.holder
+        return self.choose_standby(attempt.upstream, now, set())
+
+    def settle_run(
+        self, attempt: RelayAttempt, event: AttemptFailed, now: float
+    ) -> list[RelayAction]:
+        """Have the end of an attempt's run found out, unless its failure shows that."""
+        if event.cause in ENDED_CAUSES or attempt.is_stopped:
+            return []
+        replaced = self.shared.selector.replaced.get(attempt.upstream.name)
+        if replaced == attempt.upstream.incarnation:
+            return []
+        target = self.stop_target(attempt, now)
+        if target is None:
+            return []
+        may_start_s = 0.0 if attempt.has_event else START_DELAY_S
+        run = LeftRun(
+            request_id=self.request.request_id,
+            upstream=attempt.upstream,
+            target=target,
+            left_at=now,
+            deadline=self.deadline(),
+            may_start_until=now + may_start_s,
+        )
+        return [SettleRun(run, event.cause)]
+
     def abandon(
         self, attempt: RelayAttempt, cause: AttemptCause, message: str, now: float
     ) -> list[RelayAction]:
@@ -278,7 +351,12 @@
     def handle_attempt_failure(
         self, attempt: RelayAttempt, event: AttemptFailed, now: float
     ) -> list[RelayAction]:
-        """Remove an attempt that has failed, and retry or fail."""
+        """Remove an attempt that has failed, and retry or fail.
+
+        One that is being stopped fails by that. It is replaced when its end is known.
+        """
+        if attempt.is_stopping:
+            return []
         self.remove_attempt(attempt.number)
         return self.retry_or_fail(attempt, event, now)
 
@@ -289,12 +367,19 @@
 
         Nothing is done while another attempt is live.
         """
+        actions = self.settle_run(attempt, event, now)
         if attempt.is_forward:
             self.record_forward_failure(attempt, event, now)
         else:
             self.record_failure(attempt, event)
         if self.attempts:
-            return []
+            return actions
+        return actions + self.replace_failed(attempt, event, now)
+
+    def replace_failed(
+        self, attempt: RelayAttempt, event: AttemptFailed, now: float
+    ) -> list[RelayAction]:
+        """Start the attempt that follows a failed one, or fail."""
         has_run = event.verdict is not Verdict.NOT_RUN
         if has_run and not self.kind.may_repeat:
             return self.fail_or_deliver(event)
@@ -784,7 +869,7 @@
         and not attempt.from_copy
     ):
         text = f"has made {event_count} events, of which {held} arrived"
-        return relay.abandon(attempt, AttemptCause.UNANSWERED, text, now)
+        return relay.give_up(attempt, AttemptCause.UNANSWERED, text, now)
     should_be_visible = now - (attempt.first_event_at or now) >= REPORT_VISIBLE_AFTER_S
     if event_count is None and should_be_visible and not report.waiting:
         text = "no longer runs the request"
@@ -801,6 +886,25 @@
     return []
 
 
+@handle_event.register
+def handle_run_stopped(
+    event: RunStopped, relay: Relay, attempt: RelayAttempt, now: float
+) -> list[RelayAction]:
+    """Go on from the last copy of a run that was stopped, or else as is possible.
+
+    A run whose end is not known by now is found out about beside the request.
+    """
+    end, copy = event.stopped.end, event.stopped.copy
+    attempt.is_stopping, attempt.is_stopped = False, end is not RunEnd.UNKNOWN
+    actions: list[RelayAction] = []
+    if copy is not None and copy.holder.name != attempt.upstream.name:
+        actions = relay.record_copy(attempt, copy, event.at)
+    elif copy is not None:
+        actions = [ReleaseCopy(copy)]
+    cause = attempt.stop_cause or AttemptCause.SILENT
+    return actions + relay.abandon(attempt, cause, attempt.stop_reason, now)
+
+
 def has_begun(attempt: RelayAttempt, failure: AttemptFailed) -> bool:
     """Whether the upstream had begun to answer, so that its standby may hold a copy.
 
--- a/src/turmericusher/decisions/relay_copies.py
+++ b/src/turmericusher/decisions/relay_copies.py
@@ -43,7 +43,7 @@
         """
         if self.kind is not RequestKind.RESUMABLE_STREAM or attempt.is_copy_pending:
             return []
-        if attempt.is_forward:
+        if attempt.is_forward or attempt.is_stopping:
             return []
         if not self.routed.service.moves_copies:
             return []
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -9,6 +9,7 @@
 from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
 from turmericusher.decisions.forwarding import Hop, Refusal
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.run_ends import LeftRun, RunEnd
 from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import Verdict
 
@@ -306,6 +307,44 @@
     copy: MemoryCopy | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoppedRun:
+    """How an upstream has answered the order to stop a run.
+
+    `copy` is the last one of the run's KV cache, which the upstream made before, or
+    None. Its holder is the upstream itself if no other one has taken it.
+    """
+
+    end: RunEnd
+    copy: MemoryCopy | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Have the run of an attempt stopped, and its KV cache copied to `target`."""
+
+    attempt: int
+    upstream: UpstreamInstance
+    target: UpstreamInstance
+
+
+@dataclass(frozen=True, slots=True)
+class RunStopped:
+    """The upstream of an attempt was ordered to stop its run."""
+
+    attempt: int
+    at: float
+    stopped: StoppedRun
+
+
+@dataclass(frozen=True, slots=True)
+class SettleRun:
+    """Find out beside the request how a run that was left ends, and stop it."""
+
+    run: LeftRun
+    cause: AttemptCause
+
+
 @dataclass(frozen=True, slots=True)
 class CopyMemory:
     """Have an attempt's upstream copy its KV cache to `target` while it runs on."""
@@ -449,6 +488,7 @@
     | RetryLent
     | MemoryCopied
     | HolderChecked
+    | RunStopped
 )
 RelayOutput = DeliverAnswer | DeliverEvents | EndStream | BreakStream | Fail
 RelayAction = (
@@ -462,5 +502,7 @@
     | CopyMemory
     | CheckHolder
     | ReleaseCopy
+    | StopRun
+    | SettleRun
     | RelayOutput
 )
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -47,6 +47,7 @@
 from turmericusher.decisions.rollouts.evidence import FIRST, PACE
 from turmericusher.decisions.rollouts.gate import Rollouts, served_versions
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
+from turmericusher.decisions.run_ends import RunEnds
 from turmericusher.decisions.send_gate import SendGate
 from turmericusher.decisions.send_limits import SendLimits
 from turmericusher.decisions.send_pauses import SendPauses
@@ -218,7 +219,8 @@
     `reach` the services whose upstreams accept no connections of this instance,
     for which `forwarding` has the other instances. `loans` says which of them is asked
     for a retry, and `pool` who holds the slack of the limit in a large fleet.
-    `stream_lengths` has how many events streams have.
+    `stream_lengths` has how many events streams have, and `run_ends` the runs that were
+    left and may go on.
     `held_parts` has what upstreams hold of prompts, and `prefilled_sizes` the tokens of
     each service's prompts that they did not hold. `rollouts` are orders to move
     services to another version. `applied` tells up to where the store's changes are
@@ -253,6 +255,7 @@
     loans: RetryLoans = field(init=False)
     pool: RetryPool | None = None
     stream_lengths: StreamLengths = field(default_factory=StreamLengths)
+    run_ends: RunEnds = field(default_factory=RunEnds)
 
     def __post_init__(self) -> None:
         """Start without any limit, mark or failed connection."""
@@ -384,6 +387,8 @@
     `is_proven`: the attempt has run for long enough to show that the request is sound.
     `is_connected`: its upstream may have the request. `is_suspected`: the request was
     recorded as one that may have ended its upstream.
+    `is_stopping`: it is being given up for `stop_cause` and `stop_reason`, and its
+    upstream has the order to stop. `is_stopped`: the upstream has confirmed the end.
     `is_forward`: it goes by another instance, for which `upstream` stands.
     `completion` is the estimate that took account of what its upstream holds.
     `load` is that of the upstream when it got the request, where versions are rolled
@@ -415,6 +420,10 @@
     is_connected: bool = False
     is_suspected: bool = False
     is_forward: bool = False
+    is_stopping: bool = False
+    stop_cause: AttemptCause | None = None
+    stop_reason: str = ""
+    is_stopped: bool = False
     completion: Completion | None = None
     load: float = 0.0
 
@@ -551,7 +560,12 @@
         return attempt.last_active_at + max(MIN_STARTING_LIMIT_S, share_s)
 
     def stall_check_at(self, attempt: RelayAttempt) -> float:
-        """Return when an attempt is to be probed or abandoned if it stays inactive."""
+        """Return when an attempt is to be probed or abandoned if it stays inactive.
+
+        One that is being stopped is not: the outcome of that comes in time.
+        """
+        if attempt.is_stopping:
+            return math.inf
         due_at = min(self.probe_due_at(attempt), self.abandon_at(attempt))
         return max(due_at, attempt.kept_until)
 
@@ -609,10 +623,16 @@
             service=service,
             version=self.version,
             closed_versions=closed_versions,
-            excluded=frozenset(excluded) | self.shared.gate.closed(now),
+            excluded=frozenset(excluded)
+            | self.shared.gate.closed(now)
+            | self.open_upstreams(),
             avoided_domains=frozenset(avoided_domains),
         )
 
+    def open_upstreams(self) -> frozenset[str]:
+        """Return the upstreams that may still run an attempt that was left."""
+        return self.shared.run_ends.open_upstreams(self.request.request_id)
+
     def versions_not_drawn(
         self, excluded: set[str], closed: frozenset[str], now: float
     ) -> frozenset[str]:
@@ -666,7 +686,7 @@
     def usable_copy(self) -> MemoryCopy | None:
         """Return the copy that an attempt can resume from, or None."""
         copy = self.copy
-        if copy is None or copy.holder.name in self.excluded:
+        if copy is None or copy.holder.name in self.excluded | self.open_upstreams():
             return None
         if self.version and copy.holder.version != self.version:
             return None
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -58,6 +58,7 @@
 from turmericusher.tasks.relay_fleet import RelayFleet, expiring_entries
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.rollouts import RolloutTask, rolling_out
+from turmericusher.tasks.run_ends import checking_run_ends
 from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.store_follower import StoreFollower, following_store
 from turmericusher.tasks.store_polls import WatchedParts
@@ -187,6 +188,7 @@
         await stack.enter_async_context(exchanging_versions(exchange))
         await stack.enter_async_context(saving_versions(records))
         await stack.enter_async_context(checking_reach(checks))
+        await stack.enter_async_context(checking_run_ends(context.run_end_checks))
         await stack.enter_async_context(measuring_load(instance.load))
         for app, address in applications(settings, instance):
             waiting = None
--- a/src/turmericusher/platform/records.py
+++ b/src/turmericusher/platform/records.py
@@ -499,9 +499,15 @@
     )
 
 
-def encode_copy_request(request_id: str, target_address: str) -> bytes:
-    """Return the body of a request to copy a running request's KV cache."""
-    return msgspec.json.encode({"identifier": request_id, "target": target_address})
+def encode_copy_request(
+    request_id: str, target_address: str, is_last: bool = False
+) -> bytes:
+    """Return the body of a request to copy a running request's KV cache.
+
+    The last copy has the run stopped first.
+    """
+    fields = {"identifier": request_id, "target": target_address}
+    return msgspec.json.encode(fields | ({"last": True} if is_last else {}))
 
 
 def decode_copy_request(value: bytes) -> tuple[str, str]:
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -49,10 +49,12 @@
     ReportQuery,
     ReportState,
     StartRelay,
+    StoppedRun,
     StreamFinished,
     StreamOpened,
 )
 from turmericusher.decisions.routing import RoutedRequest
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.errors import ErrorCode, Verdict
 from turmericusher.logs import log_event
 from turmericusher.memory_guard import MemoryGuard
@@ -101,6 +103,10 @@
 """Copying the KV cache of a long prompt takes milliseconds, a little more behind other
 copies."""
 
+STOP_TIMEOUT_S = 0.25
+"""With a report before it, within the time for which two upstreams may run a stream."""
+
+NOT_FOUND = 404
 MISDIRECTED = 421
 UNAVAILABLE = 503
 SUCCESS = range(200, 300)
@@ -337,6 +343,22 @@
             log_event("copy_missing", upstream=source.name, error=repr(error))
             return None
 
+    async def stop_run(
+        self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
+    ) -> StoppedRun:
+        """Have `source` stop a run and copy its KV cache to `target` after that."""
+        timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_S)
+        url = f"http://{source.address}{COPY_PATH}"
+        body = encode_copy_request(request_id, target.address, is_last=True)
+        try:
+            async with self.session.post(url, data=body, timeout=timeout) as response:
+                self.note_signals(source, response)
+                data = await read_bounded(response, MAX_MESSAGE_BYTES)
+        except MESSAGE_ERRORS as error:
+            log_event("stop_missing", upstream=source.name, error=repr(error))
+            return StoppedRun(RunEnd.UNKNOWN)
+        return stopped_run(response.status, data, source, target)
+
     async def release_copy(self, copy: MemoryCopy) -> None:
         """Free the memory of a copy; a copy that is already gone is not an error."""
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
@@ -599,6 +621,24 @@
     return failure(start, cause, verdict, repr(error)[:MAX_MESSAGE_CHARS])
 
 
+def stopped_run(
+    status: int, data: bytes, source: UpstreamInstance, target: UpstreamInstance
+) -> StoppedRun:
+    """Return what an answer to the order to stop a run says of it.
+
+    An upstream that could not copy the KV cache has stopped the run all the same, and
+    keeps the cache, if its answer has a handle.
+    """
+    if status in (NOT_FOUND, MISDIRECTED):
+        return StoppedRun(RunEnd.ABSENT)
+    holder = target if status in SUCCESS else source
+    try:
+        handle = decode_copy_handle(data)
+    except ValueError:
+        return StoppedRun(RunEnd.UNKNOWN)
+    return StoppedRun(RunEnd.STOPPED, MemoryCopy(holder, source, handle))
+
+
 def report_state(progress: SendProgress, error: Exception) -> ReportState:
     """Return what a query for a report that raised `error` shows of its upstream."""
     if progress.is_connected:
--- a/src/turmericusher/ports/relay.py
+++ b/src/turmericusher/ports/relay.py
@@ -17,6 +17,7 @@
     RelayEvent,
     ReportQuery,
     StartRelay,
+    StoppedRun,
 )
 from turmericusher.decisions.routing import RoutedRequest
 
@@ -64,6 +65,15 @@
         """
         ...
 
+    async def stop_run(
+        self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
+    ) -> StoppedRun:
+        """Have `source` stop a run and copy its KV cache to `target` after that.
+
+        Nothing is known of the run if no valid answer comes in time.
+        """
+        ...
+
     async def release_copy(self, copy: MemoryCopy) -> None:
         """Free the memory of a copy; a copy that is already gone is not an error."""
         ...
--- a/src/turmericusher/relay_serving.py
+++ b/src/turmericusher/relay_serving.py
@@ -102,6 +102,10 @@
         self.metrics.gauge("suspected_traits", len(self.shared.crashes.suspicions))
         unreachable = self.shared.reach.unreachable_services()
         self.metrics.gauge("unreachable_services", len(unreachable))
+        run_ends = self.shared.run_ends
+        self.metrics.gauge("runs_left_open", run_ends.count())
+        for end, count in run_ends.ended.items():
+            self.metrics.gauge(f"runs_ended.{end.value}", count)
         for name, value in self.load.gauges().items():
             self.metrics.gauge(name, value)
         for service, budget in self.shared.budgets.items():
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -44,7 +44,11 @@
     ReleaseCopy,
     ReportQuery,
     RetryLent,
+    RunStopped,
+    SettleRun,
     StartRelay,
+    StoppedRun,
+    StopRun,
     TraitBlocked,
     TrialClaimed,
     UpstreamProbed,
@@ -52,6 +56,7 @@
 )
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.routing import RoutedRequest
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.decisions.stream_versions import SavedStream
 from turmericusher.errors import Verdict
 from turmericusher.logs import log_event
@@ -60,6 +65,7 @@
 from turmericusher.tasks.crash_reports import CrashReports
 from turmericusher.tasks.reach_checks import ReachChecks
 from turmericusher.tasks.retry_lending import RetryLending
+from turmericusher.tasks.run_ends import RunEndChecks
 from turmericusher.tasks.stream_versions import StreamVersionExchange
 
 INBOX_SIZE = 64
@@ -69,6 +75,14 @@
 """Bytes of a stream's events up to which more may be queued: one event may have a
 megabyte."""
 
+STOP_WAIT_S = 0.2
+"""Seconds in which an upstream is to confirm that it has stopped a run; the request
+goes on elsewhere after that."""
+
+STOP_RETRY_S = 0.02
+"""Pause in seconds before the order is repeated to an upstream that has not taken it,
+as while it makes another copy of the run."""
+
 LOAD_QUERY_TIMEOUT_S = 0.05
 """Seconds that candidates have to report their load. This covers several round trips
 between failure domains and is short compared with the time to a first event."""
@@ -81,6 +95,7 @@
     | QueryLoads
     | CopyMemory
     | CheckHolder
+    | StopRun
 )
 """Actions that are carried out beside a request, which waits for their results."""
 
@@ -98,7 +113,7 @@
     `pending_reports` holds the running query of each upstream by its address, so that
     concurrent callers wait for one query. `release_tasks` holds the tasks that release
     copies, which may outlive the request that made the copy. `owners` are those of the
-    requests in progress.
+    requests in progress. `run_end_checks` finds out about runs that were left.
     """
 
     port: RelayPort
@@ -110,6 +125,13 @@
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[ReportQuery]] = field(default_factory=dict)
     release_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    run_end_checks: RunEndChecks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Start without any run that was left."""
+        self.run_end_checks = RunEndChecks(
+            self.shared.run_ends, self.port, self.release
+        )
 
     def release(self, copy: MemoryCopy) -> None:
         """Release a copy in a task of its own, since its request may end meanwhile."""
@@ -268,6 +290,10 @@
                 self.start_helper(action, self.copy_memory)
             case CheckHolder():
                 self.start_helper(action, self.check_holder)
+            case StopRun():
+                self.start_helper(action, self.stop_run)
+            case SettleRun(run, cause):
+                self.context.run_end_checks.add(run, cause.value)
             case ReleaseCopy(copy):
                 self.context.release(copy)
             case _:
@@ -391,6 +417,28 @@
         now = asyncio.get_running_loop().time()
         await self.inbox.put(MemoryCopied(action.attempt, now, copy))
 
+    async def stop_run(self, action: StopRun) -> None:
+        """Have a run stopped and pass on what is known of it then.
+
+        An upstream that makes a copy already cannot make the last one meanwhile.
+        """
+        clock = asyncio.get_running_loop().time
+        stopped, give_up_at = StoppedRun(RunEnd.UNKNOWN), clock() + STOP_WAIT_S
+        while stopped.end is RunEnd.UNKNOWN and clock() < give_up_at:
+            stopped = await self.context.port.stop_run(
+                action.upstream, self.relay.request.request_id, action.target
+            )
+            if stopped.end is RunEnd.UNKNOWN:
+                await asyncio.sleep(STOP_RETRY_S)
+        log_event(
+            "run_stopped",
+            id=self.relay.request.request_id,
+            upstream=action.upstream.name,
+            end=stopped.end.value,
+            after_s=clock() - give_up_at + STOP_WAIT_S,
+        )
+        await self.inbox.put(RunStopped(action.attempt, clock(), stopped))
+
     async def check_holder(self, action: CheckHolder) -> None:
         """Query the holder of a copy and pass its report to the inbox.
 
@@ -481,6 +529,12 @@
     return MemoryCopied(action.attempt, now, None)
 
 
+@empty_result.register
+def empty_stop(action: StopRun, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of an order to stop that has shown nothing."""
+    return RunStopped(action.attempt, now, StoppedRun(RunEnd.UNKNOWN))
+
+
 @empty_result.register
 def empty_check(action: CheckHolder, relay: Relay, now: float) -> RelayEvent:
     """Return the event of a holder that does not answer."""
