Relay: a run that was left is stopped also where no standby is left

Cause: the order to stop names a target for the last copy, and that was chosen as a standby is, which passes over the upstreams that the request has left. The copy is freed at once, so any other upstream of the service will do.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -19,6 +19,7 @@
 from turmericusher.decisions.crash_ledger import CLEAN_RUN_S
 from turmericusher.decisions.crash_records import request_traits
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.placing.selection import PickRequest
 from turmericusher.decisions.prompts.relay_prompts import record_first_event
 from turmericusher.decisions.relay_copies import RelayCopies
 from turmericusher.decisions.relay_messages import (
@@ -300,38 +301,42 @@
         attempt.stop_cause, attempt.stop_reason = cause, message
         return [StopRun(attempt.number, attempt.upstream, target)]
 
-    def stop_target(self, attempt: RelayAttempt, now: float) -> UpstreamInstance | None:
-        """Return where the last copy of an attempt's KV cache may go, or None.
+    def may_be_stopped(self, attempt: RelayAttempt) -> bool:
+        """Whether the upstream of an attempt may run it and takes orders to stop."""
+        if not attempt.is_connected or attempt.is_forward:
+            return False
+        is_resumable = self.kind is RequestKind.RESUMABLE_STREAM
+        return is_resumable and self.routed.service.moves_copies
 
-        That is the holder of its copy, or else an upstream that could hold one. There
-        is none if its upstream cannot be ordered to stop the run.
-        """
-        is_stoppable = attempt.is_connected and not attempt.is_forward
-        if not is_stoppable or not self.routed.service.moves_copies:
-            return None
-        if self.kind is not RequestKind.RESUMABLE_STREAM:
+    def stop_target(self, attempt: RelayAttempt, now: float) -> UpstreamInstance | None:
+        """Return where a stream may go on from the last copy of its run, or None."""
+        if not self.may_be_stopped(attempt):
             return None
         if attempt.copy is not None and self.is_holder_current(attempt.copy.holder):
             return attempt.copy.holder
-        return self.choose_standby(attempt.upstream, now, set())
+        return self.choose_standby(attempt.upstream, now)
 
     def settle_run(
         self, attempt: RelayAttempt, event: AttemptFailed, now: float
     ) -> list[RelayAction]:
         """Have the end of an attempt's run found out, unless its failure shows that."""
-        if event.cause in ENDED_CAUSES or attempt.is_stopped:
+        selector, upstream = self.shared.selector, attempt.upstream
+        is_replaced = selector.replaced.get(upstream.name) == upstream.incarnation
+        if event.cause in ENDED_CAUSES or attempt.is_stopped or is_replaced:
             return []
-        replaced = self.shared.selector.replaced.get(attempt.upstream.name)
-        if replaced == attempt.upstream.incarnation:
+        if not self.may_be_stopped(attempt):
             return []
-        target = self.stop_target(attempt, now)
-        if target is None:
+        others = PickRequest(
+            self.routed.service.name, excluded=frozenset({upstream.name})
+        )
+        targets = selector.sample(others, 1)
+        if not targets:
             return []
         may_start_s = 0.0 if attempt.has_event else START_DELAY_S
         run = LeftRun(
             request_id=self.request.request_id,
-            upstream=attempt.upstream,
-            target=target,
+            upstream=upstream,
+            target=targets[0],
             left_at=now,
             deadline=self.deadline(),
             may_start_until=now + may_start_s,
--- a/src/turmericusher/decisions/run_ends.py
+++ b/src/turmericusher/decisions/run_ends.py
@@ -45,9 +45,9 @@
 class LeftRun:
     """A run that was left; times are monotonic seconds.
 
-    `target` is where its upstream may put a last copy of its KV cache. `deadline` is
-    that of the request. `may_start_until` is later than `left_at` if the upstream may
-    still have the request in a queue.
+    `target` is an upstream to which the order to stop may have the KV cache copied.
+    `deadline` is that of the request. `may_start_until` is later than `left_at` if the
+    upstream may still have the request in a queue.
     """
 
     request_id: str
