Relay: an engine that accepts connections and says nothing is not gone

Callers' streams went on at a second engine while the first, whose process had stood still for 1.2 s, worked on when it woke (0.84 s on each of its streams). Cause: a report that did not come in 150 ms was taken for the end of the engine, though its kernel had accepted the connection.

Such an engine is now silent: new requests avoid it, and a stream that runs there waits until nothing was heard of it for 1.5 s, by an event, a report or another stream. A host that is not reached or refuses is left as before. No order to stop is sent to a silent engine, which would find it on waking. An order that is not answered makes the engine a silent one too.

What it costs: a stream at an engine that hangs for good goes on after 1.5 s, before after some 0.4 s; the stated bound is 2 s.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -42,6 +42,7 @@
     RelayedRequest,
     RelayEvent,
     ReleaseCopy,
+    ReportState,
     RetryLent,
     RunStopped,
     SettleRun,
@@ -292,10 +293,11 @@
         """Have the run of a stalled attempt stopped, and go on after that.
 
         Its connection may be dead, so that closing it would not stop the run. An
-        attempt that cannot be stopped is abandoned at once.
+        attempt that cannot be stopped is abandoned at once, and so is one at a silent
+        upstream, which would find the order when it goes on.
         """
         target = self.stop_target(attempt, now)
-        if target is None:
+        if target is None or attempt.is_upstream_silent:
             return self.abandon(attempt, cause, message, now)
         attempt.is_stopping = True
         attempt.stop_cause, attempt.stop_reason = cause, message
@@ -636,6 +638,7 @@
                 wait_s = event.at - attempt.started_at
                 self.record_prefill(wait_s, attempt.prompts_ahead, now)
         attempt.last_active_at = max(attempt.last_active_at, event.at)
+        attempt.is_upstream_silent = False
         attempt.events += 1
         if event.at - attempt.first_event_at >= CLEAN_RUN_S:
             self.record_clean_run(attempt, now)
@@ -846,18 +849,29 @@
 ) -> list[RelayAction]:
     """Abandon the attempt if its upstream is gone or no longer sends its events.
 
-    The upstream is left if it does not answer, has restarted, has made more events
-    than can still be in transit, or does not have the request. If it was active after
+    The upstream is left if it cannot be reached, has restarted, has made more events
+    than can still be in transit, or does not have the request. One that accepts the
+    connection and does not answer may stand still; new requests avoid it, and this one
+    waits for a while. If it was active after
     the probe was sent, no answer to the probe is no reason to leave it, and neither is
     a report on a stream that has had an event. Waiting requests explain a late start.
     """
     report = event.report
     has_been_active = relay.upstream_active_at(attempt) > (attempt.probed_at or 0.0)
+    was_silent = attempt.is_upstream_silent
+    attempt.is_upstream_silent = event.state is ReportState.SILENT
+    if report is not None:
+        attempt.reported_at = event.at
     if has_been_active and (report is None or attempt.has_event):
+        attempt.is_upstream_silent = False
         return []
     if report is not None and not relay.confirm_incarnation(report, attempt.upstream):
         text = "has restarted"
         return relay.abandon(attempt, AttemptCause.SILENT, text, now)
+    if attempt.is_upstream_silent and now < relay.gone_at(attempt):
+        if not was_silent:
+            relay.shared.selector.failed(attempt.upstream.name)
+        return []
     if report is None:
         if not relay.may_replace(attempt, now):
             relay.keep_attempt(attempt, now)
@@ -897,10 +911,14 @@
 ) -> list[RelayAction]:
     """Go on from the last copy of a run that was stopped, or else as is possible.
 
-    A run whose end is not known by now is found out about beside the request.
+    An upstream that has not answered the order is probed again, as it may stand still.
     """
     end, copy = event.stopped.end, event.stopped.copy
     attempt.is_stopping, attempt.is_stopped = False, end is not RunEnd.UNKNOWN
+    if not attempt.is_stopped:
+        attempt.is_upstream_silent, attempt.probed_at = True, now
+        if now < relay.gone_at(attempt):
+            return []
     actions: list[RelayAction] = []
     if copy is not None and copy.holder.name != attempt.upstream.name:
         actions = relay.record_copy(attempt, copy, event.at)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -90,6 +90,11 @@
 wait: abandoned before their target, such streams began anew at the end of another queue
 and half of them were late."""
 
+SILENT_LIMIT_S = 1.5
+"""Seconds without a sign of an upstream that accepts connections after which its
+streams go on elsewhere. Its process may stand still for as long, and works on when it
+goes on; the rest of the 2 s within which output goes on after a loss is for that."""
+
 MAX_MISSING_EVENTS = 3
 """Events that an upstream reports beyond those received, from which on they count as
 lost: a report is older than any event in transit, so fewer can still arrive."""
@@ -376,8 +381,10 @@
     """One attempt to send the request; times are monotonic seconds.
 
     `is_upstream_busy`: the last probe reported that its upstream prefills or has
-    requests waiting. `prompts_ahead` counts the prompts that the upstream had to
-    prefill first, None where that is not known. `copy` is kept up to date by the
+    requests waiting. `is_upstream_silent`: it accepted the connection of the last probe
+    and did not answer. `reported_at` is when it answered a probe last.
+    `prompts_ahead` counts the prompts that the upstream had to prefill first, None
+    where that is not known. `copy` is kept up to date by the
     upstream itself, unless `copied_at` has the time at which it was made on request.
     `copy_target` is the upstream that a copy was last asked for at, and
     `copy_refused_by` those that made none since the last pause.
@@ -406,6 +413,8 @@
     headers: tuple[tuple[str, str], ...] = ()
     probed_at: float | None = None
     is_upstream_busy: bool = False
+    is_upstream_silent: bool = False
+    reported_at: float = -math.inf
     prompts_ahead: float | None = None
     first_event_at: float | None = None
     is_copy_pending: bool = False
@@ -549,6 +558,17 @@
         if attempt.is_forward:
             limit_s = FORWARD_STALL_S if attempt.has_event else math.inf
             return attempt.last_active_at + limit_s
+        return max(self.stalled_at(attempt), self.gone_at(attempt))
+
+    def gone_at(self, attempt: RelayAttempt) -> float:
+        """Return when a silent upstream is taken for gone; in the past for others."""
+        if not attempt.is_upstream_silent:
+            return -math.inf
+        heard_at = max(self.upstream_active_at(attempt), attempt.reported_at)
+        return heard_at + SILENT_LIMIT_S
+
+    def stalled_at(self, attempt: RelayAttempt) -> float:
+        """Return when an attempt at an upstream that answers counts as stalled."""
         if attempt.has_event or attempt.from_copy:
             limit_s = RUNNING_LIMIT_SHARE * self.routed.route.longest_gap_s
             return attempt.last_active_at + max(limit_s, MIN_RUNNING_LIMIT_S)
