Relay: a run that is left as the last one of its upstream ends is asked about

The task that asks an upstream ended with its last run, and was taken out of the list a step later: a run that was left in between was given to a task that asks no more, so that it could work on beside its stream. Found by reading; the new test (40 runs, one a step) failed before. The task now closes its upstream and leaves the list in one step.

--- a/src/turmericusher/decisions/run_ends.py
+++ b/src/turmericusher/decisions/run_ends.py
@@ -80,8 +80,8 @@
 class RunEnds:
     """The runs of one instance whose ends are not known.
 
-    `by_upstream` has them by name and incarnation of their upstream. `ended` counts the
-    others by how their end became known.
+    `by_upstream` has them by name and incarnation of their upstream, until that is
+    closed. `ended` counts the others by how their end became known.
     """
 
     by_upstream: dict[tuple[str, str], UpstreamRuns] = field(default_factory=dict)
@@ -110,8 +110,13 @@
         if left is None or left.runs.pop(run.request_id, None) is None:
             return
         self.ended[end] += 1
-        if not left.runs:
-            del self.by_upstream[key]
+
+    def close(self, left: UpstreamRuns) -> bool:
+        """Forget an upstream if no run there is open; return whether it was."""
+        if left.runs:
+            return False
+        self.by_upstream.pop((left.upstream.name, left.upstream.incarnation), None)
+        return True
 
     def count(self) -> int:
         """Return the number of runs whose ends are not known."""
--- a/src/turmericusher/tasks/run_ends.py
+++ b/src/turmericusher/tasks/run_ends.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.open_losses import EndState
@@ -63,28 +63,24 @@
         check = self.checks.get(key)
         if check is None:
             check = self.checks[key] = UpstreamCheck(left)
-            check.task = asyncio.create_task(self.run_check(check))
-            check.task.add_done_callback(lambda _: self.checks.pop(key, None))
+            check.task = asyncio.create_task(self.run_check(key, check))
         check.has_news.set()
 
-    async def run_check(self, check: UpstreamCheck) -> None:
+    async def run_check(self, key: tuple[str, str], check: UpstreamCheck) -> None:
         """Ask an upstream until the ends of all runs there are known."""
         left = check.left
-        while left.runs:
+        while not self.run_ends.close(left):
             check.has_news.clear()
             try:
                 await self.ask(left)
             except Exception as error:
-                log_event(
-                    "task_failed", task=f"run-ends {left.upstream.name}", error=error
-                )
+                log_event("task_failed", task="run-ends", error=repr(error))
             if not left.runs:
-                return
-            try:
+                continue
+            with suppress(TimeoutError):
                 async with asyncio.timeout(left.next_pause()):
                     await check.has_news.wait()
-            except TimeoutError:
-                continue
+        del self.checks[key]
 
     async def ask(self, left: UpstreamRuns) -> None:
         """Ask an upstream once about all runs that were left there."""
--- a/tests/cover/test_left_runs.py
+++ b/tests/cover/test_left_runs.py
@@ -177,6 +177,26 @@
         self.assertGreaterEqual(port.stops, stops)
         self.assertEqual(end is RunEnd.STOPPED, bool(released))
 
+    @run_async
+    async def test_a_run_that_is_left_as_the_last_one_ends_is_found_out_about(self):
+        checks = RunEndChecks(RunEnds(), FakePort(EndState.ENDED, None), lambda _: None)
+        now = asyncio.get_running_loop().time()
+        one, other = make_upstream(0), make_upstream(1)
+        first, *others = (
+            LeftRun(f"q{number}", one, other, now, now + 9.0, now)
+            for number in range(40)
+        )
+        async with checking_run_ends(checks):
+            checks.add(first, "lost")
+            for run in others:
+                await asyncio.sleep(0)
+                checks.add(run, "lost")
+            async with asyncio.timeout(5.0):
+                while checks.checks:
+                    await asyncio.sleep(0.01)
+        self.assertEqual(0, checks.run_ends.count())
+        self.assertEqual(40, checks.run_ends.ended[RunEnd.UPSTREAM_ENDED])
+
     @run_async
     async def test_an_upstream_that_does_not_answer_gets_no_order_and_few_questions(
         self,
