Generations: the stream of an attempt that ended by a chunk is closed

What callers saw: nothing; their engine worked on. When an engine's chunk had another model version than the answer so far, the generation went on at another engine, and the first one worked for as long as the answer took (TWICE).

Cause: the attempt was removed as dead, as after a broken stream, but here the stream was whole, and nobody closed it: `CancelAttempt` came only for live attempts. Its task read on, and its chunks were dropped.

Evidence: the new test counts two open streams after the resume; one is allowed. An engine's own abort ends its stream, and passed before.

Why the fix works: every death now yields `CancelAttempt`, which closes a stream that is still open and does nothing to one that has ended.

The test failed before (2 open streams). The generation's state machine takes a stream off only by `CancelAttempt` now, which is stricter; it fails without the fix too.

--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -17,6 +17,7 @@
 from turmericusher.decisions.extra_work import SECOND_ATTEMPT_TOKENS
 from turmericusher.decisions.generation_messages import (
     AttemptDied,
+    CancelAttempt,
     ChunkArrived,
     Deliver,
     Fail,
@@ -193,7 +194,15 @@
     def handle_attempt_death(
         self, attempt: Attempt, death: AttemptDied, now: float
     ) -> list[GenerationAction]:
-        """Remove a dead attempt and retry, or fail if the request must not run again.
+        """Close a dead attempt and retry, or fail if the request must not run again."""
+        # The stream of one that ended by a chunk is still open.
+        closed = CancelAttempt(attempt.number)
+        return [closed, *self.go_on_after_death(attempt, death, now)]
+
+    def go_on_after_death(
+        self, attempt: Attempt, death: AttemptDied, now: float
+    ) -> list[GenerationAction]:
+        """Record a death and return what follows.
 
         While another attempt is still live, only that one is checked for a stall.
         """
--- a/src/turmericusher/decisions/generation_messages.py
+++ b/src/turmericusher/decisions/generation_messages.py
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Close the stream of an attempt and ignore its further output."""
+    """Close the stream of an attempt, if it is open, and ignore its further output."""
 
     attempt: int
 
--- a/tests/cover/test_generation_machine.py
+++ b/tests/cover/test_generation_machine.py
@@ -272,8 +272,6 @@
         is_current = self.live.get(stream.number) is stream
         if not is_current and event.attempt in self.live:
             return
-        if isinstance(event, AttemptDied) and is_current:
-            del self.live[event.attempt]
         self.perform(self.generation.handle(event, self.now))
 
     @rule(data=st.data(), loss=ATTEMPT_DEATHS)
--- a/tests/matrix/test_generation_matrix.py
+++ b/tests/matrix/test_generation_matrix.py
@@ -187,6 +187,28 @@
 
         asyncio.run(disconnect())
 
+    @parameterized.expand(
+        [("another_version", Fault.OTHER_VERSION), ("abort", Fault.ABORT)]
+    )
+    def test_twice_an_engine_is_told_to_stop_when_its_answer_cannot_be_used(
+        self, _name: str, fault: Fault
+    ) -> None:
+        """The engine's stream is intact: only closing it ends the work there."""
+        engines = FakeEngines([FaultAt(fault, 4)], gap_s=0.01)
+
+        async def most_streams_after_resume() -> int:
+            context = make_context(engines)
+            request = make_request(PROFILES["when_dead"])
+            counts = [0]
+            async with open_generation(context, request) as chunks:
+                async for _ in chunks:
+                    if len(engines.sent) == 2:
+                        counts.append(engines.open_streams)
+            return max(counts)
+
+        self.assertEqual(1, asyncio.run(most_streams_after_resume()))
+        self.assertEqual(2, len(engines.sent))
+
     def test_heartbeats_are_sent_while_an_engine_stalls(self) -> None:
         engines = FakeEngines(gap_s=0.03)
 
