Generations: a run that was left is stopped over a new connection

What callers saw: nothing; their generation ran at two engines (TWICE).

Cause: an attempt is given up by closing its connection, and closing was taken for the end. On a dead connection the close never arrives. The engine port had no other way to stop a run, and no question about one.

The change: `EnginePort.stop_runs` sends `POST /abort_requests` with the names of the runs over a new connection. An attempt that is given up (overtaken, overdue, or dead after it may have run) becomes a `LeftRun`: kept apart from its generation, asked for by one task for each engine, all runs in one question, until the engine has stopped it, refuses connections, does not offer the call (404, 405, 501), or 600 s have passed. A stop within 1 s of the run's start is repeated, as the engine may still have to read the request. Nobody waits for any of this. A caller that leaves, or a finished answer, costs no question unless the stream is in doubt. Attempts side by side that a profile asks for stay as they are.

Why it works: an engine whose connection is dead answers on new ones.

--- a/src/turmericusher/decisions/generation.py
+++ b/src/turmericusher/decisions/generation.py
@@ -126,9 +126,15 @@
         return min(times)
 
     def close(self, now: float) -> list[GenerationAction]:
-        """End the generation and cancel its attempts: the caller is done or gone."""
+        """End the generation and cancel its attempts: the caller is done or gone.
+
+        A close ends what works on at an engine whose stream is not in doubt.
+        """
         self.is_over = True
-        return self.cancel_all(now)
+        actions: list[GenerationAction] = []
+        for attempt in list(self.attempts.values()):
+            actions += self.cancel(attempt, now, may_work_on=attempt.is_suspected)
+        return actions
 
     # Chunks
 
@@ -196,7 +202,8 @@
     ) -> list[GenerationAction]:
         """Close a dead attempt and retry, or fail if the request must not run again."""
         # The stream of one that ended by a chunk is still open.
-        closed = CancelAttempt(attempt.number)
+        has_run = death.verdict is not Verdict.NOT_RUN or attempt.has_chunk
+        closed = CancelAttempt(attempt.number, may_work_on=has_run)
         return [closed, *self.go_on_after_death(attempt, death, now)]
 
     def go_on_after_death(
--- a/src/turmericusher/decisions/generation_messages.py
+++ b/src/turmericusher/decisions/generation_messages.py
@@ -67,9 +67,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Close the stream of an attempt, if it is open, and ignore its further output."""
+    """Close the stream of an attempt, if it is open, and ignore its further output.
+
+    `may_work_on`: the close may not reach its engine, or not in time, and the attempt
+    is replaced or its stream in doubt, so that the run must be stopped otherwise.
+    """
 
     attempt: int
+    may_work_on: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/decisions/generation_state.py
+++ b/src/turmericusher/decisions/generation_state.py
@@ -312,7 +312,9 @@
             self.request.fingerprint, attempt.upstream.name
         )
 
-    def cancel(self, attempt: Attempt, now: float) -> list[GenerationAction]:
+    def cancel(
+        self, attempt: Attempt, now: float, may_work_on: bool = True
+    ) -> list[GenerationAction]:
         """Cancel a live attempt; if it was suspected, record its idle time as a gap."""
         self.remove_attempt(attempt, has_run=True)
         if attempt.is_second:
@@ -323,7 +325,7 @@
             self.shared.stall_detector.record_gap(attempt.upstream.name, idle_s)
         elif attempt.is_suspected:
             self.shared.stall_detector.record_first_chunk(attempt.upstream.name, idle_s)
-        return [CancelAttempt(attempt.number)]
+        return [CancelAttempt(attempt.number, may_work_on)]
 
     def cancel_all(self, now: float) -> list[GenerationAction]:
         """Cancel every live attempt."""
--- a/src/turmericusher/ports/engines.py
+++ b/src/turmericusher/ports/engines.py
@@ -15,6 +15,7 @@
 import orjson
 
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.left_runs import RunEnd
 from turmericusher.errors import Verdict
 from turmericusher.ports.upstream import (
     DeathCause,
@@ -24,9 +25,15 @@
 )
 
 CONNECT_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 1.0
+STOP_PATH = "/abort_requests"
+"""Where an engine that offers it stops the runs named by `request_ids`; it answers when
+they have stopped."""
 MAX_EVENT_BYTES = 1_000_000
 MAX_ERROR_BODY_BYTES = 2_000
 STATUS_OK = 200
+NO_STOP_STATUSES = frozenset({404, 405, 501})
+"""Statuses of an engine that does not offer `STOP_PATH`."""
 NOT_RUN_STATUSES = frozenset({400, 401, 403, 404, 405, 413, 422, 429, 503})
 """Statuses with which an engine rejects a request that it has not begun to run."""
 
@@ -47,8 +54,9 @@
     ) -> AsyncIterator[AsyncIterator[EngineChunk]]:
         """Open a stream; leaving the context closes the connection.
 
-        Closing the connection is what cancels the work on the engine, so a connection
-        serves only one attempt and is never returned to a pool.
+        Closing the connection asks the engine to stop, so a connection serves only one
+        attempt and is never returned to a pool. On a dead connection the close does not
+        arrive.
         """
         response = await self.send(upstream, request)
         try:
@@ -85,6 +93,43 @@
                 Verdict.MAY_HAVE_RUN,
             ) from error
 
+    async def stop_runs(
+        self, upstream: UpstreamInstance, names: tuple[str, ...]
+    ) -> RunEnd:
+        """Have an engine stop runs, over a new connection; return what is known then.
+
+        An engine that accepts the connection and says nothing may go on later.
+        """
+        try:
+            async with self.session.post(
+                f"http://{upstream.address}{STOP_PATH}",
+                data=orjson.dumps({"request_ids": names}),
+                headers={"Content-Type": "application/json"},
+                timeout=aiohttp.ClientTimeout(total=STOP_TIMEOUT_S),
+            ) as response:
+                return end_from_status(response.status)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return end_from_error(error)
+
+
+def end_from_status(status: int) -> RunEnd:
+    """Return what the answer to a stop says of the runs."""
+    if status == STATUS_OK:
+        return RunEnd.STOPPED
+    return RunEnd.NO_STOP if status in NO_STOP_STATUSES else RunEnd.UNKNOWN
+
+
+def end_from_error(error: Exception) -> RunEnd:
+    """Return what a stop without an answer says of the runs.
+
+    Only a refused connection shows that nobody is there.
+    """
+    if isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    ):
+        return RunEnd.UPSTREAM_ENDED
+    return RunEnd.UNKNOWN
+
 
 @asynccontextmanager
 async def open_engine_port() -> AsyncIterator[HttpEnginePort]:
--- a/src/turmericusher/ports/upstream.py
+++ b/src/turmericusher/ports/upstream.py
@@ -1,4 +1,4 @@
-"""The port to model engines: one stream of chunks for each attempt."""
+"""The port to model engines: one stream of chunks for each attempt, and its end."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from turmericusher.decisions.fleet import UpstreamInstance
+from turmericusher.decisions.left_runs import RunEnd
 from turmericusher.errors import Verdict
 
 
@@ -83,13 +84,23 @@
 
 
 class EnginePort(Protocol):
-    """Opens streams on engines."""
+    """Opens streams on engines, and stops runs whose streams were left."""
 
     def open_stream(
         self, upstream: UpstreamInstance, request: EngineRequest
     ) -> AbstractAsyncContextManager[AsyncIterator[EngineChunk]]:
-        """Open a stream; leaving the context cancels the work on the engine.
+        """Open a stream; leaving the context asks the engine to stop, by closing it.
 
         Iteration raises `StreamDiedError` when the stream ends without a finish reason.
         """
         ...
+
+    async def stop_runs(
+        self, upstream: UpstreamInstance, names: tuple[str, ...]
+    ) -> RunEnd:
+        """Have an engine stop runs, over a new connection; return what is known then.
+
+        `names` has the `request_id` of each. One that the engine does not run is no
+        error.
+        """
+        ...
--- a/src/turmericusher/standins/working_upstream.py
+++ b/src/turmericusher/standins/working_upstream.py
@@ -11,6 +11,7 @@
 import contextlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from typing import Protocol
 
 from turmericusher.decisions.relay_messages import UpstreamReport
 from turmericusher.platform.names import LAST_EVENT_ID, REQUEST_ID, SIGNATURE
@@ -194,8 +195,17 @@
             run.writer.write(data)
 
 
+class KeepsHistory(Protocol):
+    """An engine that records its runs."""
+
+    @property
+    def history(self) -> list[Run]:
+        """All runs, in the order in which they began."""
+        ...
+
+
 def find_overlaps(
-    upstreams: Iterable[WorkingUpstream], now: float
+    upstreams: Iterable[KeepsHistory], now: float
 ) -> list[tuple[str, str, str, float]]:
     """Return the runs that went on beside a later one for longer than the rule allows.
 
--- a/src/turmericusher/tasks/attempts.py
+++ b/src/turmericusher/tasks/attempts.py
@@ -17,6 +17,7 @@
     StartAttempt,
 )
 from turmericusher.decisions.generation_state import SharedState
+from turmericusher.decisions.left_runs import run_name
 from turmericusher.decisions.patience import StallDetector
 from turmericusher.decisions.placing.selection import Selector
 from turmericusher.decisions.requests import GenerationRequest
@@ -30,6 +31,7 @@
     EngineRequest,
     StreamDiedError,
 )
+from turmericusher.tasks.left_runs import LeftRunStopper
 
 UPSTREAM_LOSS_CAUSES = frozenset(
     {
@@ -66,6 +68,7 @@
     clock: Callable[[], float]
     heartbeat_s: float
     metrics: Metrics
+    stopper: LeftRunStopper
 
     def counts(self) -> dict[str, float]:
         """Return the totals and the current state of generations for the state dump."""
@@ -77,6 +80,7 @@
             "upstreams_held": len(shared.suspicion.held),
             "resumes_waiting": shared.resumes.waiting,
             "extra_work_credit": shared.extra_work.credit,
+            "runs_left": self.stopper.left_runs.count(),
         }
 
     @property
@@ -112,7 +116,9 @@
         resumes=ResumeLimiter(),
         random=random.Random(seed),
     )
-    return GenerationContext(engine, shared, clock, heartbeat_s, metrics or Metrics())
+    metrics = metrics or Metrics()
+    stopper = LeftRunStopper(engine, clock, metrics)
+    return GenerationContext(engine, shared, clock, heartbeat_s, metrics, stopper)
 
 
 async def run_attempt(
@@ -210,5 +216,5 @@
         max_tokens=action.max_tokens,
         priority=priority,
         parameters=request.parameters,
-        request_id=f"{request.request_id}-{action.attempt}",
+        request_id=run_name(request.request_id, action.attempt),
     )
--- a/src/turmericusher/tasks/generation.py
+++ b/src/turmericusher/tasks/generation.py
@@ -13,6 +13,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
+from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.generation import Generation, make_generation
 from turmericusher.decisions.generation_messages import (
     AttemptDied,
@@ -24,6 +25,7 @@
     GenerationEvent,
     StartAttempt,
 )
+from turmericusher.decisions.left_runs import LeftRun
 from turmericusher.decisions.requests import AnswerChunk, GenerationRequest
 from turmericusher.errors import (
     ErrorCode,
@@ -65,6 +67,15 @@
 OutboxMessage = AnswerChunk | EndOfAnswer
 
 
+@dataclass(frozen=True, slots=True)
+class RunningAttempt:
+    """The task of an attempt, started at a time in monotonic seconds."""
+
+    task: asyncio.Task[None]
+    upstream: UpstreamInstance
+    started_at: float
+
+
 @dataclass(slots=True)
 class GenerationOwner:
     """The state of the task that owns one generation and its attempts' tasks.
@@ -78,7 +89,7 @@
     generation: Generation
     inbox: Inbox
     outbox: asyncio.Queue[OutboxMessage]
-    attempts: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    attempts: dict[int, RunningAttempt] = field(default_factory=dict)
     closing: set[asyncio.Task[None]] = field(default_factory=set)
     paused_at: float | None = None
     timer: asyncio.TimerHandle | None = None
@@ -194,8 +205,8 @@
             match action:
                 case StartAttempt():
                     self.start_attempt(action)
-                case CancelAttempt(attempt=number):
-                    self.cancel_attempt(number)
+                case CancelAttempt():
+                    self.cancel_attempt(action)
                 case Deliver(chunk=chunk):
                     self.record_pause_end()
                     await self.outbox.put(chunk)
@@ -208,11 +219,26 @@
         request = build_engine_request(self.generation.request, action)
         attempt = run_attempt(self.context, action, request, self.inbox)
         name = f"attempt {action.attempt} of {self.generation.request.request_id}"
-        self.attempts[action.attempt] = asyncio.create_task(attempt, name=name)
+        task = asyncio.create_task(attempt, name=name)
+        running = RunningAttempt(task, action.upstream, self.context.clock())
+        self.attempts[action.attempt] = running
+
+    def cancel_attempt(self, action: CancelAttempt) -> None:
+        """Cancel an attempt's task without waiting for its stream to close.
 
-    def cancel_attempt(self, number: int) -> None:
-        """Cancel an attempt's task without waiting for its stream to close."""
-        task = self.attempts.pop(number)
+        A run that may go on nevertheless is stopped beside that.
+        """
+        running = self.attempts.pop(action.attempt)
+        if action.may_work_on:
+            run = LeftRun(
+                self.generation.request.request_id,
+                action.attempt,
+                running.upstream,
+                running.started_at,
+                left_at=self.context.clock(),
+            )
+            self.context.stopper.add(run)
+        task = running.task
         if task.done():
             return
         self.closing.add(task)
@@ -221,12 +247,14 @@
 
     def cancel_all(self) -> None:
         """Cancel every attempt and the timer, without waiting for them to end."""
-        self.generation.close(self.context.clock())
+        for action in self.generation.close(self.context.clock()):
+            if isinstance(action, CancelAttempt):
+                self.cancel_attempt(action)
         self.context.shared.totals.add(self.generation.counts)
         if self.timer is not None:
             self.timer.cancel()
         for number in list(self.attempts):
-            self.cancel_attempt(number)
+            self.cancel_attempt(CancelAttempt(number))
 
     async def wait_closed(self, owner_task: asyncio.Task[None]) -> None:
         """Wait until the streams are closed, for at most `CLOSE_TIMEOUT_S`."""
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -33,6 +33,7 @@
     open_generation,
 )
 from turmericusher.tasks.instance_list import running_instance_list
+from turmericusher.tasks.left_runs import stopping_left_runs
 from turmericusher.tasks.load_control import (
     call_admission,
     generation_ticket,
@@ -134,6 +135,7 @@
             seed=settings.random_for("generation").getrandbits(SEED_BITS),
             metrics=metrics,
         )
+        await stack.enter_async_context(stopping_left_runs(generation.stopper))
         feeds = build_exchange_hooks(selector, generation.suspicion)
         claim_parts = await stack.enter_async_context(
             running_claim_parts(settings, store)
--- a/tests/common/engines.py
+++ b/tests/common/engines.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.left_runs import RunEnd
 from turmericusher.decisions.requests import GenerationRequest
 from turmericusher.errors import Verdict
 from turmericusher.ports.upstream import (
@@ -135,6 +136,12 @@
         finally:
             self.open_streams -= 1
 
+    async def stop_runs(
+        self, _upstream: UpstreamInstance, _names: tuple[str, ...]
+    ) -> RunEnd:
+        """Say that the runs have stopped, as those here do with their streams."""
+        return RunEnd.STOPPED
+
     async def generate_chunks(
         self, upstream: UpstreamInstance, request: EngineRequest, fault: FaultAt | None
     ) -> AsyncIterator[EngineChunk]:
--- a/tests/cover/test_engines.py
+++ b/tests/cover/test_engines.py
@@ -12,6 +12,7 @@
 
 from tests.common.asynchronous import run_async
 from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
+from turmericusher.decisions.left_runs import RunEnd
 from turmericusher.errors import Verdict
 from turmericusher.ports.engines import open_engine_port
 from turmericusher.ports.upstream import (
@@ -26,6 +27,7 @@
     encode_prompt,
     expected_token_ids,
 )
+from turmericusher.standins.working_engine import WorkingEngine, running_working_engine
 
 FAST = EngineOptions(first_token_s=0.0, token_gap_s=0.0)
 
@@ -52,6 +54,7 @@
 
     app = web.Application()
     app.router.add_post("/v1/completions", handle)
+    app.router.add_post("/abort_requests", handle)
     runner = web.AppRunner(app)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -168,3 +171,37 @@
             self.assertEqual(verdict, caught.exception.verdict)
         if status != 200:
             self.assertEqual(7.0, caught.exception.retry_after_s)
+
+    @parameterized.expand(
+        [
+            ("stopped", 200, RunEnd.STOPPED),
+            ("not_offered", 404, RunEnd.NO_STOP),
+            ("not_allowed", 405, RunEnd.NO_STOP),
+            ("overloaded", 503, RunEnd.UNKNOWN),
+        ]
+    )
+    @run_async
+    async def test_an_answer_to_a_stop_says_what_became_of_the_runs(
+        self, _name: str, status: int, end: RunEnd
+    ) -> None:
+        async with (
+            running_fixed_response(b"", status) as address,
+            open_engine_port() as port,
+        ):
+            self.assertEqual(end, await port.stop_runs(engine_at(address), ("r-1",)))
+
+    @run_async
+    async def test_only_a_refused_connection_shows_that_an_engine_has_ended(
+        self,
+    ) -> None:
+        engine = WorkingEngine(FAST)
+        async with open_engine_port() as port:
+            async with running_working_engine(engine) as address:
+                engine.is_unpaused.clear()
+                silent = await port.stop_runs(engine_at(address), ("r-1",))
+                engine.is_unpaused.set()
+            gone = await port.stop_runs(engine_at(address), ("r-1",))
+        self.assertEqual(
+            (RunEnd.UNKNOWN, RunEnd.UPSTREAM_ENDED),
+            (silent, gone),
+        )
