--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -66,7 +66,7 @@
 from turmericusher.decisions.relay_stop import OTHER_INSTANCE_RETRY_S
 from turmericusher.decisions.rollouts.evidence import FIRST, PACE
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
-from turmericusher.decisions.run_ends import START_DELAY_S, LeftRun, RunEnd
+from turmericusher.decisions.run_ends import START_DELAY_S, LeftRelayRun, RunEnd
 from turmericusher.errors import ErrorCode, Verdict
 
 REPORT_VISIBLE_AFTER_S = 0.8
@@ -335,7 +335,7 @@
         if not targets:
             return []
         may_start_s = 0.0 if attempt.has_event else START_DELAY_S
-        run = LeftRun(
+        run = LeftRelayRun(
             request_id=self.request.request_id,
             upstream=upstream,
             target=targets[0],
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -9,7 +9,7 @@
 from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
 from turmericusher.decisions.forwarding import Hop, Refusal
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
-from turmericusher.decisions.run_ends import LeftRun, RunEnd
+from turmericusher.decisions.run_ends import LeftRelayRun, RunEnd
 from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import Verdict
 
@@ -341,7 +341,7 @@
 class SettleRun:
     """Find out beside the request how a run that was left ends, and stop it."""
 
-    run: LeftRun
+    run: LeftRelayRun
     cause: AttemptCause
 
 
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -47,7 +47,7 @@
 from turmericusher.decisions.rollouts.evidence import FIRST, PACE
 from turmericusher.decisions.rollouts.gate import Rollouts, served_versions
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
-from turmericusher.decisions.run_ends import RunEnds
+from turmericusher.decisions.run_ends import LeftRelayRun, RunEnds
 from turmericusher.decisions.send_gate import SendGate
 from turmericusher.decisions.send_limits import SendLimits
 from turmericusher.decisions.send_pauses import SendPauses
@@ -260,7 +260,7 @@
     loans: RetryLoans = field(init=False)
     pool: RetryPool | None = None
     stream_lengths: StreamLengths = field(default_factory=StreamLengths)
-    run_ends: RunEnds = field(default_factory=RunEnds)
+    run_ends: RunEnds[LeftRelayRun] = field(default_factory=RunEnds)
 
     def __post_init__(self) -> None:
         """Start without any limit, mark or failed connection."""
--- a/src/turmericusher/ports/engines.py
+++ b/src/turmericusher/ports/engines.py
@@ -15,7 +15,7 @@
 import orjson
 
 from turmericusher.decisions.fleet import UpstreamInstance
-from turmericusher.decisions.left_runs import RunEnd
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.errors import Verdict
 from turmericusher.ports.upstream import (
     DeathCause,
--- a/src/turmericusher/ports/upstream.py
+++ b/src/turmericusher/ports/upstream.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from turmericusher.decisions.fleet import UpstreamInstance
-from turmericusher.decisions.left_runs import RunEnd
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.errors import Verdict
 
 
--- a/src/turmericusher/tasks/attempts.py
+++ b/src/turmericusher/tasks/attempts.py
@@ -17,10 +17,14 @@
     StartAttempt,
 )
 from turmericusher.decisions.generation_state import SharedState
-from turmericusher.decisions.left_runs import run_name
 from turmericusher.decisions.patience import StallDetector
 from turmericusher.decisions.placing.selection import Selector
 from turmericusher.decisions.requests import GenerationRequest
+from turmericusher.decisions.run_ends import (
+    LeftGenerationRun,
+    RunEnds,
+    generation_run_name,
+)
 from turmericusher.decisions.suspicion import SuspicionLedger
 from turmericusher.errors import Verdict
 from turmericusher.metrics import Metrics
@@ -31,7 +35,8 @@
     EngineRequest,
     StreamDiedError,
 )
-from turmericusher.tasks.left_runs import LeftRunStopper
+from turmericusher.tasks.generation_runs import GenerationRunAsker
+from turmericusher.tasks.run_ends import RunEndChecks
 
 UPSTREAM_LOSS_CAUSES = frozenset(
     {
@@ -60,7 +65,7 @@
     """The state that all generations of an instance share.
 
     `heartbeat_s` is the time in seconds without output after which the caller gets a
-    heartbeat.
+    heartbeat. `run_end_checks` finds out about runs that were left.
     """
 
     engine: EnginePort
@@ -68,7 +73,7 @@
     clock: Callable[[], float]
     heartbeat_s: float
     metrics: Metrics
-    stopper: LeftRunStopper
+    run_end_checks: RunEndChecks[LeftGenerationRun]
 
     def counts(self) -> dict[str, float]:
         """Return the totals and the current state of generations for the state dump."""
@@ -80,7 +85,7 @@
             "upstreams_held": len(shared.suspicion.held),
             "resumes_waiting": shared.resumes.waiting,
             "extra_work_credit": shared.extra_work.credit,
-            "runs_left": self.stopper.left_runs.count(),
+            "runs_left": self.run_end_checks.run_ends.count(),
         }
 
     @property
@@ -117,8 +122,8 @@
         random=random.Random(seed),
     )
     metrics = metrics or Metrics()
-    stopper = LeftRunStopper(engine, clock, metrics)
-    return GenerationContext(engine, shared, clock, heartbeat_s, metrics, stopper)
+    checks = RunEndChecks(RunEnds(), GenerationRunAsker(engine), clock)
+    return GenerationContext(engine, shared, clock, heartbeat_s, metrics, checks)
 
 
 async def run_attempt(
@@ -216,5 +221,5 @@
         max_tokens=action.max_tokens,
         priority=priority,
         parameters=request.parameters,
-        request_id=run_name(request.request_id, action.attempt),
+        request_id=generation_run_name(request.request_id, action.attempt),
     )
--- a/src/turmericusher/tasks/generation.py
+++ b/src/turmericusher/tasks/generation.py
@@ -25,8 +25,8 @@
     GenerationEvent,
     StartAttempt,
 )
-from turmericusher.decisions.left_runs import LeftRun
 from turmericusher.decisions.requests import AnswerChunk, GenerationRequest
+from turmericusher.decisions.run_ends import leave_generation_run
 from turmericusher.errors import (
     ErrorCode,
     RequestRefusedError,
@@ -230,14 +230,15 @@
         """
         running = self.attempts.pop(action.attempt)
         if action.may_work_on:
-            run = LeftRun(
+            run = leave_generation_run(
                 self.generation.request.request_id,
                 action.attempt,
                 running.upstream,
                 running.started_at,
                 left_at=self.context.clock(),
             )
-            self.context.stopper.add(run)
+            self.context.run_end_checks.add(run)
+            self.context.metrics.count("generation.runs_left")
         task = running.task
         if task.done():
             return
--- a/src/turmericusher/tasks/instance.py
+++ b/src/turmericusher/tasks/instance.py
@@ -33,7 +33,6 @@
     open_generation,
 )
 from turmericusher.tasks.instance_list import running_instance_list
-from turmericusher.tasks.left_runs import stopping_left_runs
 from turmericusher.tasks.load_control import (
     call_admission,
     generation_ticket,
@@ -43,6 +42,7 @@
 from turmericusher.tasks.order_control import running_orders
 from turmericusher.tasks.profile_changes import ProfileChanger
 from turmericusher.tasks.profile_watch import ProfileTable, running_profile_watch
+from turmericusher.tasks.run_ends import checking_run_ends
 from turmericusher.tasks.shutdown import Draining, ending_at_handover
 
 SEED_BITS = 32
@@ -135,7 +135,7 @@
             seed=settings.random_for("generation").getrandbits(SEED_BITS),
             metrics=metrics,
         )
-        await stack.enter_async_context(stopping_left_runs(generation.stopper))
+        await stack.enter_async_context(checking_run_ends(generation.run_end_checks))
         feeds = build_exchange_hooks(selector, generation.suspicion)
         claim_parts = await stack.enter_async_context(
             running_claim_parts(settings, store)
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -56,7 +56,7 @@
 )
 from turmericusher.decisions.relay_state import RelayShared
 from turmericusher.decisions.routing import RoutedRequest
-from turmericusher.decisions.run_ends import RunEnd
+from turmericusher.decisions.run_ends import LeftRelayRun, RunEnd
 from turmericusher.decisions.stream_versions import SavedStream
 from turmericusher.errors import Verdict
 from turmericusher.logs import log_event
@@ -64,6 +64,7 @@
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.crash_reports import CrashReports
 from turmericusher.tasks.reach_checks import ReachChecks
+from turmericusher.tasks.relay_runs import RelayRunAsker, loop_time
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.run_ends import RunEndChecks
 from turmericusher.tasks.stream_versions import StreamVersionExchange
@@ -125,13 +126,12 @@
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[ReportQuery]] = field(default_factory=dict)
     release_tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    run_end_checks: RunEndChecks = field(init=False)
+    run_end_checks: RunEndChecks[LeftRelayRun] = field(init=False)
 
     def __post_init__(self) -> None:
         """Start without any run that was left."""
-        self.run_end_checks = RunEndChecks(
-            self.shared.run_ends, self.port, self.release
-        )
+        asker = RelayRunAsker(self.port, self.release)
+        self.run_end_checks = RunEndChecks(self.shared.run_ends, asker, loop_time)
 
     def release(self, copy: MemoryCopy) -> None:
         """Release a copy in a task of its own, since its request may end meanwhile."""
@@ -293,7 +293,7 @@
             case StopRun():
                 self.start_helper(action, self.stop_run)
             case SettleRun(run, cause):
-                self.context.run_end_checks.add(run, cause.value)
+                self.context.run_end_checks.add(run, cause=cause.value)
             case ReleaseCopy(copy):
                 self.context.release(copy)
             case _:
--- a/tests/common/engines.py
+++ b/tests/common/engines.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, field
 
 from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
-from turmericusher.decisions.left_runs import RunEnd
 from turmericusher.decisions.requests import GenerationRequest
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.errors import Verdict
 from turmericusher.ports.upstream import (
     DeathCause,
--- a/tests/cover/test_engines.py
+++ b/tests/cover/test_engines.py
@@ -12,7 +12,7 @@
 
 from tests.common.asynchronous import run_async
 from turmericusher.decisions.fleet import UpstreamInstance, UpstreamKind
-from turmericusher.decisions.left_runs import RunEnd
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.errors import Verdict
 from turmericusher.ports.engines import open_engine_port
 from turmericusher.ports.upstream import (
--- a/tests/cover/test_run_ends.py
+++ b/tests/cover/test_run_ends.py
@@ -1,14 +1,21 @@
-"""Test what becomes of the runs that a stream leaves at upstreams that still answer."""
+"""Test what becomes of runs that were left at upstreams that still answer.
+
+Those of streams come first, then those of generations.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
+import io
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
 
 from parameterized import parameterized
 from testtools import TestCase
+from testtools.matchers import EndsWith, MatchesRegex
 
 from tests.common.asynchronous import run_async
+from tests.common.engines import make_engines
 from tests.common.relay_events import (
     MAY_HAVE_RUN,
     RUNNING_PROBE_S,
@@ -19,6 +26,8 @@
     make_upstream_report,
 )
 from tests.common.relay_fixtures import make_relay_shared, make_upstream
+from tests.common.waiting import wait_until
+from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.open_losses import EndState
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
@@ -33,13 +42,57 @@
     UpstreamProbed,
 )
 from turmericusher.decisions.relay_state import SILENT_LIMIT_S
-from turmericusher.decisions.run_ends import LeftRun, RunEnd, RunEnds
+from turmericusher.decisions.run_ends import (
+    MAX_AGE_S,
+    START_DELAY_S,
+    LeftGenerationRun,
+    LeftRelayRun,
+    RunEnd,
+    RunEnds,
+    is_final,
+    leave_generation_run,
+)
+from turmericusher.logs import logging_to
+from turmericusher.ports.upstream import EnginePort
+from turmericusher.tasks.generation_runs import GenerationRunAsker
+from turmericusher.tasks.relay_runs import RelayRunAsker, loop_time
 from turmericusher.tasks.run_ends import RunEndChecks, checking_run_ends
 
 EVENT_AT = 0.1
 PROBED_AT = EVENT_AT + RUNNING_PROBE_S
 ANSWERED_AT = PROBED_AT + 0.15
 
+STARTED_AT = 100.0
+LEFT_AT = 100.5
+ENGINE, OTHER = make_engines(2)
+
+
+def left_relay_run(name, now, lasts_s):
+    """Return a run of a relayed request that is left now, with its deadline."""
+    one, other = make_upstream(0), make_upstream(1)
+    return LeftRelayRun(name, one, now, now + lasts_s, now, other)
+
+
+def make_relay_checks(port, release=lambda _: None):
+    """Return the checks of a relay; `release` gets the copies."""
+    return RunEndChecks(RunEnds(), RelayRunAsker(port, release), loop_time)
+
+
+def left_generation_run(
+    name: str = "r-1", upstream: UpstreamInstance = ENGINE
+) -> LeftGenerationRun:
+    """Return the run of that name, which was left."""
+    request_id, _, attempt = name.rpartition("-")
+    return leave_generation_run(request_id, int(attempt), upstream, STARTED_AT, LEFT_AT)
+
+
+def make_generation_checks(
+    port: EnginePort, after_s: float = START_DELAY_S
+) -> RunEndChecks[LeftGenerationRun]:
+    """Return the checks of generations, at so many seconds after their runs' start."""
+    asker = GenerationRunAsker(port)
+    return RunEndChecks(RunEnds(), asker, lambda: STARTED_AT + after_s)
+
 
 def make_stoppable_stream():
     """Return a stream with three events whose upstream takes orders to stop."""
@@ -164,11 +217,10 @@
     @run_async
     async def test_a_run_that_was_left_is_open_until(self, _, state, end, known, stops):
         port, released = FakePort(state, end), []
-        checks = RunEndChecks(RunEnds(), port, released.append)
-        now = asyncio.get_running_loop().time()
-        run = LeftRun("q1", make_upstream(0), make_upstream(1), now, now + 0.3, now)
+        checks = make_relay_checks(port, released.append)
+        run = left_relay_run("q1", loop_time(), 0.3)
         async with checking_run_ends(checks):
-            checks.add(run, "lost")
+            checks.add(run, cause="lost")
             self.assertEqual({"u0"}, checks.run_ends.open_upstreams("q1"))
             async with asyncio.timeout(5.0):
                 while checks.checks:
@@ -179,40 +231,85 @@
 
     @run_async
     async def test_a_run_that_is_left_as_the_last_one_ends_is_found_out_about(self):
-        checks = RunEndChecks(RunEnds(), FakePort(EndState.ENDED, None), lambda _: None)
-        now = asyncio.get_running_loop().time()
-        one, other = make_upstream(0), make_upstream(1)
-        first, *others = (
-            LeftRun(f"q{number}", one, other, now, now + 9.0, now)
-            for number in range(40)
+        checks, now = make_relay_checks(FakePort(EndState.ENDED, None)), loop_time()
+        await self.leave_one_after_another(
+            checks, [left_relay_run(f"q{number}", now, 9.0) for number in range(40)]
         )
+        self.assertEqual({RunEnd.UPSTREAM_ENDED: 40}, dict(checks.run_ends.ended))
+
+    @run_async
+    async def test_a_generation_run_that_is_left_as_the_last_one_ends_is_stopped(self):
+        checks = make_generation_checks(FakePort(None, RunEnd.STOPPED))
+        await self.leave_one_after_another(
+            checks, [left_generation_run(f"r-{number}") for number in range(40)]
+        )
+        self.assertEqual({RunEnd.STOPPED: 40}, dict(checks.run_ends.ended))
+
+    async def leave_one_after_another(self, checks, runs):
+        """Leave a run at each step of the event loop, and wait until all have ended."""
         async with checking_run_ends(checks):
-            checks.add(first, "lost")
-            for run in others:
+            checks.add(runs[0], cause="lost")
+            for run in runs[1:]:
                 await asyncio.sleep(0)
-                checks.add(run, "lost")
+                checks.add(run, cause="lost")
             async with asyncio.timeout(5.0):
                 while checks.checks:
                     await asyncio.sleep(0.01)
         self.assertEqual(0, checks.run_ends.count())
-        self.assertEqual(40, checks.run_ends.ended[RunEnd.UPSTREAM_ENDED])
+        self.assertEqual({}, checks.run_ends.by_upstream)
+
+    @parameterized.expand(
+        [
+            (
+                "request",
+                lambda: make_relay_checks(FakePort(EndState.ENDED, None)),
+                lambda: left_relay_run("q1", loop_time(), 9.0),
+                {"cause": "lost"},
+                "id=q1 upstream=u0",
+                "upstream_ended",
+            ),
+            (
+                "generation",
+                lambda: make_generation_checks(ScriptedPort(iter([RunEnd.NO_STOP]))),
+                left_generation_run,
+                {},
+                f"request_id=r attempt=1 upstream={ENGINE.name}",
+                "no_stop",
+            ),
+        ]
+    )
+    @run_async
+    async def test_the_log_tells_of_the_run_that_was_left_by_a(
+        self, _, make_checks, make_run, details, fields, end
+    ):
+        checks, stream = make_checks(), io.StringIO()
+        with logging_to(stream):
+            async with checking_run_ends(checks):
+                checks.add(make_run(), **details)
+                await wait_until(lambda: not checks.checks)
+        left, ended = stream.getvalue().splitlines()
+        cause = "".join(f" {key}={value}" for key, value in details.items())
+        self.assertThat(left, EndsWith(f" event=run_left {fields}{cause}"))
+        line = rf".* event=run_ended {fields} end={end} after_s=[0-9.e-]+$"
+        self.assertThat(ended, MatchesRegex(line))
+
+    @run_async
+    async def test_no_question_is_asked_after_the_deadline_of_a_request(self):
+        port = FakePort(EndState.RUNNING, RunEnd.STOPPED)
+        checks = make_relay_checks(port)
+        await checks.ask(checks.run_ends.add(left_relay_run("q1", loop_time(), 0.0)))
+        self.assertEqual((0, 0), (port.questions, port.stops))
+        self.assertEqual({RunEnd.EXPIRED: 1}, dict(checks.run_ends.ended))
 
     @run_async
     async def test_an_upstream_that_does_not_answer_gets_no_order_and_few_questions(
         self,
     ):
         port = FakePort(EndState.UNKNOWN, None)
-        checks = RunEndChecks(RunEnds(), port, lambda _: None)
-        now = asyncio.get_running_loop().time()
+        checks, now = make_relay_checks(port), loop_time()
         async with checking_run_ends(checks):
             for number in range(50):
-                name = f"q{number}"
-                checks.add(
-                    LeftRun(
-                        name, make_upstream(0), make_upstream(1), now, now + 9, now
-                    ),
-                    "lost",
-                )
+                checks.add(left_relay_run(f"q{number}", now, 9.0), cause="lost")
             await asyncio.sleep(0.5)
         self.assertEqual(0, port.stops)
         self.assertLess(port.questions, 8)
@@ -234,3 +331,133 @@
         is_stopped = self.end is RunEnd.STOPPED
         copy = MemoryCopy(target, source, "h") if is_stopped else None
         return StoppedRun(self.end, copy)
+
+    async def stop_runs(self, upstream, names):
+        self.stops += 1
+        return self.end
+
+
+@dataclass(slots=True)
+class ScriptedPort:
+    """An engine port whose stops have the results of `ends`, one after another.
+
+    `asked` records the engine and the runs of each stop.
+    """
+
+    ends: Iterator[RunEnd | Exception]
+    asked: list[tuple[str, tuple[str, ...]]] = field(default_factory=list)
+
+    async def stop_runs(
+        self, upstream: UpstreamInstance, names: tuple[str, ...]
+    ) -> RunEnd:
+        """Return or raise the next result."""
+        self.asked.append((upstream.name, names))
+        await asyncio.sleep(0)
+        end = next(self.ends)
+        if isinstance(end, Exception):
+            raise end
+        return end
+
+
+class GenerationRunEndTest(TestCase):
+    @parameterized.expand(
+        [
+            ("stopped", RunEnd.STOPPED, START_DELAY_S, RunEnd.STOPPED),
+            ("stopped_before_it_may_have_begun", RunEnd.STOPPED, 0.9, None),
+            ("engine_gone", RunEnd.UPSTREAM_ENDED, 0.5, RunEnd.UPSTREAM_ENDED),
+            ("engine_without_stop", RunEnd.NO_STOP, 0.5, RunEnd.NO_STOP),
+            ("no_answer", RunEnd.UNKNOWN, MAX_AGE_S, None),
+            ("no_answer_for_long", RunEnd.UNKNOWN, MAX_AGE_S + 0.5, RunEnd.EXPIRED),
+        ]
+    )
+    @run_async
+    async def test_a_run_is_kept_until_its_end_is_known(
+        self, _name: str, end: RunEnd, after_s: float, settled: RunEnd | None
+    ) -> None:
+        """The time counts from the start of the run."""
+        checks = make_generation_checks(ScriptedPort(iter([end])), after_s)
+        run = left_generation_run()
+        left = checks.run_ends.add(run)
+        self.assertEqual(settled is end, is_final(run, end, STARTED_AT + after_s))
+        await checks.ask(left)
+        self.assertEqual(
+            {} if settled is None else {settled: 1}, dict(checks.run_ends.ended)
+        )
+        self.assertEqual([run] if settled is None else [], list(left.runs.values()))
+
+    @run_async
+    async def test_a_run_expires_though_each_question_fails(self) -> None:
+        port = ScriptedPort(iter([ValueError("x")]))
+        checks = make_generation_checks(port, MAX_AGE_S + 0.5)
+        await checks.ask(checks.run_ends.add(left_generation_run()))
+        self.assertEqual({RunEnd.EXPIRED: 1}, dict(checks.run_ends.ended))
+
+    @run_async
+    async def test_an_answer_tells_of_the_time_at_which_it_was_asked_for(self) -> None:
+        port = ScriptedPort(iter([RunEnd.STOPPED]))
+        times = iter([STARTED_AT + 0.9, *[STARTED_AT + START_DELAY_S] * 9])
+        asker = GenerationRunAsker(port)
+        checks = RunEndChecks(RunEnds(), asker, lambda: next(times))
+        await checks.ask(checks.run_ends.add(left_generation_run()))
+        self.assertEqual(1, checks.run_ends.count())
+
+    def test_nothing_is_kept_of_an_engine_without_runs(self) -> None:
+        run_ends: RunEnds[LeftGenerationRun] = RunEnds()
+        runs = [
+            left_generation_run("r-1"),
+            left_generation_run("r-2"),
+            left_generation_run("r-1", OTHER),
+        ]
+        for run in runs:
+            run_ends.add(run)
+        self.assertEqual((3, 2), (run_ends.count(), len(run_ends.by_upstream)))
+        for run in runs:
+            left = run_ends.by_upstream[run.upstream.name, run.upstream.incarnation]
+            self.assertFalse(run_ends.close(left))
+            run_ends.record_end(run, RunEnd.STOPPED)
+        for left in list(run_ends.by_upstream.values()):
+            self.assertTrue(run_ends.close(left))
+        self.assertEqual({}, run_ends.by_upstream)
+        self.assertEqual(3, run_ends.ended[RunEnd.STOPPED])
+
+    @parameterized.expand(
+        [
+            ("at_once", [RunEnd.STOPPED], RunEnd.STOPPED),
+            ("once_it_answers", [RunEnd.UNKNOWN, RunEnd.STOPPED], RunEnd.STOPPED),
+            ("after_an_error", [ValueError("x"), RunEnd.STOPPED], RunEnd.STOPPED),
+            ("not_at_all", [RunEnd.NO_STOP], RunEnd.NO_STOP),
+            (
+                "until_it_is_gone",
+                [RunEnd.UNKNOWN, RunEnd.UPSTREAM_ENDED],
+                RunEnd.UPSTREAM_ENDED,
+            ),
+        ]
+    )
+    @run_async
+    async def test_an_engine_stops_its_runs(
+        self, _name: str, ends: list[RunEnd | Exception], end: RunEnd
+    ) -> None:
+        port = ScriptedPort(iter(ends))
+        checks = make_generation_checks(port)
+        async with checking_run_ends(checks):
+            checks.add(left_generation_run("r-1"))
+            checks.add(left_generation_run("r-2"))
+            await wait_until(lambda: not checks.checks)
+        self.assertEqual([(ENGINE.name, ("r-1", "r-2"))] * len(ends), port.asked)
+        self.assertEqual({end: 2}, dict(checks.run_ends.ended))
+        self.assertEqual(0, checks.run_ends.count())
+
+    @run_async
+    async def test_a_run_that_is_left_during_a_question_is_asked_for_at_once(
+        self,
+    ) -> None:
+        port = ScriptedPort(iter([RunEnd.STOPPED, RunEnd.STOPPED]))
+        checks = make_generation_checks(port)
+        async with checking_run_ends(checks):
+            checks.add(left_generation_run("r-1"))
+            await wait_until(lambda: len(port.asked) == 1)
+            checks.add(left_generation_run("r-2"))
+            await wait_until(lambda: not checks.checks)
+        self.assertEqual(0, checks.run_ends.count())
+        self.assertEqual(2, checks.run_ends.ended[RunEnd.STOPPED])
+        self.assertEqual((ENGINE.name, ("r-2",)), port.asked[-1])
--- a/tests/cover/test_two_generation_engines.py
+++ b/tests/cover/test_two_generation_engines.py
@@ -32,7 +32,7 @@
     make_generation_context,
     open_generation,
 )
-from turmericusher.tasks.left_runs import stopping_left_runs
+from turmericusher.tasks.run_ends import checking_run_ends
 
 ENGINES = 3
 GENERATIONS = 9
@@ -122,7 +122,7 @@
         selector.update(listed)
         port = await stack.enter_async_context(open_engine_port())
         context = make_generation_context(port, selector)
-        await stack.enter_async_context(stopping_left_runs(context.stopper))
+        await stack.enter_async_context(checking_run_ends(context.run_end_checks))
         yield Fleet(engines, context)
 
 
@@ -188,13 +188,16 @@
             answers = await play(fleet, profile, trouble)
             now = asyncio.get_running_loop().time()
             overlaps = find_overlaps(fleet.engines, now)
-            await wait_until(lambda: fleet.context.stopper.left_runs.count() == 0)
+            run_ends = fleet.context.run_end_checks.run_ends
+            await wait_until(lambda: run_ends.count() == 0)
         expected = list(expected_token_ids(encode_prompt("write"), 0, TOKENS))
         for answer in answers:
             self.assertIsNone(answer.error)
             self.assertEqual(expected, answer.tokens)
             self.assertLess(answer.longest_pause_s, MAX_PAUSE_S)
         self.assertEqual([], overlaps)
+        runs_left = fleet.context.metrics.counts.get("generation.runs_left", 0)
+        self.assertEqual(run_ends.ended.total(), runs_left)
 
     @parameterized.expand(
         [
