--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -18,10 +18,8 @@
 
 from turmericusher.decisions.crash_ledger import CLEAN_RUN_S
 from turmericusher.decisions.crash_records import request_traits
-from turmericusher.decisions.fleet import UpstreamInstance
-from turmericusher.decisions.placing.selection import PickRequest
 from turmericusher.decisions.prompts.relay_prompts import record_first_event
-from turmericusher.decisions.relay_copies import RelayCopies
+from turmericusher.decisions.relay_left_runs import RelayLeftRuns
 from turmericusher.decisions.relay_messages import (
     AnswerArrived,
     AttemptCause,
@@ -45,8 +43,6 @@
     ReportState,
     RetryLent,
     RunStopped,
-    SettleRun,
-    StopRun,
     StreamFinished,
     StreamOpened,
     TraitBlocked,
@@ -66,7 +62,7 @@
 from turmericusher.decisions.relay_stop import OTHER_INSTANCE_RETRY_S
 from turmericusher.decisions.rollouts.evidence import FIRST, PACE
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
-from turmericusher.decisions.run_ends import START_DELAY_S, LeftRelayRun, RunEnd
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.errors import ErrorCode, Verdict
 
 REPORT_VISIBLE_AFTER_S = 0.8
@@ -95,20 +91,6 @@
 STALL_CAUSES = frozenset({AttemptCause.SILENT, AttemptCause.UNANSWERED})
 """Causes that are inferred from missing events while the connection is still open."""
 
-ENDED_CAUSES = frozenset(
-    {
-        AttemptCause.OVERLOADED,
-        AttemptCause.MISDIRECTED,
-        AttemptCause.NO_COPY,
-        AttemptCause.UNREACHABLE,
-        AttemptCause.FAILED,
-        AttemptCause.REFUSED,
-        AttemptCause.UNRECORDED,
-    }
-)
-"""Causes after which no upstream works on the attempt. A lost connection is none of
-them: it may be lost at this end only."""
-
 FAST_FAILURE_CAUSES = frozenset(
     {
         AttemptCause.OVERLOADED,
@@ -136,7 +118,7 @@
 
 
 @dataclass(slots=True)
-class Relay(RelayCopies):
+class Relay(RelayLeftRuns):
     """Decides on one relayed request; each event and tick returns the actions to take.
 
     All times are in monotonic seconds.
@@ -182,7 +164,8 @@
             return self.handle_loan(event, now)
         attempt = self.attempts.get(event.attempt)
         if self.is_over or attempt is None:
-            return []
+            copy = event.stopped.copy if isinstance(event, RunStopped) else None
+            return [] if copy is None else [ReleaseCopy(copy)]
         return handle_event(event, self, attempt, now)
 
     def tick(self, now: float) -> list[RelayAction]:
@@ -293,57 +276,10 @@
         """Have the run of a stalled attempt stopped, and go on after that.
 
         Its connection may be dead, so that closing it would not stop the run. An
-        attempt that cannot be stopped is abandoned at once, and so is one at a silent
-        upstream, which would find the order when it goes on.
+        attempt that cannot be stopped is abandoned at once.
         """
-        target = self.stop_target(attempt, now)
-        if target is None or attempt.is_upstream_silent:
-            return self.abandon(attempt, cause, message, now)
-        attempt.is_stopping = True
-        attempt.stop_cause, attempt.stop_reason = cause, message
-        return [StopRun(attempt.number, attempt.upstream, target)]
-
-    def may_be_stopped(self, attempt: RelayAttempt) -> bool:
-        """Whether the upstream of an attempt may run it and takes orders to stop."""
-        if not attempt.is_connected or attempt.is_forward:
-            return False
-        is_resumable = self.kind is RequestKind.RESUMABLE_STREAM
-        return is_resumable and self.routed.service.moves_copies
-
-    def stop_target(self, attempt: RelayAttempt, now: float) -> UpstreamInstance | None:
-        """Return where a stream may go on from the last copy of its run, or None."""
-        if not self.may_be_stopped(attempt):
-            return None
-        if attempt.copy is not None and self.is_holder_current(attempt.copy.holder):
-            return attempt.copy.holder
-        return self.choose_standby(attempt.upstream, now)
-
-    def settle_run(
-        self, attempt: RelayAttempt, event: AttemptFailed, now: float
-    ) -> list[RelayAction]:
-        """Have the end of an attempt's run found out, unless its failure shows that."""
-        selector, upstream = self.shared.selector, attempt.upstream
-        is_replaced = selector.replaced.get(upstream.name) == upstream.incarnation
-        if event.cause in ENDED_CAUSES or attempt.is_stopped or is_replaced:
-            return []
-        if not self.may_be_stopped(attempt):
-            return []
-        others = PickRequest(
-            self.routed.service.name, excluded=frozenset({upstream.name})
-        )
-        targets = selector.sample(others, 1)
-        if not targets:
-            return []
-        may_start_s = 0.0 if attempt.has_event else START_DELAY_S
-        run = LeftRelayRun(
-            request_id=self.request.request_id,
-            upstream=upstream,
-            target=targets[0],
-            left_at=now,
-            deadline=self.deadline(),
-            may_start_until=now + may_start_s,
-        )
-        return [SettleRun(run, event.cause)]
+        order = self.order_stop(attempt, cause, message, now)
+        return order or self.abandon(attempt, cause, message, now)
 
     def abandon(
         self, attempt: RelayAttempt, cause: AttemptCause, message: str, now: float
@@ -360,9 +296,11 @@
     ) -> list[RelayAction]:
         """Remove an attempt that has failed, and retry or fail.
 
-        One that is being stopped fails by that. It is replaced when its end is known.
+        One that is being stopped may fail by that, so it is replaced when the outcome
+        of the stop is known.
         """
         if attempt.is_stopping:
+            attempt.loss = event
             return []
         self.remove_attempt(attempt.number)
         return self.retry_or_fail(attempt, event, now)
@@ -374,7 +312,7 @@
 
         Nothing is done while another attempt is live.
         """
-        actions = self.settle_run(attempt, event, now)
+        actions = self.settle_run(attempt, event.cause, now)
         if attempt.is_forward:
             self.record_forward_failure(attempt, event, now)
         else:
@@ -804,7 +742,12 @@
 def handle_stream_finished(
     event: StreamFinished, relay: Relay, attempt: RelayAttempt, now: float
 ) -> list[RelayAction]:
-    """End the caller's stream; an upstream stream without any event has failed."""
+    """End the caller's stream; an upstream stream without any event has failed.
+
+    One that is stopped may look ended if its end is that of its connection.
+    """
+    if attempt.is_stopping and not event.has_own_end:
+        return []
     if not relay.has_delivered:
         text = "the stream ended without an event"
         return relay.abandon(attempt, AttemptCause.MALFORMED, text, now)
@@ -857,6 +800,8 @@
     a report on a stream that has had an event. Waiting requests explain a late start.
     """
     report = event.report
+    if attempt.is_stopping:
+        return []
     has_been_active = relay.upstream_active_at(attempt) > (attempt.probed_at or 0.0)
     was_silent = attempt.is_upstream_silent
     attempt.is_upstream_silent = event.state is ReportState.SILENT
@@ -911,23 +856,39 @@
 ) -> list[RelayAction]:
     """Go on from the last copy of a run that was stopped, or else as is possible.
 
-    An upstream that has not answered the order is probed again, as it may stand still.
+    An upstream that has not answered the order in time is probed, as it may stand
+    still. A run whose end is not known is found out about beside the request.
     """
-    end, copy = event.stopped.end, event.stopped.copy
-    attempt.is_stopping, attempt.is_stopped = False, end is not RunEnd.UNKNOWN
-    if not attempt.is_stopped:
-        attempt.is_upstream_silent, attempt.probed_at = True, now
-        if now < relay.gone_at(attempt):
-            return []
+    stopped = event.stopped
+    end, copy = stopped.end, stopped.copy
+    attempt.is_stopping = False
+    attempt.is_stopped = is_known_end(end, attempt.has_event)
+    cause = attempt.stop_cause or AttemptCause.SILENT
+    is_open = end is RunEnd.UNKNOWN and not stopped.has_answered
+    if is_open and attempt.loss is None:
+        attempt.probed_at = now
+        return [ProbeUpstream(attempt.number, attempt.upstream)]
     actions: list[RelayAction] = []
     if copy is not None and copy.holder.name != attempt.upstream.name:
         actions = relay.record_copy(attempt, copy, event.at)
-    elif copy is not None:
+    elif copy is not None and copy != attempt.copy:
         actions = [ReleaseCopy(copy)]
-    cause = attempt.stop_cause or AttemptCause.SILENT
+    if attempt.loss is not None and end in (RunEnd.UNKNOWN, RunEnd.UPSTREAM_ENDED):
+        relay.remove_attempt(attempt.number)
+        return actions + relay.retry_or_fail(attempt, attempt.loss, now)
     return actions + relay.abandon(attempt, cause, attempt.stop_reason, now)
 
 
+def is_known_end(end: RunEnd, has_event: bool) -> bool:
+    """Whether an answer to an order to stop shows that the run has ended for good.
+
+    An upstream that does not know a request may still have it in a queue.
+    """
+    if end is RunEnd.ABSENT:
+        return has_event
+    return end is not RunEnd.UNKNOWN
+
+
 def has_begun(attempt: RelayAttempt, failure: AttemptFailed) -> bool:
     """Whether the upstream had begun to answer, so that its standby may hold a copy.
 
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -69,6 +69,7 @@
     answer was lost. `FAILED`: the upstream itself reported a failure. `REFUSED`: the
     instance to which the request was forwarded did not take it. `UNRECORDED`: not sent,
     since the store did not take the record of the version at which the stream begins.
+    `CANCELED`: its request ended first.
     """
 
     OVERLOADED = "overloaded"
@@ -82,6 +83,7 @@
     FAILED = "failed"
     REFUSED = "refused"
     UNRECORDED = "unrecorded"
+    CANCELED = "canceled"
 
 
 @dataclass(frozen=True, slots=True)
@@ -311,12 +313,19 @@
 class StoppedRun:
     """How an upstream has answered the order to stop a run.
 
-    `copy` is the last one of the run's KV cache, which the upstream made before, or
-    None. Its holder is the upstream itself if no other one has taken it.
+    `copy` is the last one of the run's KV cache, or None. Its holder is the upstream
+    itself if no other one has taken it. `has_answered`: there was an answer, though it
+    may say nothing of the run.
     """
 
     end: RunEnd
     copy: MemoryCopy | None = None
+    has_answered: bool = True
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the upstream has answered and not taken the order."""
+        return self.end is RunEnd.UNKNOWN and self.has_answered
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -395,7 +395,8 @@
     `is_connected`: its upstream may have the request. `is_suspected`: the request was
     recorded as one that may have ended its upstream.
     `is_stopping`: it is being given up for `stop_cause` and `stop_reason`, and its
-    upstream has the order to stop. `is_stopped`: the upstream has confirmed the end.
+    upstream has the order to stop. `loss` is its failure since then, and `stops` counts
+    the orders. `is_stopped`: the upstream has confirmed the end.
     `is_forward`: it goes by another instance, for which `upstream` stands.
     `completion` is the estimate that took account of what its upstream holds.
     `load` is that of the upstream when it got the request, where versions are rolled
@@ -433,6 +434,8 @@
     stop_cause: AttemptCause | None = None
     stop_reason: str = ""
     is_stopped: bool = False
+    stops: int = 0
+    loss: AttemptFailed | None = None
     completion: Completion | None = None
     load: float = 0.0
 
@@ -560,9 +563,14 @@
             return attempt.last_active_at + limit_s
         return max(self.stalled_at(attempt), self.gone_at(attempt))
 
+    def is_silent(self, attempt: RelayAttempt) -> bool:
+        """Whether an upstream has said nothing at all since it accepted a probe."""
+        heard_at = self.upstream_active_at(attempt)
+        return attempt.is_upstream_silent and heard_at <= (attempt.probed_at or 0.0)
+
     def gone_at(self, attempt: RelayAttempt) -> float:
         """Return when a silent upstream is taken for gone; in the past for others."""
-        if not attempt.is_upstream_silent:
+        if not self.is_silent(attempt):
             return -math.inf
         heard_at = max(self.upstream_active_at(attempt), attempt.reported_at)
         return heard_at + SILENT_LIMIT_S
--- a/src/turmericusher/platform/upstreams.py
+++ b/src/turmericusher/platform/upstreams.py
@@ -103,9 +103,6 @@
 """Copying the KV cache of a long prompt takes milliseconds, a little more behind other
 copies."""
 
-STOP_TIMEOUT_S = 0.25
-"""With a report before it, within the time for which two upstreams may run a stream."""
-
 NOT_FOUND = 404
 MISDIRECTED = 421
 UNAVAILABLE = 503
@@ -347,7 +344,7 @@
         self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
     ) -> StoppedRun:
         """Have `source` stop a run and copy its KV cache to `target` after that."""
-        timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=COPY_TIMEOUT_S)
         url = f"http://{source.address}{COPY_PATH}"
         body = encode_copy_request(request_id, target.address, is_last=True)
         try:
@@ -356,7 +353,10 @@
                 data = await read_bounded(response, MAX_MESSAGE_BYTES)
         except MESSAGE_ERRORS as error:
             log_event("stop_missing", upstream=source.name, error=repr(error))
-            return StoppedRun(RunEnd.UNKNOWN)
+            os_error = getattr(error, "os_error", error)
+            is_refused = isinstance(os_error, ConnectionRefusedError)
+            end = RunEnd.UPSTREAM_ENDED if is_refused else RunEnd.UNKNOWN
+            return StoppedRun(end, has_answered=False)
         return stopped_run(response.status, data, source, target)
 
     async def release_copy(self, copy: MemoryCopy) -> None:
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -12,7 +12,7 @@
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from functools import singledispatch
+from functools import partial, singledispatch
 from typing import Any, TypeVar
 
 from turmericusher.decisions.fleet import UpstreamInstance
@@ -43,6 +43,7 @@
     RelayOutput,
     ReleaseCopy,
     ReportQuery,
+    ReportState,
     RetryLent,
     RunStopped,
     SettleRun,
@@ -64,7 +65,7 @@
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.crash_reports import CrashReports
 from turmericusher.tasks.reach_checks import ReachChecks
-from turmericusher.tasks.relay_runs import RelayRunAsker, loop_time
+from turmericusher.tasks.relay_runs import RelayRunAsker, StopOrders, loop_time
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.run_ends import RunEndChecks
 from turmericusher.tasks.stream_versions import StreamVersionExchange
@@ -76,14 +77,6 @@
 """Bytes of a stream's events up to which more may be queued: one event may have a
 megabyte."""
 
-STOP_WAIT_S = 0.2
-"""Seconds in which an upstream is to confirm that it has stopped a run; the request
-goes on elsewhere after that."""
-
-STOP_RETRY_S = 0.02
-"""Pause in seconds before the order is repeated to an upstream that has not taken it,
-as while it makes another copy of the run."""
-
 LOAD_QUERY_TIMEOUT_S = 0.05
 """Seconds that candidates have to report their load. This covers several round trips
 between failure domains and is short compared with the time to a first event."""
@@ -113,8 +106,9 @@
 
     `pending_reports` holds the running query of each upstream by its address, so that
     concurrent callers wait for one query. `release_tasks` holds the tasks that release
-    copies, which may outlive the request that made the copy. `owners` are those of the
-    requests in progress. `run_end_checks` finds out about runs that were left.
+    copies and those that `stop_orders` has begun, which may outlive the request that
+    made the copy. `owners` are those of the requests in progress. `run_end_checks`
+    finds out about runs that were left.
     """
 
     port: RelayPort
@@ -126,11 +120,13 @@
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[ReportQuery]] = field(default_factory=dict)
     release_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    stop_orders: StopOrders = field(init=False)
     run_end_checks: RunEndChecks[LeftRelayRun] = field(init=False)
 
     def __post_init__(self) -> None:
         """Start without any run that was left."""
-        asker = RelayRunAsker(self.port, self.release)
+        self.stop_orders = StopOrders(self.port, self.release_tasks)
+        asker = RelayRunAsker(self.port, self.stop_orders, self.release)
         self.run_end_checks = RunEndChecks(self.shared.run_ends, asker, loop_time)
 
     def release(self, copy: MemoryCopy) -> None:
@@ -169,11 +165,19 @@
         if running is None:
             running = asyncio.create_task(self.port.query_report(upstream))
             self.pending_reports[upstream.address] = running
-            running.add_done_callback(
-                lambda _: self.pending_reports.pop(upstream.address, None)
-            )
+            running.add_done_callback(partial(self.end_query, upstream))
         return await asyncio.shield(running)
 
+    def end_query(
+        self, upstream: UpstreamInstance, query: asyncio.Task[ReportQuery]
+    ) -> None:
+        """Have an upstream that answers asked about runs that were left there."""
+        self.pending_reports.pop(upstream.address, None)
+        if query.cancelled() or query.exception() is not None:
+            return
+        if query.result().state is ReportState.ANSWERED:
+            self.run_end_checks.wake(upstream)
+
 
 class RelayInbox(asyncio.Queue[RelayEvent]):
     """The events for one request, bounded by number and by the size of streams' events.
@@ -418,24 +422,18 @@
         await self.inbox.put(MemoryCopied(action.attempt, now, copy))
 
     async def stop_run(self, action: StopRun) -> None:
-        """Have a run stopped and pass on what is known of it then.
-
-        An upstream that makes a copy already cannot make the last one meanwhile.
-        """
-        clock = asyncio.get_running_loop().time
-        stopped, give_up_at = StoppedRun(RunEnd.UNKNOWN), clock() + STOP_WAIT_S
-        while stopped.end is RunEnd.UNKNOWN and clock() < give_up_at:
-            stopped = await self.context.port.stop_run(
-                action.upstream, self.relay.request.request_id, action.target
-            )
-            if stopped.end is RunEnd.UNKNOWN:
-                await asyncio.sleep(STOP_RETRY_S)
+        """Have a run stopped and pass on what is known of it then."""
+        request_id, clock = self.relay.request.request_id, loop_time
+        ordered_at = clock()
+        stopped = await self.context.stop_orders.stop(
+            action.upstream, request_id, action.target
+        )
         log_event(
             "run_stopped",
-            id=self.relay.request.request_id,
+            id=request_id,
             upstream=action.upstream.name,
             end=stopped.end.value,
-            after_s=clock() - give_up_at + STOP_WAIT_S,
+            after_s=clock() - ordered_at,
         )
         await self.inbox.put(RunStopped(action.attempt, clock(), stopped))
 
@@ -532,7 +530,8 @@
 @empty_result.register
 def empty_stop(action: StopRun, relay: Relay, now: float) -> RelayEvent:
     """Return the event of an order to stop that has shown nothing."""
-    return RunStopped(action.attempt, now, StoppedRun(RunEnd.UNKNOWN))
+    stopped = StoppedRun(RunEnd.UNKNOWN, has_answered=False)
+    return RunStopped(action.attempt, now, stopped)
 
 
 @empty_result.register
--- a/src/turmericusher/tasks/relay_runs.py
+++ b/src/turmericusher/tasks/relay_runs.py
@@ -1,4 +1,4 @@
-"""Asks upstreams about the runs that relayed requests left there.
+"""Has the runs of relayed requests stopped, and asks about those that were left.
 
 Nothing but questions is sent to an upstream that does not answer, so that one that
 stands still finds no old orders when it goes on.
@@ -12,12 +12,20 @@
 
 from turmericusher.decisions.fleet import UpstreamInstance
 from turmericusher.decisions.open_losses import EndState
-from turmericusher.decisions.relay_messages import MemoryCopy
+from turmericusher.decisions.relay_messages import MemoryCopy, StoppedRun
 from turmericusher.decisions.run_ends import LeftRelayRun, RunEnd, UpstreamRuns
 from turmericusher.ports.relay import RelayPort
 from turmericusher.tasks.run_ends import Settle
 
-STOPS_AT_A_TIME = 8
+STOP_WAIT_S = 0.25
+"""Seconds for which the outcome of an order to stop is awaited. The run stops when the
+order arrives; the answer comes when the copy is complete."""
+
+STOP_RETRY_S = 0.02
+"""Pause in seconds before the order is repeated to an upstream that has not taken it,
+as while it makes another copy of the run."""
+
+STOPS_AT_A_TIME = 64
 """Orders to stop that one upstream gets at a time."""
 
 
@@ -26,6 +34,49 @@
     return asyncio.get_running_loop().time()
 
 
+@dataclass(slots=True)
+class StopOrders:
+    """Orders to stop runs; they may outlive the requests that gave them.
+
+    `tasks` has those on their way. A copy whose answer nobody awaits is freed.
+    """
+
+    port: RelayPort
+    tasks: set[asyncio.Task[None]]
+
+    async def stop(
+        self, upstream: UpstreamInstance, request_id: str, target: UpstreamInstance
+    ) -> StoppedRun:
+        """Have a run stopped and return what is known of it in `STOP_WAIT_S`."""
+        outcome: asyncio.Future[StoppedRun] = asyncio.Future()
+        order = self.carry_out(upstream, request_id, target, outcome)
+        task = asyncio.create_task(order)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        try:
+            async with asyncio.timeout(STOP_WAIT_S):
+                return await outcome
+        except TimeoutError:
+            return StoppedRun(RunEnd.UNKNOWN, has_answered=False)
+
+    async def carry_out(
+        self,
+        upstream: UpstreamInstance,
+        request_id: str,
+        target: UpstreamInstance,
+        outcome: asyncio.Future[StoppedRun],
+    ) -> None:
+        """Order until the upstream takes it or nobody awaits the outcome any more."""
+        stopped = await self.port.stop_run(upstream, request_id, target)
+        while stopped.is_refused and not outcome.done():
+            await asyncio.sleep(STOP_RETRY_S)
+            stopped = await self.port.stop_run(upstream, request_id, target)
+        if not outcome.done():
+            outcome.set_result(stopped)
+        elif stopped.copy is not None:
+            await self.port.release_copy(stopped.copy)
+
+
 @dataclass(slots=True)
 class RelayRunAsker:
     """Asks whether an upstream has ended, and orders one that runs to stop each run.
@@ -34,6 +85,7 @@
     """
 
     port: RelayPort
+    orders: StopOrders
     release: Callable[[MemoryCopy], None]
     clock: Callable[[], float] = loop_time
 
@@ -62,7 +114,7 @@
     ) -> None:
         """Have a run stopped, and pass on what is known of it then."""
         async with limit:
-            stopped = await self.port.stop_run(run.upstream, run.name, run.target)
+            stopped = await self.orders.stop(run.upstream, run.name, run.target)
         if stopped.copy is not None:
             self.release(stopped.copy)
         settle(run, stopped.end, self.clock())
--- a/src/turmericusher/tasks/run_ends.py
+++ b/src/turmericusher/tasks/run_ends.py
@@ -76,6 +76,12 @@
             check.task = asyncio.create_task(self.run_check(key, check), name=name)
         check.has_news.set()
 
+    def wake(self, upstream: UpstreamInstance) -> None:
+        """Ask an upstream at once that has answered, if runs were left there."""
+        check = self.checks.get((upstream.name, upstream.incarnation))
+        if check is not None:
+            check.has_news.set()
+
     async def run_check(self, key: tuple[str, str], check: UpstreamCheck[R]) -> None:
         """Ask an upstream until the ends of all runs there are known."""
         left = check.left
--- a/tests/common/cut_fixtures.py
+++ b/tests/common/cut_fixtures.py
@@ -21,8 +21,10 @@
     ReportQuery,
     ReportState,
     StartRelay,
+    StoppedRun,
 )
 from turmericusher.decisions.routing import RequestKind, RoutedRequest
+from turmericusher.decisions.run_ends import RunEnd
 from turmericusher.errors import Verdict
 from turmericusher.platform.names import ENTRYPOINTS_PATH
 from turmericusher.platform.upstreams import (
@@ -120,6 +122,15 @@
             return None
         return await self.port.copy_memory(source, request_id, target)
 
+    async def stop_run(
+        self, source: UpstreamInstance, request_id: str, target: UpstreamInstance
+    ) -> StoppedRun:
+        """Have a run stopped unless its upstream is cut off."""
+        if self.is_cut(source.address):
+            await self.fail(CONNECT_TIMEOUT_S)
+            return StoppedRun(RunEnd.UNKNOWN, has_answered=False)
+        return await self.port.stop_run(source, request_id, target)
+
     async def release_copy(self, copy: MemoryCopy) -> None:
         """Free a copy unless its upstream is cut off."""
         if not self.is_cut(copy.source.address):
@@ -134,6 +145,7 @@
         context = node.frontend.context
         port = ports[name] = CutPort(context.port, addresses)
         context.port = context.crash_reports.port = context.reach_checks.port = port
+        context.stop_orders.port = context.run_end_checks.asker.port = port
     return ports
 
 
--- a/tests/cover/test_run_ends.py
+++ b/tests/cover/test_run_ends.py
@@ -33,12 +33,15 @@
     AttemptCause,
     AttemptConnected,
     MemoryCopy,
+    ProbeUpstream,
+    ReleaseCopy,
     ReportState,
     RunStopped,
     SettleRun,
     StartRelay,
     StoppedRun,
     StopRun,
+    StreamFinished,
     UpstreamProbed,
 )
 from turmericusher.decisions.relay_state import SILENT_LIMIT_S
@@ -54,8 +57,9 @@
 )
 from turmericusher.logs import logging_to
 from turmericusher.ports.upstream import EnginePort
+from turmericusher.standins.working_upstream import HANDOVER_LIMIT_S
 from turmericusher.tasks.generation_runs import GenerationRunAsker
-from turmericusher.tasks.relay_runs import RelayRunAsker, loop_time
+from turmericusher.tasks.relay_runs import RelayRunAsker, StopOrders, loop_time
 from turmericusher.tasks.run_ends import RunEndChecks, checking_run_ends
 
 EVENT_AT = 0.1
@@ -75,7 +79,8 @@
 
 def make_relay_checks(port, release=lambda _: None):
     """Return the checks of a relay; `release` gets the copies."""
-    return RunEndChecks(RunEnds(), RelayRunAsker(port, release), loop_time)
+    asker = RelayRunAsker(port, StopOrders(port, set()), release)
+    return RunEndChecks(RunEnds(), asker, loop_time)
 
 
 def left_generation_run(
@@ -179,9 +184,13 @@
         self.assertEqual([], filter_by_type(actions, SettleRun))
 
     def test_twice_a_stream_waits_if_the_order_to_stop_is_not_answered(self):
-        _, relay, actions = self.stop(lambda _: StoppedRun(RunEnd.UNKNOWN))
-        self.assertEqual([], filter_by_type(actions, StartRelay))
-        self.assertTrue(relay.attempts[1].is_upstream_silent)
+        unknown = StoppedRun(RunEnd.UNKNOWN, has_answered=False)
+        stop, relay, actions = self.stop(lambda _: unknown)
+        self.assertEqual([ProbeUpstream(1, stop.upstream)], actions)
+        now = ANSWERED_AT + 0.2
+        silent = UpstreamProbed(1, now, None, ReportState.SILENT)
+        self.assertEqual([], relay.handle(silent, now))
+        self.assertGreater(relay.abandon_at(relay.attempts[1]), 1.5)
 
     def test_a_connection_that_ends_by_the_order_to_stop_is_no_failure(self):
         relay, _, actions = make_probed_stream(ReportState.ANSWERED, made={"q1": 50})
@@ -190,7 +199,165 @@
         self.assertEqual([], relay.handle(lost, ANSWERED_AT))
 
 
+class UnderAnOrderTest(TestCase):
+    """What comes for an attempt while its upstream has the order to stop it."""
+
+    def make_ordered_stream(self):
+        """Return a stream whose upstream has the order to stop it, and the order."""
+        relay, _, actions = make_probed_stream(ReportState.ANSWERED, made={"q1": 50})
+        (stop,) = filter_by_type(actions, StopRun)
+        return relay, stop
+
+    def test_a_stream_does_not_hang_after_unanswered_orders_beside_active_ones(self):
+        relay, _ = self.make_ordered_stream()
+        now = ANSWERED_AT
+        for _ in range(2):
+            now += 0.25
+            unknown = StoppedRun(RunEnd.UNKNOWN, has_answered=False)
+            relay.handle(RunStopped(1, now, unknown), now)
+            report = make_upstream_report(made={"q1": 50})
+            probed = UpstreamProbed(1, now, report, ReportState.ANSWERED)
+            actions = relay.handle(probed, now)
+        self.assertEqual(1, len(filter_by_type(actions, StartRelay)))
+        self.assertEqual(1, len(filter_by_type(actions, SettleRun)))
+
+    def test_a_stream_does_not_hang_after_a_silent_report_beside_active_ones(self):
+        relay, start, _ = make_probed_stream()
+        now = ANSWERED_AT
+        actions = []
+        while not actions and now < 4.0:
+            now += 0.05
+            relay.shared.stall_detector.record_activity(start.upstream.name, now)
+            actions = relay.tick(now) if relay.wake_at() <= now else []
+        self.assertEqual(1, len(filter_by_type(actions, StopRun)))
+        self.assertLess(now, EVENT_AT + 1.0)
+
+    def test_the_end_of_a_stopped_streams_connection_is_not_the_end_of_the_answer(
+        self,
+    ):
+        relay, _ = self.make_ordered_stream()
+        finished = StreamFinished(1, ANSWERED_AT, has_own_end=False)
+        self.assertEqual([], relay.handle(finished, ANSWERED_AT))
+        self.assertFalse(relay.is_over)
+
+    def test_a_probe_that_is_answered_meanwhile_gives_no_second_order(self):
+        relay, _ = self.make_ordered_stream()
+        report = make_upstream_report(made={"q1": 50})
+        probed = UpstreamProbed(1, ANSWERED_AT, report, ReportState.ANSWERED)
+        self.assertEqual([], relay.handle(probed, ANSWERED_AT))
+
+    @parameterized.expand(
+        [
+            ("has_ended", StoppedRun(RunEnd.UPSTREAM_ENDED, has_answered=False)),
+            ("says_nothing", StoppedRun(RunEnd.UNKNOWN, has_answered=False)),
+        ]
+    )
+    def test_a_stream_that_was_lost_meanwhile_goes_on_if_its_upstream(self, _, stopped):
+        relay, _ = self.make_ordered_stream()
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, ANSWERED_AT)
+        relay.handle(lost, ANSWERED_AT)
+        now = ANSWERED_AT + 0.1
+        actions = relay.handle(RunStopped(1, now, stopped), now)
+        self.assertEqual(1, len(filter_by_type(actions, StartRelay)))
+
+    def test_a_stream_goes_on_if_its_upstream_answers_and_does_not_stop_it(self):
+        relay, _ = self.make_ordered_stream()
+        now = ANSWERED_AT + 0.2
+        actions = relay.handle(RunStopped(1, now, StoppedRun(RunEnd.UNKNOWN)), now)
+        self.assertEqual(1, len(filter_by_type(actions, StartRelay)))
+        self.assertEqual(1, len(filter_by_type(actions, SettleRun)))
+
+    def test_a_last_copy_that_comes_too_late_is_freed(self):
+        relay, stop = self.make_ordered_stream()
+        relay.handle(event(1, 9, ANSWERED_AT), ANSWERED_AT)
+        copy = MemoryCopy(stop.target, stop.upstream, "h")
+        now = ANSWERED_AT + 0.1
+        stopped = RunStopped(1, now, StoppedRun(RunEnd.STOPPED, copy))
+        self.assertEqual([ReleaseCopy(copy)], relay.handle(stopped, now))
+
+    def test_a_last_copy_that_its_upstream_keeps_is_freed(self):
+        relay, stop = self.make_ordered_stream()
+        copy = MemoryCopy(stop.upstream, stop.upstream, "h")
+        now = ANSWERED_AT + 0.1
+        stopped = RunStopped(1, now, StoppedRun(RunEnd.STOPPED, copy))
+        actions = relay.handle(stopped, now)
+        self.assertEqual([ReleaseCopy(copy)], filter_by_type(actions, ReleaseCopy))
+        (resumed,) = filter_by_type(actions, StartRelay)
+        self.assertEqual("q1", resumed.copy.handle)
+
+    def test_a_run_without_an_event_may_begin_after_its_upstream_did_not_know_it(self):
+        relay, _ = self.make_ordered_stream()
+        relay.attempts[1].first_event_at = None
+        relay.attempts[1].events = 0
+        now = ANSWERED_AT + 0.1
+        actions = relay.handle(RunStopped(1, now, StoppedRun(RunEnd.ABSENT)), now)
+        (settle,) = filter_by_type(actions, SettleRun)
+        self.assertGreater(settle.run.may_start_until, now)
+
+
 class LeftRunTest(TestCase):
+    @parameterized.expand([("silent",), ("being_stopped",)])
+    def test_a_run_is_asked_about_when_its_request_ends_while_its_upstream_is(
+        self, state
+    ):
+        if state == "silent":
+            relay, _, _ = make_probed_stream()
+        else:
+            relay, _, _ = make_probed_stream(ReportState.ANSWERED, made={"q1": 50})
+        actions = relay.close(ANSWERED_AT + 0.1)
+        self.assertEqual(1, len(filter_by_type(actions, SettleRun)))
+
+    def test_an_order_for_a_left_run_spares_the_copy_that_its_stream_goes_on_from(
+        self,
+    ):
+        relay, start = make_stoppable_stream()
+        others = [start.standby, start.upstream]
+        relay.shared.selector.update(others)
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, 0.2)
+        actions = relay.handle(lost, 0.2)
+        (settle,) = filter_by_type(actions, SettleRun)
+        (resumed,) = filter_by_type(actions, StartRelay)
+        self.assertEqual(start.standby, resumed.upstream)
+        self.assertNotEqual(start.standby, settle.run.target)
+
+    def test_a_run_is_asked_about_where_no_other_upstream_is_listed(self):
+        relay, start = make_stoppable_stream()
+        relay.shared.selector.update([start.upstream])
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, 0.2)
+        actions = relay.handle(lost, 0.2)
+        self.assertEqual(1, len(filter_by_type(actions, SettleRun)))
+
+    @run_async
+    async def test_all_orders_are_sent_within_the_handover_limit(self):
+        port = SlowPort(EndState.RUNNING, RunEnd.STOPPED)
+        checks, now = make_relay_checks(port), loop_time()
+        async with checking_run_ends(checks):
+            for number in range(60):
+                checks.add(left_relay_run(f"q{number}", now, 9.0), cause="lost")
+            await wait_until(lambda: len(port.ordered_at) == 60)
+        self.assertLess(max(port.ordered_at) - now, HANDOVER_LIMIT_S)
+
+    @run_async
+    async def test_an_upstream_that_answers_again_is_asked_at_once(self):
+        port = FakePort(EndState.UNKNOWN, RunEnd.STOPPED)
+        checks, run = make_relay_checks(port), left_relay_run("q1", loop_time(), 9.0)
+        async with checking_run_ends(checks):
+            checks.add(run, cause="lost")
+            await asyncio.sleep(1.0)
+            port.state, back_at = EndState.RUNNING, loop_time()
+            checks.wake(run.upstream)
+            await wait_until(lambda: not checks.checks)
+        self.assertLess(loop_time() - back_at, HANDOVER_LIMIT_S)
+
+    @run_async
+    async def test_a_copy_that_is_complete_too_late_is_freed(self):
+        port, tasks = SlowPort(EndState.RUNNING, RunEnd.STOPPED, delay_s=0.4), set()
+        one, other = make_upstream(0), make_upstream(1)
+        stopped = await StopOrders(port, tasks).stop(one, "q1", other)
+        self.assertEqual(StoppedRun(RunEnd.UNKNOWN, has_answered=False), stopped)
+        await asyncio.gather(*tasks)
+        self.assertEqual(["h"], [copy.handle for copy in port.released])
+
     def test_twice_a_request_is_not_sent_to_an_upstream_that_may_still_run_it(self):
         relay, start = make_stoppable_stream()
         lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, 0.2)
@@ -337,6 +504,22 @@
         return self.end
 
 
+class SlowPort(FakePort):
+    """Answers an order when the copy is complete, after `delay_s` seconds."""
+
+    def __init__(self, state, end, delay_s=0.1):
+        super().__init__(state, end)
+        self.delay_s, self.ordered_at, self.released = delay_s, [], []
+
+    async def stop_run(self, source, request_id, target):
+        self.ordered_at.append(loop_time())
+        await asyncio.sleep(self.delay_s)
+        return await super().stop_run(source, request_id, target)
+
+    async def release_copy(self, copy):
+        self.released.append(copy)
+
+
 @dataclass(slots=True)
 class ScriptedPort:
     """An engine port whose stops have the results of `ends`, one after another.
--- a/tests/cover/test_two_engines.py
+++ b/tests/cover/test_two_engines.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from parameterized import parameterized
 from testtools import TestCase
@@ -12,8 +13,14 @@
 from tests.common.asynchronous import run_async
 from tests.common.relay_events import RESUMABLE
 from tests.common.relay_fixtures import running_relay_simulation
-from turmericusher.standins.platform_upstream import reset
-from turmericusher.standins.working_upstream import WorkingUpstream, find_overlaps
+from turmericusher.platform.names import REQUEST_ID, SIGNATURE
+from turmericusher.standins.platform_upstream import event, reset
+from turmericusher.standins.working_upstream import (
+    Run,
+    WorkingUpstream,
+    find_overlaps,
+)
+from turmericusher.tasks.background import cancel_tasks
 
 EVENTS, EVENT_GAP_S = 100, 0.03
 STREAMS = 12
@@ -53,6 +60,61 @@
         reset(run.writer)
 
 
+@dataclass(slots=True)
+class StallingEngine(WorkingUpstream):
+    """Ends its answers by closing; a run from the beginning pauses after event 20."""
+
+    async def work(self, run: Run) -> None:
+        """Make the events that are left."""
+        headers = {
+            REQUEST_ID: run.request_id,
+            SIGNATURE: f"by-{self.name}",
+            "Content-Type": "text/event-stream",
+            "Connection": "close",
+        }
+        self.send(run, self.encode_head(200, headers))
+        is_first = run.position == 0
+        while run.position < self.events:
+            await asyncio.sleep(2.0 if is_first and run.position == 20 else EVENT_GAP_S)
+            run.position += 1
+            self.send(run, event(run.position))
+
+
+class StoppedStreamTest(TestCase):
+    @run_async
+    async def test_a_stream_that_was_stopped_is_not_told_as_whole(self):
+        simulation = running_relay_simulation(
+            make_standin=lambda name: StallingEngine(name, events=EVENTS),
+            route_changes=ROUTE,
+        )
+        async with simulation as running:
+            answer = await running.call(RESUMABLE, wait_ms=20_000)
+            runs = [run for each in running.upstreams for run in each.history]
+        ids = [int(each) for each in EVENT_IDS.findall(answer.body)]
+        self.assertEqual((list(range(1, EVENTS + 1)), 2), (ids, len(runs)))
+
+    @run_async
+    async def test_twice_a_stream_that_is_taken_up_here_ends_behind_a_dead_connection(
+        self,
+    ):
+        simulation = running_relay_simulation(
+            make_standin=make_engine, route_changes=ROUTE
+        )
+        async with simulation as running:
+            call = running.call(RESUMABLE, wait_ms=20_000, X_Request_Id="r1")
+            first = asyncio.create_task(call)
+            await asyncio.sleep(0.5)
+            (engine,) = (each for each in running.upstreams if each.active)
+            engine.silence_connections()
+            await asyncio.sleep(0.05)
+            await cancel_tasks([first])
+            await running.call(
+                RESUMABLE, wait_ms=20_000, X_Request_Id="r1", Last_Event_Id="5"
+            )
+            now = asyncio.get_running_loop().time()
+            self.assertEqual([], find_overlaps(running.upstreams, now))
+
+
 class TwoEnginesTest(TestCase):
     @parameterized.expand(
         [
--- a/tests/cover/test_two_engines_machine.py
+++ b/tests/cover/test_two_engines_machine.py
@@ -49,6 +49,8 @@
 REPORT_TIMEOUT_S = 0.15
 STOP_TIMEOUT_S = 0.25
 EVENT_GAP_S = 0.1
+GO_ON_LIMIT_S = 2.0
+"""Seconds within which output goes on after a loss; a pause may lie before."""
 
 
 @dataclass(eq=False)
@@ -74,6 +76,12 @@
     runs: list[ModelRun] = field(default_factory=list)
 
 
+def unanswered_stop(is_gone):
+    """Return what is known of a run when its engine does not answer the order."""
+    end = RunEnd.UPSTREAM_ENDED if is_gone else RunEnd.UNKNOWN
+    return StoppedRun(end, has_answered=False)
+
+
 class TwoEnginesMachine(RuleBasedStateMachine):
     """Play one stream in steps of time; calls to engines are answered in later ones."""
 
@@ -94,6 +102,7 @@
         self.engines = {f"u{index}": ModelEngine() for index in range(UPSTREAMS)}
         self.runs = []
         self.due = []
+        self.position, self.trouble_at, self.heard_at = 0, 0.0, 0.0
         self.execute(self.relay.start(self.now))
 
     def later(self, delay_s, answer):
@@ -127,7 +136,7 @@
                         lambda stop=action: self.confirm_stop(stop),
                         STOP_TIMEOUT_S,
                         lambda is_gone, stop=action: RunStopped(
-                            stop.attempt, self.now, StoppedRun(RunEnd.UNKNOWN)
+                            stop.attempt, self.now, unanswered_stop(is_gone)
                         ),
                     )
                 case SettleRun(run):
@@ -242,18 +251,23 @@
     def working(self):
         return [run for run in self.runs if run.ended_at is None]
 
+    def strike(self):
+        """Return the run that trouble comes to now."""
+        self.trouble_at = self.now
+        return self.working()[-1]
+
     has_run = precondition(lambda self: self.working())
 
     @has_run
     @rule()
     def the_open_connection_falls_silent(self):
-        self.working()[-1].is_heard = False
+        self.strike().is_heard = False
 
     # A reset and a pause of the same engine at a time are open (issue 68).
     @has_run
     @rule()
     def the_connection_is_reset_at_this_end_only(self):
-        run = self.working()[-1]
+        run = self.strike()
         if run.is_heard and self.now >= self.engines[run.engine].paused_until:
             run.is_heard = False
             failure = self.failed(run.attempt)
@@ -262,7 +276,7 @@
     @has_run
     @rule(steps=st.integers(1, round(LONGEST_PAUSE_S / STEP_S)))
     def the_engine_stands_still(self, steps):
-        engine = self.engines[self.working()[-1].engine]
+        engine = self.engines[self.strike().engine]
         is_settled = not self.shared.run_ends.count()
         if is_settled and self.now >= engine.paused_until + LONGEST_PAUSE_S:
             engine.paused_until = self.now + steps * STEP_S
@@ -270,7 +284,7 @@
     @has_run
     @rule()
     def the_engine_crashes(self):
-        run = self.working()[-1]
+        run = self.strike()
         if sum(engine.crashed for engine in self.engines.values()) >= UPSTREAMS - 2:
             return
         self.engines[run.engine].crashed = True
@@ -289,9 +303,14 @@
                     assert round(both_s, 3) <= HANDOVER_LIMIT_S, (run, later, both_s)
 
     @invariant()
-    def a_stream_goes_on(self):
-        if hasattr(self, "relay"):
-            assert not self.relay.is_over
+    def a_stream_goes_on_in_time_after_the_last_trouble(self):
+        if not hasattr(self, "relay"):
+            return
+        assert not self.relay.is_over
+        if self.relay.position != self.position:
+            self.position, self.heard_at = self.relay.position, self.now
+        since = max(self.heard_at, self.trouble_at)
+        assert self.now - since <= LONGEST_PAUSE_S + GO_ON_LIMIT_S, since
 
 
 TestTwoEngines = TwoEnginesMachine.TestCase
