Relay: a stream that is taken up ends its earlier run at the same instance

What callers saw: nothing; but the users' rule TWICE was broken. A caller whose connection died silently, or was reset at its own end only, takes its stream up (Resumes, Last-Event-Id). The instance sent that to a further engine, while the owner of the earlier request, which had not noticed that its caller was gone, had its engine work on to the end of the stream.

Cause: nothing related the two requests. The instance looked only for the version at which the stream had begun.

It ends at the start of the later request by the way that a gone caller takes: its attempts are cancelled, which closes the engine's connection. The owner itself may wait for a caller that reads nothing, so its work ends without it. It is told by an event and breaks off its response. `Relay.close` is not called again when that owner ends at last, since the later request may have recorded the stream as its own.

Ruled out: a later run is never ended (it began later, and at no earlier event), nor one of another team, of another stream, or the same request over a hop. A request that another instance forwards ends none: a stream may go on so without its caller, who may have taken it up elsewhere meanwhile.

What is different for users: a former connection that is still read breaks off once its stream is taken up.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -42,6 +42,7 @@
     RetryLent,
     StreamFinished,
     StreamOpened,
+    StreamTakenUp,
     TraitBlocked,
     TrialClaimed,
     UpstreamProbed,
@@ -152,6 +153,8 @@
             return self.end_if_blocked(now)
         if isinstance(event, InstanceEnds):
             return self.end_with_instance()
+        if isinstance(event, StreamTakenUp):
+            return self.end_taken_up(event)
         if isinstance(event, TrialClaimed):
             return self.handle_trial(event, now)
         if isinstance(event, VersionFound):
@@ -609,6 +612,12 @@
             OTHER_INSTANCE_RETRY_S,
         )
 
+    def end_taken_up(self, event: StreamTakenUp) -> list[RelayAction]:
+        """End the request, of which nothing runs any more, for its former caller."""
+        self.may_have_run = True
+        text = f"the caller goes on by request={event.by!r}"
+        return self.fail(ErrorCode.ANSWER_INTERRUPTED, text)
+
     def record_version(self, attempt: RelayAttempt, now: float) -> None:
         """Have the stream go on at the version that began it, here and elsewhere."""
         if attempt.is_forward:
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -249,6 +249,13 @@
     """This instance ends now, whatever still runs."""
 
 
+@dataclass(frozen=True, slots=True)
+class StreamTakenUp:
+    """The caller goes on by the request `by`; all work for this one has ended."""
+
+    by: str
+
+
 @dataclass(frozen=True, slots=True)
 class TrialClaimed:
     """Whether this request may try a blocked trait, which one request at a time may."""
@@ -444,6 +451,7 @@
     | LoadsReported
     | TraitBlocked
     | InstanceEnds
+    | StreamTakenUp
     | TrialClaimed
     | VersionFound
     | RetryLent
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -66,6 +66,7 @@
     StreamVersionExchange,
     exchanging_versions,
 )
+from turmericusher.tasks.take_ups import TakeUps
 from turmericusher.tasks.version_records import VersionRecords, saving_versions
 from turmericusher.web_server import running_server
 
@@ -157,7 +158,10 @@
         exchange = StreamVersionExchange(shared.versions, records)
         checks = ReachChecks(shared.reach, port)
         lending = RetryLending(shared)
-        context = RelayContext(port, shared, reports, exchange, checks, lending)
+        take_ups = TakeUps()
+        context = RelayContext(
+            port, shared, reports, exchange, checks, lending, take_ups
+        )
         stack.push_async_callback(context.finish_releases)
         reports.has_crashed = shared.has_crashed
         reports.before_review = context.record_ended_upstreams
--- a/src/turmericusher/standins/working_upstream.py
+++ b/src/turmericusher/standins/working_upstream.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from turmericusher.decisions.relay_messages import UpstreamReport
@@ -195,24 +195,29 @@
 
 
 def find_overlaps(
-    upstreams: Iterable[WorkingUpstream], now: float
+    upstreams: Iterable[WorkingUpstream],
+    now: float,
+    streams: Mapping[str, str] | None = None,
 ) -> list[tuple[str, str, str, float]]:
     """Return the runs that went on beside a later one for longer than the rule allows.
 
-    Each entry has the request, the upstream before, the one after and the seconds for
-    which both worked.
+    `streams` maps the requests that took a stream up to that stream, which is named by
+    its first request. Each entry has the stream, the upstream before, the one after and
+    the seconds for which both worked.
     """
+    stream_of = streams or {}
     runs: dict[str, list[Run]] = {}
     for upstream in upstreams:
         for run in upstream.history:
-            runs.setdefault(run.request_id, []).append(run)
+            stream = stream_of.get(run.request_id, run.request_id)
+            runs.setdefault(stream, []).append(run)
     overlaps = []
-    for request_id, same in runs.items():
+    for stream, same in runs.items():
         same.sort(key=lambda run: run.began_at)
         for index, run in enumerate(same):
             ended_at = now if run.ended_at is None else run.ended_at
             for later in same[index + 1 :]:
                 both_s = ended_at - later.began_at
                 if later.upstream != run.upstream and both_s > HANDOVER_LIMIT_S:
-                    overlaps.append((request_id, run.upstream, later.upstream, both_s))
+                    overlaps.append((stream, run.upstream, later.upstream, both_s))
     return overlaps
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -45,6 +45,7 @@
     ReportQuery,
     RetryLent,
     StartRelay,
+    StreamTakenUp,
     TraitBlocked,
     TrialClaimed,
     UpstreamProbed,
@@ -61,6 +62,7 @@
 from turmericusher.tasks.reach_checks import ReachChecks
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.stream_versions import StreamVersionExchange
+from turmericusher.tasks.take_ups import TakeUps
 
 INBOX_SIZE = 64
 """Events that an attempt's task may queue ahead of a caller that reads slowly."""
@@ -107,10 +109,15 @@
     versions: StreamVersionExchange
     reach_checks: ReachChecks
     lending: RetryLending
+    take_ups: TakeUps
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[ReportQuery]] = field(default_factory=dict)
     release_tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        """Have streams that are taken up looked for among the owners."""
+        self.take_ups.owners = self.owners
+
     def release(self, copy: MemoryCopy) -> None:
         """Release a copy in a task of its own, since its request may end meanwhile."""
         task = asyncio.create_task(self.port.release_copy(copy))
@@ -189,6 +196,7 @@
     attempts: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     helper_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     logged_wait: float | None = None
+    is_taken_up: bool = False
 
     async def outputs(self) -> AsyncIterator[RelayOutput]:
         """Yield what the caller gets until one of `FINAL_OUTPUTS` ends the request."""
@@ -235,6 +243,20 @@
         if not self.inbox.full():
             self.inbox.put_nowait(event)
 
+    def end_taken_up(self, by: str) -> None:
+        """End all work for the request now, as its caller goes on by the request `by`.
+
+        The owner itself may wait for a caller that no longer reads.
+        """
+        if self.is_taken_up or self.relay.is_over:
+            return
+        self.is_taken_up = True
+        for action in self.relay.close(asyncio.get_running_loop().time()):
+            self.carry_out(action)
+        while not self.inbox.empty():
+            self.inbox.get_nowait()
+        self.inbox.put_nowait(StreamTakenUp(by))
+
     async def next_event(self) -> RelayEvent | None:
         """Return the next event, or None when a timeout is due."""
         if not self.inbox.empty():
@@ -431,8 +453,10 @@
     async def close(self) -> None:
         """Cancel all running tasks and wait until their connections are closed."""
         try:
-            for action in self.relay.close(asyncio.get_running_loop().time()):
-                self.carry_out(action)
+            # The later run of a stream may have begun to record the stream as its own.
+            if not self.is_taken_up:
+                for action in self.relay.close(asyncio.get_running_loop().time()):
+                    self.carry_out(action)
         finally:
             # Upstreams would otherwise work on for a caller that is gone.
             await cancel_tasks([*self.attempts.values(), *self.helper_tasks])
@@ -495,6 +519,7 @@
     owner = RelayOwner(context, make_relay(request, routed, context.shared))
     # The selector measures the age of reports and failures against this time.
     context.shared.selector.advance_clock(asyncio.get_running_loop().time())
+    context.take_ups.begin(request, routed)
     context.owners.add(owner)
     try:
         yield owner
--- a/tests/common/version_fixtures.py
+++ b/tests/common/version_fixtures.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
 
@@ -28,7 +28,7 @@
     PlatformStoreStandin,
     running_platform_store,
 )
-from turmericusher.standins.platform_upstream import UpstreamStandin, running_upstream
+from turmericusher.standins.platform_upstream import UpstreamStandin, running_standin
 
 REFUSING_ADDRESS = "127.0.0.1:9"
 
@@ -149,11 +149,13 @@
     versions: Iterable[str],
     instances: int = 3,
     later_versions: Iterable[str] = (),
+    make_standin: Callable[..., UpstreamStandin] = UpstreamStandin,
     **fields: object,
 ) -> AsyncIterator[VersionSimulation]:
     """Run instances and an upstream of each version; `fields` are of the stand-ins.
 
-    Those of `later_versions` run too, and are not listed at first.
+    Those of `later_versions` run too, and are not listed at first. `make_standin` makes
+    each upstream.
     """
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(running_platform_store())
@@ -162,9 +164,8 @@
         simulation = VersionSimulation(store, session)
         listed_versions = list(versions)
         for index, version in enumerate([*listed_versions, *later_versions]):
-            standin = await stack.enter_async_context(
-                running_upstream(f"u{index}", **fields)
-            )
+            standin = make_standin(f"u{index}", **fields)
+            await stack.enter_async_context(running_standin(standin))
             simulation.upstreams.append(standin)
             simulation.versions[standin.name] = version
             if index < len(listed_versions):
