Relay: a stream that is taken up ends its earlier run at other instances

Cause: the instance that gets the later request asks others at most for the stream's version, and whoever is asked ends nothing.

Why it works: the instance tells the others (`EndEarlier`, take_ups.proto) of the stream, the request that takes it up, the team of its key, the last event that the caller has and the request's age, by which clocks need not agree. Each ends what it runs by the same rule as for its own requests. Nobody waits for it: the attempt is sent at once. One call to each instance is under way at a time, with all streams that wait (64 at most), for 1 s and twice at most. A build without the call answers that it lacks it and goes on as before, and the connection is kept: `grpclib` leaves out a header then, so that its client sees the status UNKNOWN, which the test found.

Whom to ask: nobody records which instance runs a stream, callers name none, and holders of versions are told only while there are several. So all others are asked up to 12, and none in larger fleets, which stays open.

The tests failed before.

--- a/src/turmericusher/peers/instance_services.py
+++ b/src/turmericusher/peers/instance_services.py
@@ -22,9 +22,20 @@
     RetryChannels,
 )
 from turmericusher.peers.streams_service import StreamsService, open_channels
+from turmericusher.peers.take_ups_service import (
+    RunEnder,
+    TakeUpChannels,
+    TakeUpsService,
+)
 from turmericusher.tasks.change_feed import ChangeFeed
 
-__all__ = ["ChangeStreams", "RetryChannels", "open_channels", "serving_instances"]
+__all__ = [
+    "ChangeStreams",
+    "RetryChannels",
+    "TakeUpChannels",
+    "open_channels",
+    "serving_instances",
+]
 
 
 @asynccontextmanager
@@ -34,6 +45,7 @@
     read_key: KeyReader,
     tell_state: StateTeller,
     lend: Lender,
+    end_earlier: RunEnder,
     bound: socket.socket,
     guard: MemoryGuard,
 ) -> AsyncIterator[None]:
@@ -43,6 +55,7 @@
         StreamsService(known, clock),
         ChangesService(feed, read_key, tell_state),
         RetriesService(lend),
+        TakeUpsService(end_earlier),
     ]
     server = GuardedServer(services, guard)
     await server.start(sock=bound)
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -66,7 +66,7 @@
     StreamVersionExchange,
     exchanging_versions,
 )
-from turmericusher.tasks.take_ups import TakeUps
+from turmericusher.tasks.take_ups import TakeUps, ending_earlier_runs
 from turmericusher.tasks.version_records import VersionRecords, saving_versions
 from turmericusher.web_server import running_server
 
@@ -158,7 +158,7 @@
         exchange = StreamVersionExchange(shared.versions, records)
         checks = ReachChecks(shared.reach, port)
         lending = RetryLending(shared)
-        take_ups = TakeUps()
+        take_ups = TakeUps(exchange)
         context = RelayContext(
             port, shared, reports, exchange, checks, lending, take_ups
         )
@@ -190,6 +190,7 @@
         await stack.enter_async_context(reporting_crashes(reports))
         await stack.enter_async_context(exchanging_versions(exchange))
         await stack.enter_async_context(saving_versions(records))
+        await stack.enter_async_context(ending_earlier_runs(take_ups))
         await stack.enter_async_context(checking_reach(checks))
         await stack.enter_async_context(measuring_load(instance.load))
         for app, address in applications(settings, instance):
@@ -200,7 +201,7 @@
             server = running_server(app, address, 0, waiting, guard)
             instance.servers.append(await stack.enter_async_context(server))
         peers = running_stream_peers(
-            exchange, watch, lending, settings.peer_address, guard
+            exchange, watch, lending, take_ups, settings.peer_address, guard
         )
         await stack.enter_async_context(peers)
         await stack.enter_async_context(registered(instance.registration))
--- a/src/turmericusher/tasks/stream_peers.py
+++ b/src/turmericusher/tasks/stream_peers.py
@@ -18,6 +18,7 @@
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.stream_versions import StreamVersionExchange
+from turmericusher.tasks.take_ups import TakeUps
 
 SERVICE_MODULE = "turmericusher.peers.instance_services"
 
@@ -27,17 +28,18 @@
     exchange: StreamVersionExchange,
     watch: SharedWatch,
     lending: RetryLending,
+    take_ups: TakeUps,
     address: str | None,
     guard: MemoryGuard,
 ) -> AsyncIterator[None]:
-    """Give all three their connections to other instances while the context is open.
+    """Give all four their connections to other instances while the context is open.
 
     Other instances are served at `ip:port` unless that is None. Connections that arrive
     before gRPC is loaded wait in the socket's backlog.
     """
     with ExitStack() as stack:
         listener = stack.enter_context(open_listener(address)) if address else None
-        running = run_stream_peers(exchange, watch, lending, listener, guard)
+        running = run_stream_peers(exchange, watch, lending, take_ups, listener, guard)
         async with background_tasks({"stream-peers": running}):
             yield
 
@@ -46,6 +48,7 @@
     exchange: StreamVersionExchange,
     watch: SharedWatch,
     lending: RetryLending,
+    take_ups: TakeUps,
     listener: socket.socket | None,
     guard: MemoryGuard,
 ) -> None:
@@ -59,6 +62,7 @@
                 watch.read_for_other,
                 watch.state,
                 lending.lend,
+                take_ups.end_earlier_runs,
                 listener,
                 guard,
             )
@@ -66,6 +70,7 @@
         channels = stack.enter_context(service.open_channels())
         exchange.peers.set_result(channels)
         lending.peers.set_result(service.RetryChannels(channels))
+        take_ups.peers.set_result(service.TakeUpChannels(channels))
         watch.peers.set_result(service.ChangeStreams())
         log_event("stream_peers_loaded", is_serving=listener is not None)
         await asyncio.Event().wait()
--- a/tests/cover/test_take_ups.py
+++ b/tests/cover/test_take_ups.py
@@ -3,44 +3,62 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 import aiohttp
+from grpclib.server import Server
 from parameterized import parameterized
 from testtools import TestCase
 
 from tests.common.asynchronous import run_async
+from tests.common.raw_servers import running_raw_server
 from tests.common.relay_events import RESUMABLE, STREAM
 from tests.common.relay_fixtures import (
     ACCESS_KEY,
     HOST,
     PATHS,
     configuration,
+    make_instance,
     make_relay_shared,
     make_test_relay,
+    unused_loopback_host,
 )
 from tests.common.version_fixtures import (
+    REFUSING_ADDRESS,
     VersionSimulation,
     running_version_simulation,
 )
 from tests.common.waiting import wait_until
 from turmericusher.decisions.forwarding import Hop
 from turmericusher.decisions.routing import RequestKind
-from turmericusher.decisions.take_ups import TakeUp, find_take_up
+from turmericusher.decisions.stream_versions import StreamVersions
+from turmericusher.decisions.take_ups import (
+    MAX_ASKED,
+    TakeUp,
+    find_take_up,
+    instances_to_ask,
+)
+from turmericusher.peers.streams_service import StreamsService, open_channels
+from turmericusher.peers.take_ups_service import TakeUpChannels, decode, encode
 from turmericusher.platform.names import CONFIGURATION_KEY
+from turmericusher.ports.take_up_peers import TakeUpPeerError
 from turmericusher.standins.working_upstream import (
     HANDOVER_LIMIT_S,
     Run,
     WorkingUpstream,
     find_overlaps,
 )
+from turmericusher.tasks.stream_versions import StreamVersionExchange
+from turmericusher.tasks.take_ups import MAX_UNSENT, TakeUps, ending_earlier_runs
 
 EVENTS, EVENT_GAP_S = 80, 0.03
 TAKEN_UP_AFTER = 5
 STREAMS = 6
+PEER_PORT = 20005
 ONE_VERSION = ("v1",) * 6
+TWO_VERSIONS = ("v1", "v2", "v1", "v2", "v1", "v2")
 OTHER_KEY = "key-of-another-team"
 TEAMS = [
     {"name": "team-1", "access_keys": [ACCESS_KEY]},
@@ -126,6 +144,8 @@
     @parameterized.expand(
         [
             ("at_the_same_instance", "entry-0", ONE_VERSION, 1),
+            ("elsewhere_with_one_version", "entry-1", ONE_VERSION, 3),
+            ("elsewhere_with_two_versions", "entry-1", TWO_VERSIONS, 3),
         ]
     )
     @run_async
@@ -195,27 +215,146 @@
 
     @parameterized.expand(
         [
-            ("another_team_names_it", OTHER_KEY, {"Resumes": "q1"}),
-            ("its_first_request_is_not_named", ACCESS_KEY, {}),
-            ("another_stream_is_named", ACCESS_KEY, {"Resumes": "q7"}),
+            ("another_team_names_it", 0, OTHER_KEY, {"Resumes": "q1"}),
+            ("another_team_names_it_elsewhere", 1, OTHER_KEY, {"Resumes": "q1"}),
+            ("its_first_request_is_not_named", 0, ACCESS_KEY, {}),
+            ("another_stream_is_named", 1, ACCESS_KEY, {"Resumes": "q7"}),
         ]
     )
     @run_async
-    async def test_a_stream_goes_on_undisturbed_if(self, _, key, headers):
-        async with running_simulation(instances=1) as simulation:
-            table = simulation.instances["entry-0"].tables
+    async def test_a_stream_goes_on_undisturbed_if(self, _, number, key, headers):
+        async with running_simulation(instances=2) as simulation:
+            tables = [node.tables for node in simulation.instances.values()]
             changed = configuration(version=2, tenants=TEAMS)
             simulation.store.store.write(CONFIGURATION_KEY, changed)
-            await wait_until(lambda: table.current().version == 2)
+            await wait_until(
+                lambda: all(table.current().version == 2 for table in tables)
+            )
             async with forgotten_stream(simulation, "entry-0", "q1"):
                 sent = {"Authorization": f"Bearer {key}", "Last_Event_Id": "5"}
-                again = simulation.stream("entry-0", "q2", EVENTS, **sent, **headers)
+                again = simulation.stream(
+                    f"entry-{number}", "q2", EVENTS, **sent, **headers
+                )
                 self.assertEqual((200, list(range(6, EVENTS + 1))), await again)
                 first, second = (find_run(simulation, each) for each in ("q1", "q2"))
                 self.assertGreater(first.ended_at - second.began_at, 1.0)
                 self.assertEqual(EVENTS, first.position)
 
 
+class SlowPeersTest(TestCase):
+    @parameterized.expand([("answer_nothing", None), ("refuse", REFUSING_ADDRESS)])
+    @run_async
+    async def test_a_stream_that_is_taken_up_waits_for_no_instances_that(
+        self, _, address
+    ):
+        async with (
+            running_raw_server(answer_nothing) as silent,
+            running_simulation(instances=2) as simulation,
+            forgotten_stream(simulation, "entry-0", "q1"),
+        ):
+            entries = simulation.instances["entry-1"].fleet.instances.entries
+            entries["entry-0"] = replace(
+                entries["entry-0"], peer_address=address or silent
+            )
+            clock = asyncio.get_running_loop().time
+            began_at = clock()
+            _, events = await simulation.stream(
+                "entry-1", "q2", 6, Last_Event_Id="5", Resumes="q1"
+            )
+            self.assertEqual([6], events)
+            self.assertLess(clock() - began_at, HANDOVER_LIMIT_S)
+
+    @run_async
+    async def test_an_instance_of_the_build_before_is_asked_without_effect(self):
+        clock = asyncio.get_running_loop().time
+        server = Server([StreamsService(StreamVersions(), clock)])
+        host = unused_loopback_host()
+        await server.start(host, PEER_PORT)
+        address = f"{host}:{PEER_PORT}"
+        try:
+            with open_channels() as channels:
+                peers = TakeUpChannels(channels)
+                self.assertEqual(0, await peers.end_earlier(address, [FIRST], 1.0))
+                channel = channels.channels[address]
+                await channels.ask(address, "q1", "s", 1.0)
+                self.assertIs(channel, channels.channels[address])
+        finally:
+            server.close()
+            await server.wait_closed()
+
+
+async def answer_nothing(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Read a connection and answer nothing."""
+    await reader.read()
+
+
+@dataclass(slots=True)
+class GatedPeers:
+    """Connections to others that answer once `gate` is set, and what they were told."""
+
+    gate: asyncio.Event = field(default_factory=asyncio.Event)
+    calls: list[tuple[str, list[str]]] = field(default_factory=list)
+
+    async def end_earlier(
+        self, address: str, take_ups: Sequence[TakeUp], timeout_s: float
+    ) -> int:
+        """Record the call, and fail once if it is the first one to the address."""
+        is_first = address not in {called for called, _ in self.calls}
+        self.calls.append((address, [each.stream for each in take_ups]))
+        await self.gate.wait()
+        if is_first:
+            raise TakeUpPeerError("the connection broke")
+        return len(take_ups)
+
+
+class AskTest(TestCase):
+    @parameterized.expand([("one", 1), ("as many as are kept", MAX_UNSENT + 6)])
+    @run_async
+    async def test_one_call_at_a_time_tells_an_instance_of_all_streams_after(
+        self, _, streams
+    ):
+        versions = StreamVersions()
+        versions.update_instances("e0", ["e0", "e1", "e2"])
+        instances = {name: make_instance(name) for name in ("e1", "e2")}
+        for name, each in instances.items():
+            instances[name] = replace(each, peer_address=f"{name}:1")
+        exchange = StreamVersionExchange(versions, None, instances=instances)
+        take_ups, peers = TakeUps(exchange), GatedPeers()
+        take_ups.peers.set_result(peers)
+        async with ending_earlier_runs(take_ups):
+            for number in range(streams + 1):
+                request, routed = make_run(
+                    request_id=f"r{number}", resumes=f"s{number}", resume_after=1
+                )
+                take_ups.begin(request, routed)
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertEqual([("e1:1", ["s0"]), ("e2:1", ["s0"])], peers.calls)
+            peers.gate.set()
+            await wait_until(lambda: not take_ups.asking)
+            kept = [f"s{number}" for number in range(1, streams + 1)][-MAX_UNSENT:]
+            for address in ("e1:1", "e2:1"):
+                told = [streams for called, streams in peers.calls if called == address]
+                self.assertEqual([["s0"], ["s0"], kept], told)
+
+    @parameterized.expand([(0, 0), (1, 1), (MAX_ASKED, MAX_ASKED), (MAX_ASKED + 1, 0)])
+    def test_all_others_are_asked_if_they_are_few(self, others, asked):
+        names = [f"e{number}" for number in range(1, others + 1)]
+        found = instances_to_ask("e0", ["e0", *names])
+        self.assertEqual(asked, len(found))
+        self.assertLessEqual(set(found), set(names))
+
+    @parameterized.expand([("usual", 5, 5), ("absurd", 10**30, 2**63 - 1)])
+    def test_a_message_keeps_what_it_tells_with_an_event_id_that_is(
+        self, _, resume_after, told
+    ):
+        take_up = replace(FIRST, resume_after=resume_after)
+        found = decode(encode(take_up, 6.5), 106.5)
+        self.assertEqual(replace(FIRST, resume_after=told, arrived_at=105.0), found)
+
+
 def make_run(kind=RESUMABLE, team="team", **changes):
     """Return a request in progress of the stream `q1`, and how it is routed."""
     relay = make_test_relay(kind, make_relay_shared())
