Known red: streams of a large fleet that are taken up before anyone was told of them

What callers see: nothing; TWICE is broken as before in this case.

The test stays as strict as with three instances.

--- a/tests/cover/test_take_ups.py
+++ b/tests/cover/test_take_ups.py
@@ -167,6 +167,7 @@
             ("at_the_same_instance", "entry-0", ONE_VERSION, 1),
             ("elsewhere_with_one_version", "entry-1", ONE_VERSION, 3),
             ("elsewhere_with_two_versions", "entry-1", TWO_VERSIONS, 3),
+            ("elsewhere_in_a_larger_fleet", "entry-1", ONE_VERSION, MAX_ASKED + 2),
         ]
     )
     @run_async
