--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -45,6 +45,7 @@
     RunStopped,
     StreamFinished,
     StreamOpened,
+    StreamTakenUp,
     TraitBlocked,
     TrialClaimed,
     UpstreamProbed,
@@ -156,6 +157,8 @@
             return self.end_if_blocked(now)
         if isinstance(event, InstanceEnds):
             return self.end_with_instance()
+        if isinstance(event, StreamTakenUp):
+            return self.end_taken_up(event)
         if isinstance(event, TrialClaimed):
             return self.handle_trial(event, now)
         if isinstance(event, VersionFound):
@@ -640,6 +643,12 @@
             OTHER_INSTANCE_RETRY_S,
         )
 
+    def end_taken_up(self, event: StreamTakenUp) -> list[RelayAction]:
+        """End the request, of which nothing runs any more, for its former caller."""
+        self.may_have_run = True
+        text = f"the caller goes on by request={event.by!r}"
+        return self.fail(ErrorCode.ANSWER_INTERRUPTED, text)
+
     def record_version(self, attempt: RelayAttempt, now: float) -> None:
         """Have the stream go on at the version that began it, here and elsewhere."""
         if attempt.is_forward:
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -50,6 +50,7 @@
     StartRelay,
     StoppedRun,
     StopRun,
+    StreamTakenUp,
     TraitBlocked,
     TrialClaimed,
     UpstreamProbed,
@@ -69,6 +70,7 @@
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.run_ends import RunEndChecks
 from turmericusher.tasks.stream_versions import StreamVersionExchange
+from turmericusher.tasks.take_ups import TakeUps
 
 INBOX_SIZE = 64
 """Events that an attempt's task may queue ahead of a caller that reads slowly."""
@@ -117,6 +119,7 @@
     versions: StreamVersionExchange
     reach_checks: ReachChecks
     lending: RetryLending
+    take_ups: TakeUps
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[ReportQuery]] = field(default_factory=dict)
     release_tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -124,7 +127,8 @@
     run_end_checks: RunEndChecks[LeftRelayRun] = field(init=False)
 
     def __post_init__(self) -> None:
-        """Start without any run that was left."""
+        """Start without any run that was left; streams are taken up from owners."""
+        self.take_ups.owners = self.owners
         self.stop_orders = StopOrders(self.port, self.release_tasks)
         asker = RelayRunAsker(self.port, self.stop_orders, self.release)
         self.run_end_checks = RunEndChecks(self.shared.run_ends, asker, loop_time)
@@ -215,6 +219,7 @@
     attempts: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     helper_tasks: set[asyncio.Task[None]] = field(default_factory=set)
     logged_wait: float | None = None
+    is_taken_up: bool = False
 
     async def outputs(self) -> AsyncIterator[RelayOutput]:
         """Yield what the caller gets until one of `FINAL_OUTPUTS` ends the request."""
@@ -261,6 +266,20 @@
         if not self.inbox.full():
             self.inbox.put_nowait(event)
 
+    def end_taken_up(self, by: str) -> None:
+        """End all work for the request now, as its caller goes on by the request `by`.
+
+        The owner itself may wait for a caller that no longer reads.
+        """
+        if self.is_taken_up or self.relay.is_over:
+            return
+        self.is_taken_up = True
+        for action in self.relay.close(asyncio.get_running_loop().time()):
+            self.carry_out(action)
+        while not self.inbox.empty():
+            self.inbox.get_nowait()
+        self.inbox.put_nowait(StreamTakenUp(by))
+
     async def next_event(self) -> RelayEvent | None:
         """Return the next event, or None when a timeout is due."""
         if not self.inbox.empty():
@@ -477,8 +496,10 @@
     async def close(self) -> None:
         """Cancel all running tasks and wait until their connections are closed."""
         try:
-            for action in self.relay.close(asyncio.get_running_loop().time()):
-                self.carry_out(action)
+            # The later run of a stream may have begun to record the stream as its own.
+            if not self.is_taken_up:
+                for action in self.relay.close(asyncio.get_running_loop().time()):
+                    self.carry_out(action)
         finally:
             # Upstreams would otherwise work on for a caller that is gone.
             await cancel_tasks([*self.attempts.values(), *self.helper_tasks])
@@ -548,6 +569,7 @@
     owner = RelayOwner(context, make_relay(request, routed, context.shared))
     # The selector measures the age of reports and failures against this time.
     context.shared.selector.advance_clock(asyncio.get_running_loop().time())
+    context.take_ups.begin(request, routed)
     context.owners.add(owner)
     try:
         yield owner
