Forwarded streams go on only after the other instance has let them go

An instance that reaches no engine forwards its streams by another one. Cut off from that one, it took them back after 3 s without an event, while the other one served on at its engine for 4 to 6 s. Callers got whole streams; two engines worked for them. The same where the connection between both was reset at the near end only.

Cause: the forwarder closed its connection and took that for the end of the run. A close that does not arrive ends nothing, and the server of a hop learns of a forwarder that is gone by the end of its connection only.

Ruled out: a longer patience (the run lasts to its end); a lease counted from when a question or its answer arrives (depends on delays).

Change: a lease (decisions/hop_leases.py). The server of resumable streams asks their forwarder each 0.5 s, in one call, which of them it still waits for (peers/hops.proto, Confirm). What was confirmed runs 1.5 s from when the question was sent, and is then ended as when its caller is gone. The forwarder notes when it answered, which is later. It holds the failure back (decisions/hop_release.py) until the other instance has answered an end request (End), has told that it ended the run by an answer (TellEnded), is gone or another incarnation, or 1.8 s have passed since the last confirmation; never confirmed, since the first event or else since it was sent. No clock is compared. Nothing is sent without forwarded streams, and nothing grows with the fleet.

Builds before: they do not know the calls, and both sides behave as before. grpclib's client shows its own server's UNIMPLEMENTED as UNKNOWN, "Missing content-type header"; the mixed-build test failed until that was recognized.

Now 6 of 6 pass. Longest pauses of callers, 3 streams each: 3.05 s cut off both ways or the stream alone silent, 3.21 s cut off one way, 1.49 to 1.58 s reset at one end and cut off, 0.05 s reset and in touch, 0.04 s at a real end. 2,000 seeded plays of the lease with lost and late messages (test_hop_leases.py).

Mutations that were seen to fail: a lease 0.6 s longer, confirmations not noted, any incarnation confirmed, an earlier answer's end taken for this run's, the failure not held back, forwarded streams not removed, leases that end nothing.

test_a_stream_begun_elsewhere_finds_its_version_before_it_goes_on_here had expected the search for the version at once on a loss. It now expects the end request first, and the search as the only action on its answer.

Different for users: a forwarded stream that is lost goes on up to 1.8 s later if its instance neither answers nor refuses connections; a stream that is cut off one way may wait for 3.5 s, and by reading for 4.8 s if questions of the other instance arrive while no answer or call reaches it.

--- a/src/turmericusher/api/relay.py
+++ b/src/turmericusher/api/relay.py
@@ -177,7 +177,11 @@
             )
             return
         self.route = routed.route.name
-        async with cancel_on_disconnect(self.receive):
+        hops = self.frontend.context.hops
+        async with (
+            cancel_on_disconnect(self.receive),
+            hops.serving(request, routed.route.kind),
+        ):
             await self.relay(request, routed)
 
     def without_false_hop(self, request: RelayedRequest) -> RelayedRequest:
--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -32,6 +32,7 @@
     EventArrived,
     FindVersion,
     HolderChecked,
+    HopEnded,
     InstanceEnds,
     LoadsReported,
     MemoryCopied,
@@ -158,6 +159,8 @@
             return self.handle_version(event, now)
         if isinstance(event, RetryLent):
             return self.handle_loan(event, now)
+        if isinstance(event, HopEnded):
+            return self.handle_hop_end(event, now)
         attempt = self.attempts.get(event.attempt)
         if self.is_over or attempt is None:
             return []
@@ -172,6 +175,8 @@
             return self.fail_on_timeout()
         if now - self.wake_at() > PROCESS_PAUSE_S:
             return self.discount_process_pause(now)
+        if self.release_is_due(now):
+            return self.go_on_released(now)
         if self.retry_at is not None and now >= self.retry_at:
             self.retry_at = None
             if self.unpaid_failure is not None:
@@ -187,6 +192,8 @@
         times = [self.deadline()]
         if self.retry_at is not None:
             times.append(self.retry_at)
+        if self.release is not None:
+            times.append(self.release.ends_by)
         hedge_at = self.hedge_due_at()
         if hedge_at is not None:
             times.append(hedge_at)
@@ -287,8 +294,11 @@
     ) -> list[RelayAction]:
         """Send the request again if that is allowed, or else fail.
 
-        Nothing is done while another attempt is live.
+        Nothing is done while another attempt is live, or another instance may run this
+        one.
         """
+        if self.must_be_released(attempt, event, now):
+            return self.ask_for_release(attempt, event)
         if attempt.is_forward:
             self.record_forward_failure(attempt, event, now)
         else:
@@ -320,6 +330,18 @@
         self.retry_at = now + self.jittered(pause_s)
         return []
 
+    def handle_hop_end(self, event: HopEnded, now: float) -> list[RelayAction]:
+        """Go on if another instance has let go of a stream that was forwarded to it."""
+        release = self.release
+        if self.is_over or release is None or release.attempt.number != event.attempt:
+            return []
+        return self.go_on_released(now) if event.is_certain else []
+
+    def go_on_released(self, now: float) -> list[RelayAction]:
+        """Go on after the failure of an attempt that another instance let go."""
+        release = self.take_released()
+        return self.retry_or_fail(release.attempt, release.failure, now)
+
     def retry_if_paid(self, event: AttemptFailed, now: float) -> list[RelayAction]:
         """Start the next attempt if the retry budget allows it.
 
--- a/src/turmericusher/decisions/relay_messages.py
+++ b/src/turmericusher/decisions/relay_messages.py
@@ -9,6 +9,7 @@
 from turmericusher.decisions.fleet import EntryInstance, UpstreamInstance
 from turmericusher.decisions.forwarding import Hop, Refusal
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
+from turmericusher.decisions.hop_leases import ForwardedHop
 from turmericusher.decisions.stream_versions import FoundVersion
 from turmericusher.errors import Verdict
 
@@ -285,6 +286,26 @@
     is_lent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class EndHop:
+    """Have the instance that an attempt was forwarded to end its run.
+
+    It has ended by `ends_by`, in monotonic seconds, whether or not that answers.
+    """
+
+    attempt: int
+    hop: ForwardedHop
+    ends_by: float
+
+
+@dataclass(frozen=True, slots=True)
+class HopEnded:
+    """Whether the instance that an attempt was forwarded to has certainly let go."""
+
+    attempt: int
+    is_certain: bool
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryCopy:
     """A copy of an attempt's KV cache that `holder` has.
@@ -447,6 +468,7 @@
     | TrialClaimed
     | VersionFound
     | RetryLent
+    | HopEnded
     | MemoryCopied
     | HolderChecked
 )
@@ -459,6 +481,7 @@
     | ClaimTrial
     | FindVersion
     | BorrowRetry
+    | EndHop
     | CopyMemory
     | CheckHolder
     | ReleaseCopy
--- a/src/turmericusher/decisions/relay_starting.py
+++ b/src/turmericusher/decisions/relay_starting.py
@@ -15,6 +15,7 @@
     Refusal,
     forward_target,
 )
+from turmericusher.decisions.hop_release import HopReleasing
 from turmericusher.decisions.relay_messages import (
     AttemptFailed,
     MemoryCopy,
@@ -24,8 +25,8 @@
 from turmericusher.decisions.relay_state import (
     UPSTREAM_POLL_INTERVAL_S,
     RelayAttempt,
-    RelayState,
 )
+from turmericusher.decisions.routing import RequestKind
 from turmericusher.errors import ErrorCode, Verdict
 
 NO_UPSTREAM_RETRY_S = 0.5
@@ -37,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class RelayStarting(RelayState):
+class RelayStarting(HopReleasing):
     """Begins attempts, and forwards requests that cannot be placed here."""
 
     def begin_attempt(
@@ -189,7 +190,15 @@
             instance.incarnation,
             self.request.stream_id if is_resume else None,
         )
-        return self.begin_attempt(attempt, now, hop=hop)
+        actions = self.begin_attempt(attempt, now, hop=hop)
+        # Only such a request goes on after it may have run elsewhere.
+        if (
+            attempt.number in self.attempts
+            and self.kind is RequestKind.RESUMABLE_STREAM
+        ):
+            hops, request_id = self.shared.forwarded, self.request.request_id
+            attempt.forwarded = hops.begin(instance, request_id, now)
+        return actions
 
     def record_forward_failure(
         self, attempt: RelayAttempt, event: AttemptFailed, now: float
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -15,6 +15,7 @@
 from turmericusher.decisions.generation_messages import CancelAttempt, Fail
 from turmericusher.decisions.holder_room import HolderRooms
 from turmericusher.decisions.holders import HolderChecks
+from turmericusher.decisions.hop_leases import ForwardedHop, ForwardedHops
 from turmericusher.decisions.patience import StallDetector
 from turmericusher.decisions.placing.free_capacity import (
     PrefillTime,
@@ -156,8 +157,10 @@
     upstreams, and `crash_trials` the attempts that tried such a trait again.
     `version_refusals` are the streams that no instance knew the version of.
     `forwards` are the attempts that went by another instance, and `forward_refusals`
-    those that it did not take. `loan_requests` counts the requests to other instances
-    for a retry, `retries_borrowed` those that they lent, and `retries_lent` those that
+    those that it did not take. `hop_releases` are those that may have run on there when
+    they were taken back, and `hops_let_go` the runs for others that were ended here.
+    `loan_requests` counts the requests to other instances for a retry,
+    `retries_borrowed` those that they lent, and `retries_lent` those that
     this one lent. `holder_loans` are those that budget holders lent to this instance,
     and `loan_refusals` the requests that were refused or not answered.
     `prefix_choices` were placed otherwise than by the wait alone, for what upstreams
@@ -191,6 +194,8 @@
     version_refusals: int = 0
     forwards: int = 0
     forward_refusals: int = 0
+    hop_releases: int = 0
+    hops_let_go: int = 0
     loan_requests: int = 0
     retries_borrowed: int = 0
     retries_lent: int = 0
@@ -216,8 +221,9 @@
     `versions` at which version each stream began.
     `leaving` has the upstreams that leave, by their own answers or by the list, and
     `reach` the services whose upstreams accept no connections of this instance,
-    for which `forwarding` has the other instances. `loans` says which of them is asked
-    for a retry, and `pool` who holds the slack of the limit in a large fleet.
+    for which `forwarding` has the other instances, and `forwarded` the streams that
+    these serve. `loans` says which of them is asked for a retry, and `pool` who holds
+    the slack of the limit in a large fleet.
     `stream_lengths` has how many events streams have.
     `held_parts` has what upstreams hold of prompts, and `prefilled_sizes` the tokens of
     each service's prompts that they did not hold. `rollouts` are orders to move
@@ -253,6 +259,7 @@
     loans: RetryLoans = field(init=False)
     pool: RetryPool | None = None
     stream_lengths: StreamLengths = field(default_factory=StreamLengths)
+    forwarded: ForwardedHops = field(default_factory=ForwardedHops)
 
     def __post_init__(self) -> None:
         """Start without any limit, mark or failed connection."""
@@ -384,7 +391,8 @@
     `is_proven`: the attempt has run for long enough to show that the request is sound.
     `is_connected`: its upstream may have the request. `is_suspected`: the request was
     recorded as one that may have ended its upstream.
-    `is_forward`: it goes by another instance, for which `upstream` stands.
+    `is_forward`: it goes by another instance, for which `upstream` stands; with
+    `forwarded`, that one may still run it after a failure.
     `completion` is the estimate that took account of what its upstream holds.
     `load` is that of the upstream when it got the request, where versions are rolled
     out.
@@ -415,6 +423,7 @@
     is_connected: bool = False
     is_suspected: bool = False
     is_forward: bool = False
+    forwarded: ForwardedHop | None = None
     completion: Completion | None = None
     load: float = 0.0
 
@@ -787,6 +796,8 @@
     def remove_attempt(self, number: int) -> None:
         """Remove an attempt, so that its upstream no longer counts it as in flight."""
         attempt = self.attempts.pop(number)
+        if attempt.forwarded is not None:
+            self.shared.forwarded.end(attempt.forwarded)
         if attempt.is_forward:
             return
         record_end(self, attempt, self.now)
--- a/src/turmericusher/peers/instance_services.py
+++ b/src/turmericusher/peers/instance_services.py
@@ -16,6 +16,13 @@
     StateTeller,
 )
 from turmericusher.peers.guarded_server import GuardedServer
+from turmericusher.peers.hops_service import (
+    Confirmer,
+    Ender,
+    EndRecorder,
+    HopChannels,
+    HopsService,
+)
 from turmericusher.peers.retries_service import (
     Lender,
     RetriesService,
@@ -24,7 +31,13 @@
 from turmericusher.peers.streams_service import StreamsService, open_channels
 from turmericusher.tasks.change_feed import ChangeFeed
 
-__all__ = ["ChangeStreams", "RetryChannels", "open_channels", "serving_instances"]
+__all__ = [
+    "ChangeStreams",
+    "HopChannels",
+    "RetryChannels",
+    "open_channels",
+    "serving_instances",
+]
 
 
 @asynccontextmanager
@@ -34,6 +47,9 @@
     read_key: KeyReader,
     tell_state: StateTeller,
     lend: Lender,
+    confirm: Confirmer,
+    record_ended: EndRecorder,
+    end: Ender,
     bound: socket.socket,
     guard: MemoryGuard,
 ) -> AsyncIterator[None]:
@@ -43,6 +59,7 @@
         StreamsService(known, clock),
         ChangesService(feed, read_key, tell_state),
         RetriesService(lend),
+        HopsService(confirm, record_ended, end),
     ]
     server = GuardedServer(services, guard)
     await server.start(sock=bound)
--- a/src/turmericusher/platform/node.py
+++ b/src/turmericusher/platform/node.py
@@ -52,6 +52,7 @@
 from turmericusher.relay_serving import RelayInstance, drain
 from turmericusher.tasks.crash_reports import CrashReports, reporting_crashes
 from turmericusher.tasks.entry_load import EntryLoad, measuring_load
+from turmericusher.tasks.hop_leases import HopLeases, keeping_hop_leases
 from turmericusher.tasks.reach_checks import ReachChecks, checking_reach
 from turmericusher.tasks.registration import Registration, registered
 from turmericusher.tasks.relay import RelayContext
@@ -157,7 +158,8 @@
         exchange = StreamVersionExchange(shared.versions, records)
         checks = ReachChecks(shared.reach, port)
         lending = RetryLending(shared)
-        context = RelayContext(port, shared, reports, exchange, checks, lending)
+        hops = HopLeases(shared, exchange)
+        context = RelayContext(port, shared, reports, exchange, checks, lending, hops)
         stack.push_async_callback(context.finish_releases)
         reports.has_crashed = shared.has_crashed
         reports.before_review = context.record_ended_upstreams
@@ -187,6 +189,7 @@
         await stack.enter_async_context(exchanging_versions(exchange))
         await stack.enter_async_context(saving_versions(records))
         await stack.enter_async_context(checking_reach(checks))
+        await stack.enter_async_context(keeping_hop_leases(hops))
         await stack.enter_async_context(measuring_load(instance.load))
         for app, address in applications(settings, instance):
             waiting = None
@@ -196,7 +199,7 @@
             server = running_server(app, address, 0, waiting, guard)
             instance.servers.append(await stack.enter_async_context(server))
         peers = running_stream_peers(
-            exchange, watch, lending, settings.peer_address, guard
+            exchange, watch, lending, hops, settings.peer_address, guard
         )
         await stack.enter_async_context(peers)
         await stack.enter_async_context(registered(instance.registration))
--- a/src/turmericusher/tasks/relay.py
+++ b/src/turmericusher/tasks/relay.py
@@ -27,10 +27,12 @@
     ClaimTrial,
     CopyMemory,
     DeliverAnswer,
+    EndHop,
     EndStream,
     EventArrived,
     FindVersion,
     HolderChecked,
+    HopEnded,
     InstanceEnds,
     LoadsReported,
     MemoryCopied,
@@ -58,6 +60,7 @@
 from turmericusher.ports.relay import RelayPort
 from turmericusher.tasks.background import cancel_tasks
 from turmericusher.tasks.crash_reports import CrashReports
+from turmericusher.tasks.hop_leases import HopLeases
 from turmericusher.tasks.reach_checks import ReachChecks
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.stream_versions import StreamVersionExchange
@@ -78,6 +81,7 @@
     | ClaimTrial
     | FindVersion
     | BorrowRetry
+    | EndHop
     | QueryLoads
     | CopyMemory
     | CheckHolder
@@ -107,6 +111,7 @@
     versions: StreamVersionExchange
     reach_checks: ReachChecks
     lending: RetryLending
+    hops: HopLeases
     owners: set[RelayOwner] = field(default_factory=set)
     pending_reports: dict[str, asyncio.Task[ReportQuery]] = field(default_factory=dict)
     release_tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -262,6 +267,8 @@
                 self.start_helper(action, self.find_version)
             case BorrowRetry():
                 self.start_helper(action, self.borrow_retry)
+            case EndHop():
+                self.start_helper(action, self.end_hop)
             case QueryLoads():
                 self.start_helper(action, self.query_loads)
             case CopyMemory():
@@ -359,6 +366,17 @@
         )
         await self.inbox.put(RetryLent(lender.name, is_lent))
 
+    async def end_hop(self, action: EndHop) -> None:
+        """Have another instance end a run and pass to the inbox whether it has."""
+        outcome = await self.context.hops.end_elsewhere(action)
+        log_event(
+            "hop_taken_back",
+            id=self.relay.request.request_id,
+            instance=action.hop.receiver.name,
+            outcome=outcome or "lease_over",
+        )
+        await self.inbox.put(HopEnded(action.attempt, outcome is not None))
+
     async def query_loads(self, action: QueryLoads) -> None:
         """Query candidates for their load and pass on the reports that came in time."""
         queries = {
@@ -469,6 +487,12 @@
     return RetryLent(action.lender.name, False)
 
 
+@empty_result.register
+def empty_hop_end(action: EndHop, relay: Relay, now: float) -> RelayEvent:
+    """Return the event of a run that ends with its lease."""
+    return HopEnded(action.attempt, is_certain=False)
+
+
 @empty_result.register
 def empty_loads(action: QueryLoads, relay: Relay, now: float) -> RelayEvent:
     """Return the event of a query that no candidate has answered."""
--- a/src/turmericusher/tasks/stream_peers.py
+++ b/src/turmericusher/tasks/stream_peers.py
@@ -15,6 +15,7 @@
 from turmericusher.logs import log_event
 from turmericusher.memory_guard import MemoryGuard
 from turmericusher.tasks.background import background_tasks
+from turmericusher.tasks.hop_leases import HopLeases
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.stream_versions import StreamVersionExchange
@@ -27,17 +28,18 @@
     exchange: StreamVersionExchange,
     watch: SharedWatch,
     lending: RetryLending,
+    hops: HopLeases,
     address: str | None,
     guard: MemoryGuard,
 ) -> AsyncIterator[None]:
-    """Give all three their connections to other instances while the context is open.
+    """Give all four their connections to other instances while the context is open.
 
     Other instances are served at `ip:port` unless that is None. Connections that arrive
     before gRPC is loaded wait in the socket's backlog.
     """
     with ExitStack() as stack:
         listener = stack.enter_context(open_listener(address)) if address else None
-        running = run_stream_peers(exchange, watch, lending, listener, guard)
+        running = run_stream_peers(exchange, watch, lending, hops, listener, guard)
         async with background_tasks({"stream-peers": running}):
             yield
 
@@ -46,6 +48,7 @@
     exchange: StreamVersionExchange,
     watch: SharedWatch,
     lending: RetryLending,
+    hops: HopLeases,
     listener: socket.socket | None,
     guard: MemoryGuard,
 ) -> None:
@@ -59,6 +62,9 @@
                 watch.read_for_other,
                 watch.state,
                 lending.lend,
+                hops.confirm,
+                hops.record_ended,
+                hops.end_for,
                 listener,
                 guard,
             )
@@ -66,6 +72,7 @@
         channels = stack.enter_context(service.open_channels())
         exchange.peers.set_result(channels)
         lending.peers.set_result(service.RetryChannels(channels))
+        hops.peers.set_result(service.HopChannels(channels))
         watch.peers.set_result(service.ChangeStreams())
         log_event("stream_peers_loaded", is_serving=listener is not None)
         await asyncio.Event().wait()
