--- a/src/turmericusher/peers/instance_services.py
+++ b/src/turmericusher/peers/instance_services.py
@@ -16,6 +16,13 @@
     StateTeller,
 )
 from turmericusher.peers.guarded_server import GuardedServer
+from turmericusher.peers.hops_service import (
+    Confirmer,
+    Ender,
+    EndRecorder,
+    HopChannels,
+    HopsService,
+)
 from turmericusher.peers.retries_service import (
     Lender,
     RetriesService,
@@ -32,6 +39,7 @@
 
 __all__ = [
     "ChangeStreams",
+    "HopChannels",
     "RetryChannels",
     "TakeUpChannels",
     "open_channels",
@@ -48,6 +56,9 @@
     lend: Lender,
     end_earlier: RunEnder,
     keep_place: PlaceKeeper,
+    confirm: Confirmer,
+    record_ended: EndRecorder,
+    end: Ender,
     bound: socket.socket,
     guard: MemoryGuard,
 ) -> AsyncIterator[None]:
@@ -58,6 +69,7 @@
         ChangesService(feed, read_key, tell_state),
         RetriesService(lend),
         TakeUpsService(end_earlier, keep_place),
+        HopsService(confirm, record_ended, end),
     ]
     server = GuardedServer(services, guard)
     await server.start(sock=bound)
--- a/src/turmericusher/tasks/stream_peers.py
+++ b/src/turmericusher/tasks/stream_peers.py
@@ -15,6 +15,7 @@
 from turmericusher.logs import log_event
 from turmericusher.memory_guard import MemoryGuard
 from turmericusher.tasks.background import background_tasks
+from turmericusher.tasks.hop_leases import HopLeases
 from turmericusher.tasks.retry_lending import RetryLending
 from turmericusher.tasks.shared_watch import SharedWatch
 from turmericusher.tasks.stream_versions import StreamVersionExchange
@@ -29,6 +30,7 @@
     watch: SharedWatch,
     lending: RetryLending,
     take_ups: TakeUps,
+    hops: HopLeases,
     address: str | None,
     guard: MemoryGuard,
 ) -> AsyncIterator[None]:
@@ -39,7 +41,9 @@
     """
     with ExitStack() as stack:
         listener = stack.enter_context(open_listener(address)) if address else None
-        running = run_stream_peers(exchange, watch, lending, take_ups, listener, guard)
+        running = run_stream_peers(
+            exchange, watch, lending, take_ups, hops, listener, guard
+        )
         async with background_tasks({"stream-peers": running}):
             yield
 
@@ -49,6 +53,7 @@
     watch: SharedWatch,
     lending: RetryLending,
     take_ups: TakeUps,
+    hops: HopLeases,
     listener: socket.socket | None,
     guard: MemoryGuard,
 ) -> None:
@@ -64,6 +69,9 @@
                 lending.lend,
                 take_ups.end_earlier_runs,
                 take_ups.keep_place,
+                hops.confirm,
+                hops.record_ended,
+                hops.end_for,
                 listener,
                 guard,
             )
@@ -72,6 +80,7 @@
         exchange.peers.set_result(channels)
         lending.peers.set_result(service.RetryChannels(channels))
         take_ups.peers.set_result(service.TakeUpChannels(channels))
+        hops.peers.set_result(service.HopChannels(channels))
         watch.peers.set_result(service.ChangeStreams())
         log_event("stream_peers_loaded", is_serving=listener is not None)
         await asyncio.Event().wait()
