Soak: upstreams work on without their connections; connections are lost

The soak's upstreams ended a run with its connection, also while they paused, and knew no last copy; each of its faults that broke a connection did so at both ends. So no stream could run at two of them for long.

Upstreams are now the stand-in of tests/cover/test_two_engines.py, whose runs end by themselves, when their connection is seen to close (not in a pause), by the last copy, or with the process. Drawn apart: open connections of all links to an upstream say nothing more for good, or are reset at the instances' ends only, each 2.5 s on average; new ones work. A reset by an instance no longer passes a link that has fallen silent. When a request was sent is recorded, since a paused upstream accepts connections and reads them later, and pauses are.

--- a/benchmarks/soak/deployment.py
+++ b/benchmarks/soak/deployment.py
@@ -161,6 +161,16 @@
         for link in self.links.values():
             link.reset_connections()
 
+    def silence_open_connections(self) -> None:
+        """Let nothing more pass on open connections; new ones work."""
+        for link in self.links.values():
+            link.silence_open_connections()
+
+    def reset_near_ends(self) -> None:
+        """Reset open connections at the instances' ends only."""
+        for link in self.links.values():
+            link.reset_near_ends()
+
     def refuse(self) -> None:
         """Refuse connections and reset the open ones."""
         for link in self.links.values():
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -66,7 +66,8 @@
 
     `is_leaving`: the upstream was leaving, and said so in its answer. `pause_s` is the
     pause in seconds that it asked for. `sender` is the instance that sent it, which may
-    not be the one that its caller sent it to.
+    not be the one that its caller sent it to. It connected at `sent_at`, since when the
+    upstream may have paused.
     """
 
     request_id: str
@@ -79,6 +80,7 @@
     is_leaving: bool = False
     pause_s: float = 0.0
     sender: str = ""
+    sent_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -148,12 +150,14 @@
 
     `accepted` maps each configuration version to the time the store accepted it, and
     `crashes` has the times at which requests with the crashing part ended an upstream,
-    and `call_crashes` those at which the crashing call did.
+    and `call_crashes` those at which the crashing call did. Upstreams are sound after
+    `pauses`, so these are no disturbances.
     """
 
     requests: dict[str, SentRequest] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    pauses: list[Disturbance] = field(default_factory=list)
     accepted: dict[int, float] = field(default_factory=dict)
     leavings: list[LeavingMark] = field(default_factory=list)
     limits: list[LimitSpan] = field(default_factory=list)
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -16,9 +16,10 @@
     InstanceProcess,
     UpstreamLinks,
 )
-from benchmarks.soak.history import Cut, LeavingMark, LimitSpan
+from benchmarks.soak.history import Cut, Disturbance, LeavingMark, LimitSpan
 from benchmarks.soak.proxy import Proxy
 from benchmarks.soak.schedule import (
+    CONNECTION_LOSSES,
     SOUND_KINDS,
     ChangeConfiguration,
     CutFault,
@@ -187,7 +188,9 @@
     )
     apply_link_fault(link, fault.kind)
     await asyncio.sleep(step.duration_s)
-    link.restore()
+    # A loss leaves the link as it is, with what else disturbs it.
+    if fault.kind not in CONNECTION_LOSSES:
+        link.restore()
     disturbance.ends = deployment.now()
 
 
@@ -204,6 +207,10 @@
             link.block(link.down)
         case LinkFaultKind.SILENCE:
             link.block(link.up, link.down)
+        case LinkFaultKind.LOSE:
+            link.silence_open_connections()
+        case LinkFaultKind.RESET_NEAR:
+            link.reset_near_ends()
 
 
 @inject.register
@@ -343,9 +350,12 @@
             standin.pause = None
         return
     if kind is UpstreamFaultKind.PAUSE:
+        pause = Disturbance(standin.stable_name, kind.value, deployment.now())
+        deployment.history.pauses.append(pause)
         standin.is_unpaused.clear()
         await asyncio.sleep(duration_s)
         standin.is_unpaused.set()
+        pause.ends = deployment.now()
     elif standin.send_limit is None:
         span = LimitSpan(standin.stable_name, deployment.now(), NAMED_LIMIT_PER_S)
         deployment.history.limits.append(span)
@@ -385,10 +395,12 @@
     upstream.is_up = False
     if fault.is_silent:
         upstream.links.fall_silent()
+        upstream.standin.end_runs()
         await asyncio.sleep(downtime_s)
         upstream.links.end_silence()
     else:
         upstream.links.refuse()
+        upstream.standin.end_runs()
         await asyncio.sleep(downtime_s)
     deployment.write_entry(upstream)
     upstream.incarnation += 1
--- a/benchmarks/soak/proxy.py
+++ b/benchmarks/soak/proxy.py
@@ -52,7 +52,7 @@
     `is_target_up` is cleared while the target refuses connections, and `is_cut` is set
     while the link is cut: `uncut` is clear then if nothing passes on open connections,
     and `backlog` has what keeps new ones unanswered. `ports` lists the local ports of
-    the connections to the target.
+    the connections to the target, `near_writers` their other ends.
     """
 
     target: str
@@ -61,6 +61,7 @@
     up: Direction = field(default_factory=Direction)
     down: Direction = field(default_factory=Direction)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    near_writers: set[asyncio.StreamWriter] = field(default_factory=set)
     is_target_up: bool = True
     is_cut: bool = False
     uncut: asyncio.Event = field(default_factory=asyncio.Event)
@@ -148,10 +149,24 @@
         for sock in self.backlog:
             sock.close()
         self.backlog = []
+        self.silence_open_connections()
+
+    def silence_open_connections(self) -> None:
+        """Let nothing more pass on open connections, nor their ends; new ones work."""
+        self.uncut.clear()
         self.ended_silences.append(self.uncut)
         self.uncut = asyncio.Event()
         self.uncut.set()
 
+    def reset_near_ends(self) -> None:
+        """Reset open connections at the end that opened them; the target sees nothing.
+
+        So it is when something on the way drops them.
+        """
+        self.silence_open_connections()
+        for writer in list(self.near_writers):
+            reset_if_open(writer)
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -173,6 +188,7 @@
         self.ports.add(port)
         writer_pair = {writer, target_writer}
         self.writers |= writer_pair
+        self.near_writers.add(writer)
         pumps = [
             asyncio.create_task(pump(reader, target_writer, self.up, self.uncut)),
             asyncio.create_task(pump(target_reader, writer, self.down, self.uncut)),
@@ -189,6 +205,7 @@
             for pair_writer in writer_pair:
                 pair_writer.close()
             self.writers -= writer_pair
+            self.near_writers.discard(writer)
             self.ports.discard(port)
 
 
@@ -200,7 +217,11 @@
 ) -> None:
     """Copy bytes in one direction until end of file; raise if the sender resets."""
     while True:
-        data = await reader.read(CHUNK_BYTES)
+        try:
+            data = await reader.read(CHUNK_BYTES)
+        except ConnectionError:
+            await uncut.wait()
+            raise
         await direction.unblocked.wait()
         await uncut.wait()
         if direction.delay_s:
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -87,6 +87,8 @@
     record = {
         "findings": [dataclasses.asdict(one) for one in findings],
         "disturbances": [dataclasses.asdict(one) for one in history.disturbances],
+        "pauses": [dataclasses.asdict(one) for one in history.pauses],
+        "cuts": [dataclasses.asdict(one) for one in history.cuts],
         "accepted": history.accepted,
         "requests": [dataclasses.asdict(one) for one in history.requests.values()],
         "arrivals": [dataclasses.asdict(one) for one in history.arrivals],
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -31,6 +31,8 @@
 
     `RESET` resets the open connections. `CUT_UP` holds back all bytes to the link's
     target, `CUT_DOWN` all bytes from it, and `SILENCE` those of both directions.
+    `LOSE` has open connections say nothing more for good, `RESET_NEAR` resets them at
+    the end that opened them only; new ones work.
     """
 
     DELAY = "delay"
@@ -38,6 +40,14 @@
     CUT_UP = "cut_up"
     CUT_DOWN = "cut_down"
     SILENCE = "silence"
+    LOSE = "lose"
+    RESET_NEAR = "reset_near"
+
+
+CONNECTION_LOSSES = (LinkFaultKind.LOSE, LinkFaultKind.RESET_NEAR)
+"""Kinds after which the link is sound; drawn apart from all others, for upstreams."""
+
+MEAN_LOSS_INTERVAL_S = 2.5
 
 
 class StoreFaultKind(enum.StrEnum):
@@ -231,6 +241,7 @@
     cuts = draw_cuts(seed, duration_s, instances)
     steps += cuts
     steps += draw_pause_requests(seed, duration_s, upstreams)
+    steps += draw_connection_losses(seed, duration_s, upstreams)
     steps.sort(key=lambda step: step.at_s)
     # A generator of its own, so that the other draws of a seed stay as they were.
     rng = random.Random(f"soak/{seed}/kinds")
@@ -287,6 +298,17 @@
     return steps
 
 
+def draw_connection_losses(seed: int, duration_s: float, upstreams: int) -> list[Step]:
+    """Draw upstreams whose open connections are lost, from a generator of their own."""
+    rng = random.Random(f"soak/{seed}/connection-losses")
+    steps, at_s = [], FIRST_FAULT_AT_S
+    while at_s < duration_s:
+        kind, index = rng.choice(CONNECTION_LOSSES), rng.randrange(upstreams)
+        steps.append(Step(at_s, 0.0, LinkFault(LinkKind.UPSTREAM, index, kind)))
+        at_s += rng.expovariate(1 / MEAN_LOSS_INTERVAL_S)
+    return steps
+
+
 def draw_cuts(seed: int, duration_s: float, instances: int) -> list[Step]:
     """Draw cuts of one instance, of all but one or of all, for some of the seeds.
 
@@ -314,9 +336,8 @@
         case 1:
             link = rng.choice(list(LinkKind))
             count = upstreams if link is LinkKind.UPSTREAM else instances
-            return LinkFault(
-                link, rng.randrange(count), rng.choice(list(LinkFaultKind))
-            )
+            kinds = [kind for kind in LinkFaultKind if kind not in CONNECTION_LOSSES]
+            return LinkFault(link, rng.randrange(count), rng.choice(kinds))
         case 2:
             return StoreFault(rng.choice(list(StoreFaultKind)))
         case 3:
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -5,26 +5,21 @@
 import asyncio
 import hashlib
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from benchmarks.soak.history import Arrival, History
 from tests.common.relay_fixtures import PATHS
 from turmericusher.decisions.relay_messages import UpstreamReport
 from turmericusher.decisions.routing import RequestKind
 from turmericusher.platform.names import (
-    LAST_EVENT_ID,
     REQUEST_ID,
     SEND_LIMIT,
     SIGNATURE,
     TARGET_UPSTREAM,
     TEAM,
 )
-from turmericusher.standins.platform_upstream import (
-    ReceivedCall,
-    UpstreamStandin,
-    encode_chunk,
-)
-from turmericusher.tasks.background import cancel_tasks
+from turmericusher.standins.platform_upstream import ReceivedCall, encode_chunk
+from turmericusher.standins.working_upstream import Run, WorkingUpstream
 
 EVENT_COUNT = 24
 EVENT_INTERVAL_S = 0.05
@@ -54,20 +49,14 @@
     return UpstreamReport(str(born), 0, 0, 0, 100_000, {})
 
 
-def set_event() -> asyncio.Event:
-    """Return an event that is set."""
-    new_event = asyncio.Event()
-    new_event.set()
-    return new_event
-
-
 @dataclass(slots=True)
-class SoakUpstream(UpstreamStandin):
+class SoakUpstream(WorkingUpstream):
     """An upstream that can be set to shed, to fail or to pause.
 
-    It sends nothing while `is_unpaused` is clear. Its events name its `version`. It
-    calls `on_crash` when it begins to answer a request that crashes it, with whether
-    that is the crashing call. `find_sender` returns the instance whose link has a port.
+    Its events name its `version`. It calls `on_crash` when it begins to answer a
+    request that crashes it, with whether that is the crashing call. `find_sender`
+    returns the instance whose link has a port. `opened_at` has the connections being
+    served, with the times at which they were opened.
 
     `stable_name` names its place in the deployment, which stays the same when an
     upstream with another name starts there.
@@ -80,14 +69,8 @@
     on_crash: Callable[[bool], None] = lambda by_call: None
     is_shedding: bool = False
     is_failing: bool = False
-    is_unpaused: asyncio.Event = field(default_factory=set_event)
     find_sender: Callable[[int], str] = lambda port: ""
-
-    @property
-    def events_made(self) -> dict[str, int]:
-        """The number of events produced so far by each running stream."""
-        assert isinstance(self.report.events_made, dict)
-        return self.report.events_made
+    opened_at: dict[asyncio.StreamWriter, float] = field(default_factory=dict)
 
     def restart(self, born: int) -> None:
         """Start a new incarnation that holds no copies and runs nothing."""
@@ -98,10 +81,13 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve the call of a connection, which waits while the upstream pauses."""
-        await self.is_unpaused.wait()
-        # `super()` fails in a class that `dataclass(slots=True)` made anew.
-        await super(SoakUpstream, self).serve(reader, writer)
+        """Serve the call of a connection, and note when that was opened."""
+        self.opened_at[writer] = asyncio.get_running_loop().time()
+        try:
+            # `super()` fails in a class that `dataclass(slots=True)` made anew.
+            await super(SoakUpstream, self).serve(reader, writer)
+        finally:
+            del self.opened_at[writer]
 
     async def answer(
         self,
@@ -122,24 +108,19 @@
             is_leaving=self.is_leaving,
             pause_s=float(self.pause or 0.0) if is_addressed else 0.0,
             sender=self.find_sender(writer.get_extra_info("peername")[1]),
+            sent_at=self.opened_at[writer],
         )
         self.history.arrivals.append(arrival)
         if not self.try_start_run(call, writer, self.is_shedding):
             return
         arrival.has_run = True
         arrival.error = self.find_difference(call, request_id)
-        self.report = replace(self.report, running=self.report.running + 1)
-        disconnect = asyncio.create_task(reader.read())
-        run_task = asyncio.create_task(self.run_request(call, writer))
         try:
-            await asyncio.wait(
-                {disconnect, run_task}, return_when=asyncio.FIRST_COMPLETED
+            await self.carry_out(
+                call, reader, writer, lambda run: self.run_request(run, call, writer)
             )
         finally:
             arrival.ended_at = loop.time()
-            self.events_made.pop(request_id, None)
-            self.report = replace(self.report, running=self.report.running - 1)
-            await cancel_tasks((disconnect, run_task))
 
     def find_difference(self, call: ReceivedCall, request_id: str) -> str:
         """Return how a request differs from what its caller sent, "" if it does not."""
@@ -155,7 +136,7 @@
         return ""
 
     async def run_request(
-        self, call: ReceivedCall, writer: asyncio.StreamWriter
+        self, run: Run, call: ReceivedCall, writer: asyncio.StreamWriter
     ) -> None:
         """Write the answer to a request that was accepted."""
         headers = {
@@ -172,17 +153,16 @@
             self.on_crash(call.target in self.crashing_targets)
             await asyncio.sleep(ENDLESS_S)
         elif call.target.startswith(STREAM_PATHS):
-            first_number = int(call.headers.get(LAST_EVENT_ID, "0")) + 1
             writer.write(
                 self.encode_head(200, headers | {"Transfer-Encoding": "chunked"})
             )
-            for number in range(first_number, EVENT_COUNT + 1):
+            for number in range(run.position + 1, EVENT_COUNT + 1):
                 await asyncio.sleep(EVENT_INTERVAL_S)
                 await self.is_unpaused.wait()
                 data = answer_content(call.target, number)
                 event = f"id: {number}\nevent: {self.version}\ndata: {data}\n\n"
                 writer.write(encode_chunk(event.encode()))
-                self.events_made[call.headers[REQUEST_ID]] = number
+                run.position = number
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
         else:
--- a/src/turmericusher/standins/working_upstream.py
+++ b/src/turmericusher/standins/working_upstream.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
@@ -61,14 +61,14 @@
 class WorkingUpstream(UpstreamStandin):
     """An engine whose runs do not depend on their connections.
 
-    `active` has the runs in progress by request, `history` all of them. Connections in
+    `active` has the runs in progress by request, `all_runs` all. Connections in
     `silent` neither bring nor take anything any more, and their close is not noticed.
     While `is_unpaused` is clear, the process stands still: its kernel accepts
     connections, but nothing is read, made or noticed.
     """
 
     active: dict[str, Run] = field(default_factory=dict)
-    history: list[Run] = field(default_factory=list)
+    all_runs: list[Run] = field(default_factory=list)
     silent: set[asyncio.StreamWriter] = field(default_factory=set)
     is_unpaused: asyncio.Event = field(default_factory=set_event)
 
@@ -145,14 +145,24 @@
         """Run a stream until it ends, is stopped, or its connection closes."""
         if not self.try_start_run(call, writer, should_shed=False):
             return
+        await self.carry_out(call, reader, writer, self.work)
+
+    async def carry_out(
+        self,
+        call: ReceivedCall,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        work: Callable[[Run], Awaitable[None]],
+    ) -> None:
+        """Record a run and do its work until that is done, stopped or left."""
         request_id = call.headers[REQUEST_ID]
         position = int(call.headers.get(LAST_EVENT_ID, "0"))
         now = asyncio.get_running_loop().time()
         run = Run(request_id, self.name, now, position, writer)
         self.active[request_id] = run
-        self.history.append(run)
+        self.all_runs.append(run)
         waits = (
-            asyncio.create_task(self.work(run)),
+            asyncio.ensure_future(work(run)),
             asyncio.create_task(self.wait_for_close(reader, writer)),
             asyncio.create_task(run.stopped.wait()),
         )
@@ -162,6 +172,12 @@
             self.end(run)
             await cancel_tasks(waits)
 
+    def end_runs(self) -> None:
+        """End all runs at once, as the end of the process does."""
+        for run in self.all_runs:
+            run.stopped.set()
+            self.end(run)
+
     async def wait_for_close(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -214,7 +230,7 @@
     """
     runs: dict[str, list[Run]] = {}
     for upstream in upstreams:
-        for run in upstream.history:
+        for run in upstream.all_runs:
             runs.setdefault(run.request_id, []).append(run)
     overlaps = []
     for request_id, same in runs.items():
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -33,7 +33,7 @@
     UnexpectedExit,
 )
 from benchmarks.soak.mutations import MUTATIONS, copy_mutated_source
-from benchmarks.soak.proxy import CutKind, running_proxy
+from benchmarks.soak.proxy import CutKind, Proxy, running_proxy
 from benchmarks.soak.schedule import make_plan
 from tests.common.asynchronous import run_async
 from turmericusher.decisions.routing import RequestKind
@@ -503,6 +503,37 @@
             await self.exchange(*await self.connect(proxy))
         server.close()
 
+    @parameterized.expand(
+        [
+            ("silenced", Proxy.silence_open_connections, TimeoutError),
+            ("reset_at_the_near_end", Proxy.reset_near_ends, ConnectionError),
+        ]
+    )
+    @run_async
+    async def test_a_target_does_not_notice_that_open_connections_are(
+        self, _, lose, error
+    ):
+        closed = []
+
+        async def serve(reader, writer):
+            await echo(reader, writer)
+            closed.append(writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        target = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with running_proxy(target) as proxy:
+            reader, writer = await self.connect(proxy)
+            await self.exchange(reader, writer)
+            lose(proxy)
+            with self.assertRaises(error):
+                await asyncio.wait_for(self.exchange(reader, writer), 0.1)
+            writer.transport.abort()
+            new_connection = await self.connect(proxy)
+            await self.exchange(*new_connection)
+            await asyncio.sleep(0.1)
+            self.assertEqual([], closed)
+        server.close()
+
     async def exchange(self, reader, writer):
         """Send a byte and read it back; fail if the connection was closed."""
         writer.write(b"x")
