Soak: a check that no stream runs at two upstreams

Cause: rule TWICE had no check: no run of a stream may go on for over 0.4 s after a later one began at another upstream, while its instance is in touch.

`streams_run_at_one_engine` takes runs in the order in which they were sent, by stream, over its caller's requests too if one instance sends them. It excuses a held or slow link, a cut, a restart or pause of the instance while the run lasts, and a pause of the upstream that is longer than those drawn. Mutation: `runs-that-were-left-go-on`. 1 history in the table of violations, 7 more that it must find and 9 that it must pass over.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -22,12 +23,21 @@
     NOT_RUN_STATUSES,
     STABILIZATION_S,
     Arrival,
+    Cut,
+    Disturbance,
     History,
     LeavingMark,
     SentRequest,
 )
-from benchmarks.soak.schedule import InstanceFaultKind, UpstreamFaultKind
+from benchmarks.soak.schedule import (
+    PAUSE_LIMITS_S,
+    InstanceFaultKind,
+    LinkFaultKind,
+    LinkKind,
+    UpstreamFaultKind,
+)
 from turmericusher.decisions.routing import RequestKind
+from turmericusher.standins.working_upstream import HANDOVER_LIMIT_S
 
 CANCEL_LIMIT_S = 0.5
 """Time after a caller disconnects within which the work for it must end."""
@@ -57,6 +67,17 @@
 )
 """Faults after which an instance need not know what upstreams have told it."""
 
+HOLDING_FAULTS = frozenset(
+    f"{LinkKind.UPSTREAM.value} {kind.value}"
+    for kind in (
+        LinkFaultKind.DELAY,
+        LinkFaultKind.CUT_UP,
+        LinkFaultKind.CUT_DOWN,
+        LinkFaultKind.SILENCE,
+    )
+)
+"""Faults in which instances do not reach an upstream, or its answers come late."""
+
 CUT_FAILURES = 10
 CUT_SERVED_SHARE = 2 / 3
 """Requests that may fail at instances that are cut off, besides one in 50 of all, and
@@ -365,6 +386,57 @@
             yield f"{describe(request)} has events of {sorted(versions)}"
 
 
+def streams_run_at_one_engine(history: History) -> Iterator[str]:
+    """Yield the runs of streams that went on beside a later one at another upstream.
+
+    A stream may go over several requests of its caller, if one instance sends them. A
+    run that is not known to have ended goes on.
+    """
+    by_stream: dict[str, list[Arrival]] = {}
+    for arrival in sorted(history.arrivals, key=lambda one: one.sent_at):
+        request = history.requests.get(arrival.request_id)
+        if request is not None and request.kind.is_stream and arrival.has_run:
+            stream = request.resumes or request.request_id
+            by_stream.setdefault(stream, []).append(arrival)
+    seen_until = max((one.ended_at or one.at for one in history.arrivals), default=0.0)
+    for runs in by_stream.values():
+        for run, later in itertools.combinations(runs, 2):
+            is_same = run.request_id == later.request_id or run.sender == later.sender
+            if not is_same or run.upstream == later.upstream:
+                continue
+            ended_at = seen_until if run.ended_at is None else run.ended_at
+            both_s = ended_at - max(run.at, later.at)
+            if both_s > HANDOVER_LIMIT_S and was_in_touch(history, run, ended_at):
+                yield (
+                    f"{describe(history.requests[later.request_id])} went on at "
+                    f"{later.upstream} from {later.at:.2f} while {run.upstream} worked "
+                    f"on {run.request_id} of {run.sender} for {both_s:.2f} s"
+                )
+
+
+def was_in_touch(history: History, run: Arrival, ended_at: float) -> bool:
+    """Return whether the sender of a run reached its upstream while it lasted.
+
+    A pause of the upstream excuses only if it was longer than those drawn.
+    """
+    faults: list[Disturbance | Cut] = [
+        one
+        for subject, kinds in (
+            (run.sender, FORGETTING_FAULTS),
+            (run.upstream, HOLDING_FAULTS),
+        )
+        for one in history.disturbances_on(subject)
+        if one.how in kinds
+    ]
+    faults += [one for one in history.cuts if run.sender in one.instances]
+    faults += [
+        one
+        for one in history.pauses
+        if one.subject == run.upstream and one.ends - one.begins > PAUSE_LIMITS_S[1]
+    ]
+    return not any(one.begins <= ended_at and one.ends >= run.sent_at for one in faults)
+
+
 def crashing_requests_stop(history: History) -> Iterator[str]:
     """Yield one message if too many requests with a crashing part were sent late."""
     yield from late_crashing_sends(history, RequestKind.RESUMABLE_STREAM)
@@ -490,6 +562,7 @@
     named_limits,
     asked_pauses,
     streams_keep_their_version,
+    streams_run_at_one_engine,
     crashing_requests_stop,
     crashing_calls_stop,
     work_ends_with_callers,
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -119,6 +119,13 @@
         "attempt.is_suspected = True",
         "attempt.is_suspected = True\n        if is_stall:\n            return",
     ),
+    Mutation(
+        "runs-that-were-left-go-on",
+        "streams_run_at_one_engine",
+        "decisions/relay.py",
+        "is_stoppable = attempt.is_connected and not attempt.is_forward",
+        "is_stoppable = False",
+    ),
     Mutation(
         "crashes-are-not-remembered",
         "crashing_requests_stop",
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -64,6 +64,7 @@
         "at": at,
         "has_run": True,
         "sender": ENTRY,
+        "sent_at": at,
     }
     return Arrival(**(fields | changes))
 
@@ -137,6 +138,19 @@
     )
 
 
+def runs_of_a_stream(both_s, disturbances=(), changes=None, later=None, **recorded):
+    """Return a stream whose first run lasts for some time after a second one began."""
+    first = {"ended_at": 101.0 + both_s} | (changes or {})
+    second = {"request_id": "q2", "upstream": "u1", "ended_at": 102.0} | (later or {})
+    return make_history(
+        make_request(RESUMABLE),
+        make_request(RESUMABLE, request_id="q2", resumes="q1"),
+        arrivals=[make_arrival(**first), make_arrival(101.0, **second)],
+        disturbances=list(disturbances),
+        **recorded,
+    )
+
+
 def requests_after_leaving(after_s, disturbances=(), incarnation="1", told_at=100.9):
     """Return a request some seconds after an answer that its upstream leaves."""
     sent_at = 101.0 + after_s
@@ -208,6 +222,7 @@
     "asked_pauses": requests_in_a_pause(3),
     "crashing_calls_stop": crashing_calls(4),
     "streams_keep_their_version": resumed_stream("v1", "v2"),
+    "streams_run_at_one_engine": runs_of_a_stream(0.5),
     "crashing_requests_stop": crashing_requests(4),
     "work_ends_with_callers": abandoned_requests(LATE_CANCEL_ALLOWANCE + 1, 0.6),
     "cut_instances_serve": requests_in_a_cut(12),
@@ -217,6 +232,26 @@
     "no_unexpected_exit": make_history(exits=[UnexpectedExit(ENTRY, 1.0, "status=1")]),
 }
 
+SAME_REQUEST = {"request_id": "q1"}
+LOST = Disturbance(UPSTREAM, "upstream lose", 100.5, 100.5)
+RUNS_AT_TWO_ENGINES = {
+    "of one request": runs_of_a_stream(0.5, later=SAME_REQUEST),
+    "of one request that two instances sent": runs_of_a_stream(
+        0.5, later=SAME_REQUEST | {"sender": "entry-1"}
+    ),
+    "on a connection that was lost": runs_of_a_stream(0.5, [LOST]),
+    "of which the first still goes on when the second ends": runs_of_a_stream(
+        0.0, changes={"ended_at": None}
+    ),
+    "while the first one pauses": runs_of_a_stream(
+        0.5, pauses=[Disturbance(UPSTREAM, "pause", 100.5, 102.0)]
+    ),
+    "while the instance has lost the store": runs_of_a_stream(
+        0.5, [Disturbance(ENTRY, "store silence", 100.0, 102.0)]
+    ),
+    "after a cut": runs_of_a_stream(0.5, cuts=[Cut(frozenset({ENTRY}), 91.0, 100.0)]),
+}
+
 REVERTED_VERSION = make_history(
     accepted=ACCEPTED,
     probes=[Probe(ENTRY, 1, 2, 51.0, True), Probe(ENTRY, 1, 2, 51.1, False)],
@@ -229,6 +264,29 @@
         disturbances=[STOP],
     ),
     "a stream over two requests at one version": resumed_stream("v1", "v1"),
+    "a run that ends soon after a later one began": runs_of_a_stream(0.35),
+    "two runs at one engine": runs_of_a_stream(0.9, later={"upstream": UPSTREAM}),
+    "runs for two requests of a caller that two instances sent": runs_of_a_stream(
+        0.9, later={"sender": "entry-1"}
+    ),
+    "a run that was left before it began, in a pause": runs_of_a_stream(
+        0.9, changes={"at": 101.6, "sent_at": 100.1}
+    ),
+    "a run at an engine whose link is held": runs_of_a_stream(
+        0.9, [Disturbance(UPSTREAM, "upstream cut_up", 100.5, 101.5)]
+    ),
+    "a run at an engine whose link is slow": runs_of_a_stream(
+        0.9, [Disturbance(UPSTREAM, "upstream delay", 100.5, 101.5)]
+    ),
+    "a run whose instance was killed": runs_of_a_stream(
+        0.9, [Disturbance(ENTRY, "kill", 100.5, 103.0)]
+    ),
+    "a run whose instance is cut off": runs_of_a_stream(
+        0.9, cuts=[Cut(frozenset({ENTRY}), 100.5, 109.0)]
+    ),
+    "a run at an engine that pauses for long": runs_of_a_stream(
+        0.9, pauses=[Disturbance(UPSTREAM, "pause", 100.3, 101.9)]
+    ),
     "as many requests as a pause allows": requests_in_a_pause(2),
     "requests just after a pause was asked for": requests_in_a_pause(9, 100.4),
     "requests after a pause": requests_in_a_pause(9, 102.1),
@@ -357,6 +415,11 @@
     def test_a_violation_is_found_by(self, name, recorded):
         self.assertEqual({name}, {finding.check for finding in run_checks(recorded)})
 
+    @parameterized.expand(RUNS_AT_TWO_ENGINES.items())
+    def test_runs_at_two_engines_are_found(self, _, recorded):
+        found = {finding.check for finding in run_checks(recorded)}
+        self.assertEqual({"streams_run_at_one_engine"}, found)
+
     def test_a_second_refusal_after_the_recovery_is_found(self):
         recorded = make_history(
             make_request(status=503, comes_back=True),
