Soak: more connections are lost, and a stand-in that runs no such request says so

And the stand-in engine had no text for status 404, so an order to stop a run that was not there ended without an answer: the relay took the end of the run for unknown and asked on.

Losses come 1.5 s apart on average, 0.3 of them to all upstreams. They count as a disturbance only of what was open, so that the other checks excuse no more than before. Tests: a run on a lost connection goes on until a last copy stops it, and an order for one that has ended gets 404 (failed before); in a pause connections are accepted and a close is not noticed.

--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -97,13 +97,15 @@
     """A fault in a part of the deployment, from `begins` to `ends` (infinity if open).
 
     `subject` is "store" or the name of an instance or an upstream. `how` names the
-    fault; "stop" is the planned stop of an instance.
+    fault; "stop" is the planned stop of an instance. It counts for `settle_s` seconds
+    more.
     """
 
     subject: str
     how: str
     begins: float
     ends: float = math.inf
+    settle_s: float = STABILIZATION_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,11 +186,11 @@
     ) -> bool:
         """Return whether a subject was disturbed in an interval or just before it.
 
-        A disturbance counts until `STABILIZATION_S` after its end; those whose `how`
-        equals `excluded` do not count.
+        A disturbance counts until `settle_s` after its end; those whose `how` equals
+        `excluded` do not count.
         """
         return any(
-            one.begins <= ends and one.ends + STABILIZATION_S >= begins
+            one.begins <= ends and one.ends + one.settle_s >= begins
             for one in self.disturbances_on(subject)
             if one.how != excluded
         )
--- a/benchmarks/soak/inject.py
+++ b/benchmarks/soak/inject.py
@@ -188,8 +188,10 @@
     )
     apply_link_fault(link, fault.kind)
     await asyncio.sleep(step.duration_s)
-    # A loss leaves the link as it is, with what else disturbs it.
-    if fault.kind not in CONNECTION_LOSSES:
+    if fault.kind in CONNECTION_LOSSES:
+        # What is sent after it is sound, and what else disturbs the link goes on.
+        disturbance.settle_s = 0.0
+    else:
         link.restore()
     disturbance.ends = deployment.now()
 
--- a/benchmarks/soak/schedule.py
+++ b/benchmarks/soak/schedule.py
@@ -47,7 +47,7 @@
 CONNECTION_LOSSES = (LinkFaultKind.LOSE, LinkFaultKind.RESET_NEAR)
 """Kinds after which the link is sound; drawn apart from all others, for upstreams."""
 
-MEAN_LOSS_INTERVAL_S = 2.5
+MEAN_LOSS_INTERVAL_S = 1.5
 
 
 class StoreFaultKind(enum.StrEnum):
@@ -299,12 +299,14 @@
 
 
 def draw_connection_losses(seed: int, duration_s: float, upstreams: int) -> list[Step]:
-    """Draw upstreams whose open connections are lost, from a generator of their own."""
+    """Draw losses of connections to one or all, from a generator of their own."""
     rng = random.Random(f"soak/{seed}/connection-losses")
     steps, at_s = [], FIRST_FAULT_AT_S
     while at_s < duration_s:
-        kind, index = rng.choice(CONNECTION_LOSSES), rng.randrange(upstreams)
-        steps.append(Step(at_s, 0.0, LinkFault(LinkKind.UPSTREAM, index, kind)))
+        kind, first = rng.choice(CONNECTION_LOSSES), rng.randrange(upstreams)
+        indexes = range(upstreams) if rng.random() < 0.3 else (first,)
+        faults = [LinkFault(LinkKind.UPSTREAM, index, kind) for index in indexes]
+        steps += [Step(at_s, 0.0, fault) for fault in faults]
         at_s += rng.expovariate(1 / MEAN_LOSS_INTERVAL_S)
     return steps
 
--- a/src/turmericusher/standins/platform_upstream.py
+++ b/src/turmericusher/standins/platform_upstream.py
@@ -416,7 +416,13 @@
 
 def encode_head(status: int, headers: dict[str, str]) -> bytes:
     """Return the status line and headers of an answer, in HTTP/1.1 format."""
-    reason_phrases = {200: "OK", 421: "Misdirected", 500: "Failed", 503: "Unavailable"}
+    reason_phrases = {
+        200: "OK",
+        404: "Not Found",
+        421: "Misdirected",
+        500: "Failed",
+        503: "Unavailable",
+    }
     lines = [f"HTTP/1.1 {status} {reason_phrases[status]}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if status == 421 or NOT_RUN_MARK in headers:
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -35,8 +35,13 @@
 from benchmarks.soak.mutations import MUTATIONS, copy_mutated_source
 from benchmarks.soak.proxy import CutKind, Proxy, running_proxy
 from benchmarks.soak.schedule import make_plan
+from benchmarks.soak.upstream import SoakUpstream
 from tests.common.asynchronous import run_async
+from tests.common.waiting import wait_until
 from turmericusher.decisions.routing import RequestKind
+from turmericusher.platform.names import COPY_PATH
+from turmericusher.platform.records import encode_copy_request
+from turmericusher.standins.platform_upstream import running_standin
 
 ENTRY, UPSTREAM = "entry-0", "u0"
 RESUMABLE = RequestKind.RESUMABLE_STREAM
@@ -480,6 +485,56 @@
     writer.close()
 
 
+async def call(address, path, body=b"", **headers):
+    """Send a call on a connection of its own and return its streams."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"POST {path} HTTP/1.1", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
+    writer.write("\r\n".join([*lines, "\r\n"]).encode() + body)
+    return reader, writer
+
+
+class UpstreamTest(TestCase):
+    @run_async
+    async def test_a_run_on_a_lost_connection_goes_on_until_a_last_copy_stops_it(self):
+        upstream = SoakUpstream("u0")
+        upstream.restart(1)
+        async with running_standin(upstream), running_proxy(upstream.address) as proxy:
+            _, writer = await call(proxy.address, "/resumable/x", X_Request_Id="q1")
+            await wait_until(lambda: "q1" in upstream.active)
+            proxy.reset_near_ends()
+            await asyncio.sleep(0.2)
+            self.assertIn("q1", upstream.active)
+            for status in (b"503", b"404"):
+                order = encode_copy_request("q1", "127.0.0.1:1", is_last=True)
+                reader, _ = await call(upstream.address, COPY_PATH, order)
+                self.assertEqual(status, (await reader.read(12))[-3:])
+                self.assertEqual({}, upstream.active)
+            (arrival,) = upstream.history.arrivals
+            await wait_until(lambda: arrival.ended_at is not None)
+            writer.close()
+
+    @run_async
+    async def test_an_upstream_accepts_connections_in_a_pause_and_notices_nothing(self):
+        upstream = SoakUpstream("u0")
+        upstream.restart(1)
+        async with running_standin(upstream):
+            _, writer = await call(upstream.address, "/resumable/x", X_Request_Id="q1")
+            await wait_until(lambda: "q1" in upstream.active)
+            upstream.is_unpaused.clear()
+            writer.close()
+            _, other = await call(upstream.address, "/resumable/x", X_Request_Id="q2")
+            await asyncio.sleep(0.2)
+            self.assertEqual({"q1"}, set(upstream.active))
+            upstream.is_unpaused.set()
+            await wait_until(lambda: "q1" not in upstream.active)
+            other.close()
+        first, second = upstream.history.arrivals
+        self.assertGreater(first.ended_at, first.at + 0.2)
+        self.assertGreater(second.at, second.sent_at + 0.15)
+
+
 class ProxyTest(TestCase):
     async def connect(self, stack_proxy):
         host, _, port = stack_proxy.address.rpartition(":")
