--- a/benchmarks/soak/deployment.py
+++ b/benchmarks/soak/deployment.py
@@ -448,3 +448,5 @@
             yield deployment
         finally:
             await cancel_tasks(deployment.tasks)
+            for upstream in upstreams:
+                upstream.standin.is_unpaused.set()
