Soak: the mutation of runs that were left follows the relay

Cause: asks in another place whether a run may be stopped, so the text that the mutation replaced is gone, as its test says.

--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -123,8 +123,8 @@
         "runs-that-were-left-go-on",
         "streams_run_at_one_engine",
         "decisions/relay.py",
-        "is_stoppable = attempt.is_connected and not attempt.is_forward",
-        "is_stoppable = False",
+        "if not attempt.is_connected or attempt.is_forward:",
+        "if attempt is not None:",
     ),
     Mutation(
         "crashes-are-not-remembered",
