--- a/benchmarks/soak/deployment.py
+++ b/benchmarks/soak/deployment.py
@@ -329,7 +329,7 @@
     name = f"u{index}"
     standin = SoakUpstream(
         name,
-        history=history,
+        recorded=history,
         team=TEAM_NAME,
         stable_name=name,
         version=version,
--- a/benchmarks/soak/upstream.py
+++ b/benchmarks/soak/upstream.py
@@ -62,7 +62,7 @@
     upstream with another name starts there.
     """
 
-    history: History = field(default_factory=History)
+    recorded: History = field(default_factory=History)
     team: str = ""
     stable_name: str = ""
     version: str = "v1"
@@ -110,7 +110,7 @@
             sender=self.find_sender(writer.get_extra_info("peername")[1]),
             sent_at=self.opened_at[writer],
         )
-        self.history.arrivals.append(arrival)
+        self.recorded.arrivals.append(arrival)
         if not self.try_start_run(call, writer, self.is_shedding):
             return
         arrival.has_run = True
@@ -124,7 +124,7 @@
 
     def find_difference(self, call: ReceivedCall, request_id: str) -> str:
         """Return how a request differs from what its caller sent, "" if it does not."""
-        sent = self.history.requests.get(request_id)
+        sent = self.recorded.requests.get(request_id)
         if sent is None:
             return "not sent by any caller"
         if call.target != sent.path:
--- a/src/turmericusher/standins/working_upstream.py
+++ b/src/turmericusher/standins/working_upstream.py
@@ -61,14 +61,14 @@
 class WorkingUpstream(UpstreamStandin):
     """An engine whose runs do not depend on their connections.
 
-    `active` has the runs in progress by request, `all_runs` all. Connections in
+    `active` has the runs in progress by request, `history` all of them. Connections in
     `silent` neither bring nor take anything any more, and their close is not noticed.
     While `is_unpaused` is clear, the process stands still: its kernel accepts
     connections, but nothing is read, made or noticed.
     """
 
     active: dict[str, Run] = field(default_factory=dict)
-    all_runs: list[Run] = field(default_factory=list)
+    history: list[Run] = field(default_factory=list)
     silent: set[asyncio.StreamWriter] = field(default_factory=set)
     is_unpaused: asyncio.Event = field(default_factory=set_event)
 
@@ -160,7 +160,7 @@
         now = asyncio.get_running_loop().time()
         run = Run(request_id, self.name, now, position, writer)
         self.active[request_id] = run
-        self.all_runs.append(run)
+        self.history.append(run)
         waits = (
             asyncio.ensure_future(work(run)),
             asyncio.create_task(self.wait_for_close(reader, writer)),
@@ -174,7 +174,7 @@
 
     def end_runs(self) -> None:
         """End all runs at once, as the end of the process does."""
-        for run in self.all_runs:
+        for run in self.history:
             run.stopped.set()
             self.end(run)
 
@@ -230,7 +230,7 @@
     """
     runs: dict[str, list[Run]] = {}
     for upstream in upstreams:
-        for run in upstream.all_runs:
+        for run in upstream.history:
             runs.setdefault(run.request_id, []).append(run)
     overlaps = []
     for request_id, same in runs.items():
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -511,7 +511,7 @@
                 reader, _ = await call(upstream.address, COPY_PATH, order)
                 self.assertEqual(status, (await reader.read(12))[-3:])
                 self.assertEqual({}, upstream.active)
-            (arrival,) = upstream.history.arrivals
+            (arrival,) = upstream.recorded.arrivals
             await wait_until(lambda: arrival.ended_at is not None)
             writer.close()
 
@@ -530,7 +530,7 @@
             upstream.is_unpaused.set()
             await wait_until(lambda: "q1" not in upstream.active)
             other.close()
-        first, second = upstream.history.arrivals
+        first, second = upstream.recorded.arrivals
         self.assertGreater(first.ended_at, first.at + 0.2)
         self.assertGreater(second.at, second.sent_at + 0.15)
 
