--- a/benchmarks/soak/deployment.py
+++ b/benchmarks/soak/deployment.py
@@ -161,6 +161,16 @@
         for link in self.links.values():
             link.reset_connections()
 
+    def silence_open_connections(self) -> None:
+        """Let nothing more pass on open connections; new ones work."""
+        for link in self.links.values():
+            link.silence_open_connections()
+
+    def reset_near_ends(self) -> None:
+        """Reset open connections at the instances' ends only."""
+        for link in self.links.values():
+            link.reset_near_ends()
+
     def refuse(self) -> None:
         """Refuse connections and reset the open ones."""
         for link in self.links.values():
@@ -319,7 +329,7 @@
     name = f"u{index}"
     standin = SoakUpstream(
         name,
-        history=history,
+        recorded=history,
         team=TEAM_NAME,
         stable_name=name,
         version=version,
@@ -438,3 +448,5 @@
             yield deployment
         finally:
             await cancel_tasks(deployment.tasks)
+            for upstream in upstreams:
+                upstream.standin.is_unpaused.set()
--- a/benchmarks/soak/mutations.py
+++ b/benchmarks/soak/mutations.py
@@ -119,6 +119,13 @@
         "attempt.is_suspected = True",
         "attempt.is_suspected = True\n        if is_stall:\n            return",
     ),
+    Mutation(
+        "runs-that-were-left-go-on",
+        "streams_run_at_one_engine",
+        "decisions/relay_left_runs.py",
+        "if not attempt.is_connected or attempt.is_forward:",
+        "if attempt is not None:",
+    ),
     Mutation(
         "crashes-are-not-remembered",
         "crashing_requests_stop",
--- a/src/turmericusher/standins/working_upstream.py
+++ b/src/turmericusher/standins/working_upstream.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
@@ -145,6 +145,16 @@
         """Run a stream until it ends, is stopped, or its connection closes."""
         if not self.try_start_run(call, writer, should_shed=False):
             return
+        await self.carry_out(call, reader, writer, self.work)
+
+    async def carry_out(
+        self,
+        call: ReceivedCall,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        work: Callable[[Run], Awaitable[None]],
+    ) -> None:
+        """Record a run and do its work until that is done, stopped or left."""
         request_id = call.headers[REQUEST_ID]
         position = int(call.headers.get(LAST_EVENT_ID, "0"))
         now = asyncio.get_running_loop().time()
@@ -152,7 +162,7 @@
         self.active[request_id] = run
         self.history.append(run)
         waits = (
-            asyncio.create_task(self.work(run)),
+            asyncio.ensure_future(work(run)),
             asyncio.create_task(self.wait_for_close(reader, writer)),
             asyncio.create_task(run.stopped.wait()),
         )
@@ -162,6 +172,12 @@
             self.end(run)
             await cancel_tasks(waits)
 
+    def end_runs(self) -> None:
+        """End all runs at once, as the end of the process does."""
+        for run in self.history:
+            run.stopped.set()
+            self.end(run)
+
     async def wait_for_close(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -33,10 +33,15 @@
     UnexpectedExit,
 )
 from benchmarks.soak.mutations import MUTATIONS, copy_mutated_source
-from benchmarks.soak.proxy import CutKind, running_proxy
+from benchmarks.soak.proxy import CutKind, Proxy, running_proxy
 from benchmarks.soak.schedule import make_plan
+from benchmarks.soak.upstream import SoakUpstream
 from tests.common.asynchronous import run_async
+from tests.common.waiting import wait_until
 from turmericusher.decisions.routing import RequestKind
+from turmericusher.platform.names import COPY_PATH
+from turmericusher.platform.records import encode_copy_request
+from turmericusher.standins.platform_upstream import running_standin
 
 ENTRY, UPSTREAM = "entry-0", "u0"
 RESUMABLE = RequestKind.RESUMABLE_STREAM
@@ -64,6 +69,7 @@
         "at": at,
         "has_run": True,
         "sender": ENTRY,
+        "sent_at": at,
     }
     return Arrival(**(fields | changes))
 
@@ -137,6 +143,19 @@
     )
 
 
+def runs_of_a_stream(both_s, disturbances=(), changes=None, later=None, **recorded):
+    """Return a stream whose first run lasts for some time after a second one began."""
+    first = {"ended_at": 101.0 + both_s} | (changes or {})
+    second = {"request_id": "q2", "upstream": "u1", "ended_at": 102.0} | (later or {})
+    return make_history(
+        make_request(RESUMABLE),
+        make_request(RESUMABLE, request_id="q2", resumes="q1"),
+        arrivals=[make_arrival(**first), make_arrival(101.0, **second)],
+        disturbances=list(disturbances),
+        **recorded,
+    )
+
+
 def requests_after_leaving(after_s, disturbances=(), incarnation="1", told_at=100.9):
     """Return a request some seconds after an answer that its upstream leaves."""
     sent_at = 101.0 + after_s
@@ -208,6 +227,7 @@
     "asked_pauses": requests_in_a_pause(3),
     "crashing_calls_stop": crashing_calls(4),
     "streams_keep_their_version": resumed_stream("v1", "v2"),
+    "streams_run_at_one_engine": runs_of_a_stream(0.5),
     "crashing_requests_stop": crashing_requests(4),
     "work_ends_with_callers": abandoned_requests(LATE_CANCEL_ALLOWANCE + 1, 0.6),
     "cut_instances_serve": requests_in_a_cut(12),
@@ -217,6 +237,26 @@
     "no_unexpected_exit": make_history(exits=[UnexpectedExit(ENTRY, 1.0, "status=1")]),
 }
 
+SAME_REQUEST = {"request_id": "q1"}
+LOST = Disturbance(UPSTREAM, "upstream lose", 100.5, 100.5)
+RUNS_AT_TWO_ENGINES = {
+    "of one request": runs_of_a_stream(0.5, later=SAME_REQUEST),
+    "of one request that two instances sent": runs_of_a_stream(
+        0.5, later=SAME_REQUEST | {"sender": "entry-1"}
+    ),
+    "on a connection that was lost": runs_of_a_stream(0.5, [LOST]),
+    "of which the first still goes on when the second ends": runs_of_a_stream(
+        0.0, changes={"ended_at": None}
+    ),
+    "while the first one pauses": runs_of_a_stream(
+        0.5, pauses=[Disturbance(UPSTREAM, "pause", 100.5, 102.0)]
+    ),
+    "while the instance has lost the store": runs_of_a_stream(
+        0.5, [Disturbance(ENTRY, "store silence", 100.0, 102.0)]
+    ),
+    "after a cut": runs_of_a_stream(0.5, cuts=[Cut(frozenset({ENTRY}), 91.0, 100.0)]),
+}
+
 REVERTED_VERSION = make_history(
     accepted=ACCEPTED,
     probes=[Probe(ENTRY, 1, 2, 51.0, True), Probe(ENTRY, 1, 2, 51.1, False)],
@@ -229,6 +269,29 @@
         disturbances=[STOP],
     ),
     "a stream over two requests at one version": resumed_stream("v1", "v1"),
+    "a run that ends soon after a later one began": runs_of_a_stream(0.35),
+    "two runs at one engine": runs_of_a_stream(0.9, later={"upstream": UPSTREAM}),
+    "runs for two requests of a caller that two instances sent": runs_of_a_stream(
+        0.9, later={"sender": "entry-1"}
+    ),
+    "a run that was left before it began, in a pause": runs_of_a_stream(
+        0.9, changes={"at": 101.6, "sent_at": 100.1}
+    ),
+    "a run at an engine whose link is held": runs_of_a_stream(
+        0.9, [Disturbance(UPSTREAM, "upstream cut_up", 100.5, 101.5)]
+    ),
+    "a run at an engine whose link is slow": runs_of_a_stream(
+        0.9, [Disturbance(UPSTREAM, "upstream delay", 100.5, 101.5)]
+    ),
+    "a run whose instance was killed": runs_of_a_stream(
+        0.9, [Disturbance(ENTRY, "kill", 100.5, 103.0)]
+    ),
+    "a run whose instance is cut off": runs_of_a_stream(
+        0.9, cuts=[Cut(frozenset({ENTRY}), 100.5, 109.0)]
+    ),
+    "a run at an engine that pauses for long": runs_of_a_stream(
+        0.9, pauses=[Disturbance(UPSTREAM, "pause", 100.3, 101.9)]
+    ),
     "as many requests as a pause allows": requests_in_a_pause(2),
     "requests just after a pause was asked for": requests_in_a_pause(9, 100.4),
     "requests after a pause": requests_in_a_pause(9, 102.1),
@@ -357,6 +420,11 @@
     def test_a_violation_is_found_by(self, name, recorded):
         self.assertEqual({name}, {finding.check for finding in run_checks(recorded)})
 
+    @parameterized.expand(RUNS_AT_TWO_ENGINES.items())
+    def test_runs_at_two_engines_are_found(self, _, recorded):
+        found = {finding.check for finding in run_checks(recorded)}
+        self.assertEqual({"streams_run_at_one_engine"}, found)
+
     def test_a_second_refusal_after_the_recovery_is_found(self):
         recorded = make_history(
             make_request(status=503, comes_back=True),
@@ -417,6 +485,56 @@
     writer.close()
 
 
+async def call(address, path, body=b"", **headers):
+    """Send a call on a connection of its own and return its streams."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"POST {path} HTTP/1.1", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
+    writer.write("\r\n".join([*lines, "\r\n"]).encode() + body)
+    return reader, writer
+
+
+class UpstreamTest(TestCase):
+    @run_async
+    async def test_a_run_on_a_lost_connection_goes_on_until_a_last_copy_stops_it(self):
+        upstream = SoakUpstream("u0")
+        upstream.restart(1)
+        async with running_standin(upstream), running_proxy(upstream.address) as proxy:
+            _, writer = await call(proxy.address, "/resumable/x", X_Request_Id="q1")
+            await wait_until(lambda: "q1" in upstream.active)
+            proxy.reset_near_ends()
+            await asyncio.sleep(0.2)
+            self.assertIn("q1", upstream.active)
+            for status in (b"503", b"404"):
+                order = encode_copy_request("q1", "127.0.0.1:1", is_last=True)
+                reader, _ = await call(upstream.address, COPY_PATH, order)
+                self.assertEqual(status, (await reader.read(12))[-3:])
+                self.assertEqual({}, upstream.active)
+            (arrival,) = upstream.recorded.arrivals
+            await wait_until(lambda: arrival.ended_at is not None)
+            writer.close()
+
+    @run_async
+    async def test_an_upstream_accepts_connections_in_a_pause_and_notices_nothing(self):
+        upstream = SoakUpstream("u0")
+        upstream.restart(1)
+        async with running_standin(upstream):
+            _, writer = await call(upstream.address, "/resumable/x", X_Request_Id="q1")
+            await wait_until(lambda: "q1" in upstream.active)
+            upstream.is_unpaused.clear()
+            writer.close()
+            _, other = await call(upstream.address, "/resumable/x", X_Request_Id="q2")
+            await asyncio.sleep(0.2)
+            self.assertEqual({"q1"}, set(upstream.active))
+            upstream.is_unpaused.set()
+            await wait_until(lambda: "q1" not in upstream.active)
+            other.close()
+        first, second = upstream.recorded.arrivals
+        self.assertGreater(first.ended_at, first.at + 0.2)
+        self.assertGreater(second.at, second.sent_at + 0.15)
+
+
 class ProxyTest(TestCase):
     async def connect(self, stack_proxy):
         host, _, port = stack_proxy.address.rpartition(":")
@@ -503,6 +621,37 @@
             await self.exchange(*await self.connect(proxy))
         server.close()
 
+    @parameterized.expand(
+        [
+            ("silenced", Proxy.silence_open_connections, TimeoutError),
+            ("reset_at_the_near_end", Proxy.reset_near_ends, ConnectionError),
+        ]
+    )
+    @run_async
+    async def test_a_target_does_not_notice_that_open_connections_are(
+        self, _, lose, error
+    ):
+        closed = []
+
+        async def serve(reader, writer):
+            await echo(reader, writer)
+            closed.append(writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        target = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with running_proxy(target) as proxy:
+            reader, writer = await self.connect(proxy)
+            await self.exchange(reader, writer)
+            lose(proxy)
+            with self.assertRaises(error):
+                await asyncio.wait_for(self.exchange(reader, writer), 0.1)
+            writer.transport.abort()
+            new_connection = await self.connect(proxy)
+            await self.exchange(*new_connection)
+            await asyncio.sleep(0.1)
+            self.assertEqual([], closed)
+        server.close()
+
     async def exchange(self, reader, writer):
         """Send a byte and read it back; fail if the connection was closed."""
         writer.write(b"x")
