--- a/tests/cover/test_two_engines.py
+++ b/tests/cover/test_two_engines.py
@@ -51,6 +51,12 @@
     await engine.stand_still(1.2)
 
 
+async def reset_in_a_pause(engine: WorkingUpstream) -> None:
+    """Reset an engine's connections at the other end only while it stands still."""
+    engine.reset_far_ends()
+    await engine.stand_still(1.2)
+
+
 async def crash(engine: WorkingUpstream) -> None:
     """End an engine: its connections are reset, and new ones are refused."""
     engine.stop_listening()
@@ -122,6 +128,7 @@
             ("its_process_stands_still", pause),
             ("a_connection_is_reset_at_one_end", reset_far_ends),
             ("it_crashes", crash),
+            ("a_connection_is_reset_while_it_stands_still", reset_in_a_pause),
         ]
     )
     @run_async
