Relay: a lost connection is no end either while its engine stands still

Cause: a loss was answered by going on at once, and a silent engine takes no order to stop.

The upstream of a lost stream is now asked for its report first, once for all streams there: one that refuses connections or is not reached is left as before, one that answers stops the run, and the stream goes on from its last copy, and one that is silent is waited for as after a stall. A run that an upstream had to stop counts as an attempt, since its engine has not ended.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -307,11 +307,15 @@
         """Remove an attempt that has failed, and retry or fail.
 
         One that is being stopped may fail by that, so it is replaced when the outcome
-        of the stop is known.
+        of the stop is known. One whose connection was lost is replaced when its
+        upstream was asked and, if that is there, has stopped the run.
         """
         if attempt.is_stopping:
             attempt.loss = event
             return []
+        if self.must_ask_about_loss(attempt, event, now):
+            attempt.loss, attempt.probed_at = event, now
+            return [ProbeUpstream(attempt.number, attempt.upstream)]
         self.remove_attempt(attempt.number)
         return self.retry_or_fail(attempt, event, now)
 
@@ -833,6 +837,8 @@
     report = event.report
     if attempt.is_stopping:
         return []
+    if attempt.loss is not None:
+        return go_on_after_loss(relay, attempt, attempt.loss, event.state, now)
     has_been_active = relay.upstream_active_at(attempt) > (attempt.probed_at or 0.0)
     was_silent = attempt.is_upstream_silent
     attempt.is_upstream_silent = event.state is ReportState.SILENT
@@ -895,8 +901,7 @@
     attempt.is_stopping = False
     attempt.is_stopped = is_known_end(end, attempt.has_event)
     cause = attempt.stop_cause or AttemptCause.SILENT
-    is_open = end is RunEnd.UNKNOWN and not stopped.has_answered
-    if is_open and attempt.loss is None:
+    if end is RunEnd.UNKNOWN and not stopped.has_answered:
         attempt.probed_at = now
         return [ProbeUpstream(attempt.number, attempt.upstream)]
     actions: list[RelayAction] = []
@@ -904,7 +909,7 @@
         actions = relay.record_copy(attempt, copy, event.at)
     elif copy is not None and copy != attempt.copy:
         actions = [ReleaseCopy(copy)]
-    if attempt.loss is not None and end in (RunEnd.UNKNOWN, RunEnd.UPSTREAM_ENDED):
+    if attempt.loss is not None and end is not RunEnd.STOPPED:
         relay.remove_attempt(attempt.number)
         return actions + relay.retry_or_fail(attempt, attempt.loss, now)
     return actions + relay.abandon(attempt, cause, attempt.stop_reason, now)
@@ -920,6 +925,31 @@
     return end is not RunEnd.UNKNOWN
 
 
+def go_on_after_loss(
+    relay: Relay,
+    attempt: RelayAttempt,
+    loss: AttemptFailed,
+    state: ReportState,
+    now: float,
+) -> list[RelayAction]:
+    """Go on after a lost connection when its upstream does not work on.
+
+    One that is silent may go on as well, and one that answers has the run stopped.
+    """
+    attempt.is_upstream_silent = state is ReportState.SILENT
+    if now < relay.gone_at(attempt):
+        relay.shared.selector.failed(attempt.upstream.name)
+        return []
+    if state is ReportState.ANSWERED:
+        cause, reason = AttemptCause.UNANSWERED, loss.message
+        order = relay.order_stop(attempt, cause, reason, now)
+        if order:
+            return order
+    attempt.is_stopped = state is ReportState.REFUSED
+    relay.remove_attempt(attempt.number)
+    return relay.retry_or_fail(attempt, loss, now)
+
+
 def has_begun(attempt: RelayAttempt, failure: AttemptFailed) -> bool:
     """Whether the upstream had begun to answer, so that its standby may hold a copy.
 
--- a/src/turmericusher/decisions/relay_left_runs.py
+++ b/src/turmericusher/decisions/relay_left_runs.py
@@ -13,6 +13,7 @@
 from turmericusher.decisions.relay_copies import RelayCopies
 from turmericusher.decisions.relay_messages import (
     AttemptCause,
+    AttemptFailed,
     RelayAction,
     SettleRun,
     StopRun,
@@ -74,6 +75,18 @@
             return attempt.copy.holder
         return self.choose_standby(attempt.upstream, now)
 
+    def must_ask_about_loss(
+        self, attempt: RelayAttempt, event: AttemptFailed, now: float
+    ) -> bool:
+        """Whether an upstream is asked before its lost stream goes on elsewhere.
+
+        It may stand still, with its connection reset at this end only.
+        """
+        if event.cause is not AttemptCause.LOST or now >= self.deadline():
+            return False
+        is_paused = self.shared.gate.is_paused(attempt.upstream.name, now)
+        return self.may_be_stopped(attempt) and not is_paused
+
     def settle_run(
         self, attempt: RelayAttempt, cause: AttemptCause, now: float
     ) -> list[RelayAction]:
--- a/tests/cover/test_run_ends.py
+++ b/tests/cover/test_run_ends.py
@@ -108,6 +108,12 @@
     return relay, start
 
 
+def lose_unreached(relay):
+    """Lose a stream's connection to an upstream that is not reached any more."""
+    relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN, 0.2), 0.2)
+    return relay.handle(UpstreamProbed(1, 0.3, None, ReportState.UNREACHED), 0.3)
+
+
 def make_probed_stream(state=ReportState.SILENT, made=None):
     """Return a stream with three events whose upstream was probed, and its actions."""
     relay, start = make_stoppable_stream()
@@ -246,20 +252,27 @@
         probed = UpstreamProbed(1, ANSWERED_AT, report, ReportState.ANSWERED)
         self.assertEqual([], relay.handle(probed, ANSWERED_AT))
 
-    @parameterized.expand(
-        [
-            ("has_ended", StoppedRun(RunEnd.UPSTREAM_ENDED, has_answered=False)),
-            ("says_nothing", StoppedRun(RunEnd.UNKNOWN, has_answered=False)),
-        ]
-    )
-    def test_a_stream_that_was_lost_meanwhile_goes_on_if_its_upstream(self, _, stopped):
+    def test_a_stream_that_was_lost_meanwhile_goes_on_if_its_upstream_has_ended(self):
         relay, _ = self.make_ordered_stream()
         lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, ANSWERED_AT)
         relay.handle(lost, ANSWERED_AT)
         now = ANSWERED_AT + 0.1
+        stopped = StoppedRun(RunEnd.UPSTREAM_ENDED, has_answered=False)
         actions = relay.handle(RunStopped(1, now, stopped), now)
         self.assertEqual(1, len(filter_by_type(actions, StartRelay)))
 
+    def test_a_stream_that_was_lost_meanwhile_goes_on_if_its_upstream_is_gone(self):
+        relay, stop = self.make_ordered_stream()
+        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, ANSWERED_AT)
+        relay.handle(lost, ANSWERED_AT)
+        now = ANSWERED_AT + 0.1
+        unknown = StoppedRun(RunEnd.UNKNOWN, has_answered=False)
+        actions = relay.handle(RunStopped(1, now, unknown), now)
+        self.assertEqual([ProbeUpstream(1, stop.upstream)], actions)
+        refused = UpstreamProbed(1, now, None, ReportState.REFUSED)
+        actions = relay.handle(refused, now)
+        self.assertEqual(1, len(filter_by_type(actions, StartRelay)))
+
     def test_a_stream_goes_on_if_its_upstream_answers_and_does_not_stop_it(self):
         relay, _ = self.make_ordered_stream()
         now = ANSWERED_AT + 0.2
@@ -295,6 +308,59 @@
         self.assertGreater(settle.run.may_start_until, now)
 
 
+class LostStreamTest(TestCase):
+    def lose(self, state, report=None, at=0.2):
+        """Lose the connection of a stream; return what its upstream's report brings."""
+        relay, start = make_stoppable_stream()
+        actions = relay.handle(failed(1, AttemptCause.LOST, MAY_HAVE_RUN, at), at)
+        self.assertEqual([ProbeUpstream(1, start.upstream)], actions)
+        probed = UpstreamProbed(1, at + 0.01, report, state)
+        return relay, start, relay.handle(probed, at + 0.01)
+
+    @parameterized.expand(
+        [
+            ("has_ended", ReportState.REFUSED, 0),
+            ("is_not_reached", ReportState.UNREACHED, 1),
+            ("breaks_off_its_answer", ReportState.INVALID, 1),
+        ]
+    )
+    def test_a_lost_stream_goes_on_at_once_if_its_upstream(self, _, state, settles):
+        _, start, actions = self.lose(state)
+        (resumed,) = filter_by_type(actions, StartRelay)
+        self.assertEqual(start.standby, resumed.upstream)
+        self.assertEqual(settles, len(filter_by_type(actions, SettleRun)))
+
+    @parameterized.expand(
+        [
+            ("has_stopped_its_run", RunEnd.STOPPED, AttemptCause.UNANSWERED),
+            ("does_not_run_it", RunEnd.ABSENT, AttemptCause.LOST),
+        ]
+    )
+    def test_twice_a_lost_stream_goes_on_when_an_upstream_that_answers(
+        self, _, end, cause
+    ):
+        relay, _, actions = self.lose(ReportState.ANSWERED, make_upstream_report())
+        (stop,) = actions
+        self.assertIsInstance(stop, StopRun)
+        copy = MemoryCopy(stop.target, stop.upstream, "h")
+        stopped = StoppedRun(end, copy if end is RunEnd.STOPPED else None)
+        actions = relay.handle(RunStopped(1, 0.25, stopped), 0.25)
+        self.assertEqual(1, len(filter_by_type(actions, StartRelay)))
+        self.assertEqual([], filter_by_type(actions, SettleRun))
+        self.assertIn(f": {cause.value}", relay.last_message)
+
+    def test_twice_a_lost_stream_waits_for_an_upstream_that_may_stand_still(self):
+        relay, _, actions = self.lose(ReportState.SILENT)
+        self.assertEqual([], actions)
+        now = 0.2
+        while not filter_by_type(actions, StartRelay):
+            now = relay.wake_at()
+            actions = relay.tick(now)
+            silent = UpstreamProbed(1, now, None, ReportState.SILENT)
+            actions += relay.handle(silent, now)
+        self.assertAlmostEqual(EVENT_AT + SILENT_LIMIT_S, now, delta=0.25)
+
+
 class LeftRunTest(TestCase):
     @parameterized.expand([("silent",), ("being_stopped",)])
     def test_a_run_is_asked_about_when_its_request_ends_while_its_upstream_is(
@@ -313,8 +379,7 @@
         relay, start = make_stoppable_stream()
         others = [start.standby, start.upstream]
         relay.shared.selector.update(others)
-        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, 0.2)
-        actions = relay.handle(lost, 0.2)
+        actions = lose_unreached(relay)
         (settle,) = filter_by_type(actions, SettleRun)
         (resumed,) = filter_by_type(actions, StartRelay)
         self.assertEqual(start.standby, resumed.upstream)
@@ -323,8 +388,7 @@
     def test_a_run_is_asked_about_where_no_other_upstream_is_listed(self):
         relay, start = make_stoppable_stream()
         relay.shared.selector.update([start.upstream])
-        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, 0.2)
-        actions = relay.handle(lost, 0.2)
+        actions = lose_unreached(relay)
         self.assertEqual(1, len(filter_by_type(actions, SettleRun)))
 
     @run_async
@@ -360,8 +424,7 @@
 
     def test_twice_a_request_is_not_sent_to_an_upstream_that_may_still_run_it(self):
         relay, start = make_stoppable_stream()
-        lost = failed(1, AttemptCause.LOST, MAY_HAVE_RUN, 0.2)
-        (settle,) = filter_by_type(relay.handle(lost, 0.2), SettleRun)
+        (settle,) = filter_by_type(lose_unreached(relay), SettleRun)
         relay.shared.run_ends.add(settle.run)
         relay.excluded.clear()
         self.assertEqual({start.upstream.name}, relay.open_upstreams())
--- a/tests/cover/test_two_engines_machine.py
+++ b/tests/cover/test_two_engines_machine.py
@@ -263,12 +263,11 @@
     def the_open_connection_falls_silent(self):
         self.strike().is_heard = False
 
-    # A reset and a pause of the same engine at a time are open (issue 68).
     @has_run
     @rule()
     def the_connection_is_reset_at_this_end_only(self):
         run = self.strike()
-        if run.is_heard and self.now >= self.engines[run.engine].paused_until:
+        if run.is_heard:
             run.is_heard = False
             failure = self.failed(run.attempt)
             self.execute(self.relay.handle(failure, self.now))
@@ -277,8 +276,7 @@
     @rule(steps=st.integers(1, round(LONGEST_PAUSE_S / STEP_S)))
     def the_engine_stands_still(self, steps):
         engine = self.engines[self.strike().engine]
-        is_settled = not self.shared.run_ends.count()
-        if is_settled and self.now >= engine.paused_until + LONGEST_PAUSE_S:
+        if self.now >= engine.paused_until + LONGEST_PAUSE_S:
             engine.paused_until = self.now + steps * STEP_S
 
     @has_run
