Relay: an order to stop reaches the successor of an upstream, and needs no standby

The report of the other incarnation was taken for the end of a run that worked at that one.

Evidence: new cases of test_run_ends.py failed before.

--- a/src/turmericusher/decisions/relay_left_runs.py
+++ b/src/turmericusher/decisions/relay_left_runs.py
@@ -68,12 +68,16 @@
         return [StopRun(attempt.number, attempt.upstream, target)]
 
     def stop_target(self, attempt: RelayAttempt, now: float) -> UpstreamInstance | None:
-        """Return where a stream may go on from the last copy of its run, or None."""
+        """Return where the last copy of a run may go; None if it cannot be stopped.
+
+        That is where the stream goes on best, or else any other upstream.
+        """
         if not self.may_be_stopped(attempt):
             return None
         if attempt.copy is not None and self.is_holder_current(attempt.copy.holder):
             return attempt.copy.holder
-        return self.choose_standby(attempt.upstream, now)
+        standby = self.choose_standby(attempt.upstream, now)
+        return standby or self.settle_target(attempt)
 
     def must_ask_about_loss(
         self, attempt: RelayAttempt, event: AttemptFailed, now: float
@@ -91,16 +95,14 @@
         self, attempt: RelayAttempt, cause: AttemptCause, now: float
     ) -> list[RelayAction]:
         """Have the end of an attempt's run found out, unless its failure shows that."""
-        upstream = attempt.upstream
-        replaced = self.shared.selector.replaced.get(upstream.name)
         if cause in ENDED_CAUSES or attempt.is_stopped or now >= self.deadline():
             return []
-        if replaced == upstream.incarnation or not self.may_be_stopped(attempt):
+        if not self.may_be_stopped(attempt):
             return []
         may_start_s = 0.0 if attempt.has_event else START_DELAY_S
         run = LeftRelayRun(
             request_id=self.request.request_id,
-            upstream=upstream,
+            upstream=attempt.upstream,
             left_at=now,
             deadline=self.deadline(),
             may_start_until=now + may_start_s,
--- a/src/turmericusher/tasks/relay_runs.py
+++ b/src/turmericusher/tasks/relay_runs.py
@@ -79,7 +79,7 @@
 
 @dataclass(slots=True)
 class RelayRunAsker:
-    """Asks whether an upstream has ended, and orders one that runs to stop each run.
+    """Asks whether an upstream has ended, and orders what answers to stop each run.
 
     `release` frees a copy that nobody goes on from. `clock` returns monotonic seconds.
     """
@@ -102,22 +102,28 @@
             return
         runs = list(left.runs.values())
         state = await self.port.find_end_state(left.upstream)
+        if state is EndState.UNKNOWN:
+            return
+        limit = asyncio.Semaphore(STOPS_AT_A_TIME)
         if state is EndState.ENDED:
-            for run in runs:
-                settle(run, RunEnd.UPSTREAM_ENDED, self.clock())
-        elif state is EndState.RUNNING:
-            limit = asyncio.Semaphore(STOPS_AT_A_TIME)
-            await asyncio.gather(*(self.stop(run, limit, settle) for run in runs))
+            # Its successor at the address may have got the request in its place.
+            first = runs.pop(0)
+            if await self.stop(first, limit, settle) is RunEnd.UPSTREAM_ENDED:
+                for run in runs:
+                    settle(run, RunEnd.UPSTREAM_ENDED, self.clock())
+                return
+        await asyncio.gather(*(self.stop(run, limit, settle) for run in runs))
 
     async def stop(
         self, run: LeftRelayRun, limit: asyncio.Semaphore, settle: Settle[LeftRelayRun]
-    ) -> None:
-        """Have a run stopped, and pass on what is known of it then."""
+    ) -> RunEnd:
+        """Have a run stopped, pass on what is known of it then, and return that."""
         async with limit:
             stopped = await self.orders.stop(run.upstream, run.name, run.target)
         if stopped.copy is not None:
             self.release(stopped.copy)
         settle(run, stopped.end, self.clock())
+        return stopped.end
 
     def task_name(self, upstream: UpstreamInstance) -> str:
         """Return the name in logs of the task that asks an upstream."""
