Relay: one failure for each silence of an upstream after a lost connection

Each probe of a lost stream counted its silent upstream as failed once more, so that new requests would avoid it for longer than after a stall. It is counted once, as there.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -828,11 +828,12 @@
     """Abandon the attempt if its upstream is gone or no longer sends its events.
 
     The upstream is left if it cannot be reached, has restarted, has made more events
-    than can still be in transit, or does not have the request. One that accepts the
-    connection and does not answer may stand still; new requests avoid it, and this one
-    waits for a while. If it was active after
+    than can still be in transit, or does not have the request. If it was active after
     the probe was sent, no answer to the probe is no reason to leave it, and neither is
     a report on a stream that has had an event. Waiting requests explain a late start.
+
+    One that accepts the connection and does not answer may stand still. New requests
+    avoid it, and this one waits until `gone_at`.
     """
     report = event.report
     if attempt.is_stopping:
@@ -936,9 +937,11 @@
 
     One that is silent may go on as well, and one that answers has the run stopped.
     """
+    was_silent = attempt.is_upstream_silent
     attempt.is_upstream_silent = state is ReportState.SILENT
     if now < relay.gone_at(attempt):
-        relay.shared.selector.failed(attempt.upstream.name)
+        if not was_silent:
+            relay.shared.selector.failed(attempt.upstream.name)
         return []
     if state is ReportState.ANSWERED:
         cause, reason = AttemptCause.UNANSWERED, loss.message
--- a/src/turmericusher/decisions/relay_state.py
+++ b/src/turmericusher/decisions/relay_state.py
@@ -93,8 +93,7 @@
 
 SILENT_LIMIT_S = 1.5
 """Seconds without a sign of an upstream that accepts connections after which its
-streams go on elsewhere. Its process may stand still for as long, and works on when it
-goes on; the rest of the 2 s within which output goes on after a loss is for that."""
+streams go on elsewhere. Its process may stand still until then and work on after."""
 
 MAX_MISSING_EVENTS = 3
 """Events that an upstream reports beyond those received, from which on they count as
