Relay: a lost stream whose run was stopped counts as lost

Cause: a run that had to be stopped after its connection was lost counted towards `max_attempts`, unlike a loss before.

--- a/src/turmericusher/decisions/relay.py
+++ b/src/turmericusher/decisions/relay.py
@@ -910,7 +910,7 @@
         actions = relay.record_copy(attempt, copy, event.at)
     elif copy is not None and copy != attempt.copy:
         actions = [ReleaseCopy(copy)]
-    if attempt.loss is not None and end is not RunEnd.STOPPED:
+    if attempt.loss is not None:
         relay.remove_attempt(attempt.number)
         return actions + relay.retry_or_fail(attempt, attempt.loss, now)
     return actions + relay.abandon(attempt, cause, attempt.stop_reason, now)
@@ -944,8 +944,7 @@
             relay.shared.selector.failed(attempt.upstream.name)
         return []
     if state is ReportState.ANSWERED:
-        cause, reason = AttemptCause.UNANSWERED, loss.message
-        order = relay.order_stop(attempt, cause, reason, now)
+        order = relay.order_stop(attempt, loss.cause, loss.message, now)
         if order:
             return order
     attempt.is_stopped = state is ReportState.REFUSED
