--- a/src/turmericusher/decisions/relay_left_runs.py
+++ b/src/turmericusher/decisions/relay_left_runs.py
@@ -1,7 +1,7 @@
 """What becomes of the runs that a relayed stream leaves at its upstreams.
 
-A stalled stream whose upstream answers has its run stopped before it goes on. Any other
-run that was left is found out about beside the request (`run_ends`).
+A stalled or lost stream whose upstream answers has its run stopped before it goes on.
+Any other run that was left is found out about beside the request (`run_ends`).
 """
 
 from __future__ import annotations
@@ -55,7 +55,7 @@
     def order_stop(
         self, attempt: RelayAttempt, cause: AttemptCause, reason: str, now: float
     ) -> list[RelayAction]:
-        """Have the run of a stalled attempt stopped, if that is possible.
+        """Have the run of an attempt stopped, if that is possible.
 
         A silent upstream gets no order, which it would find when it goes on.
         """
