Soak: what was answered on a connection that had been lost tells nobody anything

Trace of two of these: entry-2 sent q124 to u5 at 4786.898, the links to u5 were reset at the instances' ends at 4787.180 and 4787.262 while u5 stood still, and u5 read the request and asked for a pause at 4787.782, on a connection that the instance no longer had. q93 and q111 to u6 are alike. The instance was told nothing, so its later requests are allowed.

The two checks that count who was told leave such answers out, where the loss lies between the opening of that connection and the end of the answer; all else counts as before.

--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -30,6 +30,7 @@
     SentRequest,
 )
 from benchmarks.soak.schedule import (
+    CONNECTION_LOSSES,
     PAUSE_LIMITS_S,
     InstanceFaultKind,
     LinkFaultKind,
@@ -78,6 +79,11 @@
 )
 """Faults in which instances do not reach an upstream, or its answers come late."""
 
+LOST_CONNECTIONS = frozenset(
+    f"{LinkKind.UPSTREAM.value} {kind.value}" for kind in CONNECTION_LOSSES
+)
+"""Faults after which an answer on a connection that was open does not arrive."""
+
 CUT_FAILURES = 10
 CUT_SERVED_SHARE = 2 / 3
 """Requests that may fail at instances that are cut off, besides one in 50 of all, and
@@ -328,6 +334,8 @@
         ]
         told_at: dict[str, float] = {}
         for arrival, instance in arrivals:
+            if was_answer_lost(history, arrival):
+                continue
             if arrival.has_run and arrival.ended_at is not None:
                 at = min(arrival.ended_at, told_at.get(instance, arrival.ended_at))
                 told_at[instance] = at
@@ -345,6 +353,19 @@
                 break
 
 
+def was_answer_lost(history: History, arrival: Arrival) -> bool:
+    """Whether the connection of an arrival was lost before its answer had ended.
+
+    The upstream does not notice, and its instance is told nothing.
+    """
+    ends = arrival.at if arrival.ended_at is None else arrival.ended_at
+    return any(
+        arrival.sent_at <= one.begins <= ends
+        for one in history.disturbances_on(arrival.upstream)
+        if one.how in LOST_CONNECTIONS
+    )
+
+
 def asked_pauses(history: History) -> Iterator[str]:
     """Yield the pauses that an upstream asked for and did not get from an instance.
 
@@ -355,6 +376,8 @@
         ends = asked.at + asked.pause_s
         if not asked.pause_s or not asked.sender:
             continue
+        if was_answer_lost(history, asked):
+            continue
         told_at = asked.at + PAUSE_TOLD_AFTER_S
         is_excused = history.was_cut(asked.sender, asked.at, ends) or any(
             one.begins <= until and one.ends >= asked.at - PAUSE_TOLD_AFTER_S
--- a/tests/cover/test_soak.py
+++ b/tests/cover/test_soak.py
@@ -128,9 +128,13 @@
     return history
 
 
-def requests_in_a_pause(count, at=101.0, disturbances=(), **changes):
-    """Return requests that reach an upstream some time after it asked for a pause."""
-    asked = make_arrival(100.0, has_run=False, pause_s=2.0)
+def requests_in_a_pause(count, at=101.0, disturbances=(), asked_in_s=0.0, **changes):
+    """Return requests that reach an upstream some time after it asked for a pause.
+
+    It did so `asked_in_s` seconds after the connection was opened.
+    """
+    sent_at = 100.0 - asked_in_s
+    asked = make_arrival(100.0, has_run=False, pause_s=2.0, sent_at=sent_at)
     later = [make_arrival(at, request_id=f"q{n}", **changes) for n in range(count)]
     return make_history(arrivals=[asked, *later], disturbances=list(disturbances))
 
@@ -292,6 +296,18 @@
     "a run at an engine that pauses for long": runs_of_a_stream(
         0.9, pauses=[Disturbance(UPSTREAM, "pause", 100.3, 101.9)]
     ),
+    "requests after a limit was named on a connection that was lost": limited_requests(
+        19, [Disturbance(UPSTREAM, "upstream lose", 92.02, 92.02, settle_s=0.0)]
+    ),
+    "requests after a pause was asked for on a connection that was lost": (
+        requests_in_a_pause(
+            3,
+            disturbances=[
+                Disturbance(UPSTREAM, "upstream reset_near", 99.2, 99.2, settle_s=0.0)
+            ],
+            asked_in_s=1.0,
+        )
+    ),
     "as many requests as a pause allows": requests_in_a_pause(2),
     "requests just after a pause was asked for": requests_in_a_pause(9, 100.4),
     "requests after a pause": requests_in_a_pause(9, 102.1),
